--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,25 @@
+import gts from 'gts/build/src/index.js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  {ignores: ['node_modules/', 'build/', 'packages/*/node_modules/']},
+  ...gts,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        {prefer: 'type-imports', fixStyle: 'separate-type-imports'},
+      ],
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      // Workspaces resolve through the one lock file at the root.
+      'n/no-extraneous-import': 'off',
+      'n/no-missing-import': 'off',
+      'n/no-unpublished-import': 'off',
+      // The program ends here: idle connections must not keep it alive.
+      'n/no-process-exit': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/packages/adapters/src/http_engine.ts
@@ -0,0 +1,252 @@
+/** A model engine over its OpenAI-compatible interface and its control interface. */
+
+import type {FencingNumber} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import type {
+  CacheEvent,
+  Engine,
+  EngineOrder,
+  EngineStatus,
+  GenerationChunk,
+  GenerationRequest,
+} from '@siskinmux/ports';
+import {
+  AnswerCutError,
+  EndpointBusyError,
+  EndpointFailedError,
+  EndpointUnreachableError,
+  OrderRefusedError,
+  StaleOrderError,
+} from '@siskinmux/ports';
+import type {EventSourceMessage} from 'eventsource-parser';
+import {createParser} from 'eventsource-parser';
+import type {Dispatcher} from 'undici';
+import {z} from 'zod';
+import type {HttpAnswer, HttpCall} from './http_client.js';
+import {open, reachOf, send} from './http_client.js';
+
+const chunkSchema = z.object({
+  choices: z
+    .array(
+      z.object({
+        delta: z.object({content: z.string().optional()}).optional(),
+        text: z.string().optional(),
+        finish_reason: z.enum(['stop', 'length']).nullish(),
+      }),
+    )
+    .min(1),
+  usage: z
+    .object({prompt_tokens: z.number(), completion_tokens: z.number()})
+    .nullish(),
+});
+
+const statusSchema = z.object({
+  incarnation: z.string(),
+  isLeaving: z.boolean(),
+  memoryBytes: z.number(),
+  models: z.array(
+    z.object({
+      model: z.string(),
+      version: z.string(),
+      state: z.enum(['loading', 'ready']),
+      memoryBytes: z.number(),
+      running: z.number(),
+    }),
+  ),
+  adapters: z.array(z.string()),
+  running: z.number(),
+  queued: z.number(),
+  slots: z.number().positive(),
+  cached: z.record(z.string(), z.enum(['memory', 'disk', 'remote'])),
+  highestFencingNumber: z.number(),
+  reportedAt: z.number(),
+});
+
+const cacheEventsSchema = z.array(
+  z.object({
+    sequence: z.number(),
+    kind: z.enum(['stored', 'evicted']),
+    prefix: z.string(),
+  }),
+);
+
+/** Adapter of the engine port. */
+export class HttpEngine implements Engine {
+  private constructor(
+    private readonly url: string,
+    private readonly agent: Dispatcher,
+  ) {}
+
+  static create(options: {url: string; agent: Dispatcher}): HttpEngine {
+    return new HttpEngine(options.url, options.agent);
+  }
+
+  async *generate(
+    request: GenerationRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<GenerationChunk> {
+    const answer = await this.start(request, signal);
+    let isEnded = false;
+    try {
+      for await (const chunk of readChunks(answer.body)) {
+        isEnded = chunk.kind === 'end';
+        yield chunk;
+      }
+    } catch (cause) {
+      if (cause instanceof AnswerCutError) throw cause;
+      throw new AnswerCutError(this.url, {cause});
+    }
+    if (!isEnded) throw new AnswerCutError(`${this.url}: no end of stream`);
+  }
+
+  async order(order: EngineOrder, signal: AbortSignal): Promise<void> {
+    const answer = await this.control('POST', '/control/orders', signal, order);
+    if (answer.status === 409) {
+      const {highest} = z
+        .object({highest: z.number()})
+        .parse(JSON.parse(answer.body));
+      throw new StaleOrderError(as<FencingNumber>(highest));
+    }
+    if (answer.status === 422) throw new OrderRefusedError(answer.body);
+    if (answer.status >= 300) {
+      throw new AnswerCutError(`${this.url}: status ${answer.status}`);
+    }
+  }
+
+  async status(signal: AbortSignal): Promise<EngineStatus> {
+    const answer = await this.control('GET', '/control/status', signal);
+    return parseOrCut(
+      this.url,
+      statusSchema,
+      answer,
+    ) as unknown as EngineStatus;
+  }
+
+  async cacheEvents(
+    sequence: number,
+    signal: AbortSignal,
+  ): Promise<readonly CacheEvent[]> {
+    const path = `/control/cache-events?after=${sequence}`;
+    const answer = await this.control('GET', path, signal);
+    return parseOrCut(this.url, cacheEventsSchema, answer);
+  }
+
+  private async start(
+    request: GenerationRequest,
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData> {
+    const isChat = request.input.kind === 'chat';
+    const answer = await this.reach({
+      method: 'POST',
+      url: `${this.url}${isChat ? '/v1/chat/completions' : '/v1/completions'}`,
+      headers: headersOf(request),
+      body: JSON.stringify(bodyOf(request)),
+      signal,
+    });
+    if (answer.statusCode === 200) return answer;
+    const text = await answer.body.text();
+    // Engines answer 503 and 429 before they start to run a request.
+    if (answer.statusCode === 503 || answer.statusCode === 429) {
+      throw new EndpointBusyError(text);
+    }
+    throw new EndpointFailedError(text, answer.statusCode);
+  }
+
+  private async reach(call: HttpCall): Promise<Dispatcher.ResponseData> {
+    try {
+      return await open(this.agent, call);
+    } catch (cause) {
+      throw this.sorted(cause);
+    }
+  }
+
+  private async control(
+    method: 'GET' | 'POST',
+    path: string,
+    signal: AbortSignal,
+    body?: unknown,
+  ): Promise<HttpAnswer> {
+    try {
+      return await send(this.agent, {
+        method,
+        url: `${this.url}${path}`,
+        headers: {'content-type': 'application/json'},
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal,
+      });
+    } catch (cause) {
+      throw this.sorted(cause);
+    }
+  }
+
+  private sorted(cause: unknown): AnswerCutError | EndpointUnreachableError {
+    return reachOf(cause) === 'not_sent'
+      ? new EndpointUnreachableError(this.url, {cause})
+      : new AnswerCutError(this.url, {cause});
+  }
+}
+
+function headersOf(request: GenerationRequest): Record<string, string> {
+  return {
+    'content-type': 'application/json',
+    'x-request-id': request.requestId,
+    ...(request.traceparent && {traceparent: request.traceparent}),
+  };
+}
+
+function bodyOf(request: GenerationRequest): Record<string, unknown> {
+  const {input} = request;
+  return {
+    model: `${request.model}@${request.version}`,
+    adapter: request.adapter,
+    stream: true,
+    max_tokens: request.maximumTokens,
+    priority: request.priority,
+    resume_after: request.resumeAfter,
+    ...(input.kind === 'chat'
+      ? {messages: input.messages}
+      : {prompt: input.prompt}),
+  };
+}
+
+async function* readChunks(
+  body: AsyncIterable<Buffer>,
+): AsyncIterable<GenerationChunk> {
+  const pending: EventSourceMessage[] = [];
+  const parser = createParser({onEvent: event => pending.push(event)});
+  const decoder = new TextDecoder();
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, {stream: true}));
+    for (const event of pending.splice(0)) {
+      if (event.event === 'error') throw new AnswerCutError(event.data);
+      if (event.data !== '[DONE]') yield* chunksOf(event.data);
+    }
+  }
+}
+
+function* chunksOf(data: string): Iterable<GenerationChunk> {
+  const {choices, usage} = chunkSchema.parse(JSON.parse(data));
+  const [choice] = choices;
+  const text = choice?.delta?.content ?? choice?.text ?? '';
+  if (text !== '') yield {kind: 'token', text};
+  if (choice?.finish_reason) {
+    yield {
+      kind: 'end',
+      reason: choice.finish_reason,
+      promptTokens: usage?.prompt_tokens ?? 0,
+      completionTokens: usage?.completion_tokens ?? 0,
+    };
+  }
+}
+
+function parseOrCut<Shape>(
+  url: string,
+  schema: z.ZodType<Shape>,
+  answer: HttpAnswer,
+): Shape {
+  try {
+    return schema.parse(JSON.parse(answer.body));
+  } catch (cause) {
+    throw new AnswerCutError(`${url}: status ${answer.status}`, {cause});
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/http_weight_store.ts
@@ -0,0 +1,35 @@
+/** The weight store's report over HTTP. */
+
+import type {WeightStore, WeightStoreReport} from '@siskinmux/ports';
+import {PlatformUnavailableError} from '@siskinmux/ports';
+import type {Dispatcher} from 'undici';
+import {z} from 'zod';
+import {send} from './http_client.js';
+
+const reportSchema = z.object({
+  loadsInTransit: z.number(),
+  fullSpeedLoads: z.number(),
+  rate: z.number(),
+});
+
+/** Adapter of the weight store port. */
+export class HttpWeightStore implements WeightStore {
+  private constructor(
+    private readonly url: string,
+    private readonly agent: Dispatcher,
+  ) {}
+
+  static create(options: {url: string; agent: Dispatcher}): HttpWeightStore {
+    return new HttpWeightStore(options.url, options.agent);
+  }
+
+  async report(signal: AbortSignal): Promise<WeightStoreReport> {
+    try {
+      const url = `${this.url}/report`;
+      const answer = await send(this.agent, {method: 'GET', url, signal});
+      return reportSchema.parse(JSON.parse(answer.body));
+    } catch (cause) {
+      throw new PlatformUnavailableError('weight store', {cause});
+    }
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/index.ts
@@ -0,0 +1,10 @@
+/** Adapters of the ports: HTTP by undici, and the machine's clock. */
+
+export {createAgent, reachOf, send} from './http_client.js';
+export type {HttpAnswer, HttpCall} from './http_client.js';
+export {HttpEngine} from './http_engine.js';
+export {HttpHostList} from './http_host_list.js';
+export {HttpObjectService} from './http_object_service.js';
+export {HttpPlainService} from './http_plain_service.js';
+export {HttpWeightStore} from './http_weight_store.js';
+export {systemClock, systemRandom} from './system_clock.js';
--- /dev/null
+++ b/packages/admission/src/admit.ts
@@ -0,0 +1,54 @@
+/** Decides at arrival whether a request can be answered before its deadline. */
+
+import type {Instant, Milliseconds} from '@siskinmux/kernel';
+import {after, until} from '@siskinmux/kernel';
+
+/** Least pause that a refusal asks for. */
+const LEAST_RETRY_MILLISECONDS: Milliseconds = 100;
+
+/** What is known of a request's chances. */
+export interface AdmissionFacts {
+  readonly now: Instant;
+  readonly deadline: Instant;
+  /** Requests that will be served before this one. */
+  readonly ahead: number;
+  /** Requests that its endpoints run at once; 0 while none is ready. */
+  readonly capacity: number;
+  /** Measured time of one request at an endpoint. */
+  readonly serviceTime: Milliseconds;
+  /** When the first endpoint is ready, as far as that is known. */
+  readonly readyAt: Instant | undefined;
+}
+
+/** What comes of it. */
+export type AdmissionDecision =
+  /** Worth waiting, until `refuseAt`. */
+  | {readonly kind: 'admit'; readonly refuseAt: Instant}
+  /** It can't make it; a request sent at `retryAt` could. */
+  | {readonly kind: 'refuse'; readonly retryAt: Instant};
+
+/** Admits what is expected to be answered in time and refuses the rest at once. */
+export function admit(facts: AdmissionFacts): AdmissionDecision {
+  const {now, deadline, serviceTime} = facts;
+  const startsAt = after(firstStart(facts), queueTime(facts));
+  const answeredAt = after(startsAt, serviceTime);
+  if (answeredAt <= deadline) {
+    return {kind: 'admit', refuseAt: after(deadline, -serviceTime)};
+  }
+  const lateBy = until(deadline, answeredAt);
+  return {
+    kind: 'refuse',
+    retryAt: after(now, Math.max(lateBy, LEAST_RETRY_MILLISECONDS)),
+  };
+}
+
+function firstStart(facts: AdmissionFacts): Instant {
+  const {now, readyAt, capacity} = facts;
+  if (capacity > 0 || readyAt === undefined || readyAt < now) return now;
+  return readyAt;
+}
+
+function queueTime(facts: AdmissionFacts): Milliseconds {
+  const servers = Math.max(1, facts.capacity);
+  return (facts.ahead * facts.serviceTime) / servers;
+}
--- /dev/null
+++ b/packages/allocation/src/allocation_events.ts
@@ -0,0 +1,47 @@
+/** Numbered events of the allocation. */
+
+import type {EventDescriptor} from '@siskinmux/kernel';
+
+/** Another node took over a domain. */
+export const ALLOCATION_LOST: EventDescriptor = {
+  number: 5001,
+  name: 'allocation-lost',
+  level: 'warn',
+  meaning:
+    'Another node took over the allocation of a failure domain. Expected after a pause or a membership change.',
+};
+
+/** A plan could not be made or written. */
+export const ALLOCATION_STEP_FAILED: EventDescriptor = {
+  number: 5002,
+  name: 'allocation-step-failed',
+  level: 'warn',
+  meaning:
+    'A plan could not be written, mostly because the object service is away. What is loaded goes on serving; nothing new is loaded until it is back.',
+};
+
+/** An engine ended an order. */
+export const ORDER_ENDED: EventDescriptor = {
+  number: 5003,
+  name: 'order-ended',
+  level: 'info',
+  meaning:
+    'An engine carried out, refused or did not answer an order to load or unload.',
+};
+
+/** A wanted replica got no place. */
+export const REPLICA_REFUSED: EventDescriptor = {
+  number: 5004,
+  name: 'replica-refused',
+  level: 'warn',
+  meaning:
+    'Requests wait for a model that got no place. If it repeats, declare more memory or replicas, or accept that the models take turns.',
+};
+
+/** All events of this package. */
+export const ALLOCATION_EVENTS = [
+  ALLOCATION_LOST,
+  ALLOCATION_STEP_FAILED,
+  ORDER_ENDED,
+  REPLICA_REFUSED,
+] as const;
--- /dev/null
+++ b/packages/allocation/src/domain_allocator.ts
@@ -0,0 +1,539 @@
+/**
+ * The task that allocates one failure domain: it gathers demands and engine reports,
+ * plans, writes the plan, and only then sends its orders.
+ */
+
+import type {
+  CancelTimer,
+  Clock,
+  EmitEvent,
+  EndpointId,
+  FailureDomain,
+  FencingNumber,
+  Instant,
+  Milliseconds,
+  ModelName,
+  NodeId,
+} from '@siskinmux/kernel';
+import {Mailbox, SiskinmuxError, after, as} from '@siskinmux/kernel';
+import type {Declarations} from '@siskinmux/declarations';
+import {policyOf} from '@siskinmux/declarations';
+import type {
+  Engine,
+  EngineStatus,
+  ObjectService,
+  WeightStore,
+} from '@siskinmux/ports';
+import {
+  EndpointUnreachableError,
+  OrderRefusedError,
+  StaleOrderError,
+} from '@siskinmux/ports';
+import type {Reservation} from './allocation.js';
+import type {PlannedOrder, Refusal} from './allocation_draft.js';
+import {
+  ALLOCATION_LOST,
+  ALLOCATION_STEP_FAILED,
+  ORDER_ENDED,
+  REPLICA_REFUSED,
+} from './allocation_events.js';
+import {AllocationLostError, AllocationStore} from './allocation_store.js';
+import type {
+  ExchangeAnswer,
+  ExchangeMessage,
+  NodeDemand,
+  ReplicaView,
+  ReservationReport,
+} from './exchange.js';
+import type {Demand, EngineView, PlanFacts} from './facts.js';
+import {fromGibibytes} from './facts.js';
+import {KeepAlive} from './keep_alive.js';
+import {mergeDemands, planAllocation} from './plan_allocation.js';
+import type {OrderEnd, OrderResult} from './settle_order.js';
+
+/** Pause between plans when nothing else asks for one. */
+const PLAN_INTERVAL_MILLISECONDS: Milliseconds = 500;
+
+/** Time for an engine's report. */
+const POLL_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
+
+/** Silence after which an engine counts as unreachable. */
+const UNREACHABLE_AFTER_MILLISECONDS: Milliseconds = 2_500;
+
+/** How long a node's demands count without being said again. */
+const DEMAND_LIFETIME_MILLISECONDS: Milliseconds = 3_000;
+
+/** Loads that the weight store serves at once at full speed. */
+const FULL_SPEED_LOADS = 4;
+
+/** Idle accelerator time that one unit of waiting for a load is worth at equal weights. */
+const COLD_START_FACTOR = 15;
+
+/** What the platform's host list says of an engine's host. */
+export type HostSighting = 'live' | 'leaving' | 'unlisted' | 'unknown';
+
+/** What an allocator needs from its surroundings. */
+export interface DomainAllocatorOptions {
+  readonly objects: ObjectService;
+  readonly clock: Clock;
+  readonly node: NodeId;
+  readonly failureDomain: FailureDomain;
+  readonly declarations: () => Declarations;
+  readonly engine: (id: EndpointId) => Engine;
+  readonly hostOf: (host: string) => HostSighting;
+  readonly weightStore: WeightStore | undefined;
+  readonly isNodeGone: (node: NodeId) => boolean;
+  readonly emit: EmitEvent;
+  readonly onLost: (holder: NodeId | undefined) => void;
+}
+
+type Message =
+  | {readonly kind: 'plan'}
+  | {readonly kind: 'order_ended'; readonly result: OrderResult};
+
+interface Polled {
+  status: EngineStatus | undefined;
+  answeredAt: Instant | undefined;
+  isPolling: boolean;
+}
+
+interface HeardDemands {
+  readonly demands: readonly NodeDemand[];
+  readonly expiresAt: Instant;
+}
+
+/** Allocator of one failure domain, for as long as nobody else takes over. */
+export class DomainAllocator {
+  private readonly store: AllocationStore;
+  private readonly mailbox: Mailbox<Message>;
+  private readonly polled = new Map<EndpointId, Polled>();
+  private readonly heard = new Map<NodeId, HeardDemands>();
+  private readonly keepAlives = new Map<ModelName, KeepAlive>();
+  /** Ends of orders that no written allocation reflects yet. */
+  private results: OrderResult[] = [];
+  private refusals: readonly Refusal[] = [];
+  private loadsElsewhere = 0;
+  /** Orders that left this process; a written one that did not is sent anew. */
+  private readonly sent = new Set<FencingNumber>();
+  private readonly stopping = new AbortController();
+  private readonly timers = new Set<CancelTimer>();
+  private readonly startedAt: Instant;
+  private isPlanQueued = false;
+  private readonly whenRead: Promise<void>;
+  private noteRead: () => void = () => {};
+
+  private constructor(private readonly options: DomainAllocatorOptions) {
+    this.startedAt = options.clock.now();
+    this.whenRead = new Promise(resolve => {
+      this.noteRead = resolve;
+    });
+    this.store = AllocationStore.create(options);
+    this.mailbox = Mailbox.create(
+      message => this.handle(message),
+      failure => this.noteFailure(failure),
+    );
+  }
+
+  /** Reads the allocation and starts to plan. */
+  static create(options: DomainAllocatorOptions): DomainAllocator {
+    const allocator = new DomainAllocator(options);
+    allocator.tick();
+    return allocator;
+  }
+
+  /** Takes a node's demands and answers what it can use. */
+  exchange(message: ExchangeMessage): ExchangeAnswer {
+    const {clock} = this.options;
+    const expiresAt = after(clock.now(), DEMAND_LIFETIME_MILLISECONDS);
+    this.heard.set(message.node, {demands: message.demands, expiresAt});
+    for (const demand of message.demands) this.noteArrival(demand);
+    if (message.demands.some(demand => this.isUnmet(demand)))
+      this.requestPlan();
+    return this.answerFor(new Set(message.models));
+  }
+
+  /** Resolves once the allocation was read, so that answers mean something. */
+  get ready(): Promise<void> {
+    return this.whenRead;
+  }
+
+  /** All reservations, for people. */
+  report(): ReservationReport[] {
+    const demands = this.demands();
+    return this.store.current.reservations.map(entry => ({
+      failureDomain: this.options.failureDomain,
+      subject: entry.subject,
+      engine: entry.engine,
+      state: entry.state,
+      reason: entry.reason,
+      memoryBytes: entry.memoryBytes,
+      changedAt: entry.changedAt,
+      readyAt: entry.state === 'loading' ? this.readyAt(entry) : undefined,
+      keepUntil:
+        entry.state === 'ready'
+          ? this.keepUntil(entry.subject.model)
+          : undefined,
+      waiting: demands
+        .filter(demand => demand.subject.model === entry.subject.model)
+        .reduce((sum, demand) => sum + demand.waiting, 0),
+    }));
+  }
+
+  /** What was refused for want of room, for people. */
+  get recentRefusals(): readonly Refusal[] {
+    return this.refusals;
+  }
+
+  /** Plans and orders nothing more. */
+  stop(): void {
+    this.stopping.abort();
+    this.mailbox.close();
+    for (const cancel of this.timers) cancel();
+    this.timers.clear();
+  }
+
+  private get isStopped(): boolean {
+    return this.stopping.signal.aborted;
+  }
+
+  private tick(): void {
+    if (this.isStopped) return;
+    this.pollEngines();
+    this.requestPlan();
+    this.later(PLAN_INTERVAL_MILLISECONDS, () => this.tick());
+  }
+
+  private requestPlan(): void {
+    if (this.isPlanQueued) return;
+    this.isPlanQueued = true;
+    this.mailbox.post({kind: 'plan'});
+  }
+
+  private async handle(message: Message): Promise<void> {
+    if (message.kind === 'order_ended') {
+      this.results.push(message.result);
+      this.requestPlan();
+      return;
+    }
+    this.isPlanQueued = false;
+    await this.plan();
+  }
+
+  private async plan(): Promise<void> {
+    if (!this.store.isKnown) await this.store.read();
+    this.noteRead();
+    await this.readWeightStore();
+    const taken = this.results.length;
+    const facts = this.facts();
+    const plan = planAllocation(this.store.current, facts, this.results);
+    this.noteRefusals(plan.refusals);
+    if (plan.isChanged) await this.store.write(plan.allocation);
+    this.results = this.results.slice(taken);
+    if (this.isStopped) return;
+    for (const planned of plan.orders) void this.send(planned);
+  }
+
+  private async send(planned: PlannedOrder): Promise<void> {
+    const {engine, order} = planned;
+    this.sent.add(order.fencingNumber);
+    const abort = new AbortController();
+    const cancel = this.options.clock.schedule(order.deadline, () =>
+      abort.abort(),
+    );
+    const result = await this.carryOut(planned, abort.signal);
+    cancel();
+    this.options.emit(ORDER_ENDED, {
+      engine,
+      action: order.action.kind,
+      fencing_number: order.fencingNumber,
+      end: result.end,
+      detail: result.detail,
+    });
+    this.mailbox.post({kind: 'order_ended', result});
+  }
+
+  private async carryOut(
+    planned: PlannedOrder,
+    signal: AbortSignal,
+  ): Promise<OrderResult> {
+    const end = (kind: OrderEnd, detail = ''): OrderResult => ({
+      planned,
+      end: kind,
+      detail,
+    });
+    // Between the write and this line the node may have been paused for long.
+    if (this.options.clock.now() >= planned.order.deadline) {
+      return end('unreached', 'too late to be sent');
+    }
+    try {
+      await this.options.engine(planned.engine).order(planned.order, signal);
+      return end('done');
+    } catch (failure) {
+      return end(endOf(failure), describe(failure));
+    }
+  }
+
+  private facts(): PlanFacts {
+    const {clock, node, failureDomain, declarations, isNodeGone} = this.options;
+    const now = clock.now();
+    return {
+      now,
+      node,
+      failureDomain,
+      declarations: declarations(),
+      engines: this.engineViews(now),
+      demands: this.demands(),
+      keepUntil: model => this.keepUntil(model),
+      isNodeGone,
+      wasSent: number => this.sent.has(number),
+      hasSettled: this.hasSettled(now),
+      freeLoads:
+        FULL_SPEED_LOADS - Math.max(this.loadsElsewhere, this.ownLoads()),
+    };
+  }
+
+  private engineViews(now: Instant): Map<EndpointId, EngineView> {
+    const views = new Map<EndpointId, EngineView>();
+    for (const [name, endpoint] of this.declaredEngines()) {
+      const id = as<EndpointId>(name);
+      const polled = this.polled.get(id);
+      const host = this.options.hostOf(endpoint.host);
+      const isReachable = isRecent(polled?.answeredAt, now);
+      views.set(id, {
+        id,
+        memoryBytes: fromGibibytes(endpoint.memory_gib),
+        checksFencing: endpoint.checks_fencing,
+        status: polled?.status,
+        isLeaving: polled?.status?.isLeaving === true || host === 'leaving',
+        isReachable,
+        isHostGone:
+          host === 'unlisted' && !isReachable && this.isTimeToSettleOver(now),
+      });
+    }
+    return views;
+  }
+
+  /** A new allocator first hears every engine, or waits for it long enough. */
+  private hasSettled(now: Instant): boolean {
+    const hasHeardAll = this.declaredEngines().every(
+      ([name]) => this.polled.get(as<EndpointId>(name))?.status !== undefined,
+    );
+    return hasHeardAll || this.isTimeToSettleOver(now);
+  }
+
+  private isTimeToSettleOver(now: Instant): boolean {
+    return now >= after(this.startedAt, 2 * UNREACHABLE_AFTER_MILLISECONDS);
+  }
+
+  private declaredEngines() {
+    return Object.entries(this.options.declarations().endpoints).flatMap(
+      ([name, endpoint]) =>
+        endpoint.kind === 'engine' &&
+        endpoint.failure_domain === this.options.failureDomain
+          ? [[name, endpoint] as const]
+          : [],
+    );
+  }
+
+  private pollEngines(): void {
+    for (const [name] of this.declaredEngines()) {
+      const id = as<EndpointId>(name);
+      const polled = this.polled.get(id) ?? {
+        status: undefined,
+        answeredAt: undefined,
+        isPolling: false,
+      };
+      this.polled.set(id, polled);
+      if (!polled.isPolling) void this.poll(id, polled);
+    }
+  }
+
+  private async poll(id: EndpointId, polled: Polled): Promise<void> {
+    polled.isPolling = true;
+    const abort = new AbortController();
+    const {clock} = this.options;
+    const cancel = clock.schedule(
+      after(clock.now(), POLL_TIMEOUT_MILLISECONDS),
+      () => abort.abort(),
+    );
+    try {
+      polled.status = await this.options.engine(id).status(abort.signal);
+      const isFirst = polled.answeredAt === undefined;
+      polled.answeredAt = clock.now();
+      if (isFirst) this.requestPlan();
+    } catch (failure) {
+      if (!(failure instanceof SiskinmuxError)) throw failure;
+    } finally {
+      cancel();
+      polled.isPolling = false;
+    }
+  }
+
+  private async readWeightStore(): Promise<void> {
+    const {weightStore} = this.options;
+    if (weightStore === undefined || !this.hasUnmetDemand()) return;
+    try {
+      const report = await weightStore.report(this.stopping.signal);
+      this.loadsElsewhere = report.loadsInTransit;
+    } catch (failure) {
+      // Without a report the domain's own loads are the only bound.
+      if (!(failure instanceof SiskinmuxError)) throw failure;
+      this.loadsElsewhere = 0;
+    }
+  }
+
+  private ownLoads(): number {
+    return this.store.current.reservations.filter(
+      entry => entry.state === 'loading' && entry.subject.kind === 'model',
+    ).length;
+  }
+
+  private hasUnmetDemand(): boolean {
+    return this.demands().some(demand => demand.waiting > 0);
+  }
+
+  private isUnmet(demand: NodeDemand): boolean {
+    return demand.waiting > 0;
+  }
+
+  private demands(): Demand[] {
+    const now = this.options.clock.now();
+    const all: NodeDemand[] = [];
+    for (const [node, {demands, expiresAt}] of this.heard) {
+      if (expiresAt <= now) this.heard.delete(node);
+      else all.push(...demands);
+    }
+    return mergeDemands(all);
+  }
+
+  private noteArrival(demand: NodeDemand): void {
+    const {lastArrivalAt, subject} = demand;
+    if (lastArrivalAt === undefined) return;
+    const keepAlive = this.keepAliveOf(subject.model);
+    const known = keepAlive.lastArrival;
+    if (known === undefined || lastArrivalAt > known) {
+      keepAlive.noteArrival(lastArrivalAt);
+    }
+  }
+
+  private keepAliveOf(model: ModelName): KeepAlive {
+    let keepAlive = this.keepAlives.get(model);
+    if (keepAlive === undefined) {
+      keepAlive = KeepAlive.create();
+      this.keepAlives.set(model, keepAlive);
+    }
+    return keepAlive;
+  }
+
+  private keepUntil(model: ModelName): Instant {
+    const keepAlive = this.keepAliveOf(model);
+    const declarations = this.options.declarations();
+    const policy = policyOf(declarations);
+    const load = declarations.models[model]?.expected_load_milliseconds ?? 0;
+    return keepAlive.keepUntil(keepAlive.lastArrival ?? this.startedAt, {
+      idlePerMillisecond: policy.idle_hour_weight,
+      coldStart: policy.cold_start_weight * load * COLD_START_FACTOR,
+    });
+  }
+
+  private answerFor(models: ReadonlySet<ModelName>): ExchangeAnswer {
+    const replicas: ReplicaView[] = [];
+    for (const entry of this.store.current.reservations) {
+      const isServing = entry.state === 'loading' || entry.state === 'ready';
+      if (isServing && models.has(entry.subject.model)) {
+        replicas.push(this.viewOf(entry, entry.state));
+      }
+    }
+    return {
+      failureDomain: this.options.failureDomain,
+      replicas,
+      refusals: this.refusals.filter(refusal =>
+        models.has(refusal.subject.model),
+      ),
+    };
+  }
+
+  private viewOf(
+    entry: Reservation,
+    state: 'loading' | 'ready' | string,
+  ): ReplicaView {
+    const status = this.polled.get(entry.engine)?.status;
+    return {
+      subject: entry.subject,
+      engine: entry.engine,
+      state: state === 'ready' ? 'ready' : 'loading',
+      readyAt: this.readyAt(entry),
+      running: status?.running ?? 0,
+      queued: status?.queued ?? 0,
+      slots: status?.slots ?? 1,
+      reportedAt: status?.reportedAt,
+    };
+  }
+
+  private readyAt(entry: Reservation): Instant {
+    const {subject, changedAt, state} = entry;
+    if (state === 'ready' || subject.kind === 'adapter') return changedAt;
+    const declared = this.options.declarations().models[subject.model];
+    return after(changedAt, declared?.expected_load_milliseconds ?? 0);
+  }
+
+  private noteRefusals(refusals: readonly Refusal[]): void {
+    for (const refusal of refusals) {
+      const isKnown = this.refusals.some(
+        known =>
+          known.subject.model === refusal.subject.model &&
+          known.reason === refusal.reason,
+      );
+      if (isKnown) continue;
+      this.options.emit(REPLICA_REFUSED, {
+        model: refusal.subject.model,
+        reason: refusal.reason,
+      });
+    }
+    this.refusals = refusals;
+  }
+
+  private noteFailure(failure: unknown): void {
+    if (failure instanceof AllocationLostError) {
+      this.options.emit(ALLOCATION_LOST, {
+        failure_domain: this.options.failureDomain,
+        holder: failure.holder,
+      });
+      // Orders of this node may be under way; their reservations name it.
+      this.stop();
+      this.options.onLost(failure.holder);
+      return;
+    }
+    this.options.emit(ALLOCATION_STEP_FAILED, {
+      failure_domain: this.options.failureDomain,
+      failure: describe(failure),
+    });
+  }
+
+  private later(pause: Milliseconds, callback: () => void): void {
+    const {clock} = this.options;
+    const cancel = clock.schedule(after(clock.now(), pause), () => {
+      this.timers.delete(cancel);
+      callback();
+    });
+    this.timers.add(cancel);
+  }
+}
+
+function isRecent(answeredAt: Instant | undefined, now: Instant): boolean {
+  return (
+    answeredAt !== undefined &&
+    after(answeredAt, UNREACHABLE_AFTER_MILLISECONDS) > now
+  );
+}
+
+function endOf(failure: unknown): OrderEnd {
+  if (failure instanceof StaleOrderError) return 'stale';
+  if (failure instanceof OrderRefusedError) return 'refused';
+  if (failure instanceof EndpointUnreachableError) return 'unreached';
+  return 'unknown';
+}
+
+function describe(failure: unknown): string {
+  return failure instanceof SiskinmuxError ? failure.message : String(failure);
+}
--- /dev/null
+++ b/packages/cli/src/commands/check.ts
@@ -0,0 +1,86 @@
+/** `siskinmux check`: checks settings and declarations without a node. */
+
+import {systemClock, systemRandom} from '@siskinmux/adapters';
+import {SECTIONS} from '@siskinmux/declarations';
+import {SiskinmuxNode} from '@siskinmux/node';
+import type {Command} from '../command.js';
+import {UsageError, stringOption} from '../command.js';
+import {readDeclarationFolder} from '../declaration_folder.js';
+import {ExitCode} from '../exit_code.js';
+import {readSettings} from '../settings_file.js';
+
+/** Checks files offline. */
+export const checkCommand: Command = {
+  name: 'check',
+  summary: 'Check a settings file and a folder of declarations, offline.',
+  positionals: [],
+  options: {
+    settings: {type: 'string', value: 'FILE', help: 'settings of a node'},
+    declarations: {
+      type: 'string',
+      value: 'FOLDER',
+      help: 'folder of .toml files',
+    },
+    json: {type: 'boolean', help: 'print JSON for programs'},
+  },
+  examples: [
+    {
+      line: 'siskinmux check --declarations ./declarations',
+      purpose: 'find mistakes before you plan a change',
+    },
+    {
+      line: 'siskinmux check --settings node.toml',
+      purpose: 'find mistakes before you start a node',
+    },
+  ],
+  async run(_positionals, options, output) {
+    const settings = stringOption(options, 'settings');
+    const folder = stringOption(options, 'declarations');
+    if (settings === undefined && folder === undefined) {
+      throw new UsageError('Name --settings, --declarations or both.');
+    }
+    const checked: Record<string, unknown> = {};
+    if (settings !== undefined) {
+      checkSettings(settings);
+      checked['settings'] = settings;
+    }
+    if (folder !== undefined) checked['declarations'] = countEntries(folder);
+    output.line(
+      options['json'] === true
+        ? JSON.stringify(checked)
+        : describe(settings, checked['declarations']),
+    );
+    return ExitCode.Success;
+  },
+};
+
+/** Building a node reads every table of the settings and opens nothing. */
+function checkSettings(file: string): void {
+  SiskinmuxNode.create({
+    settings: readSettings(file),
+    clock: systemClock,
+    random: systemRandom,
+    writeLog: () => {},
+  });
+}
+
+function countEntries(folder: string): Record<string, number> {
+  const declarations = readDeclarationFolder(folder);
+  return Object.fromEntries(
+    SECTIONS.map(section => [
+      section,
+      Object.keys(declarations[section]).length,
+    ]),
+  );
+}
+
+function describe(settings: string | undefined, counts: unknown): string {
+  const lines: string[] = [];
+  if (settings !== undefined) lines.push(`Settings in ${settings} are valid.`);
+  if (counts !== undefined) {
+    const parts = Object.entries(counts as Record<string, number>);
+    const text = parts.map(([section, count]) => `${count} ${section}`);
+    lines.push(`Declarations are valid: ${text.join(', ')}.`);
+  }
+  return lines.join('\n');
+}
--- /dev/null
+++ b/packages/cli/src/render_table.ts
@@ -0,0 +1,35 @@
+/** Tables for people. */
+
+import Table from 'cli-table3';
+
+const PLAIN = {
+  top: '',
+  'top-mid': '',
+  'top-left': '',
+  'top-right': '',
+  bottom: '',
+  'bottom-mid': '',
+  'bottom-left': '',
+  'bottom-right': '',
+  left: '',
+  'left-mid': '',
+  mid: '',
+  'mid-mid': '',
+  right: '',
+  'right-mid': '',
+  middle: ' ',
+};
+
+/** A table without borders. */
+export function renderTable(
+  head: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const table = new Table({
+    head: [...head],
+    chars: PLAIN,
+    style: {'padding-left': 0, 'padding-right': 1, head: [], border: []},
+  });
+  for (const row of rows) table.push([...row]);
+  return table.toString();
+}
--- /dev/null
+++ b/packages/cli/src/run_command_line.ts
@@ -0,0 +1,157 @@
+/** Finds the command that the arguments name, runs it and turns failures into exit codes. */
+
+import {parseArgs} from 'node:util';
+import {SettingsError, SiskinmuxError} from '@siskinmux/kernel';
+import {DeclarationError, describeFault} from '@siskinmux/declarations';
+import type {Command, Output} from './command.js';
+import {UsageError} from './command.js';
+import {checkCommand} from './commands/check.js';
+import {
+  configApplyCommand,
+  configDiffCommand,
+  configHistoryCommand,
+  configPlanCommand,
+  configRollbackCommand,
+  configShowCommand,
+} from './commands/config.js';
+import {demoCommand} from './commands/demo.js';
+import {serveCommand} from './commands/serve.js';
+import {statusCommand} from './commands/status.js';
+import {versionCommand} from './commands/version.js';
+import {ExitCode} from './exit_code.js';
+import {helpOn, overview} from './help.js';
+import {NodeUnreachableError, OperatorProblemError} from './operator_client.js';
+
+/** All commands, in the order of the help. */
+export const COMMANDS: readonly Command[] = [
+  serveCommand,
+  checkCommand,
+  configShowCommand,
+  configPlanCommand,
+  configApplyCommand,
+  configRollbackCommand,
+  configHistoryCommand,
+  configDiffCommand,
+  statusCommand,
+  demoCommand,
+  versionCommand,
+];
+
+const HELP_WORDS = new Set(['help', '--help', '-h']);
+
+/** Runs the command that `arguments_` name. */
+export async function runCommandLine(
+  arguments_: readonly string[],
+  output: Output,
+): Promise<ExitCode> {
+  try {
+    return await run(arguments_, output);
+  } catch (failure) {
+    return report(failure, output);
+  }
+}
+
+async function run(
+  arguments_: readonly string[],
+  output: Output,
+): Promise<ExitCode> {
+  const command = findCommand(arguments_);
+  if (command === undefined) return showOverview(arguments_, output);
+  const rest = arguments_.slice(command.name.split(' ').length);
+  if (rest.some(word => HELP_WORDS.has(word))) {
+    output.line(helpOn(command));
+    return ExitCode.Success;
+  }
+  const {positionals, values} = parse(command, rest);
+  if (positionals.length !== command.positionals.length) {
+    const expected = command.positionals.join(' ') || 'no arguments';
+    throw new UsageError(`${command.name} expects ${expected}.`);
+  }
+  return command.run(positionals, values, output);
+}
+
+function parse(command: Command, rest: readonly string[]) {
+  try {
+    return parseArgs({
+      args: [...rest],
+      options: Object.fromEntries(
+        Object.entries(command.options).map(([name, {type}]) => [name, {type}]),
+      ),
+      allowPositionals: true,
+      strict: true,
+    }) as {
+      positionals: string[];
+      values: Record<string, string | boolean | undefined>;
+    };
+  } catch (failure) {
+    if (!(failure instanceof TypeError)) throw failure;
+    throw new UsageError(failure.message);
+  }
+}
+
+function findCommand(arguments_: readonly string[]): Command | undefined {
+  return COMMANDS.find(({name}) => {
+    const words = name.split(' ');
+    return words.every((word, index) => arguments_[index] === word);
+  });
+}
+
+function showOverview(arguments_: readonly string[], output: Output): ExitCode {
+  const words = arguments_.filter(word => !HELP_WORDS.has(word));
+  const [prefix = ''] = words;
+  const isKnown = COMMANDS.some(({name}) => name.split(' ')[0] === prefix);
+  if (words.length === 0 || (isKnown && words.length === 1)) {
+    output.line(overview(COMMANDS, prefix));
+    const isAsked = words.length < arguments_.length || words.length === 0;
+    return isAsked ? ExitCode.Success : ExitCode.Usage;
+  }
+  throw new UsageError(
+    `there is no command "${words.slice(0, 2).join(' ')}"; try: siskinmux help`,
+  );
+}
+
+function report(failure: unknown, output: Output): ExitCode {
+  if (!(failure instanceof SiskinmuxError)) throw failure;
+  if (failure instanceof OperatorProblemError) {
+    return reportProblem(failure, output);
+  }
+  output.error(
+    failure instanceof DeclarationError
+      ? failure.faults.map(describeFault).join('\n')
+      : failure.message,
+  );
+  return codeOf(failure);
+}
+
+function codeOf(failure: SiskinmuxError): ExitCode {
+  if (failure instanceof UsageError) return ExitCode.Usage;
+  if (failure instanceof SettingsError) return ExitCode.Invalid;
+  if (failure instanceof DeclarationError) return ExitCode.Invalid;
+  if (failure instanceof NodeUnreachableError) return ExitCode.Unreachable;
+  return ExitCode.Failure;
+}
+
+function reportProblem(
+  failure: OperatorProblemError,
+  output: Output,
+): ExitCode {
+  output.error(failure.detail.trim());
+  const {theirs, yours, faults} = failure.problem as {
+    theirs?: string[];
+    yours?: string[];
+    faults?: {path: string; problem: string}[];
+  };
+  if (theirs !== undefined && yours !== undefined) {
+    output.error('Others changed meanwhile:');
+    for (const line of theirs) output.error(`  ${line}`);
+    output.error('You would have changed:');
+    for (const line of yours) output.error(`  ${line}`);
+    output.error('Plan again: siskinmux config plan FOLDER --out plan.json');
+    return ExitCode.Conflict;
+  }
+  for (const fault of faults ?? []) {
+    output.error(`  ${fault.path}: ${fault.problem}`);
+  }
+  if (failure.status === 422) return ExitCode.Invalid;
+  return failure.status >= 500 ? ExitCode.Unreachable : ExitCode.Failure;
+}
--- /dev/null
+++ b/packages/declarations/src/index.ts
@@ -0,0 +1,35 @@
+/** What operators declare: shapes, checks, differences and patches. */
+
+export type {
+  AdapterDeclaration,
+  Declarations,
+  EndpointDeclaration,
+  ModelDeclaration,
+  PolicyDeclaration,
+  Priority,
+  Section,
+  ServiceCallDeclaration,
+  ServiceDeclaration,
+} from './schema.js';
+export {
+  PRIORITIES,
+  SECTIONS,
+  declarationsSchema,
+  emptyDeclarations,
+  policyOf,
+} from './schema.js';
+export type {DeclarationFault} from './declaration_error.js';
+export {DeclarationError, describeFault} from './declaration_error.js';
+export type {DeclarationFile} from './parse_declarations.js';
+export {parseDeclarations} from './parse_declarations.js';
+export {checkReferences} from './check_references.js';
+export type {Change, Patch} from './patch.js';
+export {
+  applyChanges,
+  changeSchema,
+  diffDeclarations,
+  patchSchema,
+} from './patch.js';
+export {describeChange} from './describe_change.js';
+export type {ModelTarget} from './resolve_target.js';
+export {ownEntry, resolveModelTarget} from './resolve_target.js';
--- /dev/null
+++ b/packages/declarations/src/parse_declarations.ts
@@ -0,0 +1,222 @@
+/** Turns TOML texts into checked declarations. */
+
+import {TomlError, parse} from 'smol-toml';
+import type {z} from 'zod';
+import type {DeclarationFault} from './declaration_error.js';
+import {DeclarationError} from './declaration_error.js';
+import type {Declarations, Section} from './schema.js';
+import {
+  ENTRY_SCHEMAS,
+  NAME_PATTERN,
+  SECTIONS,
+  emptyDeclarations,
+} from './schema.js';
+import {checkReferences} from './check_references.js';
+
+/** A declaration file's name and text. */
+export interface DeclarationFile {
+  readonly name: string;
+  readonly text: string;
+}
+
+/**
+ * Parses and checks a folder of declaration files as one whole. Throws
+ * {@link DeclarationError} with every fault that was found.
+ */
+export function parseDeclarations(
+  files: readonly DeclarationFile[],
+): Declarations {
+  const faults: DeclarationFault[] = [];
+  const collected = emptyDeclarations();
+  const origins = new Map<string, string>();
+  for (const file of files) collectFile(file, collected, origins, faults);
+  if (faults.length === 0) {
+    for (const fault of checkReferences(collected)) {
+      faults.push({...fault, file: originOf(fault.path, origins)});
+    }
+  }
+  if (faults.length > 0) throw new DeclarationError(faults);
+  return collected;
+}
+
+function originOf(
+  path: string,
+  origins: ReadonlyMap<string, string>,
+): string | undefined {
+  for (const [entry, file] of origins) {
+    if (path === entry || path.startsWith(`${entry}.`)) return file;
+  }
+  return undefined;
+}
+
+function collectFile(
+  file: DeclarationFile,
+  collected: Declarations,
+  origins: Map<string, string>,
+  faults: DeclarationFault[],
+): void {
+  const tables = parseToml(file, faults);
+  for (const [section, entries] of Object.entries(tables)) {
+    if (!isSection(section)) {
+      faults.push(unknownSection(file, section));
+      continue;
+    }
+    if (!isTable(entries)) {
+      faults.push(faultIn(file, section, 'found a value, expected a table'));
+      continue;
+    }
+    for (const [name, entry] of Object.entries(entries)) {
+      collectEntry(file, section, name, entry, collected, origins, faults);
+    }
+  }
+}
+
+function parseToml(
+  file: DeclarationFile,
+  faults: DeclarationFault[],
+): Record<string, unknown> {
+  try {
+    return parse(file.text);
+  } catch (failure) {
+    if (!(failure instanceof TomlError)) throw failure;
+    faults.push({
+      file: file.name,
+      line: failure.line,
+      path: '',
+      problem: failure.message.split('\n')[0] ?? 'not valid TOML',
+    });
+    return {};
+  }
+}
+
+function collectEntry(
+  file: DeclarationFile,
+  section: Section,
+  name: string,
+  entry: unknown,
+  collected: Declarations,
+  origins: Map<string, string>,
+  faults: DeclarationFault[],
+): void {
+  const path = `${section}.${name}`;
+  const earlier = origins.get(path);
+  if (earlier !== undefined) {
+    faults.push(faultIn(file, path, `declared before in ${earlier}`));
+    return;
+  }
+  if (!NAME_PATTERN.test(name)) {
+    faults.push(
+      faultIn(
+        file,
+        path,
+        `found the name "${name}", expected lower-case letters, digits, ".", "_" or "-"`,
+      ),
+    );
+    return;
+  }
+  origins.set(path, file.name);
+  const parsed = parseEntry(section, entry);
+  if (parsed.success) {
+    assignEntry(collected, section, name, parsed.data);
+    return;
+  }
+  for (const issue of parsed.error.issues) {
+    faults.push(issueFault(file, path, issue, entry));
+  }
+}
+
+/** Checks one entry against its section's schema. */
+export function parseEntry(
+  section: Section,
+  entry: unknown,
+): z.ZodSafeParseResult<unknown> {
+  return ENTRY_SCHEMAS[section].safeParse(entry);
+}
+
+/** Sets one checked entry; the schema of the section vouches for the shape. */
+export function assignEntry(
+  declarations: Declarations,
+  section: Section,
+  name: string,
+  entry: unknown,
+): void {
+  const entries: Record<string, unknown> = declarations[section];
+  Object.defineProperty(entries, name, {
+    value: entry,
+    enumerable: true,
+    configurable: true,
+    writable: true,
+  });
+}
+
+function issueFault(
+  file: DeclarationFile,
+  path: string,
+  issue: z.core.$ZodIssue,
+  entry: unknown,
+): DeclarationFault {
+  const found = valueAt(entry, issue.path);
+  const keys = [path, ...issue.path.map(String)].join('.');
+  const foundText =
+    found === undefined ? 'nothing' : (JSON.stringify(found) ?? 'a value');
+  return faultIn(file, keys, `${issue.message}; found ${foundText}`);
+}
+
+function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+  let current = value;
+  for (const key of path) {
+    if (!isTable(current) && !Array.isArray(current)) return undefined;
+    current = (current as Record<PropertyKey, unknown>)[key];
+  }
+  return current;
+}
+
+function faultIn(
+  file: DeclarationFile,
+  path: string,
+  problem: string,
+): DeclarationFault {
+  return {
+    file: file.name,
+    line: lineOf(file.text, path),
+    path,
+    problem,
+  };
+}
+
+/** Finds the line of a table header or key, so that the message can point there. */
+function lineOf(text: string, path: string): number | undefined {
+  const keys = path.split('.');
+  const lines = text.split('\n');
+  const header = lines.findIndex(line =>
+    line.trim().startsWith(`[${keys.slice(0, 2).join('.')}`),
+  );
+  if (header < 0) return undefined;
+  const last = keys.at(-1);
+  for (let index = header + 1; index < lines.length; index += 1) {
+    const line = lines[index]?.trim() ?? '';
+    if (line.startsWith('[') && !line.includes(keys[1] ?? '')) break;
+    if (keys.length > 2 && line.startsWith(`${last} `)) return index + 1;
+  }
+  return header + 1;
+}
+
+function unknownSection(
+  file: DeclarationFile,
+  section: string,
+): DeclarationFault {
+  return {
+    file: file.name,
+    line: undefined,
+    path: section,
+    problem: `found the table "${section}", expected one of ${SECTIONS.join(', ')}`,
+  };
+}
+
+function isSection(section: string): section is Section {
+  return (SECTIONS as readonly string[]).includes(section);
+}
+
+function isTable(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/packages/kernel/src/errors.ts
@@ -0,0 +1,143 @@
+/**
+ * Error codes and their message table. Each failure in the system is an instance
+ * of a class derived from {@link SiskinmuxError}; docs/ERRORS.md lists the codes.
+ */
+
+/** Stable error codes; callers see them as the last part of a problem's type. */
+export enum ErrorCode {
+  InvalidSettings = 'invalid-settings',
+  InvalidDeclaration = 'invalid-declaration',
+  InvalidRequest = 'invalid-request',
+  BodyTooLarge = 'body-too-large',
+  UnknownTarget = 'unknown-target',
+  MissingIdempotencyKey = 'missing-idempotency-key',
+  IdempotencyKeyReused = 'idempotency-key-reused',
+  DeadlineUnreachable = 'deadline-unreachable',
+  DeadlinePassed = 'deadline-passed',
+  QueueFull = 'queue-full',
+  NoEndpoint = 'no-endpoint',
+  EndpointFailed = 'endpoint-failed',
+  EndpointBusy = 'endpoint-busy',
+  EndpointUnreachable = 'endpoint-unreachable',
+  AnswerCut = 'answer-cut',
+  OutcomeUnknown = 'outcome-unknown',
+  AnswerNotKept = 'answer-not-kept',
+  RequestQuarantined = 'request-quarantined',
+  ShuttingDown = 'shutting-down',
+  CallerGone = 'caller-gone',
+  PlatformUnavailable = 'platform-unavailable',
+  PlatformBusy = 'platform-busy',
+  WriteOutcomeUnknown = 'write-outcome-unknown',
+  VersionConflict = 'version-conflict',
+  ValueTooLarge = 'value-too-large',
+  StoredObjectInvalid = 'stored-object-invalid',
+  ConfigurationConflict = 'configuration-conflict',
+  ConfigurationUnavailable = 'configuration-unavailable',
+  NotOwner = 'not-owner',
+  PeerUnreachable = 'peer-unreachable',
+  StaleOrder = 'stale-order',
+  OrderRefused = 'order-refused',
+  NoRoom = 'no-room',
+  DuplicateRegistration = 'duplicate-registration',
+  MissingProvider = 'missing-provider',
+  UsageError = 'usage-error',
+  InvariantViolated = 'invariant-violated',
+}
+
+/** One sentence for each code; the instance adds its own detail. */
+export const ERROR_MESSAGES: Record<ErrorCode, string> = {
+  [ErrorCode.InvalidSettings]: 'The settings file is not valid.',
+  [ErrorCode.InvalidDeclaration]: 'A declaration is not valid.',
+  [ErrorCode.InvalidRequest]: 'The request is not valid.',
+  [ErrorCode.BodyTooLarge]: 'The request body is larger than allowed.',
+  [ErrorCode.UnknownTarget]:
+    'No model, adapter, version or service has this name.',
+  [ErrorCode.MissingIdempotencyKey]:
+    'This call may not be repeated and needs an Idempotency-Key header.',
+  [ErrorCode.IdempotencyKeyReused]:
+    'The Idempotency-Key was used before for a different request.',
+  [ErrorCode.DeadlineUnreachable]:
+    'The request could not be answered before its deadline.',
+  [ErrorCode.DeadlinePassed]: 'The deadline passed before the request ran.',
+  [ErrorCode.QueueFull]: 'Too many requests wait for this target.',
+  [ErrorCode.NoEndpoint]: 'No endpoint can serve this target now.',
+  [ErrorCode.EndpointFailed]: 'The endpoint ran the request and failed.',
+  [ErrorCode.EndpointBusy]: 'The endpoint took no more work.',
+  [ErrorCode.EndpointUnreachable]: 'The endpoint could not be reached.',
+  [ErrorCode.AnswerCut]: 'The answer ended before it was complete.',
+  [ErrorCode.OutcomeUnknown]:
+    'The request may have run; it will not be sent again.',
+  [ErrorCode.AnswerNotKept]:
+    'The request ran, but its answer was too large to keep.',
+  [ErrorCode.RequestQuarantined]:
+    'Endpoints failed while running this request; it is not sent again for now.',
+  [ErrorCode.ShuttingDown]: 'This node takes no new work.',
+  [ErrorCode.CallerGone]: 'The caller closed the connection.',
+  [ErrorCode.PlatformUnavailable]: 'The object service did not answer.',
+  [ErrorCode.PlatformBusy]: 'The object service refused for its rate limit.',
+  [ErrorCode.WriteOutcomeUnknown]:
+    'The answer to a write was lost; it may have taken effect.',
+  [ErrorCode.VersionConflict]:
+    'The object has another version than the expected one.',
+  [ErrorCode.ValueTooLarge]:
+    'The value is larger than the object service holds.',
+  [ErrorCode.StoredObjectInvalid]: 'A stored object could not be read.',
+  [ErrorCode.ConfigurationConflict]:
+    'The configuration has moved on since the patch was made.',
+  [ErrorCode.ConfigurationUnavailable]: 'No configuration is known yet.',
+  [ErrorCode.NotOwner]: 'Another node owns this shard.',
+  [ErrorCode.PeerUnreachable]: 'A peer node could not be reached.',
+  [ErrorCode.StaleOrder]: 'The engine has seen a newer fencing number.',
+  [ErrorCode.OrderRefused]: 'The engine refused the order.',
+  [ErrorCode.NoRoom]: 'No engine has room for the model.',
+  [ErrorCode.DuplicateRegistration]: 'A name was registered twice.',
+  [ErrorCode.MissingProvider]: 'No plug-in provides a required service.',
+  [ErrorCode.UsageError]: 'The command line is not valid.',
+  [ErrorCode.InvariantViolated]: 'An invariant does not hold.',
+};
+
+/** Base of all typed failures. */
+export class SiskinmuxError extends Error {
+  constructor(
+    /** Stable code from {@link ErrorCode}. */
+    readonly code: ErrorCode,
+    /** What was found, in words; never holds secrets. */
+    readonly detail: string,
+    options?: ErrorOptions,
+  ) {
+    super(`${ERROR_MESSAGES[code]} ${detail}`.trim(), options);
+    this.name = new.target.name;
+  }
+}
+
+/** A name was registered twice with the kernel. */
+export class DuplicateRegistrationError extends SiskinmuxError {
+  constructor(kind: string, name: string) {
+    super(ErrorCode.DuplicateRegistration, `${kind} ${name}`);
+  }
+}
+
+/** A service was injected that no plug-in provides. */
+export class MissingProviderError extends SiskinmuxError {
+  constructor(key: string) {
+    super(ErrorCode.MissingProvider, key);
+  }
+}
+
+/** The settings hold something that is missing, unknown or of the wrong kind. */
+export class SettingsError extends SiskinmuxError {
+  constructor(
+    /** Key path in the settings file. */
+    readonly path: string,
+    readonly problem: string,
+  ) {
+    super(ErrorCode.InvalidSettings, `${path}: ${problem}`);
+  }
+}
+
+/** A checked invariant was found broken; always a defect. */
+export class InvariantViolatedError extends SiskinmuxError {
+  constructor(detail: string) {
+    super(ErrorCode.InvariantViolated, detail);
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,50 @@
+/** The platform-free core: ids, time, chance, errors, events, tasks and plug-ins. */
+
+export type {
+  AdapterName,
+  Brand,
+  ConfigurationNumber,
+  EndpointId,
+  FailureDomain,
+  FencingNumber,
+  Fingerprint,
+  HostId,
+  IdempotencyKey,
+  ModelName,
+  NodeId,
+  ObjectVersion,
+  RequestId,
+  ServiceName,
+} from './brand.js';
+export {as} from './brand.js';
+export type {CancelTimer, Clock, Instant, Milliseconds} from './time.js';
+export {after, earlier, sleepUntil, until} from './time.js';
+export type {Random} from './random.js';
+export {jitter, randomBelow} from './random.js';
+export {Outcome} from './outcome.js';
+export {
+  DuplicateRegistrationError,
+  ERROR_MESSAGES,
+  ErrorCode,
+  InvariantViolatedError,
+  MissingProviderError,
+  SettingsError,
+  SiskinmuxError,
+} from './errors.js';
+export type {
+  EmitEvent,
+  EventDescriptor,
+  EventFields,
+  EventLevel,
+} from './events.js';
+export {discardEvents} from './events.js';
+export type {MessageHandler} from './mailbox.js';
+export {Mailbox} from './mailbox.js';
+export type {
+  InjectionKey,
+  Plugin,
+  RawSettings,
+  SettingsSection,
+  Task,
+} from './kernel.js';
+export {Kernel, injectionKey} from './kernel.js';
--- /dev/null
+++ b/packages/node/src/caller_request.ts
@@ -0,0 +1,198 @@
+/** Reads callers' requests: headers, bodies, deadlines. Everything unusable is a typed refusal. */
+
+import {createHash, randomUUID} from 'node:crypto';
+import type {
+  Clock,
+  Fingerprint,
+  IdempotencyKey,
+  Instant,
+  RequestId,
+} from '@siskinmux/kernel';
+import {ErrorCode, after, as} from '@siskinmux/kernel';
+import type {Priority} from '@siskinmux/declarations';
+import {PRIORITIES} from '@siskinmux/declarations';
+import type {GenerationInput} from '@siskinmux/ports';
+import {refuseNotRun} from '@siskinmux/requests';
+import type {FastifyRequest} from 'fastify';
+import {z} from 'zod';
+
+/** Header with the instant by which the answer is needed, in milliseconds since 1970. */
+export const DEADLINE_HEADER = 'x-request-deadline';
+
+/** Header with the time that the caller waits, in milliseconds. */
+export const TIMEOUT_HEADER = 'x-request-timeout';
+
+/** Header with the priority class. */
+export const PRIORITY_HEADER = 'x-request-priority';
+
+/** Header with the caller's key for a call that may not be repeated. */
+export const IDEMPOTENCY_HEADER = 'idempotency-key';
+
+/** Longest deadline that a caller may ask for. */
+const LONGEST_TIMEOUT_MILLISECONDS = 3_600_000;
+
+const DEFAULT_MAXIMUM_TOKENS = 256;
+const MOST_TOKENS = 32_768;
+
+const commonFields = {
+  model: z.string().min(1).max(200),
+  stream: z.boolean().default(false),
+  max_tokens: z
+    .number()
+    .int()
+    .positive()
+    .max(MOST_TOKENS)
+    .default(DEFAULT_MAXIMUM_TOKENS),
+};
+
+const chatSchema = z.object({
+  ...commonFields,
+  messages: z
+    .array(z.object({role: z.string().max(64), content: z.string()}))
+    .min(1),
+});
+
+const completionSchema = z.object({...commonFields, prompt: z.string()});
+
+/** What the body of a request for text asks. */
+export interface TextBody {
+  readonly requested: string;
+  readonly isStream: boolean;
+  readonly maximumTokens: number;
+  readonly input: GenerationInput;
+}
+
+/** What the headers of any request say. */
+export interface RequestHead {
+  readonly id: RequestId;
+  readonly deadline: Instant | undefined;
+  readonly priority: Priority | undefined;
+  readonly idempotencyKey: IdempotencyKey | undefined;
+  readonly traceparent: string | undefined;
+}
+
+/** Reads a chat request's body. */
+export function readChat(text: string): TextBody {
+  const body = parseBody(chatSchema, text);
+  return {...commonOf(body), input: {kind: 'chat', messages: body.messages}};
+}
+
+/** Reads a completion request's body. */
+export function readCompletion(text: string): TextBody {
+  const body = parseBody(completionSchema, text);
+  return {...commonOf(body), input: {kind: 'prompt', prompt: body.prompt}};
+}
+
+/** Reads the headers that all requests share. */
+export function readHead(request: FastifyRequest, clock: Clock): RequestHead {
+  const key = headerOf(request, IDEMPOTENCY_HEADER);
+  return {
+    id: as<RequestId>(randomUUID()),
+    deadline: readDeadline(request, clock),
+    priority: readPriority(request),
+    idempotencyKey: key === undefined ? undefined : readKey(key),
+    traceparent: headerOf(request, 'traceparent'),
+  };
+}
+
+/** Digest by which the same request is recognised, whatever its key. */
+export function fingerprintOf(
+  method: string,
+  target: string,
+  body: string,
+): Fingerprint {
+  const digest = createHash('sha256')
+    .update(`${method} ${target}\n`)
+    .update(body)
+    .digest('base64url');
+  return as<Fingerprint>(digest.slice(0, 22));
+}
+
+/** Refuses bodies above the operators' limit. */
+export function checkBodySize(body: string, limit: number): void {
+  const bytes = Buffer.byteLength(body);
+  if (bytes <= limit) return;
+  throw refuseNotRun(
+    ErrorCode.BodyTooLarge,
+    `found ${bytes} bytes, expected at most ${limit}`,
+  );
+}
+
+function commonOf(
+  body: z.infer<typeof chatSchema> | z.infer<typeof completionSchema>,
+) {
+  return {
+    requested: body.model,
+    isStream: body.stream,
+    maximumTokens: body.max_tokens,
+  };
+}
+
+function parseBody<Shape>(schema: z.ZodType<Shape>, text: string): Shape {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    throw refuseNotRun(ErrorCode.InvalidRequest, 'the body is not JSON');
+  }
+  const parsed = schema.safeParse(json);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  const path = issue?.path.join('.') ?? '';
+  throw refuseNotRun(ErrorCode.InvalidRequest, `${path}: ${issue?.message}`);
+}
+
+function readDeadline(
+  request: FastifyRequest,
+  clock: Clock,
+): Instant | undefined {
+  const now = clock.now();
+  const timeout = readNumber(request, TIMEOUT_HEADER);
+  const deadline =
+    timeout === undefined
+      ? readNumber(request, DEADLINE_HEADER)
+      : after(now, timeout);
+  if (deadline === undefined) return undefined;
+  if (deadline > now + LONGEST_TIMEOUT_MILLISECONDS) {
+    throw refuseNotRun(
+      ErrorCode.InvalidRequest,
+      'the deadline is more than an hour away',
+    );
+  }
+  return as<Instant>(deadline);
+}
+
+function readNumber(request: FastifyRequest, name: string): number | undefined {
+  const text = headerOf(request, name);
+  if (text === undefined) return undefined;
+  const value = Number(text);
+  if (Number.isFinite(value) && value >= 0) return value;
+  throw refuseNotRun(
+    ErrorCode.InvalidRequest,
+    `${name}: found "${text}", expected milliseconds`,
+  );
+}
+
+function readPriority(request: FastifyRequest): Priority | undefined {
+  const text = headerOf(request, PRIORITY_HEADER);
+  if (text === undefined) return undefined;
+  const found = PRIORITIES.find(priority => priority === text);
+  if (found !== undefined) return found;
+  throw refuseNotRun(
+    ErrorCode.InvalidRequest,
+    `${PRIORITY_HEADER}: found "${text}", expected one of ${PRIORITIES.join(', ')}`,
+  );
+}
+
+function readKey(key: string): IdempotencyKey {
+  if (key.length > 0 && key.length <= 200) return as<IdempotencyKey>(key);
+  throw refuseNotRun(
+    ErrorCode.InvalidRequest,
+    `${IDEMPOTENCY_HEADER}: expected 1 to 200 characters`,
+  );
+}
+
+function headerOf(request: FastifyRequest, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/node/src/ledger_plugin.ts
@@ -0,0 +1,56 @@
+/** Runs the claims on this node. */
+
+import type {Plugin} from '@siskinmux/kernel';
+import {injectionKey} from '@siskinmux/kernel';
+import {CLAIM_SHARDS, LEDGER_EVENTS, Ledger} from '@siskinmux/ledger';
+import {rankMembers} from '@siskinmux/routing';
+import {createAskPeer} from './ask_peer.js';
+import {EMIT_EVENT} from './log.js';
+import {MEMBERSHIP} from './membership_task.js';
+import {NODE_IDENTITY} from './node_identity.js';
+import {ledgerQuestionSchema, ledgerReplySchema} from './owner_messages.js';
+import {PEERS} from './peers.js';
+import {CLOCK, PLATFORM} from './platform.js';
+
+const ASK = 'ledger.ask';
+
+/** Key of the claims. */
+export const LEDGER = injectionKey<Ledger>('ledger');
+
+/** Provides {@link LEDGER}. */
+export const ledgerPlugin: Plugin = {
+  name: 'ledger',
+  install(kernel) {
+    const peers = kernel.inject(PEERS);
+    const {membership} = kernel.inject(MEMBERSHIP);
+    const ledger = Ledger.create({
+      objects: kernel.inject(PLATFORM).at('claims'),
+      clock: kernel.inject(CLOCK),
+      node: kernel.inject(NODE_IDENTITY).id,
+      shards: CLAIM_SHARDS,
+      emit: kernel.inject(EMIT_EVENT),
+      ownersOf: subject => rankMembers(subject, membership.live),
+      isNodeGone: node => membership.isGone(node),
+      callPeer: createAskPeer({
+        peers,
+        membership,
+        method: ASK,
+        replySchema: ledgerReplySchema,
+      }),
+    });
+    peers.handle(ASK, ledgerQuestionSchema, question =>
+      ledger.handle(question),
+    );
+    membership.onChange(() => ledger.onMembershipChange());
+    kernel.addEvents(LEDGER_EVENTS);
+    kernel.provide(LEDGER, ledger);
+    kernel.addTask({
+      name: 'ledger',
+      start: () => {},
+      // Before the node leaves, so that a successor finds everything written.
+      drain: () => ledger.stop(),
+      stop: () => ledger.stop(),
+      abandon: () => ledger.abandon(),
+    });
+  },
+};
--- /dev/null
+++ b/packages/node/src/metrics.ts
@@ -0,0 +1,43 @@
+/** Metrics by prom-client, served on a port of their own. */
+
+import type {Plugin} from '@siskinmux/kernel';
+import {injectionKey} from '@siskinmux/kernel';
+import {fastify} from 'fastify';
+import {Registry, collectDefaultMetrics} from 'prom-client';
+import {z} from 'zod';
+import {
+  addressSchema,
+  portSchema,
+  settingsSection,
+} from './settings_section.js';
+
+/** Key of the registry in which plug-ins register their metrics. */
+export const METRICS = injectionKey<Registry>('metrics');
+
+const section = settingsSection(
+  'metrics',
+  z.strictObject({address: addressSchema, port: portSchema}),
+);
+
+/** Provides {@link METRICS} and serves `GET /metrics`. */
+export const metricsPlugin: Plugin = {
+  name: 'metrics',
+  install(kernel) {
+    const settings = kernel.settings(section);
+    const registry = new Registry();
+    collectDefaultMetrics({register: registry, prefix: 'siskinmux_'});
+    kernel.provide(METRICS, registry);
+    const server = fastify({forceCloseConnections: true});
+    server.get('/metrics', async (_request, reply) => {
+      void reply.type(registry.contentType);
+      return registry.metrics();
+    });
+    kernel.addTask({
+      name: 'metrics server',
+      start: async () => {
+        await server.listen({host: settings.address, port: settings.port});
+      },
+      stop: () => server.close(),
+    });
+  },
+};
--- /dev/null
+++ b/packages/node/src/operator_api.ts
@@ -0,0 +1,250 @@
+/** The operators' interface: the numbered configuration and the state of the system. */
+
+import {
+  Controller,
+  Get,
+  Inject,
+  Param,
+  Post,
+  Query,
+  Req,
+  Res,
+} from '@nestjs/common';
+import type {FastifyReply, FastifyRequest} from 'fastify';
+import type {Clock, EmitEvent, Plugin} from '@siskinmux/kernel';
+import {ErrorCode, injectionKey} from '@siskinmux/kernel';
+import {ConfigurationConflictError} from '@siskinmux/configuration';
+import {DeclarationError, patchSchema} from '@siskinmux/declarations';
+import type {Patch} from '@siskinmux/declarations';
+import {refuseNotRun} from '@siskinmux/requests';
+import type {AllocationTask} from './allocation_task.js';
+import {ALLOCATION} from './allocation_task.js';
+import type {ConfigurationTask} from './configuration_task.js';
+import {CONFIGURATION} from './configuration_task.js';
+import type {Listener} from './http_listener.js';
+import {listen} from './http_listener.js';
+import {EMIT_EVENT} from './log.js';
+import type {MembershipTask} from './membership_task.js';
+import {MEMBERSHIP} from './membership_task.js';
+import {PATCH_ACCEPTED} from './node_events.js';
+import type {NodeIdentity} from './node_identity.js';
+import {NODE_IDENTITY} from './node_identity.js';
+import {CLOCK, PLATFORM} from './platform.js';
+import {PROBLEM_TYPE, toProblem} from './problem.js';
+import {privateListenerSchema, settingsSection} from './settings_section.js';
+
+/** Largest patch. */
+const BODY_LIMIT_BYTES = 4_000_000;
+
+/** Patches that one look at the history returns at most. */
+const MOST_HISTORY = 1_000;
+
+const section = settingsSection('operator', privateListenerSchema);
+
+/** What the controller works with. */
+export class OperatorContext {
+  private constructor(
+    readonly clock: Clock,
+    readonly identity: NodeIdentity,
+    readonly configuration: ConfigurationTask,
+    readonly membership: MembershipTask,
+    readonly allocation: AllocationTask,
+    readonly isPlatformAway: () => boolean,
+    readonly emit: EmitEvent,
+  ) {}
+
+  static create(options: {
+    clock: Clock;
+    identity: NodeIdentity;
+    configuration: ConfigurationTask;
+    membership: MembershipTask;
+    allocation: AllocationTask;
+    isPlatformAway: () => boolean;
+    emit: EmitEvent;
+  }): OperatorContext {
+    return new OperatorContext(
+      options.clock,
+      options.identity,
+      options.configuration,
+      options.membership,
+      options.allocation,
+      options.isPlatformAway,
+      options.emit,
+    );
+  }
+}
+
+/** Routes of the operators' interface. */
+@Controller()
+export class OperatorController {
+  constructor(
+    @Inject(OperatorContext) private readonly context: OperatorContext,
+  ) {}
+
+  /** The newest configuration. */
+  @Get('configuration')
+  async configuration(@Res() reply: FastifyReply): Promise<void> {
+    await this.answer(reply, () =>
+      this.context.configuration.store.readCurrent(),
+    );
+  }
+
+  /** The configuration as it was at a number. */
+  @Get('configuration/:number')
+  async configurationAt(
+    @Param('number') number: string,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    await this.answer(reply, () =>
+      this.context.configuration.store.readAt(wholeNumber('number', number)),
+    );
+  }
+
+  /** Accepted patches from `first` on. */
+  @Get('history')
+  async history(
+    @Query('first') first: string | undefined,
+    @Query('count') count: string | undefined,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    await this.answer(reply, () =>
+      this.context.configuration.store.history(
+        wholeNumber('first', first ?? '1'),
+        Math.min(MOST_HISTORY, wholeNumber('count', count ?? '100')),
+      ),
+    );
+  }
+
+  /** Submits a patch. */
+  @Post('patches')
+  async patch(
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    await this.answer(reply, async () => {
+      const patch = parsePatch(String(request.body ?? ''));
+      const {configuration, emit} = this.context;
+      const number = await configuration.store.apply(patch);
+      emit(PATCH_ACCEPTED, {number, author: patch.author});
+      await configuration.look();
+      return {number};
+    });
+  }
+
+  /** Nodes, replicas and what was refused. */
+  @Get('status')
+  async status(@Res() reply: FastifyReply): Promise<void> {
+    await this.answer(reply, async () => {
+      const {identity, configuration, membership, allocation} = this.context;
+      const others = membership.membership.others;
+      return {
+        node: identity.id,
+        now: this.context.clock.now(),
+        configuration: configuration.state.current.number,
+        isPlatformAway: this.context.isPlatformAway(),
+        nodes: [
+          {
+            id: identity.id,
+            failureDomain: identity.failureDomain,
+            status: 'alive',
+          },
+          ...others.map(({id, failureDomain, status}) => ({
+            id,
+            failureDomain,
+            status,
+          })),
+        ],
+        ...(await allocation.report()),
+      };
+    });
+  }
+
+  private async answer(
+    reply: FastifyReply,
+    compute: () => Promise<unknown>,
+  ): Promise<void> {
+    try {
+      await reply.code(200).send(await compute());
+    } catch (failure) {
+      const {problem, headers} = toProblem(failure, this.context.clock.now());
+      await reply
+        .code(problem.status)
+        .headers(headers)
+        .type(PROBLEM_TYPE)
+        .send(JSON.stringify({...problem, ...detailsOf(failure)}));
+    }
+  }
+}
+
+/** What operators need besides the problem itself. */
+function detailsOf(failure: unknown): Record<string, unknown> {
+  if (failure instanceof ConfigurationConflictError) {
+    const {basedOn, currentNumber, theirs, yours} = failure;
+    return {based_on: basedOn, current: currentNumber, theirs, yours};
+  }
+  if (failure instanceof DeclarationError) return {faults: failure.faults};
+  return {};
+}
+
+function parsePatch(text: string): Patch {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    throw refuseNotRun(ErrorCode.InvalidRequest, 'the patch is not JSON');
+  }
+  const parsed = patchSchema.safeParse(json);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  throw refuseNotRun(
+    ErrorCode.InvalidRequest,
+    `${issue?.path.join('.')}: ${issue?.message}`,
+  );
+}
+
+function wholeNumber(name: string, text: string): number {
+  const value = Number(text);
+  if (Number.isInteger(value) && value >= 0) return value;
+  throw refuseNotRun(
+    ErrorCode.InvalidRequest,
+    `${name}: found "${text}", expected a whole number`,
+  );
+}
+
+/** Key of the operators' interface. */
+export const OPERATOR_API = injectionKey<{readonly url: () => string}>(
+  'operator API',
+);
+
+/** Serves operators and provides {@link OPERATOR_API}. */
+export const operatorApiPlugin: Plugin = {
+  name: 'operator API',
+  install(kernel) {
+    const settings = kernel.settings(section);
+    const platform = kernel.inject(PLATFORM);
+    const context = OperatorContext.create({
+      clock: kernel.inject(CLOCK),
+      identity: kernel.inject(NODE_IDENTITY),
+      configuration: kernel.inject(CONFIGURATION),
+      membership: kernel.inject(MEMBERSHIP),
+      allocation: kernel.inject(ALLOCATION),
+      isPlatformAway: () => platform.isAway,
+      emit: kernel.inject(EMIT_EVENT),
+    });
+    let listener: Listener | undefined;
+    kernel.provide(OPERATOR_API, {url: () => listener?.url ?? ''});
+    kernel.addTask({
+      name: 'operator API',
+      start: async () => {
+        listener = await listen({
+          ...settings,
+          bodyLimitBytes: BODY_LIMIT_BYTES,
+          controllers: [OperatorController],
+          providers: [{provide: OperatorContext, useValue: context}],
+        });
+      },
+      stop: () => listener?.close(),
+      abandon: () => listener?.abandon(),
+    });
+  },
+};
--- /dev/null
+++ b/packages/node/src/owner_messages.ts
@@ -0,0 +1,131 @@
+/** Shapes of the questions that owners of shared state take from peers. */
+
+import type {ExchangeAnswer, ExchangeMessage} from '@siskinmux/allocation';
+import type {LedgerAnswer, LedgerMessage} from '@siskinmux/ledger';
+import type {OwnerQuestion, OwnerReply} from '@siskinmux/membership';
+import {z} from 'zod';
+
+const text = z.string().max(256);
+const instant = z.number();
+
+const keptAnswerSchema = z.object({
+  status: z.number().int(),
+  contentType: text,
+  body: z.string(),
+});
+
+const attemptEndSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('answered'), answer: keptAnswerSchema.optional()}),
+  z.object({kind: z.literal('not_run')}),
+  z.object({kind: z.literal('unknown')}),
+]);
+
+const ledgerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('claim'),
+    waitUntil: instant,
+    request: z.object({
+      key: text,
+      fingerprint: text,
+      attempt: text,
+      node: text,
+      deadline: instant,
+      expiresAt: instant,
+    }),
+  }),
+  z.object({
+    kind: z.literal('end'),
+    key: text,
+    attempt: text,
+    end: attemptEndSchema,
+  }),
+]);
+
+const subjectSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('model'), model: text, version: text}),
+  z.object({kind: z.literal('adapter'), model: text, adapter: text}),
+]);
+
+const exchangeMessageSchema = z.object({
+  node: text,
+  models: z.array(text).max(10_000),
+  demands: z
+    .array(
+      z.object({
+        subject: subjectSchema,
+        waiting: z.number().int().nonnegative(),
+        inFlight: z.number().int().nonnegative(),
+        earliestDeadline: instant.optional(),
+        lastArrivalAt: instant.optional(),
+      }),
+    )
+    .max(10_000),
+});
+
+function questionOf<Message>(
+  message: z.ZodType<Message>,
+): z.ZodType<OwnerQuestion<Message>> {
+  return z.object({subject: text, message, takeOver: z.boolean()});
+}
+
+/** A question to a shard's owner. */
+export const ledgerQuestionSchema = questionOf(
+  ledgerMessageSchema,
+) as unknown as z.ZodType<OwnerQuestion<LedgerMessage>>;
+
+/** A question to a failure domain's allocator. */
+export const exchangeQuestionSchema = questionOf(
+  exchangeMessageSchema,
+) as unknown as z.ZodType<OwnerQuestion<ExchangeMessage>>;
+
+const notOwnerSchema = z.object({
+  kind: z.literal('not_owner'),
+  owner: text.optional(),
+});
+
+const ledgerAnswerSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('claim'),
+    reply: z.discriminatedUnion('kind', [
+      z.object({kind: z.literal('granted')}),
+      z.object({kind: z.literal('in_progress')}),
+      z.object({
+        kind: z.literal('answered'),
+        answer: keptAnswerSchema.optional(),
+      }),
+      z.object({kind: z.literal('unknown')}),
+      z.object({kind: z.literal('too_late')}),
+      z.object({kind: z.literal('key_reused')}),
+    ]),
+  }),
+  z.object({kind: z.literal('ended')}),
+]);
+
+const exchangeAnswerSchema = z.object({
+  failureDomain: text,
+  replicas: z.array(
+    z.object({
+      subject: subjectSchema,
+      engine: text,
+      state: z.enum(['loading', 'ready']),
+      readyAt: instant,
+      running: z.number(),
+      queued: z.number(),
+      slots: z.number().positive(),
+      reportedAt: instant.optional(),
+    }),
+  ),
+  refusals: z.array(z.object({subject: subjectSchema, reason: z.string()})),
+});
+
+/** A shard owner's reply. */
+export const ledgerReplySchema = z.union([
+  z.object({kind: z.literal('answer'), answer: ledgerAnswerSchema}),
+  notOwnerSchema,
+]) as unknown as z.ZodType<OwnerReply<LedgerAnswer>>;
+
+/** An allocator's reply. */
+export const exchangeReplySchema = z.union([
+  z.object({kind: z.literal('answer'), answer: exchangeAnswerSchema}),
+  notOwnerSchema,
+]) as unknown as z.ZodType<OwnerReply<ExchangeAnswer>>;
--- /dev/null
+++ b/packages/node/src/problem.ts
@@ -0,0 +1,80 @@
+/** Refusals as callers and operators see them: RFC 9457 problem details. */
+
+import type {Instant} from '@siskinmux/kernel';
+import {
+  ERROR_MESSAGES,
+  ErrorCode,
+  Outcome,
+  SiskinmuxError,
+} from '@siskinmux/kernel';
+import {RefusalError} from '@siskinmux/requests';
+
+/** Media type of a problem. */
+export const PROBLEM_TYPE = 'application/problem+json';
+
+/** A problem's JSON. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  /** Truthful statement on whether the request took effect. */
+  readonly outcome: Outcome;
+}
+
+/** A problem with its headers. */
+export interface ProblemAnswer {
+  readonly problem: Problem;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+const STATUS: Partial<Record<ErrorCode, number>> = {
+  [ErrorCode.InvalidRequest]: 400,
+  [ErrorCode.InvalidDeclaration]: 422,
+  [ErrorCode.BodyTooLarge]: 413,
+  [ErrorCode.UnknownTarget]: 404,
+  [ErrorCode.MissingIdempotencyKey]: 400,
+  [ErrorCode.IdempotencyKeyReused]: 422,
+  [ErrorCode.DeadlineUnreachable]: 503,
+  [ErrorCode.DeadlinePassed]: 504,
+  [ErrorCode.QueueFull]: 429,
+  [ErrorCode.EndpointFailed]: 502,
+  [ErrorCode.AnswerCut]: 502,
+  [ErrorCode.OutcomeUnknown]: 504,
+  [ErrorCode.AnswerNotKept]: 409,
+  [ErrorCode.RequestQuarantined]: 422,
+  [ErrorCode.ConfigurationConflict]: 409,
+  [ErrorCode.CallerGone]: 499,
+};
+
+const DEFAULT_STATUS = 503;
+
+/** The problem that a failure amounts to. Failures without a type are defects and are thrown on. */
+export function toProblem(failure: unknown, now: Instant): ProblemAnswer {
+  if (!(failure instanceof SiskinmuxError)) throw failure;
+  const {code, detail} = failure;
+  const outcome =
+    failure instanceof RefusalError ? failure.outcome : Outcome.NotRun;
+  const status = STATUS[code] ?? DEFAULT_STATUS;
+  return {
+    problem: {
+      type: `urn:siskinmux:problem:${code}`,
+      title: ERROR_MESSAGES[code],
+      status,
+      detail,
+      outcome,
+    },
+    headers: retryHeaders(failure, now),
+  };
+}
+
+/** Whole seconds, rounded up: a caller that comes back then is not too early. */
+function retryHeaders(
+  failure: SiskinmuxError,
+  now: Instant,
+): Record<string, string> {
+  if (!(failure instanceof RefusalError)) return {};
+  if (failure.retryAt === undefined) return {};
+  const seconds = Math.max(1, Math.ceil((failure.retryAt - now) / 1_000));
+  return {'retry-after': String(seconds)};
+}
--- /dev/null
+++ b/packages/node/src/repeat.ts
@@ -0,0 +1,40 @@
+/** Repeats work with pauses in between, one run at a time. */
+
+import type {CancelTimer, Clock, Milliseconds} from '@siskinmux/kernel';
+import {after} from '@siskinmux/kernel';
+
+/** Life cycle of repeated work. */
+export interface Repetition {
+  /** Runs the work at once. */
+  start(): void;
+  /** Runs the work after the first pause. */
+  startLater(): void;
+  stop(): void;
+}
+
+/** Runs `work` again and again, `pause` after each end, until stopped. */
+export function repeat(
+  clock: Clock,
+  pause: Milliseconds | (() => Milliseconds),
+  work: () => void | Promise<void>,
+): Repetition {
+  let isStopped = false;
+  let cancel: CancelTimer | undefined;
+  const nextPause = typeof pause === 'number' ? () => pause : pause;
+  const schedule = (): void => {
+    if (isStopped) return;
+    cancel = clock.schedule(after(clock.now(), nextPause()), () => void run());
+  };
+  const run = async (): Promise<void> => {
+    await work();
+    schedule();
+  };
+  return {
+    start: () => void run(),
+    startLater: schedule,
+    stop: () => {
+      isStopped = true;
+      cancel?.();
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/requests_plugin.ts
@@ -0,0 +1,148 @@
+/** Wires the request path of this node. */
+
+import {randomUUID} from 'node:crypto';
+import type {Plugin} from '@siskinmux/kernel';
+import {after, injectionKey} from '@siskinmux/kernel';
+import type {AttemptId} from '@siskinmux/ledger';
+import {
+  DemandTracker,
+  Dispatcher,
+  ENDPOINT_DIED,
+  EndpointPool,
+  REQUEST_EVENTS,
+  ReplicaExchange,
+  ReplicaTable,
+  ServiceRequests,
+  TextRequests,
+} from '@siskinmux/requests';
+import type {Suspect} from '@siskinmux/routing';
+import {CrashSuspects, RetryBudget} from '@siskinmux/routing';
+import {Gauge} from 'prom-client';
+import {z} from 'zod';
+import {ALLOCATION} from './allocation_task.js';
+import {CONFIGURATION} from './configuration_task.js';
+import {ENDPOINTS} from './endpoint_adapters.js';
+import {LEDGER} from './ledger_plugin.js';
+import {EMIT_EVENT} from './log.js';
+import {MEMBERSHIP} from './membership_task.js';
+import {METRICS} from './metrics.js';
+import {NODE_IDENTITY} from './node_identity.js';
+import {PEERS} from './peers.js';
+import {CLOCK, HOSTS, RANDOM} from './platform.js';
+
+const SUSPECT = 'requests.suspect';
+
+/** Time in which peers take news of a suspect. */
+const SUSPECT_TIMEOUT_MILLISECONDS = 1_000;
+
+const suspectSchema = z.object({
+  fingerprint: z.string().max(64),
+  deaths: z.number().int().positive(),
+  expiresAt: z.number(),
+}) as unknown as z.ZodType<Suspect>;
+
+/** The request path of this node. */
+export interface RequestPath {
+  readonly text: TextRequests;
+  readonly services: ServiceRequests;
+  readonly dispatcher: Dispatcher;
+}
+
+/** Key of the request path. */
+export const REQUESTS = injectionKey<RequestPath>('requests');
+
+/** Provides {@link REQUESTS}. */
+export const requestsPlugin: Plugin = {
+  name: 'requests',
+  install(kernel) {
+    const clock = kernel.inject(CLOCK);
+    const random = kernel.inject(RANDOM);
+    const emit = kernel.inject(EMIT_EVENT);
+    const peers = kernel.inject(PEERS);
+    const hosts = kernel.inject(HOSTS);
+    const endpoints = kernel.inject(ENDPOINTS);
+    const allocation = kernel.inject(ALLOCATION);
+    const {membership} = kernel.inject(MEMBERSHIP);
+    const {state} = kernel.inject(CONFIGURATION);
+    const {id: node, failureDomain} = kernel.inject(NODE_IDENTITY);
+    const declarations = () => state.current.declarations;
+
+    const pool = EndpointPool.create({clock});
+    const dispatcher = Dispatcher.create({clock, random, failureDomain, pool});
+    const demands = DemandTracker.create({clock});
+    const replicas = ReplicaTable.create({clock});
+    const suspects = CrashSuspects.create();
+    const budget = RetryBudget.create();
+    const exchange = ReplicaExchange.create({
+      clock,
+      node,
+      declarations,
+      demands,
+      replicas,
+      ask: (domain, message, until) => allocation.ask(domain, message, until),
+      onAnswer: () => dispatcher.pump(),
+    });
+    const announceSuspect = (suspect: Suspect): void => {
+      emit(ENDPOINT_DIED, {deaths: suspect.deaths});
+      const until = after(clock.now(), SUSPECT_TIMEOUT_MILLISECONDS);
+      for (const member of membership.others) {
+        peers.call(member.address, SUSPECT, [suspect], until).catch(() => {});
+      }
+    };
+    peers.handle(SUSPECT, z.tuple([suspectSchema]), async ([suspect]) => {
+      suspects.merge(suspect);
+      return true;
+    });
+
+    const path: RequestPath = {
+      dispatcher,
+      text: TextRequests.create({
+        clock,
+        random,
+        declarations,
+        dispatcher,
+        pool,
+        replicas,
+        demands,
+        exchange,
+        suspects,
+        budget,
+        engine: id => endpoints.engine(id),
+        announceSuspect,
+      }),
+      services: ServiceRequests.create({
+        clock,
+        random,
+        node,
+        declarations,
+        dispatcher,
+        pool,
+        ledger: kernel.inject(LEDGER),
+        budget,
+        service: id => endpoints.service(id),
+        isHostUsable: host =>
+          ['live', 'unknown'].includes(hosts.sighting(host)),
+        createAttemptId: () => randomUUID() as AttemptId,
+        emit,
+      }),
+    };
+    state.onAdvance(() => dispatcher.pump());
+    kernel.addEvents(REQUEST_EVENTS);
+    kernel.provide(REQUESTS, path);
+    kernel.inject(METRICS).registerMetric(
+      new Gauge({
+        name: 'siskinmux_waiting_requests',
+        help: 'Requests that wait for an endpoint',
+        registers: [],
+        collect() {
+          this.set(dispatcher.waiting());
+        },
+      }),
+    );
+    kernel.addTask({
+      name: 'replica exchange',
+      start: () => exchange.start(),
+      stop: () => exchange.stop(),
+    });
+  },
+};
--- /dev/null
+++ b/packages/node/src/siskinmux_node.ts
@@ -0,0 +1,168 @@
+/** One node: all plug-ins together, with an orderly start and stop. */
+
+import type {
+  Clock,
+  EmitEvent,
+  EventDescriptor,
+  Milliseconds,
+  NodeId,
+  Plugin,
+  Random,
+  RawSettings,
+} from '@siskinmux/kernel';
+import {Kernel, after, sleepUntil} from '@siskinmux/kernel';
+import type {SpanProcessor} from '@opentelemetry/sdk-trace-base';
+import {z} from 'zod';
+import {allocationPlugin} from './allocation_task.js';
+import type {CallerApi} from './caller_api.js';
+import {CALLER_API, callerApiPlugin} from './caller_api.js';
+import {configurationPlugin} from './configuration_task.js';
+import {endpointsPlugin} from './endpoint_adapters.js';
+import {LEDGER, ledgerPlugin} from './ledger_plugin.js';
+import type {WriteLine} from './log.js';
+import {EMIT_EVENT, createLogPlugin} from './log.js';
+import {membershipPlugin} from './membership_task.js';
+import {metricsPlugin} from './metrics.js';
+import {
+  NODE_EVENTS,
+  NODE_STARTED,
+  NODE_STOPPED,
+  NODE_STOPPING,
+  STOP_CUT_SHORT,
+} from './node_events.js';
+import {NODE_IDENTITY, nodeIdentityPlugin} from './node_identity.js';
+import {OPERATOR_API, operatorApiPlugin} from './operator_api.js';
+import {peersPlugin} from './peers.js';
+import {createPlatformPlugin} from './platform.js';
+import {REQUESTS, requestsPlugin} from './requests_plugin.js';
+import {settingsSection} from './settings_section.js';
+import {createTracingPlugin} from './tracing.js';
+
+/** Pause between two looks at what is still to be finished. */
+const FINISH_CHECK_MILLISECONDS: Milliseconds = 20;
+
+const shutdownSchema = z.strictObject({
+  /** How long the balancer may go on sending after the node says "not ready". */
+  notice_milliseconds: z.number().int().nonnegative().default(3_000),
+  /** How long requests in flight may take to finish. */
+  finish_milliseconds: z.number().int().positive().default(120_000),
+});
+
+const shutdownSection = settingsSection('shutdown', shutdownSchema);
+
+/** What a node is made from. */
+export interface NodeOptions {
+  readonly settings: RawSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly writeLog: WriteLine;
+  /** See every finished span, besides the exporter of the settings. */
+  readonly spanProcessors?: readonly SpanProcessor[];
+}
+
+/** A running siskinmux process. */
+export class SiskinmuxNode {
+  private readonly shutdown: z.infer<typeof shutdownSchema>;
+  private readonly emit: EmitEvent;
+  private readonly caller: CallerApi;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+  ) {
+    this.shutdown = kernel.settings(shutdownSection);
+    this.emit = kernel.inject(EMIT_EVENT);
+    this.caller = kernel.inject(CALLER_API);
+  }
+
+  /** Builds a node; throws `SettingsError` for settings that are not valid. */
+  static create(options: NodeOptions): SiskinmuxNode {
+    const kernel = Kernel.create({settings: options.settings});
+    for (const plugin of pluginsOf(options)) kernel.use(plugin);
+    kernel.addEvents(NODE_EVENTS);
+    const node = new SiskinmuxNode(kernel, options.clock);
+    kernel.checkSettings();
+    return node;
+  }
+
+  /** This process's id. */
+  get id(): NodeId {
+    return this.kernel.inject(NODE_IDENTITY).id;
+  }
+
+  /** Base URL for callers, once started. */
+  get callerUrl(): string {
+    return this.caller.url();
+  }
+
+  /** Base URL for operators, once started. */
+  get operatorUrl(): string {
+    return this.kernel.inject(OPERATOR_API).url();
+  }
+
+  /** Every event that this node can write. */
+  get events(): readonly EventDescriptor[] {
+    return this.kernel.events;
+  }
+
+  /** Starts all tasks; resolves when the node takes requests. */
+  async start(): Promise<void> {
+    await this.kernel.start();
+    this.emit(NODE_STARTED, {
+      caller: this.callerUrl,
+      operator: this.operatorUrl,
+    });
+  }
+
+  /** Stops gracefully: not ready, no new work, finish, give back, end. */
+  async stop(): Promise<void> {
+    this.emit(NODE_STOPPING);
+    const {notice_milliseconds, finish_milliseconds} = this.shutdown;
+    this.caller.context.isReady = false;
+    await sleepUntil(this.clock, after(this.clock.now(), notice_milliseconds));
+    this.kernel.inject(REQUESTS).dispatcher.close();
+    await this.finish(finish_milliseconds);
+    await this.kernel.stop();
+    this.emit(NODE_STOPPED);
+  }
+
+  /** Ends at once, as a crash would: for demonstrations and tests. */
+  async abandon(): Promise<void> {
+    this.caller.context.isReady = false;
+    await this.kernel.abandon();
+  }
+
+  private async finish(limit: Milliseconds): Promise<void> {
+    const end = after(this.clock.now(), limit);
+    const ledger = this.kernel.inject(LEDGER);
+    const {context} = this.caller;
+    while (context.open > 0 || ledger.unreportedCount > 0) {
+      if (this.clock.now() >= end) {
+        this.emit(STOP_CUT_SHORT, {open: context.open});
+        return;
+      }
+      const next = after(this.clock.now(), FINISH_CHECK_MILLISECONDS);
+      await sleepUntil(this.clock, next);
+    }
+  }
+}
+
+/** All plug-ins, in the order in which they depend on each other. */
+function pluginsOf(options: NodeOptions): Plugin[] {
+  return [
+    nodeIdentityPlugin,
+    createLogPlugin(options.writeLog),
+    metricsPlugin,
+    createTracingPlugin(options.spanProcessors),
+    createPlatformPlugin(options),
+    peersPlugin,
+    membershipPlugin,
+    configurationPlugin,
+    ledgerPlugin,
+    endpointsPlugin,
+    allocationPlugin,
+    requestsPlugin,
+    operatorApiPlugin,
+    callerApiPlugin,
+  ];
+}
--- /dev/null
+++ b/packages/node/src/tracing.ts
@@ -0,0 +1,163 @@
+/** Traces by OpenTelemetry: a span for each hop, W3C context from caller to endpoint. */
+
+import type {Span, TextMapGetter, TextMapSetter} from '@opentelemetry/api';
+import {
+  INVALID_SPAN_CONTEXT,
+  ROOT_CONTEXT,
+  SpanKind,
+  SpanStatusCode,
+  isSpanContextValid,
+  trace,
+} from '@opentelemetry/api';
+import {W3CTraceContextPropagator} from '@opentelemetry/core';
+import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
+import {resourceFromAttributes} from '@opentelemetry/resources';
+import {
+  BasicTracerProvider,
+  BatchSpanProcessor,
+} from '@opentelemetry/sdk-trace-base';
+import type {SpanProcessor} from '@opentelemetry/sdk-trace-base';
+import type {Plugin} from '@siskinmux/kernel';
+import {injectionKey} from '@siskinmux/kernel';
+import {z} from 'zod';
+import {NODE_IDENTITY} from './node_identity.js';
+import {settingsSection} from './settings_section.js';
+
+/** W3C `traceparent` of a hop. */
+export type TraceParent = string | undefined;
+
+/** One hop that is being timed. */
+export interface Hop {
+  /** Context to send along to the next hop. */
+  readonly traceparent: TraceParent;
+  set(attribute: string, value: string | number): void;
+  /** Ends the hop; a failure marks it as failed, by its class name only. */
+  end(failure?: unknown): void;
+}
+
+/** What kind of hop it is. */
+export type HopKind = 'server' | 'client' | 'internal';
+
+/** Starts hops. */
+export interface Tracing {
+  start(name: string, parent: TraceParent, kind: HopKind): Hop;
+}
+
+/** Key of the tracing. */
+export const TRACING = injectionKey<Tracing>('tracing');
+
+const section = settingsSection(
+  'tracing',
+  z.strictObject({
+    /** OTLP/HTTP address such as `http://10.0.0.9:4318/v1/traces`; no export without it. */
+    otlp_url: z.url().optional(),
+  }),
+);
+
+const KINDS: Record<HopKind, SpanKind> = {
+  server: SpanKind.SERVER,
+  client: SpanKind.CLIENT,
+  internal: SpanKind.INTERNAL,
+};
+
+interface Carrier {
+  traceparent?: string;
+}
+
+const getter: TextMapGetter<Carrier> = {
+  get: (carrier, key) =>
+    key === 'traceparent' ? carrier.traceparent : undefined,
+  keys: () => ['traceparent'],
+};
+
+const setter: TextMapSetter<Carrier> = {
+  set: (carrier, key, value) => {
+    if (key === 'traceparent') carrier.traceparent = value;
+  },
+};
+
+/** Provides {@link TRACING}; `processors` see the spans besides the exporter. */
+export function createTracingPlugin(
+  processors: readonly SpanProcessor[] = [],
+): Plugin {
+  return {
+    name: 'tracing',
+    install(kernel) {
+      const {otlp_url: url} = kernel.settings(section);
+      const all = [...processors];
+      if (url !== undefined) {
+        all.push(new BatchSpanProcessor(new OTLPTraceExporter({url})));
+      }
+      if (all.length === 0) {
+        kernel.provide(TRACING, passThrough);
+        return;
+      }
+      const {id, failureDomain} = kernel.inject(NODE_IDENTITY);
+      const provider = new BasicTracerProvider({
+        resource: resourceFromAttributes({
+          'service.name': 'siskinmux',
+          'service.instance.id': id,
+          'siskinmux.failure_domain': failureDomain,
+        }),
+        spanProcessors: all,
+      });
+      kernel.provide(TRACING, createTracing(provider));
+      kernel.addTask({
+        name: 'span export',
+        start: () => {},
+        stop: () => provider.shutdown().catch(() => {}),
+      });
+    },
+  };
+}
+
+/** Carries the caller's context on without recording anything. */
+const passThrough: Tracing = {
+  start: (_name, parent) => ({
+    traceparent: parent,
+    set: () => {},
+    end: () => {},
+  }),
+};
+
+function createTracing(provider: BasicTracerProvider): Tracing {
+  const tracer = provider.getTracer('siskinmux');
+  const propagator = new W3CTraceContextPropagator();
+  return {
+    start: (name, parent, kind) => {
+      const context = propagator.extract(
+        ROOT_CONTEXT,
+        parent === undefined ? {} : {traceparent: parent},
+        getter,
+      );
+      const span = tracer.startSpan(name, {kind: KINDS[kind]}, context);
+      return toHop(span, traceparentOf(span, propagator));
+    },
+  };
+}
+
+function traceparentOf(
+  span: Span,
+  propagator: W3CTraceContextPropagator,
+): TraceParent {
+  if (!isSpanContextValid(span.spanContext() ?? INVALID_SPAN_CONTEXT)) {
+    return undefined;
+  }
+  const carrier: Carrier = {};
+  propagator.inject(trace.setSpan(ROOT_CONTEXT, span), carrier, setter);
+  return carrier.traceparent;
+}
+
+function toHop(span: Span, traceparent: TraceParent): Hop {
+  return {
+    traceparent,
+    set: (attribute, value) => span.setAttribute(attribute, value),
+    end: failure => {
+      if (failure !== undefined) {
+        const name = failure instanceof Error ? failure.name : 'failure';
+        span.setStatus({code: SpanStatusCode.ERROR, message: name});
+      }
+      span.end();
+    },
+  };
+}
--- /dev/null
+++ b/packages/requests/src/index.ts
@@ -0,0 +1,32 @@
+/** The request path: from a caller's request to an endpoint's answer, or a true refusal. */
+
+export type {DemandEntry} from './demand_tracker.js';
+export {DemandTracker} from './demand_tracker.js';
+export type {DispatcherOptions, Option, PlaceRequest} from './dispatcher.js';
+export {Dispatcher} from './dispatcher.js';
+export type {Slot, SlotEnd} from './endpoint_pool.js';
+export {EndpointPool} from './endpoint_pool.js';
+export {
+  RefusalError,
+  refuseNotRun,
+  refuseUnknown,
+  toRefusal,
+} from './refusal.js';
+export type {ReplicaExchangeOptions} from './replica_exchange.js';
+export {ReplicaExchange} from './replica_exchange.js';
+export type {KnownReplica} from './replica_table.js';
+export {ReplicaTable} from './replica_table.js';
+export {ENDPOINT_DIED, REQUEST_EVENTS} from './request_events.js';
+export type {
+  ServiceReply,
+  ServiceRequest,
+  ServiceRequestsOptions,
+} from './service_requests.js';
+export {ServiceRequests} from './service_requests.js';
+export type {
+  DispatchHop,
+  StartHop,
+  TextRequest,
+  TextRequestsOptions,
+} from './text_requests.js';
+export {TextRequests} from './text_requests.js';
