Let a node's decisions run without sockets

Cause: the decisions could only be driven through real sockets and real time. Change: peers take an injected transport, the platform and the endpoints are provided by plug-ins, so the same wiring runs in virtual time.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,14 @@
       ],
       '@typescript-eslint/no-explicit-any': 'error',
       '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      '@typescript-eslint/no-floating-promises': [
+        'error',
+        {
+          allowForKnownSafeCalls: [
+            {from: 'package', name: ['describe', 'it'], package: 'node:test'},
+          ],
+        },
+      ],
       // Workspaces resolve through the one lock file at the root.
       'n/no-extraneous-import': 'off',
       'n/no-missing-import': 'off',
--- a/packages/node/src/endpoint_adapters.ts
+++ b/packages/node/src/endpoint_adapters.ts
@@ -1,4 +1,4 @@
-/** Adapters of the declared endpoints, made when they are first used. */
+/** Ways to the declared endpoints. */
 
 import type {EndpointId, Plugin} from '@siskinmux/kernel';
 import {ErrorCode, SiskinmuxError, injectionKey} from '@siskinmux/kernel';
@@ -16,7 +16,15 @@
 }
 
 /** Ways to the endpoints. */
-export class EndpointAdapters {
+export interface Endpoints {
+  /** An engine. Throws {@link EndpointNotDeclaredError}. */
+  engine(id: EndpointId): Engine;
+  /** An instance of a plain service. Throws {@link EndpointNotDeclaredError}. */
+  service(id: EndpointId): PlainService;
+}
+
+/** Ways to the endpoints over HTTP, made when they are first used. */
+export class HttpEndpoints implements Endpoints {
   private readonly engines = new Map<string, Engine>();
   private readonly services = new Map<string, PlainService>();
 
@@ -28,16 +36,14 @@
   static create(options: {
     agent: Dispatcher;
     urlOf: (id: EndpointId) => string | undefined;
-  }): EndpointAdapters {
-    return new EndpointAdapters(options.agent, options.urlOf);
+  }): HttpEndpoints {
+    return new HttpEndpoints(options.agent, options.urlOf);
   }
 
-  /** The adapter of an engine. Throws {@link EndpointNotDeclaredError}. */
   engine(id: EndpointId): Engine {
     return this.cached(this.engines, id, HttpEngine.create);
   }
 
-  /** The adapter of a plain service's instance. Throws {@link EndpointNotDeclaredError}. */
   service(id: EndpointId): PlainService {
     return this.cached(this.services, id, HttpPlainService.create);
   }
@@ -60,7 +66,7 @@
 }
 
 /** Key of the endpoint adapters. */
-export const ENDPOINTS = injectionKey<EndpointAdapters>('endpoints');
+export const ENDPOINTS = injectionKey<Endpoints>('endpoints');
 
 /** Provides {@link ENDPOINTS}. */
 export const endpointsPlugin: Plugin = {
@@ -69,7 +75,7 @@
     const {state} = kernel.inject(CONFIGURATION);
     kernel.provide(
       ENDPOINTS,
-      EndpointAdapters.create({
+      HttpEndpoints.create({
         agent: kernel.inject(AGENT),
         urlOf: id => state.current.declarations.endpoints[id]?.url,
       }),
--- /dev/null
+++ b/packages/node/src/http_peer_transport.ts
@@ -0,0 +1,104 @@
+/** Messages between nodes over HTTP, with TLS when the settings name a key pair. */
+
+import type {Provider} from '@nestjs/common';
+import {Controller, Inject, Post, Req, Res} from '@nestjs/common';
+import type {FastifyReply, FastifyRequest} from 'fastify';
+import type {Kernel} from '@siskinmux/kernel';
+import {createAgent, send} from '@siskinmux/adapters';
+import type {Dispatcher} from 'undici';
+import type {z} from 'zod';
+import type {Listener} from './http_listener.js';
+import {listen} from './http_listener.js';
+import type {PeerTransport, ReceiveMessage} from './peers.js';
+import {privateListenerSchema, settingsSection} from './settings_section.js';
+import {readKeyPair} from './tls_files.js';
+
+/** Largest message between nodes. */
+const MESSAGE_LIMIT_BYTES = 4_000_000;
+
+const section = settingsSection('peer', privateListenerSchema);
+
+type PeerSettings = z.infer<typeof privateListenerSchema>;
+
+/** Holds what the controller hands messages to. */
+export class MessageReceiver {
+  private constructor(readonly receive: ReceiveMessage) {}
+
+  static create(receive: ReceiveMessage): MessageReceiver {
+    return new MessageReceiver(receive);
+  }
+}
+
+/** The one route of the peer interface. */
+@Controller()
+export class PeerController {
+  constructor(
+    @Inject(MessageReceiver) private readonly receiver: MessageReceiver,
+  ) {}
+
+  /** Takes a JSON-RPC message. */
+  @Post('rpc')
+  async rpc(
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    const answer = await this.receiver.receive(String(request.body ?? ''));
+    if (answer === undefined) {
+      await reply.code(204).send();
+      return;
+    }
+    await reply.code(200).type('application/json').send(answer);
+  }
+}
+
+/** Sends by undici, receives by NestJS on Fastify. */
+export class HttpPeerTransport implements PeerTransport {
+  private readonly agent: Dispatcher;
+  private listener: Listener | undefined;
+
+  private constructor(private readonly settings: PeerSettings) {
+    this.agent = createAgent(settings.tls && readKeyPair(settings.tls));
+  }
+
+  /** A transport as the table `peer` of the settings says. */
+  static create(kernel: Kernel): HttpPeerTransport {
+    return new HttpPeerTransport(kernel.settings(section));
+  }
+
+  async send(
+    address: string,
+    text: string,
+    signal: AbortSignal,
+  ): Promise<string> {
+    const answer = await send(this.agent, {
+      method: 'POST',
+      url: `${address}/rpc`,
+      headers: {'content-type': 'application/json'},
+      body: text,
+      signal,
+    });
+    return answer.body;
+  }
+
+  async listen(receive: ReceiveMessage): Promise<string> {
+    const receiver = MessageReceiver.create(receive);
+    const providers: Provider[] = [
+      {provide: MessageReceiver, useValue: receiver},
+    ];
+    this.listener = await listen({
+      ...this.settings,
+      bodyLimitBytes: MESSAGE_LIMIT_BYTES,
+      controllers: [PeerController],
+      providers,
+    });
+    return this.listener.url;
+  }
+
+  async close(): Promise<void> {
+    await this.listener?.close();
+  }
+
+  async abandon(): Promise<void> {
+    await this.listener?.abandon();
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,9 +1,24 @@
 /** A siskinmux node: the plug-ins, wired together. */
 
 export type {NodeOptions} from './siskinmux_node.js';
-export {SiskinmuxNode} from './siskinmux_node.js';
+export {DECISION_PLUGINS, SiskinmuxNode} from './siskinmux_node.js';
+export {ALLOCATION} from './allocation_task.js';
+export {CONFIGURATION} from './configuration_task.js';
+export type {Endpoints} from './endpoint_adapters.js';
+export {ENDPOINTS, EndpointNotDeclaredError} from './endpoint_adapters.js';
+export {LEDGER} from './ledger_plugin.js';
+export {EMIT_EVENT, createLogPlugin} from './log.js';
+export {MEMBERSHIP} from './membership_task.js';
+export {METRICS, unservedMetricsPlugin} from './metrics.js';
+export type {NodeIdentity} from './node_identity.js';
+export {NODE_IDENTITY} from './node_identity.js';
+export type {PeerTransport, ReceiveMessage} from './peers.js';
+export {PEERS, createPeersPlugin} from './peers.js';
+export type {Platform} from './platform.js';
+export {PLATFORM, providePlatform} from './platform.js';
+export type {RequestPath} from './requests_plugin.js';
+export {REQUESTS} from './requests_plugin.js';
 export type {WriteLine} from './log.js';
-export {Peers} from './peers.js';
 export {NODE_EVENTS} from './node_events.js';
 export {
   DEADLINE_HEADER,
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -19,6 +19,14 @@
   z.strictObject({address: addressSchema, port: portSchema}),
 );
 
+/** Provides {@link METRICS} without serving them. */
+export const unservedMetricsPlugin: Plugin = {
+  name: 'metrics',
+  install(kernel) {
+    kernel.provide(METRICS, new Registry());
+  },
+};
+
 /** Provides {@link METRICS} and serves `GET /metrics`. */
 export const metricsPlugin: Plugin = {
   name: 'metrics',
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -1,8 +1,5 @@
-/** Calls between nodes: JSON-RPC 2.0 over HTTP on the peer interface. */
+/** Calls between nodes: JSON-RPC 2.0 over an injected transport. */
 
-import type {Provider} from '@nestjs/common';
-import {Controller, Inject, Post, Req, Res} from '@nestjs/common';
-import type {FastifyReply, FastifyRequest} from 'fastify';
 import type {JSONRPCResponse} from 'json-rpc-2.0';
 import {
   JSONRPCErrorException,
@@ -13,26 +10,18 @@
 import type {
   Clock,
   Instant,
+  Kernel,
   Milliseconds,
   NodeId,
   Plugin,
 } from '@siskinmux/kernel';
 import {SiskinmuxError, after, injectionKey} from '@siskinmux/kernel';
-import {createAgent, send} from '@siskinmux/adapters';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import {Counter} from 'prom-client';
-import type {Dispatcher} from 'undici';
 import {z} from 'zod';
-import type {Listener} from './http_listener.js';
-import {listen} from './http_listener.js';
 import {METRICS} from './metrics.js';
 import {NODE_IDENTITY} from './node_identity.js';
 import {CLOCK} from './platform.js';
-import {privateListenerSchema, settingsSection} from './settings_section.js';
-import {readKeyPair} from './tls_files.js';
-
-/** Largest message between nodes. */
-const MESSAGE_LIMIT_BYTES = 4_000_000;
 
 /** Silence after which a peer that owes an answer is asked for a sign of life. */
 const LIFE_SIGN_AFTER_MILLISECONDS: Milliseconds = 300;
@@ -48,23 +37,36 @@
 const INVALID_PARAMS = -32602;
 const APPLICATION_ERROR = -32000;
 
-const section = settingsSection('peer', privateListenerSchema);
-
 /** Handles one method of the peer interface. */
 export type PeerHandler<Params> = (params: Params) => Promise<unknown>;
 
+/** Answers one message as it came off the wire; undefined for a notification. */
+export type ReceiveMessage = (text: string) => Promise<string | undefined>;
+
+/** Carries messages between nodes. */
+export interface PeerTransport {
+  /** Sends a message and resolves with the answer. Any failure means "not reached". */
+  send(address: string, text: string, signal: AbortSignal): Promise<string>;
+  /** Starts to receive; resolves with this node's own address. */
+  listen(receive: ReceiveMessage): Promise<string>;
+  /** Stops receiving after the messages under way. */
+  close(): Promise<void>;
+  /** Stops at once. */
+  abandon(): Promise<void>;
+}
+
 /** The peer interface of this node, and the way to those of others. */
 export class Peers {
   private readonly server = new JSONRPCServer({
     errorListener: () => {},
   });
-  private listener: Listener | undefined;
+  private ownAddress = '';
   private sentBytes = 0;
   private receivedBytes = 0;
 
   private constructor(
     private readonly clock: Clock,
-    private readonly agent: Dispatcher,
+    private readonly transport: PeerTransport,
     private readonly node: NodeId,
   ) {
     this.handle(LIFE_SIGN_METHOD, z.unknown(), async () => this.node);
@@ -72,15 +74,15 @@
 
   static create(options: {
     clock: Clock;
-    agent: Dispatcher;
+    transport: PeerTransport;
     node: NodeId;
   }): Peers {
-    return new Peers(options.clock, options.agent, options.node);
+    return new Peers(options.clock, options.transport, options.node);
   }
 
   /** Base URL of this node's peer interface, once it listens. */
   get address(): string {
-    return this.listener?.url ?? '';
+    return this.ownAddress;
   }
 
   /** Bytes of messages sent and received, without HTTP headers. */
@@ -157,25 +159,19 @@
     }
   }
 
-  /** Starts to listen. */
-  async start(options: z.infer<typeof privateListenerSchema>): Promise<void> {
-    const providers: Provider[] = [{provide: Peers, useValue: this}];
-    this.listener = await listen({
-      ...options,
-      bodyLimitBytes: MESSAGE_LIMIT_BYTES,
-      controllers: [PeerController],
-      providers,
-    });
+  /** Starts to receive. */
+  async start(): Promise<void> {
+    this.ownAddress = await this.transport.listen(text => this.receive(text));
   }
 
-  /** Stops listening. */
-  async stop(): Promise<void> {
-    await this.listener?.close();
+  /** Stops receiving. */
+  stop(): Promise<void> {
+    return this.transport.close();
   }
 
   /** Cuts all connections. */
-  async abandon(): Promise<void> {
-    await this.listener?.abandon();
+  abandon(): Promise<void> {
+    return this.transport.abandon();
   }
 
   private async exchange(
@@ -188,15 +184,9 @@
     this.sentBytes += body.length;
     let response: JSONRPCResponse;
     try {
-      const answer = await send(this.agent, {
-        method: 'POST',
-        url: `${address}/rpc`,
-        headers: {'content-type': 'application/json'},
-        body,
-        signal,
-      });
-      this.receivedBytes += answer.body.length;
-      response = parseResponse(answer.body);
+      const answer = await this.transport.send(address, body, signal);
+      this.receivedBytes += answer.length;
+      response = parseResponse(answer);
     } catch (cause) {
       throw new PeerUnreachableError(`${method} at ${address}`, {cause});
     }
@@ -243,51 +233,32 @@
   throw new SyntaxError('not a JSON-RPC response');
 }
 
-/** The one route of the peer interface. */
-@Controller()
-export class PeerController {
-  constructor(@Inject(Peers) private readonly peers: Peers) {}
-
-  /** Takes a JSON-RPC message. */
-  @Post('rpc')
-  async rpc(
-    @Req() request: FastifyRequest,
-    @Res() reply: FastifyReply,
-  ): Promise<void> {
-    const answer = await this.peers.receive(String(request.body ?? ''));
-    if (answer === undefined) {
-      await reply.code(204).send();
-      return;
-    }
-    await reply.type('application/json').send(answer);
-  }
-}
-
 /** Key of the peer interface. */
 export const PEERS = injectionKey<Peers>('peers');
 
-/** Provides {@link PEERS} and listens on the address of the settings. */
-export const peersPlugin: Plugin = {
-  name: 'peers',
-  install(kernel) {
-    const settings = kernel.settings(section);
-    const clock = kernel.inject(CLOCK);
-    const tls = settings.tls && readKeyPair(settings.tls);
-    const peers = Peers.create({
-      clock,
-      agent: createAgent(tls),
-      node: kernel.inject(NODE_IDENTITY).id,
-    });
-    kernel.provide(PEERS, peers);
-    kernel.inject(METRICS).registerMetric(countTraffic(peers));
-    kernel.addTask({
-      name: 'peer interface',
-      start: () => peers.start(settings),
-      stop: () => peers.stop(),
-      abandon: () => peers.abandon(),
-    });
-  },
-};
+/** Provides {@link PEERS} over the transport that `createTransport` makes. */
+export function createPeersPlugin(
+  createTransport: (kernel: Kernel) => PeerTransport,
+): Plugin {
+  return {
+    name: 'peers',
+    install(kernel) {
+      const peers = Peers.create({
+        clock: kernel.inject(CLOCK),
+        transport: createTransport(kernel),
+        node: kernel.inject(NODE_IDENTITY).id,
+      });
+      kernel.provide(PEERS, peers);
+      kernel.inject(METRICS).registerMetric(countTraffic(peers));
+      kernel.addTask({
+        name: 'peer interface',
+        start: () => peers.start(),
+        stop: () => peers.stop(),
+        abandon: () => peers.abandon(),
+      });
+    },
+  };
+}
 
 function countTraffic(peers: Peers): Counter {
   return new Counter({
--- a/packages/node/src/platform.ts
+++ b/packages/node/src/platform.ts
@@ -3,6 +3,7 @@
 import type {
   Clock,
   HostId,
+  Kernel,
   Milliseconds,
   Plugin,
   Random,
@@ -15,7 +16,12 @@
   createAgent,
 } from '@siskinmux/adapters';
 import type {HostSighting} from '@siskinmux/allocation';
-import type {HostList, ListedHost, WeightStore} from '@siskinmux/ports';
+import type {
+  HostList,
+  ListedHost,
+  ObjectService,
+  WeightStore,
+} from '@siskinmux/ports';
 import {PlatformUnavailableError} from '@siskinmux/ports';
 import {PlatformClient} from '@siskinmux/platform_client';
 import {Counter} from 'prom-client';
@@ -49,7 +55,18 @@
   }),
 );
 
-/** Provides the clock, chance and the platform's services. */
+/** Everything that a node takes from the platform. */
+export interface Platform {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly objects: ObjectService;
+  readonly hostList: HostList;
+  readonly weightStore: WeightStore | undefined;
+  /** Calls that this node may send the object service each second. */
+  readonly callsPerSecond: number;
+}
+
+/** Provides the clock, chance and the platform's services over HTTP. */
 export function createPlatformPlugin(options: {
   clock: Clock;
   random: Random;
@@ -58,42 +75,45 @@
     name: 'platform',
     install(kernel) {
       const settings = kernel.settings(section);
-      const {clock, random} = options;
+      const {clock} = options;
       const agent = createAgent();
-      kernel.provide(CLOCK, clock);
-      kernel.provide(RANDOM, random);
       kernel.provide(AGENT, agent);
-      const client = PlatformClient.create({
+      const {weight_store: weightStore} = settings;
+      providePlatform(kernel, {
+        ...options,
         objects: HttpObjectService.create({
           url: settings.object_service,
           agent,
           clock,
         }),
-        clock,
-        random,
+        hostList: HttpHostList.create({url: settings.host_list, agent}),
+        weightStore:
+          weightStore === undefined
+            ? undefined
+            : HttpWeightStore.create({url: weightStore, agent}),
         callsPerSecond: settings.calls_per_second,
       });
-      kernel.provide(PLATFORM, client);
-      const {weight_store: weightStoreUrl} = settings;
-      kernel.provide(
-        WEIGHT_STORE,
-        weightStoreUrl === undefined
-          ? undefined
-          : HttpWeightStore.create({url: weightStoreUrl, agent}),
-      );
-      const hosts = HostWatcher.create(
-        HttpHostList.create({url: settings.host_list, agent}),
-      );
-      kernel.provide(HOSTS, hosts);
-      kernel.inject(METRICS).registerMetric(countCalls(client));
-      const polling = repeat(clock, HOST_LIST_INTERVAL_MILLISECONDS, () =>
-        hosts.refresh(),
-      );
-      kernel.addTask({name: 'host list', ...polling});
     },
   };
 }
 
+/** Provides a platform, whatever it is reached by. */
+export function providePlatform(kernel: Kernel, platform: Platform): void {
+  const {clock, random, weightStore} = platform;
+  const client = PlatformClient.create(platform);
+  const hosts = HostWatcher.create(platform.hostList);
+  kernel.provide(CLOCK, clock);
+  kernel.provide(RANDOM, random);
+  kernel.provide(PLATFORM, client);
+  kernel.provide(WEIGHT_STORE, weightStore);
+  kernel.provide(HOSTS, hosts);
+  kernel.inject(METRICS).registerMetric(countCalls(client));
+  const polling = repeat(clock, HOST_LIST_INTERVAL_MILLISECONDS, () =>
+    hosts.refresh(),
+  );
+  kernel.addTask({name: 'host list', ...polling});
+}
+
 /** The host list as it was last read. */
 export class HostWatcher {
   private hosts: ReadonlyMap<HostId, ListedHost> | undefined;
--- a/packages/node/src/siskinmux_node.ts
+++ b/packages/node/src/siskinmux_node.ts
@@ -19,6 +19,7 @@
 import {configurationPlugin} from './configuration_task.js';
 import {endpointsPlugin} from './endpoint_adapters.js';
 import {LEDGER, ledgerPlugin} from './ledger_plugin.js';
+import {HttpPeerTransport} from './http_peer_transport.js';
 import type {WriteLine} from './log.js';
 import {EMIT_EVENT, createLogPlugin} from './log.js';
 import {membershipPlugin} from './membership_task.js';
@@ -32,7 +33,7 @@
 } from './node_events.js';
 import {NODE_IDENTITY, nodeIdentityPlugin} from './node_identity.js';
 import {OPERATOR_API, operatorApiPlugin} from './operator_api.js';
-import {peersPlugin} from './peers.js';
+import {createPeersPlugin} from './peers.js';
 import {createPlatformPlugin} from './platform.js';
 import {REQUESTS, requestsPlugin} from './requests_plugin.js';
 import {settingsSection} from './settings_section.js';
@@ -147,6 +148,12 @@
   }
 }
 
+/** The plug-ins that decide; they are the same whatever a node is connected by. */
+export const DECISION_PLUGINS = {
+  beforeEndpoints: [membershipPlugin, configurationPlugin, ledgerPlugin],
+  afterEndpoints: [allocationPlugin, requestsPlugin],
+} as const;
+
 /** All plug-ins, in the order in which they depend on each other. */
 function pluginsOf(options: NodeOptions): Plugin[] {
   return [
@@ -155,13 +162,10 @@
     metricsPlugin,
     createTracingPlugin(options.spanProcessors),
     createPlatformPlugin(options),
-    peersPlugin,
-    membershipPlugin,
-    configurationPlugin,
-    ledgerPlugin,
+    createPeersPlugin(HttpPeerTransport.create),
+    ...DECISION_PLUGINS.beforeEndpoints,
     endpointsPlugin,
-    allocationPlugin,
-    requestsPlugin,
+    ...DECISION_PLUGINS.afterEndpoints,
     operatorApiPlugin,
     callerApiPlugin,
   ];
