Prove the invariants by scenarios and random fault schedules

Cause: nothing showed that the invariants hold under kills, pauses, cuts, outages. What they found: two orders for one unload, late reports adopted as unreserved models, a node that starts while the platform is away found no peers and answered 'unknown target'. Nodes now take seed addresses and say that no configuration is known.

--- a/packages/allocation/src/allocation_draft.ts
+++ b/packages/allocation/src/allocation_draft.ts
@@ -56,6 +56,11 @@
     return this.isTouched;
   }
 
+  /** Whether this plan sends an order about a reservation already. */
+  hasOrderFor(id: string): boolean {
+    return this.orders.some(({reservationId}) => reservationId === id);
+  }
+
   /** The reservations as changed so far. */
   get reservations(): readonly Reservation[] {
     return [...this.byId.values()];
--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -29,7 +29,7 @@
   OrderRefusedError,
   StaleOrderError,
 } from '@siskinmux/ports';
-import type {Reservation} from './allocation.js';
+import type {Allocation, Reservation} from './allocation.js';
 import type {PlannedOrder, Refusal} from './allocation_draft.js';
 import {
   ALLOCATION_LOST,
@@ -113,6 +113,7 @@
   private results: OrderResult[] = [];
   private refusals: readonly Refusal[] = [];
   private loadsElsewhere = 0;
+  private readonly releasedAt = new Map<EndpointId, Instant>();
   /** Orders that left this process; a written one that did not is sent anew. */
   private readonly sent = new Set<FencingNumber>();
   private readonly stopping = new AbortController();
@@ -227,12 +228,21 @@
     const facts = this.facts();
     const plan = planAllocation(this.store.current, facts, this.results);
     this.noteRefusals(plan.refusals);
+    const before = this.store.current;
     if (plan.isChanged) await this.store.write(plan.allocation);
+    this.noteReleases(before, plan.allocation);
     this.results = this.results.slice(taken);
     if (this.isStopped) return;
     for (const planned of plan.orders) void this.send(planned);
   }
 
+  private noteReleases(before: Allocation, next: Allocation): void {
+    const kept = new Set(next.reservations.map(({id}) => id));
+    for (const {id, engine} of before.reservations) {
+      if (!kept.has(id)) this.releasedAt.set(engine, this.options.clock.now());
+    }
+  }
+
   private async send(planned: PlannedOrder): Promise<void> {
     const {engine, order} = planned;
     this.sent.add(order.fencingNumber);
@@ -304,6 +314,7 @@
         memoryBytes: fromGibibytes(endpoint.memory_gib),
         checksFencing: endpoint.checks_fencing,
         status: polled?.status,
+        releasedAt: this.releasedAt.get(id) ?? this.startedAt,
         isLeaving: polled?.status?.isLeaving === true || host === 'leaving',
         isReachable,
         isHostGone:
--- a/packages/allocation/src/facts.ts
+++ b/packages/allocation/src/facts.ts
@@ -19,6 +19,8 @@
   readonly checksFencing: boolean;
   /** The newest report; it may lag. */
   readonly status: EngineStatus | undefined;
+  /** When a reservation on it was last released, or the allocator began. */
+  readonly releasedAt: Instant;
   /** The engine or its host said that it goes away. */
   readonly isLeaving: boolean;
   /** The engine answered lately. */
--- a/packages/allocation/src/plan_allocation.ts
+++ b/packages/allocation/src/plan_allocation.ts
@@ -99,8 +99,8 @@
 /** Whatever an engine holds counts, also what nobody remembers having ordered. */
 function adoptUnreserved(draft: AllocationDraft): void {
   for (const engine of draft.facts.engines.values()) {
-    if (engine.status === undefined || !engine.isReachable) continue;
-    for (const held of engine.status.models) {
+    if (!engine.isReachable || !isReportedSince(engine)) continue;
+    for (const held of engine.status?.models ?? []) {
       const subject: Subject = {
         kind: 'model',
         model: held.model,
@@ -113,6 +113,13 @@
   }
 }
 
+/** A report from before the last release would show what is gone already. */
+function isReportedSince(engine: EngineView): boolean {
+  const {status, releasedAt} = engine;
+  if (status === undefined) return false;
+  return status.reportedAt > after(releasedAt, REPORT_LAG_MILLISECONDS);
+}
+
 function isReserved(
   draft: AllocationDraft,
   engine: EngineView,
@@ -268,6 +275,7 @@
 function repeatOverdueOrders(draft: AllocationDraft): void {
   const {now, node, engines, wasSent} = draft.facts;
   for (const entry of draft.reservations) {
+    if (draft.hasOrderFor(entry.id)) continue;
     // A write whose answer was lost leaves orders that were never sent.
     const isMine = entry.orderedBy === node && wasSent(entry.fencingNumber);
     if (isMine && entry.orderDeadline > now) continue;
--- a/packages/node/src/membership_task.ts
+++ b/packages/node/src/membership_task.ts
@@ -22,6 +22,7 @@
 import {CLOCK, PLATFORM, RANDOM} from './platform.js';
 import type {Repetition} from './repeat.js';
 import {repeat} from './repeat.js';
+import {settingsSection, urlSchema} from './settings_section.js';
 
 /** Pause between two probes. */
 const PROBE_INTERVAL_MILLISECONDS: Milliseconds = 1_000;
@@ -41,6 +42,14 @@
 
 const REGISTRY_JITTER = 0.5;
 
+const section = settingsSection(
+  'membership',
+  z.strictObject({
+    /** Peer addresses of some nodes, for a start while the platform is away. */
+    seeds: z.array(urlSchema).default([]),
+  }),
+);
+
 const PROBE = 'membership.probe';
 const PROBE_FOR = 'membership.probe_for';
 const JOIN = 'membership.join';
@@ -71,6 +80,8 @@
       peers: Peers;
       self: SelfDescription;
       registry: NodeRegistry;
+      /** Addresses of nodes to ask when the registry can't be read. */
+      seeds: readonly string[];
       emit: EmitEvent;
     },
   ) {
@@ -218,6 +229,7 @@
     } catch (failure) {
       if (!(failure instanceof SiskinmuxError)) throw failure;
       this.hasRegistered = false;
+      await this.join(this.options.seeds);
       emit(REGISTRY_FAILED, {failure: failure.message});
     }
   }
@@ -276,6 +288,7 @@
         objects: kernel.inject(PLATFORM).at('membership'),
         self,
       }),
+      seeds: kernel.settings(section).seeds,
       emit: kernel.inject(EMIT_EVENT),
     });
     kernel.provide(MEMBERSHIP, task);
--- a/packages/requests/src/refusal.ts
+++ b/packages/requests/src/refusal.ts
@@ -2,6 +2,7 @@
 
 import type {Instant} from '@siskinmux/kernel';
 import {ErrorCode, Outcome, SiskinmuxError} from '@siskinmux/kernel';
+import type {Declarations} from '@siskinmux/declarations';
 
 /** A request was refused or its outcome is not known. */
 export class RefusalError extends SiskinmuxError {
@@ -27,6 +28,19 @@
   return new RefusalError(code, detail, Outcome.NotRun, retryAt);
 }
 
+/** A refusal of a name that is not declared, or of any while nothing is known yet. */
+export function refuseUnknownTarget(
+  declarations: Declarations,
+  requested: string,
+): RefusalError {
+  const isEmpty = Object.keys(declarations.endpoints).length === 0;
+  // A node that has not read the configuration can't say that a name is unknown.
+  return refuseNotRun(
+    isEmpty ? ErrorCode.ConfigurationUnavailable : ErrorCode.UnknownTarget,
+    requested,
+  );
+}
+
 /** An answer for something that may have run. */
 export function refuseUnknown(detail: string, cause?: unknown): RefusalError {
   return new RefusalError(
--- a/packages/requests/src/service_requests.ts
+++ b/packages/requests/src/service_requests.ts
@@ -47,6 +47,7 @@
   RefusalError,
   refuseNotRun,
   refuseUnknown,
+  refuseUnknownTarget,
   toRefusal,
 } from './refusal.js';
 import {limitWork} from './request_limits.js';
@@ -147,7 +148,7 @@
     const found = declaration && findCall(declaration, request);
     if (declaration === undefined || found === undefined) {
       const subject = `${request.method} ${request.service}${request.path}`;
-      throw refuseNotRun(ErrorCode.UnknownTarget, subject);
+      throw refuseUnknownTarget(declarations(), subject);
     }
     const [callName, call] = found;
     const now = clock.now();
--- a/packages/requests/src/text_requests.ts
+++ b/packages/requests/src/text_requests.ts
@@ -33,7 +33,7 @@
 import type {DemandTracker} from './demand_tracker.js';
 import type {Dispatcher, Option} from './dispatcher.js';
 import type {EndpointPool, Slot} from './endpoint_pool.js';
-import {RefusalError, refuseNotRun} from './refusal.js';
+import {RefusalError, refuseNotRun, refuseUnknownTarget} from './refusal.js';
 import type {ReplicaExchange} from './replica_exchange.js';
 import type {KnownReplica, ReplicaTable} from './replica_table.js';
 import {limitWork} from './request_limits.js';
@@ -160,7 +160,7 @@
     const {declarations} = this.options;
     const target = resolveModelTarget(declarations(), request.requested);
     if (target !== undefined) return target;
-    throw refuseNotRun(ErrorCode.UnknownTarget, request.requested);
+    throw refuseUnknownTarget(declarations(), request.requested);
   }
 
   private checkAllowed(request: TextRequest, deadline: Instant): void {
--- /dev/null
+++ b/packages/scenarios/src/scenario_file.ts
@@ -0,0 +1,177 @@
+/** The test language: a TOML file with a deployment, steps in time, and expectations. */
+
+import {declarationsSchema} from '@siskinmux/declarations';
+import {parse} from 'smol-toml';
+import {z} from 'zod';
+
+const name = z.string().min(1);
+const milliseconds = z.number().int().nonnegative();
+
+const at = {at: milliseconds};
+
+const stepSchema = z.discriminatedUnion('do', [
+  /** One request for text. */
+  z.strictObject({
+    ...at,
+    do: z.literal('text'),
+    model: name,
+    prompt: z.string().optional(),
+    tokens: z.number().int().positive().default(8),
+    node: name.optional(),
+    timeout_milliseconds: milliseconds.optional(),
+    resend: z.boolean().default(true),
+  }),
+  /** One call of a plain service. */
+  z.strictObject({
+    ...at,
+    do: z.literal('call'),
+    service: name,
+    path: z.string().startsWith('/'),
+    method: z.string().default('POST'),
+    key: name.optional(),
+    body: z.string().default('{}'),
+    node: name.optional(),
+    timeout_milliseconds: milliseconds.optional(),
+    resend: z.boolean().default(true),
+  }),
+  /** Requests at a steady mean rate, at random instants. */
+  z.strictObject({
+    ...at,
+    do: z.literal('load'),
+    until: milliseconds,
+    per_second: z.number().positive(),
+    model: name.optional(),
+    service: name.optional(),
+    path: z.string().startsWith('/').optional(),
+    method: z.string().default('POST'),
+    tokens: z.number().int().positive().default(8),
+    timeout_milliseconds: milliseconds.optional(),
+  }),
+  z.strictObject({
+    ...at,
+    do: z.enum(['kill', 'pause', 'resume', 'stop']),
+    node: name,
+  }),
+  z.strictObject({
+    ...at,
+    do: z.literal('start'),
+    node: name,
+    failure_domain: name,
+  }),
+  z.strictObject({
+    ...at,
+    do: z.literal('cut'),
+    from: z.array(name),
+    to: z.array(name),
+  }),
+  z.strictObject({...at, do: z.literal('heal')}),
+  z.strictObject({
+    ...at,
+    do: z.literal('platform'),
+    is_down: z.boolean().default(false),
+    delay_milliseconds: milliseconds.default(2),
+    lost_answer_share: z.number().min(0).max(1).default(0),
+    lost_write_share: z.number().min(0).max(1).default(0),
+  }),
+  z.strictObject({
+    ...at,
+    do: z.literal('engine'),
+    engine: name,
+    action: z.enum(['die', 'restart', 'leave', 'reclaim']),
+  }),
+  z.strictObject({
+    ...at,
+    do: z.literal('service'),
+    endpoint: name,
+    is_dead: z.boolean().default(false),
+    delay_milliseconds: milliseconds.default(2),
+    answers_to_lose: z.number().int().nonnegative().default(0),
+  }),
+  z.strictObject({
+    ...at,
+    do: z.literal('host'),
+    host: name,
+    state: z.enum(['live', 'leaving', 'gone']),
+  }),
+  z.strictObject({
+    ...at,
+    do: z.literal('weight_store'),
+    rate: z.number().positive(),
+  }),
+  /** An operator's patch of one entry. `is_stale` bases it on the number before. */
+  z.strictObject({
+    ...at,
+    do: z.literal('patch'),
+    section: z.enum(['models', 'adapters', 'services', 'endpoints', 'policy']),
+    entry: name,
+    set: z.record(z.string(), z.unknown()),
+    node: name.optional(),
+    is_stale: z.boolean().default(false),
+    id: name.optional(),
+  }),
+]);
+
+const expectSchema = z.strictObject({
+  /** Least share of all requests that are answered. */
+  answered_share: z.number().min(0).max(1).default(0),
+  unknown_at_most: z.number().int().nonnegative().default(0),
+  refused_at_most: z.number().int().nonnegative().optional(),
+  refused_at_least: z.number().int().nonnegative().default(0),
+  /** Requests whose connection broke and that were not sent again. */
+  broken_at_most: z.number().int().nonnegative().default(0),
+  patches_accepted: z.number().int().nonnegative().optional(),
+  patches_refused: z.number().int().nonnegative().optional(),
+  /** Most engines that may have died of requests. */
+  engines_crashed_at_most: z.number().int().nonnegative().default(0),
+  /** Models that are loaded at the end, with their replicas. */
+  awake: z.record(z.string(), z.number().int()).optional(),
+  /** Number in force on every running node at the end. */
+  configuration: z.number().int().optional(),
+  /** Loads of models over the whole scenario. */
+  loads_at_most: z.number().int().optional(),
+});
+
+const nodeSchema = z.strictObject({name, failure_domain: name});
+
+const scenarioSchema = z.strictObject({
+  title: z.string().min(1),
+  /** Point of the brief that this proves. */
+  proves: z.array(z.string()).min(1),
+  seed: z.number().int().default(1),
+  end: milliseconds,
+  nodes: z.array(nodeSchema).min(1),
+  slots: z.number().int().positive().default(4),
+  load_milliseconds: milliseconds.default(1_000),
+  declarations: declarationsSchema,
+  steps: z.array(stepSchema).default([]),
+  expect: expectSchema.default(expectSchema.parse({})),
+});
+
+/** One step of a scenario. */
+export type Step = z.infer<typeof stepSchema>;
+/** What must hold at the end besides the invariants. */
+export type Expectations = z.infer<typeof expectSchema>;
+/** A whole scenario. */
+export type Scenario = z.infer<typeof scenarioSchema>;
+
+/** Texts of the files of deployments, by the names that scenarios give them. */
+export type ReadDeployment = (name: string) => string;
+
+/**
+ * Reads a scenario file. Its `deployment` names a file whose tables stand in for
+ * those that the scenario does not have. Throws `TomlError` or `ZodError`.
+ */
+export function parseScenario(
+  text: string,
+  readDeployment: ReadDeployment,
+): Scenario {
+  const {deployment, ...own} = parse(text);
+  const shared =
+    typeof deployment === 'string' ? parse(readDeployment(deployment)) : {};
+  return checkScenario({...shared, ...own});
+}
+
+/** Checks a scenario that a program made. */
+export function checkScenario(value: unknown): Scenario {
+  return scenarioSchema.parse(value);
+}
--- a/packages/standins/src/engine_stand_in.ts
+++ b/packages/standins/src/engine_stand_in.ts
@@ -78,14 +78,14 @@
   readonly usedBytes: number;
   readonly memoryBytes: number;
   readonly models: readonly string[];
-  readonly startedWhileLeaving: number;
+  /** Longest time after the engine said that it leaves at which work was started. */
+  readonly latestStartWhileLeaving: number;
   readonly cutByUnload: number;
 }
 
 /** Implements the port itself; the HTTP server puts it on a socket. */
 export class EngineStandIn implements Engine {
-  /** Says that it goes away; what runs goes on. */
-  isLeaving = false;
+  private leavingSince: Instant | undefined;
   /** Answers nothing. */
   isDead = false;
   private incarnation = 1;
@@ -99,9 +99,11 @@
   private readonly cuts = new Set<() => void>();
   private highestFencingNumber = as<FencingNumber>(0);
   private running = 0;
-  private startedWhileLeaving = 0;
+  private latestStartWhileLeaving = 0;
+  private readonly requests = new Set<string>();
   private cutByUnload = 0;
   private generated = 0;
+  private loads = 0;
 
   private constructor(private readonly options: EngineStandInOptions) {}
 
@@ -109,6 +111,11 @@
     return new EngineStandIn(options);
   }
 
+  /** Loads of models that were begun. */
+  get loadCount(): number {
+    return this.loads;
+  }
+
   /** Tokens generated so far. */
   get tokensGenerated(): number {
     return this.generated;
@@ -120,7 +127,7 @@
   ): AsyncIterable<GenerationChunk> {
     this.assertAlive();
     const held = this.modelFor(request);
-    if (this.isLeaving) this.startedWhileLeaving += 1;
+    this.noteStart(request);
     await this.enter(request.priority, signal);
     const {incarnation} = this;
     held.running += 1;
@@ -177,11 +184,21 @@
       usedBytes: this.usedBytes(),
       memoryBytes: this.options.memoryBytes,
       models: [...this.models.values()].map(held => held.model),
-      startedWhileLeaving: this.startedWhileLeaving,
+      latestStartWhileLeaving: this.latestStartWhileLeaving,
       cutByUnload: this.cutByUnload,
     };
   }
 
+  /** Says that it goes away; what runs goes on. */
+  leave(): void {
+    this.leavingSince ??= this.options.clock.now();
+  }
+
+  /** Whether a request was started here. */
+  hasRun(requestId: string): boolean {
+    return this.requests.has(requestId);
+  }
+
   /** Dies: all that runs is cut and all memory is lost. */
   die(): void {
     this.isDead = true;
@@ -198,12 +215,21 @@
   restart(): void {
     this.incarnation += 1;
     this.isDead = false;
-    this.isLeaving = false;
+    this.leavingSince = undefined;
     this.running = 0;
     this.highestFencingNumber = as<FencingNumber>(0);
     for (const key of this.cached.keys()) this.cached.set(key, 'disk');
   }
 
+  private noteStart(request: GenerationRequest): void {
+    this.requests.add(request.requestId);
+    if (this.leavingSince === undefined) return;
+    this.latestStartWhileLeaving = Math.max(
+      this.latestStartWhileLeaving,
+      this.options.clock.now() - this.leavingSince,
+    );
+  }
+
   private async *run(
     request: GenerationRequest,
     held: HeldModel,
@@ -294,6 +320,7 @@
     if (this.usedBytes() + memoryBytes > this.options.memoryBytes) {
       throw new OrderRefusedError('out of memory');
     }
+    this.loads += 1;
     const {incarnation} = this;
     const loading = this.transfer(key).then(() => {
       if (this.models.get(key) !== held || this.incarnation !== incarnation) {
@@ -344,7 +371,7 @@
   private report(now: Instant): EngineStatus {
     return {
       incarnation: String(this.incarnation),
-      isLeaving: this.isLeaving,
+      isLeaving: this.leavingSince !== undefined,
       memoryBytes: this.options.memoryBytes,
       models: [...this.models.values()].map(toEngineModel),
       adapters: [...this.adapters],
--- a/packages/standins/src/object_service_stand_in.ts
+++ b/packages/standins/src/object_service_stand_in.ts
@@ -43,6 +43,9 @@
   readonly readsPerSecond: number;
 }
 
+/** Time after which a caller gives up on a call that gets no answer. */
+const UNANSWERED_MILLISECONDS = 2_000;
+
 interface Watcher {
   readonly key: string;
   readonly after: number;
@@ -141,6 +144,15 @@
     return changed;
   }
 
+  /** A call that gets no answer, as over a cut connection. */
+  async unanswered(): Promise<never> {
+    await sleepUntil(
+      this.clock,
+      after(this.clock.now(), UNANSWERED_MILLISECONDS),
+    );
+    throw new PlatformUnavailableError('cut off');
+  }
+
   private nextChange(
     key: string,
     from: number,
--- a/packages/standins/src/plain_service_stand_in.ts
+++ b/packages/standins/src/plain_service_stand_in.ts
@@ -20,6 +20,8 @@
   readonly executions = new Map<string, number>();
   readonly answers = new Map<string, ServiceAnswer>();
   readonly sealed = new Set<string>();
+  /** Ids of the requests that ran. */
+  readonly requests = new Set<string>();
 
   private constructor() {}
 
@@ -95,6 +97,7 @@
 
   private execute(call: ServiceCall): ServiceAnswer {
     this.calls += 1;
+    this.records.requests.add(call.requestId);
     const key = call.idempotencyKey;
     const serial = (this.records.executions.get(key ?? '') ?? 0) + 1;
     if (key !== undefined) this.records.executions.set(key, serial);
--- a/packages/standins/src/serve_engine.ts
+++ b/packages/standins/src/serve_engine.ts
@@ -66,7 +66,7 @@
     return {};
   });
   server.post('/standin/leave', () => {
-    engine.isLeaving = true;
+    engine.leave();
     return {};
   });
   await server.listen({host: '127.0.0.1', port: options.port});
