--- /dev/null
+++ b/packages/benchmarks/src/http_load.ts
@@ -0,0 +1,98 @@
+/** HTTP load on loopback: closed loops for throughput, open loops for latency. */
+
+import {Agent, request} from 'undici';
+import {build} from 'hdr-histogram-js';
+import {sleep} from './processes.js';
+
+/** What is sent again and again. */
+export interface HttpTarget {
+  readonly url: string;
+  readonly method: 'GET' | 'POST';
+  readonly body?: string;
+}
+
+/** Latencies in milliseconds. */
+export interface LatencyFigures {
+  readonly count: number;
+  readonly failures: number;
+  readonly p50: number;
+  readonly p99: number;
+  readonly perSecond: number;
+}
+
+/** Microseconds in a millisecond; the histogram takes whole numbers. */
+const MICROSECONDS = 1_000;
+
+/** Connections of an open loop. */
+const MOST_CONNECTIONS = 256;
+
+/** `callers` send as fast as they get answers. */
+export async function closedLoop(
+  target: HttpTarget,
+  callers: number,
+  seconds: number,
+): Promise<LatencyFigures> {
+  const recorder = createRecorder(callers);
+  const end = performance.now() + seconds * 1_000;
+  const run = async (): Promise<void> => {
+    while (performance.now() < end) await recorder.send(target);
+  };
+  await Promise.all(Array.from({length: callers}, run));
+  return recorder.figures(seconds);
+}
+
+/** Requests at a fixed rate, whatever the answers take. */
+export async function openLoop(
+  target: HttpTarget,
+  perSecond: number,
+  seconds: number,
+): Promise<LatencyFigures> {
+  const recorder = createRecorder(MOST_CONNECTIONS);
+  const begin = performance.now();
+  const total = Math.floor(perSecond * seconds);
+  const open: Promise<void>[] = [];
+  for (let sent = 0; sent < total;) {
+    const due = Math.min(
+      total,
+      Math.floor(((performance.now() - begin) / 1_000) * perSecond),
+    );
+    for (; sent < due; sent += 1) open.push(recorder.send(target));
+    await sleep(1);
+  }
+  await Promise.all(open);
+  return recorder.figures(seconds);
+}
+
+function createRecorder(connections: number) {
+  const agent = new Agent({connections});
+  const histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 60_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+  let failures = 0;
+  return {
+    async send(target: HttpTarget): Promise<void> {
+      const startedAt = performance.now();
+      const answer = await request(target.url, {
+        method: target.method,
+        body: target.body,
+        dispatcher: agent,
+      });
+      await answer.body.dump();
+      if (answer.statusCode !== 200) failures += 1;
+      const took = performance.now() - startedAt;
+      histogram.recordValue(Math.max(1, Math.round(took * MICROSECONDS)));
+    },
+    figures(seconds: number): LatencyFigures {
+      void agent.close();
+      return {
+        count: histogram.totalCount,
+        failures,
+        p50: histogram.getValueAtPercentile(50) / MICROSECONDS,
+        p99: histogram.getValueAtPercentile(99) / MICROSECONDS,
+        perSecond: histogram.totalCount / seconds,
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/benchmarks/src/index.ts
@@ -0,0 +1,4 @@
+/** Benchmarks with bounds. */
+
+export type {BoundedFigure} from './bound.js';
+export {judgeFigures, percentile} from './bound.js';
--- a/packages/ledger/src/shard_owner.ts
+++ b/packages/ledger/src/shard_owner.ts
@@ -59,6 +59,8 @@
 }
 
 interface Batch {
+  /** Somebody waits for it to be written. */
+  isUrgent: boolean;
   readonly records: ClaimRecord[];
   readonly onWritten: Array<() => void>;
   readonly onLost: Array<(failure: unknown) => void>;
@@ -131,8 +133,8 @@
 
   /** Writes what waits and closes the log, so that a successor finds all of it. */
   async close(): Promise<void> {
-    if (this.batch.records.length > 0) await this.write();
     await this.writing;
+    if (this.batch.records.length > 0) await this.write();
     this.log?.close();
     this.lose(new ShardLostError(this.options.shard, undefined));
   }
@@ -161,6 +163,7 @@
       this.table.apply(record);
     }
     const written = this.enqueue(record);
+    this.batch.isUrgent = true;
     void this.write();
     await written;
   }
@@ -243,12 +246,14 @@
     return this.writing;
   }
 
+  /** Ends alone cause no further write: they wait for the next claim or the flush. */
   private async writeAll(): Promise<void> {
-    while (this.batch.records.length > 0 && this.lost === undefined) {
+    do {
       await this.waitForTurn();
       await this.writeBatch();
-    }
+    } while (this.batch.isUrgent && this.lost === undefined);
     this.writing = undefined;
+    if (this.batch.records.length > 0) this.scheduleFlush();
     void this.sweep();
   }
 
@@ -310,5 +315,5 @@
 }
 
 function emptyBatch(): Batch {
-  return {records: [], onWritten: [], onLost: []};
+  return {isUrgent: false, records: [], onWritten: [], onLost: []};
 }
--- a/packages/standins/src/object_service_stand_in.ts
+++ b/packages/standins/src/object_service_stand_in.ts
@@ -66,6 +66,8 @@
     lists: 0,
     watches: 0,
   };
+  /** Bytes of all values written. */
+  bytesWritten = 0;
   private readonly objects = new Map<string, StoredObject>();
   private readonly watchers = new Set<Watcher>();
   private lastVersion = 0;
@@ -181,6 +183,7 @@
   }
 
   private store(key: string, value: string): ObjectVersion {
+    this.bytesWritten += value.length;
     this.lastVersion += 1;
     const version = as<ObjectVersion>(this.lastVersion);
     const stored = {key, version, value};
