--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,10 @@
         {prefer: 'type-imports', fixStyle: 'separate-type-imports'},
       ],
       '@typescript-eslint/no-explicit-any': 'error',
-      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
       '@typescript-eslint/no-floating-promises': [
         'error',
         {
--- a/packages/benchmarks/src/claim_fleet.ts
+++ b/packages/benchmarks/src/claim_fleet.ts
@@ -136,6 +136,7 @@
           node,
           deadline,
           expiresAt,
+          traceparent: undefined,
         },
         deadline,
       );
@@ -163,6 +164,7 @@
       emit: discardEvents,
       ownersOf: subject => rankMembers(subject, ids),
       isNodeGone: () => false,
+      traceClaim: () => () => {},
       callPeer: async (node, question, until) => {
         await sleepUntil(clock, after(clock.now(), PEER_DELAY_MILLISECONDS));
         const target = this.ledgers.get(node);
--- /dev/null
+++ b/packages/benchmarks/src/measure_state.ts
@@ -0,0 +1,183 @@
+/** Bytes and microseconds of each piece of state, from slopes over its size. */
+
+import type {
+  EndpointId,
+  FailureDomain,
+  Fingerprint,
+  Instant,
+  ModelName,
+  NodeId,
+} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import type {Allocation, EngineView, PlanFacts} from '@siskinmux/allocation';
+import {
+  EMPTY_ALLOCATION,
+  fromGibibytes,
+  planAllocation,
+} from '@siskinmux/allocation';
+import type {Declarations} from '@siskinmux/declarations';
+import {declarationsSchema} from '@siskinmux/declarations';
+import type {AttemptId, ClaimKey} from '@siskinmux/ledger';
+import {ClaimTable, encodeRecord} from '@siskinmux/ledger';
+import {rankMembers} from '@siskinmux/routing';
+
+const NOW = as<Instant>(1_700_000_000_000);
+const CLAIMS = 100_000;
+const PLANS = 20;
+const RANKINGS = 2_000;
+
+/** Declarations of a given size. */
+export function declarationsOfSize(size: {
+  models: number;
+  adapters: number;
+  engines: number;
+  domains: number;
+}): Declarations {
+  const range = (count: number): number[] =>
+    Array.from({length: count}, (_, index) => index);
+  const domainOf = (index: number): string => `d${index % size.domains}`;
+  const replicas = Object.fromEntries(
+    range(size.domains).map(index => [domainOf(index), 2]),
+  );
+  return declarationsSchema.parse({
+    models: Object.fromEntries(
+      range(size.models).map(index => [
+        `model-${index}`,
+        {
+          versions: ['v1'],
+          current_version: 'v1',
+          memory_gib: 8,
+          replicas,
+        },
+      ]),
+    ),
+    adapters: Object.fromEntries(
+      range(size.adapters).map(index => [
+        `adapter-${index}`,
+        {model: `model-${index % size.models}`, memory_mib: 64},
+      ]),
+    ),
+    endpoints: Object.fromEntries(
+      range(size.engines).map(index => [
+        `engine-${index}`,
+        {
+          kind: 'engine',
+          url: `http://10.0.${Math.floor(index / 250)}.${index % 250}:8000`,
+          host: `host-${index}`,
+          failure_domain: domainOf(index),
+          memory_gib: 48,
+          checks_fencing: true,
+        },
+      ]),
+    ),
+  });
+}
+
+/** Bytes of a value as JSON and in memory. */
+export function sizeOf(create: () => unknown): {json: number; heap: number} {
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  const value = create();
+  globalThis.gc?.();
+  const heap = process.memoryUsage().heapUsed - before;
+  return {json: JSON.stringify(value).length, heap};
+}
+
+/** What one remembered claim takes. */
+export function measureClaim(): {heap: number; stored: number; micro: number} {
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  const table = ClaimTable.create();
+  const startedAt = performance.now();
+  let stored = 0;
+  for (let index = 0; index < CLAIMS; index += 1) {
+    const record = {
+      kind: 'claim',
+      key: `k${index}`.padEnd(22, 'x') as ClaimKey,
+      fingerprint: as<Fingerprint>(`f${index}`.padEnd(22, 'x')),
+      attempt: `a${index}`.padEnd(36, 'x') as AttemptId,
+      node: as<NodeId>('entry-1-00000000'),
+      deadline: NOW,
+      expiresAt: NOW,
+    } as const;
+    table.apply(record);
+    stored += encodeRecord(record).length;
+  }
+  const micro = ((performance.now() - startedAt) * 1_000) / CLAIMS;
+  globalThis.gc?.();
+  const heap = (process.memoryUsage().heapUsed - before) / CLAIMS;
+  return {heap, stored: stored / CLAIMS, micro: table.size > 0 ? micro : NaN};
+}
+
+/** Milliseconds of one plan over `engines` engines that each hold two models. */
+export function measurePlan(engines: number): number {
+  const declarations = declarationsOfSize({
+    models: engines * 2,
+    adapters: 0,
+    engines,
+    domains: 1,
+  });
+  const facts = planFacts(declarations, engines);
+  let allocation: Allocation = EMPTY_ALLOCATION;
+  allocation = planAllocation(allocation, facts, []).allocation;
+  const startedAt = performance.now();
+  for (let index = 0; index < PLANS; index += 1) {
+    planAllocation(allocation, {...facts, demands: []}, []);
+  }
+  return (performance.now() - startedAt) / PLANS;
+}
+
+/** Microseconds of one ranking of `members` nodes. */
+export function measureRanking(members: number): number {
+  const ids = Array.from({length: members}, (_, index) =>
+    as<NodeId>(`entry-${index}-00000000`),
+  );
+  const startedAt = performance.now();
+  for (let index = 0; index < RANKINGS; index += 1) {
+    rankMembers(`claims/${index}`, ids);
+  }
+  return ((performance.now() - startedAt) * 1_000) / RANKINGS;
+}
+
+function planFacts(declarations: Declarations, count: number): PlanFacts {
+  const engines = new Map<EndpointId, EngineView>();
+  for (let index = 0; index < count; index += 1) {
+    const id = as<EndpointId>(`engine-${index}`);
+    engines.set(id, engineView(id));
+  }
+  return {
+    now: NOW,
+    node: as<NodeId>('entry-1'),
+    failureDomain: as<FailureDomain>('d0'),
+    declarations,
+    engines,
+    demands: Array.from({length: count * 2}, (_, index) => ({
+      subject: {
+        kind: 'model',
+        model: as<ModelName>(`model-${index}`),
+        version: 'v1',
+      },
+      waiting: 1,
+      inFlight: 0,
+      earliestDeadline: NOW,
+    })),
+    keepUntil: () => as<Instant>(NOW + 60_000),
+    isNodeGone: () => false,
+    wasSent: () => true,
+    hasSettled: true,
+    freeLoads: count * 2,
+  };
+}
+
+function engineView(id: EndpointId): EngineView {
+  return {
+    id,
+    memoryBytes: fromGibibytes(48),
+    checksFencing: true,
+    status: undefined,
+    releasedAt: NOW,
+    isLeaving: false,
+    isReachable: true,
+    isHostGone: false,
+  };
+}
--- a/packages/ledger/src/claim_table.ts
+++ b/packages/ledger/src/claim_table.ts
@@ -22,6 +22,8 @@
   readonly deadline: Instant;
   /** The key is remembered until then. */
   readonly expiresAt: Instant;
+  /** W3C trace context of the hop to the owner. */
+  readonly traceparent: string | undefined;
 }
 
 /** What a claim comes to. */
@@ -96,7 +98,15 @@
   /** Applies a record; ends of attempts that hold nothing are ignored. */
   apply(record: ClaimRecord): void {
     if (record.kind === 'claim') {
-      this.entries.set(record.key, {...record, end: undefined});
+      const {fingerprint, attempt, node, deadline, expiresAt} = record;
+      this.entries.set(record.key, {
+        fingerprint,
+        attempt,
+        node,
+        deadline,
+        expiresAt,
+        end: undefined,
+      });
     } else if (record.kind === 'end') {
       this.applyEnd(record.key, record.attempt, record.end);
     }
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -61,6 +61,8 @@
   readonly shards: number;
   readonly emit: EmitEvent;
   readonly isNodeGone: (node: NodeId) => boolean;
+  /** Starts a traced hop at the owner; returns what ends it. */
+  readonly traceClaim: (traceparent: string | undefined) => () => void;
 }
 
 /** Claims as one node sees them. */
@@ -134,7 +136,7 @@
     }
     try {
       const owner = await this.ownerOf(shard);
-      const answer = await carryOut(owner, question.message);
+      const answer = await this.carryOut(owner, question.message);
       return {kind: 'answer', answer};
     } catch (failure) {
       if (!(failure instanceof ShardLostError)) throw failure;
@@ -193,6 +195,23 @@
     return subjectOfShard(shardOf(key, this.options.shards));
   }
 
+  private async carryOut(
+    owner: ShardOwner,
+    message: LedgerMessage,
+  ): Promise<LedgerAnswer> {
+    if (message.kind === 'end') {
+      await owner.end(message.key, message.attempt, message.end);
+      return {kind: 'ended'};
+    }
+    const endTrace = this.options.traceClaim(message.request.traceparent);
+    try {
+      const reply = await owner.claim(message.request, message.waitUntil);
+      return {kind: 'claim', reply};
+    } finally {
+      endTrace();
+    }
+  }
+
   private mayOwn(
     shard: number,
     question: OwnerQuestion<LedgerMessage>,
@@ -268,15 +287,3 @@
 function shardOfSubject(subject: string): number {
   return Number(subject.slice(subject.lastIndexOf('/') + 1));
 }
-
-async function carryOut(
-  owner: ShardOwner,
-  message: LedgerMessage,
-): Promise<LedgerAnswer> {
-  if (message.kind === 'claim') {
-    const reply = await owner.claim(message.request, message.waitUntil);
-    return {kind: 'claim', reply};
-  }
-  await owner.end(message.key, message.attempt, message.end);
-  return {kind: 'ended'};
-}
--- a/packages/ledger/src/shard_owner.ts
+++ b/packages/ledger/src/shard_owner.ts
@@ -158,7 +158,8 @@
   }
 
   private async grant(request: ClaimRequest): Promise<void> {
-    const record: ClaimRecord = {kind: 'claim', ...request};
+    const {traceparent: _notStored, ...claim} = request;
+    const record: ClaimRecord = {kind: 'claim', ...claim};
     if (!this.table.isHeldBy(request.key, request.attempt)) {
       this.table.apply(record);
     }
--- /dev/null
+++ b/packages/membership/__tests__/membership.test.ts
@@ -0,0 +1,95 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {FailureDomain, NodeId} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import type {MemberUpdate} from '../src/index.js';
+import {Membership} from '../src/index.js';
+
+const LONG_MILLISECONDS = 10_000;
+
+const id = (name: string): NodeId => as<NodeId>(name);
+
+function update(
+  name: string,
+  overrides: Partial<MemberUpdate> = {},
+): MemberUpdate {
+  return {
+    id: id(name),
+    address: `http://${name}`,
+    failureDomain: as<FailureDomain>('a'),
+    incarnation: 0,
+    status: 'alive',
+    ...overrides,
+  };
+}
+
+function setUp() {
+  const clock = VirtualClock.create();
+  const membership = Membership.create({
+    self: {
+      id: id('self'),
+      address: 'http://self',
+      failureDomain: as<FailureDomain>('a'),
+    },
+    clock,
+    random: createSeededRandom(1),
+  });
+  return {clock, membership};
+}
+
+describe(Membership.name, () => {
+  it('concludes that a member is dead only after a suspicion', async () => {
+    const {clock, membership} = setUp();
+    membership.merge([update('one'), update('two')]);
+    membership.noteUnreachable(id('one'));
+    expect(membership.live.includes(id('one'))).toEqual(true);
+    await clock.advance(LONG_MILLISECONDS);
+    membership.tick();
+    expect(membership.live).toEqual([id('self'), id('two')]);
+    expect(membership.isGone(id('one'))).toEqual(true);
+  });
+
+  it('lets a suspect refute by a larger incarnation', async () => {
+    const {clock, membership} = setUp();
+    membership.merge([update('one')]);
+    membership.merge([update('one', {status: 'suspect'})]);
+    membership.merge([update('one', {incarnation: 1})]);
+    await clock.advance(LONG_MILLISECONDS);
+    membership.tick();
+    expect(membership.live.includes(id('one'))).toEqual(true);
+  });
+
+  it('refutes a suspicion of itself', () => {
+    const {membership} = setUp();
+    membership.merge([update('self', {status: 'suspect', incarnation: 4})]);
+    const [self] = membership.updatesToSend();
+    expect(self?.incarnation).toEqual(5);
+    expect(self?.status).toEqual('alive');
+  });
+
+  it('does not revive one that has left, whatever comes late', () => {
+    const {membership} = setUp();
+    membership.merge([update('one'), update('one', {status: 'left'})]);
+    membership.merge([update('one', {incarnation: 9})]);
+    expect(membership.live).toEqual([id('self')]);
+  });
+
+  it('probes every member once in each round', () => {
+    const {membership} = setUp();
+    const names = ['one', 'two', 'three', 'four'];
+    membership.merge(names.map(name => update(name)));
+    const probed = names.map(() => membership.nextProbe()?.id);
+    expect([...probed].sort()).toEqual(names.map(id).sort());
+  });
+
+  it('stops passing news on after a while', () => {
+    const {membership} = setUp();
+    membership.merge([update('one')]);
+    let carried = 0;
+    for (let probe = 0; probe < 100; probe += 1) {
+      if (membership.updatesToSend().length > 1) carried += 1;
+    }
+    expect(carried > 0 && carried < 20).toEqual(true);
+  });
+});
--- /dev/null
+++ b/packages/node/__tests__/whole_path.test.ts
@@ -0,0 +1,310 @@
+import {after as afterAll, before, describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {
+  InMemorySpanExporter,
+  SimpleSpanProcessor,
+} from '@opentelemetry/sdk-trace-base';
+import {systemClock, systemRandom} from '@siskinmux/adapters';
+import {
+  diffDeclarations,
+  emptyDeclarations,
+  parseDeclarations,
+} from '@siskinmux/declarations';
+import {LocalCluster} from '@siskinmux/demo';
+import {ownerOf} from '@siskinmux/routing';
+
+const TRACE = '0af7651916cd43dd8448eb211c80319c';
+const FUZZ_RUNS = 60;
+const POLL_MILLISECONDS = 20;
+
+const DECLARATIONS = `
+[models.offers]
+versions = ["v1"]
+current_version = "v1"
+memory_gib = 8
+replicas = {a = 1}
+
+[adapters.brand]
+model = "offers"
+memory_mib = 1
+
+[endpoints.engine]
+kind = "engine"
+url = "http://127.0.0.1:1"
+host = "h"
+failure_domain = "a"
+memory_gib = 16
+checks_fencing = true
+
+[endpoints.coupon]
+kind = "service"
+service = "coupons"
+url = "http://127.0.0.1:2"
+host = "c"
+failure_domain = "a"
+
+[services.coupons.calls.issue]
+methods = ["POST"]
+path = "/issue"
+repeatable = false
+
+[services.coupons.calls.balance]
+methods = ["GET"]
+path = "/balance"
+repeatable = true
+
+[policy.default]
+maximum_body_bytes = 2000
+`;
+
+const spans = new InMemorySpanExporter();
+let cluster: LocalCluster;
+
+const url = (index: number, path: string): string =>
+  `${cluster.node(index).callerUrl}${path}`;
+
+function post(
+  index: number,
+  path: string,
+  body: unknown,
+  headers: Record<string, string> = {},
+): Promise<Response> {
+  return fetch(url(index, path), {
+    method: 'POST',
+    headers: {'content-type': 'application/json', ...headers},
+    body: typeof body === 'string' ? body : JSON.stringify(body),
+  });
+}
+
+async function problemOf(response: Response): Promise<Record<string, unknown>> {
+  const [type] = response.headers.get('content-type')?.split(';') ?? [];
+  expect(type).toEqual('application/problem+json');
+  return (await response.json()) as Record<string, unknown>;
+}
+
+/** The node that does not own the claims, so that a claim crosses nodes. */
+function asksAnOwnerElsewhere(): number {
+  const ids = cluster.nodes.map(({id}) => id);
+  return ownerOf('claims/0', ids) === ids[0] ? 1 : 0;
+}
+
+async function until(isReached: () => boolean): Promise<void> {
+  while (!isReached()) {
+    await new Promise(resolve => setTimeout(resolve, POLL_MILLISECONDS));
+  }
+}
+
+describe('the whole path on real sockets', () => {
+  before(async () => {
+    cluster = await LocalCluster.start({
+      clock: systemClock,
+      random: systemRandom,
+      declarations: parseDeclarations([{name: 'all', text: DECLARATIONS}]),
+      nodes: ['a', 'b'],
+      spanProcessors: [new SimpleSpanProcessor(spans)],
+    });
+    const early = await post(0, '/v1/completions', {model: 'x', prompt: 'y'});
+    expect(early.status).toEqual(503);
+    await fetch(`${cluster.node(0).operatorUrl}/patches`, {
+      method: 'POST',
+      body: JSON.stringify({
+        id: 'patch-0001',
+        based_on: 0,
+        author: 'test',
+        reason: 'test',
+        changes: diffDeclarations(emptyDeclarations(), cluster.declarations),
+      }),
+    });
+    await until(() =>
+      cluster.nodes.every(node => node.configurationNumber === 1),
+    );
+  });
+
+  afterAll(() => cluster.stop());
+
+  it('lists what can be asked for', async () => {
+    const answer = await fetch(url(1, '/v1/models'));
+    const {data} = (await answer.json()) as {data: {id: string}[]};
+    expect(data.map(({id}) => id)).toEqual(['brand', 'offers']);
+  });
+
+  it('wakes a model and answers whole, also through an adapter', async () => {
+    for (const model of ['offers', 'offers@v1', 'brand']) {
+      const answer = await post(1, '/v1/chat/completions', {
+        model,
+        max_tokens: 3,
+        messages: [{role: 'user', content: 'hello'}],
+      });
+      expect(answer.status).toEqual(200);
+      const body = (await answer.json()) as {
+        choices: {message: {content: string}; finish_reason: string}[];
+        usage: {completion_tokens: number};
+      };
+      expect(body.usage.completion_tokens).toEqual(3);
+      expect(body.choices[0]?.finish_reason).toEqual('stop');
+    }
+  });
+
+  it('streams server-sent events up to the end mark', async () => {
+    const answer = await post(0, '/v1/completions', {
+      model: 'offers',
+      stream: true,
+      max_tokens: 4,
+      prompt: 'hello',
+    });
+    const events = (await answer.text()).trim().split('\n\n');
+    expect(events.length).toEqual(6);
+    expect(events.at(-1)).toEqual('data: [DONE]');
+  });
+
+  it('runs a call that may not be repeated once, and replays its answer', async () => {
+    const key = {'idempotency-key': 'once'};
+    const path = '/services/coupons/issue';
+    const first = await post(0, path, {a: 1}, key);
+    const second = await post(1, path, {a: 1}, key);
+    expect([first.status, second.status]).toEqual([200, 200]);
+    expect(second.headers.get('idempotent-replayed')).toEqual('true');
+    expect(await first.text()).toEqual(await second.text());
+    const other = await post(1, path, {a: 2}, key);
+    expect(other.status).toEqual(422);
+    expect((await problemOf(other))['outcome']).toEqual('not run');
+    const records = cluster.outside.records.get('coupons');
+    expect(records?.executions.get('once')).toEqual(1);
+  });
+
+  it('refuses honestly, with a stable type', async () => {
+    const refusals: [Promise<Response>, number, string][] = [
+      [post(0, '/v1/completions', '{'), 400, 'invalid-request'],
+      [post(0, '/v1/completions', {model: 'offers'}), 400, 'invalid-request'],
+      [
+        post(0, '/v1/completions', {model: 'none', prompt: 'x'}),
+        404,
+        'unknown-target',
+      ],
+      [
+        post(0, '/v1/completions', {
+          model: 'offers',
+          prompt: 'x'.repeat(3_000),
+        }),
+        413,
+        'body-too-large',
+      ],
+      [
+        post(
+          0,
+          '/v1/completions',
+          {model: 'offers', prompt: 'x'},
+          {'x-request-deadline': '1'},
+        ),
+        504,
+        'deadline-passed',
+      ],
+      [
+        post(
+          0,
+          '/v1/completions',
+          {model: 'offers', prompt: 'x'},
+          {'x-request-priority': 'now'},
+        ),
+        400,
+        'invalid-request',
+      ],
+      [post(0, '/services/coupons/issue', {}), 400, 'missing-idempotency-key'],
+      [post(0, '/services/coupons/none', {}), 404, 'unknown-target'],
+    ];
+    for (const [sent, status, type] of refusals) {
+      const answer = await sent;
+      expect(answer.status).toEqual(status);
+      const problem = await problemOf(answer);
+      expect(problem['type']).toEqual(`urn:siskinmux:problem:${type}`);
+      expect(problem['outcome']).toEqual('not run');
+    }
+  });
+
+  it('carries the caller’s trace over every hop', async () => {
+    const asked = await post(
+      asksAnOwnerElsewhere(),
+      '/services/coupons/issue',
+      {},
+      {
+        'idempotency-key': 'traced',
+        traceparent: `00-${TRACE}-b7ad6b7169203331-01`,
+      },
+    );
+    expect(asked.status).toEqual(200);
+    const finished = spans
+      .getFinishedSpans()
+      .filter(span => span.spanContext().traceId === TRACE);
+    const names = finished.map(({name}) => name).sort();
+    expect(names).toEqual([
+      'caller service',
+      'claim',
+      'claim at owner',
+      'service call',
+    ]);
+    const nodes = new Set(
+      finished.map(({resource}) => resource.attributes['service.instance.id']),
+    );
+    expect(nodes.size).toEqual(2);
+  });
+
+  it('keeps the operators’ interface from callers', async () => {
+    expect((await fetch(url(0, '/patches'))).status).toEqual(404);
+    expect((await fetch(url(0, '/rpc'), {method: 'POST'})).status).toEqual(404);
+  });
+
+  it('answers any message of a peer with a clear error and goes on', async () => {
+    const address = cluster.node(0).peerUrl;
+    const message = fc.oneof(
+      fc.string(),
+      fc.json(),
+      fc
+        .record({
+          jsonrpc: fc.constant('2.0'),
+          id: fc.nat(),
+          method: fc.constantFrom(
+            'ledger.ask',
+            'allocation.ask',
+            'membership.probe',
+            'configuration.update_since',
+            'requests.suspect',
+          ),
+          params: fc.jsonValue(),
+        })
+        .map(value => JSON.stringify(value)),
+    );
+    await fc.assert(
+      fc.asyncProperty(message, async body => {
+        const answer = await fetch(`${address}/rpc`, {method: 'POST', body});
+        expect([200, 204].includes(answer.status)).toEqual(true);
+      }),
+      {seed: 1, numRuns: FUZZ_RUNS},
+    );
+    const alive = await fetch(url(0, '/health/ready'));
+    expect(alive.status).toEqual(200);
+  });
+
+  it('answers any body of a caller with a problem or an answer', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.oneof(fc.string(), fc.json()), async body => {
+        const answer = await post(0, '/v1/chat/completions', body);
+        expect(answer.status >= 400 && answer.status < 500).toEqual(true);
+      }),
+      {seed: 1, numRuns: FUZZ_RUNS},
+    );
+  });
+
+  it('counts and serves its metrics', async () => {
+    const answer = await fetch(`${cluster.node(0).metricsUrl}/metrics`);
+    const text = await answer.text();
+    for (const name of [
+      'siskinmux_requests_total',
+      'siskinmux_platform_calls_total',
+      'siskinmux_configuration_number 1',
+      'siskinmux_live_nodes 2',
+    ]) {
+      expect(text).toInclude(name);
+    }
+  });
+});
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -263,13 +263,13 @@
   }
 
   private startHop(parent: Hop): StartHop {
-    return (name: string, endpoint: EndpointId): DispatchHop => {
+    return (name: string, endpoint?: EndpointId): DispatchHop => {
       const hop = this.context.tracing.start(
         name,
         parent.traceparent,
         'client',
       );
-      hop.set('siskinmux.endpoint', endpoint);
+      if (endpoint !== undefined) hop.set('siskinmux.endpoint', endpoint);
       return hop;
     };
   }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -12,7 +12,7 @@
 export {METRICS, unservedMetricsPlugin} from './metrics.js';
 export type {NodeIdentity} from './node_identity.js';
 export {NODE_IDENTITY} from './node_identity.js';
-export type {PeerTransport, ReceiveMessage} from './peers.js';
+export type {PeerTraffic, PeerTransport, ReceiveMessage} from './peers.js';
 export {PEERS, createPeersPlugin} from './peers.js';
 export type {Platform} from './platform.js';
 export {PLATFORM, providePlatform} from './platform.js';
@@ -26,5 +26,6 @@
   PRIORITY_HEADER,
   TIMEOUT_HEADER,
 } from './caller_request.js';
+export {createTracingPlugin} from './tracing.js';
 export type {AllocationReport} from './allocation_task.js';
 export {PROBLEM_TYPE} from './problem.js';
--- a/packages/node/src/ledger_plugin.ts
+++ b/packages/node/src/ledger_plugin.ts
@@ -11,6 +11,7 @@
 import {ledgerQuestionSchema, ledgerReplySchema} from './owner_messages.js';
 import {PEERS} from './peers.js';
 import {CLOCK, PLATFORM} from './platform.js';
+import {TRACING} from './tracing.js';
 
 const ASK = 'ledger.ask';
 
@@ -23,6 +24,7 @@
   install(kernel) {
     const peers = kernel.inject(PEERS);
     const {membership} = kernel.inject(MEMBERSHIP);
+    const tracing = kernel.inject(TRACING);
     const ledger = Ledger.create({
       objects: kernel.inject(PLATFORM).at('claims'),
       clock: kernel.inject(CLOCK),
@@ -31,6 +33,10 @@
       emit: kernel.inject(EMIT_EVENT),
       ownersOf: subject => rankMembers(subject, membership.live),
       isNodeGone: node => membership.isGone(node),
+      traceClaim: traceparent => {
+        const hop = tracing.start('claim at owner', traceparent, 'server');
+        return () => hop.end();
+      },
       callPeer: createAskPeer({
         peers,
         membership,
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -14,6 +14,9 @@
 /** Key of the registry in which plug-ins register their metrics. */
 export const METRICS = injectionKey<Registry>('metrics');
 
+/** Key of the base URL of the metrics, known once they are served. */
+export const METRICS_URL = injectionKey<() => string>('metrics URL');
+
 const section = settingsSection(
   'metrics',
   z.strictObject({address: addressSchema, port: portSchema}),
@@ -40,10 +43,15 @@
       void reply.type(registry.contentType);
       return registry.metrics();
     });
+    let url = '';
+    kernel.provide(METRICS_URL, () => url);
     kernel.addTask({
       name: 'metrics server',
       start: async () => {
-        await server.listen({host: settings.address, port: settings.port});
+        url = await server.listen({
+          host: settings.address,
+          port: settings.port,
+        });
       },
       stop: () => server.close(),
     });
--- a/packages/node/src/owner_messages.ts
+++ b/packages/node/src/owner_messages.ts
@@ -31,6 +31,7 @@
       node: text,
       deadline: instant,
       expiresAt: instant,
+      traceparent: text.optional(),
     }),
   }),
   z.object({
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -2,8 +2,10 @@
 
 import type {JSONRPCResponse} from 'json-rpc-2.0';
 import {
+  JSONRPCErrorCode,
   JSONRPCErrorException,
   JSONRPCServer,
+  createJSONRPCErrorResponse,
   createJSONRPCRequest,
   isJSONRPCResponse,
 } from 'json-rpc-2.0';
@@ -34,7 +36,6 @@
 
 const LIFE_SIGN_METHOD = 'peer.alive';
 
-const INVALID_PARAMS = -32602;
 const APPLICATION_ERROR = -32000;
 
 /** Handles one method of the peer interface. */
@@ -43,6 +44,13 @@
 /** Answers one message as it came off the wire; undefined for a notification. */
 export type ReceiveMessage = (text: string) => Promise<string | undefined>;
 
+/** What a node has exchanged with others since it started. */
+export interface PeerTraffic {
+  readonly sent: number;
+  readonly received: number;
+  readonly calls: number;
+}
+
 /** Carries messages between nodes. */
 export interface PeerTransport {
   /** Sends a message and resolves with the answer. Any failure means "not reached". */
@@ -63,6 +71,7 @@
   private ownAddress = '';
   private sentBytes = 0;
   private receivedBytes = 0;
+  private callCount = 0;
 
   private constructor(
     private readonly clock: Clock,
@@ -85,9 +94,13 @@
     return this.ownAddress;
   }
 
-  /** Bytes of messages sent and received, without HTTP headers. */
-  get traffic(): {sent: number; received: number} {
-    return {sent: this.sentBytes, received: this.receivedBytes};
+  /** Bytes of messages sent and received, without HTTP headers, and calls made. */
+  get traffic(): PeerTraffic {
+    return {
+      sent: this.sentBytes,
+      received: this.receivedBytes,
+      calls: this.callCount,
+    };
   }
 
   /** Registers a method; parameters that don't fit `schema` are refused. */
@@ -99,7 +112,10 @@
     this.server.addMethod(method, async (params: unknown) => {
       const parsed = schema.safeParse(params);
       if (!parsed.success) {
-        throw new JSONRPCErrorException(parsed.error.message, INVALID_PARAMS);
+        throw new JSONRPCErrorException(
+          parsed.error.message,
+          JSONRPCErrorCode.InvalidParams,
+        );
       }
       try {
         return (await handler(parsed.data)) ?? null;
@@ -115,13 +131,29 @@
   /** Answers one message as it came off the wire; undefined for a notification. */
   async receive(text: string): Promise<string | undefined> {
     this.receivedBytes += text.length;
-    const response = await this.server.receiveJSON(text);
+    const response = await this.answer(text);
     if (response === null) return undefined;
     const answer = JSON.stringify(response);
     this.sentBytes += answer.length;
     return answer;
   }
 
+  private async answer(
+    text: string,
+  ): Promise<JSONRPCResponse | JSONRPCResponse[] | null> {
+    try {
+      return await this.server.receiveJSON(text);
+    } catch (failure) {
+      // The library takes batches apart before it looks at their parts.
+      if (!(failure instanceof TypeError)) throw failure;
+      return createJSONRPCErrorResponse(
+        null,
+        JSONRPCErrorCode.InvalidRequest,
+        'Invalid Request',
+      );
+    }
+  }
+
   /** Calls a method of a peer. Throws {@link PeerUnreachableError}. */
   async call(
     address: string,
@@ -182,6 +214,7 @@
   ): Promise<unknown> {
     const body = JSON.stringify(createJSONRPCRequest(1, method, params));
     this.sentBytes += body.length;
+    this.callCount += 1;
     let response: JSONRPCResponse;
     try {
       const answer = await this.transport.send(address, body, signal);
--- a/packages/node/src/siskinmux_node.ts
+++ b/packages/node/src/siskinmux_node.ts
@@ -16,14 +16,14 @@
 import {allocationPlugin} from './allocation_task.js';
 import type {CallerApi} from './caller_api.js';
 import {CALLER_API, callerApiPlugin} from './caller_api.js';
-import {configurationPlugin} from './configuration_task.js';
+import {CONFIGURATION, configurationPlugin} from './configuration_task.js';
 import {endpointsPlugin} from './endpoint_adapters.js';
 import {LEDGER, ledgerPlugin} from './ledger_plugin.js';
 import {HttpPeerTransport} from './http_peer_transport.js';
 import type {WriteLine} from './log.js';
 import {EMIT_EVENT, createLogPlugin} from './log.js';
-import {membershipPlugin} from './membership_task.js';
-import {metricsPlugin} from './metrics.js';
+import {MEMBERSHIP, membershipPlugin} from './membership_task.js';
+import {METRICS_URL, metricsPlugin} from './metrics.js';
 import {
   NODE_EVENTS,
   NODE_STARTED,
@@ -33,7 +33,8 @@
 } from './node_events.js';
 import {NODE_IDENTITY, nodeIdentityPlugin} from './node_identity.js';
 import {OPERATOR_API, operatorApiPlugin} from './operator_api.js';
-import {createPeersPlugin} from './peers.js';
+import type {PeerTraffic} from './peers.js';
+import {PEERS, createPeersPlugin} from './peers.js';
 import {createPlatformPlugin} from './platform.js';
 import {REQUESTS, requestsPlugin} from './requests_plugin.js';
 import {settingsSection} from './settings_section.js';
@@ -101,6 +102,31 @@
     return this.kernel.inject(OPERATOR_API).url();
   }
 
+  /** Base URL of the peer interface, once started. */
+  get peerUrl(): string {
+    return this.kernel.inject(PEERS).address;
+  }
+
+  /** Base URL of the metrics, once started. */
+  get metricsUrl(): string {
+    return this.kernel.inject(METRICS_URL)();
+  }
+
+  /** What this node has exchanged with others. */
+  get peerTraffic(): PeerTraffic {
+    return this.kernel.inject(PEERS).traffic;
+  }
+
+  /** Number of the configuration in force. */
+  get configurationNumber(): number {
+    return this.kernel.inject(CONFIGURATION).state.current.number;
+  }
+
+  /** Nodes that this one counts as live. */
+  get liveNodes(): number {
+    return this.kernel.inject(MEMBERSHIP).membership.live.length;
+  }
+
   /** Every event that this node can write. */
   get events(): readonly EventDescriptor[] {
     return this.kernel.events;
--- a/packages/requests/src/service_requests.ts
+++ b/packages/requests/src/service_requests.ts
@@ -200,15 +200,20 @@
     if (idempotencyKey === undefined) {
       throw refuseNotRun(ErrorCode.MissingIdempotencyKey, journey.callName);
     }
-    const claim = this.claimOf(journey, idempotencyKey);
-    const reply = await this.claim(claim, deadline);
+    const hop = startHop('claim');
+    const claim = this.claimOf(journey, idempotencyKey, hop.traceparent);
+    const reply = await this.claim(claim, deadline).finally(() => hop.end());
     if (reply.kind !== 'granted') return replyToResend(reply);
     const granted: GrantedAttempt = claim;
     const answer = await this.runGranted(journey, granted, startHop);
     return {answer, isReplay: false};
   }
 
-  private claimOf(journey: Journey, key: IdempotencyKey): ClaimRequest {
+  private claimOf(
+    journey: Journey,
+    key: IdempotencyKey,
+    traceparent: string | undefined,
+  ): ClaimRequest {
     const {clock, node, declarations, createAttemptId} = this.options;
     const retention = policyOf(declarations()).claim_retention_milliseconds;
     const {request, deadline} = journey;
@@ -219,6 +224,7 @@
       node,
       deadline,
       expiresAt: after(clock.now(), retention + until(clock.now(), deadline)),
+      traceparent,
     };
   }
 
--- a/packages/requests/src/text_requests.ts
+++ b/packages/requests/src/text_requests.ts
@@ -63,14 +63,14 @@
   readonly signal: AbortSignal;
 }
 
-/** A hop to an endpoint that is being traced. */
+/** A hop to an endpoint or another node that is being traced. */
 export interface DispatchHop {
   readonly traceparent: string | undefined;
   end(failure?: unknown): void;
 }
 
-/** Starts a hop to an endpoint. */
-export type StartHop = (name: string, endpoint: EndpointId) => DispatchHop;
+/** Starts a hop, to an endpoint if one is named. */
+export type StartHop = (name: string, endpoint?: EndpointId) => DispatchHop;
 
 /** What text requests need from their surroundings. */
 export interface TextRequestsOptions {
--- /dev/null
+++ b/packages/routing/__tests__/routing.test.ts
@@ -0,0 +1,151 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {
+  EndpointId,
+  FailureDomain,
+  Fingerprint,
+  Instant,
+} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import {createSeededRandom} from '@siskinmux/testkit';
+import type {Candidate} from '../src/index.js';
+import {
+  CrashSuspects,
+  OutlierDetector,
+  RetryBudget,
+  chooseEndpoint,
+  ownerOf,
+  rankMembers,
+} from '../src/index.js';
+
+const NOW = as<Instant>(1_000_000);
+const KEYS = 2_000;
+
+const endpoint = (name: string): EndpointId => as<EndpointId>(name);
+
+function candidate(
+  name: string,
+  overrides: Partial<Candidate> = {},
+): Candidate {
+  return {
+    endpoint: endpoint(name),
+    failureDomain: as<FailureDomain>('a'),
+    inFlight: 0,
+    limit: 4,
+    reportedLoad: 0,
+    reportedAt: NOW,
+    slots: 4,
+    hasAdapter: true,
+    isPrefixHome: false,
+    ...overrides,
+  };
+}
+
+const context = {
+  now: NOW,
+  failureDomain: as<FailureDomain>('a'),
+  random: createSeededRandom(1),
+};
+
+describe(chooseEndpoint.name, () => {
+  it('prefers the less loaded of two', () => {
+    const chosen = chooseEndpoint(
+      [candidate('busy', {reportedLoad: 4}), candidate('free')],
+      context,
+    );
+    expect(chosen?.endpoint).toEqual(endpoint('free'));
+  });
+
+  it('keeps a prefix at home until home is busier than it is worth', () => {
+    const home = candidate('home', {isPrefixHome: true, inFlight: 0});
+    const other = candidate('other');
+    expect(chooseEndpoint([other, home], context)?.endpoint).toEqual(
+      endpoint('home'),
+    );
+    const busy = {...home, inFlight: 4, reportedLoad: 4};
+    expect(chooseEndpoint([other, busy], context)?.endpoint).toEqual(
+      endpoint('other'),
+    );
+  });
+
+  it('spreads over all that look alike on the same stale report', () => {
+    const candidates = ['one', 'two', 'three', 'four'].map(name =>
+      candidate(name),
+    );
+    const counts = new Map<string, number>();
+    for (let index = 0; index < 400; index += 1) {
+      const name: string = chooseEndpoint(candidates, context)?.endpoint ?? '';
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    expect(Math.max(...counts.values()) < 160).toEqual(true);
+    expect(counts.size).toEqual(4);
+  });
+});
+
+describe(rankMembers.name, () => {
+  it('moves only the share of a member that goes', () => {
+    const members = ['one', 'two', 'three', 'four', 'five'];
+    const rest = members.slice(1);
+    let moved = 0;
+    for (let index = 0; index < KEYS; index += 1) {
+      const before = ownerOf(`key ${index}`, members);
+      const after = ownerOf(`key ${index}`, rest);
+      if (before !== after) moved += 1;
+      if (before !== 'one') expect(after === before).toEqual(true);
+    }
+    expect(moved / KEYS < 0.25).toEqual(true);
+    expect(rankMembers('key', members)[0] ?? '').toEqual(
+      ownerOf('key', members) ?? '',
+    );
+  });
+});
+
+describe(OutlierDetector.name, () => {
+  it('never ejects more than half', () => {
+    const detector = OutlierDetector.create();
+    const all = ['one', 'two', 'three', 'four'].map(endpoint);
+    for (const id of all) {
+      for (let failure = 0; failure < 5; failure += 1) {
+        detector.noteFailure(id, NOW);
+      }
+    }
+    expect(detector.usable(all, NOW).length).toEqual(2);
+    const later = as<Instant>(NOW + 100_000);
+    expect(detector.usable(all, later).length).toEqual(4);
+  });
+});
+
+describe(RetryBudget.name, () => {
+  it('allows a tenth of the requests and a small floor', () => {
+    const budget = RetryBudget.create();
+    let retries = 0;
+    for (let request = 0; request < 1_000; request += 1) {
+      budget.noteRequest();
+      if (budget.tryRetry()) retries += 1;
+    }
+    expect(retries <= 104).toEqual(true);
+    expect(retries >= 100).toEqual(true);
+  });
+});
+
+describe(CrashSuspects.name, () => {
+  it('quarantines after two deaths, forgets later, and merges without counting twice', () => {
+    const suspects = CrashSuspects.create();
+    const culprit = as<Fingerprint>('culprit');
+    const first = suspects.noteDeath(culprit, NOW);
+    suspects.merge(first);
+    expect(suspects.suspicionOf(culprit, NOW)).toEqual('suspect');
+    suspects.noteDeath(culprit, NOW);
+    expect(suspects.suspicionOf(culprit, NOW)).toEqual('quarantined');
+    const later = as<Instant>(NOW + 3_600_000);
+    expect(suspects.suspicionOf(culprit, later)).toEqual('none');
+  });
+
+  it('clears one that was answered after all', () => {
+    const suspects = CrashSuspects.create();
+    const innocent = as<Fingerprint>('innocent');
+    suspects.noteDeath(innocent, NOW);
+    suspects.noteSuccess(innocent);
+    expect(suspects.suspicionOf(innocent, NOW)).toEqual('none');
+  });
+});
--- a/packages/scenarios/src/simulated_node.ts
+++ b/packages/scenarios/src/simulated_node.ts
@@ -23,6 +23,7 @@
   REQUESTS,
   createLogPlugin,
   createPeersPlugin,
+  createTracingPlugin,
   providePlatform,
   unservedMetricsPlugin,
 } from '@siskinmux/node';
@@ -147,6 +148,8 @@
       await sleepUntil(clock, after(clock.now(), FINISH_CHECK_MILLISECONDS));
     }
     await this.kernel.stop();
+    // The process ends here; whatever is still open is cut.
+    this.gate.kill();
   }
 
   /** Ends at once. */
@@ -175,6 +178,7 @@
     });
     kernel.use(createLogPlugin(writeLog));
     kernel.use(unservedMetricsPlugin);
+    kernel.use(createTracingPlugin());
     kernel.use({
       name: 'platform',
       install: target =>
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -73,6 +73,8 @@
       '--test',
       '--test-force-exit',
       '--test-reporter=tap',
+      'packages/configuration/__tests__/configuration_state.test.ts',
+      'packages/configuration/__tests__/configuration_store.test.ts',
       'packages/scenarios/__tests__/scenarios.test.ts',
     ]);
     if (scenarios.code !== 0) return firstFailure(scenarios.output);
@@ -118,9 +120,7 @@
 }
 
 function firstFailure(output: string): string {
-  const line = output
-    .split('\n')
-    .find(text => /^\s*not ok .*\.toml/.test(text));
+  const line = output.split('\n').find(text => /^\s+not ok /.test(text));
   return line?.replace(/^.* - /, '').trim() ?? 'a failed run';
 }
 
