--- /dev/null
+++ b/packages/node/src/catalogue_pages.ts
@@ -0,0 +1,57 @@
+/** The catalogue pages of the documentation, made from the code. */
+
+import type {EventDescriptor} from '@siskinmux/kernel';
+import {ERROR_MESSAGES, ErrorCode} from '@siskinmux/kernel';
+import {ALLOCATION_EVENTS} from '@siskinmux/allocation';
+import {LEDGER_EVENTS} from '@siskinmux/ledger';
+import {REQUEST_EVENTS} from '@siskinmux/requests';
+import {NODE_EVENTS} from './node_events.js';
+import {statusOf} from './problem.js';
+
+const ALL_EVENTS: readonly EventDescriptor[] = [
+  ...NODE_EVENTS,
+  ...LEDGER_EVENTS,
+  ...REQUEST_EVENTS,
+  ...ALLOCATION_EVENTS,
+];
+
+/** Text of docs/EVENTS.md. */
+export function eventsPage(): string {
+  const rows = [...ALL_EVENTS]
+    .sort((left, right) => left.number - right.number)
+    .map(
+      ({number, name, level, meaning}) =>
+        `| ${number} | ${name} | ${level} | ${meaning} |`,
+    );
+  return [
+    '# Events',
+    '',
+    'Every log line is one JSON object. `context.event` is the number below,',
+    '`message` the name. This page is made by `npm run catalogues`; a test compares it.',
+    '',
+    '| number | name | level | meaning and what to do |',
+    '|---|---|---|---|',
+    ...rows,
+    '',
+  ].join('\n');
+}
+
+/** Text of docs/ERRORS.md. */
+export function errorsPage(): string {
+  const rows = Object.values(ErrorCode).map(
+    code => `| \`${code}\` | ${statusOf(code)} | ${ERROR_MESSAGES[code]} |`,
+  );
+  return [
+    '# Errors',
+    '',
+    'A refusal is `application/problem+json`. Its `type` is',
+    '`urn:siskinmux:problem:` and the code below; its `outcome` says what is true of',
+    'the request: `not run`, `ran and failed` or `unknown`. This page is made by',
+    '`npm run catalogues`; a test compares it.',
+    '',
+    '| code | HTTP status | meaning |',
+    '|---|---|---|',
+    ...rows,
+    '',
+  ].join('\n');
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -28,4 +28,5 @@
 } from './caller_request.js';
 export {createTracingPlugin} from './tracing.js';
 export type {AllocationReport} from './allocation_task.js';
+export {errorsPage, eventsPage} from './catalogue_pages.js';
 export {PROBLEM_TYPE} from './problem.js';
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -55,7 +55,7 @@
   const {code, detail} = failure;
   const outcome =
     failure instanceof RefusalError ? failure.outcome : Outcome.NotRun;
-  const status = STATUS[code] ?? DEFAULT_STATUS;
+  const status = statusOf(code);
   return {
     problem: {
       type: `urn:siskinmux:problem:${code}`,
@@ -68,6 +68,11 @@
   };
 }
 
+/** HTTP status of a code. */
+export function statusOf(code: ErrorCode): number {
+  return STATUS[code] ?? DEFAULT_STATUS;
+}
+
 /** Whole seconds, rounded up: a caller that comes back then is not too early. */
 function retryHeaders(
   failure: SiskinmuxError,
--- a/packages/scenarios/src/simulated_node.ts
+++ b/packages/scenarios/src/simulated_node.ts
@@ -250,8 +250,12 @@
     };
     return {
       generate: (request, signal) => {
-        const both = AbortSignal.any([signal, gate.killSignal]);
-        return gatedStream(gate, engine.generate(request, both));
+        const both = new AbortController();
+        for (const source of [signal, gate.killSignal]) {
+          if (source.aborted) both.abort();
+          source.addEventListener('abort', () => both.abort(), {once: true});
+        }
+        return gatedStream(gate, engine.generate(request, both.signal));
       },
       order: (order, signal) => travelled(() => engine.order(order), signal),
       status: signal => travelled(() => engine.status(), signal),
