--- a/packages/allocation/src/allocation_draft.ts
+++ b/packages/allocation/src/allocation_draft.ts
@@ -34,6 +34,7 @@
   readonly orders: PlannedOrder[] = [];
   readonly refusals: Refusal[] = [];
   private readonly byId: Map<string, Reservation>;
+  private readonly released = new Set<Reservation['engine']>();
   private nextFencingNumber: number;
   private isTouched = false;
 
@@ -141,7 +142,16 @@
 
   /** Forgets a reservation; its memory and its place are free from then on. */
   remove(id: string): void {
-    if (this.byId.delete(id)) this.isTouched = true;
+    const entry = this.byId.get(id);
+    if (entry === undefined) return;
+    this.byId.delete(id);
+    this.released.add(entry.engine);
+    this.isTouched = true;
+  }
+
+  /** Whether this plan has released something on an engine, which no report shows yet. */
+  hasReleasedOn(engine: Reservation['engine']): boolean {
+    return this.released.has(engine);
   }
 
   /** Orders a load under a new fencing number. */
--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -47,7 +47,7 @@
 } from './exchange.js';
 import type {Demand, EngineView, PlanFacts} from './facts.js';
 import {fromGibibytes} from './facts.js';
-import {KeepAlive} from './keep_alive.js';
+import type {KeepAlivePolicy} from './keep_alive.js';
 import {mergeDemands, planAllocation} from './plan_allocation.js';
 import type {OrderEnd, OrderResult} from './settle_order.js';
 
@@ -67,7 +67,7 @@
 const FULL_SPEED_LOADS = 4;
 
 /** Idle accelerator time that one unit of waiting for a load is worth at equal weights. */
-const COLD_START_FACTOR = 15;
+export const COLD_START_FACTOR = 15;
 
 /** What the platform's host list says of an engine's host. */
 export type HostSighting = 'live' | 'leaving' | 'unlisted' | 'unknown';
@@ -84,6 +84,8 @@
   readonly weightStore: WeightStore | undefined;
   readonly isNodeGone: (node: NodeId) => boolean;
   readonly emit: EmitEvent;
+  /** Makes the policy that decides how long one model is kept. */
+  readonly createKeepAlive: () => KeepAlivePolicy;
   readonly onLost: (holder: NodeId | undefined) => void;
 }
 
@@ -108,7 +110,7 @@
   private readonly mailbox: Mailbox<Message>;
   private readonly polled = new Map<EndpointId, Polled>();
   private readonly heard = new Map<NodeId, HeardDemands>();
-  private readonly keepAlives = new Map<ModelName, KeepAlive>();
+  private readonly keepAlives = new Map<ModelName, KeepAlivePolicy>();
   /** Ends of orders that no written allocation reflects yet. */
   private results: OrderResult[] = [];
   private refusals: readonly Refusal[] = [];
@@ -427,10 +429,10 @@
     }
   }
 
-  private keepAliveOf(model: ModelName): KeepAlive {
+  private keepAliveOf(model: ModelName): KeepAlivePolicy {
     let keepAlive = this.keepAlives.get(model);
     if (keepAlive === undefined) {
-      keepAlive = KeepAlive.create();
+      keepAlive = this.options.createKeepAlive();
       this.keepAlives.set(model, keepAlive);
     }
     return keepAlive;
--- a/packages/allocation/src/index.ts
+++ b/packages/allocation/src/index.ts
@@ -18,7 +18,7 @@
 export {ALLOCATION_EVENTS} from './allocation_events.js';
 export {AllocationLostError, AllocationStore} from './allocation_store.js';
 export type {DomainAllocatorOptions, HostSighting} from './domain_allocator.js';
-export {DomainAllocator} from './domain_allocator.js';
+export {COLD_START_FACTOR, DomainAllocator} from './domain_allocator.js';
 export type {
   ExchangeAnswer,
   ExchangeMessage,
@@ -29,7 +29,7 @@
 } from './exchange.js';
 export type {Demand, EngineView, PlanFacts} from './facts.js';
 export {fromGibibytes, fromMebibytes} from './facts.js';
-export type {KeepAliveCosts} from './keep_alive.js';
+export type {KeepAliveCosts, KeepAlivePolicy} from './keep_alive.js';
 export {KeepAlive} from './keep_alive.js';
 export type {AllocationPlan} from './plan_allocation.js';
 export {
--- a/packages/allocation/src/keep_alive.ts
+++ b/packages/allocation/src/keep_alive.ts
@@ -27,8 +27,18 @@
   readonly coldStart: number;
 }
 
+/** Decides how long one idle model stays loaded. */
+export interface KeepAlivePolicy {
+  /** When the last request arrived. */
+  readonly lastArrival: Instant | undefined;
+  /** Notes a request. */
+  noteArrival(now: Instant): void;
+  /** When the model may be unloaded if no request comes before. */
+  keepUntil(idleSince: Instant, costs: KeepAliveCosts): Instant;
+}
+
 /** A model's arrivals, as far as they matter for keeping it loaded. */
-export class KeepAlive {
+export class KeepAlive implements KeepAlivePolicy {
   private readonly gaps: number[] = new Array<number>(BUCKETS).fill(0);
   private lastArrivalAt: Instant | undefined;
 
@@ -38,12 +48,10 @@
     return new KeepAlive();
   }
 
-  /** When the last request arrived. */
   get lastArrival(): Instant | undefined {
     return this.lastArrivalAt;
   }
 
-  /** Notes a request. */
   noteArrival(now: Instant): void {
     if (this.lastArrivalAt !== undefined) {
       const gap = until(this.lastArrivalAt, now);
@@ -52,7 +60,6 @@
     this.lastArrivalAt = now;
   }
 
-  /** When the model may be unloaded if no request comes before. */
   keepUntil(idleSince: Instant, costs: KeepAliveCosts): Instant {
     return after(idleSince, this.bestTimeout(costs));
   }
--- a/packages/allocation/src/plan_allocation.ts
+++ b/packages/allocation/src/plan_allocation.ts
@@ -100,6 +100,7 @@
 function adoptUnreserved(draft: AllocationDraft): void {
   for (const engine of draft.facts.engines.values()) {
     if (!engine.isReachable || !isReportedSince(engine)) continue;
+    if (draft.hasReleasedOn(engine.id)) continue;
     for (const held of engine.status?.models ?? []) {
       const subject: Subject = {
         kind: 'model',
--- a/packages/demo/src/story.ts
+++ b/packages/demo/src/story.ts
@@ -47,6 +47,17 @@
   return story.run();
 }
 
+/** Weight of cold starts that lets idle models go within the demonstration. */
+const SHORT_KEEP_ALIVE_WEIGHT = 0.1;
+
+function withShortKeepAlive(declarations: Declarations): Declarations {
+  const policy = {
+    ...declarations.policy.default,
+    cold_start_weight: SHORT_KEEP_ALIVE_WEIGHT,
+  };
+  return {...declarations, policy: {default: policy}};
+}
+
 class Story {
   private readonly agent = createAgent();
   private readonly figures: Record<string, number> = {};
@@ -63,7 +74,8 @@
   }
 
   async run(): Promise<StoryResult> {
-    const {clock, random, declarations} = this.options;
+    const {clock, random} = this.options;
+    const declarations = withShortKeepAlive(this.options.declarations);
     this.tell('Starting a platform, endpoints and three nodes on loopback.');
     const cluster = await LocalCluster.start({
       clock,
--- a/packages/node/src/allocation_task.ts
+++ b/packages/node/src/allocation_task.ts
@@ -15,7 +15,11 @@
   ExchangeMessage,
   ReservationReport,
 } from '@siskinmux/allocation';
-import {ALLOCATION_EVENTS, DomainAllocator} from '@siskinmux/allocation';
+import {
+  ALLOCATION_EVENTS,
+  DomainAllocator,
+  KeepAlive,
+} from '@siskinmux/allocation';
 import type {Declarations} from '@siskinmux/declarations';
 import type {
   Membership,
@@ -281,6 +285,7 @@
         weightStore: kernel.inject(WEIGHT_STORE),
         isNodeGone: node => membership.isGone(node),
         emit: kernel.inject(EMIT_EVENT),
+        createKeepAlive: KeepAlive.create,
       },
     });
     kernel.addEvents(ALLOCATION_EVENTS);
--- a/packages/standins/src/engine_stand_in.ts
+++ b/packages/standins/src/engine_stand_in.ts
@@ -77,6 +77,7 @@
   readonly usedBytes: number;
   readonly memoryBytes: number;
   readonly models: readonly string[];
+  readonly held: readonly {readonly model: string; readonly bytes: number}[];
   /** Longest time after the engine said that it leaves at which work was started. */
   readonly latestStartWhileLeaving: number;
   readonly cutByUnload: number;
@@ -183,6 +184,10 @@
       usedBytes: this.usedBytes(),
       memoryBytes: this.options.memoryBytes,
       models: [...this.models.values()].map(held => held.model),
+      held: [...this.models.values()].map(held => ({
+        model: held.model,
+        bytes: held.memoryBytes,
+      })),
       latestStartWhileLeaving: this.latestStartWhileLeaving,
       cutByUnload: this.cutByUnload,
     };
