--- a/packages/scenarios/src/scenario_world.ts
+++ b/packages/scenarios/src/scenario_world.ts
@@ -346,10 +346,11 @@
     };
     record.sendings.push(sending);
     this.sent.push([record, sending]);
+    const {killSignal} = node.gate;
+    let noteKill = (): void => {};
     const broken = new Promise<CallerEnd>(resolve => {
-      node.gate.killSignal.addEventListener('abort', () => resolve('broken'), {
-        once: true,
-      });
+      noteKill = () => resolve('broken');
+      killSignal.addEventListener('abort', noteKill, {once: true});
     });
     const leaving = new AbortController();
     const served = node.gate
@@ -357,6 +358,8 @@
       .then(() => serve(node, sending, leaving.signal))
       .catch(failure => endAfter(failure, sending));
     const end = await Promise.race([served, broken]);
+    // Listeners that stay would make each new one slower to add.
+    killSignal.removeEventListener('abort', noteKill);
     sending.end = end;
     sending.endedAt = this.clock.now();
     return end;
--- a/packages/scenarios/src/simulated_node.ts
+++ b/packages/scenarios/src/simulated_node.ts
@@ -251,11 +251,19 @@
     return {
       generate: (request, signal) => {
         const both = new AbortController();
-        for (const source of [signal, gate.killSignal]) {
-          if (source.aborted) both.abort();
-          source.addEventListener('abort', () => both.abort(), {once: true});
+        const abort = (): void => both.abort();
+        const sources = [signal, gate.killSignal];
+        for (const source of sources) {
+          if (source.aborted) abort();
+          source.addEventListener('abort', abort, {once: true});
         }
-        return gatedStream(gate, engine.generate(request, both.signal));
+        const release = (): void => {
+          for (const source of sources) {
+            source.removeEventListener('abort', abort);
+          }
+        };
+        const chunks = engine.generate(request, both.signal);
+        return gatedStream(gate, chunks, release);
       },
       order: (order, signal) => travelled(() => engine.order(order), signal),
       status: signal => travelled(() => engine.status(), signal),
@@ -283,10 +291,15 @@
 async function* gatedStream<Item>(
   gate: ProcessGate,
   items: AsyncIterable<Item>,
+  release: () => void,
 ): AsyncIterable<Item> {
-  for await (const item of items) {
-    await gate.whenRunning();
-    yield item;
+  try {
+    for await (const item of items) {
+      await gate.whenRunning();
+      yield item;
+    }
+  } finally {
+    release();
   }
 }
 
