Take the allocator apart into watcher, demand book and plan loop

Change: engine_watcher.ts asks engines for reports, demand_book.ts keeps demands and keep-alive, merge_demands.ts adds them up. Behaviour as before. Conclusion: each part can be read by itself.

--- /dev/null
+++ b/packages/allocation/src/demand_book.ts
@@ -0,0 +1,100 @@
+/** What the nodes want of one failure domain, and how long idle models are worth keeping. */
+
+import type {
+  Clock,
+  Instant,
+  Milliseconds,
+  ModelName,
+  NodeId,
+} from '@siskinmux/kernel';
+import {after} from '@siskinmux/kernel';
+import type {Declarations} from '@siskinmux/declarations';
+import {policyOf} from '@siskinmux/declarations';
+import type {NodeDemand} from './exchange.js';
+import type {Demand} from './facts.js';
+import type {KeepAlivePolicy} from './keep_alive.js';
+import {mergeDemands} from './merge_demands.js';
+
+/** How long a node's demands count without being said again. */
+const DEMAND_LIFETIME_MILLISECONDS: Milliseconds = 3_000;
+
+/** Idle accelerator time that one unit of waiting for a load is worth at equal weights. */
+export const COLD_START_FACTOR = 15;
+
+/** What a book needs from its surroundings. */
+export interface DemandBookOptions {
+  readonly clock: Clock;
+  readonly declarations: () => Declarations;
+  /** Makes the policy that decides how long one model is kept. */
+  readonly createKeepAlive: () => KeepAlivePolicy;
+}
+
+interface HeardDemands {
+  readonly demands: readonly NodeDemand[];
+  readonly expiresAt: Instant;
+}
+
+/** Demands by node, and arrivals by model. */
+export class DemandBook {
+  private readonly heard = new Map<NodeId, HeardDemands>();
+  private readonly keepAlives = new Map<ModelName, KeepAlivePolicy>();
+  private readonly startedAt: Instant;
+
+  private constructor(private readonly options: DemandBookOptions) {
+    this.startedAt = options.clock.now();
+  }
+
+  static create(options: DemandBookOptions): DemandBook {
+    return new DemandBook(options);
+  }
+
+  /** Replaces what a node said before. */
+  hear(node: NodeId, demands: readonly NodeDemand[]): void {
+    const now = this.options.clock.now();
+    const expiresAt = after(now, DEMAND_LIFETIME_MILLISECONDS);
+    this.heard.set(node, {demands, expiresAt});
+    for (const demand of demands) this.noteArrival(demand);
+  }
+
+  /** What all nodes together want now. */
+  current(): Demand[] {
+    const now = this.options.clock.now();
+    const all: NodeDemand[] = [];
+    for (const [node, {demands, expiresAt}] of this.heard) {
+      if (expiresAt <= now) this.heard.delete(node);
+      else all.push(...demands);
+    }
+    return mergeDemands(all);
+  }
+
+  /** Until when a model is worth keeping if no further request comes. */
+  keepUntil(model: ModelName): Instant {
+    const keepAlive = this.keepAliveOf(model);
+    const declarations = this.options.declarations();
+    const policy = policyOf(declarations);
+    const load = declarations.models[model]?.expected_load_milliseconds ?? 0;
+    return keepAlive.keepUntil(keepAlive.lastArrival ?? this.startedAt, {
+      idlePerMillisecond: policy.idle_hour_weight,
+      coldStart: policy.cold_start_weight * load * COLD_START_FACTOR,
+    });
+  }
+
+  private noteArrival(demand: NodeDemand): void {
+    const {lastArrivalAt, subject} = demand;
+    if (lastArrivalAt === undefined) return;
+    const keepAlive = this.keepAliveOf(subject.model);
+    const known = keepAlive.lastArrival;
+    if (known === undefined || lastArrivalAt > known) {
+      keepAlive.noteArrival(lastArrivalAt);
+    }
+  }
+
+  private keepAliveOf(model: ModelName): KeepAlivePolicy {
+    let keepAlive = this.keepAlives.get(model);
+    if (keepAlive === undefined) {
+      keepAlive = this.options.createKeepAlive();
+      this.keepAlives.set(model, keepAlive);
+    }
+    return keepAlive;
+  }
+}
--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -15,15 +15,9 @@
   ModelName,
   NodeId,
 } from '@siskinmux/kernel';
-import {Mailbox, SiskinmuxError, after, as} from '@siskinmux/kernel';
+import {Mailbox, SiskinmuxError, after} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
-import {policyOf} from '@siskinmux/declarations';
-import type {
-  Engine,
-  EngineStatus,
-  ObjectService,
-  WeightStore,
-} from '@siskinmux/ports';
+import type {Engine, ObjectService, WeightStore} from '@siskinmux/ports';
 import {
   EndpointUnreachableError,
   OrderRefusedError,
@@ -41,37 +35,23 @@
 import type {
   ExchangeAnswer,
   ExchangeMessage,
-  NodeDemand,
   ReplicaView,
   ReservationReport,
 } from './exchange.js';
-import type {Demand, EngineView, PlanFacts} from './facts.js';
-import {fromGibibytes} from './facts.js';
+import {DemandBook} from './demand_book.js';
+import type {HostSighting} from './engine_watcher.js';
+import {EngineWatcher, enginesIn} from './engine_watcher.js';
+import type {PlanFacts} from './facts.js';
 import type {KeepAlivePolicy} from './keep_alive.js';
-import {mergeDemands, planAllocation} from './plan_allocation.js';
+import {planAllocation} from './plan_allocation.js';
 import type {OrderEnd, OrderResult} from './settle_order.js';
 
 /** Pause between plans when nothing else asks for one. */
 const PLAN_INTERVAL_MILLISECONDS: Milliseconds = 500;
 
-/** Time for an engine's report. */
-const POLL_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
-
-/** Silence after which an engine counts as unreachable. */
-const UNREACHABLE_AFTER_MILLISECONDS: Milliseconds = 2_500;
-
-/** How long a node's demands count without being said again. */
-const DEMAND_LIFETIME_MILLISECONDS: Milliseconds = 3_000;
-
 /** Loads that the weight store serves at once at full speed. */
 const FULL_SPEED_LOADS = 4;
 
-/** Idle accelerator time that one unit of waiting for a load is worth at equal weights. */
-export const COLD_START_FACTOR = 15;
-
-/** What the platform's host list says of an engine's host. */
-export type HostSighting = 'live' | 'leaving' | 'unlisted' | 'unknown';
-
 /** What an allocator needs from its surroundings. */
 export interface DomainAllocatorOptions {
   readonly objects: ObjectService;
@@ -93,44 +73,36 @@
   | {readonly kind: 'plan'}
   | {readonly kind: 'order_ended'; readonly result: OrderResult};
 
-interface Polled {
-  status: EngineStatus | undefined;
-  answeredAt: Instant | undefined;
-  isPolling: boolean;
-}
-
-interface HeardDemands {
-  readonly demands: readonly NodeDemand[];
-  readonly expiresAt: Instant;
-}
-
 /** Allocator of one failure domain, for as long as nobody else takes over. */
 export class DomainAllocator {
   private readonly store: AllocationStore;
   private readonly mailbox: Mailbox<Message>;
-  private readonly polled = new Map<EndpointId, Polled>();
-  private readonly heard = new Map<NodeId, HeardDemands>();
-  private readonly keepAlives = new Map<ModelName, KeepAlivePolicy>();
+  private readonly watcher: EngineWatcher;
+  private readonly book: DemandBook;
   /** Ends of orders that no written allocation reflects yet. */
   private results: OrderResult[] = [];
   private refusals: readonly Refusal[] = [];
   private loadsElsewhere = 0;
-  private readonly releasedAt = new Map<EndpointId, Instant>();
   /** Orders that left this process; a written one that did not is sent anew. */
   private readonly sent = new Set<FencingNumber>();
   private readonly stopping = new AbortController();
   private readonly timers = new Set<CancelTimer>();
-  private readonly startedAt: Instant;
   private isPlanQueued = false;
   private readonly whenRead: Promise<void>;
   private noteRead: () => void = () => {};
 
   private constructor(private readonly options: DomainAllocatorOptions) {
-    this.startedAt = options.clock.now();
     this.whenRead = new Promise(resolve => {
       this.noteRead = resolve;
     });
     this.store = AllocationStore.create(options);
+    this.book = DemandBook.create(options);
+    this.watcher = EngineWatcher.create({
+      ...options,
+      declared: () =>
+        enginesIn(options.declarations().endpoints, options.failureDomain),
+      onFirstReport: () => this.requestPlan(),
+    });
     this.mailbox = Mailbox.create(
       message => this.handle(message),
       failure => this.noteFailure(failure),
@@ -146,12 +118,8 @@
 
   /** Takes a node's demands and answers what it can use. */
   exchange(message: ExchangeMessage): ExchangeAnswer {
-    const {clock} = this.options;
-    const expiresAt = after(clock.now(), DEMAND_LIFETIME_MILLISECONDS);
-    this.heard.set(message.node, {demands: message.demands, expiresAt});
-    for (const demand of message.demands) this.noteArrival(demand);
-    if (message.demands.some(demand => this.isUnmet(demand)))
-      this.requestPlan();
+    this.book.hear(message.node, message.demands);
+    if (message.demands.some(({waiting}) => waiting > 0)) this.requestPlan();
     return this.answerFor(new Set(message.models));
   }
 
@@ -162,7 +130,7 @@
 
   /** All reservations, for people. */
   report(): ReservationReport[] {
-    const demands = this.demands();
+    const demands = this.book.current();
     return this.store.current.reservations.map(entry => ({
       failureDomain: this.options.failureDomain,
       subject: entry.subject,
@@ -174,7 +142,7 @@
       readyAt: entry.state === 'loading' ? this.readyAt(entry) : undefined,
       keepUntil:
         entry.state === 'ready'
-          ? this.keepUntil(entry.subject.model)
+          ? this.book.keepUntil(entry.subject.model)
           : undefined,
       waiting: demands
         .filter(demand => demand.subject.model === entry.subject.model)
@@ -201,7 +169,7 @@
 
   private tick(): void {
     if (this.isStopped) return;
-    this.pollEngines();
+    this.watcher.pollAll();
     this.requestPlan();
     this.later(PLAN_INTERVAL_MILLISECONDS, () => this.tick());
   }
@@ -241,7 +209,7 @@
   private noteReleases(before: Allocation, next: Allocation): void {
     const kept = new Set(next.reservations.map(({id}) => id));
     for (const {id, engine} of before.reservations) {
-      if (!kept.has(id)) this.releasedAt.set(engine, this.options.clock.now());
+      if (!kept.has(id)) this.watcher.noteRelease(engine);
     }
   }
 
@@ -293,95 +261,17 @@
       node,
       failureDomain,
       declarations: declarations(),
-      engines: this.engineViews(now),
-      demands: this.demands(),
-      keepUntil: model => this.keepUntil(model),
+      engines: this.watcher.views(),
+      demands: this.book.current(),
+      keepUntil: model => this.book.keepUntil(model),
       isNodeGone,
       wasSent: number => this.sent.has(number),
-      hasSettled: this.hasSettled(now),
+      hasSettled: this.watcher.hasSettled,
       freeLoads:
         FULL_SPEED_LOADS - Math.max(this.loadsElsewhere, this.ownLoads()),
     };
   }
 
-  private engineViews(now: Instant): Map<EndpointId, EngineView> {
-    const views = new Map<EndpointId, EngineView>();
-    for (const [name, endpoint] of this.declaredEngines()) {
-      const id = as<EndpointId>(name);
-      const polled = this.polled.get(id);
-      const host = this.options.hostOf(endpoint.host);
-      const isReachable = isRecent(polled?.answeredAt, now);
-      views.set(id, {
-        id,
-        memoryBytes: fromGibibytes(endpoint.memory_gib),
-        checksFencing: endpoint.checks_fencing,
-        status: polled?.status,
-        releasedAt: this.releasedAt.get(id) ?? this.startedAt,
-        isLeaving: polled?.status?.isLeaving === true || host === 'leaving',
-        isReachable,
-        isHostGone:
-          host === 'unlisted' && !isReachable && this.isTimeToSettleOver(now),
-      });
-    }
-    return views;
-  }
-
-  /** A new allocator first hears every engine, or waits for it long enough. */
-  private hasSettled(now: Instant): boolean {
-    const hasHeardAll = this.declaredEngines().every(
-      ([name]) => this.polled.get(as<EndpointId>(name))?.status !== undefined,
-    );
-    return hasHeardAll || this.isTimeToSettleOver(now);
-  }
-
-  private isTimeToSettleOver(now: Instant): boolean {
-    return now >= after(this.startedAt, 2 * UNREACHABLE_AFTER_MILLISECONDS);
-  }
-
-  private declaredEngines() {
-    return Object.entries(this.options.declarations().endpoints).flatMap(
-      ([name, endpoint]) =>
-        endpoint.kind === 'engine' &&
-        endpoint.failure_domain === this.options.failureDomain
-          ? [[name, endpoint] as const]
-          : [],
-    );
-  }
-
-  private pollEngines(): void {
-    for (const [name] of this.declaredEngines()) {
-      const id = as<EndpointId>(name);
-      const polled = this.polled.get(id) ?? {
-        status: undefined,
-        answeredAt: undefined,
-        isPolling: false,
-      };
-      this.polled.set(id, polled);
-      if (!polled.isPolling) void this.poll(id, polled);
-    }
-  }
-
-  private async poll(id: EndpointId, polled: Polled): Promise<void> {
-    polled.isPolling = true;
-    const abort = new AbortController();
-    const {clock} = this.options;
-    const cancel = clock.schedule(
-      after(clock.now(), POLL_TIMEOUT_MILLISECONDS),
-      () => abort.abort(),
-    );
-    try {
-      polled.status = await this.options.engine(id).status(abort.signal);
-      const isFirst = polled.answeredAt === undefined;
-      polled.answeredAt = clock.now();
-      if (isFirst) this.requestPlan();
-    } catch (failure) {
-      if (!(failure instanceof SiskinmuxError)) throw failure;
-    } finally {
-      cancel();
-      polled.isPolling = false;
-    }
-  }
-
   private async readWeightStore(): Promise<void> {
     const {weightStore} = this.options;
     if (weightStore === undefined || !this.hasUnmetDemand()) return;
@@ -402,51 +292,7 @@
   }
 
   private hasUnmetDemand(): boolean {
-    return this.demands().some(demand => demand.waiting > 0);
-  }
-
-  private isUnmet(demand: NodeDemand): boolean {
-    return demand.waiting > 0;
-  }
-
-  private demands(): Demand[] {
-    const now = this.options.clock.now();
-    const all: NodeDemand[] = [];
-    for (const [node, {demands, expiresAt}] of this.heard) {
-      if (expiresAt <= now) this.heard.delete(node);
-      else all.push(...demands);
-    }
-    return mergeDemands(all);
-  }
-
-  private noteArrival(demand: NodeDemand): void {
-    const {lastArrivalAt, subject} = demand;
-    if (lastArrivalAt === undefined) return;
-    const keepAlive = this.keepAliveOf(subject.model);
-    const known = keepAlive.lastArrival;
-    if (known === undefined || lastArrivalAt > known) {
-      keepAlive.noteArrival(lastArrivalAt);
-    }
-  }
-
-  private keepAliveOf(model: ModelName): KeepAlivePolicy {
-    let keepAlive = this.keepAlives.get(model);
-    if (keepAlive === undefined) {
-      keepAlive = this.options.createKeepAlive();
-      this.keepAlives.set(model, keepAlive);
-    }
-    return keepAlive;
-  }
-
-  private keepUntil(model: ModelName): Instant {
-    const keepAlive = this.keepAliveOf(model);
-    const declarations = this.options.declarations();
-    const policy = policyOf(declarations);
-    const load = declarations.models[model]?.expected_load_milliseconds ?? 0;
-    return keepAlive.keepUntil(keepAlive.lastArrival ?? this.startedAt, {
-      idlePerMillisecond: policy.idle_hour_weight,
-      coldStart: policy.cold_start_weight * load * COLD_START_FACTOR,
-    });
+    return this.book.current().some(({waiting}) => waiting > 0);
   }
 
   private answerFor(models: ReadonlySet<ModelName>): ExchangeAnswer {
@@ -470,7 +316,7 @@
     entry: Reservation,
     state: 'loading' | 'ready' | string,
   ): ReplicaView {
-    const status = this.polled.get(entry.engine)?.status;
+    const status = this.watcher.statusOf(entry.engine);
     return {
       subject: entry.subject,
       engine: entry.engine,
@@ -533,13 +379,6 @@
   }
 }
 
-function isRecent(answeredAt: Instant | undefined, now: Instant): boolean {
-  return (
-    answeredAt !== undefined &&
-    after(answeredAt, UNREACHABLE_AFTER_MILLISECONDS) > now
-  );
-}
-
 function endOf(failure: unknown): OrderEnd {
   if (failure instanceof StaleOrderError) return 'stale';
   if (failure instanceof OrderRefusedError) return 'refused';
--- a/packages/allocation/src/plan_allocation.ts
+++ b/packages/allocation/src/plan_allocation.ts
@@ -6,7 +6,7 @@
 import {isSameSubject, replicasOf} from './allocation.js';
 import type {PlannedOrder, Refusal} from './allocation_draft.js';
 import {AllocationDraft} from './allocation_draft.js';
-import type {Demand, EngineView, PlanFacts} from './facts.js';
+import type {EngineView, PlanFacts} from './facts.js';
 import {isReportedReady, memoryOf, replicaLimit} from './facts.js';
 import {placeWanted} from './place_wanted.js';
 import type {OrderResult} from './settle_order.js';
@@ -293,29 +293,3 @@
   if (reason === undefined) draft.orderLoad(entry.id);
   else draft.orderUnload(entry.id, reason);
 }
-
-/** Demands of one subject from several nodes as one. */
-export function mergeDemands(demands: readonly Demand[]): Demand[] {
-  const merged: Demand[] = [];
-  for (const demand of demands) {
-    const index = merged.findIndex(other =>
-      isSameSubject(other.subject, demand.subject),
-    );
-    const other = merged[index];
-    if (other === undefined) merged.push(demand);
-    else merged[index] = addDemands(other, demand);
-  }
-  return merged;
-}
-
-function addDemands(left: Demand, right: Demand): Demand {
-  const deadlines = [left.earliestDeadline, right.earliestDeadline].filter(
-    deadline => deadline !== undefined,
-  );
-  return {
-    subject: left.subject,
-    waiting: left.waiting + right.waiting,
-    inFlight: left.inFlight + right.inFlight,
-    earliestDeadline: deadlines.sort((a, b) => a - b)[0],
-  };
-}
