Split the calls of plain services by job

Change: service_journey.ts finds the declared call, service_dispatch.ts sends and retries, once_calls.ts claims and settles; service_requests.ts joins them.

--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -17,11 +17,8 @@
 export type {KnownReplica} from './replica_table.js';
 export {ReplicaTable} from './replica_table.js';
 export {ENDPOINT_DIED, REQUEST_EVENTS} from './request_events.js';
-export type {
-  ServiceReply,
-  ServiceRequest,
-  ServiceRequestsOptions,
-} from './service_requests.js';
+export type {ServiceReply, ServiceRequest} from './service_journey.js';
+export type {ServiceRequestsOptions} from './service_requests.js';
 export {ServiceRequests} from './service_requests.js';
 export type {
   DispatchHop,
