Split text requests by job

Change: engine_options.ts finds the engines, crash_watch.ts finds out which request an engine died of. Conclusion: each decision has a file that is called by it.

--- a/packages/node/src/requests_plugin.ts
+++ b/packages/node/src/requests_plugin.ts
@@ -5,6 +5,7 @@
 import {after, injectionKey} from '@siskinmux/kernel';
 import type {AttemptId} from '@siskinmux/ledger';
 import {
+  CrashWatch,
   DemandTracker,
   Dispatcher,
   ENDPOINT_DIED,
@@ -105,10 +106,14 @@
         replicas,
         demands,
         exchange,
-        suspects,
+        crashes: CrashWatch.create({
+          clock,
+          suspects,
+          engine: id => endpoints.engine(id),
+          announceSuspect,
+        }),
         budget,
         engine: id => endpoints.engine(id),
-        announceSuspect,
       }),
       services: ServiceRequests.create({
         clock,
--- a/packages/requests/src/text_requests.ts
+++ b/packages/requests/src/text_requests.ts
@@ -27,29 +27,25 @@
   EndpointFailedError,
   EndpointUnreachableError,
 } from '@siskinmux/ports';
-import type {CrashSuspects, RetryBudget, Suspect} from '@siskinmux/routing';
-import {ownerOf} from '@siskinmux/routing';
+import type {RetryBudget} from '@siskinmux/routing';
 import {pauseBeforeRetry} from './attempt_backoff.js';
 import type {DemandTracker} from './demand_tracker.js';
-import type {Dispatcher, Option} from './dispatcher.js';
+import type {CrashWatch} from './crash_watch.js';
+import type {Dispatcher} from './dispatcher.js';
 import type {EndpointPool, Slot} from './endpoint_pool.js';
+import {
+  engineOptions,
+  firstReadyAt,
+  hasReadyReplica,
+} from './engine_options.js';
 import {RefusalError, refuseNotRun, refuseUnknownTarget} from './refusal.js';
 import type {ReplicaExchange} from './replica_exchange.js';
-import type {KnownReplica, ReplicaTable} from './replica_table.js';
+import type {ReplicaTable} from './replica_table.js';
 import {limitWork} from './request_limits.js';
 
-/** Characters of the input that decide which engine has its prefix cached. */
-const PREFIX_CHARACTERS = 64;
-
-/** Time in which an engine that broke off an answer must show that it lives. */
-const LIFE_SIGN_MILLISECONDS = 300;
-
 /** Pause that a refusal after failed tries asks for. */
 const RETRY_LATER_MILLISECONDS = 1_000;
 
-/** Class of call under which engines' limits are kept. */
-const TEXT_CLASS = 'text';
-
 /** A caller's request for text. */
 export interface TextRequest {
   readonly id: RequestId;
@@ -82,11 +78,9 @@
   readonly replicas: ReplicaTable;
   readonly demands: DemandTracker;
   readonly exchange: ReplicaExchange;
-  readonly suspects: CrashSuspects;
+  readonly crashes: CrashWatch;
   readonly budget: RetryBudget;
   readonly engine: (id: EndpointId) => Engine;
-  /** Tells the other nodes of a request that an endpoint died of. */
-  readonly announceSuspect: (suspect: Suspect) => void;
 }
 
 /** One request on its way, over all its tries. */
@@ -103,9 +97,6 @@
 
 /** Serves requests for text. */
 export class TextRequests {
-  /** Engines on which a suspected request runs now. */
-  private readonly suspectedAt = new Set<EndpointId>();
-
   private constructor(private readonly options: TextRequestsOptions) {}
 
   static create(options: TextRequestsOptions): TextRequests {
@@ -164,21 +155,16 @@
   }
 
   private checkAllowed(request: TextRequest, deadline: Instant): void {
-    const {clock, suspects} = this.options;
-    const now = clock.now();
-    if (deadline <= now) throw refuseNotRun(ErrorCode.DeadlinePassed, '');
-    if (suspects.suspicionOf(request.fingerprint, now) === 'quarantined') {
-      throw refuseNotRun(
-        ErrorCode.RequestQuarantined,
-        '',
-        suspects.expiresAt(request.fingerprint),
-      );
+    const {clock, crashes} = this.options;
+    if (deadline <= clock.now()) {
+      throw refuseNotRun(ErrorCode.DeadlinePassed, '');
     }
+    crashes.check(request.fingerprint);
   }
 
   private wakeIfAsleep(target: ModelTarget): void {
     const {exchange} = this.options;
-    if (this.knownReplicas(target).some(isReady)) return;
+    if (hasReadyReplica(this.options, target)) return;
     const domains = exchange.allDomains(target.model);
     if (domains.length === 0) {
       throw refuseNotRun(
@@ -201,8 +187,11 @@
         maximumQueue: target.declaration.maximum_queue,
         avoid: journey.avoid,
         signal: request.signal,
-        options: () => this.engineOptions(journey),
-        readyAt: () => this.readyAt(target),
+        options: () =>
+          engineOptions(this.options, target, request.input, engine =>
+            this.options.crashes.mayRunAt(engine, request.fingerprint),
+          ),
+        readyAt: () => firstReadyAt(this.options, target),
       });
     } catch (failure) {
       // After some tokens, "not run" would not be true any more.
@@ -219,10 +208,10 @@
     slot: Slot,
     startHop: StartHop,
   ): AsyncGenerator<GenerationChunk, boolean> {
-    const {engine, suspects, clock} = this.options;
+    const {engine, crashes} = this.options;
     const {fingerprint} = journey.request;
-    const isSuspect = suspects.suspicionOf(fingerprint, clock.now()) !== 'none';
-    if (isSuspect) this.suspectedAt.add(slot.endpoint);
+    const isSuspect = crashes.isSuspect(fingerprint);
+    if (isSuspect) crashes.enter(slot.endpoint);
     const hop = startHop('engine generate', slot.endpoint);
     try {
       const chunks = engine(slot.endpoint).generate(
@@ -235,7 +224,7 @@
         else slot.end('answered');
         yield chunk;
       }
-      if (isSuspect) suspects.noteSuccess(fingerprint);
+      if (isSuspect) crashes.clear(fingerprint);
       hop.end();
       return true;
     } catch (failure) {
@@ -245,7 +234,7 @@
     } finally {
       slot.end('abandoned');
       hop.end();
-      if (isSuspect) this.suspectedAt.delete(slot.endpoint);
+      if (isSuspect) crashes.leave(slot.endpoint);
     }
   }
 
@@ -271,7 +260,13 @@
     slot.end(failure instanceof EndpointBusyError ? 'busy' : 'failed');
     journey.avoid.add(slot.endpoint);
     if (failure instanceof AnswerCutError) {
-      await this.suspectIfDead(journey, slot.endpoint, isSuspect);
+      const {fingerprint, signal} = journey.request;
+      await this.options.crashes.blameIfDead(
+        fingerprint,
+        slot.endpoint,
+        isSuspect,
+        signal,
+      );
     }
     if (!this.options.budget.tryRetry()) throw this.giveUp(journey, failure);
     this.options.exchange.wake(journey.target.model);
@@ -291,38 +286,6 @@
     throw new RefusalError(code, '', outcome, undefined, {cause: failure});
   }
 
-  /** Blames the request if the engine died; with one suspect on it, only the suspect. */
-  private async suspectIfDead(
-    journey: Journey,
-    endpoint: EndpointId,
-    isSuspect: boolean,
-  ): Promise<void> {
-    const {clock, engine, suspects, announceSuspect} = this.options;
-    const {fingerprint, signal} = journey.request;
-    const isBesideSuspect = !isSuspect && this.suspectedAt.has(endpoint);
-    const until = after(clock.now(), LIFE_SIGN_MILLISECONDS);
-    const work = limitWork(clock, signal, until);
-    try {
-      await engine(endpoint).status(work.signal);
-      return;
-    } catch (failure) {
-      if (!(failure instanceof SiskinmuxError)) throw failure;
-    } finally {
-      work.release();
-    }
-    if (isBesideSuspect) return;
-    announceSuspect(suspects.noteDeath(fingerprint, clock.now()));
-    const isQuarantined =
-      suspects.suspicionOf(fingerprint, clock.now()) === 'quarantined';
-    if (!isQuarantined) return;
-    throw new RefusalError(
-      ErrorCode.RequestQuarantined,
-      '',
-      Outcome.Failed,
-      suspects.expiresAt(fingerprint),
-    );
-  }
-
   private giveUp(journey: Journey, failure: SiskinmuxError): RefusalError {
     const isNotRun =
       journey.delivered === 0 &&
@@ -343,78 +306,6 @@
     journey.retries += 1;
     return pauseBeforeRetry(clock, random, journey.retries, journey.deadline);
   }
-
-  private engineOptions(journey: Journey): Option[] {
-    const {target, request} = journey;
-    const {pool, suspects, clock} = this.options;
-    const ready = this.knownReplicas(target).filter(isReady);
-    const usable = new Set(pool.usable(ready.map(({engine}) => engine)));
-    const isSuspect =
-      suspects.suspicionOf(request.fingerprint, clock.now()) !== 'none';
-    // Two suspects side by side could not be told apart by the next death.
-    const allowed = ready.filter(
-      ({engine}) =>
-        usable.has(engine) && !(isSuspect && this.suspectedAt.has(engine)),
-    );
-    const home = prefixHome(request.input, allowed);
-    return allowed.map(replica => this.toOption(replica, home));
-  }
-
-  private toOption(
-    replica: KnownReplica,
-    home: EndpointId | undefined,
-  ): Option {
-    const {engine, slots} = replica;
-    const concurrency = this.options.pool.limit(engine, TEXT_CLASS, {
-      initial: slots,
-      least: 1,
-      most: slots * 2,
-    });
-    return {
-      endpoint: engine,
-      failureDomain: replica.failureDomain,
-      inFlight: concurrency.inFlight,
-      limit: concurrency.value,
-      reportedLoad: replica.running + replica.queued,
-      reportedAt: replica.reportedAt,
-      slots,
-      hasAdapter: true,
-      isPrefixHome: engine === home,
-      concurrency,
-    };
-  }
-
-  /** Replicas of the target; with an adapter, only those that hold it. */
-  private knownReplicas(target: ModelTarget): KnownReplica[] {
-    const {replicas, exchange} = this.options;
-    const {model, version, adapter} = target;
-    const domains = exchange.allDomains(model);
-    const known = replicas.replicas(domains, model, version);
-    if (adapter === undefined) return known;
-    const holders = replicas.adapterEngines(domains, model, adapter);
-    return known.filter(({engine}) => holders.has(engine));
-  }
-
-  private readyAt(target: ModelTarget): Instant | undefined {
-    const loading = this.knownReplicas(target)
-      .filter(replica => !isReady(replica))
-      .map(({readyAt}) => readyAt);
-    return loading.sort((left, right) => left - right)[0];
-  }
-}
-
-function isReady(replica: KnownReplica): boolean {
-  return replica.state === 'ready';
-}
-
-function prefixHome(
-  input: GenerationInput,
-  replicas: readonly KnownReplica[],
-): EndpointId | undefined {
-  const text =
-    input.kind === 'prompt' ? input.prompt : (input.messages[0]?.content ?? '');
-  const engines = replicas.map(({engine}) => engine);
-  return ownerOf(text.slice(0, PREFIX_CHARACTERS), engines);
 }
 
 function toGeneration(
