--- /dev/null
+++ b/packages/ledger/__tests__/shard_owner.test.ts
@@ -0,0 +1,242 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {Fingerprint, NodeId} from '@siskinmux/kernel';
+import {after, as} from '@siskinmux/kernel';
+import {ObjectServiceStandIn} from '@siskinmux/standins';
+import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import type {
+  AttemptEnd,
+  AttemptId,
+  ClaimRequest,
+  ShardOwnerOptions,
+} from '../src/index.js';
+import {ShardLostError, ShardOwner, claimKeyOf} from '../src/index.js';
+
+const TIMEOUT_MILLISECONDS = 4_000;
+const RETENTION_MILLISECONDS = 60_000;
+const WRITE_INTERVAL_MILLISECONDS = 7;
+const MANY_CLAIMS = 1_500;
+const MAXIMUM_SEGMENT_BYTES = 1_000_000;
+
+const ANSWER: AttemptEnd = {
+  kind: 'answered',
+  answer: {status: 200, contentType: 'text/plain', body: 'coupon'},
+};
+
+function setUp(seed = 1) {
+  const clock = VirtualClock.create();
+  const objects = ObjectServiceStandIn.create({
+    clock,
+    random: createSeededRandom(seed),
+  });
+  objects.faults.delayMilliseconds = 2;
+  const gone = new Set<NodeId>();
+  const open = (
+    node: string,
+    overrides: Partial<ShardOwnerOptions> = {},
+  ): Promise<ShardOwner> =>
+    clock.runUntilSettled(
+      ShardOwner.open({
+        objects,
+        clock,
+        node: as<NodeId>(node),
+        shard: 0,
+        writeInterval: WRITE_INTERVAL_MILLISECONDS,
+        isNodeGone: id => gone.has(id),
+        onLost: () => {},
+        ...overrides,
+      }),
+    );
+  const request = (
+    key: string,
+    attempt: string,
+    overrides: Partial<ClaimRequest> = {},
+  ): ClaimRequest => ({
+    key: claimKeyOf('coupons/issue', key),
+    fingerprint: as<Fingerprint>('body'),
+    attempt: attempt as AttemptId,
+    node: as<NodeId>('entry'),
+    deadline: after(clock.now(), TIMEOUT_MILLISECONDS),
+    expiresAt: after(clock.now(), RETENTION_MILLISECONDS),
+    traceparent: undefined,
+    ...overrides,
+  });
+  const claim = (owner: ShardOwner, asked: ClaimRequest) =>
+    clock.runUntilSettled(owner.claim(asked, asked.deadline));
+  return {clock, objects, gone, open, request, claim};
+}
+
+describe(ShardOwner.name, () => {
+  it('grants a key once and replays the answer to a resend', async () => {
+    const {clock, open, request, claim} = setUp();
+    const owner = await open('one');
+    const first = request('k', 'a');
+    expect(await claim(owner, first)).toEqual({kind: 'granted'});
+    await clock.runUntilSettled(owner.end(first.key, first.attempt, ANSWER));
+    const again = await claim(owner, request('k', 'b'));
+    expect(again).toEqual({
+      kind: 'answered',
+      answer: {status: 200, contentType: 'text/plain', body: 'coupon'},
+    });
+  });
+
+  it('refuses the same key with another body', async () => {
+    const {open, request, claim} = setUp();
+    const owner = await open('one');
+    await claim(owner, request('k', 'a'));
+    const other = {fingerprint: as<Fingerprint>('other')};
+    expect(await claim(owner, request('k', 'b', other))).toEqual({
+      kind: 'key_reused',
+    });
+  });
+
+  it('lets a resend wait for the end of what runs', async () => {
+    const {clock, open, request, claim} = setUp();
+    const owner = await open('one');
+    const first = request('k', 'a');
+    await claim(owner, first);
+    const second = request('k', 'b');
+    const waiting = owner.claim(second, second.deadline);
+    await clock.advance(500);
+    void owner.end(first.key, first.attempt, ANSWER);
+    const reply = await clock.runUntilSettled(waiting);
+    expect(reply.kind).toEqual('answered');
+  });
+
+  it('grants a waiting resend when the first has not run', async () => {
+    const {clock, open, request, claim} = setUp();
+    const owner = await open('one');
+    const first = request('k', 'a');
+    await claim(owner, first);
+    const waiting = [request('k', 'b'), request('k', 'c')].map(asked =>
+      owner.claim(asked, asked.deadline),
+    );
+    void owner.end(first.key, first.attempt, {kind: 'not_run'});
+    const [second, third] = await clock.runUntilSettled(Promise.all(waiting));
+    expect(second).toEqual({kind: 'granted'});
+    expect(third?.kind).toEqual('unknown');
+  });
+
+  it('says unknown, at once, when the node that holds the key has ended', async () => {
+    const {clock, gone, open, request, claim} = setUp();
+    const owner = await open('one');
+    await claim(owner, request('k', 'a'));
+    const second = request('k', 'b');
+    const waiting = owner.claim(second, second.deadline);
+    const askedAt = clock.now();
+    gone.add(as<NodeId>('entry'));
+    owner.recheckWaiting();
+    expect(await waiting).toEqual({kind: 'unknown'});
+    expect(clock.now()).toEqual(askedAt);
+  });
+
+  it('grants the same attempt again when its first answer was lost', async () => {
+    const {open, request, claim} = setUp();
+    const owner = await open('one');
+    await claim(owner, request('k', 'a'));
+    expect(await claim(owner, request('k', 'a'))).toEqual({kind: 'granted'});
+    const successor = await open('two');
+    const reply = await claim(successor, request('k', 'a'));
+    expect(reply).toEqual({kind: 'granted'});
+  });
+
+  it('grants nothing any more once another has taken over', async () => {
+    const {open, request, claim} = setUp();
+    const paused = await open('one');
+    const successor = await open('two');
+    await expect(claim(paused, request('k', 'a'))).toBeRejectedWith(
+      ShardLostError,
+    );
+    expect(await claim(successor, request('k', 'b'))).toEqual({
+      kind: 'granted',
+    });
+  });
+
+  it('has one winner when two take over at once', async () => {
+    const {open, request, claim} = setUp();
+    const owners = await Promise.all([open('one'), open('two')]);
+    const results = await Promise.allSettled(
+      owners.map((owner, index) => claim(owner, request('k', `a${index}`))),
+    );
+    const granted = results.filter(
+      result =>
+        result.status === 'fulfilled' && result.value.kind === 'granted',
+    );
+    expect(granted.length).toEqual(1);
+  });
+
+  it('reads back a write whose answer was lost and knows its own', async () => {
+    const {objects, open, request, claim} = setUp();
+    const owner = await open('one');
+    objects.faults.lostAnswerShare = 0.7;
+    objects.faults.lostWriteShare = 0.2;
+    for (let index = 0; index < 20; index += 1) {
+      const reply = await claim(owner, request(`k${index}`, `a${index}`));
+      expect(reply).toEqual({kind: 'granted'});
+    }
+  });
+
+  it('refuses a claim that comes after its own deadline', async () => {
+    const {clock, open, request, claim} = setUp();
+    const owner = await open('one');
+    const late = request('k', 'a', {deadline: clock.now()});
+    expect(await claim(owner, late)).toEqual({kind: 'too_late'});
+    expect(await claim(owner, request('k', 'b'))).toEqual({kind: 'granted'});
+  });
+
+  it('goes on in new segments, which a successor reads, and removes expired ones', async () => {
+    const {clock, objects, open, request, claim} = setUp();
+    const owner = await open('one');
+    await clock.runUntilSettled(
+      Promise.all(
+        Array.from({length: MANY_CLAIMS}, (_, index) => {
+          const asked = request(`k${index}`, `a${index}`);
+          return owner.claim(asked, asked.deadline);
+        }),
+      ),
+    );
+    await claim(owner, request('last', 'a'));
+    const segments = await clock.runUntilSettled(objects.list('claims/0/'));
+    expect(segments.length > 1).toEqual(true);
+    for (const {key} of segments) {
+      const stored = await clock.runUntilSettled(objects.read(key));
+      const bytes = Buffer.byteLength(stored?.value ?? '');
+      expect(bytes < MAXIMUM_SEGMENT_BYTES).toEqual(true);
+    }
+    const successor = await open('two');
+    expect(successor.claimCount).toEqual(MANY_CLAIMS + 1);
+
+    await clock.advance(2 * RETENTION_MILLISECONDS);
+    await claim(successor, request('after', 'a'));
+    await clock.advance(1_000);
+    const left = await clock.runUntilSettled(objects.list('claims/0/'));
+    expect(left.length < segments.length).toEqual(true);
+    expect(successor.claimCount).toEqual(1);
+  });
+
+  it('loses nothing that was ended before it was closed', async () => {
+    const {clock, open, request, claim} = setUp();
+    const owner = await open('one');
+    const first = request('k', 'a');
+    await claim(owner, first);
+    void owner.end(first.key, first.attempt, ANSWER);
+    await clock.runUntilSettled(owner.close());
+    const successor = await open('two');
+    const reply = await claim(successor, request('k', 'b'));
+    expect(reply.kind).toEqual('answered');
+  });
+
+  it('keeps a late answer over an unknown end', async () => {
+    const {clock, open, request, claim} = setUp();
+    const owner = await open('one');
+    const first = request('k', 'a');
+    await claim(owner, first);
+    const end = (how: AttemptEnd): Promise<void> =>
+      clock.runUntilSettled(owner.end(first.key, first.attempt, how));
+    await end({kind: 'unknown'});
+    await end({kind: 'not_run'});
+    expect((await claim(owner, request('k', 'b'))).kind).toEqual('unknown');
+    await end(ANSWER);
+    expect((await claim(owner, request('k', 'c'))).kind).toEqual('answered');
+  });
+});
--- a/packages/ledger/src/shard_owner.ts
+++ b/packages/ledger/src/shard_owner.ts
@@ -55,7 +55,7 @@
   readonly request: ClaimRequest;
   readonly resolve: (reply: ClaimReply) => void;
   readonly reject: (failure: unknown) => void;
-  readonly cancelTimer: CancelTimer;
+  cancelTimer: CancelTimer;
 }
 
 interface Batch {
@@ -183,20 +183,34 @@
   }
 
   private wait(request: ClaimRequest, waitUntil: Instant): Promise<ClaimReply> {
-    const runsUntil = this.table.deadlineOf(request.key) ?? waitUntil;
-    const until = earlier(waitUntil, runsUntil);
     return new Promise((resolve, reject) => {
       const waiting: WaitingClaim = {
         request,
         resolve,
         reject,
-        cancelTimer: this.clock.schedule(until, () => {
-          this.forget(waiting);
-          resolve(this.replyAtDeadline(request));
-        }),
+        cancelTimer: () => {},
       };
       const others = this.waiting.get(request.key) ?? [];
       this.waiting.set(request.key, [...others, waiting]);
+      this.watchWait(waiting, waitUntil);
+    });
+  }
+
+  /** Ends a wait when its time is over, or when the attempt that runs has had its own. */
+  private watchWait(waiting: WaitingClaim, waitUntil: Instant): void {
+    const {request} = waiting;
+    const runsUntil = this.table.deadlineOf(request.key) ?? waitUntil;
+    const lookAt = earlier(waitUntil, runsUntil);
+    waiting.cancelTimer = this.clock.schedule(lookAt, () => {
+      const reply = this.replyAtDeadline(request);
+      // Another attempt may have been granted the key meanwhile and run for longer.
+      const mayGoOn = this.clock.now() < waitUntil;
+      if (reply.kind === 'in_progress' && mayGoOn) {
+        this.watchWait(waiting, waitUntil);
+        return;
+      }
+      this.forget(waiting);
+      waiting.resolve(reply);
     });
   }
 
--- a/packages/node/__tests__/whole_path.test.ts
+++ b/packages/node/__tests__/whole_path.test.ts
@@ -104,6 +104,8 @@
       nodes: ['a', 'b'],
       spanProcessors: [new SimpleSpanProcessor(spans)],
     });
+    expect((await fetch(url(0, '/health/ready'))).status).toEqual(503);
+    expect((await fetch(url(0, '/health/live'))).status).toEqual(200);
     const early = await post(0, '/v1/completions', {model: 'x', prompt: 'y'});
     expect(early.status).toEqual(503);
     await fetch(`${cluster.node(0).operatorUrl}/patches`, {
@@ -158,6 +160,26 @@
     expect(events.at(-1)).toEqual('data: [DONE]');
   });
 
+  it('cancels the work at the engine when the caller goes away', async () => {
+    const leaving = new AbortController();
+    const answer = await fetch(url(0, '/v1/completions'), {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify({
+        model: 'offers',
+        stream: true,
+        max_tokens: 5_000,
+        prompt: 'a long one',
+      }),
+      signal: leaving.signal,
+    });
+    const engine = cluster.outside.engines.get('engine');
+    expect(answer.status).toEqual(200);
+    expect((await engine?.status())?.running).toEqual(1);
+    leaving.abort();
+    await until(() => engine?.isIdle ?? false);
+  });
+
   it('runs a call that may not be repeated once, and replays its answer', async () => {
     const key = {'idempotency-key': 'once'};
     const path = '/services/coupons/issue';
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -114,7 +114,10 @@
   /** The balancer may send work here. */
   @Get('health/ready')
   async ready(@Res() reply: FastifyReply): Promise<void> {
-    const {isReady} = this.context;
+    const {isReady: isOpen, declarations} = this.context;
+    // Without any endpoint there is nothing that a request could come to.
+    const hasEndpoints = Object.keys(declarations().endpoints).length > 0;
+    const isReady = isOpen && hasEndpoints;
     await reply
       .code(isReady ? 200 : 503)
       .send({status: isReady ? 'ready' : 'not ready'});
--- a/packages/standins/src/engine_stand_in.ts
+++ b/packages/standins/src/engine_stand_in.ts
@@ -198,6 +198,11 @@
     this.leavingSince ??= this.options.clock.now();
   }
 
+  /** Whether nothing runs or waits now, whatever the engine reports. */
+  get isIdle(): boolean {
+    return this.running === 0 && this.waiting.length === 0;
+  }
+
   /** Whether a request was started here. */
   hasRun(requestId: string): boolean {
     return this.requests.has(requestId);
