Index endpoints once for each configuration

Change: endpoints are indexed by service and failure domain when a configuration is first used; sections that a patch does not touch keep their index.

--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -17,6 +17,7 @@
 } from '@siskinmux/kernel';
 import {Mailbox, SiskinmuxError, after} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
+import {enginesIn} from '@siskinmux/declarations';
 import type {Engine, ObjectService, WeightStore} from '@siskinmux/ports';
 import {
   EndpointUnreachableError,
@@ -40,7 +41,7 @@
 } from './exchange.js';
 import {DemandBook} from './demand_book.js';
 import type {HostSighting} from './engine_watcher.js';
-import {EngineWatcher, enginesIn} from './engine_watcher.js';
+import {EngineWatcher} from './engine_watcher.js';
 import type {PlanFacts} from './facts.js';
 import type {KeepAlivePolicy} from './keep_alive.js';
 import {planAllocation} from './plan_allocation.js';
--- a/packages/allocation/src/engine_watcher.ts
+++ b/packages/allocation/src/engine_watcher.ts
@@ -1,8 +1,8 @@
 /** Asks the engines of one failure domain for their reports, and says what they mean. */
 
 import type {Clock, EndpointId, Instant, Milliseconds} from '@siskinmux/kernel';
-import {SiskinmuxError, after, as} from '@siskinmux/kernel';
-import type {EndpointDeclaration} from '@siskinmux/declarations';
+import {SiskinmuxError, after} from '@siskinmux/kernel';
+import type {DeclaredEngine} from '@siskinmux/declarations';
 import type {Engine, EngineStatus} from '@siskinmux/ports';
 import type {EngineView} from './facts.js';
 import {fromGibibytes} from './facts.js';
@@ -16,12 +16,6 @@
 /** What the platform's host list says of an engine's host. */
 export type HostSighting = 'live' | 'leaving' | 'unlisted' | 'unknown';
 
-/** A declared engine with its name. */
-export type DeclaredEngine = readonly [
-  EndpointId,
-  Extract<EndpointDeclaration, {kind: 'engine'}>,
-];
-
 /** What a watcher needs from its surroundings. */
 export interface EngineWatcherOptions {
   readonly clock: Clock;
@@ -139,15 +133,3 @@
     return this.options.clock.now() >= end;
   }
 }
-
-/** The engines that are declared in one failure domain. */
-export function enginesIn(
-  endpoints: Readonly<Record<string, EndpointDeclaration>>,
-  failureDomain: string,
-): DeclaredEngine[] {
-  return Object.entries(endpoints).flatMap(([name, endpoint]) =>
-    endpoint.kind === 'engine' && endpoint.failure_domain === failureDomain
-      ? [[as<EndpointId>(name), endpoint] as const]
-      : [],
-  );
-}
--- a/packages/node/src/allocation_task.ts
+++ b/packages/node/src/allocation_task.ts
@@ -21,6 +21,7 @@
   KeepAlive,
 } from '@siskinmux/allocation';
 import type {Declarations} from '@siskinmux/declarations';
+import {engineDomains} from '@siskinmux/declarations';
 import type {
   Membership,
   OwnerQuestion,
@@ -255,9 +256,7 @@
 }
 
 function domainsIn(declarations: Declarations): Set<FailureDomain> {
-  const domains = Object.values(declarations.endpoints).flatMap(endpoint =>
-    endpoint.kind === 'engine' ? [endpoint.failure_domain] : [],
-  );
+  const domains = engineDomains(declarations.endpoints);
   return new Set(domains.map(domain => as<FailureDomain>(domain)));
 }
 
--- a/packages/requests/src/service_dispatch.ts
+++ b/packages/requests/src/service_dispatch.ts
@@ -3,7 +3,7 @@
 import type {Clock, EndpointId, FailureDomain, Random} from '@siskinmux/kernel';
 import {Outcome, SiskinmuxError, as} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
-import {PRIORITIES} from '@siskinmux/declarations';
+import {PRIORITIES, instancesOf} from '@siskinmux/declarations';
 import type {PlainService, ServiceAnswer, ServiceCall} from '@siskinmux/ports';
 import {EndpointBusyError, EndpointUnreachableError} from '@siskinmux/ports';
 import type {RetryBudget} from '@siskinmux/routing';
@@ -110,18 +110,13 @@
   instances(journey: ServiceJourney): Option[] {
     const {declarations, pool, isHostUsable} = this.options;
     const {service} = journey.request;
-    const declared = Object.entries(declarations().endpoints).flatMap(
-      ([name, endpoint]) =>
-        endpoint.kind === 'service' &&
-        endpoint.service === service &&
-        isHostUsable(endpoint.host)
-          ? [{id: as<EndpointId>(name), endpoint}]
-          : [],
+    const declared = instancesOf(declarations().endpoints, service).filter(
+      ([, {host}]) => isHostUsable(host),
     );
-    const usable = new Set(pool.usable(declared.map(({id}) => id)));
+    const usable = new Set(pool.usable(declared.map(([id]) => id)));
     return declared
-      .filter(({id}) => usable.has(id))
-      .map(({id, endpoint}) => {
+      .filter(([id]) => usable.has(id))
+      .map(([id, endpoint]) => {
         const concurrency = pool.limit(id, journey.callName, {
           initial: endpoint.concurrency,
           least: 1,
