Choose engines by one's own requests, scaled by the sum of the reports

Change: all candidates are compared; the estimate is one's own requests times the reports' sum over one's own sum, with a fifth for the report itself; the prefix home is worth one and a half filled engines; chance breaks ties. Conclusion: the sum of late reports is good news, its parts are not.

--- a/packages/routing/src/choose_endpoint.ts
+++ b/packages/routing/src/choose_endpoint.ts
@@ -6,15 +6,21 @@
   Instant,
   Random,
 } from '@siskinmux/kernel';
-import {randomBelow, until} from '@siskinmux/kernel';
+import {until} from '@siskinmux/kernel';
 
 /** Age from which a load report says nothing any more. */
 const REPORT_LIFETIME_MILLISECONDS = 2_000;
 
-/** What a missing adapter, a foreign prefix and another domain cost, in busy slots. */
+/** Part that a fresh report has in the estimate; the rest are this node's own requests. */
+const REPORT_WEIGHT = 0.2;
+
+/** What a missing adapter, a foreign prefix and another domain cost, in filled engines. */
 const MISSING_ADAPTER_COST = 0.3;
-const FOREIGN_PREFIX_COST = 0.25;
-const OTHER_DOMAIN_COST = 0.15;
+const FOREIGN_PREFIX_COST = 1.5;
+const OTHER_DOMAIN_COST = 0.1;
+
+/** Chance that keeps nodes that see the same from all going one way. */
+const TIE_BREAK = 0.01;
 
 /** An endpoint that could serve a request. */
 export interface Candidate {
@@ -42,28 +48,46 @@
 }
 
 /**
- * The better of two random candidates, or of both when there are only two. Two
- * choices keep nodes that see the same stale report from all going one way. The
- * home of the request's prefix is always one of the two.
+ * The candidate with the least cost. A report is older than most requests take, so
+ * its parts say little, but its sum says how many requests the other nodes have for
+ * each of one's own: one's own requests, scaled by that, are the estimate, and are
+ * always up to date.
  */
 export function chooseEndpoint(
   candidates: readonly Candidate[],
   context: ChoiceContext,
 ): Candidate | undefined {
-  if (candidates.length === 0) return undefined;
-  const first =
-    candidates.find(candidate => candidate.isPrefixHome) ??
-    pick(candidates, context.random);
-  const others = candidates.filter(candidate => candidate !== first);
-  if (first === undefined || others.length === 0) return first;
-  const second = pick(others, context.random);
-  if (second === undefined) return first;
-  return costOf(second, context) < costOf(first, context) ? second : first;
+  const scale = fleetScale(candidates);
+  let chosen: Candidate | undefined;
+  let least = Infinity;
+  for (const candidate of candidates) {
+    const cost =
+      costOf(candidate, context, scale) + TIE_BREAK * context.random();
+    if (cost >= least) continue;
+    least = cost;
+    chosen = candidate;
+  }
+  return chosen;
+}
+
+/** Requests of all nodes for each one of this node. */
+function fleetScale(candidates: readonly Candidate[]): number {
+  let own = 0;
+  let reported = 0;
+  for (const {inFlight, reportedLoad} of candidates) {
+    own += inFlight;
+    reported += reportedLoad;
+  }
+  return Math.max(1, reported / Math.max(1, own));
 }
 
-/** Busy share of an endpoint plus the costs of a poor fit. */
-export function costOf(candidate: Candidate, context: ChoiceContext): number {
-  let cost = estimatedLoad(candidate, context.now) / candidate.slots;
+/** Estimated load in filled engines, plus the costs of a poor fit. */
+function costOf(
+  candidate: Candidate,
+  context: ChoiceContext,
+  scale: number,
+): number {
+  let cost = estimatedLoad(candidate, context.now, scale) / candidate.slots;
   if (!candidate.hasAdapter) cost += MISSING_ADAPTER_COST;
   if (!candidate.isPrefixHome) cost += FOREIGN_PREFIX_COST;
   if (candidate.failureDomain !== context.failureDomain) {
@@ -72,18 +96,16 @@
   return cost;
 }
 
-/** The reported load fades with its age; one's own requests are always known. */
-function estimatedLoad(candidate: Candidate, now: Instant): number {
+/** The report's part fades with its age. */
+function estimatedLoad(
+  candidate: Candidate,
+  now: Instant,
+  scale: number,
+): number {
   const {reportedAt, reportedLoad, inFlight} = candidate;
-  if (reportedAt === undefined) return inFlight;
+  const scaled = inFlight * scale;
+  if (reportedAt === undefined) return scaled;
   const age = until(reportedAt, now) / REPORT_LIFETIME_MILLISECONDS;
-  const weight = Math.max(0, 1 - age);
-  return Math.max(inFlight, inFlight + weight * (reportedLoad - inFlight));
-}
-
-function pick(
-  candidates: readonly Candidate[],
-  random: Random,
-): Candidate | undefined {
-  return candidates[randomBelow(random, candidates.length)];
+  const weight = REPORT_WEIGHT * Math.max(0, 1 - age);
+  return scaled + weight * (reportedLoad - scaled);
 }
