Take one burst for one sign of congestion

Cause: npm run bench at half of saturation: p50 108 ms, p99 2929 ms, 74 of about 34 000 refused. A pause of the process made one burst of slow answers, each of which took a tenth off the limit: 20 of them leave an eighth, the queue grows, and the event loop's own delay keeps the latencies high. Change: what was in flight at a decrease causes no further one.

--- a/packages/admission/src/concurrency_limit.ts
+++ b/packages/admission/src/concurrency_limit.ts
@@ -29,6 +29,8 @@
   private limit: number;
   private best: Milliseconds | undefined;
   private running = 0;
+  /** Requests that were in flight at the last decrease and have not ended yet. */
+  private fromBefore = 0;
 
   private constructor(private readonly bounds: ConcurrencyBounds) {
     this.limit = bounds.initial;
@@ -61,18 +63,31 @@
   /** Notes an end with its latency, or undefined when it says nothing about load. */
   finish(latency: Milliseconds | undefined): void {
     const wasBusy = this.running >= this.value;
-    this.running -= 1;
+    const isFromBefore = this.noteEnd();
     if (latency === undefined) return;
     const best = this.updateBest(latency);
     const congestedFrom = best * CONGESTED_RATIO + CONGESTED_SLACK_MILLISECONDS;
-    if (latency > congestedFrom) this.decrease();
-    else if (wasBusy) this.move(this.limit + 1 / this.limit);
+    if (latency > congestedFrom) {
+      if (!isFromBefore) this.decrease();
+    } else if (wasBusy) {
+      this.move(this.limit + 1 / this.limit);
+    }
   }
 
   /** The endpoint refused for want of room. */
   refuse(): void {
+    if (!this.noteEnd()) this.decrease();
+  }
+
+  /**
+   * One burst is one sign of congestion: what was in flight when the limit was last
+   * decreased says nothing of the limit that came of it.
+   */
+  private noteEnd(): boolean {
     this.running -= 1;
-    this.decrease();
+    if (this.fromBefore === 0) return false;
+    this.fromBefore -= 1;
+    return true;
   }
 
   private updateBest(latency: Milliseconds): Milliseconds {
@@ -83,6 +98,7 @@
   }
 
   private decrease(): void {
+    this.fromBefore = this.running;
     this.move(this.limit * DECREASE);
   }
 
--- a/packages/benchmarks/src/measure_fleet.ts
+++ b/packages/benchmarks/src/measure_fleet.ts
@@ -8,8 +8,11 @@
 import {percentile} from './bound.js';
 import {sleep} from './processes.js';
 
-/** Time for a fleet to settle, and to be watched. */
-const SETTLE_MILLISECONDS = 25_000;
+/** Time until the news of all joins has gone round, for each node and at least. */
+const SETTLE_MILLISECONDS_PER_NODE = 1_500;
+const LEAST_SETTLE_MILLISECONDS = 25_000;
+
+/** Time for which an idle fleet is watched. */
 const WATCH_MILLISECONDS = 20_000;
 const CHANGES = 20;
 const CHANGE_PAUSE_MILLISECONDS = 150;
@@ -51,7 +54,9 @@
     ),
   });
   await submit(cluster, 0, 'begin', cluster.declarations);
-  await sleep(SETTLE_MILLISECONDS);
+  await sleep(
+    Math.max(LEAST_SETTLE_MILLISECONDS, nodes * SETTLE_MILLISECONDS_PER_NODE),
+  );
   const memoryBytes = (heapBytes() - memoryBefore) / nodes;
   const idle = await watch(cluster, () => sleep(WATCH_MILLISECONDS));
   const times: number[] = [];
--- a/packages/benchmarks/src/run_capacity.ts
+++ b/packages/benchmarks/src/run_capacity.ts
@@ -1,5 +1,6 @@
 /** `npm run capacity`: the slopes behind docs/CAPACITY.md, and what they come to at the size of the aim. */
 
+import {parseArgs} from 'node:util';
 import {readDeclarationFolder} from '../../cli/src/declaration_folder.js';
 import {measureFleet} from './measure_fleet.js';
 import type {FleetFigures} from './measure_fleet.js';
@@ -26,7 +27,10 @@
   platformReadsPerSecond: 2_000,
 };
 
-const FLEETS = [1, 7, 20, 50];
+const {values} = parseArgs({
+  options: {fleets: {type: 'string', default: '1,7,20,50'}},
+});
+const fleetSizes = values.fleets.split(',').map(Number);
 const PLAN_SIZES = [16, 64, 256];
 const PLANS_PER_SECOND = 2;
 const IN_FORCE_SECONDS = 6;
@@ -57,7 +61,7 @@
 );
 const declarations = readDeclarationFolder('examples/brindlecote');
 const fleets: FleetFigures[] = [];
-for (const nodes of FLEETS) {
+for (const nodes of fleetSizes) {
   const figures = await measureFleet(nodes, declarations);
   fleets.push(figures);
   print(rowOf(figures));
