--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -30,7 +30,12 @@
 
 if (values.chunk) {
   const report = await runChunk(values.deployment, runs, seed);
-  process.send?.(report, () => process.exit(0));
+  // A chunk that was started by hand tells a person, not a parent process.
+  if (process.send === undefined) {
+    console.log(report.counterexample ?? `${report.runs} schedules hold`);
+    process.exit(report.counterexample === undefined ? 0 : 1);
+  }
+  process.send(report, () => process.exit(0));
 } else {
   process.exit(await runAll());
 }
