Don't send a load whose limit was lowered while it was being written

Change: an order to load looks at the limit once more just before it is sent; a forbidden one counts as not reached, and the next plan unloads the reservation. Conclusion: what the operators decide last counts up to the socket.

--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -25,6 +25,7 @@
   StaleOrderError,
 } from '@siskinmux/ports';
 import type {Allocation, Reservation} from './allocation.js';
+import {replicasOf} from './allocation.js';
 import type {PlannedOrder, Refusal} from './allocation_draft.js';
 import {
   ALLOCATION_LOST,
@@ -43,6 +44,7 @@
 import type {HostSighting} from './engine_watcher.js';
 import {EngineWatcher} from './engine_watcher.js';
 import type {PlanFacts} from './facts.js';
+import {replicaLimit} from './facts.js';
 import type {KeepAlivePolicy} from './keep_alive.js';
 import {planAllocation} from './plan_allocation.js';
 import type {OrderEnd, OrderResult} from './settle_order.js';
@@ -261,6 +263,9 @@
     if (this.options.clock.now() >= planned.order.deadline) {
       return end('unreached', 'too late to be sent');
     }
+    if (this.isForbiddenNow(planned)) {
+      return end('unreached', 'the limit was lowered meanwhile');
+    }
     try {
       await this.options.engine(planned.engine).order(planned.order, signal);
       return end('done');
@@ -269,6 +274,15 @@
     }
   }
 
+  /** Operators may have lowered the limit while the reservation was being written. */
+  private isForbiddenNow(planned: PlannedOrder): boolean {
+    const {action} = planned.order;
+    if (action.kind !== 'load_model') return false;
+    const {declarations, failureDomain} = this.options;
+    const limit = replicaLimit(declarations(), action.model, failureDomain);
+    return replicasOf(this.store.current, action.model).length > limit;
+  }
+
   private facts(): PlanFacts {
     const {clock, node, failureDomain, declarations, isNodeGone} = this.options;
     const now = clock.now();
