Name a replaced allocator's successor in one place, and drop dead code

Cause: a last reading of the change: the allocation store worked out who had written instead twice; the dispatcher's refuseWaiting and the queue's waitingTargets had no caller; two files began the same counts. Change: lostTo and noEnds serve both sides; the two unused members are gone. Behaviour as before. Conclusion: left for next time: the queue's takeExpired is used by its test only, and every candidate has hasAdapter set.

--- a/packages/admission/src/request_queue.ts
+++ b/packages/admission/src/request_queue.ts
@@ -62,11 +62,6 @@
     return this.total;
   }
 
-  /** Targets that requests wait for. */
-  get waitingTargets(): readonly string[] {
-    return [...this.targets.keys()];
-  }
-
   /** Requests that wait for one target. */
   sizeOf(target: string): number {
     return this.targets.get(target)?.size ?? 0;
--- a/packages/allocation/src/allocation_store.ts
+++ b/packages/allocation/src/allocation_store.ts
@@ -2,7 +2,11 @@
 
 import type {FailureDomain, NodeId} from '@siskinmux/kernel';
 import {ErrorCode, SiskinmuxError} from '@siskinmux/kernel';
-import type {ExpectedVersion, ObjectService} from '@siskinmux/ports';
+import type {
+  ExpectedVersion,
+  ObjectService,
+  StoredObject,
+} from '@siskinmux/ports';
 import {VersionConflictError, WriteOutcomeUnknownError} from '@siskinmux/ports';
 import type {Allocation} from './allocation.js';
 import {EMPTY_ALLOCATION, parseAllocation} from './allocation.js';
@@ -76,14 +80,7 @@
     const stored = await this.objects.read(this.key);
     if ((stored?.version ?? 'absent') === this.version) return;
     this.isRead = false;
-    const holder =
-      stored === undefined
-        ? undefined
-        : parseAllocation(this.key, stored.value).holder;
-    throw new AllocationLostError(
-      this.failureDomain,
-      holder === this.node ? undefined : holder,
-    );
+    throw this.lostTo(stored);
   }
 
   /**
@@ -122,11 +119,16 @@
       this.version = stored.version;
       return;
     }
+    throw this.lostTo(stored);
+  }
+
+  /** The failure that names whoever has written instead. */
+  private lostTo(stored: StoredObject | undefined): AllocationLostError {
     const holder =
       stored === undefined
         ? undefined
         : parseAllocation(this.key, stored.value).holder;
-    throw new AllocationLostError(
+    return new AllocationLostError(
       this.failureDomain,
       holder === this.node ? undefined : holder,
     );
--- a/packages/requests/src/dispatcher.ts
+++ b/packages/requests/src/dispatcher.ts
@@ -124,17 +124,6 @@
     }
   }
 
-  /** Refuses what waits for a target that will not be served soon. */
-  refuseWaiting(target: string, reason: string, retryAt: Instant): void {
-    for (;;) {
-      const now = this.options.clock.now();
-      const item = this.queue.take(now, other => other === target);
-      if (item === undefined) return;
-      item.cancelTimer();
-      item.reject(refuseNotRun(ErrorCode.NoEndpoint, reason, retryAt));
-    }
-  }
-
   /** Takes no new requests; those that wait are still served. */
   close(): void {
     this.isClosed = true;
--- a/packages/scenarios/src/caller_record.ts
+++ b/packages/scenarios/src/caller_record.ts
@@ -44,3 +44,19 @@
 export function finalEnd(record: CallerRecord): CallerEnd {
   return record.sendings.at(-1)?.end ?? 'open';
 }
+
+/** Numbers of requests by how they ended. */
+export type EndCounts = Record<CallerEnd, number>;
+
+/** Counts before any request has ended. */
+export function noEnds(): EndCounts {
+  return {
+    answered: 0,
+    refused: 0,
+    failed: 0,
+    unknown: 0,
+    broken: 0,
+    wrong: 0,
+    open: 0,
+  };
+}
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -3,8 +3,8 @@
 import type {HostId} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import type {Patch} from '@siskinmux/declarations';
-import type {CallerEnd} from './caller_record.js';
-import {finalEnd} from './caller_record.js';
+import type {CallerEnd, EndCounts} from './caller_record.js';
+import {finalEnd, noEnds} from './caller_record.js';
 import {InvariantChecker} from './invariants.js';
 import type {Expectations, Scenario, Step} from './scenario_file.js';
 import {ScenarioWorld} from './scenario_world.js';
@@ -261,16 +261,8 @@
   });
 }
 
-function countEnds(world: ScenarioWorld): Record<CallerEnd, number> {
-  const ends: Record<CallerEnd, number> = {
-    answered: 0,
-    refused: 0,
-    failed: 0,
-    unknown: 0,
-    broken: 0,
-    wrong: 0,
-    open: 0,
-  };
+function countEnds(world: ScenarioWorld): EndCounts {
+  const ends = noEnds();
   for (const record of world.requests) ends[finalEnd(record)] += 1;
   return ends;
 }
--- a/packages/scenarios/src/run_schedules.ts
+++ b/packages/scenarios/src/run_schedules.ts
@@ -2,6 +2,7 @@
 
 import fc from 'fast-check';
 import type {CallerEnd} from './caller_record.js';
+import {noEnds} from './caller_record.js';
 import {randomScenario} from './random_scenario.js';
 import {runScenario} from './run_scenario.js';
 import type {Scenario} from './scenario_file.js';
@@ -20,15 +21,7 @@
   runs: number;
   seed: number;
 }): Promise<ScheduleReport> {
-  const ends: Record<CallerEnd, number> = {
-    answered: 0,
-    refused: 0,
-    failed: 0,
-    unknown: 0,
-    broken: 0,
-    wrong: 0,
-    open: 0,
-  };
+  const ends = noEnds();
   let failures: readonly string[] = [];
   const property = fc.asyncProperty(
     randomScenario(options.base),
