Split what every process needs out of packages/node

Cause: the path for the users' platform needs the log, the metrics, tracing, identity, settings sections and listeners, but none of the callers', operators' and peers' interfaces that lie in packages/node with them. Change: packages/runtime holds them; the keys of clock and chance moved along. Conclusion: packages/node keeps the interfaces; behaviour is unchanged.

--- a/packages/node/src/allocation_task.ts
+++ b/packages/node/src/allocation_task.ts
@@ -34,16 +34,19 @@
 import {createAskPeer} from './ask_peer.js';
 import {CONFIGURATION} from './configuration_task.js';
 import {ENDPOINTS} from './endpoint_adapters.js';
-import {EMIT_EVENT} from './log.js';
+import type {Repetition} from '@siskinmux/runtime';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  METRICS,
+  NODE_IDENTITY,
+  repeat,
+} from '@siskinmux/runtime';
 import {MEMBERSHIP} from './membership_task.js';
-import {METRICS} from './metrics.js';
-import {NODE_IDENTITY} from './node_identity.js';
 import {exchangeQuestionSchema, exchangeReplySchema} from './owner_messages.js';
 import type {Peers} from './peers.js';
 import {PEERS} from './peers.js';
-import {CLOCK, HOSTS, PLATFORM, WEIGHT_STORE} from './platform.js';
-import type {Repetition} from './repeat.js';
-import {repeat} from './repeat.js';
+import {HOSTS, PLATFORM, WEIGHT_STORE} from './platform.js';
 
 /** Pause between two checks of which domains fall to this node. */
 const OWNERSHIP_INTERVAL_MILLISECONDS: Milliseconds = 500;
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -19,21 +19,20 @@
   readHead,
 } from './caller_request.js';
 import {CONFIGURATION} from './configuration_task.js';
-import type {Listener} from './http_listener.js';
-import {listen} from './http_listener.js';
-import {METRICS} from './metrics.js';
-import {CLOCK} from './platform.js';
-import {PROBLEM_TYPE, toProblem} from './problem.js';
-import type {RequestPath} from './requests_plugin.js';
-import {REQUESTS} from './requests_plugin.js';
+import type {Hop, Listener, Tracing} from '@siskinmux/runtime';
 import {
+  CLOCK,
+  METRICS,
+  TRACING,
   addressSchema,
+  listen,
   portSchema,
   settingsSection,
-} from './settings_section.js';
+} from '@siskinmux/runtime';
+import {PROBLEM_TYPE, toProblem} from './problem.js';
+import type {RequestPath} from './requests_plugin.js';
+import {REQUESTS} from './requests_plugin.js';
 import {writeChunks, wholeAnswer} from './text_answer.js';
-import type {Hop, Tracing} from './tracing.js';
-import {TRACING} from './tracing.js';
 
 /** Bodies above this are refused before they are read whole. */
 const HARD_BODY_LIMIT_BYTES = 8_000_000;
--- a/packages/node/src/configuration_task.ts
+++ b/packages/node/src/configuration_task.ts
@@ -35,17 +35,21 @@
 import {Gauge} from 'prom-client';
 import {randomUUID} from 'node:crypto';
 import {z} from 'zod';
-import {EMIT_EVENT} from './log.js';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  METRICS,
+  NODE_IDENTITY,
+  RANDOM,
+} from '@siskinmux/runtime';
 import {MEMBERSHIP} from './membership_task.js';
-import {METRICS} from './metrics.js';
 import {
   CONFIGURATION_IN_FORCE,
   CONFIGURATION_READ_FAILED,
 } from './node_events.js';
-import {NODE_IDENTITY} from './node_identity.js';
 import type {Peers} from './peers.js';
 import {PEERS} from './peers.js';
-import {CLOCK, PLATFORM, RANDOM} from './platform.js';
+import {PLATFORM} from './platform.js';
 
 /** Nodes that watch the object service. */
 const WATCHERS = 4;
--- a/packages/node/src/http_peer_transport.ts
+++ b/packages/node/src/http_peer_transport.ts
@@ -7,11 +7,14 @@
 import {createAgent, send} from '@siskinmux/adapters';
 import type {Dispatcher} from 'undici';
 import type {z} from 'zod';
-import type {Listener} from './http_listener.js';
-import {listen} from './http_listener.js';
+import type {Listener} from '@siskinmux/runtime';
+import {
+  listen,
+  privateListenerSchema,
+  readKeyPair,
+  settingsSection,
+} from '@siskinmux/runtime';
 import type {PeerTransport, ReceiveMessage} from './peers.js';
-import {privateListenerSchema, settingsSection} from './settings_section.js';
-import {readKeyPair} from './tls_files.js';
 
 /** Largest message between nodes. */
 const MESSAGE_LIMIT_BYTES = 4_000_000;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -7,18 +7,18 @@
 export type {Endpoints} from './endpoint_adapters.js';
 export {ENDPOINTS, EndpointNotDeclaredError} from './endpoint_adapters.js';
 export {LEDGER} from './ledger_plugin.js';
-export {EMIT_EVENT, createLogPlugin} from './log.js';
+export {EMIT_EVENT, createLogPlugin} from '@siskinmux/runtime';
 export {MEMBERSHIP} from './membership_task.js';
-export {METRICS, unservedMetricsPlugin} from './metrics.js';
-export type {NodeIdentity} from './node_identity.js';
-export {NODE_IDENTITY} from './node_identity.js';
+export {METRICS, unservedMetricsPlugin} from '@siskinmux/runtime';
+export type {NodeIdentity} from '@siskinmux/runtime';
+export {NODE_IDENTITY} from '@siskinmux/runtime';
 export type {PeerTraffic, PeerTransport, ReceiveMessage} from './peers.js';
 export {PEERS, createPeersPlugin} from './peers.js';
 export type {Platform} from './platform.js';
 export {PLATFORM, providePlatform} from './platform.js';
 export type {RequestPath} from './requests_plugin.js';
 export {REQUESTS} from './requests_plugin.js';
-export type {WriteLine} from './log.js';
+export type {WriteLine} from '@siskinmux/runtime';
 export {NODE_EVENTS} from './node_events.js';
 export {
   DEADLINE_HEADER,
@@ -26,7 +26,7 @@
   PRIORITY_HEADER,
   TIMEOUT_HEADER,
 } from './caller_request.js';
-export {createTracingPlugin} from './tracing.js';
+export {createTracingPlugin} from '@siskinmux/runtime';
 export type {AllocationReport} from './allocation_task.js';
 export {errorsPage, eventsPage} from './catalogue_pages.js';
 export {PROBLEM_TYPE} from './problem.js';
--- a/packages/node/src/ledger_plugin.ts
+++ b/packages/node/src/ledger_plugin.ts
@@ -5,13 +5,11 @@
 import {CLAIM_SHARDS, LEDGER_EVENTS, Ledger} from '@siskinmux/ledger';
 import {rankMembers} from '@siskinmux/routing';
 import {createAskPeer} from './ask_peer.js';
-import {EMIT_EVENT} from './log.js';
+import {CLOCK, EMIT_EVENT, NODE_IDENTITY, TRACING} from '@siskinmux/runtime';
 import {MEMBERSHIP} from './membership_task.js';
-import {NODE_IDENTITY} from './node_identity.js';
 import {ledgerQuestionSchema, ledgerReplySchema} from './owner_messages.js';
 import {PEERS} from './peers.js';
-import {CLOCK, PLATFORM} from './platform.js';
-import {TRACING} from './tracing.js';
+import {PLATFORM} from './platform.js';
 
 const ASK = 'ledger.ask';
 
--- a/packages/node/src/membership_task.ts
+++ b/packages/node/src/membership_task.ts
@@ -13,16 +13,21 @@
 import {Membership, NodeRegistry, parseUpdates} from '@siskinmux/membership';
 import {Gauge} from 'prom-client';
 import {z} from 'zod';
-import {EMIT_EVENT} from './log.js';
-import {METRICS} from './metrics.js';
+import type {Repetition} from '@siskinmux/runtime';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  METRICS,
+  NODE_IDENTITY,
+  RANDOM,
+  repeat,
+  settingsSection,
+  urlSchema,
+} from '@siskinmux/runtime';
 import {MEMBERSHIP_CHANGED, REGISTRY_FAILED} from './node_events.js';
-import {NODE_IDENTITY} from './node_identity.js';
 import type {Peers} from './peers.js';
 import {PEERS} from './peers.js';
-import {CLOCK, PLATFORM, RANDOM} from './platform.js';
-import type {Repetition} from './repeat.js';
-import {repeat} from './repeat.js';
-import {settingsSection, urlSchema} from './settings_section.js';
+import {PLATFORM} from './platform.js';
 
 /** Pause between two probes. */
 const PROBE_INTERVAL_MILLISECONDS: Milliseconds = 1_000;
--- a/packages/node/src/operator_api.ts
+++ b/packages/node/src/operator_api.ts
@@ -21,17 +21,20 @@
 import {ALLOCATION} from './allocation_task.js';
 import type {ConfigurationTask} from './configuration_task.js';
 import {CONFIGURATION} from './configuration_task.js';
-import type {Listener} from './http_listener.js';
-import {listen} from './http_listener.js';
-import {EMIT_EVENT} from './log.js';
+import type {Listener, NodeIdentity} from '@siskinmux/runtime';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  NODE_IDENTITY,
+  listen,
+  privateListenerSchema,
+  settingsSection,
+} from '@siskinmux/runtime';
 import type {MembershipTask} from './membership_task.js';
 import {MEMBERSHIP} from './membership_task.js';
 import {PATCH_ACCEPTED} from './node_events.js';
-import type {NodeIdentity} from './node_identity.js';
-import {NODE_IDENTITY} from './node_identity.js';
-import {CLOCK, PLATFORM} from './platform.js';
+import {PLATFORM} from './platform.js';
 import {PROBLEM_TYPE, toProblem} from './problem.js';
-import {privateListenerSchema, settingsSection} from './settings_section.js';
 
 /** Largest patch. */
 const BODY_LIMIT_BYTES = 4_000_000;
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -21,9 +21,7 @@
 import {PeerUnreachableError} from '@siskinmux/membership';
 import {Counter} from 'prom-client';
 import {z} from 'zod';
-import {METRICS} from './metrics.js';
-import {NODE_IDENTITY} from './node_identity.js';
-import {CLOCK} from './platform.js';
+import {CLOCK, METRICS, NODE_IDENTITY} from '@siskinmux/runtime';
 
 /** Silence after which a peer that owes an answer is asked for a sign of life. */
 const LIFE_SIGN_AFTER_MILLISECONDS: Milliseconds = 300;
--- a/packages/node/src/platform.ts
+++ b/packages/node/src/platform.ts
@@ -27,13 +27,16 @@
 import {Counter} from 'prom-client';
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
-import {METRICS} from './metrics.js';
-import {repeat} from './repeat.js';
-import {settingsSection, urlSchema} from './settings_section.js';
+import {
+  CLOCK,
+  METRICS,
+  RANDOM,
+  repeat,
+  settingsSection,
+  urlSchema,
+} from '@siskinmux/runtime';
 
 /** Keys of what the platform plug-in provides. */
-export const CLOCK = injectionKey<Clock>('clock');
-export const RANDOM = injectionKey<Random>('random');
 export const AGENT = injectionKey<Dispatcher>('HTTP agent');
 export const PLATFORM = injectionKey<PlatformClient>('platform client');
 export const HOSTS = injectionKey<HostWatcher>('hosts');
--- a/packages/node/src/requests_plugin.ts
+++ b/packages/node/src/requests_plugin.ts
@@ -24,12 +24,16 @@
 import {CONFIGURATION} from './configuration_task.js';
 import {ENDPOINTS} from './endpoint_adapters.js';
 import {LEDGER} from './ledger_plugin.js';
-import {EMIT_EVENT} from './log.js';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  METRICS,
+  NODE_IDENTITY,
+  RANDOM,
+} from '@siskinmux/runtime';
 import {MEMBERSHIP} from './membership_task.js';
-import {METRICS} from './metrics.js';
-import {NODE_IDENTITY} from './node_identity.js';
 import {PEERS} from './peers.js';
-import {CLOCK, HOSTS, RANDOM} from './platform.js';
+import {HOSTS} from './platform.js';
 
 const SUSPECT = 'requests.suspect';
 
--- a/packages/node/src/siskinmux_node.ts
+++ b/packages/node/src/siskinmux_node.ts
@@ -20,10 +20,18 @@
 import {endpointsPlugin} from './endpoint_adapters.js';
 import {LEDGER, ledgerPlugin} from './ledger_plugin.js';
 import {HttpPeerTransport} from './http_peer_transport.js';
-import type {WriteLine} from './log.js';
-import {EMIT_EVENT, createLogPlugin} from './log.js';
+import type {WriteLine} from '@siskinmux/runtime';
+import {
+  EMIT_EVENT,
+  METRICS_URL,
+  NODE_IDENTITY,
+  createLogPlugin,
+  createTracingPlugin,
+  metricsPlugin,
+  nodeIdentityPlugin,
+  settingsSection,
+} from '@siskinmux/runtime';
 import {MEMBERSHIP, membershipPlugin} from './membership_task.js';
-import {METRICS_URL, metricsPlugin} from './metrics.js';
 import {
   NODE_EVENTS,
   NODE_STARTED,
@@ -31,14 +39,11 @@
   NODE_STOPPING,
   STOP_CUT_SHORT,
 } from './node_events.js';
-import {NODE_IDENTITY, nodeIdentityPlugin} from './node_identity.js';
 import {OPERATOR_API, operatorApiPlugin} from './operator_api.js';
 import type {PeerTraffic} from './peers.js';
 import {PEERS, createPeersPlugin} from './peers.js';
 import {createPlatformPlugin} from './platform.js';
 import {REQUESTS, requestsPlugin} from './requests_plugin.js';
-import {settingsSection} from './settings_section.js';
-import {createTracingPlugin} from './tracing.js';
 
 /** Pause between two looks at what is still to be finished. */
 const FINISH_CHECK_MILLISECONDS: Milliseconds = 20;
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,30 @@
+/** What every siskinmux process needs: identity, settings, log, metrics, traces, listeners. */
+
+export {CLOCK, RANDOM} from './surroundings.js';
+export type {NodeIdentity} from './node_identity.js';
+export {NODE_IDENTITY, nodeIdentityPlugin} from './node_identity.js';
+export {
+  addressSchema,
+  isLoopback,
+  portSchema,
+  privateListenerSchema,
+  settingsSection,
+  tlsSchema,
+  urlSchema,
+} from './settings_section.js';
+export type {WriteLine} from './log.js';
+export {EMIT_EVENT, createLogPlugin} from './log.js';
+export {
+  METRICS,
+  METRICS_URL,
+  metricsPlugin,
+  unservedMetricsPlugin,
+} from './metrics.js';
+export type {Hop, HopKind, TraceParent, Tracing} from './tracing.js';
+export {TRACING, createTracingPlugin} from './tracing.js';
+export type {Listener, ListenerOptions} from './http_listener.js';
+export {listen} from './http_listener.js';
+export type {TlsFiles} from './tls_files.js';
+export {readKeyPair, watchKeyPair} from './tls_files.js';
+export type {Repetition} from './repeat.js';
+export {repeat} from './repeat.js';
