--- /dev/null
+++ b/packages/endpoints/src/index.ts
@@ -0,0 +1,10 @@
+/** Endpoints that describe themselves in the platform's list. */
+
+export type {
+  EndpointDescription,
+  HeldModel,
+  Incarnation,
+  WeightCopies,
+} from './endpoint.js';
+export type {EndpointChange, TableChange} from './endpoint_table.js';
+export {EndpointTable, REAPPEARANCE_MILLISECONDS} from './endpoint_table.js';
--- /dev/null
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -0,0 +1,92 @@
+/** Chooses an endpoint for a request, among those that can take it now. */
+
+import type {
+  AdapterName,
+  Clock,
+  EndpointId,
+  FailureDomain,
+  Instant,
+  ModelName,
+  Random,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {ErrorCode, after, refuseNotRun} from '@siskinmux/kernel';
+import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
+import type {OutlierDetector} from '@siskinmux/routing';
+import {chooseEndpoint} from '@siskinmux/routing';
+import type {LoadBook} from './load_book.js';
+
+/** When a caller may come back to a service that has no endpoint; one may register meanwhile. */
+const RETURN_MILLISECONDS = 500;
+
+/** What a request needs. */
+export interface EndpointNeed {
+  readonly service: ServiceName;
+  readonly model: ModelName | undefined;
+  readonly adapter: AdapterName | undefined;
+  /** Endpoints that have had this request. */
+  readonly excluded: ReadonlySet<EndpointId>;
+  /** From then on the answer is of no use to the caller. */
+  readonly uselessAt: Instant;
+}
+
+/** Finds an endpoint; throws a `RefusalError` when none can serve in time. */
+export type FindEndpoint = (need: EndpointNeed) => Promise<EndpointDescription>;
+
+/** What choosing depends on. */
+export interface ChoiceSurroundings {
+  readonly table: EndpointTable;
+  readonly load: LoadBook;
+  readonly outliers: OutlierDetector;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly failureDomain: FailureDomain;
+}
+
+/** The least loaded of some endpoints, those that fail lately left out where possible. */
+export function leastLoaded(
+  endpoints: readonly EndpointDescription[],
+  surroundings: ChoiceSurroundings,
+): EndpointDescription | undefined {
+  const {load, outliers, clock, random, failureDomain} = surroundings;
+  const now = clock.now();
+  const usable = new Set(
+    outliers.usable(
+      endpoints.map(({id}) => id),
+      now,
+    ),
+  );
+  const candidates = endpoints
+    .filter(({id}) => usable.has(id))
+    .map(endpoint => ({
+      endpoint: endpoint.id,
+      failureDomain: endpoint.failureDomain,
+      inFlight: load.at(endpoint.id),
+      limit: endpoint.slots,
+      reportedLoad: 0,
+      reportedAt: undefined,
+      slots: endpoint.slots,
+      hasAdapter: true,
+      isPrefixHome: true,
+    }));
+  const chosen = chooseEndpoint(candidates, {now, failureDomain, random});
+  return endpoints.find(({id}) => id === chosen?.endpoint);
+}
+
+/** Chooses for plain services: any endpoint will do. */
+export function findPlainEndpoint(
+  surroundings: ChoiceSurroundings,
+): FindEndpoint {
+  return async need => {
+    const endpoints = surroundings.table
+      .usable(need.service)
+      .filter(({id}) => !need.excluded.has(id));
+    const chosen = leastLoaded(endpoints, surroundings);
+    if (chosen !== undefined) return chosen;
+    throw refuseNotRun(
+      ErrorCode.NoEndpoint,
+      need.service,
+      after(surroundings.clock.now(), RETURN_MILLISECONDS),
+    );
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_events.ts
@@ -0,0 +1,111 @@
+/** Numbered events of the gateway. */
+
+import type {EventDescriptor} from '@siskinmux/kernel';
+
+/** A request has ended. */
+export const REQUEST_ENDED: EventDescriptor = {
+  number: 7001,
+  name: 'request-ended',
+  level: 'info',
+  meaning:
+    'A request of a caller has ended: how, at which endpoint, after how many sends, and when. One line for each request.',
+};
+
+/** A send to an endpoint failed. */
+export const SEND_FAILED: EventDescriptor = {
+  number: 7002,
+  name: 'send-failed',
+  level: 'info',
+  meaning:
+    'An endpoint refused a request, broke off or could not be reached; `next` says what the node does about it.',
+};
+
+/** A newer route configuration is in force. */
+export const ROUTES_IN_FORCE: EventDescriptor = {
+  number: 7003,
+  name: 'routes-in-force',
+  level: 'info',
+  meaning: 'This node serves by a newer route configuration from now on.',
+};
+
+/** A route configuration or an endpoint's entry can't be read. */
+export const ENTRY_UNREADABLE: EventDescriptor = {
+  number: 7004,
+  name: 'entry-unreadable',
+  level: 'warn',
+  meaning:
+    'An object of the store does not have the shape of its kind; what was known before stays.',
+};
+
+/** An endpoint came, left or changed. */
+export const ENDPOINT_CHANGED: EventDescriptor = {
+  number: 7005,
+  name: 'endpoint-changed',
+  level: 'info',
+  meaning:
+    'The platform lists an endpoint for the first time, as draining, in a new life, or no longer.',
+};
+
+/** The store stopped answering this node. */
+export const STORE_LOST: EventDescriptor = {
+  number: 7006,
+  name: 'store-lost',
+  level: 'warn',
+  meaning:
+    'The metadata store does not answer this node. It goes on with what it knows and tries again.',
+};
+
+/** The store answers again. */
+export const STORE_REGAINED: EventDescriptor = {
+  number: 7007,
+  name: 'store-regained',
+  level: 'info',
+  meaning: 'The metadata store answers this node again.',
+};
+
+/** The gateway listens. */
+export const GATEWAY_STARTED: EventDescriptor = {
+  number: 7008,
+  name: 'gateway-started',
+  level: 'info',
+  meaning: 'The node listens on its addresses; it is ready once it has routes.',
+};
+
+/** The gateway was told to stop. */
+export const GATEWAY_STOPPING: EventDescriptor = {
+  number: 7009,
+  name: 'gateway-stopping',
+  level: 'info',
+  meaning: 'The node is no longer ready and finishes what it has.',
+};
+
+/** The gateway has stopped. */
+export const GATEWAY_STOPPED: EventDescriptor = {
+  number: 7010,
+  name: 'gateway-stopped',
+  level: 'info',
+  meaning: 'The process ends; `open` requests were still running.',
+};
+
+/** A task failed in a way that it does not expect. */
+export const TASK_FAILED: EventDescriptor = {
+  number: 7011,
+  name: 'task-failed',
+  level: 'error',
+  meaning: 'A defect: a task met a failure that it does not handle.',
+};
+
+/** All events of this package. */
+export const GATEWAY_EVENTS = [
+  REQUEST_ENDED,
+  SEND_FAILED,
+  ROUTES_IN_FORCE,
+  ENTRY_UNREADABLE,
+  ENDPOINT_CHANGED,
+  STORE_LOST,
+  STORE_REGAINED,
+  GATEWAY_STARTED,
+  GATEWAY_STOPPING,
+  GATEWAY_STOPPED,
+  TASK_FAILED,
+] as const;
--- /dev/null
+++ b/packages/gateway/src/gateway_node.ts
@@ -0,0 +1,303 @@
+/** One gateway process: plug-ins wired together, with an orderly start and stop. */
+
+import {createAgent} from '@siskinmux/adapters';
+import {EndpointTable} from '@siskinmux/endpoints';
+import {EndpointConnections, SWEEP_MILLISECONDS} from '@siskinmux/forwarding';
+import type {
+  Clock,
+  EmitEvent,
+  Milliseconds,
+  Random,
+  RawSettings,
+} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  Kernel,
+  after,
+  as,
+  refuseNotRun,
+  sleepUntil,
+} from '@siskinmux/kernel';
+import type {RequestId} from '@siskinmux/kernel';
+import type {ObjectStore} from '@siskinmux/ports';
+import {OutlierDetector, RetryBudget} from '@siskinmux/routing';
+import type {WriteLine} from '@siskinmux/runtime';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  METRICS,
+  NODE_IDENTITY,
+  RANDOM,
+  createLogPlugin,
+  metricsPlugin,
+  nodeIdentityPlugin,
+  repeat,
+} from '@siskinmux/runtime';
+import type {FastifyInstance} from 'fastify';
+import {Counter, Histogram} from 'prom-client';
+import type {CallerExchange} from './caller_exchange.js';
+import {CallerListener} from './caller_listener.js';
+import {findPlainEndpoint} from './endpoint_choice.js';
+import {
+  GATEWAY_EVENTS,
+  GATEWAY_STARTED,
+  GATEWAY_STOPPED,
+  GATEWAY_STOPPING,
+  TASK_FAILED,
+} from './gateway_events.js';
+import type {GatewayPlatform} from './gateway_platform.js';
+import {
+  listenSection,
+  rulesSection,
+  splitSocket,
+  storeSection,
+} from './gateway_settings.js';
+import type {JourneySurroundings} from './journey.js';
+import {Journey} from './journey.js';
+import {LoadBook} from './load_book.js';
+import {PlatformView} from './platform_view.js';
+import {listenForReadiness} from './readiness_listener.js';
+import {refusalAnswer} from './refusal_answer.js';
+import {RouteState} from './route_state.js';
+
+/** The balancer stops sending after two missed questions, one a second. */
+const NOTICE_MILLISECONDS: Milliseconds = 2_600;
+
+/** Kept back from the time to stop, for the process to end by itself. */
+const EXIT_MILLISECONDS: Milliseconds = 500;
+
+/** Pause between two looks at what is still running. */
+const FINISH_CHECK_MILLISECONDS: Milliseconds = 20;
+
+/** When a caller may come back to a node that has no routes yet. */
+const RETURN_MILLISECONDS: Milliseconds = 500;
+
+/** Bounds of the latency histogram in seconds, around the objectives of 0.1 to 2 s. */
+const LATENCY_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 20];
+
+/** What a gateway is made from. */
+export interface GatewayOptions {
+  readonly settings: RawSettings;
+  readonly platform: GatewayPlatform;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly writeLog: WriteLine;
+}
+
+/** A running gateway. */
+export class GatewayNode {
+  private readonly kernel: Kernel;
+  private readonly emit: EmitEvent;
+  private readonly clock: Clock;
+  private readonly listen;
+  private readonly rules;
+  private readonly store: ObjectStore;
+  private readonly routes: RouteState;
+  private readonly table = EndpointTable.create();
+  private readonly view: PlatformView;
+  private readonly connections: EndpointConnections;
+  private readonly surroundings: JourneySurroundings;
+  private callers: CallerListener | undefined;
+  private readiness: FastifyInstance | undefined;
+  private openCount = 0;
+  private isStopping = false;
+  private takesWork = true;
+
+  private constructor(private readonly options: GatewayOptions) {
+    const {platform, clock, random} = options;
+    this.kernel = Kernel.create({settings: options.settings});
+    const {kernel} = this;
+    kernel.provide(CLOCK, clock);
+    kernel.provide(RANDOM, random);
+    kernel.use(nodeIdentityPlugin);
+    kernel.use(createLogPlugin(options.writeLog));
+    kernel.use(metricsPlugin);
+    kernel.addEvents(GATEWAY_EVENTS);
+    this.clock = clock;
+    this.emit = kernel.inject(EMIT_EVENT);
+    this.listen = kernel.settings(listenSection);
+    this.rules = kernel.settings(rulesSection);
+    const {address} = kernel.settings(storeSection);
+    kernel.checkSettings();
+    const {emit} = this;
+    const agent = createAgent();
+    this.store = platform.openStore({
+      address,
+      agent,
+      clock,
+      onUnreadable: () => {},
+    });
+    this.routes = RouteState.create(emit);
+    this.connections = EndpointConnections.create({
+      clock,
+      protocol: platform.protocol,
+    });
+    this.view = PlatformView.create({
+      platform,
+      store: this.store,
+      routes: this.routes,
+      table: this.table,
+      clock,
+      random,
+      emit,
+      onEndpoints: changes => {
+        for (const {id, now} of changes) {
+          if (now === undefined) this.connections.forget(id);
+        }
+      },
+    });
+    const load = LoadBook.create();
+    const outliers = OutlierDetector.create();
+    this.surroundings = {
+      protocol: platform.protocol,
+      connections: this.connections,
+      load,
+      outliers,
+      retries: RetryBudget.create(),
+      find: findPlainEndpoint({
+        table: this.table,
+        load,
+        outliers,
+        clock,
+        random,
+        failureDomain: kernel.inject(NODE_IDENTITY).failureDomain,
+      }),
+      clock,
+      emit,
+      noteEnd: this.createEndMetrics(),
+    };
+    this.routes.onChange(({configuration}) =>
+      this.callers?.keepIdleFor(configuration.limits.idleTimeoutMilliseconds),
+    );
+  }
+
+  /** Builds a gateway; throws `SettingsError` for settings that are not valid. */
+  static create(options: GatewayOptions): GatewayNode {
+    return new GatewayNode(options);
+  }
+
+  /** Starts to listen and to follow the store. */
+  async start(): Promise<void> {
+    const {clock} = this;
+    await this.kernel.start();
+    this.readiness = await listenForReadiness({
+      ...splitSocket(this.listen.readiness),
+      isReady: () => !this.isStopping && this.view.isComplete,
+    });
+    this.callers = await CallerListener.create({
+      ...splitSocket(this.listen.callers),
+      clock,
+      handle: exchange => this.handle(exchange),
+    });
+    this.runTask('platform view', this.view.run());
+    repeat(clock, SWEEP_MILLISECONDS, () => this.sweep()).start();
+    this.emit(GATEWAY_STARTED, {...this.listen, peers: undefined});
+  }
+
+  /** Stops: not ready, no new work, finish what runs, end. */
+  async stop(): Promise<void> {
+    const {clock, emit} = this;
+    const endAt = after(
+      clock.now(),
+      this.rules.stop_milliseconds - EXIT_MILLISECONDS,
+    );
+    this.isStopping = true;
+    emit(GATEWAY_STOPPING, {open: this.openCount});
+    await sleepUntil(clock, after(clock.now(), NOTICE_MILLISECONDS));
+    this.takesWork = false;
+    this.callers?.closeIdle();
+    while (this.openCount > 0 && clock.now() < endAt) {
+      const next = after(clock.now(), FINISH_CHECK_MILLISECONDS);
+      await sleepUntil(clock, next);
+    }
+    this.view.stop();
+    emit(GATEWAY_STOPPED, {open: this.openCount});
+  }
+
+  private async handle(exchange: CallerExchange): Promise<void> {
+    this.openCount += 1;
+    try {
+      if (this.isStopping) exchange.closeAfterwards();
+      await this.route(exchange);
+    } catch (failure) {
+      this.noteDefect('request', failure);
+      exchange.cut();
+    } finally {
+      this.openCount -= 1;
+    }
+  }
+
+  private async route(exchange: CallerExchange): Promise<void> {
+    const routes = this.routes.current;
+    if (routes === undefined || !this.takesWork) {
+      const code =
+        routes === undefined
+          ? ErrorCode.ConfigurationUnavailable
+          : ErrorCode.ShuttingDown;
+      this.refuse(exchange, code);
+      return;
+    }
+    const route = routes.table.find(exchange.host, exchange.target);
+    if (route === undefined) {
+      this.refuse(exchange, ErrorCode.UnknownTarget);
+      return;
+    }
+    this.surroundings.retries.noteRequest();
+    const {configuration} = routes;
+    await Journey.create(
+      this.surroundings,
+      exchange,
+      configuration,
+      route,
+    ).run();
+  }
+
+  private refuse(exchange: CallerExchange, code: ErrorCode): void {
+    const now = this.clock.now();
+    const {id} = this.options.platform.protocol.readRequest(exchange.headers);
+    const refusal = refuseNotRun(code, '', after(now, RETURN_MILLISECONDS));
+    const answer = refusalAnswer(refusal, id ?? as<RequestId>(''), now);
+    exchange.begin(answer.status, answer.headers);
+    exchange.end(answer.body);
+  }
+
+  private sweep(): void {
+    this.connections.sweep();
+    for (const {id} of this.table.expire(this.clock.now())) {
+      this.connections.forget(id);
+    }
+  }
+
+  private runTask(task: string, work: Promise<void>): void {
+    work.catch((failure: unknown) => this.noteDefect(task, failure));
+  }
+
+  private noteDefect(task: string, failure: unknown): void {
+    const text =
+      failure instanceof Error
+        ? (failure.stack ?? failure.message)
+        : String(failure);
+    this.emit(TASK_FAILED, {task, failure: text});
+  }
+
+  private createEndMetrics(): JourneySurroundings['noteEnd'] {
+    const registers = [this.kernel.inject(METRICS)];
+    const ends = new Counter({
+      name: 'siskinmux_requests_total',
+      help: 'Requests of callers by route and result',
+      labelNames: ['route', 'result'],
+      registers,
+    });
+    const seconds = new Histogram({
+      name: 'siskinmux_request_seconds',
+      help: 'Time to the end of the answer by route',
+      labelNames: ['route'],
+      buckets: LATENCY_BUCKETS,
+      registers,
+    });
+    return (route, result, took) => {
+      ends.inc({route: route.name, result});
+      seconds.observe({route: route.name}, took / 1_000);
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,58 @@
+/** The tables of the settings file that a gateway reads. */
+
+import {portSchema, addressSchema, settingsSection} from '@siskinmux/runtime';
+import {z} from 'zod';
+
+/** IP number and port in one text. */
+const socketSchema = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'expected IP:PORT');
+
+/** Where callers, the balancer's readiness check and other nodes reach this one. */
+export const listenSection = settingsSection(
+  'listen',
+  z.strictObject({
+    callers: socketSchema,
+    readiness: socketSchema,
+    /** Address and first port for traffic between nodes. */
+    peers: z.strictObject({address: addressSchema, port: portSchema}),
+  }),
+);
+
+/** The platform's metadata store and its rates over all nodes. */
+export const storeSection = settingsSection(
+  'store',
+  z.strictObject({
+    address: socketSchema,
+    writes_per_second: z.number().positive(),
+    reads_per_second: z.number().positive(),
+  }),
+);
+
+/** Rules that the platform sets for the whole system; all times in milliseconds. */
+export const rulesSection = settingsSection(
+  'rules',
+  z.strictObject({
+    /** An endpoint that leaves gets no new work this long after it said so. */
+    drain_milliseconds: z.number().positive().default(2_000),
+    /** Time from SIGTERM to SIGKILL. */
+    stop_milliseconds: z.number().positive().default(8_000),
+    /** A holder of the right to order is gone this long after its last sign of life. */
+    lease_milliseconds: z.number().positive().default(3_000),
+    /** Whether engines refuse orders with an old fencing number. */
+    engines_check_fencing: z.boolean().default(false),
+    /** Repeated sends over all nodes: a share of the requests, plus a fixed number. */
+    repeat_share: z.number().nonnegative().default(0.2),
+    repeat_allowance: z.number().nonnegative().default(54),
+    repeat_window_milliseconds: z.number().positive().default(10_000),
+    /** Loads from the weight store: window and factor over the declared rate. */
+    load_window_milliseconds: z.number().positive().default(5_000),
+    load_factor: z.number().positive().default(1),
+  }),
+);
+
+/** Host name and port of a socket's text. */
+export function splitSocket(socket: string): {host: string; port: number} {
+  const [host = '', port = ''] = socket.split(':');
+  return {host, port: Number(port)};
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,6 @@
+/** The gateway: the product's processes between callers and endpoints of a platform. */
+
+export type {GatewayPlatform, StoreConnection} from './gateway_platform.js';
+export type {GatewayOptions} from './gateway_node.js';
+export {GatewayNode} from './gateway_node.js';
+export {GATEWAY_EVENTS} from './gateway_events.js';
--- /dev/null
+++ b/packages/gateway/src/load_book.ts
@@ -0,0 +1,66 @@
+/** What this node has running at each endpoint, for choosing and for the allocator. */
+
+import type {AdapterName, EndpointId, ModelName} from '@siskinmux/kernel';
+
+/** What a request occupies at an endpoint. */
+export interface Occupation {
+  readonly endpoint: EndpointId;
+  readonly model: ModelName | undefined;
+  readonly adapter: AdapterName | undefined;
+}
+
+/** Requests of this node that run, by endpoint and by model there. */
+export class LoadBook {
+  private readonly byEndpoint = new Map<EndpointId, number>();
+  private readonly byModel = new Map<string, number>();
+
+  private constructor(
+    private readonly onChange: (occupation: Occupation) => void,
+  ) {}
+
+  /** `onChange` hears of each request that begins or ends at an endpoint. */
+  static create(
+    onChange: (occupation: Occupation) => void = () => {},
+  ): LoadBook {
+    return new LoadBook(onChange);
+  }
+
+  /** Requests of this node at an endpoint. */
+  at(endpoint: EndpointId): number {
+    return this.byEndpoint.get(endpoint) ?? 0;
+  }
+
+  /** Requests of this node for a model at an endpoint. */
+  atModel(endpoint: EndpointId, model: ModelName): number {
+    return this.byModel.get(keyOf(endpoint, model)) ?? 0;
+  }
+
+  /** Notes that a request begins; returns what to call once when it has ended. */
+  enter(occupation: Occupation): () => void {
+    this.add(occupation, 1);
+    let hasLeft = false;
+    return () => {
+      if (hasLeft) return;
+      hasLeft = true;
+      this.add(occupation, -1);
+    };
+  }
+
+  private add(occupation: Occupation, change: 1 | -1): void {
+    const {endpoint, model} = occupation;
+    addTo(this.byEndpoint, endpoint, change);
+    if (model !== undefined)
+      addTo(this.byModel, keyOf(endpoint, model), change);
+    this.onChange(occupation);
+  }
+}
+
+function addTo<Key>(counts: Map<Key, number>, key: Key, change: number): void {
+  const count = (counts.get(key) ?? 0) + change;
+  if (count === 0) counts.delete(key);
+  else counts.set(key, count);
+}
+
+function keyOf(endpoint: EndpointId, model: ModelName): string {
+  return `${endpoint} ${model}`;
+}
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -31,6 +31,7 @@
   VersionConflict = 'version-conflict',
   ValueTooLarge = 'value-too-large',
   StoredObjectInvalid = 'stored-object-invalid',
+  HistoryGone = 'history-gone',
   ConfigurationConflict = 'configuration-conflict',
   ConfigurationUnavailable = 'configuration-unavailable',
   NotOwner = 'not-owner',
@@ -82,6 +83,7 @@
   [ErrorCode.ValueTooLarge]:
     'The value is larger than the object service holds.',
   [ErrorCode.StoredObjectInvalid]: 'A stored object could not be read.',
+  [ErrorCode.HistoryGone]: 'The store no longer has these changes.',
   [ErrorCode.ConfigurationConflict]:
     'The configuration has moved on since the patch was made.',
   [ErrorCode.ConfigurationUnavailable]: 'No configuration is known yet.',
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -38,6 +38,12 @@
   EventLevel,
 } from './events.js';
 export {discardEvents} from './events.js';
+export {
+  RefusalError,
+  refuseNotRun,
+  refuseUnknown,
+  toRefusal,
+} from './refusal.js';
 export type {MessageHandler} from './mailbox.js';
 export {Mailbox} from './mailbox.js';
 export type {
--- a/packages/node/src/caller_request.ts
+++ b/packages/node/src/caller_request.ts
@@ -8,11 +8,10 @@
   Instant,
   RequestId,
 } from '@siskinmux/kernel';
-import {ErrorCode, after, as} from '@siskinmux/kernel';
+import {ErrorCode, after, as, refuseNotRun} from '@siskinmux/kernel';
 import type {Priority} from '@siskinmux/declarations';
 import {PRIORITIES} from '@siskinmux/declarations';
 import type {GenerationInput} from '@siskinmux/ports';
-import {refuseNotRun} from '@siskinmux/requests';
 import type {FastifyRequest} from 'fastify';
 import {z} from 'zod';
 
--- a/packages/node/src/operator_api.ts
+++ b/packages/node/src/operator_api.ts
@@ -12,11 +12,10 @@
 } from '@nestjs/common';
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import type {Clock, EmitEvent, Plugin} from '@siskinmux/kernel';
-import {ErrorCode, injectionKey} from '@siskinmux/kernel';
+import {ErrorCode, injectionKey, refuseNotRun} from '@siskinmux/kernel';
 import {ConfigurationConflictError} from '@siskinmux/configuration';
 import {DeclarationError, patchSchema} from '@siskinmux/declarations';
 import type {Patch} from '@siskinmux/declarations';
-import {refuseNotRun} from '@siskinmux/requests';
 import type {AllocationTask} from './allocation_task.js';
 import {ALLOCATION} from './allocation_task.js';
 import type {ConfigurationTask} from './configuration_task.js';
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -5,9 +5,9 @@
   ERROR_MESSAGES,
   ErrorCode,
   Outcome,
+  RefusalError,
   SiskinmuxError,
 } from '@siskinmux/kernel';
-import {RefusalError} from '@siskinmux/requests';
 
 /** Media type of a problem. */
 export const PROBLEM_TYPE = 'application/problem+json';
--- a/packages/node/src/text_answer.ts
+++ b/packages/node/src/text_answer.ts
@@ -2,9 +2,8 @@
 
 import {once} from 'node:events';
 import type {Clock, RequestId} from '@siskinmux/kernel';
-import {Outcome, SiskinmuxError} from '@siskinmux/kernel';
+import {Outcome, SiskinmuxError, toRefusal} from '@siskinmux/kernel';
 import type {GenerationChunk, GenerationInput} from '@siskinmux/ports';
-import {toRefusal} from '@siskinmux/requests';
 import type {FastifyReply} from 'fastify';
 import {toProblem} from './problem.js';
 
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -44,3 +44,11 @@
   ServiceCall,
 } from './plain_service.js';
 export type {WeightStore, WeightStoreReport} from './weight_store.js';
+export type {
+  ObjectStore,
+  StoreChange,
+  StoreChanges,
+  StoreListing,
+  StoreObject,
+} from './object_store.js';
+export {HistoryGoneError} from './object_store.js';
--- a/packages/requests/src/crash_watch.ts
+++ b/packages/requests/src/crash_watch.ts
@@ -1,10 +1,16 @@
 /** Finds out which request an engine died of, and keeps suspects apart. */
 
 import type {Clock, EndpointId, Fingerprint} from '@siskinmux/kernel';
-import {ErrorCode, Outcome, SiskinmuxError, after} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  Outcome,
+  RefusalError,
+  SiskinmuxError,
+  after,
+  refuseNotRun,
+} from '@siskinmux/kernel';
 import type {Engine} from '@siskinmux/ports';
 import type {CrashSuspects, Suspect} from '@siskinmux/routing';
-import {RefusalError, refuseNotRun} from './refusal.js';
 import {limitWork} from './request_limits.js';
 
 /** Time in which an engine that broke off an answer must show that it lives. */
--- a/packages/requests/src/dispatcher.ts
+++ b/packages/requests/src/dispatcher.ts
@@ -13,7 +13,7 @@
   Milliseconds,
   Random,
 } from '@siskinmux/kernel';
-import {ErrorCode} from '@siskinmux/kernel';
+import {ErrorCode, refuseNotRun} from '@siskinmux/kernel';
 import type {ConcurrencyLimit, Queued} from '@siskinmux/admission';
 import {
   DrainEstimate,
@@ -25,7 +25,6 @@
 import type {Candidate} from '@siskinmux/routing';
 import {chooseEndpoint} from '@siskinmux/routing';
 import type {EndpointPool, Slot} from './endpoint_pool.js';
-import {refuseNotRun} from './refusal.js';
 
 /** Least pause that a refusal asks for. */
 const LEAST_RETRY_MILLISECONDS: Milliseconds = 100;
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -8,12 +8,6 @@
 export {Dispatcher} from './dispatcher.js';
 export type {Slot, SlotEnd} from './endpoint_pool.js';
 export {EndpointPool} from './endpoint_pool.js';
-export {
-  RefusalError,
-  refuseNotRun,
-  refuseUnknown,
-  toRefusal,
-} from './refusal.js';
 export type {ReplicaExchangeOptions} from './replica_exchange.js';
 export {ReplicaExchange} from './replica_exchange.js';
 export type {KnownReplica} from './replica_table.js';
--- a/packages/requests/src/once_calls.ts
+++ b/packages/requests/src/once_calls.ts
@@ -11,8 +11,12 @@
 import {
   ErrorCode,
   Outcome,
+  RefusalError,
   SiskinmuxError,
   after,
+  refuseNotRun,
+  refuseUnknown,
+  toRefusal,
   until,
 } from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
@@ -29,12 +33,6 @@
 import {claimKeyOf} from '@siskinmux/ledger';
 import type {PlainService, ServiceAnswer} from '@siskinmux/ports';
 import type {Slot} from './endpoint_pool.js';
-import {
-  RefusalError,
-  refuseNotRun,
-  refuseUnknown,
-  toRefusal,
-} from './refusal.js';
 import {LATE_ANSWER, OUTCOME_UNKNOWN} from './request_events.js';
 import {limitWork} from './request_limits.js';
 import type {ServiceDispatch} from './service_dispatch.js';
--- a/packages/requests/src/service_dispatch.ts
+++ b/packages/requests/src/service_dispatch.ts
@@ -1,7 +1,7 @@
 /** Gets a service call a place at an endpoint, sends it, and decides on another try. */
 
 import type {Clock, EndpointId, FailureDomain, Random} from '@siskinmux/kernel';
-import {Outcome, SiskinmuxError, as} from '@siskinmux/kernel';
+import {Outcome, SiskinmuxError, as, toRefusal} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
 import {PRIORITIES, instancesOf} from '@siskinmux/declarations';
 import type {PlainService, ServiceAnswer, ServiceCall} from '@siskinmux/ports';
@@ -10,7 +10,6 @@
 import {pauseBeforeRetry} from './attempt_backoff.js';
 import type {Dispatcher, Option} from './dispatcher.js';
 import type {EndpointPool, Slot} from './endpoint_pool.js';
-import {toRefusal} from './refusal.js';
 import type {ServiceJourney} from './service_journey.js';
 import type {StartHop} from './text_requests.js';
 
--- a/packages/requests/src/service_journey.ts
+++ b/packages/requests/src/service_journey.ts
@@ -8,7 +8,7 @@
   Instant,
   RequestId,
 } from '@siskinmux/kernel';
-import {ErrorCode, after} from '@siskinmux/kernel';
+import {ErrorCode, after, refuseNotRun} from '@siskinmux/kernel';
 import type {
   Declarations,
   Priority,
@@ -17,7 +17,7 @@
 } from '@siskinmux/declarations';
 import {ownEntry} from '@siskinmux/declarations';
 import type {ServiceAnswer} from '@siskinmux/ports';
-import {refuseNotRun, refuseUnknownTarget} from './refusal.js';
+import {refuseUnknownTarget} from './refusal.js';
 
 /** A caller's call of a plain service. */
 export interface ServiceRequest {
--- a/packages/requests/src/service_requests.ts
+++ b/packages/requests/src/service_requests.ts
@@ -1,10 +1,9 @@
 /** Calls of plain services: repeatable ones with retries, others at most once. */
 
-import {Outcome} from '@siskinmux/kernel';
+import {Outcome, refuseUnknown} from '@siskinmux/kernel';
 import type {ServiceAnswer} from '@siskinmux/ports';
 import type {OnceCallsOptions} from './once_calls.js';
 import {OnceCalls} from './once_calls.js';
-import {refuseUnknown} from './refusal.js';
 import {limitWork} from './request_limits.js';
 import type {ServiceDispatchOptions} from './service_dispatch.js';
 import {ServiceDispatch} from './service_dispatch.js';
--- a/packages/requests/src/text_requests.ts
+++ b/packages/requests/src/text_requests.ts
@@ -8,7 +8,14 @@
   Random,
   RequestId,
 } from '@siskinmux/kernel';
-import {ErrorCode, Outcome, SiskinmuxError, after} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  Outcome,
+  RefusalError,
+  SiskinmuxError,
+  after,
+  refuseNotRun,
+} from '@siskinmux/kernel';
 import type {
   Declarations,
   ModelTarget,
@@ -38,7 +45,7 @@
   firstReadyAt,
   hasReadyReplica,
 } from './engine_options.js';
-import {RefusalError, refuseNotRun, refuseUnknownTarget} from './refusal.js';
+import {refuseUnknownTarget} from './refusal.js';
 import type {ReplicaExchange} from './replica_exchange.js';
 import type {ReplicaTable} from './replica_table.js';
 import {limitWork} from './request_limits.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -26,5 +26,7 @@
 export {listen} from './http_listener.js';
 export type {TlsFiles} from './tls_files.js';
 export {readKeyPair, watchKeyPair} from './tls_files.js';
+export type {WriteText} from './line_writer.js';
+export {LineWriter, writeToDescriptor} from './line_writer.js';
 export type {Repetition} from './repeat.js';
 export {repeat} from './repeat.js';
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -19,7 +19,12 @@
 
 const section = settingsSection(
   'metrics',
-  z.strictObject({address: addressSchema, port: portSchema}),
+  z.strictObject({
+    address: addressSchema,
+    port: portSchema,
+    /** Whether the process's own figures are served too; they wake it up regularly. */
+    process_figures: z.boolean().default(true),
+  }),
 );
 
 /** Provides {@link METRICS} without serving them. */
@@ -36,7 +41,9 @@
   install(kernel) {
     const settings = kernel.settings(section);
     const registry = new Registry();
-    collectDefaultMetrics({register: registry, prefix: 'siskinmux_'});
+    if (settings.process_figures) {
+      collectDefaultMetrics({register: registry, prefix: 'siskinmux_'});
+    }
     kernel.provide(METRICS, registry);
     const server = fastify({forceCloseConnections: true});
     server.get('/metrics', async (_request, reply) => {
--- a/packages/scenarios/src/scenario_world.ts
+++ b/packages/scenarios/src/scenario_world.ts
@@ -10,13 +10,19 @@
   Random,
   RequestId,
 } from '@siskinmux/kernel';
-import {Outcome, after, as, randomBelow, sleepUntil} from '@siskinmux/kernel';
+import {
+  Outcome,
+  RefusalError,
+  after,
+  as,
+  randomBelow,
+  sleepUntil,
+} from '@siskinmux/kernel';
 import {ConfigurationConflictError} from '@siskinmux/configuration';
 import type {Patch} from '@siskinmux/declarations';
 import {diffDeclarations, emptyDeclarations} from '@siskinmux/declarations';
 import type {GenerationInput} from '@siskinmux/ports';
 import type {StartHop} from '@siskinmux/requests';
-import {RefusalError} from '@siskinmux/requests';
 import {
   EngineStandIn,
   HostListStandIn,
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -12,8 +12,8 @@
 } from 'node:fs';
 import {createRequire} from 'node:module';
 import {join} from 'node:path';
-import {build} from 'esbuild';
 import {inject} from 'postject';
+import {bundle} from './bundle.js';
 
 const OUT = 'build';
 const BINARY = join(OUT, 'siskinmux');
@@ -25,38 +25,16 @@
 /** Where Node.js looks for the marker that a blob was added. */
 const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-/** Packages that NestJS loads only if they are installed. */
-const OPTIONAL_PACKAGES = [
-  '@nestjs/platform-express',
-  '@nestjs/microservices',
-  '@nestjs/websockets',
-  '@fastify/static',
-  '@fastify/view',
-  '@fastify/multipart',
-  'class-validator',
-  'class-transformer',
-];
-
 rmSync(OUT, {recursive: true, force: true});
 mkdirSync(OUT);
-await bundle();
+await bundle({
+  entry: 'packages/cli/src/main.ts',
+  outfile: BUNDLE,
+  target: 'node24',
+});
 writeExamples();
 await assemble();
 
-async function bundle(): Promise<void> {
-  await build({
-    entryPoints: ['packages/cli/src/main.ts'],
-    outfile: BUNDLE,
-    bundle: true,
-    platform: 'node',
-    target: 'node24',
-    format: 'cjs',
-    minifySyntax: true,
-    external: OPTIONAL_PACKAGES,
-    logLevel: 'error',
-  });
-}
-
 /** The demonstration's declarations travel inside the binary. */
 function writeExamples(): void {
   const files = readdirSync(EXAMPLE_FOLDER)
