--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -7,5 +7,5 @@
 export {HttpObjectService} from './http_object_service.js';
 export {HttpPlainService} from './http_plain_service.js';
 export {HttpWeightStore} from './http_weight_store.js';
-export {steadyClock} from './steady_clock.js';
+export {readClocks, steadyClock} from './steady_clock.js';
 export {systemClock, systemRandom} from './system_clock.js';
--- a/packages/adapters/src/steady_clock.ts
+++ b/packages/adapters/src/steady_clock.ts
@@ -16,3 +16,8 @@
     return () => clearTimeout(timer);
   },
 };
+
+/** Both clocks of the machine. A suspended machine's steady clock stands still. */
+export function readClocks(): {steady: Instant; timeOfDay: Instant} {
+  return {steady: steadyClock.now(), timeOfDay: as<Instant>(Date.now())};
+}
--- /dev/null
+++ b/packages/gateway/src/allocator_host.ts
@@ -0,0 +1,215 @@
+/** Runs the allocators of all engine services, and connects the nodes to them. */
+
+import type {
+  Clock,
+  EmitEvent,
+  Instant,
+  Milliseconds,
+  NodeId,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {after, as} from '@siskinmux/kernel';
+import type {EndpointDescription, TableChange} from '@siskinmux/endpoints';
+import type {
+  AdapterNeed,
+  AdapterGrant,
+  EngineOrders,
+  NodeUsage,
+  OrderAuthority,
+} from '@siskinmux/placement';
+import {Allocator, LoadCeiling} from '@siskinmux/placement';
+import type {RouteConfiguration} from '@siskinmux/routes';
+import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
+import type {PeerLink} from './peer_link.js';
+import {
+  MESSAGE,
+  adapterSchema,
+  decodeHello,
+  decodeNeed,
+  decodeUsage,
+  encodeForecasts,
+  encodeGrant,
+  encodeHoldings,
+  helloSchema,
+  usageSchema,
+} from './placement_messages.js';
+
+/** Pause between signs of life to the nodes; they wait for three of them. */
+export const ALIVE_MILLISECONDS: Milliseconds = 300;
+
+/** A node that says nothing for so long is forgotten; it speaks twice a second. */
+const NODE_SILENCE_MILLISECONDS: Milliseconds = 3_000;
+
+/** What the host needs from its surroundings. */
+export interface AllocatorHostOptions {
+  readonly orders: EngineOrders;
+  readonly clock: Clock;
+  readonly emit: EmitEvent;
+  readonly authority: () => OrderAuthority | undefined;
+  readonly onFenced: () => void;
+  readonly loadWindowMilliseconds: Milliseconds;
+  readonly self: NodeId;
+  /** This node's own part of what the allocator tells. */
+  readonly listener: AllocatorListener;
+  readonly endpoints: () => Iterable<EndpointDescription>;
+  readonly reachesStore: () => boolean;
+}
+
+interface Follower {
+  readonly link: PeerLink;
+  reachesStore: boolean;
+  heardAt: Instant;
+}
+
+/** The allocators while this node holds the lease. */
+export class AllocatorHost implements AllocatorLink {
+  private readonly allocators = new Map<ServiceName, Allocator>();
+  private readonly followers = new Map<NodeId, Follower>();
+  private readonly ceiling: LoadCeiling;
+
+  private constructor(private readonly options: AllocatorHostOptions) {
+    this.ceiling = LoadCeiling.create(options.loadWindowMilliseconds);
+  }
+
+  static create(options: AllocatorHostOptions): AllocatorHost {
+    return new AllocatorHost(options);
+  }
+
+  /** Nodes of the system that are connected, this one included. */
+  get nodeCount(): number {
+    return this.followers.size + 1;
+  }
+
+  /** Whether any other node says that the store answers it. */
+  get anyFollowerReachesStore(): boolean {
+    return [...this.followers.values()].some(({reachesStore}) => reachesStore);
+  }
+
+  /** Takes over which services have engines, and what these are like. */
+  declare({services}: RouteConfiguration): void {
+    for (const {name, engine} of services.values()) {
+      if (engine === undefined) continue;
+      const allocator = this.allocators.get(name) ?? this.open(name);
+      allocator.declare(engine);
+    }
+  }
+
+  /** Takes over changes of the list of endpoints. */
+  noteEndpoints(changes: readonly TableChange[]): void {
+    for (const {id, before, now} of changes) {
+      if (now !== undefined) this.allocators.get(now.service)?.noteEngine(now);
+      else if (before !== undefined) {
+        this.allocators.get(before.service)?.dropEngine(id);
+      }
+    }
+  }
+
+  /** Serves a node over its connection. */
+  accept(link: PeerLink): void {
+    const {clock} = this.options;
+    let node: NodeId | undefined;
+    link.handle(MESSAGE.hello, helloSchema, message => {
+      node = decodeHello(message);
+      const heardAt = clock.now();
+      this.followers.set(node, {link, reachesStore: false, heardAt});
+      for (const [service, allocator] of this.allocators) {
+        link.notify(
+          MESSAGE.holdings,
+          encodeHoldings(service, allocator.holdings()),
+        );
+      }
+      return {node: this.options.self, isHolder: true};
+    });
+    link.handle(MESSAGE.usage, usageSchema, message => {
+      const follower = node && this.followers.get(node);
+      if (!node || !follower) return;
+      follower.reachesStore = message.reachesStore;
+      follower.heardAt = clock.now();
+      const usage = decodeUsage(message, clock.now());
+      this.allocators
+        .get(as<ServiceName>(message.service))
+        ?.noteUsage(node, usage);
+    });
+    link.handle(MESSAGE.adapter, adapterSchema, async message => {
+      const grant = await this.wantAdapter(
+        as<ServiceName>(message.service),
+        decodeNeed(message),
+      );
+      return encodeGrant(grant, clock.now());
+    });
+    link.onClosed(() => {
+      if (node && this.followers.get(node)?.link === link) this.drop(node);
+    });
+  }
+
+  noteUsage(service: ServiceName, usage: NodeUsage): void {
+    this.allocators.get(service)?.noteUsage(this.options.self, usage);
+  }
+
+  async wantAdapter(
+    service: ServiceName,
+    need: AdapterNeed,
+  ): Promise<AdapterGrant | undefined> {
+    return this.allocators.get(service)?.wantAdapter(need);
+  }
+
+  /** Tells the nodes that this one lives, and forgets those that are silent. */
+  tick(): void {
+    const {clock, reachesStore} = this.options;
+    const now = clock.now();
+    for (const [node, {link, heardAt}] of this.followers) {
+      if (now > after(heardAt, NODE_SILENCE_MILLISECONDS)) {
+        link.close();
+        this.drop(node);
+      } else {
+        link.notify(MESSAGE.alive, {
+          nodes: this.nodeCount,
+          reachesStore: reachesStore(),
+        });
+      }
+    }
+  }
+
+  /** Ends all allocators and connections. */
+  stop(): void {
+    for (const allocator of this.allocators.values()) allocator.stop();
+    for (const {link} of this.followers.values()) {
+      link.notify(MESSAGE.resign, {});
+      link.close();
+    }
+    this.followers.clear();
+  }
+
+  private drop(node: NodeId): void {
+    this.followers.delete(node);
+    for (const allocator of this.allocators.values()) allocator.dropNode(node);
+  }
+
+  private open(service: ServiceName): Allocator {
+    const {listener, clock, endpoints} = this.options;
+    const allocator = Allocator.create({
+      ...this.options,
+      service,
+      ceiling: this.ceiling,
+      onHolding: holding => {
+        listener.onHoldings(service, [holding]);
+        this.tell(MESSAGE.holdings, encodeHoldings(service, [holding]));
+      },
+      onForecasts: forecasts => {
+        if (forecasts.length === 0) return;
+        listener.onForecasts(service, forecasts);
+        const message = encodeForecasts(service, forecasts, clock.now());
+        this.tell(MESSAGE.forecasts, message);
+      },
+    });
+    this.allocators.set(service, allocator);
+    for (const endpoint of endpoints()) {
+      if (endpoint.service === service) allocator.noteEngine(endpoint);
+    }
+    return allocator;
+  }
+
+  private tell(method: string, message: object): void {
+    for (const {link} of this.followers.values()) link.notify(method, message);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/allocator_link.ts
@@ -0,0 +1,26 @@
+/** What a node uses of the allocator, whether it runs here or at another node. */
+
+import type {ServiceName} from '@siskinmux/kernel';
+import type {
+  AdapterGrant,
+  AdapterNeed,
+  EngineHolding,
+  Forecast,
+  NodeUsage,
+} from '@siskinmux/placement';
+
+/** The way to the allocator. */
+export interface AllocatorLink {
+  noteUsage(service: ServiceName, usage: NodeUsage): void;
+  /** Undefined when no engine can have the adapter now, or the allocator doesn't answer. */
+  wantAdapter(
+    service: ServiceName,
+    need: AdapterNeed,
+  ): Promise<AdapterGrant | undefined>;
+}
+
+/** What the allocator tells a node. */
+export interface AllocatorListener {
+  onHoldings(service: ServiceName, holdings: readonly EngineHolding[]): void;
+  onForecasts(service: ServiceName, forecasts: readonly Forecast[]): void;
+}
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -28,6 +28,12 @@
   readonly excluded: ReadonlySet<EndpointId>;
   /** From then on the answer is of no use to the caller. */
   readonly uselessAt: Instant;
+  /** Rank of the request's route; 0 goes first. */
+  readonly priority: number;
+  /** Whether this is the first look for the request. */
+  readonly isFirst: boolean;
+  /** Aborted when the request has ended. */
+  readonly cancelled: AbortSignal;
 }
 
 /** Finds an endpoint; throws a `RefusalError` when none can serve in time. */
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -95,6 +95,57 @@
   meaning: 'A defect: a task met a failure that it does not handle.',
 };
 
+/** Another node sent something that can't be read. */
+export const PEER_MESSAGE_INVALID: EventDescriptor = {
+  number: 7012,
+  name: 'peer-message-invalid',
+  level: 'warn',
+  meaning:
+    'A message of another node was refused; nodes of two versions may run side by side.',
+};
+
+/** This node holds the lease. */
+export const LEASE_TAKEN: EventDescriptor = {
+  number: 7013,
+  name: 'lease-taken',
+  level: 'info',
+  meaning:
+    'This node holds the lease and orders from now on, under the term named.',
+};
+
+/** This node no longer holds the lease. */
+export const LEASE_ENDED: EventDescriptor = {
+  number: 7014,
+  name: 'lease-ended',
+  level: 'info',
+  meaning: 'This node orders no more, for the reason named.',
+};
+
+/** This node follows an allocator. */
+export const ALLOCATOR_FOLLOWED: EventDescriptor = {
+  number: 7015,
+  name: 'allocator-followed',
+  level: 'info',
+  meaning: 'This node is connected to the holder of the lease.',
+};
+
+/** The connection to the allocator has ended. */
+export const ALLOCATOR_LOST: EventDescriptor = {
+  number: 7016,
+  name: 'allocator-lost',
+  level: 'warn',
+  meaning:
+    'The holder of the lease is silent or its connection has ended. Until another is found, models stay where they are.',
+};
+
+/** The lease could not be read or written. */
+export const LEASE_UNREACHABLE: EventDescriptor = {
+  number: 7017,
+  name: 'lease-unreachable',
+  level: 'warn',
+  meaning: 'The store did not answer a call for the lease; it is tried again.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -108,4 +159,10 @@
   GATEWAY_STOPPING,
   GATEWAY_STOPPED,
   TASK_FAILED,
+  PEER_MESSAGE_INVALID,
+  LEASE_TAKEN,
+  LEASE_ENDED,
+  ALLOCATOR_FOLLOWED,
+  ALLOCATOR_LOST,
+  LEASE_UNREACHABLE,
 ] as const;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -1,7 +1,9 @@
 /** One gateway process: plug-ins wired together, with an orderly start and stop. */
 
 import {createAgent} from '@siskinmux/adapters';
+import type {TableChange} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
+import type {ClockReading} from '@siskinmux/leases';
 import {EndpointConnections, SWEEP_MILLISECONDS} from '@siskinmux/forwarding';
 import type {
   Clock,
@@ -19,6 +21,7 @@
   sleepUntil,
 } from '@siskinmux/kernel';
 import type {RequestId} from '@siskinmux/kernel';
+import {PLACEMENT_EVENTS} from '@siskinmux/placement';
 import type {ObjectStore} from '@siskinmux/ports';
 import {OutlierDetector, RetryBudget} from '@siskinmux/routing';
 import type {WriteLine} from '@siskinmux/runtime';
@@ -37,7 +40,6 @@
 import {Counter, Histogram} from 'prom-client';
 import type {CallerExchange} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
-import {findPlainEndpoint} from './endpoint_choice.js';
 import {
   GATEWAY_EVENTS,
   GATEWAY_STARTED,
@@ -55,6 +57,7 @@
 import type {JourneySurroundings} from './journey.js';
 import {Journey} from './journey.js';
 import {LoadBook} from './load_book.js';
+import {PlacementTask} from './placement_task.js';
 import {PlatformView} from './platform_view.js';
 import {listenForReadiness} from './readiness_listener.js';
 import {refusalAnswer} from './refusal_answer.js';
@@ -80,6 +83,7 @@
   readonly settings: RawSettings;
   readonly platform: GatewayPlatform;
   readonly clock: Clock;
+  readonly readClocks: () => ClockReading;
   readonly random: Random;
   readonly writeLog: WriteLine;
 }
@@ -97,6 +101,7 @@
   private readonly view: PlatformView;
   private readonly connections: EndpointConnections;
   private readonly surroundings: JourneySurroundings;
+  private readonly placement: PlacementTask;
   private callers: CallerListener | undefined;
   private readiness: FastifyInstance | undefined;
   private openCount = 0;
@@ -113,6 +118,7 @@
     kernel.use(createLogPlugin(options.writeLog));
     kernel.use(metricsPlugin);
     kernel.addEvents(GATEWAY_EVENTS);
+    kernel.addEvents(PLACEMENT_EVENTS);
     this.clock = clock;
     this.emit = kernel.inject(EMIT_EVENT);
     this.listen = kernel.settings(listenSection);
@@ -140,28 +146,45 @@
       clock,
       random,
       emit,
-      onEndpoints: changes => {
-        for (const {id, now} of changes) {
-          if (now === undefined) this.connections.forget(id);
-        }
-      },
+      onEndpoints: changes => this.noteEndpoints(changes),
     });
-    const load = LoadBook.create();
+    const load = LoadBook.create(() => this.placement.noteLoad());
     const outliers = OutlierDetector.create();
+    const identity = kernel.inject(NODE_IDENTITY);
+    this.placement = PlacementTask.create({
+      identity,
+      listen: this.listen.peers,
+      leaseRules: {
+        leaseMilliseconds: this.rules.lease_milliseconds,
+        isFencingEnforced: this.rules.engines_check_fencing,
+      },
+      loadWindowMilliseconds: this.rules.load_window_milliseconds,
+      store: this.store,
+      orders: platform.openOrders({agent, clock}),
+      table: this.table,
+      routes: this.routes,
+      choice: {
+        table: this.table,
+        load,
+        outliers,
+        clock,
+        random,
+        failureDomain: identity.failureDomain,
+      },
+      reachesStore: () => this.view.reachesStore,
+      readClocks: options.readClocks,
+      clock,
+      random,
+      emit,
+      onNodes: () => {},
+    });
     this.surroundings = {
       protocol: platform.protocol,
       connections: this.connections,
       load,
       outliers,
       retries: RetryBudget.create(),
-      find: findPlainEndpoint({
-        table: this.table,
-        load,
-        outliers,
-        clock,
-        random,
-        failureDomain: kernel.inject(NODE_IDENTITY).failureDomain,
-      }),
+      find: this.placement.find,
       clock,
       emit,
       noteEnd: this.createEndMetrics(),
@@ -189,7 +212,9 @@
       clock,
       handle: exchange => this.handle(exchange),
     });
+    await this.placement.start();
     this.runTask('platform view', this.view.run());
+    this.runTask('placement', this.placement.run());
     repeat(clock, SWEEP_MILLISECONDS, () => this.sweep()).start();
     this.emit(GATEWAY_STARTED, {...this.listen, peers: undefined});
   }
@@ -203,6 +228,7 @@
     );
     this.isStopping = true;
     emit(GATEWAY_STOPPING, {open: this.openCount});
+    this.placement.stop();
     await sleepUntil(clock, after(clock.now(), NOTICE_MILLISECONDS));
     this.takesWork = false;
     this.callers?.closeIdle();
@@ -263,9 +289,14 @@
 
   private sweep(): void {
     this.connections.sweep();
-    for (const {id} of this.table.expire(this.clock.now())) {
-      this.connections.forget(id);
+    this.noteEndpoints(this.table.expire(this.clock.now()));
+  }
+
+  private noteEndpoints(changes: readonly TableChange[]): void {
+    for (const {id, now} of changes) {
+      if (now === undefined) this.connections.forget(id);
     }
+    this.placement.noteEndpoints(changes);
   }
 
   private runTask(task: string, work: Promise<void>): void {
--- a/packages/gateway/src/journey.ts
+++ b/packages/gateway/src/journey.ts
@@ -31,7 +31,7 @@
 } from '@siskinmux/forwarding';
 import {EventStream} from '@siskinmux/forwarding';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
-import {mayRepeat, pickTarget} from '@siskinmux/routes';
+import {firstEventPatience, mayRepeat, pickTarget} from '@siskinmux/routes';
 import type {OutlierDetector, RetryBudget} from '@siskinmux/routing';
 import {hash32} from '@siskinmux/routing';
 import type {CallerExchange} from './caller_exchange.js';
@@ -78,6 +78,7 @@
 /** One request on its way. */
 export class Journey {
   private readonly excluded = new Set<EndpointId>();
+  private readonly cancelled = new AbortController();
   private readonly events = EventStream.create();
   private sends = 0;
   private runs = 0;
@@ -173,10 +174,23 @@
       model,
       adapter,
       excluded: this.excluded,
-      uselessAt: this.deadline,
+      uselessAt: this.uselessAt(),
+      priority: this.route.priority,
+      isFirst: this.sends === 0,
+      cancelled: this.cancelled.signal,
     };
   }
 
+  /** A stream that has not begun by then has been given up by its caller. */
+  private uselessAt(): Instant {
+    const {route} = this;
+    if (route.kind !== 'stream' || this.exchange.isAnswering) {
+      return this.deadline;
+    }
+    const patience = firstEventPatience(route);
+    return earlier(this.deadline, after(this.exchange.receivedAt, patience));
+  }
+
   private async send(
     endpoint: EndpointDescription,
     body: Buffer | undefined,
@@ -389,6 +403,7 @@
     this.isOver = true;
     this.result = result;
     this.cancelTimeout?.();
+    this.cancelled.abort();
     this.opened?.abort();
     answer();
     this.report();
--- a/packages/gateway/src/kind_follower.ts
+++ b/packages/gateway/src/kind_follower.ts
@@ -59,6 +59,11 @@
     return new KindFollower(options);
   }
 
+  /** Whether the last call got no answer. */
+  get isLost(): boolean {
+    return this.lostAt !== undefined;
+  }
+
   /** Follows until {@link stop}. */
   async run(): Promise<void> {
     while (!this.isStopped) {
--- a/packages/gateway/src/load_book.ts
+++ b/packages/gateway/src/load_book.ts
@@ -12,7 +12,7 @@
 /** Requests of this node that run, by endpoint and by model there. */
 export class LoadBook {
   private readonly byEndpoint = new Map<EndpointId, number>();
-  private readonly byModel = new Map<string, number>();
+  private readonly byModel = new Map<EndpointId, Map<ModelName, number>>();
 
   private constructor(
     private readonly onChange: (occupation: Occupation) => void,
@@ -30,9 +30,15 @@
     return this.byEndpoint.get(endpoint) ?? 0;
   }
 
-  /** Requests of this node for a model at an endpoint. */
-  atModel(endpoint: EndpointId, model: ModelName): number {
-    return this.byModel.get(keyOf(endpoint, model)) ?? 0;
+  /** Requests of this node by endpoint and model, at the endpoints asked for. */
+  byModelAt(
+    isWanted: (endpoint: EndpointId) => boolean,
+  ): {endpoint: EndpointId; model: ModelName; count: number}[] {
+    return [...this.byModel].flatMap(([endpoint, models]) =>
+      isWanted(endpoint)
+        ? [...models].map(([model, count]) => ({endpoint, model, count}))
+        : [],
+    );
   }
 
   /** Notes that a request begins; returns what to call once when it has ended. */
@@ -49,8 +55,12 @@
   private add(occupation: Occupation, change: 1 | -1): void {
     const {endpoint, model} = occupation;
     addTo(this.byEndpoint, endpoint, change);
-    if (model !== undefined)
-      addTo(this.byModel, keyOf(endpoint, model), change);
+    if (model !== undefined) {
+      const models = this.byModel.get(endpoint) ?? new Map<ModelName, number>();
+      addTo(models, model, change);
+      if (models.size === 0) this.byModel.delete(endpoint);
+      else this.byModel.set(endpoint, models);
+    }
     this.onChange(occupation);
   }
 }
@@ -60,7 +70,3 @@
   if (count === 0) counts.delete(key);
   else counts.set(key, count);
 }
-
-function keyOf(endpoint: EndpointId, model: ModelName): string {
-  return `${endpoint} ${model}`;
-}
--- /dev/null
+++ b/packages/gateway/src/placement_client.ts
@@ -0,0 +1,318 @@
+/**
+ * This node's side of placement: knows where models are, lets requests wait for one that
+ * sleeps, and refuses those that can't be served in time.
+ */
+
+import type {
+  AdapterName,
+  Clock,
+  EndpointId,
+  Instant,
+  Milliseconds,
+  ModelName,
+  Random,
+  RefusalError,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  after,
+  jitter,
+  refuseNotRun,
+  sleepUntil,
+  until,
+} from '@siskinmux/kernel';
+import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
+import type {
+  AdapterGrant,
+  EngineHolding,
+  Forecast,
+  NodeUsage,
+} from '@siskinmux/placement';
+import {adapterKey} from '@siskinmux/placement';
+import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
+import type {
+  ChoiceSurroundings,
+  EndpointNeed,
+  FindEndpoint,
+} from './endpoint_choice.js';
+import {leastLoaded} from './endpoint_choice.js';
+import type {LoadBook} from './load_book.js';
+
+/** Usage gathers this long into one message; a request that begins to wait goes at once. */
+const USAGE_MILLISECONDS: Milliseconds = 25;
+
+/** Usage is repeated this often, so that the allocator knows that the node lives. */
+export const REPEAT_MILLISECONDS: Milliseconds = 500;
+
+/** Time from the send of a request to its first event, when the engine is not crowded. */
+const FIRST_EVENT_MILLISECONDS: Milliseconds = 250;
+
+/** Returns are spread over this share of their time, so that callers don't come together. */
+const RETURN_SPREAD = 0.25;
+
+/** When a caller may come back while no allocator is known; a takeover takes about as long. */
+const RETURN_MILLISECONDS: Milliseconds = 1_000;
+
+/** Pause before an engine is tried again that just refused a model or an adapter. */
+const AGAIN_MILLISECONDS: Milliseconds = 30;
+
+interface Waiter {
+  readonly need: EndpointNeed;
+  readonly wake: (refusal: RefusalError | undefined) => void;
+}
+
+/** What the client needs from its surroundings. */
+export interface PlacementClientOptions {
+  readonly table: EndpointTable;
+  readonly load: LoadBook;
+  readonly choice: ChoiceSurroundings;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Whether a service's engines are declared to offer a model. */
+  readonly isDeclared: (service: ServiceName, model: ModelName) => boolean;
+  readonly engineServices: () => readonly ServiceName[];
+}
+
+/** Finds engines for requests. */
+export class PlacementClient implements AllocatorListener {
+  private link: AllocatorLink | undefined;
+  private readonly holdings = new Map<EndpointId, ReadonlySet<ModelName>>();
+  private readonly waiters = new Set<Waiter>();
+  private readonly arrivals = new Map<ServiceName, Map<ModelName, number>>();
+  private readonly grants = new Map<string, AdapterGrant>();
+  private isFlushScheduled = false;
+
+  private constructor(private readonly options: PlacementClientOptions) {}
+
+  static create(options: PlacementClientOptions): PlacementClient {
+    return new PlacementClient(options);
+  }
+
+  /** Uses an allocator from now on; undefined when it was lost. */
+  use(link: AllocatorLink | undefined): void {
+    this.link = link;
+    this.holdings.clear();
+    if (link !== undefined) this.flush();
+  }
+
+  /** Notes that a request has begun or ended at an engine. */
+  noteLoad(): void {
+    this.scheduleFlush(USAGE_MILLISECONDS);
+  }
+
+  onHoldings(service: ServiceName, holdings: readonly EngineHolding[]): void {
+    for (const {engine, models} of holdings) {
+      this.holdings.set(engine, new Set(models));
+    }
+    for (const waiter of this.waiters) {
+      if (waiter.need.service !== service) continue;
+      if (this.holders(waiter.need).length > 0) waiter.wake(undefined);
+    }
+  }
+
+  onForecasts(service: ServiceName, forecasts: readonly Forecast[]): void {
+    const readyAt = new Map(
+      forecasts.map(({model, readyAt: at}) => [model, at]),
+    );
+    for (const {need, wake} of this.waiters) {
+      if (need.service !== service || need.model === undefined) continue;
+      const at = readyAt.get(need.model);
+      if (at === undefined) continue;
+      if (after(at, FIRST_EVENT_MILLISECONDS) <= need.uselessAt) continue;
+      wake(this.refuseUntil(need.model, at));
+    }
+  }
+
+  /** Finds an engine that has the model, and the adapter if one is needed. */
+  readonly find: FindEndpoint = async need => {
+    const {model, service} = need;
+    if (model === undefined) throw refuseNotRun(ErrorCode.NoEndpoint, service);
+    if (!this.options.isDeclared(service, model)) {
+      throw refuseNotRun(ErrorCode.NoEndpoint, model);
+    }
+    if (need.isFirst) this.noteArrival(service, model);
+    for (;;) {
+      const holders = this.holders(need);
+      const fresh = holders.filter(({id}) => !need.excluded.has(id));
+      if (holders.length === 0) {
+        await this.waitForModel(need, model);
+        continue;
+      }
+      // An engine that refused may only have been between two orders.
+      if (fresh.length === 0) await this.pause(need);
+      const usable = fresh.length > 0 ? fresh : holders;
+      const found =
+        need.adapter === undefined
+          ? leastLoaded(usable, this.options.choice)
+          : await this.findWithAdapter(need, model, need.adapter);
+      if (found !== undefined) return found;
+      await this.pause(need);
+    }
+  };
+
+  /** Sends usage to the allocator. */
+  flush(): void {
+    this.isFlushScheduled = false;
+    for (const service of this.options.engineServices()) {
+      this.link?.noteUsage(service, this.usageOf(service));
+    }
+  }
+
+  /** Engines that take requests for the model now. */
+  private holders(need: EndpointNeed): EndpointDescription[] {
+    const {model} = need;
+    if (model === undefined) return [];
+    return this.options.table.usable(need.service).filter(endpoint => {
+      const told = this.link && this.holdings.get(endpoint.id);
+      if (told !== undefined) return told.has(model);
+      return endpoint.models.some(held => held.model === model);
+    });
+  }
+
+  private async findWithAdapter(
+    need: EndpointNeed,
+    model: ModelName,
+    adapter: AdapterName,
+  ): Promise<EndpointDescription | undefined> {
+    const {clock, table} = this.options;
+    const key = `${need.service}/${adapterKey(model, adapter)}`;
+    const known = this.grants.get(key);
+    const isValid =
+      known !== undefined &&
+      known.validUntil > clock.now() &&
+      !need.excluded.has(known.engine);
+    const grant = isValid
+      ? known
+      : await this.link?.wantAdapter(need.service, {
+          model,
+          adapter,
+          excluded: need.excluded,
+        });
+    if (grant === undefined)
+      return this.listedWithAdapter(need, model, adapter);
+    this.grants.set(key, grant);
+    if (grant.usableAt > clock.now()) {
+      await sleepUntil(clock, grant.usableAt);
+    }
+    return table.get(grant.engine);
+  }
+
+  /** Without an allocator, the list says which engines have an adapter; it may be old. */
+  private listedWithAdapter(
+    need: EndpointNeed,
+    model: ModelName,
+    adapter: AdapterName,
+  ): EndpointDescription | undefined {
+    if (this.link !== undefined) return undefined;
+    const listed = this.holders(need).filter(
+      ({id, models}) =>
+        !need.excluded.has(id) &&
+        models.some(
+          held => held.model === model && held.adapters.includes(adapter),
+        ),
+    );
+    const found = leastLoaded(listed, this.options.choice);
+    if (found !== undefined) return found;
+    throw this.refuseUntil(
+      model,
+      after(this.options.clock.now(), RETURN_MILLISECONDS),
+    );
+  }
+
+  private waitForModel(need: EndpointNeed, model: ModelName): Promise<void> {
+    const {clock} = this.options;
+    const now = clock.now();
+    if (this.link === undefined) {
+      throw this.refuseUntil(model, after(now, RETURN_MILLISECONDS));
+    }
+    return new Promise((resolve, reject) => {
+      const wake = (refusal: RefusalError | undefined): void => {
+        this.waiters.delete(waiter);
+        cancel();
+        need.cancelled.removeEventListener('abort', stop);
+        this.scheduleFlush(USAGE_MILLISECONDS);
+        if (refusal === undefined) resolve();
+        else reject(refusal);
+      };
+      const stop = (): void => wake(refuseNotRun(ErrorCode.CallerGone, model));
+      const waiter = {need, wake};
+      const cancel = clock.schedule(need.uselessAt, () =>
+        wake(this.refuseUntil(model, after(clock.now(), RETURN_MILLISECONDS))),
+      );
+      need.cancelled.addEventListener('abort', stop);
+      this.waiters.add(waiter);
+      this.scheduleFlush(0);
+    });
+  }
+
+  private refuseUntil(model: ModelName, at: Instant): RefusalError {
+    const {clock, random} = this.options;
+    const wait = Math.max(0, until(clock.now(), at));
+    const spread = wait + jitter(random, RETURN_SPREAD / 2, 1) * wait;
+    return refuseNotRun(
+      ErrorCode.NoEndpoint,
+      model,
+      after(clock.now(), spread),
+    );
+  }
+
+  private async pause(need: EndpointNeed): Promise<void> {
+    const {clock} = this.options;
+    const at = after(clock.now(), AGAIN_MILLISECONDS);
+    if (at >= need.uselessAt || need.cancelled.aborted) {
+      throw refuseNotRun(
+        ErrorCode.NoEndpoint,
+        need.model ?? need.service,
+        after(clock.now(), RETURN_MILLISECONDS),
+      );
+    }
+    await sleepUntil(clock, at);
+  }
+
+  private noteArrival(service: ServiceName, model: ModelName): void {
+    const counts = this.arrivals.get(service) ?? new Map<ModelName, number>();
+    counts.set(model, (counts.get(model) ?? 0) + 1);
+    this.arrivals.set(service, counts);
+    this.scheduleFlush(USAGE_MILLISECONDS);
+  }
+
+  private scheduleFlush(wait: Milliseconds): void {
+    if (this.isFlushScheduled) return;
+    this.isFlushScheduled = true;
+    const {clock} = this.options;
+    clock.schedule(after(clock.now(), wait), () => this.flush());
+  }
+
+  private usageOf(service: ServiceName): NodeUsage {
+    const {table, load} = this.options;
+    const arrived = [...(this.arrivals.get(service) ?? [])];
+    this.arrivals.delete(service);
+    return {
+      waiting: this.waitingOf(service),
+      running: load
+        .byModelAt(id => table.get(id)?.service === service)
+        .map(({endpoint, model, count}) => ({engine: endpoint, model, count})),
+      arrived: arrived.map(([model, count]) => ({model, count})),
+    };
+  }
+
+  private waitingOf(service: ServiceName): NodeUsage['waiting'] {
+    const byModel = new Map<ModelName, NodeUsage['waiting'][number]>();
+    for (const {need} of this.waiters) {
+      const {model, priority, uselessAt} = need;
+      if (need.service !== service || model === undefined) continue;
+      const known = byModel.get(model);
+      byModel.set(model, {
+        model,
+        count: (known?.count ?? 0) + 1,
+        priority: Math.min(known?.priority ?? Infinity, priority),
+        uselessAt:
+          known !== undefined && known.uselessAt < uselessAt
+            ? known.uselessAt
+            : uselessAt,
+      });
+    }
+    return [...byModel.values()];
+  }
+}
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -58,6 +58,11 @@
     return this.hasEndpoints && this.options.routes.current !== undefined;
   }
 
+  /** Whether the store answered the last calls of this node. */
+  get reachesStore(): boolean {
+    return this.followers.every(follower => !follower.isLost);
+  }
+
   /** Follows until {@link stop}; rejects only for defects. */
   async run(): Promise<void> {
     await Promise.all(this.followers.map(follower => follower.run()));
--- /dev/null
+++ b/packages/placement/src/demand_book.ts
@@ -0,0 +1,148 @@
+/** What the nodes say of their requests: what waits, what runs, how much comes. */
+
+import type {
+  EndpointId,
+  Instant,
+  Milliseconds,
+  ModelName,
+  NodeId,
+} from '@siskinmux/kernel';
+import {after, until} from '@siskinmux/kernel';
+
+/** Time over which arrivals are averaged: some requests of a rare model, one shift of demand. */
+const RATE_MILLISECONDS: Milliseconds = 8_000;
+
+/** Requests of one node that wait for a model. */
+export interface WaitingRequests {
+  readonly model: ModelName;
+  readonly count: number;
+  /** Rank of the most urgent one; 0 goes first. */
+  readonly priority: number;
+  /** From then on the first of them has waited in vain. */
+  readonly uselessAt: Instant;
+}
+
+/** Requests of one node that run at an engine. */
+export interface RunningRequests {
+  readonly engine: EndpointId;
+  readonly model: ModelName;
+  readonly count: number;
+}
+
+/** What one node says; `arrived` counts since it last said something. */
+export interface NodeUsage {
+  readonly waiting: readonly WaitingRequests[];
+  readonly running: readonly RunningRequests[];
+  readonly arrived: readonly {
+    readonly model: ModelName;
+    readonly count: number;
+  }[];
+}
+
+/** Everything that waits for a model, over all nodes. */
+export interface ModelDemand {
+  readonly waiting: number;
+  readonly priority: number;
+  readonly uselessAt: Instant;
+}
+
+/** Demand of all nodes. */
+export class DemandBook {
+  private readonly usage = new Map<NodeId, NodeUsage>();
+  private readonly rates = new Map<
+    ModelName,
+    {perSecond: number; at: Instant}
+  >();
+  private running = new Map<string, number>();
+  private runningModels = new Map<ModelName, number>();
+  private waiting = new Map<ModelName, ModelDemand>();
+
+  private constructor() {}
+
+  static create(): DemandBook {
+    return new DemandBook();
+  }
+
+  /** Takes over what a node says; it replaces what it said before. */
+  note(node: NodeId, usage: NodeUsage, now: Instant): void {
+    this.usage.set(node, usage);
+    for (const {model, count} of usage.arrived)
+      this.noteArrivals(model, count, now);
+    this.sum();
+  }
+
+  /** Forgets a node that has gone. */
+  forget(node: NodeId): void {
+    this.usage.delete(node);
+    this.sum();
+  }
+
+  /** Models that requests wait for. */
+  get waitingModels(): ReadonlyMap<ModelName, ModelDemand> {
+    return this.waiting;
+  }
+
+  /** Requests for a model that run at an engine. */
+  runningAt(engine: EndpointId, model: ModelName): number {
+    return this.running.get(`${engine} ${model}`) ?? 0;
+  }
+
+  /** Requests for a model that run anywhere. */
+  runningOf(model: ModelName): number {
+    return this.runningModels.get(model) ?? 0;
+  }
+
+  /** Requests for a model that came lately, per second. */
+  rateOf(model: ModelName, now: Instant): number {
+    const rate = this.rates.get(model);
+    return rate === undefined ? 0 : faded(rate, now);
+  }
+
+  private noteArrivals(model: ModelName, count: number, now: Instant): void {
+    const before = this.rateOf(model, now);
+    const added = (count * 1_000) / RATE_MILLISECONDS;
+    this.rates.set(model, {perSecond: before + added, at: now});
+  }
+
+  private sum(): void {
+    this.running = new Map();
+    this.runningModels = new Map();
+    this.waiting = new Map();
+    for (const {running, waiting} of this.usage.values()) {
+      for (const {engine, model, count} of running) {
+        add(this.running, `${engine} ${model}`, count);
+        add(this.runningModels, model, count);
+      }
+      for (const requests of waiting) this.addWaiting(requests);
+    }
+  }
+
+  private addWaiting(requests: WaitingRequests): void {
+    const {model, count, priority, uselessAt} = requests;
+    const known = this.waiting.get(model);
+    this.waiting.set(model, {
+      waiting: (known?.waiting ?? 0) + count,
+      priority: Math.min(known?.priority ?? Infinity, priority),
+      uselessAt:
+        known !== undefined && known.uselessAt < uselessAt
+          ? known.uselessAt
+          : uselessAt,
+    });
+  }
+}
+
+function faded(rate: {perSecond: number; at: Instant}, now: Instant): number {
+  const age = Math.max(0, until(rate.at, now));
+  return rate.perSecond * Math.exp(-age / RATE_MILLISECONDS);
+}
+
+function add<Key>(sums: Map<Key, number>, key: Key, count: number): void {
+  sums.set(key, (sums.get(key) ?? 0) + count);
+}
+
+/** When what a node said is too old to go by; it repeats itself much more often. */
+export function usageExpiresAt(heardAt: Instant): Instant {
+  return after(heardAt, USAGE_LIFETIME_MILLISECONDS);
+}
+
+const USAGE_LIFETIME_MILLISECONDS: Milliseconds = 3_000;
--- /dev/null
+++ b/packages/placement/src/forecast.ts
@@ -0,0 +1,61 @@
+/** When a model that requests wait for can be ready, at best. */
+
+import type {Instant, Milliseconds, ModelName} from '@siskinmux/kernel';
+import {after, earlier} from '@siskinmux/kernel';
+import type {EngineDeclaration, ModelDeclaration} from '@siskinmux/routes';
+import type {DemandBook} from './demand_book.js';
+import type {EngineBook} from './engine_book.js';
+
+/** Time until an engine whose places are all in use gets one free; about a stream's length. */
+const PLACE_MILLISECONDS: Milliseconds = 600;
+
+/** The outlook of a model. */
+export interface Forecast {
+  readonly model: ModelName;
+  readonly readyAt: Instant;
+}
+
+/** What a forecast is made from. */
+export interface ForecastInput {
+  readonly now: Instant;
+  readonly declaration: EngineDeclaration;
+  readonly engines: readonly EngineBook[];
+  readonly demand: DemandBook;
+}
+
+/** The outlook of every model that requests wait for. */
+export function forecastModels(input: ForecastInput): Forecast[] {
+  const forecasts: Forecast[] = [];
+  for (const model of input.demand.waitingModels.keys()) {
+    const declared = input.declaration.models.get(model);
+    if (declared === undefined) continue;
+    forecasts.push({model, readyAt: readyAt(declared, input)});
+  }
+  return forecasts;
+}
+
+function readyAt(declared: ModelDeclaration, input: ForecastInput): Instant {
+  const {now, engines} = input;
+  let best = after(now, declared.loadMilliseconds.store + PLACE_MILLISECONDS);
+  let isLoading = false;
+  for (const engine of engines) {
+    if (engine.isDraining) continue;
+    const place = engine.models.get(declared.name);
+    if (place?.state === 'loading' && !isLoading) {
+      isLoading = true;
+      best = place.readyAt;
+    }
+    if (place !== undefined) best = earlier(best, place.readyAt);
+    else best = earlier(best, loadedAt(engine, declared, input));
+  }
+  return best;
+}
+
+function loadedAt(
+  engine: EngineBook,
+  declared: ModelDeclaration,
+  {now}: ForecastInput,
+): Instant {
+  const load = declared.loadMilliseconds[engine.tierOf(declared.name)];
+  return after(now, load + (engine.isOperable ? 0 : PLACE_MILLISECONDS));
+}
--- /dev/null
+++ b/packages/placement/src/model_changer.ts
@@ -0,0 +1,264 @@
+/** Carries out one change of models at an engine: gives notice, unloads, loads, waits. */
+
+import type {
+  Clock,
+  EmitEvent,
+  EndpointId,
+  Instant,
+  Milliseconds,
+  ModelName,
+} from '@siskinmux/kernel';
+import {after, sleepUntil, until} from '@siskinmux/kernel';
+import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {EngineDeclaration, WeightTier} from '@siskinmux/routes';
+import type {ManagedEngine} from './allocator.js';
+import type {DemandBook} from './demand_book.js';
+import type {EngineBook} from './engine_book.js';
+import type {EngineOrders} from './engine_orders.js';
+import type {LoadCeiling} from './load_ceiling.js';
+import {CHANGE_ENDED, CHANGE_PLANNED} from './placement_events.js';
+import type {ModelChange} from './plan_models.js';
+
+/**
+ * Notice that nodes get before a model is unloaded: what they send, and what they say
+ * of it, is on its way for some milliseconds.
+ */
+const NOTICE_MILLISECONDS: Milliseconds = 30;
+
+/** Pause before an order is sent again to an engine that is still unloading. */
+const UNLOADING_PAUSE_MILLISECONDS: Milliseconds = 15;
+
+/** Longest time that an unload may wait for the requests that slipped in before it. */
+const UNLOADING_MILLISECONDS: Milliseconds = 8_000;
+
+/** Pause between two looks whether a load has ended. */
+const LOADING_PAUSE_MILLISECONDS: Milliseconds = 40;
+
+/** A load takes this many times its time alone before it counts as lost. */
+const LOST_LOAD_FACTOR = 6;
+
+/** What carrying out needs. */
+export interface ModelChangerOptions {
+  readonly clock: Clock;
+  readonly emit: EmitEvent;
+  readonly orders: EngineOrders;
+  readonly ceiling: LoadCeiling;
+  readonly demand: DemandBook;
+  readonly declaration: () => EngineDeclaration | undefined;
+  readonly publish: (book: EngineBook) => void;
+  /** Reads the engine's state again, when an order did not fit what was believed. */
+  readonly readAgain: (engine: ManagedEngine) => Promise<void>;
+}
+
+/** Carries out changes. */
+export class ModelChanger {
+  /** Engines that wait for a load, and what to call when the list shows it. */
+  private readonly loading = new Map<
+    EndpointId,
+    (models: readonly ModelName[]) => void
+  >();
+
+  private constructor(private readonly options: ModelChangerOptions) {}
+
+  static create(options: ModelChangerOptions): ModelChanger {
+    return new ModelChanger(options);
+  }
+
+  /** Takes note of what an engine lists as held. */
+  noteDescription({id, models}: EndpointDescription): void {
+    this.loading.get(id)?.(models.map(({model}) => model));
+  }
+
+  /** Carries a change out; ends when the model is ready or the change was given up. */
+  async run(engine: ManagedEngine, change: ModelChange): Promise<void> {
+    const {emit, clock} = this.options;
+    const {book} = engine;
+    const begunAt = clock.now();
+    book.isChanging = true;
+    emit(CHANGE_PLANNED, {
+      engine: book.id,
+      load: change.load,
+      unload: change.unload.join(' '),
+      tier: change.tier,
+      reason: change.reason,
+    });
+    const end = await this.carryOut(engine, change);
+    book.isChanging = false;
+    emit(CHANGE_ENDED, {
+      engine: book.id,
+      load: change.load,
+      end,
+      milliseconds: Math.round(until(begunAt, clock.now())),
+    });
+    if (end === 'misfit') await this.options.readAgain(engine);
+  }
+
+  private async carryOut(
+    engine: ManagedEngine,
+    change: ModelChange,
+  ): Promise<'ready' | 'in_use' | 'misfit' | 'unsent'> {
+    if (change.unload.length > 0 && !(await this.close(engine.book, change))) {
+      return 'in_use';
+    }
+    for (const model of change.unload) {
+      const end = await this.unload(engine, model);
+      if (end !== 'done') return end;
+    }
+    return this.load(engine, change.load, change.tier);
+  }
+
+  /** Gives notice; false when the models are in use after all. */
+  private async close(book: EngineBook, change: ModelChange): Promise<boolean> {
+    const {clock, demand, publish} = this.options;
+    const places = change.unload.flatMap(model => book.models.get(model) ?? []);
+    for (const place of places) place.state = 'closing';
+    publish(book);
+    await this.sleep(NOTICE_MILLISECONDS);
+    const isIdle = places.every(
+      ({model}) => demand.runningAt(book.id, model) === 0,
+    );
+    for (const place of places) {
+      place.state = isIdle ? 'unloading' : 'ready';
+      place.since = clock.now();
+    }
+    if (!isIdle) publish(book);
+    return isIdle;
+  }
+
+  private async unload(
+    {book, line}: ManagedEngine,
+    model: ModelName,
+  ): Promise<'done' | 'misfit' | 'unsent'> {
+    const giveUpAt = after(this.options.clock.now(), UNLOADING_MILLISECONDS);
+    for (;;) {
+      const end = await line.send({
+        operation: 'unload',
+        model,
+        adapter: undefined,
+      });
+      if (end === 'accepted' || end === 'done') {
+        book.dropModel(model);
+        return 'done';
+      }
+      if (end === 'unsent') {
+        this.reopen(book, model);
+        return 'unsent';
+      }
+      // Another unload of this change may still be under way.
+      if (end !== 'refused' || !(await this.mayTryAgain(giveUpAt))) {
+        return 'misfit';
+      }
+    }
+  }
+
+  private async load(
+    {book, line}: ManagedEngine,
+    model: ModelName,
+    tier: WeightTier,
+  ): Promise<'ready' | 'misfit' | 'unsent'> {
+    const {clock, ceiling, declaration} = this.options;
+    const alone = declaration()?.models.get(model)?.loadMilliseconds[tier] ?? 0;
+    const place = {
+      model,
+      state: 'loading' as const,
+      since: clock.now(),
+      readyAt: after(clock.now(), alone),
+    };
+    book.models.set(model, place);
+    const endLoad = tier === 'store' ? ceiling.begin(clock.now()) : () => {};
+    try {
+      const giveUpAt = after(clock.now(), UNLOADING_MILLISECONDS);
+      for (;;) {
+        const end = await line.send({
+          operation: 'load',
+          model,
+          adapter: undefined,
+        });
+        if (end === 'accepted' || end === 'done') break;
+        if (end === 'unsent') {
+          book.dropModel(model);
+          return 'unsent';
+        }
+        if (end !== 'refused' || !(await this.mayTryAgain(giveUpAt))) {
+          return 'misfit';
+        }
+      }
+      place.readyAt = after(clock.now(), alone);
+      const isLoaded = await this.waitUntilHeld(
+        book,
+        model,
+        place.readyAt,
+        alone,
+      );
+      if (!isLoaded) return 'misfit';
+    } finally {
+      endLoad();
+    }
+    book.models.set(model, {
+      model,
+      state: 'ready',
+      since: clock.now(),
+      readyAt: clock.now(),
+    });
+    book.inMemory.add(model);
+    book.onDisk.add(model);
+    this.options.publish(book);
+    return 'ready';
+  }
+
+  /** Resolves when the engine reports the model, or lists it. */
+  private async waitUntilHeld(
+    book: EngineBook,
+    model: ModelName,
+    readyAt: Instant,
+    alone: Milliseconds,
+  ): Promise<boolean> {
+    const {clock, orders} = this.options;
+    let isListed = false;
+    this.loading.set(book.id, models => {
+      isListed = models.includes(model);
+    });
+    const lostAt = after(
+      readyAt,
+      alone * LOST_LOAD_FACTOR + UNLOADING_MILLISECONDS,
+    );
+    try {
+      await sleepUntil(clock, readyAt);
+      while (clock.now() < lostAt) {
+        if (isListed) return true;
+        const report = await orders.report(
+          book,
+          after(clock.now(), UNLOADING_MILLISECONDS),
+        );
+        if (report?.models.some(held => held.model === model)) return true;
+        const isOver =
+          report !== undefined &&
+          !report.isBusy &&
+          report.orderCount !== book.orderCount;
+        if (isOver) return false;
+        await this.sleep(LOADING_PAUSE_MILLISECONDS);
+      }
+      return false;
+    } finally {
+      this.loading.delete(book.id);
+    }
+  }
+
+  private reopen(book: EngineBook, model: ModelName): void {
+    const place = book.models.get(model);
+    if (place === undefined) return;
+    place.state = 'ready';
+    this.options.publish(book);
+  }
+
+  private async mayTryAgain(giveUpAt: Instant): Promise<boolean> {
+    if (this.options.clock.now() >= giveUpAt) return false;
+    await this.sleep(UNLOADING_PAUSE_MILLISECONDS);
+    return true;
+  }
+
+  private sleep(milliseconds: Milliseconds): Promise<void> {
+    const {clock} = this.options;
+    return sleepUntil(clock, after(clock.now(), milliseconds));
+  }
+}
--- /dev/null
+++ b/packages/placement/src/plan_models.ts
@@ -0,0 +1,254 @@
+/**
+ * Which model is loaded where, and what gives way. Answers many rarely used models over
+ * few places: requests wait for a model that an engine can load from its own disk within
+ * their time, loads from the weight store spread copies for later, and idle models give
+ * way, those whose return would cost least first.
+ */
+
+import type {
+  EndpointId,
+  Instant,
+  Milliseconds,
+  ModelName,
+} from '@siskinmux/kernel';
+import {until} from '@siskinmux/kernel';
+import type {
+  EngineDeclaration,
+  ModelDeclaration,
+  WeightTier,
+} from '@siskinmux/routes';
+import type {DemandBook, ModelDemand} from './demand_book.js';
+import type {EngineBook, ModelPlace} from './engine_book.js';
+
+/** Running requests per replica from which another one is wanted; a quarter of a small batch. */
+const BUSY_REPLICA_REQUESTS = 12;
+
+/** A model that was just loaded stays for its first requests. */
+const SETTLING_MILLISECONDS: Milliseconds = 400;
+
+/** Requests per second below which a model counts as unused. */
+const UNUSED_PER_SECOND = 0.02;
+
+/** Weight of losing a replica beside others, as part of losing the last one. */
+const SPARE_REPLICA_WEIGHT = 0.1;
+
+/** Seconds of a load from the store that a request's wait is worth; beyond, it is refused. */
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** One change: a model to load at an engine, and the models that give way there. */
+export interface ModelChange {
+  readonly engine: EndpointId;
+  readonly load: ModelName;
+  readonly unload: readonly ModelName[];
+  readonly tier: WeightTier;
+  readonly reason: 'waiting' | 'busy' | 'spread';
+}
+
+/** What a plan is made from. */
+export interface ModelPlanInput {
+  readonly now: Instant;
+  readonly declaration: EngineDeclaration;
+  readonly engines: readonly EngineBook[];
+  readonly demand: DemandBook;
+  /** Loads from the weight store that may begin. */
+  readonly storeLoads: number;
+}
+
+/** Changes to begin now, each at another engine. */
+export function planModels(input: ModelPlanInput): ModelChange[] {
+  return new ModelPlanner(input).plan();
+}
+
+interface Offer {
+  readonly engine: EngineBook;
+  readonly unload: readonly ModelPlace[];
+  readonly tier: WeightTier;
+  readonly cost: number;
+}
+
+class ModelPlanner {
+  private readonly changes: ModelChange[] = [];
+  private readonly taken = new Set<EndpointId>();
+  private readonly replicas = new Map<ModelName, number>();
+  private storeLoads: number;
+
+  constructor(private readonly input: ModelPlanInput) {
+    this.storeLoads = input.storeLoads;
+    for (const {models, isDraining} of input.engines) {
+      if (isDraining) continue;
+      for (const {model, state} of models.values()) {
+        if (state === 'ready' || state === 'loading') this.addReplica(model);
+      }
+    }
+  }
+
+  plan(): ModelChange[] {
+    for (const [model, demand] of this.waitingInOrder()) {
+      if (this.replicasOf(model) === 0) this.serveWaiting(model, demand);
+    }
+    this.relieveBusy();
+    this.spreadCopies();
+    return this.changes;
+  }
+
+  /** The most urgent first, then those whose time runs out first. */
+  private waitingInOrder(): [ModelName, ModelDemand][] {
+    return [...this.input.demand.waitingModels]
+      .filter(([model]) => this.input.declaration.models.has(model))
+      .sort(
+        ([, left], [, right]) =>
+          left.priority - right.priority || left.uselessAt - right.uselessAt,
+      );
+  }
+
+  private serveWaiting(model: ModelName, demand: ModelDemand): void {
+    const offer = this.bestOffer(model, demand.waiting, false);
+    if (offer !== undefined) this.accept(model, offer, 'waiting');
+  }
+
+  /** One more replica for each model whose replicas are busy. */
+  private relieveBusy(): void {
+    const {demand, declaration} = this.input;
+    for (const model of declaration.models.keys()) {
+      const replicas = this.replicasOf(model);
+      if (replicas === 0) continue;
+      const load = demand.runningOf(model) / replicas;
+      if (load < BUSY_REPLICA_REQUESTS) continue;
+      const offer = this.bestOffer(model, load, true);
+      if (offer !== undefined) this.accept(model, offer, 'busy');
+    }
+  }
+
+  /** Brings models that no engine has a copy of, where nothing in use gives way. */
+  private spreadCopies(): void {
+    const {declaration, engines} = this.input;
+    for (const model of declaration.models.keys()) {
+      if (this.storeLoads <= 0) return;
+      if (this.replicasOf(model) > 0) continue;
+      if (engines.some(engine => engine.tierOf(model) !== 'store')) continue;
+      const offer = this.bestOffer(model, 0, true);
+      if (offer !== undefined) this.accept(model, offer, 'spread');
+    }
+  }
+
+  /**
+   * The cheapest engine for a model. With `onlySpare`, only spare replicas and unused
+   * models give way.
+   */
+  private bestOffer(
+    model: ModelName,
+    gain: number,
+    onlySpare: boolean,
+  ): Offer | undefined {
+    const declared = this.input.declaration.models.get(model);
+    if (declared === undefined) return undefined;
+    let best: Offer | undefined;
+    for (const engine of this.input.engines) {
+      if (!engine.isOperable || this.taken.has(engine.id)) continue;
+      if (engine.models.has(model)) continue;
+      const offer = this.offer(engine, declared, onlySpare);
+      if (offer === undefined || (best && offer.cost >= best.cost)) continue;
+      best = offer;
+    }
+    if (best?.tier !== 'store') return best;
+    return this.mayLoadFromStore(model, gain) ? best : undefined;
+  }
+
+  /** A copy at an engine that is changing now is nearer than the weight store. */
+  private mayLoadFromStore(model: ModelName, gain: number): boolean {
+    if (this.storeLoads <= 0) return false;
+    if (gain === 0) return true;
+    return !this.input.engines.some(
+      engine => !engine.isDraining && engine.tierOf(model) !== 'store',
+    );
+  }
+
+  private offer(
+    engine: EngineBook,
+    declared: ModelDeclaration,
+    onlySpare: boolean,
+  ): Offer | undefined {
+    const tier = engine.tierOf(declared.name);
+    const unload = this.givingWay(engine, declared.weightsMegabytes, onlySpare);
+    if (unload === undefined) return undefined;
+    const loss = unload.reduce((sum, place) => sum + this.lossOf(place), 0);
+    const seconds = declared.loadMilliseconds[tier] / MILLISECONDS_PER_SECOND;
+    // Engines with few copies take new ones, so that copies lie on all of them.
+    const crowding = tier === 'store' ? engine.onDisk.size / 10 : 0;
+    return {engine, unload, tier, cost: seconds + loss + crowding};
+  }
+
+  /** The models that give way for `megabytes`, cheapest first; undefined if too few may. */
+  private givingWay(
+    engine: EngineBook,
+    megabytes: number,
+    onlySpare: boolean,
+  ): ModelPlace[] | undefined {
+    const {declaration} = this.input;
+    let free = engine.freeMegabytes(declaration);
+    const chosen: ModelPlace[] = [];
+    const candidates = [...engine.models.values()]
+      .filter(place => this.mayGiveWay(engine, place, onlySpare))
+      .sort((left, right) => this.lossOf(left) - this.lossOf(right));
+    for (const place of candidates) {
+      if (free >= megabytes) break;
+      chosen.push(place);
+      free += declaration.models.get(place.model)?.weightsMegabytes ?? 0;
+    }
+    return free >= megabytes ? chosen : undefined;
+  }
+
+  private mayGiveWay(
+    engine: EngineBook,
+    place: ModelPlace,
+    onlySpare: boolean,
+  ): boolean {
+    const {demand, now} = this.input;
+    if (place.state !== 'ready') return false;
+    if (until(place.since, now) < SETTLING_MILLISECONDS) return false;
+    if (demand.runningAt(engine.id, place.model) > 0) return false;
+    if (demand.waitingModels.has(place.model)) return false;
+    if (!onlySpare) return true;
+    return (
+      this.replicasOf(place.model) > 1 ||
+      demand.rateOf(place.model, now) < UNUSED_PER_SECOND
+    );
+  }
+
+  /** Requests per second that would have to wait, times the seconds of their wait. */
+  private lossOf(place: ModelPlace): number {
+    const {demand, now, declaration} = this.input;
+    const rate = demand.rateOf(place.model, now);
+    const disk =
+      declaration.models.get(place.model)?.loadMilliseconds.disk ?? 0;
+    const weight = this.replicasOf(place.model) > 1 ? SPARE_REPLICA_WEIGHT : 1;
+    return (rate * weight * disk) / MILLISECONDS_PER_SECOND;
+  }
+
+  private accept(
+    model: ModelName,
+    offer: Offer,
+    reason: ModelChange['reason'],
+  ): void {
+    const {engine, unload, tier} = offer;
+    if (tier === 'store') this.storeLoads -= 1;
+    this.taken.add(engine.id);
+    this.addReplica(model);
+    for (const place of unload) this.addReplica(place.model, -1);
+    this.changes.push({
+      engine: engine.id,
+      load: model,
+      unload: unload.map(place => place.model),
+      tier,
+      reason,
+    });
+  }
+
+  private replicasOf(model: ModelName): number {
+    return this.replicas.get(model) ?? 0;
+  }
+
+  private addReplica(model: ModelName, count = 1): void {
+    this.replicas.set(model, this.replicasOf(model) + count);
+  }
+}
--- a/packages/routes/src/route.ts
+++ b/packages/routes/src/route.ts
@@ -106,3 +106,19 @@
     route.kind === 'safe' || (route.kind === 'stream' && route.isResumable)
   );
 }
+
+/** Callers give a stream up after a gap of so long at least. */
+const SHORTEST_PATIENCE_MILLISECONDS: Milliseconds = 2_000;
+
+/** Or of so many objectives, or so many longest gaps, whichever is longest. */
+const PATIENCE_OBJECTIVES = 4;
+const PATIENCE_GAPS = 8;
+
+/** How long a caller of a stream waits for its first event. */
+export function firstEventPatience(route: Route): Milliseconds {
+  return Math.max(
+    SHORTEST_PATIENCE_MILLISECONDS,
+    route.objectiveMilliseconds * PATIENCE_OBJECTIVES,
+    route.longestGapMilliseconds * PATIENCE_GAPS,
+  );
+}
