Tell an answer that was reset from one that ended

Change: when a connection ends, a write of no bytes tells a reset connection from a closed one; a request that undici would write a second time is aborted instead.

--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -1,8 +1,9 @@
 /** One connection to an endpoint: one request at a time, by undici. */
 
+import type {Socket} from 'node:net';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
-import {Client} from 'undici';
+import {Client, buildConnector} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {EndpointProtocol, RawHeaders} from './endpoint_protocol.js';
 import type {AnswerHead, OpenedRequest} from './opened_request.js';
@@ -17,6 +18,8 @@
 /** Largest header block of an answer; the default of Node.js. */
 const HEADER_BYTES = 16_384;
 
+const NOTHING = Buffer.alloc(0);
+
 /** A request as it is sent; its body is whole, so that it can be sent again. */
 export interface OutgoingRequest {
   readonly method: string;
@@ -39,6 +42,7 @@
   private readonly client: Client;
   private isConnected = false;
   private isBusy = false;
+  private isReset = false;
   private idleUntil: Instant;
   /** When the last answer ended; undefined before the first. */
   private idleSince: Instant | undefined;
@@ -51,9 +55,16 @@
     private readonly events: ConnectionEvents,
   ) {
     this.idleUntil = clock.now();
+    const connect = buildConnector({timeout: CONNECT_MILLISECONDS});
     this.client = new Client(origin, {
       pipelining: 1,
-      connect: {timeout: CONNECT_MILLISECONDS},
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          watchForReset(result[1], () => {
+            this.isReset = true;
+          });
+          callback(...result);
+        }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: LONGEST_IDLE_MILLISECONDS,
@@ -96,8 +107,12 @@
   /** Sends a request; resolves with the head of its answer, or with how it failed. */
   send(request: OutgoingRequest): OpenedRequest {
     this.isBusy = true;
-    return new Exchange(this.client, request, this.protocol, head =>
-      this.noteEnd(head),
+    return new Exchange(
+      this.client,
+      request,
+      this.protocol,
+      () => this.isReset,
+      head => this.noteEnd(head),
     ).opened;
   }
 
@@ -132,6 +147,20 @@
   }
 }
 
+/**
+ * Calls back when a connection was reset, also when the runtime reports its end only.
+ * A reset that arrives together with the last bytes is read as a normal end, and undici
+ * takes both for the end of an answer that has no length. A write of no bytes fails on a
+ * connection that was reset, and does nothing on one that was closed.
+ */
+function watchForReset(socket: Socket | null, onReset: () => void): void {
+  socket?.prependListener('error', onReset);
+  socket?.prependListener('end', () => {
+    socket.write(NOTHING);
+    if (socket.errored) onReset();
+  });
+}
+
 /** One request and its answer. */
 class Exchange implements Dispatcher.DispatchHandler {
   readonly opened: OpenedRequest;
@@ -146,6 +175,7 @@
     private readonly client: Client,
     request: OutgoingRequest,
     private readonly protocol: EndpointProtocol,
+    private readonly isReset: () => boolean,
     private readonly onEnd: (head: AnswerHead | undefined) => void,
   ) {
     const result = new Promise<Awaited<OpenedRequest['result']>>(resolve => {
@@ -165,6 +195,11 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    if (this.isWritten) {
+      // undici would write the request a second time after its connection was lost.
+      controller.abort(new Error('not sent twice'));
+      return;
+    }
     // Node.js has the bytes from here on; they may reach the endpoint.
     this.isWritten = true;
     if (this.isOver) controller.abort(new Error('cancelled'));
@@ -196,8 +231,9 @@
   onResponseEnd(): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.onEnd(this.head);
-    this.body?.end('complete');
+    const isBroken = this.isReset();
+    this.onEnd(isBroken ? undefined : this.head);
+    this.body?.end(isBroken ? 'broken' : 'complete');
   }
 
   onResponseError(
