--- a/packages/endpoints/src/endpoint_table.ts
+++ b/packages/endpoints/src/endpoint_table.ts
@@ -6,11 +6,10 @@
   Milliseconds,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after} from '@siskinmux/kernel';
 import type {EndpointDescription} from './endpoint.js';
 
 /**
- * How long an endpoint that is missing from the list after an outage of the platform
+ * How long after the return of the platform an endpoint that is missing from the list
  * stays in use. Entries that lapsed meanwhile are written again within two seconds.
  */
 export const REAPPEARANCE_MILLISECONDS: Milliseconds = 2_200;
@@ -63,13 +62,12 @@
   }
 
   /**
-   * Takes over a whole list. With `afterOutage`, endpoints that it lacks stay until
-   * they have had time to register again.
+   * Takes over a whole list. Endpoints that it lacks stay until `keepMissingUntil`,
+   * if that is set: they may register again.
    */
   replaceAll(
     listed: readonly EndpointDescription[],
-    now: Instant,
-    afterOutage: boolean,
+    keepMissingUntil: Instant | undefined,
   ): TableChange[] {
     const present = new Set(listed.map(({id}) => id));
     const changes = listed.flatMap(description =>
@@ -77,19 +75,18 @@
     );
     for (const id of [...this.known.keys()]) {
       if (present.has(id)) continue;
-      changes.push(...this.remove(id, now, afterOutage));
+      changes.push(...this.remove(id, keepMissingUntil));
     }
     return changes;
   }
 
-  /** Takes over changes in their order; `afterOutage` as in {@link replaceAll}. */
+  /** Takes over changes in their order; `keepMissingUntil` as in {@link replaceAll}. */
   apply(
     changes: readonly EndpointChange[],
-    now: Instant,
-    afterOutage: boolean,
+    keepMissingUntil: Instant | undefined,
   ): TableChange[] {
     return changes.flatMap(({id, description, isRemoved}) =>
-      isRemoved ? this.remove(id, now, afterOutage) : this.put(id, description),
+      isRemoved ? this.remove(id, keepMissingUntil) : this.put(id, description),
     );
   }
 
@@ -105,16 +102,13 @@
   /** An endpoint that had announced its leaving is not waited for. */
   private remove(
     id: EndpointId,
-    now: Instant,
-    afterOutage: boolean,
+    keepMissingUntil: Instant | undefined,
   ): TableChange[] {
     const known = this.known.get(id);
-    if (!afterOutage || known === undefined || known.isDraining) {
-      return this.put(id, undefined);
-    }
-    if (!this.missingUntil.has(id)) {
-      this.missingUntil.set(id, after(now, REAPPEARANCE_MILLISECONDS));
-    }
+    const isLost =
+      keepMissingUntil === undefined || known === undefined || known.isDraining;
+    if (isLost) return this.put(id, undefined);
+    this.missingUntil.set(id, keepMissingUntil);
     return [];
   }
 
--- a/packages/gateway/src/allocator_host.ts
+++ b/packages/gateway/src/allocator_host.ts
@@ -3,8 +3,10 @@
 import type {
   Clock,
   EmitEvent,
+  EndpointId,
   Instant,
   Milliseconds,
+  ModelName,
   NodeId,
   ServiceName,
 } from '@siskinmux/kernel';
@@ -31,6 +33,7 @@
   encodeGrant,
   encodeHoldings,
   helloSchema,
+  missingSchema,
   usageSchema,
 } from './placement_messages.js';
 
@@ -137,6 +140,13 @@
       );
       return encodeGrant(grant, clock.now());
     });
+    link.handle(MESSAGE.missing, missingSchema, ({service, engine, model}) =>
+      this.noteMissing(
+        as<ServiceName>(service),
+        as<EndpointId>(engine),
+        as<ModelName>(model),
+      ),
+    );
     link.onClosed(() => {
       if (node && this.followers.get(node)?.link === link) this.drop(node);
     });
@@ -146,6 +156,14 @@
     this.allocators.get(service)?.noteUsage(this.options.self, usage);
   }
 
+  noteMissing(
+    service: ServiceName,
+    engine: EndpointId,
+    model: ModelName,
+  ): void {
+    this.allocators.get(service)?.noteMissing(engine, model);
+  }
+
   async wantAdapter(
     service: ServiceName,
     need: AdapterNeed,
--- a/packages/gateway/src/allocator_link.ts
+++ b/packages/gateway/src/allocator_link.ts
@@ -1,6 +1,6 @@
 /** What a node uses of the allocator, whether it runs here or at another node. */
 
-import type {ServiceName} from '@siskinmux/kernel';
+import type {EndpointId, ModelName, ServiceName} from '@siskinmux/kernel';
 import type {
   AdapterGrant,
   AdapterNeed,
@@ -12,6 +12,8 @@
 /** The way to the allocator. */
 export interface AllocatorLink {
   noteUsage(service: ServiceName, usage: NodeUsage): void;
+  /** Tells that an engine does not have a model, or the adapter that was granted. */
+  noteMissing(service: ServiceName, engine: EndpointId, model: ModelName): void;
   /** Undefined when no engine can have the adapter now, or the allocator doesn't answer. */
   wantAdapter(
     service: ServiceName,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -23,7 +23,7 @@
 import type {RequestId} from '@siskinmux/kernel';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
 import type {ObjectStore} from '@siskinmux/ports';
-import {OutlierDetector, RetryBudget} from '@siskinmux/routing';
+import {OutlierDetector} from '@siskinmux/routing';
 import type {WriteLine} from '@siskinmux/runtime';
 import {
   CLOCK,
@@ -60,6 +60,7 @@
 import {PlacementTask} from './placement_task.js';
 import {PlatformView} from './platform_view.js';
 import {listenForReadiness} from './readiness_listener.js';
+import {RepeatBudgets} from './repeat_budgets.js';
 import {refusalAnswer} from './refusal_answer.js';
 import {RouteState} from './route_state.js';
 
@@ -69,6 +70,9 @@
 /** Kept back from the time to stop, for the process to end by itself. */
 const EXIT_MILLISECONDS: Milliseconds = 500;
 
+/** Pause between two looks for endpoints that did not register again in time. */
+const EXPIRY_MILLISECONDS: Milliseconds = 250;
+
 /** Pause between two looks at what is still running. */
 const FINISH_CHECK_MILLISECONDS: Milliseconds = 20;
 
@@ -104,6 +108,7 @@
   private readonly placement: PlacementTask;
   private callers: CallerListener | undefined;
   private readiness: FastifyInstance | undefined;
+  private readonly journeys = new Set<Journey>();
   private openCount = 0;
   private isStopping = false;
   private takesWork = true;
@@ -150,6 +155,10 @@
     });
     const load = LoadBook.create(() => this.placement.noteLoad());
     const outliers = OutlierDetector.create();
+    const repeats = RepeatBudgets.create({
+      share: this.rules.repeat_share,
+      allowance: this.rules.repeat_allowance,
+    });
     const identity = kernel.inject(NODE_IDENTITY);
     this.placement = PlacementTask.create({
       identity,
@@ -176,14 +185,16 @@
       clock,
       random,
       emit,
-      onNodes: () => {},
+      onNodes: nodes => repeats.shareAmong(nodes),
     });
     this.surroundings = {
       protocol: platform.protocol,
       connections: this.connections,
       load,
       outliers,
-      retries: RetryBudget.create(),
+      repeats,
+      noteMissing: (endpoint, model) =>
+        this.placement.noteMissing(endpoint, model),
       find: this.placement.find,
       clock,
       emit,
@@ -215,7 +226,10 @@
     await this.placement.start();
     this.runTask('platform view', this.view.run());
     this.runTask('placement', this.placement.run());
-    repeat(clock, SWEEP_MILLISECONDS, () => this.sweep()).start();
+    repeat(clock, SWEEP_MILLISECONDS, () => this.connections.sweep()).start();
+    repeat(clock, EXPIRY_MILLISECONDS, () =>
+      this.noteEndpoints(this.table.expire(clock.now())),
+    ).start();
     this.emit(GATEWAY_STARTED, {...this.listen, peers: undefined});
   }
 
@@ -236,8 +250,11 @@
       const next = after(clock.now(), FINISH_CHECK_MILLISECONDS);
       await sleepUntil(clock, next);
     }
+    const open = this.openCount;
+    for (const journey of this.journeys) journey.abandon();
+    await sleepUntil(clock, after(clock.now(), FINISH_CHECK_MILLISECONDS));
     this.view.stop();
-    emit(GATEWAY_STOPPED, {open: this.openCount});
+    emit(GATEWAY_STOPPED, {open});
   }
 
   private async handle(exchange: CallerExchange): Promise<void> {
@@ -268,14 +285,19 @@
       this.refuse(exchange, ErrorCode.UnknownTarget);
       return;
     }
-    this.surroundings.retries.noteRequest();
     const {configuration} = routes;
-    await Journey.create(
+    const journey = Journey.create(
       this.surroundings,
       exchange,
       configuration,
       route,
-    ).run();
+    );
+    this.journeys.add(journey);
+    try {
+      await journey.run();
+    } finally {
+      this.journeys.delete(journey);
+    }
   }
 
   private refuse(exchange: CallerExchange, code: ErrorCode): void {
@@ -287,11 +309,6 @@
     exchange.end(answer.body);
   }
 
-  private sweep(): void {
-    this.connections.sweep();
-    this.noteEndpoints(this.table.expire(this.clock.now()));
-  }
-
   private noteEndpoints(changes: readonly TableChange[]): void {
     for (const {id, now} of changes) {
       if (now === undefined) this.connections.forget(id);
--- a/packages/gateway/src/journey.ts
+++ b/packages/gateway/src/journey.ts
@@ -7,7 +7,9 @@
   EndpointId,
   Instant,
   Milliseconds,
+  ModelName,
   RefusalError,
+  ServiceName,
 } from '@siskinmux/kernel';
 import {
   ErrorCode,
@@ -32,20 +34,21 @@
 import {EventStream} from '@siskinmux/forwarding';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
 import {firstEventPatience, mayRepeat, pickTarget} from '@siskinmux/routes';
-import type {OutlierDetector, RetryBudget} from '@siskinmux/routing';
+import type {OutlierDetector} from '@siskinmux/routing';
 import {hash32} from '@siskinmux/routing';
 import type {CallerExchange} from './caller_exchange.js';
 import {collect, isSuccess, passEvents, writeTo} from './deliver_answer.js';
 import type {EndpointNeed, FindEndpoint} from './endpoint_choice.js';
 import {REQUEST_ENDED, SEND_FAILED} from './gateway_events.js';
 import type {LoadBook} from './load_book.js';
+import type {RepeatBudgets} from './repeat_budgets.js';
 import {refusalAnswer} from './refusal_answer.js';
 
 /** An endpoint stops at the same instant; its own answer comes first. */
 const TIMEOUT_GRACE_MILLISECONDS: Milliseconds = 30;
 
 /** Sends of one request in all, also those that no endpoint ran. */
-const MOST_SENDS = 6;
+const MOST_SENDS = 4;
 
 /** When a caller may come back after all endpoints refused; queues drain in such a time. */
 const RETURN_MILLISECONDS: Milliseconds = 400;
@@ -56,10 +59,12 @@
   readonly connections: EndpointConnections;
   readonly load: LoadBook;
   readonly outliers: OutlierDetector;
-  readonly retries: RetryBudget;
+  readonly repeats: RepeatBudgets;
   readonly find: FindEndpoint;
   readonly clock: Clock;
   readonly emit: EmitEvent;
+  /** Told when an engine does not have a model or adapter that it was believed to have. */
+  readonly noteMissing: (endpoint: EndpointId, model: ModelName) => void;
   readonly noteEnd: (route: Route, result: string, took: Milliseconds) => void;
 }
 
@@ -80,6 +85,7 @@
   private readonly excluded = new Set<EndpointId>();
   private readonly cancelled = new AbortController();
   private readonly events = EventStream.create();
+  private readonly service: ServiceName | undefined;
   private sends = 0;
   private runs = 0;
   private isOver = false;
@@ -96,7 +102,9 @@
     private readonly facts: RequestFacts,
     /** When the caller gives up. */
     private readonly deadline: Instant,
-  ) {}
+  ) {
+    this.service = pickTarget(route, hash32(facts.id) / 2 ** 32);
+  }
 
   /** A journey on a route. */
   static create(
@@ -143,6 +151,24 @@
     }
   }
 
+  /**
+   * Ends the journey because the process ends: what waits for an endpoint is refused,
+   * what an endpoint has is left with an unknown outcome.
+   */
+  abandon(): void {
+    if (this.isOver) return;
+    const isWaiting = this.runs === 0 && this.opened === undefined;
+    this.refuse(
+      isWaiting
+        ? refuseNotRun(
+            ErrorCode.ShuttingDown,
+            this.route.name,
+            this.surroundings.clock.now(),
+          )
+        : refuseUnknown('the node stops'),
+    );
+  }
+
   private async sendUntilDone(body: Buffer | undefined): Promise<void> {
     while (!this.isOver) {
       const endpoint = await this.surroundings.find(this.need());
@@ -164,11 +190,12 @@
   }
 
   private need(): EndpointNeed {
-    const {model, adapter, id} = this.facts;
-    const service = pickTarget(this.route, hash32(id) / 2 ** 32);
+    const {model, adapter} = this.facts;
+    const {service} = this;
     if (service === undefined) {
       throw refuseNotRun(ErrorCode.NoEndpoint, this.route.name);
     }
+    if (this.sends === 0) this.surroundings.repeats.of(service).noteRequest();
     return {
       service,
       model,
@@ -251,6 +278,10 @@
     }
     if (facts.isNotRun) {
       void body.read(() => true);
+      const {model} = this.facts;
+      if (model !== undefined && facts.isMisdirected) {
+        this.surroundings.noteMissing(endpoint.id, model);
+      }
       return {kind: 'not_run', cause: `status ${status}`, isSent: true};
     }
     this.runs += 1;
@@ -337,13 +368,15 @@
 
   private maySendAgain(end: SendEnd): boolean {
     if (this.sends >= MOST_SENDS) return false;
-    const {clock, retries} = this.surroundings;
-    if (clock.now() >= this.deadline) return false;
-    if (end.kind === 'not_run') return !end.isSent || retries.tryRetry();
+    const {clock, repeats} = this.surroundings;
+    if (clock.now() >= this.deadline || this.service === undefined)
+      return false;
+    const budget = repeats.of(this.service);
+    if (end.kind === 'not_run') return !end.isSent || budget.tryRetry();
     if (!mayRepeat(this.route) || this.runs >= this.route.maximumRuns) {
       return false;
     }
-    return retries.tryRetry();
+    return budget.tryRetry();
   }
 
   private giveUp(end: SendEnd): void {
--- a/packages/gateway/src/kind_follower.ts
+++ b/packages/gateway/src/kind_follower.ts
@@ -21,16 +21,13 @@
 const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 400;
 const PAUSE_JITTER = 0.4;
 
-/**
- * After a failed call, what is missing in the store may only have lapsed for as long:
- * three heartbeats of an endpoint, and the time in which it registers again.
- */
-const OUTAGE_MEMORY_MILLISECONDS: Milliseconds = 5_000;
-
-/** Who gets what is read; `afterOutage` says that missing objects may come back. */
+/** Who gets what is read; objects that are missing may come back until `mayReturnUntil`. */
 export interface KindReader {
-  onList(listing: StoreListing, afterOutage: boolean): void;
-  onChanges(changes: readonly StoreChange[], afterOutage: boolean): void;
+  onList(listing: StoreListing, mayReturnUntil: Instant | undefined): void;
+  onChanges(
+    changes: readonly StoreChange[],
+    mayReturnUntil: Instant | undefined,
+  ): void;
 }
 
 /** What a follower needs. */
@@ -43,6 +40,8 @@
   readonly emit: EmitEvent;
   /** Pause after changes, in which more of them gather into one call. */
   readonly gatherMilliseconds: Milliseconds;
+  /** After an outage, what lapsed meanwhile is back within this time. */
+  readonly reappearanceMilliseconds: Milliseconds;
 }
 
 /** Keeps a reader up to date about one kind. */
@@ -50,7 +49,7 @@
   private revision: ObjectVersion | undefined;
   private failures = 0;
   private lostAt: Instant | undefined;
-  private lastFailureAt: Instant | undefined;
+  private regainedAt: Instant | undefined;
   private isStopped = false;
 
   private constructor(private readonly options: KindFollowerOptions) {}
@@ -86,7 +85,7 @@
   private async list(): Promise<void> {
     const {store, kind, reader} = this.options;
     const listing = await store.list(kind, false);
-    reader.onList(listing, this.isAfterOutage());
+    reader.onList(listing, this.mayReturnUntil());
     this.revision = listing.revision;
   }
 
@@ -98,17 +97,20 @@
       revision,
       until,
     );
-    if (changes.length > 0) reader.onChanges(changes, this.isAfterOutage());
+    if (changes.length > 0) reader.onChanges(changes, this.mayReturnUntil());
     this.revision = reached;
     if (changes.length > 0 && gatherMilliseconds > 0) {
       await sleepUntil(clock, after(clock.now(), gatherMilliseconds));
     }
   }
 
-  private isAfterOutage(): boolean {
-    if (this.lastFailureAt === undefined) return false;
-    const end = after(this.lastFailureAt, OUTAGE_MEMORY_MILLISECONDS);
-    return this.options.clock.now() < end;
+  /** Set for some time from the first answer after an outage on. */
+  private mayReturnUntil(): Instant | undefined {
+    const now = this.options.clock.now();
+    if (this.lostAt !== undefined) this.regainedAt = now;
+    if (this.regainedAt === undefined) return undefined;
+    const end = after(this.regainedAt, this.options.reappearanceMilliseconds);
+    return now < end ? end : undefined;
   }
 
   private noteAnswer(): void {
@@ -126,7 +128,6 @@
   private async noteFailure(failure: SiskinmuxError): Promise<void> {
     const {emit, kind, clock, random} = this.options;
     const now = clock.now();
-    this.lastFailureAt = now;
     if (this.lostAt === undefined) {
       this.lostAt = now;
       emit(STORE_LOST, {
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -57,6 +57,9 @@
 /** Pause before an engine is tried again that just refused a model or an adapter. */
 const AGAIN_MILLISECONDS: Milliseconds = 30;
 
+/** An engine that lacked a model is left out for it; the allocator reads its state meanwhile. */
+const MISSING_MILLISECONDS: Milliseconds = 120;
+
 interface Waiter {
   readonly need: EndpointNeed;
   readonly wake: (refusal: RefusalError | undefined) => void;
@@ -81,6 +84,8 @@
   private readonly waiters = new Set<Waiter>();
   private readonly arrivals = new Map<ServiceName, Map<ModelName, number>>();
   private readonly grants = new Map<string, AdapterGrant>();
+  /** Engines that lacked a model, until when they are left out for it. */
+  private readonly missing = new Map<string, Instant>();
   private isFlushScheduled = false;
 
   private constructor(private readonly options: PlacementClientOptions) {}
@@ -101,6 +106,18 @@
     this.scheduleFlush(USAGE_MILLISECONDS);
   }
 
+  /** Leaves an engine out for a model until the allocator has looked again. */
+  noteMissing(engine: EndpointId, model: ModelName): void {
+    const service = this.options.table.get(engine)?.service;
+    if (service === undefined) return;
+    const until = after(this.options.clock.now(), MISSING_MILLISECONDS);
+    this.missing.set(`${engine} ${model}`, until);
+    for (const [key, grant] of this.grants) {
+      if (grant.engine === engine) this.grants.delete(key);
+    }
+    this.link?.noteMissing(service, engine, model);
+  }
+
   onHoldings(service: ServiceName, holdings: readonly EngineHolding[]): void {
     for (const {engine, models} of holdings) {
       this.holdings.set(engine, new Set(models));
@@ -164,12 +181,22 @@
     const {model} = need;
     if (model === undefined) return [];
     return this.options.table.usable(need.service).filter(endpoint => {
+      if (this.isMissing(endpoint.id, model)) return false;
       const told = this.link && this.holdings.get(endpoint.id);
       if (told !== undefined) return told.has(model);
       return endpoint.models.some(held => held.model === model);
     });
   }
 
+  private isMissing(engine: EndpointId, model: ModelName): boolean {
+    const key = `${engine} ${model}`;
+    const until = this.missing.get(key);
+    if (until === undefined) return false;
+    if (until > this.options.clock.now()) return true;
+    this.missing.delete(key);
+    return false;
+  }
+
   private async findWithAdapter(
     need: EndpointNeed,
     model: ModelName,
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -26,6 +26,7 @@
   hello: 'allocator.hello',
   usage: 'allocator.usage',
   adapter: 'allocator.adapter',
+  missing: 'allocator.missing',
   holdings: 'node.holdings',
   forecasts: 'node.forecasts',
   alive: 'node.alive',
@@ -60,6 +61,13 @@
   excluded: z.array(name),
 });
 
+/** An engine that does not have a model, or the adapter that was granted. */
+export const missingSchema = z.object({
+  service: name,
+  engine: name,
+  model: name,
+});
+
 /** Engine, milliseconds until it can be used, milliseconds of validity; null when there is none. */
 export const grantSchema = z.tuple([name, z.number(), z.number()]).nullable();
 
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -5,7 +5,9 @@
 import type {
   Clock,
   EmitEvent,
+  EndpointId,
   Milliseconds,
+  ModelName,
   Random,
   ServiceName,
 } from '@siskinmux/kernel';
@@ -133,6 +135,11 @@
     this.client.noteLoad();
   }
 
+  /** Notes that an engine does not have what it was believed to have. */
+  noteMissing(endpoint: EndpointId, model: ModelName): void {
+    this.client.noteMissing(endpoint, model);
+  }
+
   /** Takes over changes of the list of endpoints. */
   noteEndpoints(changes: readonly TableChange[]): void {
     this.host?.noteEndpoints(changes);
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -1,8 +1,15 @@
 /** Follows the platform's store: the route configuration and the list of endpoints. */
 
-import type {Clock, EmitEvent, EndpointId, Random} from '@siskinmux/kernel';
+import type {
+  Clock,
+  EmitEvent,
+  EndpointId,
+  Instant,
+  Random,
+} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import type {EndpointTable, TableChange} from '@siskinmux/endpoints';
+import {REAPPEARANCE_MILLISECONDS} from '@siskinmux/endpoints';
 import type {ObjectStore, StoreChange, StoreObject} from '@siskinmux/ports';
 import {StoredObjectInvalidError} from '@siskinmux/ports';
 import {ENDPOINT_CHANGED, ENTRY_UNREADABLE} from './gateway_events.js';
@@ -41,10 +48,10 @@
           }),
       }),
       this.follow(platform.endpoints.kind, ENDPOINT_GATHER_MILLISECONDS, {
-        onList: ({objects}, afterOutage) =>
-          this.takeEndpoints(objects, afterOutage),
-        onChanges: (changes, afterOutage) =>
-          this.changeEndpoints(changes, afterOutage),
+        onList: ({objects}, mayReturnUntil) =>
+          this.takeEndpoints(objects, mayReturnUntil),
+        onChanges: (changes, mayReturnUntil) =>
+          this.changeEndpoints(changes, mayReturnUntil),
       }),
     ];
   }
@@ -81,6 +88,7 @@
       ...this.options,
       kind,
       gatherMilliseconds,
+      reappearanceMilliseconds: REAPPEARANCE_MILLISECONDS,
       reader,
     });
   }
@@ -104,19 +112,19 @@
 
   private takeEndpoints(
     objects: readonly StoreObject[],
-    afterOutage: boolean,
+    mayReturnUntil: Instant | undefined,
   ): void {
-    const {table, clock} = this.options;
+    const {table} = this.options;
     const readable = objects.flatMap(object => this.decode(object) ?? []);
     this.hasEndpoints = true;
-    this.noteChanges(table.replaceAll(readable, clock.now(), afterOutage));
+    this.noteChanges(table.replaceAll(readable, mayReturnUntil));
   }
 
   private changeEndpoints(
     changes: readonly StoreChange[],
-    afterOutage: boolean,
+    mayReturnUntil: Instant | undefined,
   ): void {
-    const {table, clock} = this.options;
+    const {table} = this.options;
     this.noteChanges(
       table.apply(
         changes.map(({object, isRemoved}) => ({
@@ -124,8 +132,7 @@
           description: isRemoved ? undefined : this.decode(object),
           isRemoved,
         })),
-        clock.now(),
-        afterOutage,
+        mayReturnUntil,
       ),
     );
   }
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -1,6 +1,13 @@
 /** The allocator at another node. */
 
-import type {Clock, Milliseconds, NodeId, ServiceName} from '@siskinmux/kernel';
+import type {
+  Clock,
+  EndpointId,
+  Milliseconds,
+  ModelName,
+  NodeId,
+  ServiceName,
+} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {AdapterGrant, AdapterNeed, NodeUsage} from '@siskinmux/placement';
@@ -77,6 +84,14 @@
     );
   }
 
+  noteMissing(
+    service: ServiceName,
+    engine: EndpointId,
+    model: ModelName,
+  ): void {
+    this.options.link.notify(MESSAGE.missing, {service, engine, model});
+  }
+
   async wantAdapter(
     service: ServiceName,
     need: AdapterNeed,
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -153,6 +153,14 @@
     this.plan();
   }
 
+  /** Reads an engine's state again: it lacks a model, or an adapter that was granted. */
+  noteMissing(id: EndpointId, model: ModelName): void {
+    const engine = this.engines.get(id);
+    if (engine === undefined || !engine.book.isOperable) return;
+    if (!engine.book.isReady(model)) return;
+    void this.readAgain(engine);
+  }
+
   /** An engine at which an adapter can be used; undefined when there is none now. */
   async wantAdapter(need: AdapterNeed): Promise<AdapterGrant | undefined> {
     return this.adapters.want(need);
@@ -160,7 +168,10 @@
 
   /** What nodes may use at each engine. */
   holdings(): EngineHolding[] {
-    return [...this.engines.values()].map(({book}) => holdingOf(book));
+    // Until an engine's state was read, nodes go by the platform's list.
+    return [...this.engines.values()]
+      .filter(({book}) => book.orderCount !== undefined)
+      .map(({book}) => holdingOf(book));
   }
 
   /** Orders nothing any more. */
@@ -183,7 +194,8 @@
     });
     const engine = {book, line};
     this.engines.set(book.id, engine);
-    void this.adopt(engine);
+    // An order of the holder before may not be in the report yet.
+    void this.readAgain(engine);
   }
 
   /** Reads an engine's state before its first order, and after an order that did not fit. */
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -14,7 +14,7 @@
 import type {ManagedEngine} from './allocator.js';
 import type {DemandBook} from './demand_book.js';
 import type {EngineBook} from './engine_book.js';
-import type {EngineOrders} from './engine_orders.js';
+import type {EngineOrders, HoldingChange} from './engine_orders.js';
 import type {LoadCeiling} from './load_ceiling.js';
 import {CHANGE_ENDED, CHANGE_PLANNED} from './placement_events.js';
 import type {ModelChange} from './plan_models.js';
@@ -25,11 +25,20 @@
  */
 const NOTICE_MILLISECONDS: Milliseconds = 30;
 
+/** Time that an engine takes to unload a model that nothing runs on. */
+const UNLOAD_MILLISECONDS: Milliseconds = 46;
+
 /** Pause before an order is sent again to an engine that is still unloading. */
-const UNLOADING_PAUSE_MILLISECONDS: Milliseconds = 15;
+const UNLOADING_PAUSE_MILLISECONDS: Milliseconds = 8;
+
+/** From then on an engine's report says whether it is still unloading, or lost count. */
+const UNLOADING_REPORTED_MILLISECONDS: Milliseconds = 400;
 
 /** Longest time that an unload may wait for the requests that slipped in before it. */
-const UNLOADING_MILLISECONDS: Milliseconds = 8_000;
+const UNLOADING_MILLISECONDS: Milliseconds = 12_000;
+
+/** Longest wait for a report. */
+const REPORT_MILLISECONDS: Milliseconds = 500;
 
 /** Pause between two looks whether a load has ended. */
 const LOADING_PAUSE_MILLISECONDS: Milliseconds = 40;
@@ -100,11 +109,13 @@
     if (change.unload.length > 0 && !(await this.close(engine.book, change))) {
       return 'in_use';
     }
+    let isUnloading = false;
     for (const model of change.unload) {
-      const end = await this.unload(engine, model);
+      const end = await this.unload(engine, model, isUnloading);
       if (end !== 'done') return end;
+      isUnloading = true;
     }
-    return this.load(engine, change.load, change.tier);
+    return this.load(engine, change, isUnloading);
   }
 
   /** Gives notice; false when the models are in use after all. */
@@ -126,36 +137,24 @@
   }
 
   private async unload(
-    {book, line}: ManagedEngine,
+    engine: ManagedEngine,
     model: ModelName,
+    isUnloading: boolean,
   ): Promise<'done' | 'misfit' | 'unsent'> {
-    const giveUpAt = after(this.options.clock.now(), UNLOADING_MILLISECONDS);
-    for (;;) {
-      const end = await line.send({
-        operation: 'unload',
-        model,
-        adapter: undefined,
-      });
-      if (end === 'accepted' || end === 'done') {
-        book.dropModel(model);
-        return 'done';
-      }
-      if (end === 'unsent') {
-        this.reopen(book, model);
-        return 'unsent';
-      }
-      // Another unload of this change may still be under way.
-      if (end !== 'refused' || !(await this.mayTryAgain(giveUpAt))) {
-        return 'misfit';
-      }
-    }
+    const {book} = engine;
+    const change = {operation: 'unload', model, adapter: undefined} as const;
+    const end = await this.order(engine, change, isUnloading);
+    if (end === 'done') book.dropModel(model);
+    if (end === 'unsent') this.reopen(book, model);
+    return end;
   }
 
   private async load(
-    {book, line}: ManagedEngine,
-    model: ModelName,
-    tier: WeightTier,
+    engine: ManagedEngine,
+    {load: model, tier}: ModelChange,
+    isUnloading: boolean,
   ): Promise<'ready' | 'misfit' | 'unsent'> {
+    const {book} = engine;
     const {clock, ceiling, declaration} = this.options;
     const alone = declaration()?.models.get(model)?.loadMilliseconds[tier] ?? 0;
     const place = {
@@ -167,22 +166,10 @@
     book.models.set(model, place);
     const endLoad = tier === 'store' ? ceiling.begin(clock.now()) : () => {};
     try {
-      const giveUpAt = after(clock.now(), UNLOADING_MILLISECONDS);
-      for (;;) {
-        const end = await line.send({
-          operation: 'load',
-          model,
-          adapter: undefined,
-        });
-        if (end === 'accepted' || end === 'done') break;
-        if (end === 'unsent') {
-          book.dropModel(model);
-          return 'unsent';
-        }
-        if (end !== 'refused' || !(await this.mayTryAgain(giveUpAt))) {
-          return 'misfit';
-        }
-      }
+      const change = {operation: 'load', model, adapter: undefined} as const;
+      const end = await this.order(engine, change, isUnloading);
+      if (end === 'unsent') book.dropModel(model);
+      if (end !== 'done') return end;
       place.readyAt = after(clock.now(), alone);
       const isLoaded = await this.waitUntilHeld(
         book,
@@ -228,7 +215,7 @@
         if (isListed) return true;
         const report = await orders.report(
           book,
-          after(clock.now(), UNLOADING_MILLISECONDS),
+          after(clock.now(), REPORT_MILLISECONDS),
         );
         if (report?.models.some(held => held.model === model)) return true;
         const isOver =
@@ -244,6 +231,42 @@
     }
   }
 
+  /**
+   * Sends an order until the engine takes it. While an unload of the same change is
+   * under way, the engine refuses; any other refusal says that it was misjudged.
+   */
+  private async order(
+    {book, line}: ManagedEngine,
+    change: HoldingChange,
+    isUnloading: boolean,
+  ): Promise<'done' | 'misfit' | 'unsent'> {
+    const {clock} = this.options;
+    const begunAt = clock.now();
+    if (isUnloading) await this.sleep(UNLOAD_MILLISECONDS);
+    for (;;) {
+      const end = await line.send(change);
+      if (end === 'accepted' || end === 'done') return 'done';
+      if (end === 'unsent') return 'unsent';
+      if (end !== 'refused' || !isUnloading) return 'misfit';
+      const waited = until(begunAt, clock.now());
+      if (waited > UNLOADING_MILLISECONDS) return 'misfit';
+      if (waited > UNLOADING_REPORTED_MILLISECONDS) {
+        if (!(await this.isStillUnloading(book))) return 'misfit';
+      }
+      await this.sleep(UNLOADING_PAUSE_MILLISECONDS);
+    }
+  }
+
+  private async isStillUnloading(book: EngineBook): Promise<boolean> {
+    const {clock, orders} = this.options;
+    const report = await orders.report(
+      book,
+      after(clock.now(), REPORT_MILLISECONDS),
+    );
+    // Without a report the engine may be anything; the order is tried once more.
+    return report === undefined || report.orderCount === book.orderCount;
+  }
+
   private reopen(book: EngineBook, model: ModelName): void {
     const place = book.models.get(model);
     if (place === undefined) return;
@@ -251,12 +274,6 @@
     this.options.publish(book);
   }
 
-  private async mayTryAgain(giveUpAt: Instant): Promise<boolean> {
-    if (this.options.clock.now() >= giveUpAt) return false;
-    await this.sleep(UNLOADING_PAUSE_MILLISECONDS);
-    return true;
-  }
-
   private sleep(milliseconds: Milliseconds): Promise<void> {
     const {clock} = this.options;
     return sleepUntil(clock, after(clock.now(), milliseconds));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,4 +6,5 @@
 export {CrashSuspects} from './crash_suspects.js';
 export {OutlierDetector} from './outlier_detector.js';
 export {hash32, ownerOf, rankMembers} from './rendezvous.js';
+export type {RetryLimits} from './retry_budget.js';
 export {RetryBudget} from './retry_budget.js';
