--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['node_modules/', 'build/', 'packages/*/node_modules/']},
+  {ignores: ['node_modules/', 'build/', 'packages/*/node_modules/', 'target/']},
   ...gts,
   {
     files: ['**/*.ts'],
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -1,6 +1,8 @@
 /** Numbered events of the gateway. */
 
 import type {EventDescriptor} from '@siskinmux/kernel';
+import {PLACEMENT_EVENTS} from '@siskinmux/placement';
+import {renderEventsPage} from '@siskinmux/runtime';
 
 /** A request has ended. */
 export const REQUEST_ENDED: EventDescriptor = {
@@ -166,3 +168,11 @@
   ALLOCATOR_LOST,
   LEASE_UNREACHABLE,
 ] as const;
+
+/** Text of docs/GATEWAY_EVENTS.md. */
+export function gatewayEventsPage(): string {
+  return renderEventsPage('Events of the gateway', [
+    ...GATEWAY_EVENTS,
+    ...PLACEMENT_EVENTS,
+  ]);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,4 +3,4 @@
 export type {GatewayPlatform, StoreConnection} from './gateway_platform.js';
 export type {GatewayOptions} from './gateway_node.js';
 export {GatewayNode} from './gateway_node.js';
-export {GATEWAY_EVENTS} from './gateway_events.js';
+export {GATEWAY_EVENTS, gatewayEventsPage} from './gateway_events.js';
--- a/packages/node/src/catalogue_pages.ts
+++ b/packages/node/src/catalogue_pages.ts
@@ -5,6 +5,7 @@
 import {ALLOCATION_EVENTS} from '@siskinmux/allocation';
 import {LEDGER_EVENTS} from '@siskinmux/ledger';
 import {REQUEST_EVENTS} from '@siskinmux/requests';
+import {renderEventsPage} from '@siskinmux/runtime';
 import {NODE_EVENTS} from './node_events.js';
 import {statusOf} from './problem.js';
 
@@ -17,23 +18,7 @@
 
 /** Text of docs/EVENTS.md. */
 export function eventsPage(): string {
-  const rows = [...ALL_EVENTS]
-    .sort((left, right) => left.number - right.number)
-    .map(
-      ({number, name, level, meaning}) =>
-        `| ${number} | ${name} | ${level} | ${meaning} |`,
-    );
-  return [
-    '# Events',
-    '',
-    'Every log line is one JSON object. `context.event` is the number below,',
-    '`message` the name. This page is made by `npm run catalogues`; a test compares it.',
-    '',
-    '| number | name | level | meaning and what to do |',
-    '|---|---|---|---|',
-    ...rows,
-    '',
-  ].join('\n');
+  return renderEventsPage('Events', ALL_EVENTS);
 }
 
 /** Text of docs/ERRORS.md. */
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -10,7 +10,7 @@
 } from '@siskinmux/kernel';
 import {after, sleepUntil, until} from '@siskinmux/kernel';
 import type {EndpointDescription} from '@siskinmux/endpoints';
-import type {EngineDeclaration, WeightTier} from '@siskinmux/routes';
+import type {EngineDeclaration} from '@siskinmux/routes';
 import type {ManagedEngine} from './allocator.js';
 import type {DemandBook} from './demand_book.js';
 import type {EngineBook} from './engine_book.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -30,3 +30,4 @@
 export {LineWriter, writeToDescriptor} from './line_writer.js';
 export type {Repetition} from './repeat.js';
 export {repeat} from './repeat.js';
+export {renderEventsPage} from './events_page.js';
