Keep the process alive when a caller leaves in the middle

By reading: a write to a response whose connection was just destroyed raises an error event that nobody listened to, which would end a Node.js process. Change: the response's error events are taken; a body that breaks off is a caller that left; failures that no task handles are logged and the process goes on.

--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Instant} from '@siskinmux/kernel';
-import {ErrorCode, refuseNotRun} from '@siskinmux/kernel';
+import {ErrorCode, RefusalError, refuseNotRun} from '@siskinmux/kernel';
 import type {RawHeaders} from '@siskinmux/forwarding';
 
 /** A request and its answer channel. */
@@ -17,7 +17,10 @@
     readonly target: string,
     /** When the head of the request was read. */
     readonly receivedAt: Instant,
-  ) {}
+  ) {
+    // A write to a caller that has just left fails so; its leaving is noted by itself.
+    response.on('error', () => {});
+  }
 
   static create(options: {
     request: IncomingMessage;
@@ -61,13 +64,19 @@
   async readBody(limit: number): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
     let size = 0;
-    for await (const chunk of this.request) {
-      const bytes = chunk as Buffer;
-      size += bytes.length;
-      if (size > limit) {
-        throw refuseNotRun(ErrorCode.BodyTooLarge, `above ${limit} bytes`);
+    try {
+      for await (const chunk of this.request) {
+        const bytes = chunk as Buffer;
+        size += bytes.length;
+        if (size > limit) {
+          throw refuseNotRun(ErrorCode.BodyTooLarge, `above ${limit} bytes`);
+        }
+        chunks.push(bytes);
       }
-      chunks.push(bytes);
+    } catch (failure) {
+      if (failure instanceof RefusalError) throw failure;
+      // The connection ended before the whole request had come.
+      throw refuseNotRun(ErrorCode.CallerGone, String(failure));
     }
     return chunks.length === 0 ? undefined : Buffer.concat(chunks);
   }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -320,7 +320,11 @@
     work.catch((failure: unknown) => this.noteDefect(task, failure));
   }
 
-  private noteDefect(task: string, failure: unknown): void {
+  /**
+   * Logs a failure that no task handles. The process goes on: its other requests would be
+   * lost with it.
+   */
+  noteDefect(task: string, failure: unknown): void {
     const text =
       failure instanceof Error
         ? (failure.stack ?? failure.message)
