Load the model of most callers first, and give crowded models another replica

Change: models without a replica are ordered by callers served, in steps of two, then by urgency; one of many callers is loaded beside the loads under way, and its second replica fills a free place; a model whose engines are crowded gets another replica also in place of rare ones, from an engine's own copy. Forecasts count a load from the store only when one may begin.

--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -277,23 +277,17 @@
     if (declaration === undefined || this.isStopped) return;
     const now: Instant = clock.now();
     const engines = [...this.engines.values()].map(({book}) => book);
+    const storeLoads = ceiling.free(declaration.storeLoadsPerSecond, now);
+    const input = {now, declaration, engines, demand: this.demand, storeLoads};
     if (authority() !== undefined) {
-      const changes = planModels({
-        now,
-        declaration,
-        engines,
-        demand: this.demand,
-        storeLoads: ceiling.free(declaration.storeLoadsPerSecond, now),
-      });
+      const changes = planModels(input);
       for (const change of changes) {
         const engine = this.engines.get(change.engine);
         if (engine === undefined) continue;
         void this.changer.run(engine, change).then(() => this.plan());
       }
     }
-    this.options.onForecasts(
-      forecastModels({now, declaration, engines, demand: this.demand}),
-    );
+    this.options.onForecasts(forecastModels(input));
   }
 
   private sleep(milliseconds: Milliseconds): Promise<void> {
--- a/packages/placement/src/demand_book.ts
+++ b/packages/placement/src/demand_book.ts
@@ -55,6 +55,7 @@
   >();
   private running = new Map<string, number>();
   private runningModels = new Map<ModelName, number>();
+  private runningEngines = new Map<EndpointId, number>();
   private waiting = new Map<ModelName, ModelDemand>();
 
   private constructor() {}
@@ -87,6 +88,11 @@
     return this.running.get(`${engine} ${model}`) ?? 0;
   }
 
+  /** Requests for any model that run at an engine. */
+  totalAt(engine: EndpointId): number {
+    return this.runningEngines.get(engine) ?? 0;
+  }
+
   /** Requests for a model that run anywhere. */
   runningOf(model: ModelName): number {
     return this.runningModels.get(model) ?? 0;
@@ -107,11 +113,13 @@
   private sum(): void {
     this.running = new Map();
     this.runningModels = new Map();
+    this.runningEngines = new Map();
     this.waiting = new Map();
     for (const {running, waiting} of this.usage.values()) {
       for (const {engine, model, count} of running) {
         add(this.running, `${engine} ${model}`, count);
         add(this.runningModels, model, count);
+        add(this.runningEngines, engine, count);
       }
       for (const requests of waiting) this.addWaiting(requests);
     }
--- a/packages/placement/src/forecast.ts
+++ b/packages/placement/src/forecast.ts
@@ -21,6 +21,8 @@
   readonly declaration: EngineDeclaration;
   readonly engines: readonly EngineBook[];
   readonly demand: DemandBook;
+  /** Loads from the weight store that may begin. */
+  readonly storeLoads: number;
 }
 
 /** The outlook of every model that requests wait for. */
@@ -36,7 +38,10 @@
 
 function readyAt(declared: ModelDeclaration, input: ForecastInput): Instant {
   const {now, engines} = input;
-  let best = after(now, declared.loadMilliseconds.store + PLACE_MILLISECONDS);
+  const {store} = declared.loadMilliseconds;
+  // Without a free load, one that is under way has to end first.
+  const wait = input.storeLoads > 0 ? PLACE_MILLISECONDS : store;
+  let best = after(now, store + wait);
   let isLoading = false;
   for (const engine of engines) {
     if (engine.isDraining) continue;
@@ -46,7 +51,9 @@
       best = place.readyAt;
     }
     if (place !== undefined) best = earlier(best, place.readyAt);
-    else best = earlier(best, loadedAt(engine, declared, input));
+    else if (engine.tierOf(declared.name) !== 'store') {
+      best = earlier(best, loadedAt(engine, declared, input));
+    }
   }
   return best;
 }
--- a/packages/placement/src/load_ceiling.ts
+++ b/packages/placement/src/load_ceiling.ts
@@ -23,7 +23,7 @@
     return new LoadCeiling(windowMilliseconds);
   }
 
-  /** Loads that may begin now. */
+  /** Loads that may begin now; negative when more are under way than should be. */
   free(loadsPerSecond: number, now: Instant): number {
     while (
       this.begun[0] !== undefined &&
@@ -37,10 +37,7 @@
         ((loadsPerSecond * this.windowMilliseconds) / 1_000) * RATE_SHARE,
       ),
     );
-    return Math.max(
-      0,
-      Math.min(LOADS_AT_ONCE - this.running, inWindow - this.begun.length),
-    );
+    return Math.min(LOADS_AT_ONCE - this.running, inWindow - this.begun.length);
   }
 
   /** Loads that run now. */
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -17,11 +17,16 @@
   ModelDeclaration,
   WeightTier,
 } from '@siskinmux/routes';
-import type {DemandBook, ModelDemand} from './demand_book.js';
+import type {DemandBook} from './demand_book.js';
 import type {EngineBook, ModelPlace} from './engine_book.js';
 
-/** Running requests per replica from which another one is wanted; a quarter of a small batch. */
-const BUSY_REPLICA_REQUESTS = 12;
+/**
+ * Part of an engine's slots from which a model wants another replica: taken by its own
+ * requests, or by all of the engine's and a fair part of its own. Fuller engines are slow.
+ */
+const BUSY_SHARE = 0.35;
+const CROWDED_SHARE = 0.5;
+const FAIR_SHARE = 0.12;
 
 /** A model that was just loaded stays for its first requests. */
 const SETTLING_MILLISECONDS: Milliseconds = 400;
@@ -29,6 +34,19 @@
 /** Requests per second below which a model counts as unused. */
 const UNUSED_PER_SECOND = 0.02;
 
+/** Arrivals of so many seconds count like requests that wait. */
+const SCORED_SECONDS = 2;
+
+/**
+ * Callers from which a model is loaded beside all loads that are under way: each of them
+ * then takes a little longer, and the many callers wait for one load instead of two.
+ */
+const URGENT_SCORE = 8;
+const URGENT_LOADS = 2;
+
+/** Arrivals per second from which a second replica fills a free place, against the loss of the first. */
+const SPARED_PER_SECOND = 2;
+
 /** Weight of losing a replica beside others, as part of losing the last one. */
 const SPARE_REPLICA_WEIGHT = 0.1;
 
@@ -61,6 +79,15 @@
   return new ModelPlanner(input).plan();
 }
 
+interface MissingModel {
+  readonly model: ModelName;
+  /** Callers that a replica would serve soon. */
+  readonly score: number;
+  readonly step: number;
+  readonly priority: number;
+  readonly uselessAt: Instant;
+}
+
 interface Offer {
   readonly engine: EngineBook;
   readonly unload: readonly ModelPlace[];
@@ -85,49 +112,93 @@
   }
 
   plan(): ModelChange[] {
-    for (const [model, demand] of this.waitingInOrder()) {
-      if (this.replicasOf(model) === 0) this.serveWaiting(model, demand);
+    for (const {model, score} of this.missingInOrder()) {
+      const offer = this.bestOffer(model, score, false);
+      if (offer !== undefined) this.accept(model, offer, 'waiting');
     }
     this.relieveBusy();
     this.spreadCopies();
     return this.changes;
   }
 
-  /** The most urgent first, then those whose time runs out first. */
-  private waitingInOrder(): [ModelName, ModelDemand][] {
-    return [...this.input.demand.waitingModels]
-      .filter(([model]) => this.input.declaration.models.has(model))
-      .sort(
-        ([, left], [, right]) =>
-          left.priority - right.priority || left.uselessAt - right.uselessAt,
-      );
+  /**
+   * Models without a replica that requests wait for, or were refused for lack of any
+   * copy: those that serve most callers first, in steps of two, then the most urgent.
+   */
+  private missingInOrder(): MissingModel[] {
+    const missing: MissingModel[] = [];
+    for (const model of this.input.declaration.models.keys()) {
+      if (this.replicasOf(model) > 0) continue;
+      const found = this.missingModel(model);
+      if (found !== undefined) missing.push(found);
+    }
+    return missing.sort(
+      (left, right) =>
+        right.step - left.step ||
+        left.priority - right.priority ||
+        left.uselessAt - right.uselessAt,
+    );
   }
 
-  private serveWaiting(model: ModelName, demand: ModelDemand): void {
-    const offer = this.bestOffer(model, demand.waiting, false);
-    if (offer !== undefined) this.accept(model, offer, 'waiting');
+  private missingModel(model: ModelName): MissingModel | undefined {
+    const {demand, now} = this.input;
+    const waiting = demand.waitingModels.get(model);
+    const rate = demand.rateOf(model, now);
+    const isLost = rate >= UNUSED_PER_SECOND && !this.hasCopy(model);
+    if (waiting === undefined && !isLost) return undefined;
+    const score = (waiting?.waiting ?? 0) + rate * SCORED_SECONDS;
+    return {
+      model,
+      score,
+      step: Math.floor(Math.log2(score)),
+      priority: waiting?.priority ?? Infinity,
+      uselessAt: waiting?.uselessAt ?? now,
+    };
   }
 
-  /** One more replica for each model whose replicas are busy. */
+  /** Whether an engine that stays has a copy of the weights. */
+  private hasCopy(model: ModelName): boolean {
+    return this.input.engines.some(
+      engine => !engine.isDraining && engine.tierOf(model) !== 'store',
+    );
+  }
+
+  /** One more replica for each model whose replicas are busy, or which has one only. */
   private relieveBusy(): void {
-    const {demand, declaration} = this.input;
+    const {demand, declaration, now} = this.input;
     for (const model of declaration.models.keys()) {
       const replicas = this.replicasOf(model);
       if (replicas === 0) continue;
-      const load = demand.runningOf(model) / replicas;
-      if (load < BUSY_REPLICA_REQUESTS) continue;
-      const offer = this.bestOffer(model, load, true);
-      if (offer !== undefined) this.accept(model, offer, 'busy');
+      if (this.isBusy(model, replicas)) {
+        const offer = this.bestOffer(model, demand.runningOf(model), false);
+        if (offer !== undefined) this.accept(model, offer, 'busy');
+        continue;
+      }
+      if (replicas > 1 || demand.rateOf(model, now) < SPARED_PER_SECOND)
+        continue;
+      const offer = this.bestOffer(model, demand.runningOf(model), true);
+      if (offer?.unload.length === 0) this.accept(model, offer, 'busy');
     }
   }
 
+  private isBusy(model: ModelName, replicas: number): boolean {
+    const {demand, declaration, engines} = this.input;
+    const own = demand.runningOf(model) / (replicas * declaration.slots);
+    if (own >= BUSY_SHARE) return true;
+    if (own < FAIR_SHARE) return false;
+    return engines
+      .filter(engine => engine.isReady(model))
+      .every(
+        engine =>
+          demand.totalAt(engine.id) >= CROWDED_SHARE * declaration.slots,
+      );
+  }
+
   /** Brings models that no engine has a copy of, where nothing in use gives way. */
   private spreadCopies(): void {
-    const {declaration, engines} = this.input;
-    for (const model of declaration.models.keys()) {
+    for (const model of this.input.declaration.models.keys()) {
       if (this.storeLoads <= 0) return;
-      if (this.replicasOf(model) > 0) continue;
-      if (engines.some(engine => engine.tierOf(model) !== 'store')) continue;
+      if (this.replicasOf(model) > 0 || this.hasCopy(model)) continue;
       const offer = this.bestOffer(model, 0, true);
       if (offer !== undefined) this.accept(model, offer, 'spread');
     }
@@ -158,11 +229,9 @@
 
   /** A copy at an engine that is changing now is nearer than the weight store. */
   private mayLoadFromStore(model: ModelName, gain: number): boolean {
-    if (this.storeLoads <= 0) return false;
-    if (gain === 0) return true;
-    return !this.input.engines.some(
-      engine => !engine.isDraining && engine.tierOf(model) !== 'store',
-    );
+    const extra = gain >= URGENT_SCORE ? URGENT_LOADS : 0;
+    if (this.storeLoads + extra <= 0) return false;
+    return gain === 0 || !this.hasCopy(model);
   }
 
   private offer(
