Ask another endpoint when one that may be left falls silent

Cause: endpoints that crash silently, hang or answer nothing kept requests until their route's time, or until their caller had left, though the requests might run elsewhere. Change: a request that may be repeated, and may still run at another endpoint, is taken from one that was silent for 2.5 objectives, or for 0.6 of a stream caller's patience, also in the middle of a stream.

--- a/packages/gateway/src/deliver_answer.ts
+++ b/packages/gateway/src/deliver_answer.ts
@@ -80,9 +80,13 @@
   exchange: CallerExchange,
   body: AnswerBody,
   events: EventStream,
+  onEvents: () => void,
 ): Promise<BodyEnd> {
   const write = writeTo(exchange, body);
-  return body.read(chunk => write(events.push(chunk)));
+  return body.read(chunk => {
+    onEvents();
+    return write(events.push(chunk));
+  });
 }
 
 /** Whether an answer is a success that the endpoint vouches for, or its own failure. */
--- a/packages/gateway/src/journey.ts
+++ b/packages/gateway/src/journey.ts
@@ -33,7 +33,12 @@
 } from '@siskinmux/forwarding';
 import {EventStream} from '@siskinmux/forwarding';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
-import {firstEventPatience, mayRepeat, pickTarget} from '@siskinmux/routes';
+import {
+  firstEventPatience,
+  mayRepeat,
+  pickTarget,
+  silencePatience,
+} from '@siskinmux/routes';
 import type {OutlierDetector} from '@siskinmux/routing';
 import {hash32} from '@siskinmux/routing';
 import type {CallerExchange} from './caller_exchange.js';
@@ -43,6 +48,7 @@
 import type {LoadBook} from './load_book.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import {refusalAnswer} from './refusal_answer.js';
+import {SilenceWatch} from './silence_watch.js';
 
 /** An endpoint stops at the same instant; its own answer comes first. */
 const TIMEOUT_GRACE_MILLISECONDS: Milliseconds = 30;
@@ -94,6 +100,7 @@
   private sentAt: Instant | undefined;
   private answeredAt: Instant | undefined;
   private opened: OpenedRequest | undefined;
+  private silence: SilenceWatch | undefined;
   private cancelTimeout: CancelTimer | undefined;
 
   private constructor(
@@ -250,13 +257,26 @@
         },
         mayRepeat(this.route),
       );
+      this.silence = this.watchSilence(this.opened);
       return await this.take(endpoint, await this.opened.result);
     } finally {
+      this.silence?.stop();
       this.opened = undefined;
       leave();
     }
   }
 
+  /** Only a request that may run at another endpoint is taken from a silent one. */
+  private watchSilence(opened: OpenedRequest): SilenceWatch | undefined {
+    const {route} = this;
+    if (!mayRepeat(route) || this.runs + 1 >= route.maximumRuns)
+      return undefined;
+    const {clock} = this.surroundings;
+    return SilenceWatch.create(clock, silencePatience(route), () =>
+      opened.abort(),
+    );
+  }
+
   private async take(
     endpoint: EndpointDescription,
     result: OpenResult,
@@ -310,7 +330,9 @@
       this.exchange.begin(head.status, protocol.answerHeaders(head.headers));
     }
     const end = this.route.isResumable
-      ? await passEvents(this.exchange, body, this.events)
+      ? await passEvents(this.exchange, body, this.events, () =>
+          this.silence?.noteHeard(),
+        )
       : await body.read(writeTo(this.exchange, body));
     if (end === 'complete' && !this.events.isInsideEvent) {
       outliers.noteSuccess(endpoint.id);
--- a/packages/routes/src/route.ts
+++ b/packages/routes/src/route.ts
@@ -122,3 +122,19 @@
     route.longestGapMilliseconds * PATIENCE_GAPS,
   );
 }
+
+/** Part of a caller's patience after which silence is taken for a dead endpoint. */
+const SILENT_SHARE = 0.6;
+
+/** Objectives that an answer without a stream may be late before it is asked for elsewhere. */
+const SILENT_OBJECTIVES = 2.5;
+
+/**
+ * How long an endpoint may be silent before a request that may be repeated is sent to
+ * another one.
+ */
+export function silencePatience(route: Route): Milliseconds {
+  return route.kind === 'stream'
+    ? firstEventPatience(route) * SILENT_SHARE
+    : route.objectiveMilliseconds * SILENT_OBJECTIVES;
+}
