--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -7,7 +7,7 @@
 import {UsageError, stringOption} from '../command.js';
 import {readDeclarationFolder} from '../declaration_folder.js';
 import {ExitCode} from '../exit_code.js';
-import {readSettings} from '../settings_file.js';
+import {readSettings} from '@siskinmux/runtime';
 
 /** Checks files offline. */
 export const checkCommand: Command = {
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -5,7 +5,7 @@
 import type {Command} from '../command.js';
 import {requiredOption} from '../command.js';
 import {ExitCode} from '../exit_code.js';
-import {readSettings} from '../settings_file.js';
+import {readSettings} from '@siskinmux/runtime';
 
 /** Runs a node. */
 export const serveCommand: Command = {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -31,3 +31,4 @@
 export type {Repetition} from './repeat.js';
 export {repeat} from './repeat.js';
 export {renderEventsPage} from './events_page.js';
+export {readSettings} from './settings_file.js';
