--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -28,6 +28,7 @@
   takeoverRecord,
 } from '@siskinmux/leases';
 import {VersionConflictError} from '@siskinmux/ports';
+import {repeat} from '@siskinmux/runtime';
 import type {LeaseStore} from './lease_store.js';
 import {
   ALLOCATOR_FOLLOWED,
@@ -163,19 +164,19 @@
   }
 
   private async hold(holding: Holding): Promise<void> {
-    const {emit, lead, readClocks} = this.options;
+    const {clock, emit, lead, readClocks} = this.options;
     this.holding = holding;
     emit(LEASE_TAKEN, {term: holding.term});
     const leading = lead(holding);
-    const ticks = setInterval(
-      () => holding.tick(readClocks()),
-      TICK_MILLISECONDS,
+    const ticks = repeat(clock, TICK_MILLISECONDS, () =>
+      holding.tick(readClocks()),
     );
+    ticks.startLater();
     let reason = '';
     try {
       reason = await this.renewUntilLost(holding);
     } finally {
-      clearInterval(ticks);
+      ticks.stop();
       holding.noteLost();
       leading.end();
       this.holding = undefined;
