Drop settings that nothing reads, and log objects of the store that can't be read

Cause: reading the change as a newcomer: five settings had no reader, the time to stop and the window for loads did not come from the platform's rules, and objects whose outer form can't be read were left out without a line. Change: the settings are gone or taken from the template; such objects are logged.

--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -41,6 +41,7 @@
 import type {CallerExchange} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
 import {
+  ENTRY_UNREADABLE,
   GATEWAY_EVENTS,
   GATEWAY_STARTED,
   GATEWAY_STOPPED,
@@ -136,7 +137,7 @@
       address,
       agent,
       clock,
-      onUnreadable: () => {},
+      onUnreadable: (kind, name) => emit(ENTRY_UNREADABLE, {kind, name}),
     });
     this.routes = RouteState.create(emit);
     this.connections = EndpointConnections.create({
@@ -167,7 +168,7 @@
         leaseMilliseconds: this.rules.lease_milliseconds,
         isFencingEnforced: this.rules.engines_check_fencing,
       },
-      loadWindowMilliseconds: this.rules.load_window_milliseconds,
+      loadWindowMilliseconds: this.rules.load_window_seconds * 1_000,
       store: this.store,
       orders: platform.openOrders({agent, clock}),
       table: this.table,
@@ -238,7 +239,7 @@
     const {clock, emit} = this;
     const endAt = after(
       clock.now(),
-      this.rules.stop_milliseconds - EXIT_MILLISECONDS,
+      this.rules.stop_seconds * 1_000 - EXIT_MILLISECONDS,
     );
     this.isStopping = true;
     emit(GATEWAY_STOPPING, {open: this.openCount});
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -19,24 +19,20 @@
   }),
 );
 
-/** The platform's metadata store and its rates over all nodes. */
+/** The platform's metadata store. */
 export const storeSection = settingsSection(
   'store',
   z.strictObject({
     address: socketSchema,
-    writes_per_second: z.number().positive(),
-    reads_per_second: z.number().positive(),
   }),
 );
 
-/** Rules that the platform sets for the whole system; all times in milliseconds. */
+/** Rules that the platform sets for the whole system. */
 export const rulesSection = settingsSection(
   'rules',
   z.strictObject({
-    /** An endpoint that leaves gets no new work this long after it said so. */
-    drain_milliseconds: z.number().positive().default(2_000),
-    /** Time from SIGTERM to SIGKILL. */
-    stop_milliseconds: z.number().positive().default(8_000),
+    /** Seconds from SIGTERM to SIGKILL. */
+    stop_seconds: z.number().positive().default(8),
     /** A holder of the right to order is gone this long after its last sign of life. */
     lease_milliseconds: z.number().positive().default(3_000),
     /** Whether engines refuse orders with an old fencing number. */
@@ -44,10 +40,8 @@
     /** Repeated sends over all nodes: a share of the requests, plus a fixed number. */
     repeat_share: z.number().nonnegative().default(0.2),
     repeat_allowance: z.number().nonnegative().default(54),
-    repeat_window_milliseconds: z.number().positive().default(10_000),
-    /** Loads from the weight store: window and factor over the declared rate. */
-    load_window_milliseconds: z.number().positive().default(5_000),
-    load_factor: z.number().positive().default(1),
+    /** Window in which loads from the weight store are counted against their rate. */
+    load_window_seconds: z.number().positive().default(5),
   }),
 );
 
