--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -11,7 +11,7 @@
   NodeId,
   Random,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, after, sleepUntil, until} from '@siskinmux/kernel';
+import {SiskinmuxError, sleepFor, until} from '@siskinmux/kernel';
 import type {
   ClockReading,
   HolderSign,
@@ -84,14 +84,14 @@
 
   /** Runs until {@link stop}; rejects only for defects. */
   async run(): Promise<void> {
-    await this.sleep(this.spread());
+    await sleepFor(this.options.clock, this.spread());
     while (!this.isStopped) {
       try {
         await this.findHolder();
       } catch (failure) {
         if (!(failure instanceof SiskinmuxError)) throw failure;
         this.options.emit(LEASE_UNREACHABLE, {cause: failure.message});
-        await this.sleep(AGAIN_MILLISECONDS);
+        await sleepFor(this.options.clock, AGAIN_MILLISECONDS);
       }
     }
   }
@@ -123,12 +123,15 @@
       });
       const reason = await result.ended;
       emit(ALLOCATOR_LOST, {holder: sighting.record.holder, reason});
-      await this.sleep(this.spread());
+      await sleepFor(this.options.clock, this.spread());
       return;
     }
     const at = takeoverAt(sighting, result, rules, clock.now());
     if (at > clock.now()) {
-      await this.sleep(Math.min(until(clock.now(), at), AGAIN_MILLISECONDS));
+      await sleepFor(
+        this.options.clock,
+        Math.min(until(clock.now(), at), AGAIN_MILLISECONDS),
+      );
       return;
     }
     await this.take(sighting);
@@ -150,7 +153,7 @@
       revision = await lease.write(record, seen);
     } catch (failure) {
       if (!(failure instanceof VersionConflictError)) throw failure;
-      await this.sleep(this.spread());
+      await sleepFor(this.options.clock, this.spread());
       return;
     }
     const holding = Holding.create({
@@ -257,21 +260,16 @@
       if (!(failure instanceof SiskinmuxError)) throw failure;
       emit(LEASE_UNREACHABLE, {cause: failure.message});
     }
-    await this.sleep(AGAIN_MILLISECONDS);
+    await sleepFor(this.options.clock, AGAIN_MILLISECONDS);
   }
 
   private spread(): Milliseconds {
     return this.options.random() * SPREAD_MILLISECONDS;
   }
 
-  private sleep(milliseconds: Milliseconds): Promise<void> {
-    const {clock} = this.options;
-    return sleepUntil(clock, after(clock.now(), milliseconds));
-  }
-
   private sleepOrWake(milliseconds: Milliseconds): Promise<void> {
     return Promise.race([
-      this.sleep(milliseconds),
+      sleepFor(this.options.clock, milliseconds),
       new Promise<void>(resolve => {
         this.wake = resolve;
       }),
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -18,7 +18,7 @@
 } from './brand.js';
 export {as} from './brand.js';
 export type {CancelTimer, Clock, Instant, Milliseconds} from './time.js';
-export {after, earlier, later, sleepUntil, until} from './time.js';
+export {after, earlier, later, sleepFor, sleepUntil, until} from './time.js';
 export type {Random} from './random.js';
 export {jitter, randomBelow} from './random.js';
 export {Outcome} from './outcome.js';
--- a/packages/kernel/src/time.ts
+++ b/packages/kernel/src/time.ts
@@ -48,3 +48,11 @@
     clock.schedule(at, resolve);
   });
 }
+
+/** Resolves after `milliseconds`. */
+export function sleepFor(
+  clock: Clock,
+  milliseconds: Milliseconds,
+): Promise<void> {
+  return sleepUntil(clock, after(clock.now(), milliseconds));
+}
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -13,7 +13,7 @@
   NodeId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after, sleepUntil} from '@siskinmux/kernel';
+import {after, sleepFor} from '@siskinmux/kernel';
 import type {EndpointDescription} from '@siskinmux/endpoints';
 import type {EngineDeclaration} from '@siskinmux/routes';
 import {AdapterCache} from './adapter_cache.js';
@@ -224,7 +224,7 @@
         this.plan();
         return;
       }
-      await this.sleep(REPORT_PAUSE_MILLISECONDS);
+      await sleepFor(this.options.clock, REPORT_PAUSE_MILLISECONDS);
     }
   }
 
@@ -242,7 +242,7 @@
   private async readWhenSettled(engine: ManagedEngine): Promise<void> {
     engine.book.orderCount = undefined;
     await engine.line.settled();
-    await this.sleep(REPORT_LAG_MILLISECONDS);
+    await sleepFor(this.options.clock, REPORT_LAG_MILLISECONDS);
     await this.adopt(engine);
   }
 
@@ -256,7 +256,7 @@
 
   private async planRegularly(): Promise<void> {
     while (!this.isStopped) {
-      await this.sleep(REGULAR_PLAN_MILLISECONDS);
+      await sleepFor(this.options.clock, REGULAR_PLAN_MILLISECONDS);
       this.planNow();
     }
   }
@@ -289,11 +289,6 @@
     }
     this.options.onForecasts(forecastModels(input));
   }
-
-  private sleep(milliseconds: Milliseconds): Promise<void> {
-    const {clock} = this.options;
-    return sleepUntil(clock, after(clock.now(), milliseconds));
-  }
 }
 
 function holdingOf(book: EngineBook): EngineHolding {
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -8,7 +8,7 @@
   Milliseconds,
   ModelName,
 } from '@siskinmux/kernel';
-import {after, sleepUntil, until} from '@siskinmux/kernel';
+import {after, sleepFor, sleepUntil, until} from '@siskinmux/kernel';
 import type {EndpointDescription} from '@siskinmux/endpoints';
 import type {EngineDeclaration} from '@siskinmux/routes';
 import type {ManagedEngine} from './allocator.js';
@@ -130,7 +130,7 @@
     const places = change.unload.flatMap(model => book.models.get(model) ?? []);
     for (const place of places) place.state = 'closing';
     publish(book);
-    await this.sleep(NOTICE_MILLISECONDS);
+    await sleepFor(this.options.clock, NOTICE_MILLISECONDS);
     const isIdle = places.every(
       ({model}) => demand.runningAt(book.id, model) === 0,
     );
@@ -218,7 +218,7 @@
   ): Promise<void> {
     const {clock, orders} = this.options;
     const {book} = engine;
-    await this.sleep(CONFIRM_MILLISECONDS);
+    await sleepFor(this.options.clock, CONFIRM_MILLISECONDS);
     const {orderCount} = book;
     const report = await orders.report(
       book,
@@ -265,7 +265,7 @@
           !report.isBusy &&
           report.orderCount !== book.orderCount;
         if (isOver) return false;
-        await this.sleep(LOADING_PAUSE_MILLISECONDS);
+        await sleepFor(this.options.clock, LOADING_PAUSE_MILLISECONDS);
       }
       return false;
     } finally {
@@ -284,7 +284,7 @@
   ): Promise<'done' | 'misfit' | 'unsent'> {
     const {clock} = this.options;
     const begunAt = clock.now();
-    if (isUnloading) await this.sleep(UNLOAD_MILLISECONDS);
+    if (isUnloading) await sleepFor(this.options.clock, UNLOAD_MILLISECONDS);
     for (;;) {
       const end = await line.send(change);
       if (end === 'accepted' || end === 'done') return 'done';
@@ -295,7 +295,7 @@
       if (waited > UNLOADING_REPORTED_MILLISECONDS) {
         if (!(await this.isStillUnloading(book))) return 'misfit';
       }
-      await this.sleep(UNLOADING_PAUSE_MILLISECONDS);
+      await sleepFor(this.options.clock, UNLOADING_PAUSE_MILLISECONDS);
     }
   }
 
@@ -315,9 +315,4 @@
     place.state = 'ready';
     this.options.publish(book);
   }
-
-  private sleep(milliseconds: Milliseconds): Promise<void> {
-    const {clock} = this.options;
-    return sleepUntil(clock, after(clock.now(), milliseconds));
-  }
 }
