Bound how long a node goes by an unreachable allocator's answer

Such an answer is used for 4 s now.

A stream was open at a paused node; its engine died and came back meanwhile, and the stand-in counted the cut as one by unloading. It counts only unloads of the engine's same life now.

--- a/packages/allocation/__tests__/plan_allocation.test.ts
+++ b/packages/allocation/__tests__/plan_allocation.test.ts
@@ -105,6 +105,7 @@
     demands: [],
     keepUntil: () => as<Instant>(Infinity),
     isNodeGone: () => false,
+    lastAskedBefore: () => undefined,
     wasSent: () => true,
     hasSettled: true,
     freeLoads: 4,
@@ -223,6 +224,28 @@
     expect(statesOf(free)).toEqual(['unloading']);
   });
 
+  it('waits longer for a node that has not asked since', () => {
+    const idle = {keepUntil: () => NOW};
+    const draining = planAllocation(loaded(), facts(idle), []);
+    const planAt = (elapsed: number): string[] => {
+      const now = after(NOW, elapsed);
+      const plan = planAllocation(
+        draining.allocation,
+        facts({
+          ...idle,
+          now,
+          lastAskedBefore: () => after(NOW, -100),
+          ...withEngine({status: status([held()], now)}),
+        }),
+        [],
+      );
+      return statesOf(plan);
+    };
+    expect(planAt(DRAIN_NOTICE_MILLISECONDS)).toEqual(['draining']);
+    expect(planAt(4_800)).toEqual(['draining']);
+    expect(planAt(4_950)).toEqual(['unloading']);
+  });
+
   it('keeps what drains if it is wanted again', () => {
     const engines = withEngine({status: status([held()])});
     const idle = planAllocation(
--- a/packages/allocation/src/demand_book.ts
+++ b/packages/allocation/src/demand_book.ts
@@ -18,6 +18,9 @@
 /** How long a node's demands count without being said again. */
 const DEMAND_LIFETIME_MILLISECONDS: Milliseconds = 3_000;
 
+/** How long it is kept when a node asked; nobody goes by an answer that old. */
+const ASKED_LIFETIME_MILLISECONDS: Milliseconds = 60_000;
+
 /** Idle accelerator time that one unit of waiting for a load is worth at equal weights. */
 export const COLD_START_FACTOR = 15;
 
@@ -37,6 +40,8 @@
 /** Demands by node, and arrivals by model. */
 export class DemandBook {
   private readonly heard = new Map<NodeId, HeardDemands>();
+  /** When each node asked last; it has been told what was true then. */
+  private readonly askedAt = new Map<NodeId, Instant>();
   private readonly keepAlives = new Map<ModelName, KeepAlivePolicy>();
   private readonly startedAt: Instant;
 
@@ -53,12 +58,30 @@
     const now = this.options.clock.now();
     const expiresAt = after(now, DEMAND_LIFETIME_MILLISECONDS);
     this.heard.set(node, {demands, expiresAt});
+    this.askedAt.set(node, now);
     for (const demand of demands) this.noteArrival(demand);
   }
 
+  /**
+   * The last time at which a node asked that has not asked since `instant`: until then
+   * it was told an earlier state. Undefined when all nodes have asked since.
+   */
+  lastAskedBefore(instant: Instant): Instant | undefined {
+    let latest: Instant | undefined;
+    for (const askedAt of this.askedAt.values()) {
+      if (askedAt >= instant) continue;
+      if (latest === undefined || askedAt > latest) latest = askedAt;
+    }
+    return latest;
+  }
+
   /** What all nodes together want now. */
   current(): Demand[] {
     const now = this.options.clock.now();
+    for (const [node, askedAt] of this.askedAt) {
+      const expiresAt = after(askedAt, ASKED_LIFETIME_MILLISECONDS);
+      if (expiresAt <= now) this.askedAt.delete(node);
+    }
     const all: NodeDemand[] = [];
     for (const [node, {demands, expiresAt}] of this.heard) {
       if (expiresAt <= now) this.heard.delete(node);
--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -296,6 +296,7 @@
       demands: this.book.current(),
       keepUntil: model => this.book.keepUntil(model),
       isNodeGone,
+      lastAskedBefore: instant => this.book.lastAskedBefore(instant),
       wasSent: number => this.sent.has(number),
       hasSettled: this.watcher.hasSettled,
       freeLoads:
--- a/packages/allocation/src/facts.ts
+++ b/packages/allocation/src/facts.ts
@@ -50,6 +50,8 @@
   /** Until when an idle model is worth keeping. */
   readonly keepUntil: (model: ModelName) => Instant;
   readonly isNodeGone: (node: NodeId) => boolean;
+  /** When a node asked last that has not asked since an instant. */
+  readonly lastAskedBefore: (instant: Instant) => Instant | undefined;
   /** Whether this process has sent the order with this number. */
   readonly wasSent: (number: FencingNumber) => boolean;
   /** Every engine has reported, or had time to: absence means something now. */
--- a/packages/allocation/src/plan_allocation.ts
+++ b/packages/allocation/src/plan_allocation.ts
@@ -1,6 +1,6 @@
 /** Decides what a failure domain's engines load and unload next. Pure. */
 
-import type {Milliseconds} from '@siskinmux/kernel';
+import type {Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, later} from '@siskinmux/kernel';
 import type {Allocation, Reservation, Subject} from './allocation.js';
 import {isSameSubject, replicasOf} from './allocation.js';
@@ -15,6 +15,12 @@
 /** Time in which all nodes learn that a replica drains and send it nothing new. */
 export const DRAIN_NOTICE_MILLISECONDS: Milliseconds = 3_000;
 
+/**
+ * Time for which a node may go by what it heard last while it can't reach the allocator
+ * (4 s, see the replica table), and what its requests take to reach the engine.
+ */
+const SILENT_NOTICE_MILLISECONDS: Milliseconds = 5_000;
+
 /** Age that a report must have before what it lacks counts as gone. */
 const REPORT_LAG_MILLISECONDS: Milliseconds = 1_000;
 
@@ -228,9 +234,7 @@
   engine: EngineView,
   entry: Reservation,
 ): boolean {
-  // Nodes that could not reach the allocator before may go by what they heard last.
-  const since = later(entry.changedAt, facts.startedAt);
-  const noticedAt = after(since, DRAIN_NOTICE_MILLISECONDS);
+  const noticedAt = noticeEndsAt(facts, entry);
   const {status} = engine;
   if (status === undefined || status.reportedAt < noticedAt) return false;
   const isUsed = facts.demands.some(
@@ -240,6 +244,18 @@
   return !isUsed && runningOn(engine, entry.subject) === 0;
 }
 
+/** When no node goes by an answer any more that named the replica as ready. */
+function noticeEndsAt(facts: PlanFacts, entry: Reservation): Instant {
+  const {startedAt, lastAskedBefore} = facts;
+  const noticed = after(entry.changedAt, DRAIN_NOTICE_MILLISECONDS);
+  // Before it began, others may have been told by the allocator before this one.
+  const fromBefore = after(startedAt, SILENT_NOTICE_MILLISECONDS);
+  const ended = later(noticed, fromBefore);
+  const toldAt = lastAskedBefore(entry.changedAt);
+  if (toldAt === undefined) return ended;
+  return later(ended, after(toldAt, SILENT_NOTICE_MILLISECONDS));
+}
+
 function runningOn(engine: EngineView, subject: Subject): number {
   if (subject.kind === 'adapter') return 0;
   return (engine.status?.models ?? [])
--- a/packages/benchmarks/src/measure_state.ts
+++ b/packages/benchmarks/src/measure_state.ts
@@ -164,6 +164,7 @@
     })),
     keepUntil: () => as<Instant>(NOW + 60_000),
     isNodeGone: () => false,
+    lastAskedBefore: () => undefined,
     wasSent: () => true,
     hasSettled: true,
     freeLoads: count * 2,
--- a/packages/requests/src/replica_table.ts
+++ b/packages/requests/src/replica_table.ts
@@ -18,6 +18,13 @@
  */
 const ANSWER_LIFETIME_MILLISECONDS: Milliseconds = 2_000;
 
+/**
+ * Age up to which an answer is used while its allocator can't be reached. An engine
+ * that begins to leave gives 5 s of notice, and an allocator waits as long before it
+ * unloads what a silent node may still use.
+ */
+const UNREACHABLE_LIFETIME_MILLISECONDS: Milliseconds = 4_000;
+
 interface HeardAnswer {
   readonly answer: ExchangeAnswer;
   readonly heardAt: Instant;
@@ -58,7 +65,7 @@
     }
   }
 
-  /** Notes that a domain's allocator does not answer: what it said last stays in use. */
+  /** Notes that a domain's allocator does not answer: what it said last stays in use for a while. */
   noteUnreachable(failureDomain: FailureDomain): void {
     this.unreachable.add(failureDomain);
   }
@@ -127,8 +134,10 @@
   }
 
   private isUsable(heard: HeardAnswer): boolean {
-    if (this.unreachable.has(heard.answer.failureDomain)) return true;
-    const expiresAt = after(heard.heardAt, ANSWER_LIFETIME_MILLISECONDS);
+    const lifetime = this.unreachable.has(heard.answer.failureDomain)
+      ? UNREACHABLE_LIFETIME_MILLISECONDS
+      : ANSWER_LIFETIME_MILLISECONDS;
+    const expiresAt = after(heard.heardAt, lifetime);
     return expiresAt > this.clock.now();
   }
 }
--- a/packages/scenarios/__tests__/schedules.test.ts
+++ b/packages/scenarios/__tests__/schedules.test.ts
@@ -1,11 +1,34 @@
 import {readFileSync} from 'node:fs';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import type {Scenario} from '../src/index.js';
 import {parseScenario, runSchedules} from '../src/index.js';
 
 const RUNS = 60;
 const SEED = 1;
 
+/** Seeds that once broke an invariant, with the cause. */
+const REGRESSIONS = [
+  {
+    seed: 1014,
+    runs: 25,
+    deployment: 'seven_nodes',
+    cause: 'a node cut off from an allocator went by what it had heard last',
+  },
+  {
+    seed: 1028,
+    runs: 25,
+    deployment: 'three_nodes_unfenced',
+    cause: 'a stream was read on after its engine had died and come back',
+  },
+];
+
+const baseOf = (deployment: string): Scenario =>
+  parseScenario(
+    `title = "schedules"\nproves = ["all"]\nend = 0\ndeployment = "${deployment}"`,
+    name => readFileSync(`scenarios/deployments/${name}.toml`, 'utf8'),
+  );
+
 describe('random fault schedules', () => {
   for (const deployment of [
     'three_nodes',
@@ -13,13 +36,18 @@
     'seven_nodes',
   ]) {
     it(`keep the invariants on ${deployment}`, async () => {
-      const base = parseScenario(
-        `title = "schedules"\nproves = ["all"]\nend = 0\ndeployment = "${deployment}"`,
-        name => readFileSync(`scenarios/deployments/${name}.toml`, 'utf8'),
-      );
+      const base = baseOf(deployment);
       const report = await runSchedules({base, runs: RUNS, seed: SEED});
       expect(report.counterexample).toEqual(undefined);
       expect(report.runs).toEqual(RUNS);
     });
   }
+  for (const {seed, runs, deployment, cause} of REGRESSIONS) {
+    it(`seed ${seed}: ${cause}`, async () => {
+      const base = baseOf(deployment);
+      const report = await runSchedules({base, runs, seed});
+      expect(report.counterexample).toEqual(undefined);
+      expect(report.runs).toEqual(runs);
+    });
+  }
 });
--- a/packages/standins/src/engine_stand_in.ts
+++ b/packages/standins/src/engine_stand_in.ts
@@ -248,12 +248,17 @@
     if (prompt.includes(CRASH_MARKER)) this.crash();
     const isCached = this.touchPrefix(prompt);
     const first = this.options.firstTokenMilliseconds;
+    const {incarnation} = this;
     await this.pause(isCached ? first / 2 : first, signal);
     const words = answerWords(request);
     for (let index = request.resumeAfter; index < words.length; index += 1) {
       if (index > request.resumeAfter) {
         await this.pause(this.options.tokenMilliseconds, signal);
       }
+      // A caller that reads slowly may find the engine dead and back meanwhile.
+      if (incarnation !== this.incarnation) {
+        throw new AnswerCutError('the engine died');
+      }
       if (this.models.get(keyOf(held)) !== held) {
         this.cutByUnload += 1;
         throw new AnswerCutError('the model was unloaded');
