Pass on what the lease's holder reads, and tell it less with many nodes

Change: the holder passes on what it reads with its sign of life, each part with the revisions that it covers and its age; a node reads for itself after a gap, when the answer passed on is older than 1.1 s, and each 30 s. Usage gathers for 4 ms a node; what begins to wait, or runs where a model gives way, is told at once. Forecasts go to the nodes whose requests wait for the model, when they moved. Sums of demand are made when they are read; a plan knows which models have copies.

--- a/packages/gateway/src/allocator_host.ts
+++ b/packages/gateway/src/allocator_host.ts
@@ -4,13 +4,12 @@
   Clock,
   EmitEvent,
   EndpointId,
-  Instant,
   Milliseconds,
   ModelName,
   NodeId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after, as} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
 import type {EndpointDescription, TableChange} from '@siskinmux/endpoints';
 import type {
   AdapterNeed,
@@ -21,7 +20,10 @@
 } from '@siskinmux/placement';
 import {Allocator, LoadCeiling} from '@siskinmux/placement';
 import type {RouteConfiguration} from '@siskinmux/routes';
+import type {FollowerProgress} from './change_feed.js';
+import {ChangeFeed} from './change_feed.js';
 import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
+import {Follower} from './follower.js';
 import type {PeerLink} from './peer_link.js';
 import {
   MESSAGE,
@@ -29,7 +31,6 @@
   decodeHello,
   decodeNeed,
   decodeUsage,
-  encodeForecasts,
   encodeGrant,
   encodeHoldings,
   helloSchema,
@@ -40,9 +41,6 @@
 /** Pause between signs of life to the nodes; they wait for three of them. */
 export const ALIVE_MILLISECONDS: Milliseconds = 300;
 
-/** A node that says nothing for so long is forgotten; it speaks twice a second. */
-const NODE_SILENCE_MILLISECONDS: Milliseconds = 3_000;
-
 /** What the host needs from its surroundings. */
 export interface AllocatorHostOptions {
   readonly orders: EngineOrders;
@@ -58,20 +56,16 @@
   readonly reachesStore: () => boolean;
 }
 
-interface Follower {
-  readonly link: PeerLink;
-  reachesStore: boolean;
-  heardAt: Instant;
-}
-
 /** The allocators while this node holds the lease. */
 export class AllocatorHost implements AllocatorLink {
   private readonly allocators = new Map<ServiceName, Allocator>();
   private readonly followers = new Map<NodeId, Follower>();
   private readonly ceiling: LoadCeiling;
+  private readonly feed: ChangeFeed;
 
   private constructor(private readonly options: AllocatorHostOptions) {
     this.ceiling = LoadCeiling.create(options.loadWindowMilliseconds);
+    this.feed = ChangeFeed.create(options);
   }
 
   static create(options: AllocatorHostOptions): AllocatorHost {
@@ -113,8 +107,7 @@
     let node: NodeId | undefined;
     link.handle(MESSAGE.hello, helloSchema, message => {
       node = decodeHello(message);
-      const heardAt = clock.now();
-      this.followers.set(node, {link, reachesStore: false, heardAt});
+      this.followers.set(node, Follower.create(link, clock.now()));
       for (const [service, allocator] of this.allocators) {
         link.notify(
           MESSAGE.holdings,
@@ -126,12 +119,11 @@
     link.handle(MESSAGE.usage, usageSchema, message => {
       const follower = node && this.followers.get(node);
       if (!node || !follower) return;
-      follower.reachesStore = message.reachesStore;
-      follower.heardAt = clock.now();
-      const usage = decodeUsage(message, clock.now());
-      this.allocators
-        .get(as<ServiceName>(message.service))
-        ?.noteUsage(node, usage);
+      const now = clock.now();
+      const service = as<ServiceName>(message.service);
+      const usage = decodeUsage(message, now);
+      follower.noteUsage(service, usage, message.reachesStore, now);
+      this.allocators.get(service)?.noteUsage(node, usage);
     });
     link.handle(MESSAGE.adapter, adapterSchema, async message => {
       const grant = await this.wantAdapter(
@@ -171,18 +163,28 @@
     return this.allocators.get(service)?.wantAdapter(need);
   }
 
-  /** Tells the nodes that this one lives, and forgets those that are silent. */
+  /** Notes what this node has read from the store; the next tick passes it on. */
+  noteProgress(progress: FollowerProgress): void {
+    this.feed.note(progress);
+  }
+
+  /**
+   * Tells the nodes that this one lives and what it has read, and forgets those that
+   * are silent.
+   */
   tick(): void {
     const {clock, reachesStore} = this.options;
     const now = clock.now();
-    for (const [node, {link, heardAt}] of this.followers) {
-      if (now > after(heardAt, NODE_SILENCE_MILLISECONDS)) {
-        link.close();
+    const feed = this.feed.take();
+    for (const [node, follower] of this.followers) {
+      if (follower.isGone(now)) {
+        follower.link.close();
         this.drop(node);
       } else {
-        link.notify(MESSAGE.alive, {
+        follower.link.notify(MESSAGE.alive, {
           nodes: this.nodeCount,
           reachesStore: reachesStore(),
+          feed,
         });
       }
     }
@@ -216,8 +218,9 @@
       onForecasts: forecasts => {
         if (forecasts.length === 0) return;
         listener.onForecasts(service, forecasts);
-        const message = encodeForecasts(service, forecasts, clock.now());
-        this.tell(MESSAGE.forecasts, message);
+        for (const follower of this.followers.values()) {
+          follower.tellForecasts(service, forecasts, clock.now());
+        }
       },
     });
     this.allocators.set(service, allocator);
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -65,6 +65,24 @@
   meaning: 'The metadata store answers this node again.',
 };
 
+/** Another node's reading of the store stands in for this node's own. */
+export const FEED_USED: EventDescriptor = {
+  number: 7018,
+  name: 'feed-used',
+  level: 'info',
+  meaning:
+    'The holder of the lease passes on what it reads from the store; this node reads nothing of that kind for itself meanwhile. `age` is how old the answer is, in milliseconds.',
+};
+
+/** What the holder passes on is too old, or lacks something. */
+export const FEED_LOST: EventDescriptor = {
+  number: 7019,
+  name: 'feed-lost',
+  level: 'info',
+  meaning:
+    'What the holder of the lease passes on is too old or has a gap; this node reads the store for itself again.',
+};
+
 /** The gateway listens. */
 export const GATEWAY_STARTED: EventDescriptor = {
   number: 7008,
@@ -157,6 +175,8 @@
   ENDPOINT_CHANGED,
   STORE_LOST,
   STORE_REGAINED,
+  FEED_USED,
+  FEED_LOST,
   GATEWAY_STARTED,
   GATEWAY_STOPPING,
   GATEWAY_STOPPED,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -151,6 +151,8 @@
       random,
       emit,
       onEndpoints: changes => this.noteEndpoints(changes),
+      isFeeding: () => this.placement.isFeeding,
+      onProgress: progress => this.placement.noteProgress(progress),
     });
     const load = LoadBook.create(() => this.placement.noteLoad());
     const outliers = OutlierDetector.create();
@@ -185,6 +187,8 @@
       random,
       emit,
       onNodes: nodes => repeats.shareAmong(nodes),
+      onFeed: parts => this.view.takeFeed(parts),
+      onFeedEnd: () => this.view.endFeed(),
     });
     this.surroundings = {
       protocol: platform.protocol,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -5,6 +5,7 @@
 
 import type {
   AdapterName,
+  CancelTimer,
   Clock,
   EndpointId,
   Instant,
@@ -39,8 +40,13 @@
 import {leastLoaded} from './endpoint_choice.js';
 import type {LoadBook} from './load_book.js';
 
-/** Usage gathers this long into one message; a request that begins to wait goes at once. */
+/**
+ * Usage gathers this long into one message, for a few nodes and for each of many: so
+ * the allocator hears some 250 messages a second however many nodes there are. What
+ * begins to wait, and what runs where a model gives way, is told at once.
+ */
 const USAGE_MILLISECONDS: Milliseconds = 25;
+const USAGE_MILLISECONDS_PER_NODE: Milliseconds = 4;
 
 /** Usage is repeated this often, so that the allocator knows that the node lives. */
 export const REPEAT_MILLISECONDS: Milliseconds = 500;
@@ -86,7 +92,9 @@
   private readonly grants = new Map<string, AdapterGrant>();
   /** Engines that lacked a model, until when they are left out for it. */
   private readonly missing = new Map<string, Instant>();
-  private isFlushScheduled = false;
+  private nodes = 1;
+  private cancelFlush: CancelTimer | undefined;
+  private flushAt: Instant | undefined;
 
   private constructor(private readonly options: PlacementClientOptions) {}
 
@@ -103,7 +111,12 @@
 
   /** Notes that a request has begun or ended at an engine. */
   noteLoad(): void {
-    this.scheduleFlush(USAGE_MILLISECONDS);
+    this.scheduleFlush(this.usagePause);
+  }
+
+  /** Takes over how many nodes the system has. */
+  noteNodes(nodes: number): void {
+    this.nodes = nodes;
   }
 
   /** Leaves an engine out for a model until the allocator has looked again. */
@@ -120,6 +133,7 @@
 
   onHoldings(service: ServiceName, holdings: readonly EngineHolding[]): void {
     for (const {engine, models} of holdings) {
+      this.noteGivingWay(engine, models);
       this.holdings.set(engine, new Set(models));
     }
     for (const waiter of this.waiters) {
@@ -170,7 +184,8 @@
 
   /** Sends usage to the allocator. */
   flush(): void {
-    this.isFlushScheduled = false;
+    this.cancelFlush?.();
+    this.flushAt = undefined;
     for (const service of this.options.engineServices()) {
       this.link?.noteUsage(service, this.usageOf(service));
     }
@@ -259,7 +274,7 @@
         this.waiters.delete(waiter);
         cancel();
         need.cancelled.removeEventListener('abort', stop);
-        this.scheduleFlush(USAGE_MILLISECONDS);
+        this.scheduleFlush(this.usagePause);
         if (refusal === undefined) resolve();
         else reject(refusal);
       };
@@ -302,14 +317,34 @@
     const counts = this.arrivals.get(service) ?? new Map<ModelName, number>();
     counts.set(model, (counts.get(model) ?? 0) + 1);
     this.arrivals.set(service, counts);
-    this.scheduleFlush(USAGE_MILLISECONDS);
+    this.scheduleFlush(this.usagePause);
+  }
+
+  private get usagePause(): Milliseconds {
+    return Math.max(
+      USAGE_MILLISECONDS,
+      this.nodes * USAGE_MILLISECONDS_PER_NODE,
+    );
   }
 
   private scheduleFlush(wait: Milliseconds): void {
-    if (this.isFlushScheduled) return;
-    this.isFlushScheduled = true;
     const {clock} = this.options;
-    clock.schedule(after(clock.now(), wait), () => this.flush());
+    const at = after(clock.now(), wait);
+    if (this.flushAt !== undefined && this.flushAt <= at) return;
+    this.cancelFlush?.();
+    this.flushAt = at;
+    this.cancelFlush = clock.schedule(at, () => this.flush());
+  }
+
+  /** The allocator unloads a model unless it hears soon that requests run on it. */
+  private noteGivingWay(
+    engine: EndpointId,
+    models: readonly ModelName[],
+  ): void {
+    const isRunning = this.options.load
+      .byModelAt(id => id === engine)
+      .some(({model}) => !models.includes(model));
+    if (isRunning) this.scheduleFlush(0);
   }
 
   private usageOf(service: ServiceName): NodeUsage {
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -20,6 +20,7 @@
   NodeUsage,
 } from '@siskinmux/placement';
 import {z} from 'zod';
+import {feedPartSchema} from './change_feed.js';
 
 /** Names of the messages. */
 export const MESSAGE = {
@@ -83,8 +84,12 @@
   models: z.array(z.tuple([name, z.number()])),
 });
 
-/** The allocator's sign of life. */
-export const aliveSchema = z.object({nodes: count, reachesStore: z.boolean()});
+/** The allocator's sign of life, with what its node has read from the store. */
+export const aliveSchema = z.object({
+  nodes: count,
+  reachesStore: z.boolean(),
+  feed: z.array(feedPartSchema).default([]),
+});
 
 /** Usage on the wire. */
 export type UsageMessage = z.infer<typeof usageSchema>;
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -28,6 +28,7 @@
 import {ALIVE_MILLISECONDS, AllocatorHost} from './allocator_host.js';
 import type {ChoiceSurroundings, FindEndpoint} from './endpoint_choice.js';
 import {findPlainEndpoint} from './endpoint_choice.js';
+import type {FeedPart, FollowerProgress} from './change_feed.js';
 import {LeaseStore} from './lease_store.js';
 import type {Following} from './leadership.js';
 import {Leadership} from './leadership.js';
@@ -59,6 +60,9 @@
   readonly emit: EmitEvent;
   /** Told how many nodes the system has. */
   readonly onNodes: (nodes: number) => void;
+  /** Told what the holder of the lease has read from the store. */
+  readonly onFeed: (parts: readonly FeedPart[]) => void;
+  readonly onFeedEnd: () => void;
 }
 
 /** Placement at one node. */
@@ -140,6 +144,16 @@
     this.client.noteMissing(endpoint, model);
   }
 
+  /** Whether other nodes rely on what this one reads from the store. */
+  get isFeeding(): boolean {
+    return this.host !== undefined && this.host.nodeCount > 1;
+  }
+
+  /** Passes on what this node has read from the store, if it holds the lease. */
+  noteProgress(progress: FollowerProgress): void {
+    this.host?.noteProgress(progress);
+  }
+
   /** Takes over changes of the list of endpoints. */
   noteEndpoints(changes: readonly TableChange[]): void {
     this.host?.noteEndpoints(changes);
@@ -182,7 +196,7 @@
       ...this.options,
       link,
       listener: this.client,
-      onAlive: nodes => this.options.onNodes(nodes),
+      onAlive: nodes => this.noteNodes(nodes),
     });
     try {
       const {node, isHolder} = await allocator.hello(identity.id);
@@ -208,6 +222,7 @@
     return new Promise(resolve => {
       const end = (reason: string): void => {
         if (this.following === link) {
+          this.options.onFeedEnd();
           this.following = undefined;
           this.client.use(undefined);
         }
@@ -249,11 +264,16 @@
     };
   }
 
+  private noteNodes(nodes: number): void {
+    this.client.noteNodes(nodes);
+    this.options.onNodes(nodes);
+  }
+
   private tick(): void {
-    const {clock, onNodes} = this.options;
+    const {clock} = this.options;
     if (this.host !== undefined) {
       this.host.tick();
-      onNodes(this.host.nodeCount);
+      this.noteNodes(this.host.nodeCount);
     }
     if (this.following === undefined) return;
     if (this.following.silentFor(clock.now()) > SILENCE_MILLISECONDS) {
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -5,13 +5,19 @@
   EmitEvent,
   EndpointId,
   Instant,
+  Milliseconds,
   Random,
 } from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import type {EndpointTable, TableChange} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  EndpointTable,
+  TableChange,
+} from '@siskinmux/endpoints';
 import {REAPPEARANCE_MILLISECONDS} from '@siskinmux/endpoints';
 import type {ObjectStore, StoreChange, StoreObject} from '@siskinmux/ports';
 import {StoredObjectInvalidError} from '@siskinmux/ports';
+import type {FeedPart, FollowerProgress} from './change_feed.js';
 import {ENDPOINT_CHANGED, ENTRY_UNREADABLE} from './gateway_events.js';
 import type {GatewayPlatform} from './gateway_platform.js';
 import {KindFollower} from './kind_follower.js';
@@ -20,6 +26,9 @@
 /** Changes of the list gather this long; endpoints that leave serve on for two seconds. */
 const ENDPOINT_GATHER_MILLISECONDS = 600;
 
+/** The same for a node that passes on what it reads, which takes a part of that time. */
+const FEEDING_GATHER_MILLISECONDS = 300;
+
 /** What the view keeps up to date. */
 export interface PlatformViewOptions {
   readonly platform: GatewayPlatform;
@@ -30,6 +39,9 @@
   readonly random: Random;
   readonly emit: EmitEvent;
   readonly onEndpoints: (changes: readonly TableChange[]) => void;
+  /** Whether other nodes rely on what this one reads. */
+  readonly isFeeding: () => boolean;
+  readonly onProgress: (progress: FollowerProgress) => void;
 }
 
 /** What this node knows of the platform. */
@@ -40,14 +52,16 @@
   private constructor(private readonly options: PlatformViewOptions) {
     const {platform} = options;
     this.followers = [
-      this.follow(platform.configuration.kind, 0, {
+      this.follow(platform.configuration.kind, () => 0, {
         onList: ({objects}) => objects.forEach(this.takeConfiguration),
-        onChanges: changes =>
-          changes.forEach(({object, isRemoved}) => {
+        onChanges: changes => {
+          for (const {object, isRemoved} of changes) {
             if (!isRemoved) this.takeConfiguration(object);
-          }),
+          }
+          return changes;
+        },
       }),
-      this.follow(platform.endpoints.kind, ENDPOINT_GATHER_MILLISECONDS, {
+      this.follow(platform.endpoints.kind, () => this.endpointGather(), {
         onList: ({objects}, mayReturnUntil) =>
           this.takeEndpoints(objects, mayReturnUntil),
         onChanges: (changes, mayReturnUntil) =>
@@ -67,7 +81,20 @@
 
   /** Whether the store answered the last calls of this node. */
   get reachesStore(): boolean {
-    return this.followers.every(follower => !follower.isLost);
+    return this.followers.every(follower => follower.reachesStore);
+  }
+
+  /** Takes over what the holder of the lease has read. */
+  takeFeed(parts: readonly FeedPart[]): void {
+    for (const part of parts) {
+      const follower = this.followers.find(({kind}) => kind === part.kind);
+      follower?.takeFeed(part);
+    }
+  }
+
+  /** The holder of the lease is lost. */
+  endFeed(): void {
+    for (const follower of this.followers) follower.endFeed();
   }
 
   /** Follows until {@link stop}; rejects only for defects. */
@@ -81,7 +108,7 @@
 
   private follow(
     kind: string,
-    gatherMilliseconds: number,
+    gatherMilliseconds: () => Milliseconds,
     reader: Parameters<typeof KindFollower.create>[0]['reader'],
   ): KindFollower {
     return KindFollower.create({
@@ -93,6 +120,12 @@
     });
   }
 
+  private endpointGather(): Milliseconds {
+    return this.options.isFeeding()
+      ? FEEDING_GATHER_MILLISECONDS
+      : ENDPOINT_GATHER_MILLISECONDS;
+  }
+
   private readonly takeConfiguration = (object: StoreObject): void => {
     const {platform, routes, emit} = this.options;
     const {kind, name, decode} = platform.configuration;
@@ -123,17 +156,22 @@
   private changeEndpoints(
     changes: readonly StoreChange[],
     mayReturnUntil: Instant | undefined,
-  ): void {
+  ): readonly StoreChange[] {
     const {table} = this.options;
-    this.noteChanges(
-      table.apply(
-        changes.map(({object, isRemoved}) => ({
-          id: as<EndpointId>(object.name),
-          description: isRemoved ? undefined : this.decode(object),
-          isRemoved,
-        })),
-        mayReturnUntil,
-      ),
+    const applied = table.apply(
+      changes.map(({object, isRemoved}) => ({
+        id: as<EndpointId>(object.name),
+        description: isRemoved ? undefined : this.decode(object),
+        isRemoved,
+      })),
+      mayReturnUntil,
+    );
+    this.noteChanges(applied);
+    const changed = new Set<string>(
+      applied.filter(mattersToAll).map(({id}) => id),
+    );
+    return changes.filter(
+      ({object, isRemoved}) => isRemoved || changed.has(object.name),
     );
   }
 
@@ -175,3 +213,24 @@
     });
   }
 }
+
+/** Whether a change is of use to nodes that give no orders; loads and counts are not. */
+function mattersToAll({before, now}: TableChange): boolean {
+  if (before === undefined || now === undefined) return true;
+  return usePart(before) !== usePart(now);
+}
+
+function usePart(endpoint: EndpointDescription): string {
+  const {incarnation, service, address, failureDomain, slots} = endpoint;
+  const {isDraining, models} = endpoint;
+  const names = models.map(({model}) => model).join(' ');
+  return [
+    incarnation,
+    service,
+    address,
+    failureDomain,
+    slots,
+    isDraining,
+    names,
+  ].join('\n');
+}
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -12,6 +12,7 @@
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {AdapterGrant, AdapterNeed, NodeUsage} from '@siskinmux/placement';
 import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
+import type {FeedPart} from './change_feed.js';
 import type {PeerLink} from './peer_link.js';
 import {
   MESSAGE,
@@ -40,12 +41,14 @@
   readonly reachesStore: () => boolean;
   /** Told how many nodes are connected to the allocator. */
   readonly onAlive: (nodes: number) => void;
+  /** Told what the allocator's node has read from the store. */
+  readonly onFeed: (parts: readonly FeedPart[]) => void;
 }
 
 /** A connection to the allocator. */
 export class RemoteAllocator implements AllocatorLink {
   private constructor(private readonly options: RemoteAllocatorOptions) {
-    const {link, clock, listener, onAlive} = options;
+    const {link, clock, listener, onAlive, onFeed} = options;
     link.handle(MESSAGE.holdings, holdingsSchema, message =>
       listener.onHoldings(
         as<ServiceName>(message.service),
@@ -58,7 +61,10 @@
         decodeForecasts(message, clock.now()),
       ),
     );
-    link.handle(MESSAGE.alive, aliveSchema, ({nodes}) => onAlive(nodes));
+    link.handle(MESSAGE.alive, aliveSchema, ({nodes, feed}) => {
+      onAlive(nodes);
+      onFeed(feed);
+    });
   }
 
   static create(options: RemoteAllocatorOptions): RemoteAllocator {
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -144,10 +144,11 @@
     this.plan();
   }
 
-  /** Takes over what a node says of its requests. */
+  /** Takes over what a node says of its requests; what waits is planned for at once. */
   noteUsage(node: NodeId, usage: NodeUsage): void {
+    const hadWaiting = this.demand.hasWaiting(node);
     this.demand.note(node, usage, this.options.clock.now());
-    this.plan();
+    if (hadWaiting || usage.waiting.length > 0) this.plan();
   }
 
   /** Forgets a node that has gone. */
--- a/packages/placement/src/demand_book.ts
+++ b/packages/placement/src/demand_book.ts
@@ -57,6 +57,8 @@
   private runningModels = new Map<ModelName, number>();
   private runningEngines = new Map<EndpointId, number>();
   private waiting = new Map<ModelName, ModelDemand>();
+  /** Whether a node has spoken since the sums were made. */
+  private isStale = false;
 
   private constructor() {}
 
@@ -69,32 +71,41 @@
     this.usage.set(node, usage);
     for (const {model, count} of usage.arrived)
       this.noteArrivals(model, count, now);
-    this.sum();
+    this.isStale = true;
   }
 
   /** Forgets a node that has gone. */
   forget(node: NodeId): void {
     this.usage.delete(node);
-    this.sum();
+    this.isStale = true;
+  }
+
+  /** Whether requests of a node wait for a model, by what it said last. */
+  hasWaiting(node: NodeId): boolean {
+    return (this.usage.get(node)?.waiting.length ?? 0) > 0;
   }
 
   /** Models that requests wait for. */
   get waitingModels(): ReadonlyMap<ModelName, ModelDemand> {
+    this.sum();
     return this.waiting;
   }
 
   /** Requests for a model that run at an engine. */
   runningAt(engine: EndpointId, model: ModelName): number {
+    this.sum();
     return this.running.get(`${engine} ${model}`) ?? 0;
   }
 
   /** Requests for any model that run at an engine. */
   totalAt(engine: EndpointId): number {
+    this.sum();
     return this.runningEngines.get(engine) ?? 0;
   }
 
   /** Requests for a model that run anywhere. */
   runningOf(model: ModelName): number {
+    this.sum();
     return this.runningModels.get(model) ?? 0;
   }
 
@@ -110,7 +121,10 @@
     this.rates.set(model, {perSecond: before + added, at: now});
   }
 
+  /** Sums are made when they are read: nodes speak more often than plans are made. */
   private sum(): void {
+    if (!this.isStale) return;
+    this.isStale = false;
     this.running = new Map();
     this.runningModels = new Map();
     this.runningEngines = new Map();
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -99,12 +99,16 @@
   private readonly changes: ModelChange[] = [];
   private readonly taken = new Set<EndpointId>();
   private readonly replicas = new Map<ModelName, number>();
+  /** Models of which an engine that stays has a copy. */
+  private readonly copied = new Set<ModelName>();
   private storeLoads: number;
 
   constructor(private readonly input: ModelPlanInput) {
     this.storeLoads = input.storeLoads;
-    for (const {models, isDraining} of input.engines) {
+    for (const {models, inMemory, onDisk, isDraining} of input.engines) {
       if (isDraining) continue;
+      for (const model of inMemory) this.copied.add(model);
+      for (const model of onDisk) this.copied.add(model);
       for (const {model, state} of models.values()) {
         if (state === 'ready' || state === 'loading') this.addReplica(model);
       }
@@ -158,9 +162,7 @@
 
   /** Whether an engine that stays has a copy of the weights. */
   private hasCopy(model: ModelName): boolean {
-    return this.input.engines.some(
-      engine => !engine.isDraining && engine.tierOf(model) !== 'store',
-    );
+    return this.copied.has(model);
   }
 
   /** One more replica for each model whose replicas are busy, or which has one only. */
@@ -200,7 +202,9 @@
       if (this.storeLoads <= 0) return;
       if (this.replicasOf(model) > 0 || this.hasCopy(model)) continue;
       const offer = this.bestOffer(model, 0, true);
-      if (offer !== undefined) this.accept(model, offer, 'spread');
+      // Without a copy every engine is as good for one model as for the next.
+      if (offer === undefined) return;
+      this.accept(model, offer, 'spread');
     }
   }
 
