Count a model on its way from its plan on

Cause: a model that a change brings was counted only once its load was ordered, some 80 ms after the plan; plans made meanwhile loaded it at two to four engines. The test fails before (2 engines for 1).

--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -107,6 +107,22 @@
     allocator.stop();
   });
 
+  it('loads a model at one engine while others ask for it meanwhile', async () => {
+    const world = build(1);
+    const allocator = world.create(1, () => true);
+    await world.clock.advance(1_000);
+    // Two engines have a copy of it.
+    for (let elapsed = 0; elapsed < 600; elapsed += 20) {
+      waitFor(allocator, world, model(10));
+      await world.clock.advance(20);
+    }
+    const loads = world.orders.sent.filter(
+      ({change}) => change.operation === 'load' && change.model === model(10),
+    );
+    expect(new Set(loads.map(({engine}) => engine.id)).size).toEqual(1);
+    allocator.stop();
+  });
+
   it('orders nothing without the lease', async () => {
     const world = build(1);
     const allocator = world.create(1, () => false);
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -149,7 +149,7 @@
 
   it('waits for a copy at an engine that changes now rather than load from the store', () => {
     const changing = engine('one', [0, 1, 2], [9]);
-    changing.isChanging = true;
+    changing.incoming = {model: model(3), readyAt: now};
     const changes = plan(
       [changing, engine('two', [3, 4, 5], [])],
       demand({waiting: [waiting(9)]}),
--- a/packages/placement/src/engine_book.ts
+++ b/packages/placement/src/engine_book.ts
@@ -48,8 +48,8 @@
   readonly onDisk = new Set<ModelName>();
   /** Orders accepted in this life; undefined until a report was read. */
   orderCount: number | undefined;
-  /** Whether a change of models is under way. */
-  isChanging = false;
+  /** The model that a change under way brings, and when at best; undefined without one. */
+  incoming: {readonly model: ModelName; readonly readyAt: Instant} | undefined;
   isDraining: boolean;
 
   private constructor(
@@ -90,6 +90,11 @@
     return this.onDisk.has(model) ? 'disk' : 'store';
   }
 
+  /** Whether a change of models is under way. */
+  get isChanging(): boolean {
+    return this.incoming !== undefined;
+  }
+
   /** Room that is surely free, in megabytes, with every place for adapters filled. */
   freeMegabytes(declaration: EngineDeclaration): number {
     let free = declaration.weightsMegabytes;
--- a/packages/placement/src/forecast.ts
+++ b/packages/placement/src/forecast.ts
@@ -51,7 +51,9 @@
       best = place.readyAt;
     }
     if (place !== undefined) best = earlier(best, place.readyAt);
-    else if (engine.tierOf(declared.name) !== 'store') {
+    else if (engine.incoming?.model === declared.name) {
+      best = earlier(best, engine.incoming.readyAt);
+    } else if (engine.tierOf(declared.name) !== 'store') {
       best = earlier(best, loadedAt(engine, declared, input));
     }
   }
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -89,7 +89,11 @@
     const {emit, clock} = this.options;
     const {book} = engine;
     const begunAt = clock.now();
-    book.isChanging = true;
+    const alone =
+      this.options.declaration()?.models.get(change.load)?.loadMilliseconds[
+        change.tier
+      ] ?? 0;
+    book.incoming = {model: change.load, readyAt: after(begunAt, alone)};
     emit(CHANGE_PLANNED, {
       engine: book.id,
       load: change.load,
@@ -98,7 +102,7 @@
       reason: change.reason,
     });
     const end = await this.carryOut(engine, change);
-    book.isChanging = false;
+    book.incoming = undefined;
     emit(CHANGE_ENDED, {
       engine: book.id,
       load: change.load,
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -105,8 +105,13 @@
 
   constructor(private readonly input: ModelPlanInput) {
     this.storeLoads = input.storeLoads;
-    for (const {models, inMemory, onDisk, isDraining} of input.engines) {
-      if (isDraining) continue;
+    for (const engine of input.engines) {
+      const {models, inMemory, onDisk, incoming} = engine;
+      if (engine.isDraining) continue;
+      // The model of a change counts from its plan on, while others still give way to it.
+      if (incoming !== undefined && !models.has(incoming.model)) {
+        this.addReplica(incoming.model);
+      }
       for (const model of inMemory) this.copied.add(model);
       for (const model of onDisk) this.copied.add(model);
       for (const {model, state} of models.values()) {
