Let nodes with ample means take the lease first

Machines of the grown deployments have 0.324 to 1.35 cores and links of 7 to 140 Mbit/s; the holder carries the orders, the demand of all nodes and what it passes on. A weak node waits up to 250 ms before it takes a free lease. No effect where machines are alike and ample.

--- a/packages/gateway/__tests__/leadership.test.ts
+++ b/packages/gateway/__tests__/leadership.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {Instant, NodeId, Random} from '@siskinmux/kernel';
+import type {Instant, Milliseconds, NodeId, Random} from '@siskinmux/kernel';
 import {as, discardEvents, randomBelow} from '@siskinmux/kernel';
 import type {Holding, LeaseRules, LeaseSighting} from '@siskinmux/leases';
 import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
@@ -23,6 +23,7 @@
   constructor(
     private readonly world: World,
     readonly id: NodeId,
+    hesitation: Milliseconds,
   ) {
     const {clock, random, shared} = world;
     this.store = new MemoryStore(shared, clock, random);
@@ -35,6 +36,7 @@
       self: id,
       address: id,
       rules: RULES,
+      hesitation,
       follow: sighting => this.follow(sighting),
       lead: holding => {
         this.holding = holding;
@@ -108,9 +110,9 @@
   return world;
 }
 
-function addNode(world: World): void {
+function addNode(world: World, hesitation: Milliseconds = 0): void {
   const id = as<NodeId>(`node-${world.nodes.length}`);
-  world.nodes.push(new TestNode(world, id));
+  world.nodes.push(new TestNode(world, id, hesitation));
 }
 
 function holders({nodes, clock}: World): TestNode[] {
@@ -129,6 +131,22 @@
     stop(world);
   });
 
+  it('goes to a node with ample means, at the start and when its holder is killed', async () => {
+    const world = build(0);
+    for (const hesitation of [215, 180, 215, 0, 240, 0]) {
+      addNode(world, hesitation);
+    }
+    const strong = world.nodes.filter((_, index) => [3, 5].includes(index));
+    await world.clock.advance(2_000);
+    const [first] = holders(world);
+    expect(first !== undefined && strong.includes(first)).toEqual(true);
+    first?.kill();
+    await world.clock.advance(500);
+    const [second] = holders(world);
+    expect(second !== undefined && strong.includes(second)).toEqual(true);
+    stop(world);
+  });
+
   it('moves within half a second when its holder is killed', async () => {
     const world = build(5);
     await world.clock.advance(2_000);
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -4,6 +4,7 @@
 import type {TableChange} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
 import type {ClockReading} from '@siskinmux/leases';
+import {hesitation} from '@siskinmux/leases';
 import {EndpointConnections, SWEEP_MILLISECONDS} from '@siskinmux/forwarding';
 import type {
   Clock,
@@ -48,6 +49,7 @@
 } from './gateway_events.js';
 import type {GatewayPlatform} from './gateway_platform.js';
 import {
+  capacitySection,
   listenSection,
   rulesSection,
   splitSocket,
@@ -128,6 +130,7 @@
     this.listen = kernel.settings(listenSection);
     this.rules = kernel.settings(rulesSection);
     const {address} = kernel.settings(storeSection);
+    const capacity = kernel.settings(capacitySection);
     kernel.checkSettings();
     const {emit} = this;
     const agent = createAgent();
@@ -168,6 +171,10 @@
         leaseMilliseconds: this.rules.lease_milliseconds,
         isFencingEnforced: this.rules.engines_check_fencing,
       },
+      hesitation: hesitation({
+        processorShare: capacity.processor_share,
+        linkMegabits: capacity.link_megabits,
+      }),
       loadWindowMilliseconds: this.rules.load_window_seconds * 1_000,
       store: this.store,
       orders: platform.openOrders({agent, clock}),
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -27,6 +27,16 @@
   }),
 );
 
+/** What this node has to work with; a weak one lets others allocate. */
+export const capacitySection = settingsSection(
+  'capacity',
+  z.strictObject({
+    /** Cores' worth of processor time. */
+    processor_share: z.number().positive().default(1),
+    link_megabits: z.number().positive().default(1_000),
+  }),
+);
+
 /** Rules that the platform sets for the whole system. */
 export const rulesSection = settingsSection(
   'rules',
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -62,6 +62,8 @@
   readonly self: NodeId;
   readonly address: string;
   readonly rules: LeaseRules;
+  /** How long this node lets stronger ones go first. */
+  readonly hesitation: Milliseconds;
   /** Connects to the holder, or says what became of it. */
   readonly follow: (sighting: LeaseSighting) => Promise<Following | HolderSign>;
   /** Starts to allocate; `end` stops it. */
@@ -264,7 +266,8 @@
   }
 
   private spread(): Milliseconds {
-    return this.options.random() * SPREAD_MILLISECONDS;
+    const {random, hesitation} = this.options;
+    return random() * SPREAD_MILLISECONDS + hesitation;
   }
 
   private sleepOrWake(milliseconds: Milliseconds): Promise<void> {
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -47,6 +47,8 @@
   /** Where other nodes connect to. */
   readonly listen: {readonly address: string; readonly port: number};
   readonly leaseRules: LeaseRules;
+  /** How long this node lets stronger ones take the lease first. */
+  readonly hesitation: Milliseconds;
   readonly loadWindowMilliseconds: Milliseconds;
   readonly store: ObjectStore;
   readonly orders: EngineOrders;
--- a/packages/leases/__tests__/lease.test.ts
+++ b/packages/leases/__tests__/lease.test.ts
@@ -10,6 +10,7 @@
 import type {ClockReading, LeaseRules, LeaseSighting} from '../src/index.js';
 import {
   Holding,
+  hesitation,
   mayOrderFrom,
   resignedRecord,
   takeoverAt,
@@ -144,3 +145,14 @@
     expect(unchecked.mayOrder(reading(4_000))).toEqual(false);
   });
 });
+
+describe('how long a node lets others go first', () => {
+  it('is nothing for a node with ample means, and grows as they lack', () => {
+    const wait = (processorShare: number, linkMegabits: number): number =>
+      hesitation({processorShare, linkMegabits});
+    expect(wait(0.675, 1_000)).toEqual(0);
+    expect(wait(0.3, 1_000) > wait(0.5, 1_000)).toEqual(true);
+    expect(wait(1.35, 7) > wait(0.324, 140)).toEqual(true);
+    expect(wait(0.001, 0.001) <= 250).toEqual(true);
+  });
+});
--- a/packages/leases/src/index.ts
+++ b/packages/leases/src/index.ts
@@ -2,6 +2,8 @@
 
 export type {ClockReading} from './holding.js';
 export {Holding, TICK_MILLISECONDS} from './holding.js';
+export type {NodeCapacity} from './hesitation.js';
+export {hesitation} from './hesitation.js';
 export type {
   HolderSign,
   LeaseRecord,
