Find out how many loads the weight store carries at once

Cause: four loads at once were taken for granted. It begins with one and doubles while loads take no longer than one alone.

--- a/packages/gateway/src/allocator_host.ts
+++ b/packages/gateway/src/allocator_host.ts
@@ -49,6 +49,8 @@
   readonly authority: () => OrderAuthority | undefined;
   readonly onFenced: () => void;
   readonly loadWindowMilliseconds: Milliseconds;
+  /** Loads that the weight store carries at once, as told by the holder before. */
+  readonly knownLoadsAtOnce: number | undefined;
   readonly self: NodeId;
   /** This node's own part of what the allocator tells. */
   readonly listener: AllocatorListener;
@@ -64,7 +66,10 @@
   private readonly feed: ChangeFeed;
 
   private constructor(private readonly options: AllocatorHostOptions) {
-    this.ceiling = LoadCeiling.create(options.loadWindowMilliseconds);
+    this.ceiling = LoadCeiling.create(
+      options.loadWindowMilliseconds,
+      options.knownLoadsAtOnce,
+    );
     this.feed = ChangeFeed.create(options);
   }
 
@@ -184,6 +189,7 @@
         follower.link.notify(MESSAGE.alive, {
           nodes: this.nodeCount,
           reachesStore: reachesStore(),
+          loadsAtOnce: this.ceiling.knownAtOnce,
           feed,
         });
       }
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -88,9 +88,14 @@
 export const aliveSchema = z.object({
   nodes: count,
   reachesStore: z.boolean(),
+  /** Loads that the weight store carries at full speed, as far as is known. */
+  loadsAtOnce: z.number().int().positive().optional(),
   feed: z.array(feedPartSchema).default([]),
 });
 
+/** A sign of life on the wire. */
+export type AliveMessage = z.infer<typeof aliveSchema>;
+
 /** Usage on the wire. */
 export type UsageMessage = z.infer<typeof usageSchema>;
 
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -76,6 +76,7 @@
   private readonly findPlain: FindEndpoint;
   private host: AllocatorHost | undefined;
   private following: PeerLink | undefined;
+  private knownLoadsAtOnce: number | undefined;
 
   private constructor(private readonly options: PlacementTaskOptions) {
     const {choice, routes, listen, store, clock, identity} = options;
@@ -198,7 +199,11 @@
       ...this.options,
       link,
       listener: this.client,
-      onAlive: nodes => this.noteNodes(nodes),
+      onAlive: ({nodes, loadsAtOnce, feed}) => {
+        this.noteNodes(nodes);
+        this.knownLoadsAtOnce = loadsAtOnce;
+        this.options.onFeed(feed);
+      },
     });
     try {
       const {node, isHolder} = await allocator.hello(identity.id);
@@ -248,6 +253,7 @@
           ? {holder: identity.id, fencingNumber: holding.term}
           : undefined,
       onFenced: () => this.leadership.noteFenced(),
+      knownLoadsAtOnce: this.knownLoadsAtOnce,
       self: identity.id,
       listener: this.client,
       endpoints: () => table.all,
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -12,8 +12,8 @@
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {AdapterGrant, AdapterNeed, NodeUsage} from '@siskinmux/placement';
 import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
-import type {FeedPart} from './change_feed.js';
 import type {PeerLink} from './peer_link.js';
+import type {AliveMessage} from './placement_messages.js';
 import {
   MESSAGE,
   aliveSchema,
@@ -39,16 +39,14 @@
   readonly clock: Clock;
   readonly listener: AllocatorListener;
   readonly reachesStore: () => boolean;
-  /** Told how many nodes are connected to the allocator. */
-  readonly onAlive: (nodes: number) => void;
-  /** Told what the allocator's node has read from the store. */
-  readonly onFeed: (parts: readonly FeedPart[]) => void;
+  /** Told what the allocator's node knows of the system, several times a second. */
+  readonly onAlive: (sign: AliveMessage) => void;
 }
 
 /** A connection to the allocator. */
 export class RemoteAllocator implements AllocatorLink {
   private constructor(private readonly options: RemoteAllocatorOptions) {
-    const {link, clock, listener, onAlive, onFeed} = options;
+    const {link, clock, listener, onAlive} = options;
     link.handle(MESSAGE.holdings, holdingsSchema, message =>
       listener.onHoldings(
         as<ServiceName>(message.service),
@@ -61,10 +59,7 @@
         decodeForecasts(message, clock.now()),
       ),
     );
-    link.handle(MESSAGE.alive, aliveSchema, ({nodes, feed}) => {
-      onAlive(nodes);
-      onFeed(feed);
-    });
+    link.handle(MESSAGE.alive, aliveSchema, onAlive);
   }
 
   static create(options: RemoteAllocatorOptions): RemoteAllocator {
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -65,7 +65,14 @@
 }
 
 function plan(engines: EngineBook[], book: DemandBook, storeLoads = 4) {
-  return planModels({now, declaration, engines, demand: book, storeLoads});
+  return planModels({
+    now,
+    declaration,
+    engines,
+    demand: book,
+    storeLoads,
+    loadsAtOnce: 4,
+  });
 }
 
 describe('a plan of models', () => {
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -279,7 +279,14 @@
     const now: Instant = clock.now();
     const engines = [...this.engines.values()].map(({book}) => book);
     const storeLoads = ceiling.free(declaration.storeLoadsPerSecond, now);
-    const input = {now, declaration, engines, demand: this.demand, storeLoads};
+    const input = {
+      now,
+      declaration,
+      engines,
+      demand: this.demand,
+      storeLoads,
+      loadsAtOnce: ceiling.knownAtOnce,
+    };
     if (authority() !== undefined) {
       const changes = planModels(input);
       for (const change of changes) {
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -180,12 +180,14 @@
       const end = await this.order(engine, change, isUnloading);
       if (end === 'unsent') book.dropModel(model);
       if (end !== 'done') return end;
-      place.readyAt = after(clock.now(), alone);
+      const acceptedAt = clock.now();
+      place.readyAt = after(acceptedAt, alone);
       const isLoaded =
         tier === 'store'
           ? await this.waitUntilHeld(book, model, place.readyAt, alone)
           : await this.waitForCopy(engine, model, place.readyAt);
       if (!isLoaded) return 'misfit';
+      endLoad({took: until(acceptedAt, clock.now()), alone});
     } finally {
       endLoad();
     }
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -42,7 +42,7 @@
  * then takes a little longer, and the many callers wait for one load instead of two.
  */
 const URGENT_SCORE = 8;
-const URGENT_LOADS = 2;
+const URGENT_SHARE = 0.5;
 
 /** Arrivals per second from which a second replica fills a free place, against the loss of the first. */
 const SPARED_PER_SECOND = 2;
@@ -72,6 +72,8 @@
   readonly demand: DemandBook;
   /** Loads from the weight store that may begin. */
   readonly storeLoads: number;
+  /** Loads that the weight store carries at full speed, as far as is known. */
+  readonly loadsAtOnce: number;
 }
 
 /** Changes to begin now, each at another engine. */
@@ -238,8 +240,9 @@
 
   /** A copy at an engine that is changing now is nearer than the weight store. */
   private mayLoadFromStore(model: ModelName, gain: number): boolean {
-    const extra = gain >= URGENT_SCORE ? URGENT_LOADS : 0;
-    if (this.storeLoads + extra <= 0) return false;
+    const {loadsAtOnce} = this.input;
+    const extra = gain >= URGENT_SCORE ? loadsAtOnce * URGENT_SHARE : 0;
+    if (this.storeLoads + extra < 1) return false;
     return gain === 0 || !this.hasCopy(model);
   }
 
