Gather changes of holdings, and count loads from the store from their plan on

Nodes that wait for a model hear of it at once, all others after 2 ms a node. Up to 16 nodes everything goes at once, as before. The test fails before (3 loads for 1).

--- a/packages/gateway/src/allocator_host.ts
+++ b/packages/gateway/src/allocator_host.ts
@@ -9,11 +9,12 @@
   NodeId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {as} from '@siskinmux/kernel';
+import {after, as} from '@siskinmux/kernel';
 import type {EndpointDescription, TableChange} from '@siskinmux/endpoints';
 import type {
   AdapterNeed,
   AdapterGrant,
+  EngineHolding,
   EngineOrders,
   NodeUsage,
   OrderAuthority,
@@ -41,6 +42,15 @@
 /** Pause between signs of life to the nodes; they wait for three of them. */
 export const ALIVE_MILLISECONDS: Milliseconds = 300;
 
+/**
+ * Changes of what engines hold gather this long for each node before they go to nodes
+ * that don't wait for them: at once for a few nodes, a fifth of a second for ninety.
+ */
+const HOLDINGS_MILLISECONDS_PER_NODE: Milliseconds = 2;
+
+/** As many nodes are told at once. */
+const FEW_NODES = 16;
+
 /** What the host needs from its surroundings. */
 export interface AllocatorHostOptions {
   readonly orders: EngineOrders;
@@ -64,6 +74,11 @@
   private readonly followers = new Map<NodeId, Follower>();
   private readonly ceiling: LoadCeiling;
   private readonly feed: ChangeFeed;
+  /** Engines whose holdings changed since all nodes were told. */
+  private readonly untold = new Map<
+    ServiceName,
+    Map<EndpointId, EngineHolding>
+  >();
 
   private constructor(private readonly options: AllocatorHostOptions) {
     this.ceiling = LoadCeiling.create(
@@ -219,7 +234,7 @@
       ceiling: this.ceiling,
       onHolding: holding => {
         listener.onHoldings(service, [holding]);
-        this.tell(MESSAGE.holdings, encodeHoldings(service, [holding]));
+        this.tellHolding(service, holding);
       },
       onForecasts: forecasts => {
         if (forecasts.length === 0) return;
@@ -236,7 +251,34 @@
     return allocator;
   }
 
-  private tell(method: string, message: object): void {
-    for (const {link} of this.followers.values()) link.notify(method, message);
+  /** Nodes whose requests wait for one of the models hear of it at once. */
+  private tellHolding(service: ServiceName, holding: EngineHolding): void {
+    const message = encodeHoldings(service, [holding]);
+    const isFew = this.nodeCount <= FEW_NODES;
+    for (const follower of this.followers.values()) {
+      if (isFew || follower.waitsFor(service, holding.models)) {
+        follower.link.notify(MESSAGE.holdings, message);
+      }
+    }
+    if (!isFew) this.tellLater(service, holding);
+  }
+
+  private tellLater(service: ServiceName, holding: EngineHolding): void {
+    const engines = this.untold.get(service) ?? new Map();
+    engines.set(holding.engine, holding);
+    this.untold.set(service, engines);
+    if (engines.size > 1) return;
+    const {clock} = this.options;
+    const wait = this.nodeCount * HOLDINGS_MILLISECONDS_PER_NODE;
+    clock.schedule(after(clock.now(), wait), () => this.tellGathered(service));
+  }
+
+  private tellGathered(service: ServiceName): void {
+    const holdings = [...(this.untold.get(service)?.values() ?? [])];
+    this.untold.delete(service);
+    const message = encodeHoldings(service, holdings);
+    for (const {link} of this.followers.values()) {
+      link.notify(MESSAGE.holdings, message);
+    }
   }
 }
--- a/packages/gateway/src/change_feed.ts
+++ b/packages/gateway/src/change_feed.ts
@@ -10,7 +10,7 @@
 import {z} from 'zod';
 
 /** Characters from which changes are only announced; a slow link takes them 90 times. */
-const MOST_CHARACTERS = 16_384;
+const MOST_CHARACTERS = 32_768;
 
 const version = z
   .number()
--- a/packages/gateway/src/follower.ts
+++ b/packages/gateway/src/follower.ts
@@ -59,6 +59,12 @@
     );
   }
 
+  /** Whether its requests wait for any of some models. */
+  waitsFor(service: ServiceName, models: readonly ModelName[]): boolean {
+    const told = this.told.get(service);
+    return told !== undefined && models.some(model => told.has(model));
+  }
+
   /** Tells what is new to it of the models that its requests wait for. */
   tellForecasts(
     service: ServiceName,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -95,6 +95,7 @@
   private nodes = 1;
   private cancelFlush: CancelTimer | undefined;
   private flushAt: Instant | undefined;
+  private flushedAt: Instant | undefined;
 
   private constructor(private readonly options: PlacementClientOptions) {}
 
@@ -182,10 +183,21 @@
     }
   };
 
+  /** Tells the allocator that the node lives, unless it spoke lately. */
+  repeat(): void {
+    const {clock} = this.options;
+    const {flushedAt} = this;
+    const isRecent =
+      flushedAt !== undefined &&
+      clock.now() < after(flushedAt, REPEAT_MILLISECONDS);
+    if (!isRecent) this.flush();
+  }
+
   /** Sends usage to the allocator. */
   flush(): void {
     this.cancelFlush?.();
     this.flushAt = undefined;
+    this.flushedAt = this.options.clock.now();
     for (const service of this.options.engineServices()) {
       this.link?.noteUsage(service, this.usageOf(service));
     }
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -124,7 +124,7 @@
       this.server.listen(listen.port, listen.address, resolve);
     });
     repeat(clock, ALIVE_MILLISECONDS, () => this.tick()).start();
-    repeat(clock, REPEAT_MILLISECONDS, () => this.client.flush()).start();
+    repeat(clock, REPEAT_MILLISECONDS, () => this.client.repeat()).start();
   }
 
   /** Takes part until {@link stop}; rejects only for defects. */
--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -95,6 +95,17 @@
   return [...held.values()].some(models => models.includes(wanted));
 }
 
+/** Usage in which every model runs at every engine that holds it. */
+function everythingRuns({engines}: World) {
+  return [...engines.values()].flatMap(engine =>
+    [...engine.models].map(running => ({
+      engine: engine.id,
+      model: running,
+      count: 1,
+    })),
+  );
+}
+
 describe('the allocator', () => {
   it('wakes a model from a disk within its load, an unload and a report', async () => {
     const world = build(1);
@@ -123,6 +134,38 @@
     allocator.stop();
   });
 
+  it('plans no more loads from the weight store than it is known to carry', async () => {
+    const world = build(1);
+    // No engine has a copy of these, and others have to give way to them.
+    const missing = [9, 10, 11];
+    for (const {onDisk} of world.engines.values()) {
+      for (const index of missing) onDisk.delete(model(index));
+    }
+    const allocator = world.create(1, () => true);
+    const say = (isInUse: boolean): void =>
+      allocator.noteUsage(node, {
+        waiting: missing.map(index => ({
+          model: model(index),
+          count: 1,
+          priority: 0,
+          uselessAt: after(world.clock.now(), 60_000),
+        })),
+        running: isInUse ? everythingRuns(world) : [],
+        arrived: [],
+      });
+    say(true);
+    await world.clock.advance(1_000);
+    for (let elapsed = 0; elapsed < 2_000; elapsed += 10) {
+      say(false);
+      await world.clock.advance(10);
+    }
+    const loads = world.orders.sent.filter(
+      ({change}) => change.operation === 'load',
+    );
+    expect(loads.length).toEqual(1);
+    allocator.stop();
+  });
+
   it('orders nothing without the lease', async () => {
     const world = build(1);
     const allocator = world.create(1, () => false);
@@ -145,13 +188,7 @@
           uselessAt: after(world.clock.now(), 8_000),
         },
       ],
-      running: [...world.engines.values()].flatMap(engine =>
-        [...engine.models].map(running => ({
-          engine: engine.id,
-          model: running,
-          count: 1,
-        })),
-      ),
+      running: everythingRuns(world),
       arrived: [],
     });
     const before = world.orders.sent.length;
--- a/packages/placement/src/load_ceiling.ts
+++ b/packages/placement/src/load_ceiling.ts
@@ -18,6 +18,15 @@
 /** Part of the declared rate that is used; a holder before may have begun loads unseen. */
 const RATE_SHARE = 0.8;
 
+/**
+ * Ends a load; further calls do nothing. A load that came to its end tells the time that
+ * it took, and the time that one takes alone.
+ */
+export type EndLoad = (timing?: {
+  took: Milliseconds;
+  alone: Milliseconds;
+}) => void;
+
 /** Loads that are under way or began lately. */
 export class LoadCeiling {
   private readonly begun: Instant[] = [];
@@ -64,13 +73,8 @@
     );
   }
 
-  /**
-   * Notes a load that begins. Returns what to call once when it has ended, with the
-   * time that it took and the time that one takes alone, if it came to its end.
-   */
-  begin(
-    now: Instant,
-  ): (timing?: {took: Milliseconds; alone: Milliseconds}) => void {
+  /** Notes a load that begins; returns what to call when it has ended. */
+  begin(now: Instant): EndLoad {
     this.begun.push(now);
     const load = {beside: 0};
     this.running.add(load);
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -15,7 +15,7 @@
 import type {DemandBook} from './demand_book.js';
 import type {EngineBook} from './engine_book.js';
 import type {EngineOrders, HoldingChange} from './engine_orders.js';
-import type {LoadCeiling} from './load_ceiling.js';
+import type {EndLoad, LoadCeiling} from './load_ceiling.js';
 import {CHANGE_ENDED, CHANGE_PLANNED} from './placement_events.js';
 import type {ModelChange} from './plan_models.js';
 
@@ -101,7 +101,13 @@
       tier: change.tier,
       reason: change.reason,
     });
-    const end = await this.carryOut(engine, change);
+    // Counted from here on: plans are made while others still give way to the load.
+    const endLoad =
+      change.tier === 'store'
+        ? this.options.ceiling.begin(begunAt)
+        : () => undefined;
+    const end = await this.carryOut(engine, change, endLoad);
+    endLoad();
     book.incoming = undefined;
     emit(CHANGE_ENDED, {
       engine: book.id,
@@ -115,6 +121,7 @@
   private async carryOut(
     engine: ManagedEngine,
     change: ModelChange,
+    endLoad: EndLoad,
   ): Promise<'ready' | 'in_use' | 'misfit' | 'unsent'> {
     if (change.unload.length > 0 && !(await this.close(engine.book, change))) {
       return 'in_use';
@@ -125,7 +132,7 @@
       if (end !== 'done') return end;
       isUnloading = true;
     }
-    return this.load(engine, change, isUnloading);
+    return this.load(engine, change, isUnloading, endLoad);
   }
 
   /** Gives notice; false when the models are in use after all. */
@@ -163,9 +170,10 @@
     engine: ManagedEngine,
     {load: model, tier}: ModelChange,
     isUnloading: boolean,
+    endLoad: EndLoad,
   ): Promise<'ready' | 'misfit' | 'unsent'> {
     const {book} = engine;
-    const {clock, ceiling, declaration} = this.options;
+    const {clock, declaration} = this.options;
     const alone = declaration()?.models.get(model)?.loadMilliseconds[tier] ?? 0;
     const place = {
       model,
@@ -174,23 +182,18 @@
       readyAt: after(clock.now(), alone),
     };
     book.models.set(model, place);
-    const endLoad = tier === 'store' ? ceiling.begin(clock.now()) : () => {};
-    try {
-      const change = {operation: 'load', model, adapter: undefined} as const;
-      const end = await this.order(engine, change, isUnloading);
-      if (end === 'unsent') book.dropModel(model);
-      if (end !== 'done') return end;
-      const acceptedAt = clock.now();
-      place.readyAt = after(acceptedAt, alone);
-      const isLoaded =
-        tier === 'store'
-          ? await this.waitUntilHeld(book, model, place.readyAt, alone)
-          : await this.waitForCopy(engine, model, place.readyAt);
-      if (!isLoaded) return 'misfit';
-      endLoad({took: until(acceptedAt, clock.now()), alone});
-    } finally {
-      endLoad();
-    }
+    const change = {operation: 'load', model, adapter: undefined} as const;
+    const end = await this.order(engine, change, isUnloading);
+    if (end === 'unsent') book.dropModel(model);
+    if (end !== 'done') return end;
+    const acceptedAt = clock.now();
+    place.readyAt = after(acceptedAt, alone);
+    const isLoaded =
+      tier === 'store'
+        ? await this.waitUntilHeld(book, model, place.readyAt, alone)
+        : await this.waitForCopy(engine, model, place.readyAt);
+    if (!isLoaded) return 'misfit';
+    endLoad({took: until(acceptedAt, clock.now()), alone});
     book.models.set(model, {
       model,
       state: 'ready',
