--- a/packages/cli/src/run_command_line.ts
+++ b/packages/cli/src/run_command_line.ts
@@ -15,6 +15,7 @@
   configShowCommand,
 } from './commands/config.js';
 import {demoCommand} from './commands/demo.js';
+import {explainCommand} from './commands/explain.js';
 import {serveCommand} from './commands/serve.js';
 import {statusCommand} from './commands/status.js';
 import {versionCommand} from './commands/version.js';
@@ -33,6 +34,7 @@
   configHistoryCommand,
   configDiffCommand,
   statusCommand,
+  explainCommand,
   demoCommand,
   versionCommand,
 ];
@@ -63,13 +65,21 @@
     return ExitCode.Success;
   }
   const {positionals, values} = parse(command, rest);
-  if (positionals.length !== command.positionals.length) {
+  if (!isNumberExpected(command, positionals.length)) {
     const expected = command.positionals.join(' ') || 'no arguments';
     throw new UsageError(`${command.name} expects ${expected}.`);
   }
   return command.run(positionals, values, output);
 }
 
+/** The last positional may stand for one or more; its name then ends in dots. */
+function isNumberExpected({positionals}: Command, count: number): boolean {
+  const isRepeated = positionals.at(-1)?.endsWith('...') === true;
+  return isRepeated
+    ? count >= positionals.length
+    : count === positionals.length;
+}
+
 function parse(command: Command, rest: readonly string[]) {
   try {
     return parseArgs({
--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -218,6 +218,34 @@
     allocator.stop();
   });
 
+  it('gives a place that becomes free to one of many that want it at once', async () => {
+    const names = ['a5', 'a6', 'a5', 'a7', 'a6', 'a8', 'a5', 'a9', 'a7'];
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const world = build(seed);
+      const allocator = world.create(1, () => true);
+      await world.clock.advance(1_000);
+      const want = (adapter: string): void =>
+        void allocator.wantAdapter({
+          model: model(0),
+          adapter: as<AdapterName>(adapter),
+          excluded: new Set(),
+        });
+      want('a1');
+      want('a2');
+      for (let round = 0; round < 5; round += 1) {
+        await world.clock.advance(2_000);
+        const first = randomBelow(world.random, names.length);
+        for (const name of [...names.slice(first), ...names.slice(0, first)]) {
+          want(`${name}${round}`);
+          if (world.random() < 0.3) await world.clock.advance(1);
+        }
+      }
+      await world.clock.advance(2_000);
+      expect({seed, broken: world.broken}).toEqual({seed, broken: []});
+      allocator.stop();
+    }
+  });
+
   it('refuses an adapter rather than take one away that nodes may still use', async () => {
     const world = build(1);
     const allocator = world.create(1, () => true);
--- a/packages/placement/src/adapter_cache.ts
+++ b/packages/placement/src/adapter_cache.ts
@@ -119,8 +119,10 @@
       adapter,
       unload: unload && adapterKey(unload.model, unload.adapter),
     });
-    if (unload !== undefined && !(await this.unload(engine, unload))) {
-      return undefined;
+    if (unload !== undefined) {
+      if (!(await this.unload(engine, unload))) return undefined;
+      // Given up and taken in one step, so that nobody takes it in between.
+      book.adapters.delete(adapterKey(unload.model, unload.adapter));
     }
     // The place is taken before the order leaves, whatever becomes of it.
     const place = book.putAdapter(model, adapter, 'arriving', clock.now());
@@ -138,7 +140,7 @@
     return undefined;
   }
 
-  /** Whether the adapter is gone; one that requests still use keeps its place until then. */
+  /** Whether the adapter is gone, and its place the caller's; one that requests still use keeps its place until then. */
   private async unload(
     engine: ManagedEngine,
     place: AdapterPlace,
@@ -146,10 +148,7 @@
     const {model, adapter} = place;
     place.state = 'leaving';
     const end = await engine.line.send({operation: 'unload', model, adapter});
-    if (end === 'done') {
-      engine.book.adapters.delete(adapterKey(model, adapter));
-      return true;
-    }
+    if (end === 'done') return true;
     if (end === 'accepted') {
       void this.waitUntilGone(engine, place);
       return false;
