--- a/packages/cli/__tests__/command_line.test.ts
+++ b/packages/cli/__tests__/command_line.test.ts
@@ -42,6 +42,21 @@
   return folder;
 }
 
+describe('checking the settings of a gateway', () => {
+  it('passes the example and names what is wrong in another', async () => {
+    const example = 'examples/settings/gateway.toml';
+    const passed = await run('check', '--gateway', example);
+    expect(passed.code).toEqual(ExitCode.Success);
+    const folder = mkdtempSync(join(tmpdir(), 'settings-'));
+    const file = join(folder, 'gateway.toml');
+    const text = readFileSync(example, 'utf8');
+    writeFileSync(file, text.replace('link_megabits', 'link_megabit'));
+    const failed = await run('check', '--gateway', file);
+    expect(failed.code).toEqual(ExitCode.Invalid);
+    expect(failed.err).toInclude('link_megabit');
+  });
+});
+
 describe('the command line', () => {
   it('helps at each level, with examples', async () => {
     const overall = await run('help');
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -2,6 +2,7 @@
 
 import {systemClock, systemRandom} from '@siskinmux/adapters';
 import {SECTIONS} from '@siskinmux/declarations';
+import {checkGatewaySettings} from '@siskinmux/gateway';
 import {SiskinmuxNode} from '@siskinmux/node';
 import type {Command} from '../command.js';
 import {UsageError, stringOption} from '../command.js';
@@ -16,6 +17,7 @@
   positionals: [],
   options: {
     settings: {type: 'string', value: 'FILE', help: 'settings of a node'},
+    gateway: {type: 'string', value: 'FILE', help: 'settings of a gateway'},
     declarations: {
       type: 'string',
       value: 'FOLDER',
@@ -28,6 +30,10 @@
       line: 'siskinmux check --declarations ./declarations',
       purpose: 'find mistakes before you plan a change',
     },
+    {
+      line: 'siskinmux check --gateway gateway.toml',
+      purpose: 'find mistakes in what a gateway is started with',
+    },
     {
       line: 'siskinmux check --settings node.toml',
       purpose: 'find mistakes before you start a node',
@@ -35,20 +41,25 @@
   ],
   async run(_positionals, options, output) {
     const settings = stringOption(options, 'settings');
+    const gateway = stringOption(options, 'gateway');
     const folder = stringOption(options, 'declarations');
-    if (settings === undefined && folder === undefined) {
-      throw new UsageError('Name --settings, --declarations or both.');
+    if ((settings ?? gateway ?? folder) === undefined) {
+      throw new UsageError('Name --settings, --gateway or --declarations.');
     }
     const checked: Record<string, unknown> = {};
     if (settings !== undefined) {
       checkSettings(settings);
       checked['settings'] = settings;
     }
+    if (gateway !== undefined) {
+      checkGatewaySettings(readSettings(gateway));
+      checked['gateway'] = gateway;
+    }
     if (folder !== undefined) checked['declarations'] = countEntries(folder);
     output.line(
       options['json'] === true
         ? JSON.stringify(checked)
-        : describe(settings, checked['declarations']),
+        : describe([settings, gateway], checked['declarations']),
     );
     return ExitCode.Success;
   },
@@ -74,9 +85,13 @@
   );
 }
 
-function describe(settings: string | undefined, counts: unknown): string {
-  const lines: string[] = [];
-  if (settings !== undefined) lines.push(`Settings in ${settings} are valid.`);
+function describe(
+  files: readonly (string | undefined)[],
+  counts: unknown,
+): string {
+  const lines = files.flatMap(file =>
+    file === undefined ? [] : [`Settings in ${file} are valid.`],
+  );
   if (counts !== undefined) {
     const parts = Object.entries(counts as Record<string, number>);
     const text = parts.map(([section, count]) => `${count} ${section}`);
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -30,9 +30,6 @@
   METRICS,
   NODE_IDENTITY,
   RANDOM,
-  createLogPlugin,
-  metricsPlugin,
-  nodeIdentityPlugin,
   repeat,
 } from '@siskinmux/runtime';
 import type {FastifyInstance} from 'fastify';
@@ -48,13 +45,8 @@
   TASK_FAILED,
 } from './gateway_events.js';
 import type {GatewayPlatform} from './gateway_platform.js';
-import {
-  capacitySection,
-  listenSection,
-  rulesSection,
-  splitSocket,
-  storeSection,
-} from './gateway_settings.js';
+import {readGatewaySettings} from './check_settings.js';
+import {splitSocket} from './gateway_settings.js';
 import type {JourneySurroundings} from './journey.js';
 import {Journey} from './journey.js';
 import {LoadBook} from './load_book.js';
@@ -120,18 +112,15 @@
     const {kernel} = this;
     kernel.provide(CLOCK, clock);
     kernel.provide(RANDOM, random);
-    kernel.use(nodeIdentityPlugin);
-    kernel.use(createLogPlugin(options.writeLog));
-    kernel.use(metricsPlugin);
+    const settings = readGatewaySettings(kernel, options.writeLog);
     kernel.addEvents(GATEWAY_EVENTS);
     kernel.addEvents(PLACEMENT_EVENTS);
     this.clock = clock;
     this.emit = kernel.inject(EMIT_EVENT);
-    this.listen = kernel.settings(listenSection);
-    this.rules = kernel.settings(rulesSection);
-    const {address} = kernel.settings(storeSection);
-    const capacity = kernel.settings(capacitySection);
-    kernel.checkSettings();
+    this.listen = settings.listen;
+    this.rules = settings.rules;
+    const {address} = settings.store;
+    const {capacity} = settings;
     const {emit} = this;
     const agent = createAgent();
     this.store = platform.openStore({
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,5 +2,6 @@
 
 export type {GatewayPlatform, StoreConnection} from './gateway_platform.js';
 export type {GatewayOptions} from './gateway_node.js';
+export {checkGatewaySettings} from './check_settings.js';
 export {GatewayNode} from './gateway_node.js';
 export {GATEWAY_EVENTS, gatewayEventsPage} from './gateway_events.js';
