Never load an adapter where it is just being unloaded

The test of place_adapter fails before. An adapter that is crowded everywhere is used where it is rather than refused.

--- /dev/null
+++ b/packages/placement/__tests__/place_adapter.test.ts
@@ -0,0 +1,104 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {
+  AdapterName,
+  EndpointId,
+  FailureDomain,
+  Instant,
+  ModelName,
+  NodeId,
+} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import type {Incarnation} from '@siskinmux/endpoints';
+import {DemandBook, EngineBook, placeAdapter} from '../src/index.js';
+import {SERVICE} from './simulated_engines.js';
+
+const now = as<Instant>(100_000);
+const model = as<ModelName>('m0');
+const MOST = 3;
+
+function engine(
+  name: string,
+  adapters: readonly string[],
+  leaving: readonly string[] = [],
+): EngineBook {
+  const id = as<EndpointId>(name);
+  const book = EngineBook.create({
+    id,
+    incarnation: as<Incarnation>(name),
+    service: SERVICE,
+    address: '127.0.0.1:1',
+    failureDomain: as<FailureDomain>('a'),
+    slots: 16,
+    isDraining: false,
+    leavesAt: undefined,
+    orderCount: 0,
+    models: [],
+    copies: {inMemory: [], onDisk: []},
+  });
+  book.orderCount = 0;
+  const held = {model, state: 'ready' as const, since: now, readyAt: now};
+  book.models.set(model, held);
+  for (const adapter of [...adapters, ...leaving]) {
+    const place = book.putAdapter(
+      model,
+      as<AdapterName>(adapter),
+      'ready',
+      now,
+    );
+    if (leaving.includes(adapter)) place.state = 'leaving';
+  }
+  return book;
+}
+
+function place(
+  adapter: string,
+  engines: EngineBook[],
+  running: readonly number[] = [],
+) {
+  const demand = DemandBook.create();
+  const usage = engines.map(({id}, index) => ({
+    engine: id,
+    model,
+    count: running[index] ?? 0,
+  }));
+  demand.note(
+    as<NodeId>('node'),
+    {waiting: [], running: usage, arrived: []},
+    now,
+  );
+  const need = {
+    model,
+    adapter: as<AdapterName>(adapter),
+    excluded: new Set<EndpointId>(),
+  };
+  const later = as<Instant>(now + 60_000);
+  return placeAdapter(need, engines, demand, MOST, later);
+}
+
+describe('where an adapter is placed', () => {
+  it('is an engine that has it, without an order', () => {
+    const found = place('a1', [engine('one', ['a2']), engine('two', ['a1'])]);
+    expect([found?.kind, found?.engine.id]).toEqual([
+      'held',
+      as<EndpointId>('two'),
+    ]);
+  });
+
+  it('is never the engine that it is just leaving', () => {
+    // Its place there is given up under its name once the engine has unloaded it.
+    expect(place('a1', [engine('one', ['a2'], ['a1'])])).toEqual(undefined);
+    const found = place('a1', [engine('one', [], ['a1']), engine('two', [])]);
+    expect(found?.engine.id).toEqual(as<EndpointId>('two'));
+  });
+
+  it('is an engine beside the crowded ones that have it, or one of these', () => {
+    const crowded = engine('one', ['a1', 'a2', 'a3']);
+    const idle = engine('two', ['a4', 'a5', 'a6']);
+    const spread = place('a1', [crowded, idle], [30, 0]);
+    expect([spread?.kind, spread?.engine.id]).toEqual(['load', idle.id]);
+    const other = engine('three', ['a1', 'a2', 'a3']);
+    const held = place('a1', [crowded, other], [30, 28]);
+    expect(held?.kind).toEqual('held');
+  });
+});
--- a/packages/placement/src/adapter_cache.ts
+++ b/packages/placement/src/adapter_cache.ts
@@ -180,6 +180,7 @@
       );
       const isThere =
         report === undefined ||
+        report.isBusy ||
         report.models.some(
           held => held.model === model && held.adapters.includes(adapter),
         );
--- a/packages/placement/src/place_adapter.ts
+++ b/packages/placement/src/place_adapter.ts
@@ -60,30 +60,31 @@
         demand.runningAt(left.id, need.model) -
         demand.runningAt(right.id, need.model),
     );
-  return (
-    heldPlacement(need, holders, demand) ??
-    loadPlacement(
-      // An engine takes no adapter while it changes its models.
-      holders.filter(engine => !engine.isChanging),
-      maximumAdapters,
-      now,
-    )
+  const key = adapterKey(need.model, need.adapter);
+  const held = heldPlacement(key, holders);
+  const isCrowded =
+    held !== undefined &&
+    held.engine !== holders[0] &&
+    demand.runningAt(held.engine.id, need.model) >= SPREAD_AT_REQUESTS;
+  if (held !== undefined && !isCrowded) return held;
+  const others = holders.filter(
+    // An engine takes no adapter while it changes its models. One that the adapter is
+    // leaving gives the place up under the adapter's name: it can't have it anew.
+    engine => !engine.isChanging && !engine.adapters.has(key),
   );
+  return loadPlacement(others, maximumAdapters, now) ?? held;
 }
 
+/** The least used engine that has the adapter and keeps it. */
 function heldPlacement(
-  need: AdapterNeed,
+  key: string,
   holders: readonly EngineBook[],
-  demand: DemandBook,
-): AdapterPlacement | undefined {
-  const key = adapterKey(need.model, need.adapter);
+): Extract<AdapterPlacement, {kind: 'held'}> | undefined {
   for (const engine of holders) {
     const place = engine.adapters.get(key);
-    if (place === undefined || place.state === 'leaving') continue;
-    const isCrowded =
-      demand.runningAt(engine.id, need.model) >= SPREAD_AT_REQUESTS &&
-      engine !== holders[0];
-    if (!isCrowded) return {kind: 'held', engine, place};
+    if (place !== undefined && place.state !== 'leaving') {
+      return {kind: 'held', engine, place};
+    }
   }
   return undefined;
 }
