--- a/packages/endpoints/__tests__/endpoint_table.test.ts
+++ b/packages/endpoints/__tests__/endpoint_table.test.ts
@@ -26,7 +26,6 @@
     failureDomain: as<FailureDomain>('a'),
     slots: 4,
     isDraining: false,
-    leavesAt: undefined,
     orderCount: 0,
     models: [],
     copies: {inMemory: [], onDisk: []},
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -5,7 +5,6 @@
   Brand,
   EndpointId,
   FailureDomain,
-  Instant,
   ModelName,
   ServiceName,
 } from '@siskinmux/kernel';
@@ -35,8 +34,6 @@
   readonly failureDomain: FailureDomain;
   readonly slots: number;
   readonly isDraining: boolean;
-  /** Set when the endpoint is taken away at a known instant, whatever it runs. */
-  readonly leavesAt: Instant | undefined;
   /** Number of orders that the engine has accepted in this life. */
   readonly orderCount: number;
   readonly models: readonly HeldModel[];
--- a/packages/gateway/src/gateway_platform.ts
+++ b/packages/gateway/src/gateway_platform.ts
@@ -1,6 +1,6 @@
 /** Port to a platform: everything that a gateway can't know about where it runs. */
 
-import type {Clock, Instant} from '@siskinmux/kernel';
+import type {Clock} from '@siskinmux/kernel';
 import type {EndpointDescription} from '@siskinmux/endpoints';
 import type {EndpointProtocol} from '@siskinmux/forwarding';
 import type {EngineOrders} from '@siskinmux/placement';
@@ -30,6 +30,6 @@
   /** Where endpoints register; `decode` gives undefined for what names no endpoint. */
   readonly endpoints: {
     readonly kind: string;
-    decode(object: StoreObject, now: Instant): EndpointDescription | undefined;
+    decode(object: StoreObject): EndpointDescription | undefined;
   };
 }
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -178,9 +178,9 @@
   private decode(
     object: StoreObject,
   ): ReturnType<GatewayPlatform['endpoints']['decode']> {
-    const {platform, clock, emit} = this.options;
+    const {platform, emit} = this.options;
     const {kind, decode} = platform.endpoints;
-    const endpoint = decode(object, clock.now());
+    const endpoint = decode(object);
     if (endpoint === undefined) {
       emit(ENTRY_UNREADABLE, {
         kind,
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -31,7 +31,6 @@
     failureDomain: as<FailureDomain>('a'),
     slots: 16,
     isDraining: false,
-    leavesAt: undefined,
     orderCount: 0,
     models: [],
     copies: {inMemory: [], onDisk: []},
--- a/packages/placement/__tests__/simulated_engines.ts
+++ b/packages/placement/__tests__/simulated_engines.ts
@@ -93,7 +93,6 @@
       failureDomain: as<FailureDomain>('a'),
       slots: 16,
       isDraining: false,
-      leavesAt: undefined,
       orderCount: this.orderCount,
       models: [...this.models].map(model => ({model, adapters: []})),
       copies: {inMemory: [], onDisk: [...this.onDisk]},
