Let requests wait for the next allocator for up to a second

Cause: a request for a sleeping model or an adapter was refused at once while no allocator was known, though a takeover takes half a second; it came back after a second at the earliest and had used its one retry. It waits now until a second after the loss, within its own time; later requests are refused at once as before.

--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -18,6 +18,7 @@
 import {
   ErrorCode,
   after,
+  earlier,
   jitter,
   refuseNotRun,
   sleepUntil,
@@ -60,6 +61,12 @@
 /** When a caller may come back while no allocator is known; a takeover takes about as long. */
 const RETURN_MILLISECONDS: Milliseconds = 1_000;
 
+/**
+ * How long after an allocator was lost requests wait for the next one: a takeover takes
+ * about half a second. Later they are refused at once.
+ */
+const TAKEOVER_MILLISECONDS: Milliseconds = 1_000;
+
 /** Pause before an engine is tried again that just refused a model or an adapter. */
 const AGAIN_MILLISECONDS: Milliseconds = 30;
 
@@ -97,7 +104,13 @@
   private flushAt: Instant | undefined;
   private flushedAt: Instant | undefined;
 
-  private constructor(private readonly options: PlacementClientOptions) {}
+  /** When the last allocator was lost, or the node began without one. */
+  private lostAt: Instant;
+  private readonly linkWaiters = new Set<() => void>();
+
+  private constructor(private readonly options: PlacementClientOptions) {
+    this.lostAt = options.clock.now();
+  }
 
   static create(options: PlacementClientOptions): PlacementClient {
     return new PlacementClient(options);
@@ -105,9 +118,12 @@
 
   /** Uses an allocator from now on; undefined when it was lost. */
   use(link: AllocatorLink | undefined): void {
+    if (this.link !== undefined) this.lostAt = this.options.clock.now();
     this.link = link;
     this.holdings.clear();
-    if (link !== undefined) this.flush();
+    if (link === undefined) return;
+    this.flush();
+    for (const wake of this.linkWaiters) wake();
   }
 
   /** Notes that a request has begun or ended at an engine. */
@@ -168,6 +184,7 @@
       const holders = this.holders(need);
       const fresh = holders.filter(({id}) => !need.excluded.has(id));
       if (holders.length === 0) {
+        await this.waitForLink(need, model);
         await this.waitForModel(need, model);
         continue;
       }
@@ -244,8 +261,11 @@
           adapter,
           excluded: need.excluded,
         });
-    if (grant === undefined)
-      return this.listedWithAdapter(need, model, adapter);
+    if (grant === undefined) {
+      const listed = this.listedWithAdapter(need, model, adapter);
+      if (listed === undefined) await this.waitForLink(need, model);
+      return listed;
+    }
     this.grants.set(key, grant);
     if (grant.usableAt > clock.now()) {
       await sleepUntil(clock, grant.usableAt);
@@ -267,20 +287,36 @@
           held => held.model === model && held.adapters.includes(adapter),
         ),
     );
-    const found = leastLoaded(listed, this.options.choice);
-    if (found !== undefined) return found;
-    throw this.refuseUntil(
-      model,
-      after(this.options.clock.now(), RETURN_MILLISECONDS),
-    );
+    return leastLoaded(listed, this.options.choice);
   }
 
-  private waitForModel(need: EndpointNeed, model: ModelName): Promise<void> {
+  /** Resolves when there is an allocator; refuses when none comes in time. */
+  private async waitForLink(
+    need: EndpointNeed,
+    model: ModelName,
+  ): Promise<void> {
     const {clock} = this.options;
-    const now = clock.now();
-    if (this.link === undefined) {
-      throw this.refuseUntil(model, after(now, RETURN_MILLISECONDS));
+    const takenOverAt = after(this.lostAt, TAKEOVER_MILLISECONDS);
+    const until = earlier(takenOverAt, need.uselessAt);
+    if (this.link === undefined && clock.now() < until) {
+      await new Promise<void>(resolve => {
+        const wake = (): void => {
+          this.linkWaiters.delete(wake);
+          need.cancelled.removeEventListener('abort', wake);
+          cancel();
+          resolve();
+        };
+        const cancel = clock.schedule(until, wake);
+        need.cancelled.addEventListener('abort', wake);
+        this.linkWaiters.add(wake);
+      });
     }
+    if (this.link !== undefined) return;
+    throw this.refuseUntil(model, after(clock.now(), RETURN_MILLISECONDS));
+  }
+
+  private waitForModel(need: EndpointNeed, model: ModelName): Promise<void> {
+    const {clock} = this.options;
     return new Promise((resolve, reject) => {
       const wake = (refusal: RefusalError | undefined): void => {
         this.waiters.delete(waiter);
