Tell all nodes what runs at each engine, and spread adapters by the engine's slots

Adapters were spread from 24 requests of the model on, more than the 16 slots that an engine has there. Change: the holder tells what runs at each engine with its sign of life where more than 16 nodes share them; a node takes the better of two that it draws. An adapter is crowded from 0.375 of the slots on (24 of 64 as before), counted over all models of the engine. The test plays 90 nodes at half load: under 0.2 % of the requests come to a full engine.

--- /dev/null
+++ b/packages/gateway/__tests__/endpoint_choice.test.ts
@@ -0,0 +1,118 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {
+  EndpointId,
+  FailureDomain,
+  ModelName,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
+import {EndpointTable} from '@siskinmux/endpoints';
+import {OutlierDetector} from '@siskinmux/routing';
+import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import type {ChoiceSurroundings} from '../src/endpoint_choice.js';
+import {chooseEngine} from '../src/endpoint_choice.js';
+import {LoadBook} from '../src/load_book.js';
+import {SharedLoad} from '../src/shared_load.js';
+
+const ENGINES = 20;
+const SLOTS = 16;
+const NODES = 90;
+
+/** Time between two tellings of the loads, and how long a request runs. */
+const TELL_MILLISECONDS = 300;
+const RUN_MILLISECONDS = 900;
+
+/** A rate at which the engines are half full. */
+const PER_SECOND = (ENGINES * SLOTS * 0.5 * 1_000) / RUN_MILLISECONDS;
+
+function describeEngine(index: number): EndpointDescription {
+  return {
+    id: as<EndpointId>(`engine-${index}`),
+    incarnation: as<Incarnation>(`engine-${index}@1`),
+    service: as<ServiceName>('text'),
+    address: '127.0.0.1:1',
+    failureDomain: as<FailureDomain>('a'),
+    slots: SLOTS,
+    isDraining: false,
+    orderCount: 0,
+    models: [],
+    copies: {inMemory: [], onDisk: []},
+  };
+}
+
+/** The share of requests that came to an engine whose slots were all taken. */
+async function shareAtFullEngines(isTold: boolean): Promise<number> {
+  const clock = VirtualClock.create();
+  const random = createSeededRandom(1);
+  const engines = Array.from({length: ENGINES}, (_, at) => describeEngine(at));
+  const nodes = Array.from({length: NODES}, (): ChoiceSurroundings => {
+    const load = LoadBook.create();
+    return {
+      table: EndpointTable.create(),
+      load,
+      shared: SharedLoad.create({clock, load}),
+      outliers: OutlierDetector.create(),
+      clock,
+      random,
+      failureDomain: as<FailureDomain>('a'),
+    };
+  });
+  const running = new Map<EndpointId, number>();
+  const count = Math.round(PER_SECOND * 10);
+  let full = 0;
+  let toldAt = clock.now();
+  for (let sent = 0; sent < count; sent += 1) {
+    if (isTold && clock.now() >= toldAt + TELL_MILLISECONDS) {
+      toldAt = clock.now();
+      for (const {shared} of nodes) shared.take([...running]);
+    }
+    const node = nodes[Math.floor(random() * NODES)] as ChoiceSurroundings;
+    const id = chooseEngine(engines, node)?.id as EndpointId;
+    const before = running.get(id) ?? 0;
+    if (before >= SLOTS) full += 1;
+    running.set(id, before + 1);
+    const model = as<ModelName>('m0');
+    const leave = node.load.enter({endpoint: id, model, adapter: undefined});
+    clock.schedule(
+      as(clock.now() + RUN_MILLISECONDS * (0.5 + random())),
+      () => {
+        leave();
+        running.set(id, (running.get(id) ?? 0) - 1);
+      },
+    );
+    await clock.advance(1_000 / PER_SECOND);
+  }
+  return full / count;
+}
+
+describe('the choice of an engine by many nodes', () => {
+  it('sends next to nothing to full engines while half of the slots are free', async () => {
+    expect((await shareAtFullEngines(true)) < 0.002).toEqual(true);
+  });
+
+  it('is worse where each node goes by its own requests only', async () => {
+    const alone = await shareAtFullEngines(false);
+    expect(alone > (await shareAtFullEngines(true)) * 2).toEqual(true);
+  });
+
+  it('goes by its own requests again when the figures are old', async () => {
+    const clock = VirtualClock.create();
+    const load = LoadBook.create();
+    const shared = SharedLoad.create({clock, load});
+    expect(shared.isKnown).toEqual(false);
+    shared.take([['engine-1', 4]]);
+    expect(shared.isKnown).toEqual(true);
+    expect(shared.at(as<EndpointId>('engine-1'))).toEqual(4);
+    const leave = load.enter({
+      endpoint: as<EndpointId>('engine-1'),
+      model: as<ModelName>('m0'),
+      adapter: undefined,
+    });
+    expect(shared.at(as<EndpointId>('engine-1'))).toEqual(5);
+    leave();
+    await clock.advance(1_000);
+    expect(shared.isKnown).toEqual(false);
+  });
+});
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -17,6 +17,7 @@
 import type {AllocatorLink} from '../src/allocator_link.js';
 import type {EndpointNeed} from '../src/endpoint_choice.js';
 import {LoadBook} from '../src/load_book.js';
+import {SharedLoad} from '../src/shared_load.js';
 import {PlacementClient} from '../src/placement_client.js';
 
 const service = as<ServiceName>('text');
@@ -73,6 +74,7 @@
     choice: {
       table,
       load,
+      shared: SharedLoad.create({clock, load}),
       outliers: OutlierDetector.create(),
       clock,
       random,
--- a/packages/gateway/src/allocator_host.ts
+++ b/packages/gateway/src/allocator_host.ts
@@ -25,6 +25,7 @@
 import {ChangeFeed} from './change_feed.js';
 import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
 import {Follower} from './follower.js';
+import type {EndpointLoad} from './shared_load.js';
 import type {PeerLink} from './peer_link.js';
 import {
   MESSAGE,
@@ -196,6 +197,7 @@
     const {clock, reachesStore} = this.options;
     const now = clock.now();
     const feed = this.feed.take();
+    const loads = this.loads();
     for (const [node, follower] of this.followers) {
       if (follower.isGone(now)) {
         follower.link.close();
@@ -206,11 +208,18 @@
           reachesStore: reachesStore(),
           loadsAtOnce: this.ceiling.knownAtOnce,
           feed,
+          loads,
         });
       }
     }
   }
 
+  /** Requests by engine, as told where many nodes share the engines. */
+  loads(): EndpointLoad[] {
+    if (this.nodeCount <= FEW_NODES) return [];
+    return [...this.allocators.values()].flatMap(({loads}) => [...loads]);
+  }
+
   /** Ends all allocators and connections. */
   stop(): void {
     for (const allocator of this.allocators.values()) allocator.stop();
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -10,10 +10,11 @@
   Random,
   ServiceName,
 } from '@siskinmux/kernel';
-import {ErrorCode, after, refuseNotRun} from '@siskinmux/kernel';
+import {ErrorCode, after, randomBelow, refuseNotRun} from '@siskinmux/kernel';
 import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
 import type {OutlierDetector} from '@siskinmux/routing';
 import {chooseEndpoint} from '@siskinmux/routing';
+import type {SharedLoad} from './shared_load.js';
 import type {LoadBook} from './load_book.js';
 
 /** When a caller may come back to a service that has no endpoint; one may register meanwhile. */
@@ -47,36 +48,69 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly failureDomain: FailureDomain;
+  /** What runs over all nodes, where many of them share the endpoints. */
+  readonly shared: SharedLoad;
 }
 
+/** What another failure domain costs, in filled endpoints. */
+const OTHER_DOMAIN_COST = 0.1;
+
 /** The least loaded of some endpoints, those that fail lately left out where possible. */
 export function leastLoaded(
   endpoints: readonly EndpointDescription[],
   surroundings: ChoiceSurroundings,
 ): EndpointDescription | undefined {
-  const {load, outliers, clock, random, failureDomain} = surroundings;
+  const {load, clock, random, failureDomain} = surroundings;
+  const candidates = withoutOutliers(endpoints, surroundings).map(endpoint => ({
+    endpoint: endpoint.id,
+    failureDomain: endpoint.failureDomain,
+    inFlight: load.at(endpoint.id),
+    limit: endpoint.slots,
+    reportedLoad: 0,
+    reportedAt: undefined,
+    slots: endpoint.slots,
+    hasAdapter: true,
+    isPrefixHome: true,
+  }));
   const now = clock.now();
+  const chosen = chooseEndpoint(candidates, {now, failureDomain, random});
+  return endpoints.find(({id}) => id === chosen?.endpoint);
+}
+
+/**
+ * An engine by what runs over all nodes, where that is known: the better of two that are
+ * drawn. The figures are some hundred milliseconds old, and all nodes would go to the
+ * one least loaded together.
+ */
+export function chooseEngine(
+  engines: readonly EndpointDescription[],
+  surroundings: ChoiceSurroundings,
+): EndpointDescription | undefined {
+  const {shared, random, failureDomain} = surroundings;
+  if (!shared.isKnown) return leastLoaded(engines, surroundings);
+  const usable = withoutOutliers(engines, surroundings);
+  const draw = (): EndpointDescription | undefined =>
+    usable[randomBelow(random, usable.length)];
+  const cost = (engine: EndpointDescription): number =>
+    shared.at(engine.id) / engine.slots +
+    (engine.failureDomain === failureDomain ? 0 : OTHER_DOMAIN_COST);
+  const first = draw();
+  const second = draw();
+  if (first === undefined || second === undefined) return first;
+  return cost(second) < cost(first) ? second : first;
+}
+
+function withoutOutliers(
+  endpoints: readonly EndpointDescription[],
+  {outliers, clock}: ChoiceSurroundings,
+): EndpointDescription[] {
   const usable = new Set(
     outliers.usable(
       endpoints.map(({id}) => id),
-      now,
+      clock.now(),
     ),
   );
-  const candidates = endpoints
-    .filter(({id}) => usable.has(id))
-    .map(endpoint => ({
-      endpoint: endpoint.id,
-      failureDomain: endpoint.failureDomain,
-      inFlight: load.at(endpoint.id),
-      limit: endpoint.slots,
-      reportedLoad: 0,
-      reportedAt: undefined,
-      slots: endpoint.slots,
-      hasAdapter: true,
-      isPrefixHome: true,
-    }));
-  const chosen = chooseEndpoint(candidates, {now, failureDomain, random});
-  return endpoints.find(({id}) => id === chosen?.endpoint);
+  return endpoints.filter(({id}) => usable.has(id));
 }
 
 /** Chooses for plain services: any endpoint will do. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -55,6 +55,7 @@
 import {listenForReadiness} from './readiness_listener.js';
 import {RepeatBudgets} from './repeat_budgets.js';
 import {refusalAnswer} from './refusal_answer.js';
+import {SharedLoad} from './shared_load.js';
 import {RouteState} from './route_state.js';
 
 /** The balancer stops sending after two missed questions, one a second. */
@@ -172,6 +173,7 @@
       choice: {
         table: this.table,
         load,
+        shared: SharedLoad.create({clock, load}),
         outliers,
         clock,
         random,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -38,7 +38,7 @@
   EndpointNeed,
   FindEndpoint,
 } from './endpoint_choice.js';
-import {leastLoaded} from './endpoint_choice.js';
+import {chooseEngine} from './endpoint_choice.js';
 import type {LoadBook} from './load_book.js';
 
 /**
@@ -193,7 +193,7 @@
       const usable = fresh.length > 0 ? fresh : holders;
       const found =
         need.adapter === undefined
-          ? leastLoaded(usable, this.options.choice)
+          ? chooseEngine(usable, this.options.choice)
           : await this.findWithAdapter(need, model, need.adapter);
       if (found !== undefined) return found;
       await this.pause(need);
@@ -287,7 +287,7 @@
           held => held.model === model && held.adapters.includes(adapter),
         ),
     );
-    return leastLoaded(listed, this.options.choice);
+    return chooseEngine(listed, this.options.choice);
   }
 
   /** Resolves when there is an allocator; refuses when none comes in time. */
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -91,6 +91,8 @@
   /** Loads that the weight store carries at full speed, as far as is known. */
   loadsAtOnce: z.number().int().positive().optional(),
   feed: z.array(feedPartSchema).default([]),
+  /** Engine and requests of all nodes; empty where few nodes know enough by themselves. */
+  loads: z.array(z.tuple([name, count])).default([]),
 });
 
 /** A sign of life on the wire. */
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -199,7 +199,8 @@
       ...this.options,
       link,
       listener: this.client,
-      onAlive: ({nodes, loadsAtOnce, feed}) => {
+      onAlive: ({nodes, loadsAtOnce, feed, loads}) => {
+        if (loads.length > 0) this.options.choice.shared.take(loads);
         this.noteNodes(nodes);
         this.knownLoadsAtOnce = loadsAtOnce;
         this.options.onFeed(feed);
@@ -281,6 +282,8 @@
     const {clock} = this.options;
     if (this.host !== undefined) {
       this.host.tick();
+      const loads = this.host.loads();
+      if (loads.length > 0) this.options.choice.shared.take(loads);
       this.noteNodes(this.host.nodeCount);
     }
     if (this.following === undefined) return;
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -170,6 +170,11 @@
     return this.adapters.want(need);
   }
 
+  /** Requests of all nodes by engine, where there are any. */
+  get loads(): ReadonlyMap<EndpointId, number> {
+    return this.demand.engineTotals;
+  }
+
   /** What nodes may use at each engine. */
   holdings(): EngineHolding[] {
     // Until an engine's state was read, nodes go by the platform's list.
--- a/packages/placement/src/demand_book.ts
+++ b/packages/placement/src/demand_book.ts
@@ -103,6 +103,12 @@
     return this.runningEngines.get(engine) ?? 0;
   }
 
+  /** Requests for any model, by engine where there are any. */
+  get engineTotals(): ReadonlyMap<EndpointId, number> {
+    this.sum();
+    return this.runningEngines;
+  }
+
   /** Requests for a model that run anywhere. */
   runningOf(model: ModelName): number {
     this.sum();
--- a/packages/placement/src/place_adapter.ts
+++ b/packages/placement/src/place_adapter.ts
@@ -36,8 +36,8 @@
       readonly unload: AdapterPlace | undefined;
     };
 
-/** Requests at an engine that outweigh bringing the adapter to another one. */
-const SPREAD_AT_REQUESTS = 24;
+/** Part of an engine's slots in use that outweighs bringing the adapter to another one. */
+const SPREAD_SHARE = 0.375;
 
 /** Where the request can run; undefined when no engine has the model and room. */
 export function placeAdapter(
@@ -57,15 +57,15 @@
     )
     .sort(
       (left, right) =>
-        demand.runningAt(left.id, need.model) -
-        demand.runningAt(right.id, need.model),
+        demand.totalAt(left.id) / left.slots -
+        demand.totalAt(right.id) / right.slots,
     );
   const key = adapterKey(need.model, need.adapter);
   const held = heldPlacement(key, holders);
   const isCrowded =
     held !== undefined &&
     held.engine !== holders[0] &&
-    demand.runningAt(held.engine.id, need.model) >= SPREAD_AT_REQUESTS;
+    demand.totalAt(held.engine.id) >= SPREAD_SHARE * held.engine.slots;
   if (held !== undefined && !isCrowded) return held;
   const others = holders.filter(
     // An engine takes no adapter while it changes its models. One that the adapter is
