--- a/packages/benchmarks/src/claim_fleet.ts
+++ b/packages/benchmarks/src/claim_fleet.ts
@@ -6,7 +6,7 @@
   as,
   discardEvents,
   randomBelow,
-  sleepUntil,
+  sleepFor,
 } from '@siskinmux/kernel';
 import type {AttemptId} from '@siskinmux/ledger';
 import {Ledger, claimKeyOf} from '@siskinmux/ledger';
@@ -149,7 +149,7 @@
     this.roundTrips.push(
       (clock.now() - startedAt) / load.roundTripMilliseconds,
     );
-    await sleepUntil(clock, after(clock.now(), RUN_MILLISECONDS));
+    await sleepFor(clock, RUN_MILLISECONDS);
     const answer = {status: 200, contentType: 'application/json', body: ANSWER};
     void ledger.reportEnd(key, attempt, {kind: 'answered', answer}, expiresAt);
   }
@@ -166,13 +166,13 @@
       isNodeGone: () => false,
       traceClaim: () => () => {},
       callPeer: async (node, question, until) => {
-        await sleepUntil(clock, after(clock.now(), PEER_DELAY_MILLISECONDS));
+        await sleepFor(clock, PEER_DELAY_MILLISECONDS);
         const target = this.ledgers.get(node);
         if (target === undefined || this.dead.has(node)) {
           throw new PeerUnreachableError(node);
         }
         const reply = await withDeadline(clock, until, target.handle(question));
-        await sleepUntil(clock, after(clock.now(), PEER_DELAY_MILLISECONDS));
+        await sleepFor(clock, PEER_DELAY_MILLISECONDS);
         return reply;
       },
     });
--- a/packages/benchmarks/src/run_membership.ts
+++ b/packages/benchmarks/src/run_membership.ts
@@ -1,7 +1,7 @@
 /** `npm run bench:membership`: detection time against false suspicions, by simulated probes. */
 
 import type {FailureDomain, NodeId, Random} from '@siskinmux/kernel';
-import {after, as, sleepUntil} from '@siskinmux/kernel';
+import {after, as, sleepFor} from '@siskinmux/kernel';
 import type {Member} from '@siskinmux/membership';
 import {Membership} from '@siskinmux/membership';
 import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
@@ -117,7 +117,7 @@
   }
 
   private async reaches(from: NodeId, to: NodeId): Promise<boolean> {
-    await sleepUntil(this.clock, after(this.clock.now(), DELAY_MILLISECONDS));
+    await sleepFor(this.clock, DELAY_MILLISECONDS);
     const isLost = this.random() < this.loss || this.random() < this.loss;
     return !isLost && !this.isSilent(from) && !this.isSilent(to);
   }
--- a/packages/demo/src/caller.ts
+++ b/packages/demo/src/caller.ts
@@ -2,12 +2,7 @@
 
 import {randomUUID} from 'node:crypto';
 import type {Clock, Instant, Random} from '@siskinmux/kernel';
-import {
-  SiskinmuxError,
-  after,
-  randomBelow,
-  sleepUntil,
-} from '@siskinmux/kernel';
+import {SiskinmuxError, after, randomBelow, sleepFor} from '@siskinmux/kernel';
 import {createAgent, send} from '@siskinmux/adapters';
 import type {HttpAnswer} from '@siskinmux/adapters';
 import {answerWords} from '@siskinmux/standins';
@@ -109,7 +104,7 @@
       outcome = await this.once(sending, giveUpAt);
       if (outcome === 'answered' || outcome === 'wrong') break;
       if (outcome === 'unknown') break;
-      await sleepUntil(clock, after(clock.now(), RESEND_MILLISECONDS));
+      await sleepFor(clock, RESEND_MILLISECONDS);
     }
     const milliseconds = clock.now() - startedAt;
     return {kind, outcome, key, milliseconds, sent};
--- a/packages/demo/src/load.ts
+++ b/packages/demo/src/load.ts
@@ -1,7 +1,7 @@
 /** A steady mix of requests, bounded in number. */
 
 import type {Clock} from '@siskinmux/kernel';
-import {after, sleepUntil} from '@siskinmux/kernel';
+import {sleepFor} from '@siskinmux/kernel';
 import type {CallerOutcome, CallerResult, DemoCaller} from './caller.js';
 
 /** Pause between two requests of one caller. */
@@ -36,7 +36,7 @@
           ? await caller.coupon()
           : await caller.text(model, TOKENS),
       );
-      await sleepUntil(clock, after(clock.now(), THINK_MILLISECONDS));
+      await sleepFor(clock, THINK_MILLISECONDS);
     }
   };
   const running = Promise.all(Array.from({length: callers}, run));
--- a/packages/demo/src/story.ts
+++ b/packages/demo/src/story.ts
@@ -1,7 +1,7 @@
 /** The demonstration: what the system is for, told and checked step by step. */
 
 import type {Clock, Random} from '@siskinmux/kernel';
-import {after, sleepUntil} from '@siskinmux/kernel';
+import {after, sleepFor} from '@siskinmux/kernel';
 import {createAgent, send} from '@siskinmux/adapters';
 import type {HttpAnswer} from '@siskinmux/adapters';
 import type {Change, Declarations} from '@siskinmux/declarations';
@@ -324,7 +324,7 @@
 
   private sleep(milliseconds: number): Promise<void> {
     const {clock} = this.options;
-    return sleepUntil(clock, after(clock.now(), milliseconds));
+    return sleepFor(clock, milliseconds);
   }
 
   private expect(holds: boolean, what: string): void {
--- a/packages/gateway/__tests__/memory_store.ts
+++ b/packages/gateway/__tests__/memory_store.ts
@@ -1,7 +1,7 @@
 /** The platform's store in memory and virtual time, with what can go wrong with a call. */
 
 import type {Clock, Instant, ObjectVersion, Random} from '@siskinmux/kernel';
-import {after, as, sleepUntil} from '@siskinmux/kernel';
+import {as, sleepFor} from '@siskinmux/kernel';
 import type {
   ObjectStore,
   StoreChanges,
@@ -87,7 +87,7 @@
       );
     };
     while (found().length === 0 && this.clock.now() < waitUntil) {
-      await sleepUntil(this.clock, after(this.clock.now(), 20));
+      await sleepFor(this.clock, 20);
     }
     return {
       changes: found(),
@@ -108,10 +108,7 @@
     }
     const revision = this.shared.put(kind, name, content);
     if (this.random() < this.lostAnswers) {
-      await sleepUntil(
-        this.clock,
-        after(this.clock.now(), PATIENCE_MILLISECONDS),
-      );
+      await sleepFor(this.clock, PATIENCE_MILLISECONDS);
       throw new WriteOutcomeUnknownError(`${kind}/${name}`);
     }
     return revision;
@@ -125,7 +122,7 @@
   private async answer(): Promise<void> {
     this.calls += 1;
     const wait = this.isAway ? PATIENCE_MILLISECONDS : ANSWER_MILLISECONDS;
-    await sleepUntil(this.clock, after(this.clock.now(), wait));
+    await sleepFor(this.clock, wait);
     if (this.isAway) throw new PlatformUnavailableError('away');
   }
 }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -18,7 +18,7 @@
   Kernel,
   after,
   refuseNotRun,
-  sleepUntil,
+  sleepFor,
 } from '@siskinmux/kernel';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
 import type {ObjectStore} from '@siskinmux/ports';
@@ -244,16 +244,15 @@
     this.isStopping = true;
     emit(GATEWAY_STOPPING, {open: this.openCount});
     this.placement.stop();
-    await sleepUntil(clock, after(clock.now(), NOTICE_MILLISECONDS));
+    await sleepFor(clock, NOTICE_MILLISECONDS);
     this.takesWork = false;
     this.callers?.closeIdle();
     while (this.openCount > 0 && clock.now() < endAt) {
-      const next = after(clock.now(), FINISH_CHECK_MILLISECONDS);
-      await sleepUntil(clock, next);
+      await sleepFor(clock, FINISH_CHECK_MILLISECONDS);
     }
     const open = this.openCount;
     for (const journey of this.journeys) journey.abandon();
-    await sleepUntil(clock, after(clock.now(), FINISH_CHECK_MILLISECONDS));
+    await sleepFor(clock, FINISH_CHECK_MILLISECONDS);
     this.view.stop();
     emit(GATEWAY_STOPPED, {open});
   }
--- a/packages/gateway/src/kind_follower.ts
+++ b/packages/gateway/src/kind_follower.ts
@@ -12,13 +12,7 @@
   ObjectVersion,
   Random,
 } from '@siskinmux/kernel';
-import {
-  SiskinmuxError,
-  after,
-  jitter,
-  sleepFor,
-  sleepUntil,
-} from '@siskinmux/kernel';
+import {SiskinmuxError, after, jitter, sleepFor} from '@siskinmux/kernel';
 import type {ObjectStore, StoreChange, StoreListing} from '@siskinmux/ports';
 import {HistoryGoneError} from '@siskinmux/ports';
 import type {FeedPart, FollowerProgress} from './change_feed.js';
@@ -284,6 +278,6 @@
       FIRST_PAUSE_MILLISECONDS * 2 ** Math.min(this.failures, 8),
     );
     this.failures += 1;
-    await sleepUntil(clock, after(now, jitter(random, pause, PAUSE_JITTER)));
+    await sleepFor(clock, jitter(random, pause, PAUSE_JITTER));
   }
 }
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -6,7 +6,7 @@
 
 import {createHash} from 'node:crypto';
 import type {EmitEvent, Instant, Milliseconds, NodeId} from '@siskinmux/kernel';
-import {SiskinmuxError, after, earlier, sleepUntil} from '@siskinmux/kernel';
+import {SiskinmuxError, after, earlier, sleepFor} from '@siskinmux/kernel';
 import type {
   OwnerClientOptions,
   OwnerQuestion,
@@ -120,7 +120,7 @@
     let pause = REPORT_PAUSE_MILLISECONDS;
     while (clock.now() < expiresAt && !this.isStopped) {
       if (await this.tryReport(key, attempt, end, expiresAt)) break;
-      await sleepUntil(clock, after(clock.now(), pause));
+      await sleepFor(clock, pause);
       pause = Math.min(pause * 2, LONGEST_REPORT_PAUSE_MILLISECONDS);
     }
     this.unreported.delete(attempt);
--- a/packages/ledger/src/shard_log.ts
+++ b/packages/ledger/src/shard_log.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Clock, Instant, NodeId} from '@siskinmux/kernel';
-import {ErrorCode, SiskinmuxError, after, sleepUntil} from '@siskinmux/kernel';
+import {ErrorCode, SiskinmuxError, sleepFor} from '@siskinmux/kernel';
 import type {
   ExpectedVersion,
   ObjectService,
@@ -195,7 +195,7 @@
         if (!isWorthRetrying(failure)) throw failure;
       }
       const {clock} = this.options;
-      await sleepUntil(clock, after(clock.now(), pause));
+      await sleepFor(clock, pause);
       pause = Math.min(pause * 2, LONGEST_RETRY_PAUSE_MILLISECONDS);
     }
   }
--- a/packages/node/src/configuration_task.ts
+++ b/packages/node/src/configuration_task.ts
@@ -19,7 +19,7 @@
   as,
   injectionKey,
   jitter,
-  sleepUntil,
+  sleepFor,
 } from '@siskinmux/kernel';
 import type {ReadHead} from '@siskinmux/configuration';
 import {
@@ -209,7 +209,7 @@
       if (stored !== undefined) await this.take(this.store.headOf(stored));
     } catch (failure) {
       this.noteFailure(failure);
-      await sleepUntil(clock, after(clock.now(), RETRY_MILLISECONDS));
+      await sleepFor(clock, RETRY_MILLISECONDS);
     }
   }
 
@@ -243,7 +243,7 @@
     const {clock} = this.options;
     const end = after(clock.now(), pause);
     while (clock.now() < end && !this.isStopped && !this.isWatcher()) {
-      await sleepUntil(clock, after(clock.now(), RETRY_MILLISECONDS));
+      await sleepFor(clock, RETRY_MILLISECONDS);
     }
   }
 
--- a/packages/node/src/siskinmux_node.ts
+++ b/packages/node/src/siskinmux_node.ts
@@ -10,7 +10,7 @@
   Random,
   RawSettings,
 } from '@siskinmux/kernel';
-import {Kernel, after, sleepUntil} from '@siskinmux/kernel';
+import {Kernel, after, sleepFor} from '@siskinmux/kernel';
 import type {SpanProcessor} from '@opentelemetry/sdk-trace-base';
 import {z} from 'zod';
 import {allocationPlugin} from './allocation_task.js';
@@ -151,7 +151,7 @@
     this.emit(NODE_STOPPING);
     const {notice_milliseconds, finish_milliseconds} = this.shutdown;
     this.caller.context.isReady = false;
-    await sleepUntil(this.clock, after(this.clock.now(), notice_milliseconds));
+    await sleepFor(this.clock, notice_milliseconds);
     this.kernel.inject(REQUESTS).dispatcher.close();
     await this.finish(finish_milliseconds);
     await this.kernel.stop();
@@ -173,8 +173,7 @@
         this.emit(STOP_CUT_SHORT, {open: context.open});
         return;
       }
-      const next = after(this.clock.now(), FINISH_CHECK_MILLISECONDS);
-      await sleepUntil(this.clock, next);
+      await sleepFor(this.clock, FINISH_CHECK_MILLISECONDS);
     }
   }
 }
--- a/packages/placement/__tests__/simulated_engines.ts
+++ b/packages/placement/__tests__/simulated_engines.ts
@@ -9,7 +9,7 @@
   Random,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after, as, sleepUntil} from '@siskinmux/kernel';
+import {as, sleepFor, sleepUntil} from '@siskinmux/kernel';
 import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
 import type {EngineDeclaration} from '@siskinmux/routes';
 import type {
@@ -207,7 +207,7 @@
 
   private async finish(wait: number, change: () => void): Promise<void> {
     const {life} = this;
-    await sleepUntil(this.clock, after(this.clock.now(), wait));
+    await sleepFor(this.clock, wait);
     if (life !== this.life) return;
     this.isBusy = false;
     change();
@@ -261,7 +261,7 @@
   }
 
   async report(engine: EngineAddress): Promise<EngineReport | undefined> {
-    await sleepUntil(this.clock, after(this.clock.now(), ANSWER_MILLISECONDS));
+    await sleepFor(this.clock, ANSWER_MILLISECONDS);
     return this.engines.get(engine.id)?.report();
   }
 
@@ -269,7 +269,7 @@
     order: EngineOrder,
     wait: number,
   ): Promise<OrderOutcome> {
-    await sleepUntil(this.clock, after(this.clock.now(), wait));
+    await sleepFor(this.clock, wait);
     return this.engines.get(order.engine.id)?.take(order) ?? 'unknown';
   }
 
--- a/packages/placement/src/adapter_cache.ts
+++ b/packages/placement/src/adapter_cache.ts
@@ -9,7 +9,7 @@
   Milliseconds,
   ModelName,
 } from '@siskinmux/kernel';
-import {after, later, sleepUntil} from '@siskinmux/kernel';
+import {after, later, sleepFor} from '@siskinmux/kernel';
 import type {ManagedEngine} from './allocator.js';
 import type {DemandBook} from './demand_book.js';
 import type {AdapterPlace, EngineBook} from './engine_book.js';
@@ -173,7 +173,7 @@
     const {model, adapter} = place;
     const key = adapterKey(model, adapter);
     while (book.adapters.get(key) === place) {
-      await sleepUntil(clock, after(clock.now(), LEAVING_MILLISECONDS));
+      await sleepFor(clock, LEAVING_MILLISECONDS);
       const report = await orders.report(
         book,
         after(clock.now(), LEAVING_MILLISECONDS),
--- a/packages/placement/src/order_line.ts
+++ b/packages/placement/src/order_line.ts
@@ -4,8 +4,8 @@
  * arrives first raises the count, so that a late one is refused.
  */
 
-import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
-import {after, sleepUntil} from '@siskinmux/kernel';
+import type {Clock, EmitEvent, Milliseconds} from '@siskinmux/kernel';
+import {after, sleepFor} from '@siskinmux/kernel';
 import type {EngineBook} from './engine_book.js';
 import type {
   EngineOrders,
@@ -95,9 +95,7 @@
   }
 
   private pause(): Promise<void> {
-    const {clock} = this.options;
-    const at: Instant = after(clock.now(), AGAIN_MILLISECONDS);
-    return sleepUntil(clock, at);
+    return sleepFor(this.options.clock, AGAIN_MILLISECONDS);
   }
 
   private report(
--- a/packages/scenarios/src/memory_network.ts
+++ b/packages/scenarios/src/memory_network.ts
@@ -1,13 +1,7 @@
 /** Messages between simulated nodes, with delays, losses and cuts. */
 
 import type {Clock, Random} from '@siskinmux/kernel';
-import {
-  ErrorCode,
-  SiskinmuxError,
-  after,
-  jitter,
-  sleepUntil,
-} from '@siskinmux/kernel';
+import {ErrorCode, SiskinmuxError, jitter, sleepFor} from '@siskinmux/kernel';
 import type {PeerTransport, ReceiveMessage} from '@siskinmux/node';
 import type {ProcessGate} from './process_gate.js';
 
@@ -59,7 +53,7 @@
   /** A message's time on its way. */
   travel(): Promise<void> {
     const delay = jitter(this.random, DELAY_MILLISECONDS, DELAY_JITTER);
-    return sleepUntil(this.clock, after(this.clock.now(), delay));
+    return sleepFor(this.clock, delay);
   }
 
   /** The transport of one node. */
--- a/packages/scenarios/src/simulated_node.ts
+++ b/packages/scenarios/src/simulated_node.ts
@@ -7,7 +7,7 @@
   NodeId,
   Random,
 } from '@siskinmux/kernel';
-import {Kernel, after, as, sleepUntil} from '@siskinmux/kernel';
+import {Kernel, as, sleepFor} from '@siskinmux/kernel';
 import type {Engine, ObjectService, PlainService} from '@siskinmux/ports';
 import {AnswerCutError, EndpointUnreachableError} from '@siskinmux/ports';
 import type {Endpoints, RequestPath} from '@siskinmux/node';
@@ -141,11 +141,11 @@
   async stop(noticeMilliseconds: number): Promise<void> {
     this.isStopping = true;
     const {clock} = this.outside;
-    await sleepUntil(clock, after(clock.now(), noticeMilliseconds));
+    await sleepFor(clock, noticeMilliseconds);
     this.requests.dispatcher.close();
     const ledger = this.kernel.inject(LEDGER);
     while (this.openRequests > 0 || ledger.unreportedCount > 0) {
-      await sleepUntil(clock, after(clock.now(), FINISH_CHECK_MILLISECONDS));
+      await sleepFor(clock, FINISH_CHECK_MILLISECONDS);
     }
     await this.kernel.stop();
     // The process ends here; whatever is still open is cut.
--- a/packages/standins/src/engine_stand_in.ts
+++ b/packages/standins/src/engine_stand_in.ts
@@ -8,7 +8,7 @@
   Instant,
   ModelName,
 } from '@siskinmux/kernel';
-import {after, as, sleepUntil} from '@siskinmux/kernel';
+import {after, as, sleepFor} from '@siskinmux/kernel';
 import type {
   CacheEvent,
   CacheTier,
@@ -359,7 +359,7 @@
     if (tier === 'remote') return weightStore.load(remoteLoadMilliseconds);
     const time =
       tier === 'memory' ? MEMORY_LOAD_MILLISECONDS : DISK_LOAD_MILLISECONDS;
-    await sleepUntil(clock, after(clock.now(), time));
+    await sleepFor(clock, time);
   }
 
   private unloadModel(model: ModelName, version: string): void {
--- a/packages/standins/src/object_service_stand_in.ts
+++ b/packages/standins/src/object_service_stand_in.ts
@@ -1,7 +1,7 @@
 /** An object service in memory that can be slow, down, or lose the answer to a write. */
 
 import type {Clock, Instant, ObjectVersion} from '@siskinmux/kernel';
-import {after, as, sleepUntil} from '@siskinmux/kernel';
+import {as, sleepFor} from '@siskinmux/kernel';
 import type {
   ExpectedVersion,
   ObjectListing,
@@ -148,10 +148,7 @@
 
   /** A call that gets no answer, as over a cut connection. */
   async unanswered(): Promise<never> {
-    await sleepUntil(
-      this.clock,
-      after(this.clock.now(), UNANSWERED_MILLISECONDS),
-    );
+    await sleepFor(this.clock, UNANSWERED_MILLISECONDS);
     throw new PlatformUnavailableError('cut off');
   }
 
@@ -210,7 +207,7 @@
   private async wait(): Promise<void> {
     const {delayMilliseconds} = this.faults;
     if (delayMilliseconds > 0) {
-      await sleepUntil(this.clock, after(this.clock.now(), delayMilliseconds));
+      await sleepFor(this.clock, delayMilliseconds);
     }
   }
 
--- a/packages/standins/src/plain_service_stand_in.ts
+++ b/packages/standins/src/plain_service_stand_in.ts
@@ -1,7 +1,7 @@
 /** A plain service that counts executions by key; its instances share one state. */
 
 import type {Clock, IdempotencyKey} from '@siskinmux/kernel';
-import {after, sleepUntil} from '@siskinmux/kernel';
+import {sleepFor} from '@siskinmux/kernel';
 import type {
   PlainService,
   RunReport,
@@ -76,10 +76,7 @@
       throw new EndpointBusyError('this key was settled as not run');
     }
     const answer = this.execute(call);
-    await sleepUntil(
-      this.clock,
-      after(this.clock.now(), this.faults.delayMilliseconds),
-    );
+    await sleepFor(this.clock, this.faults.delayMilliseconds);
     if (this.faults.answersToLose > 0) {
       this.faults.answersToLose -= 1;
       throw new AnswerCutError('the answer was lost');
--- a/packages/standins/src/weight_store_stand_in.ts
+++ b/packages/standins/src/weight_store_stand_in.ts
@@ -1,7 +1,7 @@
 /** A weight store that serves four loads at once at full speed and slows down beyond. */
 
 import type {Clock} from '@siskinmux/kernel';
-import {after, sleepUntil} from '@siskinmux/kernel';
+import {sleepFor} from '@siskinmux/kernel';
 import type {WeightStore, WeightStoreReport} from '@siskinmux/ports';
 
 /** Loads served at once at full speed. */
@@ -51,6 +51,6 @@
   }
 
   private sleep(milliseconds: number): Promise<void> {
-    return sleepUntil(this.clock, after(this.clock.now(), milliseconds));
+    return sleepFor(this.clock, milliseconds);
   }
 }
