Share the engines of tests, and wait for arrivals instead of a pause

The books of plan_models.test and place_adapter.test were built twice, and so were the descriptions of endpoint_choice.test and placement_client.test. follower.test slept 50 ms of real time before it looked; it asks over the same connection now, whose answer comes after what was sent before. Assertions as they were.

--- /dev/null
+++ b/packages/gateway/__tests__/described_engine.ts
@@ -0,0 +1,33 @@
+/** Engines as the platform's list describes them, for tests. */
+
+import type {
+  EndpointId,
+  FailureDomain,
+  ModelName,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
+
+/** Slots of each. */
+export const SLOTS = 16;
+
+/** An engine that holds some models and no adapters. */
+export function describedEngine(
+  name: string,
+  service: ServiceName,
+  models: readonly ModelName[] = [],
+): EndpointDescription {
+  return {
+    id: as<EndpointId>(name),
+    incarnation: as<Incarnation>(`${name}@1`),
+    service,
+    address: '127.0.0.1:1',
+    failureDomain: as<FailureDomain>('a'),
+    slots: SLOTS,
+    isDraining: false,
+    orderCount: 0,
+    models: models.map(model => ({model, adapters: []})),
+    copies: {inMemory: [], onDisk: []},
+  };
+}
--- a/packages/gateway/__tests__/endpoint_choice.test.ts
+++ b/packages/gateway/__tests__/endpoint_choice.test.ts
@@ -7,7 +7,6 @@
   ServiceName,
 } from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
 import {OutlierDetector} from '@siskinmux/routing';
 import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
@@ -15,9 +14,9 @@
 import {chooseEngine} from '../src/endpoint_choice.js';
 import {LoadBook} from '../src/load_book.js';
 import {SharedLoad} from '../src/shared_load.js';
+import {SLOTS, describedEngine} from './described_engine.js';
 
 const ENGINES = 20;
-const SLOTS = 16;
 const NODES = 90;
 
 /** Time between two tellings of the loads, and how long a request runs. */
@@ -27,26 +26,13 @@
 /** A rate at which the engines are half full. */
 const PER_SECOND = (ENGINES * SLOTS * 0.5 * 1_000) / RUN_MILLISECONDS;
 
-function describeEngine(index: number): EndpointDescription {
-  return {
-    id: as<EndpointId>(`engine-${index}`),
-    incarnation: as<Incarnation>(`engine-${index}@1`),
-    service: as<ServiceName>('text'),
-    address: '127.0.0.1:1',
-    failureDomain: as<FailureDomain>('a'),
-    slots: SLOTS,
-    isDraining: false,
-    orderCount: 0,
-    models: [],
-    copies: {inMemory: [], onDisk: []},
-  };
-}
-
 /** The share of requests that came to an engine whose slots were all taken. */
 async function shareAtFullEngines(isTold: boolean): Promise<number> {
   const clock = VirtualClock.create();
   const random = createSeededRandom(1);
-  const engines = Array.from({length: ENGINES}, (_, at) => describeEngine(at));
+  const engines = Array.from({length: ENGINES}, (_, at) =>
+    describedEngine(`engine-${at}`, as<ServiceName>('text')),
+  );
   const nodes = Array.from({length: NODES}, (): ChoiceSurroundings => {
     const load = LoadBook.create();
     return {
--- a/packages/gateway/__tests__/follower.test.ts
+++ b/packages/gateway/__tests__/follower.test.ts
@@ -7,7 +7,11 @@
 import {VirtualClock} from '@siskinmux/testkit';
 import {Follower} from '../src/follower.js';
 import {PeerLink} from '../src/peer_link.js';
-import {MESSAGE, forecastsSchema} from '../src/placement_messages.js';
+import {
+  MESSAGE,
+  forecastsSchema,
+  helloSchema,
+} from '../src/placement_messages.js';
 
 const service = as<ServiceName>('text');
 const model = (name: string): ModelName => as<ModelName>(name);
@@ -22,6 +26,7 @@
     link.handle(MESSAGE.forecasts, forecastsSchema, ({models}) => {
       told.push(models.map(([name]) => name));
     });
+    link.handle(MESSAGE.hello, helloSchema, () => true);
   });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
@@ -49,19 +54,23 @@
       [{model: model(name), readyAt: as<Instant>(inMilliseconds)}],
       clock.now(),
     );
+  /** What was sent before has arrived when a later question is answered. */
+  const arrival = (): Promise<unknown> =>
+    link.request(
+      MESSAGE.hello,
+      {node: 'node-1'},
+      as<Instant>(clock.now() + 5_000),
+    );
   const close = (): void => {
     link.close();
     server.close();
   };
-  return {clock, follower, told, wait, tell, close};
+  return {clock, follower, told, wait, tell, arrival, close};
 }
 
-const arrival = (): Promise<void> =>
-  new Promise(resolve => setTimeout(resolve, 50));
-
 describe('what a follower is told of forecasts', () => {
   it('concerns only the models that its requests wait for', async () => {
-    const {told, wait, tell, close} = await build();
+    const {told, wait, tell, arrival, close} = await build();
     tell('a', 1_000);
     wait('b');
     tell('a', 1_000);
@@ -72,7 +81,7 @@
   });
 
   it('is told again when it moves, or to a request that begins to wait anew', async () => {
-    const {told, wait, tell, close} = await build();
+    const {told, wait, tell, arrival, close} = await build();
     wait('b');
     tell('b', 1_000);
     tell('b', 1_030);
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -9,7 +9,6 @@
   ServiceName,
 } from '@siskinmux/kernel';
 import {ErrorCode, after, as} from '@siskinmux/kernel';
-import type {Incarnation} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
 import type {NodeUsage} from '@siskinmux/placement';
 import {OutlierDetector} from '@siskinmux/routing';
@@ -18,6 +17,7 @@
 import type {EndpointNeed} from '../src/endpoint_choice.js';
 import {LoadBook} from '../src/load_book.js';
 import {SharedLoad} from '../src/shared_load.js';
+import {describedEngine} from './described_engine.js';
 import {PlacementClient} from '../src/placement_client.js';
 
 const service = as<ServiceName>('text');
@@ -51,20 +51,7 @@
   const random = createSeededRandom(1);
   const table = EndpointTable.create();
   table.replaceAll(
-    [
-      {
-        id: engine,
-        incarnation: as<Incarnation>('engine-1@1'),
-        service,
-        address: '127.0.0.1:1',
-        failureDomain: as<FailureDomain>('a'),
-        slots: 16,
-        isDraining: false,
-        orderCount: 0,
-        models: [{model: model('m0'), adapters: []}],
-        copies: {inMemory: [], onDisk: []},
-      },
-    ],
+    [describedEngine(engine, service, [model('m0')])],
     undefined,
   );
   const load = LoadBook.create();
--- a/packages/placement/__tests__/place_adapter.test.ts
+++ b/packages/placement/__tests__/place_adapter.test.ts
@@ -3,15 +3,14 @@
 import type {
   AdapterName,
   EndpointId,
-  FailureDomain,
   Instant,
   ModelName,
   NodeId,
 } from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import type {Incarnation} from '@siskinmux/endpoints';
-import {DemandBook, EngineBook, placeAdapter} from '../src/index.js';
-import {SERVICE} from './simulated_engines.js';
+import type {EngineBook} from '../src/index.js';
+import {DemandBook, placeAdapter} from '../src/index.js';
+import {bookOf} from './simulated_engines.js';
 
 const now = as<Instant>(100_000);
 const model = as<ModelName>('m0');
@@ -22,22 +21,7 @@
   adapters: readonly string[],
   leaving: readonly string[] = [],
 ): EngineBook {
-  const id = as<EndpointId>(name);
-  const book = EngineBook.create({
-    id,
-    incarnation: as<Incarnation>(name),
-    service: SERVICE,
-    address: '127.0.0.1:1',
-    failureDomain: as<FailureDomain>('a'),
-    slots: 16,
-    isDraining: false,
-    orderCount: 0,
-    models: [],
-    copies: {inMemory: [], onDisk: []},
-  });
-  book.orderCount = 0;
-  const held = {model, state: 'ready' as const, since: now, readyAt: now};
-  book.models.set(model, held);
+  const book = bookOf(name, [model]);
   for (const adapter of [...adapters, ...leaving]) {
     const place = book.putAdapter(
       model,
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -1,17 +1,10 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {
-  EndpointId,
-  FailureDomain,
-  Instant,
-  ModelName,
-  NodeId,
-} from '@siskinmux/kernel';
+import type {EndpointId, Instant, ModelName, NodeId} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import type {Incarnation} from '@siskinmux/endpoints';
-import type {NodeUsage} from '../src/index.js';
-import {DemandBook, EngineBook, planModels} from '../src/index.js';
-import {SERVICE, declare} from './simulated_engines.js';
+import type {EngineBook, NodeUsage} from '../src/index.js';
+import {DemandBook, planModels} from '../src/index.js';
+import {bookOf, declare} from './simulated_engines.js';
 
 const now = as<Instant>(100_000);
 const node = as<NodeId>('node-1');
@@ -22,28 +15,7 @@
 }
 
 function engine(name: string, held: number[], onDisk: number[]): EngineBook {
-  const id = as<EndpointId>(name);
-  const book = EngineBook.create({
-    id,
-    incarnation: as<Incarnation>(name),
-    service: SERVICE,
-    address: '127.0.0.1:1',
-    failureDomain: as<FailureDomain>('a'),
-    slots: 16,
-    isDraining: false,
-    orderCount: 0,
-    models: [],
-    copies: {inMemory: [], onDisk: []},
-  });
-  book.orderCount = 0;
-  for (const index of held) {
-    book.models.set(model(index), {
-      model: model(index),
-      state: 'ready',
-      since: as<Instant>(0),
-      readyAt: as<Instant>(0),
-    });
-  }
+  const book = bookOf(name, held.map(model));
   for (const index of [...held, ...onDisk]) book.onDisk.add(model(index));
   return book;
 }
--- a/packages/placement/__tests__/simulated_engines.ts
+++ b/packages/placement/__tests__/simulated_engines.ts
@@ -19,6 +19,7 @@
   EngineReport,
   OrderOutcome,
 } from '../src/index.js';
+import {EngineBook} from '../src/index.js';
 
 export const SERVICE = as<ServiceName>('engines');
 
@@ -51,6 +52,28 @@
   };
 }
 
+/** The book of an engine whose state was read: it holds some models and has nothing else. */
+export function bookOf(name: string, held: readonly ModelName[]): EngineBook {
+  const book = EngineBook.create({
+    id: as<EndpointId>(name),
+    incarnation: as<Incarnation>(name),
+    service: SERVICE,
+    address: '127.0.0.1:1',
+    failureDomain: as<FailureDomain>('a'),
+    slots: 16,
+    isDraining: false,
+    orderCount: 0,
+    models: [],
+    copies: {inMemory: [], onDisk: []},
+  });
+  book.orderCount = 0;
+  const since = as<Instant>(0);
+  for (const model of held) {
+    book.models.set(model, {model, state: 'ready', since, readyAt: since});
+  }
+  return book;
+}
+
 interface Change {
   readonly at: Instant;
   readonly models: readonly ModelName[];
