Do once what placement did twice

- Waiting requests were summed up alike in DemandBook and PlacementClient: addWaiting.
- A grant was checked by filtering all engines anew for each request with an adapter; it is one lookup of its engine now, by the same conditions.
Whether a service has engines is looked up instead of listing all services for each request.
- The holder worked out the loads twice a tick, and the sign of life once a node; tick() returns what it told, which the task takes over for its own node as for any other.
- The time of a load alone, and the cost of another failure domain, stood twice.
Names that shadowed until() are gone.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import type {Command} from '../command.js';
 import {UsageError, stringOption} from '../command.js';
 import {ExitCode} from '../exit_code.js';
-import {explainNode, isTurn} from '../explain/explain_node.js';
+import {isTurnOf} from '../explain/explain_node.js';
 import {explainRequest} from '../explain/explain_request.js';
 import type {LogLine} from '../explain/log_line.js';
 import {readLogs} from '../explain/log_line.js';
@@ -34,7 +34,7 @@
       throw new UsageError('Name either --request or --node.');
     }
     if (node !== undefined) {
-      const lines = explainNode(node, await readLogs(files, isTurn));
+      const lines = await readLogs(files, line => isTurnOf(node, line));
       for (const line of lines) output.line(render(line, lines[0]));
       if (lines.length > 0) return ExitCode.Success;
       output.error(`No line of ${node} tells of something lost or regained.`);
--- a/packages/cli/src/explain/explain_node.ts
+++ b/packages/cli/src/explain/explain_node.ts
@@ -18,16 +18,11 @@
   'lease-unreachable',
 ]);
 
-/** Lines of a node by which it lost or regained something; `node` may leave out its last part. */
-export function explainNode(node: string, all: readonly LogLine[]): LogLine[] {
-  return all.filter(
-    line =>
-      TURNS.has(line.event) &&
-      (line.node === node || line.node.startsWith(`${node}-`)),
-  );
-}
-
-/** Whether a line may be needed to explain a node. */
-export function isTurn(line: LogLine): boolean {
-  return TURNS.has(line.event);
+/**
+ * Whether a line tells that a node lost or regained something; `node` may leave out the
+ * last part of the id, which is new with each start.
+ */
+export function isTurnOf(node: string, line: LogLine): boolean {
+  if (!TURNS.has(line.event)) return false;
+  return line.node === node || line.node.startsWith(`${node}-`);
 }
--- a/packages/gateway/src/allocator_host.ts
+++ b/packages/gateway/src/allocator_host.ts
@@ -27,6 +27,7 @@
 import {Follower} from './follower.js';
 import type {EndpointLoad} from './shared_load.js';
 import type {PeerLink} from './peer_link.js';
+import type {AliveMessage} from './placement_messages.js';
 import {
   MESSAGE,
   adapterSchema,
@@ -190,32 +191,30 @@
   }
 
   /**
-   * Tells the nodes that this one lives and what it has read, and forgets those that
-   * are silent.
+   * Forgets the nodes that are silent, and tells the others that this one lives and what
+   * it has read. Returns what it told, for this node's own use.
    */
-  tick(): void {
+  tick(): AliveMessage {
     const {clock, reachesStore} = this.options;
     const now = clock.now();
-    const feed = this.feed.take();
-    const loads = this.loads();
     for (const [node, follower] of this.followers) {
-      if (follower.isGone(now)) {
-        follower.link.close();
-        this.drop(node);
-      } else {
-        follower.link.notify(MESSAGE.alive, {
-          nodes: this.nodeCount,
-          reachesStore: reachesStore(),
-          loadsAtOnce: this.ceiling.knownAtOnce,
-          feed,
-          loads,
-        });
-      }
+      if (!follower.isGone(now)) continue;
+      follower.link.close();
+      this.drop(node);
     }
+    const sign = {
+      nodes: this.nodeCount,
+      reachesStore: reachesStore(),
+      loadsAtOnce: this.ceiling.knownAtOnce,
+      feed: this.feed.take(),
+      loads: this.loads(),
+    };
+    this.tell(MESSAGE.alive, sign);
+    return sign;
   }
 
   /** Requests by engine, as told where many nodes share the engines. */
-  loads(): EndpointLoad[] {
+  private loads(): EndpointLoad[] {
     if (this.nodeCount <= FEW_NODES) return [];
     return [...this.allocators.values()].flatMap(({loads}) => [...loads]);
   }
@@ -285,9 +284,10 @@
   private tellGathered(service: ServiceName): void {
     const holdings = [...(this.untold.get(service)?.values() ?? [])];
     this.untold.delete(service);
-    const message = encodeHoldings(service, holdings);
-    for (const {link} of this.followers.values()) {
-      link.notify(MESSAGE.holdings, message);
-    }
+    this.tell(MESSAGE.holdings, encodeHoldings(service, holdings));
+  }
+
+  private tell(method: string, message: object): void {
+    for (const {link} of this.followers.values()) link.notify(method, message);
   }
 }
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -13,7 +13,7 @@
 import {ErrorCode, after, randomBelow, refuseNotRun} from '@siskinmux/kernel';
 import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
 import type {OutlierDetector} from '@siskinmux/routing';
-import {chooseEndpoint} from '@siskinmux/routing';
+import {OTHER_DOMAIN_COST, chooseEndpoint} from '@siskinmux/routing';
 import type {SharedLoad} from './shared_load.js';
 import type {LoadBook} from './load_book.js';
 
@@ -52,9 +52,6 @@
   readonly shared: SharedLoad;
 }
 
-/** What another failure domain costs, in filled endpoints. */
-const OTHER_DOMAIN_COST = 0.1;
-
 /** The least loaded of some endpoints, those that fail lately left out where possible. */
 export function leastLoaded(
   endpoints: readonly EndpointDescription[],
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -30,8 +30,9 @@
   EngineHolding,
   Forecast,
   NodeUsage,
+  WaitingRequests,
 } from '@siskinmux/placement';
-import {adapterKey} from '@siskinmux/placement';
+import {adapterKey, addWaiting} from '@siskinmux/placement';
 import type {AllocatorLink, AllocatorListener} from './allocator_link.js';
 import type {
   ChoiceSurroundings,
@@ -140,8 +141,8 @@
   noteMissing(engine: EndpointId, model: ModelName): void {
     const service = this.options.table.get(engine)?.service;
     if (service === undefined) return;
-    const until = after(this.options.clock.now(), MISSING_MILLISECONDS);
-    this.missing.set(`${engine} ${model}`, until);
+    const missingUntil = after(this.options.clock.now(), MISSING_MILLISECONDS);
+    this.missing.set(`${engine} ${model}`, missingUntil);
     for (const [key, grant] of this.grants) {
       if (grant.engine === engine) this.grants.delete(key);
     }
@@ -224,19 +225,23 @@
   private holders(need: EndpointNeed): EndpointDescription[] {
     const {model} = need;
     if (model === undefined) return [];
-    return this.options.table.usable(need.service).filter(endpoint => {
-      if (this.isMissing(endpoint.id, model)) return false;
-      const told = this.link && this.holdings.get(endpoint.id);
-      if (told !== undefined) return told.has(model);
-      return endpoint.models.some(held => held.model === model);
-    });
+    return this.options.table
+      .usable(need.service)
+      .filter(endpoint => this.holds(endpoint, model));
+  }
+
+  private holds(endpoint: EndpointDescription, model: ModelName): boolean {
+    if (this.isMissing(endpoint.id, model)) return false;
+    const told = this.link && this.holdings.get(endpoint.id);
+    if (told !== undefined) return told.has(model);
+    return endpoint.models.some(held => held.model === model);
   }
 
   private isMissing(engine: EndpointId, model: ModelName): boolean {
     const key = `${engine} ${model}`;
-    const until = this.missing.get(key);
-    if (until === undefined) return false;
-    if (until > this.options.clock.now()) return true;
+    const missingUntil = this.missing.get(key);
+    if (missingUntil === undefined) return false;
+    if (missingUntil > this.options.clock.now()) return true;
     this.missing.delete(key);
     return false;
   }
@@ -249,12 +254,7 @@
     const {clock, table} = this.options;
     const key = `${need.service}/${adapterKey(model, adapter)}`;
     const known = this.grants.get(key);
-    const isValid =
-      known !== undefined &&
-      known.validUntil > clock.now() &&
-      !need.excluded.has(known.engine) &&
-      this.holders(need).some(({id}) => id === known.engine);
-    const grant = isValid
+    const grant = this.isValid(known, need, model)
       ? known
       : await this.link?.wantAdapter(need.service, {
           model,
@@ -273,6 +273,22 @@
     return table.get(grant.engine);
   }
 
+  private isValid(
+    grant: AdapterGrant | undefined,
+    need: EndpointNeed,
+    model: ModelName,
+  ): grant is AdapterGrant {
+    if (grant === undefined || need.excluded.has(grant.engine)) return false;
+    if (grant.validUntil <= this.options.clock.now()) return false;
+    const engine = this.options.table.get(grant.engine);
+    return (
+      engine !== undefined &&
+      engine.service === need.service &&
+      !engine.isDraining &&
+      this.holds(engine, model)
+    );
+  }
+
   /** Without an allocator, the list says which engines have an adapter; it may be old. */
   private listedWithAdapter(
     need: EndpointNeed,
@@ -297,8 +313,8 @@
   ): Promise<void> {
     const {clock} = this.options;
     const takenOverAt = after(this.lostAt, TAKEOVER_MILLISECONDS);
-    const until = earlier(takenOverAt, need.uselessAt);
-    if (this.link === undefined && clock.now() < until) {
+    const endsAt = earlier(takenOverAt, need.uselessAt);
+    if (this.link === undefined && clock.now() < endsAt) {
       await new Promise<void>(resolve => {
         const wake = (): void => {
           this.linkWaiters.delete(wake);
@@ -306,7 +322,7 @@
           cancel();
           resolve();
         };
-        const cancel = clock.schedule(until, wake);
+        const cancel = clock.schedule(endsAt, wake);
         need.cancelled.addEventListener('abort', wake);
         this.linkWaiters.add(wake);
       });
@@ -408,21 +424,12 @@
     };
   }
 
-  private waitingOf(service: ServiceName): NodeUsage['waiting'] {
-    const byModel = new Map<ModelName, NodeUsage['waiting'][number]>();
+  private waitingOf(service: ServiceName): WaitingRequests[] {
+    const byModel = new Map<ModelName, WaitingRequests>();
     for (const {need} of this.waiters) {
       const {model, priority, uselessAt} = need;
       if (need.service !== service || model === undefined) continue;
-      const known = byModel.get(model);
-      byModel.set(model, {
-        model,
-        count: (known?.count ?? 0) + 1,
-        priority: Math.min(known?.priority ?? Infinity, priority),
-        uselessAt:
-          known !== undefined && known.uselessAt < uselessAt
-            ? known.uselessAt
-            : uselessAt,
-      });
+      addWaiting(byModel, {model, count: 1, priority, uselessAt});
     }
     return [...byModel.values()];
   }
--- a/packages/gateway/src/placement_task.ts
+++ b/packages/gateway/src/placement_task.ts
@@ -23,6 +23,7 @@
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {EngineOrders} from '@siskinmux/placement';
 import type {ObjectStore} from '@siskinmux/ports';
+import type {EngineDeclaration} from '@siskinmux/routes';
 import type {NodeIdentity} from '@siskinmux/runtime';
 import {repeat} from '@siskinmux/runtime';
 import {ALIVE_MILLISECONDS, AllocatorHost} from './allocator_host.js';
@@ -34,6 +35,7 @@
 import {Leadership} from './leadership.js';
 import {PeerLink} from './peer_link.js';
 import {PlacementClient, REPEAT_MILLISECONDS} from './placement_client.js';
+import type {AliveMessage} from './placement_messages.js';
 import {MESSAGE, helloSchema} from './placement_messages.js';
 import {RemoteAllocator} from './remote_allocator.js';
 import type {RouteState} from './route_state.js';
@@ -85,9 +87,7 @@
       ...options,
       load: choice.load,
       isDeclared: (service, model) =>
-        routes.current?.configuration.services
-          .get(service)
-          ?.engine?.models.has(model) ?? false,
+        this.engineOf(service)?.models.has(model) ?? false,
       engineServices: () => this.engineServices(),
     });
     this.leadership = Leadership.create({
@@ -112,7 +112,7 @@
 
   /** Finds an endpoint for a request to any service. */
   readonly find: FindEndpoint = need =>
-    this.engineServices().includes(need.service)
+    this.engineOf(need.service) !== undefined
       ? this.client.find(need)
       : this.findPlain(need);
 
@@ -162,6 +162,12 @@
     this.host?.noteEndpoints(changes);
   }
 
+  /** What the operators declare of a service's engines; undefined for plain services. */
+  private engineOf(service: ServiceName): EngineDeclaration | undefined {
+    const {services} = this.options.routes.current?.configuration ?? {};
+    return services?.get(service)?.engine;
+  }
+
   private engineServices(): readonly ServiceName[] {
     const {services} = this.options.routes.current?.configuration ?? {};
     return [...(services?.values() ?? [])].flatMap(({name, engine}) =>
@@ -199,11 +205,10 @@
       ...this.options,
       link,
       listener: this.client,
-      onAlive: ({nodes, loadsAtOnce, feed, loads}) => {
-        if (loads.length > 0) this.options.choice.shared.take(loads);
-        this.noteNodes(nodes);
-        this.knownLoadsAtOnce = loadsAtOnce;
-        this.options.onFeed(feed);
+      onAlive: sign => {
+        this.noteSign(sign);
+        this.knownLoadsAtOnce = sign.loadsAtOnce;
+        this.options.onFeed(sign.feed);
       },
     });
     try {
@@ -273,19 +278,16 @@
     };
   }
 
-  private noteNodes(nodes: number): void {
+  /** Takes over what a sign of life says of the system, this node's own as well. */
+  private noteSign({nodes, loads}: AliveMessage): void {
+    if (loads.length > 0) this.options.choice.shared.take(loads);
     this.client.noteNodes(nodes);
     this.options.onNodes(nodes);
   }
 
   private tick(): void {
     const {clock} = this.options;
-    if (this.host !== undefined) {
-      this.host.tick();
-      const loads = this.host.loads();
-      if (loads.length > 0) this.options.choice.shared.take(loads);
-      this.noteNodes(this.host.nodeCount);
-    }
+    if (this.host !== undefined) this.noteSign(this.host.tick());
     if (this.following === undefined) return;
     if (this.following.silentFor(clock.now()) > SILENCE_MILLISECONDS) {
       this.following.close();
--- a/packages/gateway/src/shared_load.ts
+++ b/packages/gateway/src/shared_load.ts
@@ -11,7 +11,7 @@
 const LIFETIME_MILLISECONDS: Milliseconds = 1_000;
 
 /** Requests at one endpoint, as they travel. */
-export type EndpointLoad = readonly [endpoint: string, requests: number];
+export type EndpointLoad = [endpoint: string, requests: number];
 
 interface Told {
   readonly total: number;
--- a/packages/placement/src/adapter_cache.ts
+++ b/packages/placement/src/adapter_cache.ts
@@ -140,7 +140,10 @@
     return undefined;
   }
 
-  /** Whether the adapter is gone, and its place the caller's; one that requests still use keeps its place until then. */
+  /**
+   * Whether the adapter is gone, and its place the caller's; one that requests still use
+   * keeps its place until then.
+   */
   private async unload(
     engine: ManagedEngine,
     place: AdapterPlace,
--- a/packages/placement/src/demand_book.ts
+++ b/packages/placement/src/demand_book.ts
@@ -8,20 +8,12 @@
   NodeId,
 } from '@siskinmux/kernel';
 import {until} from '@siskinmux/kernel';
+import type {WaitingRequests} from './waiting_requests.js';
+import {addWaiting} from './waiting_requests.js';
 
 /** Time over which arrivals are averaged: some requests of a rare model, one shift of demand. */
 const RATE_MILLISECONDS: Milliseconds = 8_000;
 
-/** Requests of one node that wait for a model. */
-export interface WaitingRequests {
-  readonly model: ModelName;
-  readonly count: number;
-  /** Rank of the most urgent one; 0 goes first. */
-  readonly priority: number;
-  /** From then on the first of them has waited in vain. */
-  readonly uselessAt: Instant;
-}
-
 /** Requests of one node that run at an engine. */
 export interface RunningRequests {
   readonly engine: EndpointId;
@@ -39,13 +31,6 @@
   }[];
 }
 
-/** Everything that waits for a model, over all nodes. */
-export interface ModelDemand {
-  readonly waiting: number;
-  readonly priority: number;
-  readonly uselessAt: Instant;
-}
-
 /** Demand of all nodes. */
 export class DemandBook {
   private readonly usage = new Map<NodeId, NodeUsage>();
@@ -56,7 +41,7 @@
   private running = new Map<string, number>();
   private runningModels = new Map<ModelName, number>();
   private runningEngines = new Map<EndpointId, number>();
-  private waiting = new Map<ModelName, ModelDemand>();
+  private waiting = new Map<ModelName, WaitingRequests>();
   /** Whether a node has spoken since the sums were made. */
   private isStale = false;
 
@@ -86,7 +71,7 @@
   }
 
   /** Models that requests wait for. */
-  get waitingModels(): ReadonlyMap<ModelName, ModelDemand> {
+  get waitingModels(): ReadonlyMap<ModelName, WaitingRequests> {
     this.sum();
     return this.waiting;
   }
@@ -141,22 +126,9 @@
         add(this.runningModels, model, count);
         add(this.runningEngines, engine, count);
       }
-      for (const requests of waiting) this.addWaiting(requests);
+      for (const requests of waiting) addWaiting(this.waiting, requests);
     }
   }
-
-  private addWaiting(requests: WaitingRequests): void {
-    const {model, count, priority, uselessAt} = requests;
-    const known = this.waiting.get(model);
-    this.waiting.set(model, {
-      waiting: (known?.waiting ?? 0) + count,
-      priority: Math.min(known?.priority ?? Infinity, priority),
-      uselessAt:
-        known !== undefined && known.uselessAt < uselessAt
-          ? known.uselessAt
-          : uselessAt,
-    });
-  }
 }
 
 function faded(rate: {perSecond: number; at: Instant}, now: Instant): number {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -13,11 +13,7 @@
 export {GRANT_MILLISECONDS} from './adapter_cache.js';
 export type {AllocatorOptions, EngineHolding} from './allocator.js';
 export {Allocator} from './allocator.js';
-export type {
-  NodeUsage,
-  RunningRequests,
-  WaitingRequests,
-} from './demand_book.js';
+export type {NodeUsage, RunningRequests} from './demand_book.js';
 export {DemandBook} from './demand_book.js';
 export {EngineBook, adapterKey} from './engine_book.js';
 export type {Forecast} from './forecast.js';
@@ -27,3 +23,5 @@
 export {PLACEMENT_EVENTS} from './placement_events.js';
 export type {ModelChange, ModelPlanInput} from './plan_models.js';
 export {planModels} from './plan_models.js';
+export type {WaitingRequests} from './waiting_requests.js';
+export {addWaiting} from './waiting_requests.js';
--- a/packages/placement/src/model_changer.ts
+++ b/packages/placement/src/model_changer.ts
@@ -89,10 +89,7 @@
     const {emit, clock} = this.options;
     const {book} = engine;
     const begunAt = clock.now();
-    const alone =
-      this.options.declaration()?.models.get(change.load)?.loadMilliseconds[
-        change.tier
-      ] ?? 0;
+    const alone = this.aloneFor(change);
     book.incoming = {model: change.load, readyAt: after(begunAt, alone)};
     emit(CHANGE_PLANNED, {
       engine: book.id,
@@ -168,13 +165,14 @@
 
   private async load(
     engine: ManagedEngine,
-    {load: model, tier}: ModelChange,
+    planned: ModelChange,
     isUnloading: boolean,
     endLoad: EndLoad,
   ): Promise<'ready' | 'misfit' | 'unsent'> {
     const {book} = engine;
-    const {clock, declaration} = this.options;
-    const alone = declaration()?.models.get(model)?.loadMilliseconds[tier] ?? 0;
+    const {clock} = this.options;
+    const {load: model, tier} = planned;
+    const alone = this.aloneFor(planned);
     const place = {
       model,
       state: 'loading' as const,
@@ -206,6 +204,12 @@
     return 'ready';
   }
 
+  /** Time that a change's load takes alone. */
+  private aloneFor({load, tier}: ModelChange): Milliseconds {
+    const declared = this.options.declaration()?.models.get(load);
+    return declared?.loadMilliseconds[tier] ?? 0;
+  }
+
   /**
    * A load from the engine's own copy takes the time that is declared, and a report
    * would show its end late: the model counts as ready then, and is looked for afterwards.
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -157,7 +157,7 @@
     const rate = demand.rateOf(model, now);
     const isLost = rate >= UNUSED_PER_SECOND && !this.hasCopy(model);
     if (waiting === undefined && !isLost) return undefined;
-    const score = (waiting?.waiting ?? 0) + rate * SCORED_SECONDS;
+    const score = (waiting?.count ?? 0) + rate * SCORED_SECONDS;
     return {
       model,
       score,
