Log a request's content, each retry decision and the node count of the limits

No decision changes. fingerprintOf moved to routing, since both interfaces use it; its values for the product's own interface are the same. The request metrics left gateway_node.ts.

--- a/packages/cli/src/explain/explain_node.ts
+++ b/packages/cli/src/explain/explain_node.ts
@@ -16,6 +16,7 @@
   'lease-taken',
   'lease-ended',
   'lease-unreachable',
+  'retry-limits-changed',
 ]);
 
 /**
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -19,7 +19,7 @@
   name: 'send-failed',
   level: 'info',
   meaning:
-    'An endpoint refused a request, could not be reached, failed, or its response was cut short. `end`: `not_run` if the endpoint did not run the request, `may_have_run` if it ran or may have run it and the caller has got nothing of its response, `stream_broken` if its response broke off after the caller got a part of it. `next` says whether the node sends the request again.',
+    'An endpoint refused a request, could not be reached, failed, or its response was cut short. `end`: `not_run` if the endpoint did not run the request, `may_have_run` if it ran or may have run it and the caller has got nothing of its response, `stream_broken` if its response broke off after the caller got a part of it. `content` is the fingerprint of the request, equal for requests with the same content; `life` is the incarnation of the endpoint. `next` says whether the node sends the request again, and `retry` why: `free` or `charged` to the retry budget, `over_budget`, or `not_allowed` by the route, the deadline or the limit on sends.',
 };
 
 /** A newer route configuration is active. */
@@ -171,6 +171,15 @@
     'The store did not respond to a read or write of the lease; the node retries.',
 };
 
+/** The number of nodes that share the retry limits has changed. */
+export const RETRY_LIMITS_CHANGED: EventDescriptor = {
+  number: 7020,
+  name: 'retry-limits-changed',
+  level: 'info',
+  meaning:
+    'This node shares the limits on retries with another number of nodes than before. `allowance` is the number of retries that it may accumulate for each service.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -192,6 +201,7 @@
   ALLOCATOR_FOLLOWED,
   ALLOCATOR_LOST,
   LEASE_UNREACHABLE,
+  RETRY_LIMITS_CHANGED,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -36,7 +36,6 @@
   createPeriodicJob,
 } from '@siskinmux/runtime';
 import type {FastifyInstance} from 'fastify';
-import {Counter, Histogram} from 'prom-client';
 import {ActiveRoutes} from './active_routes.js';
 import type {CallerExchange} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
@@ -59,6 +58,7 @@
 import {ProxiedRequest} from './proxied_request.js';
 import {listenForReadiness} from './readiness_listener.js';
 import {refusalResponse} from './refusal_response.js';
+import {createRequestMetrics} from './request_metrics.js';
 import {RetryBudgets} from './retry_budgets.js';
 
 /**
@@ -79,14 +79,6 @@
 /** `Retry-After` while the node has no routes or is shutting down. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
-/**
- * Upper bounds of the latency histogram's buckets, densest around the latency objectives
- * of 0.1 to 2 s.
- */
-const LATENCY_BUCKETS_SECONDS = [
-  0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 20,
-];
-
 /** Options of {@link GatewayNode}. */
 export interface GatewayOptions {
   readonly settings: RawSettings;
@@ -162,10 +154,13 @@
       this.placement.onInFlightChange(),
     );
     const outliers = OutlierDetector.create();
-    const retryBudgets = RetryBudgets.create({
-      share: this.rules.repeat_share,
-      allowance: this.rules.repeat_allowance,
-    });
+    const retryBudgets = RetryBudgets.create(
+      {
+        share: this.rules.repeat_share,
+        allowance: this.rules.repeat_allowance,
+      },
+      emit,
+    );
     const identity = kernel.inject(NODE_IDENTITY);
     this.placement = NodePlacement.create({
       identity,
@@ -212,7 +207,7 @@
       find: this.placement.find,
       clock,
       emit,
-      onRequestEnd: this.createRequestMetrics(),
+      ...createRequestMetrics(kernel.inject(METRICS)),
     };
     this.routes.onChange(({configuration}) =>
       this.callerListener?.setIdleTimeout(
@@ -352,25 +347,4 @@
         : String(failure);
     this.emit(TASK_FAILED, {task, failure: text});
   }
-
-  private createRequestMetrics(): ProxiedRequestDependencies['onRequestEnd'] {
-    const registers = [this.kernel.inject(METRICS)];
-    const requestsTotal = new Counter({
-      name: 'siskinmux_requests_total',
-      help: 'Requests of callers by route and result',
-      labelNames: ['route', 'result'],
-      registers,
-    });
-    const requestSeconds = new Histogram({
-      name: 'siskinmux_request_seconds',
-      help: 'Time to the end of the answer by route',
-      labelNames: ['route'],
-      buckets: LATENCY_BUCKETS_SECONDS,
-      registers,
-    });
-    return (route, result, durationMilliseconds) => {
-      requestsTotal.inc({route: route.name, result});
-      requestSeconds.observe({route: route.name}, durationMilliseconds / 1_000);
-    };
-  }
 }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -18,6 +18,7 @@
   Clock,
   EmitEvent,
   EndpointId,
+  Fingerprint,
   Instant,
   Milliseconds,
   ModelName,
@@ -43,7 +44,7 @@
   pickTarget,
 } from '@siskinmux/routes';
 import type {OutlierDetector} from '@siskinmux/routing';
-import {hash32} from '@siskinmux/routing';
+import {fingerprintOf, hash32} from '@siskinmux/routing';
 import type {CallerExchange} from './caller_exchange.js';
 import type {EndpointRequirements, FindEndpoint} from './endpoint_choice.js';
 import {REQUEST_ENDED, SEND_FAILED} from './gateway_events.js';
@@ -79,6 +80,11 @@
   readonly emit: EmitEvent;
   /** Called when an engine lacks the model or adapter that the node expected it to hold. */
   readonly reportMissingModel: (endpoint: EndpointId, model: ModelName) => void;
+  /** Called when a send has failed, with the decision whether to send the request again. */
+  readonly onRetryDecision: (
+    service: ServiceName,
+    decision: RetryDecision,
+  ) => void;
   /** Called when a request has ended; `result` is the one logged in `request-ended`. */
   readonly onRequestEnd: (
     route: Route,
@@ -99,6 +105,12 @@
     }
   | {readonly kind: 'stream_broken'; readonly cause: string};
 
+/**
+ * Whether and why a failed request is sent again: without a charge to the retry budget or
+ * with one; or not, because the budget is empty or its route, deadline or sends rule it out.
+ */
+export type RetryDecision = 'free' | 'charged' | 'over_budget' | 'not_allowed';
+
 /** One request of a caller, from its arrival to the end of its response. */
 export class ProxiedRequest {
   private readonly triedEndpoints = new Set<EndpointId>();
@@ -201,19 +213,34 @@
       const result = await this.send(endpoint, body);
       if (this.isFinished || result.kind === 'delivered') return;
       this.triedEndpoints.add(endpoint.id);
-      const canRetry = this.canRetry(result);
+      const decision = this.decideRetry(result);
+      const isSentAgain = decision === 'free' || decision === 'charged';
+      this.dependencies.onRetryDecision(endpoint.service, decision);
       this.dependencies.emit(SEND_FAILED, {
         id: this.metadata.id,
+        content: this.contentFingerprint(body),
         endpoint: endpoint.id,
+        life: endpoint.incarnation,
         end: result.kind,
         cause: result.cause,
         sends: this.sends,
-        next: canRetry ? 'send again' : 'give up',
+        next: isSentAgain ? 'send again' : 'give up',
+        retry: decision,
       });
-      if (!canRetry) this.fail(result);
+      if (!isSentAgain) this.fail(result);
     }
   }
 
+  /** Equal for requests that an endpoint can't tell apart, apart from ids and deadlines. */
+  private contentFingerprint(body: Buffer | undefined): Fingerprint {
+    const {method, host, target} = this.exchange;
+    const {model, adapter} = this.metadata;
+    return fingerprintOf(
+      [method, host, target, model, adapter].join(' '),
+      body,
+    );
+  }
+
   /** What the next endpoint has to offer. The first call records the request in the retry budget. */
   private requirements(): EndpointRequirements {
     const {model, adapter} = this.metadata;
@@ -436,19 +463,22 @@
     );
   }
 
-  private canRetry(result: AttemptResult): boolean {
-    if (this.sends >= MAXIMUM_SENDS) return false;
+  private decideRetry(result: AttemptResult): RetryDecision {
+    if (this.sends >= MAXIMUM_SENDS) return 'not_allowed';
     const {clock, retryBudgets} = this.dependencies;
     if (clock.now() >= this.deadline || this.service === undefined)
-      return false;
-    const budget = retryBudgets.forService(this.service);
-    // Retrying a request that was never sent costs no retry budget.
-    if (result.kind === 'not_run')
-      return !result.isSent || budget.tryAcquireRetry();
-    if (!isRetryable(this.route) || this.runs >= this.route.maximumRuns) {
-      return false;
+      return 'not_allowed';
+    if (result.kind === 'not_run') {
+      // Retrying a request that was never sent costs no retry budget.
+      if (!result.isSent) return 'free';
+    } else if (
+      !isRetryable(this.route) ||
+      this.runs >= this.route.maximumRuns
+    ) {
+      return 'not_allowed';
     }
-    return budget.tryAcquireRetry();
+    const budget = retryBudgets.forService(this.service);
+    return budget.tryAcquireRetry() ? 'charged' : 'over_budget';
   }
 
   /** Ends the request after a failed attempt that isn't retried. */
--- a/packages/gateway/src/retry_budgets.ts
+++ b/packages/gateway/src/retry_budgets.ts
@@ -4,9 +4,10 @@
  * coordination.
  */
 
-import type {ServiceName} from '@siskinmux/kernel';
+import type {EmitEvent, ServiceName} from '@siskinmux/kernel';
 import type {RetryLimits} from '@siskinmux/routing';
 import {RetryBudget} from '@siskinmux/routing';
+import {RETRY_LIMITS_CHANGED} from './gateway_events.js';
 
 /**
  * Part of the platform's share that nodes use: the platform's windows, and so its counts,
@@ -33,10 +34,16 @@
   private readonly budgets = new Map<ServiceName, RetryBudget>();
   private nodeCount = ASSUMED_NODE_COUNT;
 
-  private constructor(private readonly clusterLimits: ClusterRetryLimits) {}
+  private constructor(
+    private readonly clusterLimits: ClusterRetryLimits,
+    private readonly emit: EmitEvent,
+  ) {}
 
-  static create(clusterLimits: ClusterRetryLimits): RetryBudgets {
-    return new RetryBudgets(clusterLimits);
+  static create(
+    clusterLimits: ClusterRetryLimits,
+    emit: EmitEvent,
+  ): RetryBudgets {
+    return new RetryBudgets(clusterLimits, emit);
   }
 
   forService(service: ServiceName): RetryBudget {
@@ -51,6 +58,10 @@
   setNodeCount(nodeCount: number): void {
     if (nodeCount === this.nodeCount) return;
     this.nodeCount = nodeCount;
+    this.emit(RETRY_LIMITS_CHANGED, {
+      nodes: nodeCount,
+      allowance: this.limits().maximumTokens,
+    });
     for (const budget of this.budgets.values()) budget.setLimits(this.limits());
   }
 
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -10,10 +10,10 @@
 import type {StartSpan, TraceSpan} from '@siskinmux/requests';
 import {Counter, Histogram} from 'prom-client';
 import {z} from 'zod';
+import {fingerprintOf} from '@siskinmux/routing';
 import type {RequestHead, TextRequestBody} from './caller_request.js';
 import {
   checkBodySize,
-  fingerprintOf,
   readChat,
   readCompletion,
   readHead,
@@ -172,7 +172,7 @@
           path: path === undefined || path === '' ? '/' : path,
           contentType: request.headers['content-type'],
           body,
-          fingerprint: fingerprintOf(request.method, request.url, body),
+          fingerprint: fingerprintOf(`${request.method} ${request.url}`, body),
           signal: abort.signal,
         },
         this.createStartSpan(span),
@@ -198,7 +198,7 @@
         {
           ...head,
           ...body,
-          fingerprint: fingerprintOf('POST', request.url, text),
+          fingerprint: fingerprintOf(`POST ${request.url}`, text),
           signal: abort.signal,
         },
         this.createStartSpan(span),
--- a/packages/node/src/caller_request.ts
+++ b/packages/node/src/caller_request.ts
@@ -1,9 +1,8 @@
 /** Parses the headers and bodies of callers' requests; throws a `RefusalError` if invalid. */
 
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import type {
   Clock,
-  Fingerprint,
   IdempotencyKey,
   Instant,
   RequestId,
@@ -101,19 +100,6 @@
   };
 }
 
-/** Digest that identifies equal requests, independently of their idempotency keys. */
-export function fingerprintOf(
-  method: string,
-  target: string,
-  body: string,
-): Fingerprint {
-  const digest = createHash('sha256')
-    .update(`${method} ${target}\n`)
-    .update(body)
-    .digest('base64url');
-  return as<Fingerprint>(digest.slice(0, 22));
-}
-
 /** Throws a `RefusalError` for bodies above the limit of the policy. */
 export function checkBodySize(body: string, limitBytes: number): void {
   const bytes = Buffer.byteLength(body);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export {CROSS_DOMAIN_COST, chooseEndpoint} from './choose_endpoint.js';
 export type {Suspect, Suspicion} from './crash_suspects.js';
 export {CrashSuspects} from './crash_suspects.js';
+export {fingerprintOf} from './fingerprint.js';
 export {OutlierDetector} from './outlier_detector.js';
 export {hash32, ownerOf, rankMembers} from './rendezvous.js';
 export type {RetryLimits} from './retry_budget.js';
