Refuse with an unknown outcome after a send that may have run

What callers saw: a repeatable request that broke off at one endpoint, with no other endpoint left for its retry, was answered 503 with the outcome "not run", although it may have run.

Cause: a refusal by the search for an endpoint, or by the deadline, always states "not run"; only failures of a send looked at the runs so far.

Why this works: every refusal passes one place, which replaces "not run" by an unknown outcome once a send may have run.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -184,10 +184,17 @@
     } catch (failure) {
       if (this.isFinished) return;
       if (!(failure instanceof SiskinmuxError)) throw failure;
-      this.refuse(toRefusal(failure, Outcome.NotRun));
+      this.refuse(this.withTrueOutcome(toRefusal(failure, Outcome.NotRun)));
     }
   }
 
+  /** A refusal by this node doesn't undo an earlier send that may have run. */
+  private withTrueOutcome(refusal: RefusalError): RefusalError {
+    return this.runs > 0 && refusal.outcome === Outcome.NotRun
+      ? createUnknownOutcomeRefusal(refusal.message, refusal)
+      : refusal;
+  }
+
   /**
    * Ends the request because the process is shutting down. A request that still waits for
    * an endpoint is refused as not run; one that was sent ends with an unknown outcome.
