Load an adapter once at a time, also after a load that requests waited for has failed

Cause: requests for the same adapter wait for one load. When it failed, each of them started a load of its own at the same instant, with a victim of its own. The first of these loads was accepted. The next ones replaced its entry in the view, were refused because a change of models had begun, and deleted the entry. The engine then held one adapter more than the view counted.

Class: those who wait for a shared operation each repeat it when it fails.

Why this works: after a failure one waiting request starts the next load and the others wait for that one, so that a key has one load at a time; a request whose second load failed gets no grant, and its node asks again.

--- a/packages/placement/src/adapter_cache.ts
+++ b/packages/placement/src/adapter_cache.ts
@@ -38,6 +38,9 @@
 /** Poll interval for the unload of an adapter in use; a stream takes about as long. */
 const UNLOAD_POLL_MILLISECONDS: Milliseconds = 700;
 
+/** A request whose load failed this often is refused; its node may request the grant again. */
+const MAXIMUM_AWAITED_LOADS = 2;
+
 /** Permission for a node to send requests for an adapter to an engine. */
 export interface AdapterGrant {
   readonly engine: EndpointId;
@@ -81,8 +84,11 @@
   ): Promise<AdapterGrant | undefined> {
     const {clock, demand, engines, maximumAdapters} = this.options;
     const key = adapterKey(request.model, request.adapter);
-    const pending = this.pendingLoads.get(key);
-    if (pending !== undefined) {
+    // After a failed load, one of the requests that waited for it starts the next one.
+    for (let awaited = 0; ; awaited += 1) {
+      const pending = this.pendingLoads.get(key);
+      if (pending === undefined) break;
+      if (awaited === MAXIMUM_AWAITED_LOADS) return undefined;
       const grant = await pending;
       if (grant !== undefined && !request.excluded.has(grant.engine))
         return grant;
@@ -98,13 +104,13 @@
     if (placement === undefined) return undefined;
     if (placement.kind === 'held')
       return this.grant(placement.engine, placement.placed);
-    const loading = this.load(request.model, request.adapter, placement);
+    const loading = this.load(
+      request.model,
+      request.adapter,
+      placement,
+    ).finally(() => this.pendingLoads.delete(key));
     this.pendingLoads.set(key, loading);
-    try {
-      return await loading;
-    } finally {
-      if (this.pendingLoads.get(key) === loading) this.pendingLoads.delete(key);
-    }
+    return loading;
   }
 
   private grant(view: EngineView, placed: PlacedAdapter): AdapterGrant {
