Give a new process no retry allowance until it has run for a window

The limit on retries applies to the deployment, and each new process got a part of the allowance at once: 1.35 retries a service where the allowance is 54, 5.55 where it is 222, whatever its previous process had used.

Cause: a budget that is kept by each process, refilled by a restart, against a limit over all.

Why this works: a process has only the share of its own requests until it has run for one window, after which nothing that its previous process used counts any more, and until it knows the number of nodes; then it gets its part once. The price: in its first ten seconds a node retries only about one in seven requests.

--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -177,7 +177,7 @@
   name: 'retry-limits-changed',
   level: 'info',
   meaning:
-    'This node shares the limits on retries with another number of nodes than before. `allowance` is the number of retries that it may accumulate for each service.',
+    'This node shares the limits on retries with another number of nodes than before, or has run long enough to use its part of the allowance. `nodes` is missing until a lease holder has been found; `allowance` is the number of retries for each service that it may accumulate beyond its share of the requests.',
 };
 
 /** An endpoint crashed while it ran a request. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -158,13 +158,15 @@
       this.placement.onInFlightChange(),
     );
     const outliers = OutlierDetector.create();
-    const retryBudgets = RetryBudgets.create(
-      {
+    const retryBudgets = RetryBudgets.create({
+      limits: {
         share: this.rules.repeat_share,
         allowance: this.rules.repeat_allowance,
+        windowMilliseconds: this.rules.repeat_window_seconds * 1_000,
       },
+      clock,
       emit,
-    );
+    });
     const metrics = createRequestMetrics(kernel.inject(METRICS));
     const quarantine = CrashQuarantine.create({clock, emit, ...metrics});
     this.crashDetector = CrashDetector.create({
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -51,6 +51,8 @@
     /** Retries allowed over all nodes: a share of the requests, plus a fixed number. */
     repeat_share: z.number().nonnegative().default(0.2),
     repeat_allowance: z.number().nonnegative().default(54),
+    /** Window in which the retries are counted. */
+    repeat_window_seconds: z.number().positive().default(10),
     /** Window in which model loads from the weight store count towards their rate limit. */
     load_window_seconds: z.number().positive().default(5),
   }),
--- a/packages/gateway/src/retry_budgets.ts
+++ b/packages/gateway/src/retry_budgets.ts
@@ -4,7 +4,13 @@
  * coordination.
  */
 
-import type {EmitEvent, ServiceName} from '@siskinmux/kernel';
+import type {
+  Clock,
+  EmitEvent,
+  Milliseconds,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {after} from '@siskinmux/kernel';
 import type {RetryLimits} from '@siskinmux/routing';
 import {RetryBudget} from '@siskinmux/routing';
 import {RETRY_LIMITS_CHANGED} from './gateway_events.js';
@@ -18,32 +24,42 @@
 /** Part of the platform's allowance that nodes use, for the same reason as above. */
 const ALLOWANCE_SAFETY_FACTOR = 0.6;
 
-/** Node count assumed until the first heartbeat. */
-const ASSUMED_NODE_COUNT = 24;
-
 /** The platform's limits for one service over all nodes. */
 export interface ClusterRetryLimits {
   /** Retries allowed per request. */
   readonly share: number;
   /** Retries allowed in addition, whatever the request rate. */
   readonly allowance: number;
+  /** Length of the window to which the limits apply. */
+  readonly windowMilliseconds: Milliseconds;
+}
+
+/** Dependencies of {@link RetryBudgets}. */
+export interface RetryBudgetsOptions {
+  readonly limits: ClusterRetryLimits;
+  readonly clock: Clock;
+  readonly emit: EmitEvent;
 }
 
 /** This node's retry budgets, one per service. */
 export class RetryBudgets {
   private readonly budgets = new Map<ServiceName, RetryBudget>();
-  private nodeCount = ASSUMED_NODE_COUNT;
+  /** Undefined until the first heartbeat. */
+  private nodeCount: number | undefined;
+  /** Whether the retries of this node's previous process no longer count. */
+  private hasRunForWindow = false;
 
-  private constructor(
-    private readonly clusterLimits: ClusterRetryLimits,
-    private readonly emit: EmitEvent,
-  ) {}
+  private constructor(private readonly options: RetryBudgetsOptions) {
+    const {clock, limits} = options;
+    clock.schedule(after(clock.now(), limits.windowMilliseconds), () =>
+      this.updateLimits(() => {
+        this.hasRunForWindow = true;
+      }),
+    );
+  }
 
-  static create(
-    clusterLimits: ClusterRetryLimits,
-    emit: EmitEvent,
-  ): RetryBudgets {
-    return new RetryBudgets(clusterLimits, emit);
+  static create(options: RetryBudgetsOptions): RetryBudgets {
+    return new RetryBudgets(options);
   }
 
   forService(service: ServiceName): RetryBudget {
@@ -57,21 +73,41 @@
   /** Sets the number of nodes that share the limits. */
   setNodeCount(nodeCount: number): void {
     if (nodeCount === this.nodeCount) return;
-    this.nodeCount = nodeCount;
-    this.emit(RETRY_LIMITS_CHANGED, {
-      nodes: nodeCount,
-      allowance: this.limits().maximumTokens,
+    this.updateLimits(() => {
+      this.nodeCount = nodeCount;
     });
-    for (const budget of this.budgets.values()) budget.setLimits(this.limits());
+  }
+
+  /** Changes the limits of all budgets; the first allowance is available at once. */
+  private updateLimits(change: () => void): void {
+    const hadAllowance = this.allowance > 0;
+    change();
+    const {allowance} = this;
+    this.options.emit(RETRY_LIMITS_CHANGED, {
+      nodes: this.nodeCount,
+      allowance,
+    });
+    for (const budget of this.budgets.values()) {
+      budget.setLimits(this.limits());
+      if (!hadAllowance) budget.addTokens(allowance);
+    }
+  }
+
+  /**
+   * This node's part of the allowance; 0 in a process that has just started, which doesn't
+   * know how much the previous one used.
+   */
+  private get allowance(): number {
+    if (!this.hasRunForWindow || this.nodeCount === undefined) return 0;
+    const {allowance} = this.options.limits;
+    return (allowance * ALLOWANCE_SAFETY_FACTOR) / this.nodeCount;
   }
 
   private limits(): RetryLimits {
-    const allowance =
-      (this.clusterLimits.allowance * ALLOWANCE_SAFETY_FACTOR) / this.nodeCount;
     return {
-      share: this.clusterLimits.share * SHARE_SAFETY_FACTOR,
-      initialTokens: allowance,
-      maximumTokens: Math.max(1, allowance),
+      share: this.options.limits.share * SHARE_SAFETY_FACTOR,
+      initialTokens: this.allowance,
+      maximumTokens: Math.max(1, this.allowance),
     };
   }
 }
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -38,10 +38,15 @@
     this.tokens = Math.min(this.tokens, limits.maximumTokens);
   }
 
+  /** Adds retry tokens, up to the maximum. */
+  addTokens(tokens: number): void {
+    const {maximumTokens} = this.limits;
+    this.tokens = Math.min(maximumTokens, this.tokens + tokens);
+  }
+
   /** Records the first attempt of a request. */
   recordRequest(): void {
-    const {share, maximumTokens} = this.limits;
-    this.tokens = Math.min(maximumTokens, this.tokens + share);
+    this.addTokens(this.limits.share);
   }
 
   /** Consumes one retry token; returns false when none is left. */
