--- a/packages/cli/__tests__/explain.test.ts
+++ b/packages/cli/__tests__/explain.test.ts
@@ -75,6 +75,21 @@
   logLine(6_000, 'b-1-y', 'store-regained', {kind: 'servers', revision: 12}),
 ];
 
+const WITHHELD_REQUEST = [
+  logLine(1_000, 'a-1-x', 'run-crashed', {content: 'c1', crash: 'e1@1'}),
+  logLine(1_500, 'b-1-y', 'run-crashed', {content: 'c1', crash: 'e2@1'}),
+  logLine(1_501, 'a-1-x', 'request-quarantined', {content: 'c1', crashes: 2}),
+  logLine(1_600, 'a-1-x', 'run-crashed', {content: 'c2', crash: 'e3@1'}),
+  logLine(9_000, 'a-1-x', 'request-withheld', {id: 'r9', content: 'c1'}),
+  logLine(9_001, 'a-1-x', 'request-ended', {
+    id: 'r9',
+    version: 3,
+    result: 'request-quarantined',
+    sends: 0,
+    milliseconds: 1,
+  }),
+];
+
 function writeLogs(...files: (readonly string[])[]): string[] {
   const folder = mkdtempSync(join(tmpdir(), 'logs-'));
   return files.map((lines, index) => {
@@ -121,6 +136,18 @@
     expect(slow.out.at(-1) ?? '').toInclude('waited 670 ms for an endpoint');
   });
 
+  it('leads from a withheld request to the crashes on all nodes that caused it', async () => {
+    const [first, second, ...rest] = WITHHELD_REQUEST;
+    const files = writeLogs([first!, ...rest], [second!]);
+    const {out} = await explain('--request', 'r9', ...files);
+    const lines = out.slice(0, -1);
+    expect(lines.filter(text => text.includes('run-crashed')).length).toEqual(
+      2,
+    );
+    expect(out.join(' ')).not.toInclude('e3@1');
+    expect(out.at(-1) ?? '').toInclude('not run: requests with the same');
+  });
+
   it('lists what one node lost and regained, and no events of other nodes', async () => {
     const files = writeLogs(STORE_OUTAGES);
     const {out} = await explain('--node', 'b-1', ...files);
--- a/packages/cli/src/explain/explain_request.ts
+++ b/packages/cli/src/explain/explain_request.ts
@@ -14,6 +14,13 @@
   'routes-in-force',
 ]);
 
+/** Events about requests with the same content, at any time and on any node. */
+const CRASH_EVENTS: ReadonlySet<string> = new Set([
+  'run-crashed',
+  'request-quarantined',
+  'request-cleared',
+]);
+
 /** Log lines that explain a request, and its outcome in words. */
 export interface RequestExplanation {
   /** Lines with the ID of the request, and related ones while it was open. */
@@ -32,7 +39,8 @@
   const related = ends.flatMap(end =>
     allLines.filter(line => isRelated(line, end)),
   );
-  const lines = [...new Set([...ownLines, ...related])].sort(
+  const crashes = linesOfCrashes(ownLines, allLines);
+  const lines = [...new Set([...ownLines, ...related, ...crashes])].sort(
     (left, right) => left.time - right.time,
   );
   const outcome =
@@ -63,6 +71,22 @@
   );
 }
 
+/** Lines about earlier crashes because of which one of a request's sends was withheld. */
+function linesOfCrashes(
+  ownLines: readonly LogLine[],
+  allLines: readonly LogLine[],
+): LogLine[] {
+  const withheld = new Set(
+    ownLines
+      .filter(({event}) => event === 'request-withheld')
+      .map(({fields}) => fields['content']),
+  );
+  return allLines.filter(
+    ({event, fields}) =>
+      CRASH_EVENTS.has(event) && withheld.has(fields['content']),
+  );
+}
+
 function describeOutcome(end: LogLine): string {
   const {result, endpoint, model, version} = end.fields;
   const durationMilliseconds = numberOf(end, 'milliseconds') ?? 0;
@@ -77,6 +101,8 @@
           ? 'no endpoint of the service could accept it'
           : `no engine could load ${String(model)} in time`
       }.`;
+    case 'request-quarantined':
+      return `${prefix}: refused after ${durationMilliseconds} ms, not run: requests with the same content crashed endpoints; the lines \`run-crashed\` name them.`;
     case 'outcome-unknown':
       return `${prefix}: ended after ${durationMilliseconds} ms with an unknown outcome: ${String(endpoint)} received the request and did not respond; it was not retried because it must not run twice.`;
     case 'caller_gone':
