Hand the recent loads from the weight store to the next lease holder

The limit on loads from the weight store applies to the deployment, and each lease holder counted only its own: after a takeover, twice as many could start in a window.

Change: the heartbeat carries the ages of the latest loads; a new holder starts with them. The limit on concurrent loads, which was only remembered from another holder's heartbeat, is now remembered from a node's own, too.

Evidence: the new test needs the starts of the previous holder, which the code before had no way to pass on (it did not compile there); the new holder allows 0 loads instead of 8.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -9,12 +9,13 @@
   EmitEvent,
   EndpointId,
   Fingerprint,
+  Instant,
   Milliseconds,
   ModelName,
   NodeId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after, as} from '@siskinmux/kernel';
+import {after, as, until} from '@siskinmux/kernel';
 import type {
   AdapterGrant,
   AdapterRequest,
@@ -79,6 +80,8 @@
   readonly loadWindowMilliseconds: Milliseconds;
   /** Limit on concurrent loads from the weight store that the previous holder had reached. */
   readonly initialConcurrencyLimit: number | undefined;
+  /** Loads from the weight store that the previous holder started last. */
+  readonly earlierLoadStarts: readonly Instant[];
   readonly self: NodeId;
   /** This node's records of requests that crashed endpoints. */
   readonly quarantine: CrashQuarantine;
@@ -105,6 +108,7 @@
     this.loadLimiter = LoadLimiter.create(
       options.loadWindowMilliseconds,
       options.initialConcurrencyLimit,
+      options.earlierLoadStarts,
     );
     this.feed = ChangeFeed.create(options);
   }
@@ -255,6 +259,7 @@
       nodes: this.nodeCount,
       reachesStore: reachesStore(),
       loadsAtOnce: this.loadLimiter.concurrencyLimit,
+      loadAges: this.loadLimiter.recentStarts.map(at => until(at, now)),
       feed: this.feed.takeUpdates(),
       loads: this.endpointLoads(),
     };
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -7,12 +7,13 @@
   Clock,
   EmitEvent,
   EndpointId,
+  Instant,
   Milliseconds,
   ModelName,
   Random,
   ServiceName,
 } from '@siskinmux/kernel';
-import {SiskinmuxError} from '@siskinmux/kernel';
+import {SiskinmuxError, after} from '@siskinmux/kernel';
 import type {
   ClockReading,
   HolderStatus,
@@ -87,6 +88,8 @@
   private holderConnection: PeerConnection | undefined;
   /** Limit on concurrent loads from the weight store in the last heartbeat of a lease holder. */
   private lastConcurrencyLimit: number | undefined;
+  /** Loads from the weight store that this holder started last. */
+  private lastLoadStarts: readonly Instant[] = [];
 
   private constructor(private readonly options: NodePlacementOptions) {
     const {choice, routes, listen, store, clock, identity} = options;
@@ -229,7 +232,6 @@
       },
       onHeartbeat: heartbeat => {
         this.applyHeartbeat(heartbeat);
-        this.lastConcurrencyLimit = heartbeat.loadsAtOnce;
         this.options.onFeed(heartbeat.feed);
       },
     });
@@ -286,6 +288,7 @@
           : undefined,
       onFenced: () => this.election.onFenced(),
       initialConcurrencyLimit: this.lastConcurrencyLimit,
+      earlierLoadStarts: this.lastLoadStarts,
       self: identity.id,
       listener: this.client,
       endpoints: () => table.all,
@@ -309,11 +312,16 @@
     this.options.quarantine.setExchange(allocator);
   }
 
-  /** Applies the node count and the request counts of a heartbeat, whether received or sent. */
-  private applyHeartbeat({nodes, loads}: HeartbeatMessage): void {
-    if (loads.length > 0) this.options.choice.clusterLoad.update(loads);
+  /** Applies a heartbeat, whether received or sent. */
+  private applyHeartbeat(heartbeat: HeartbeatMessage): void {
+    const {nodes, loads, loadsAtOnce, loadAges} = heartbeat;
+    const {choice, clock, onNodeCount} = this.options;
+    if (loads.length > 0) choice.clusterLoad.update(loads);
     this.client.setNodeCount(nodes);
-    this.options.onNodeCount(nodes);
+    onNodeCount(nodes);
+    const now = clock.now();
+    this.lastConcurrencyLimit = loadsAtOnce;
+    this.lastLoadStarts = loadAges.map(age => after(now, -age));
   }
 
   /** Sends a heartbeat as the lease holder; as a follower, closes the connection to a silent holder. */
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -100,6 +100,8 @@
   reachesStore: z.boolean(),
   /** Concurrent loads that the weight store is assumed to serve at full speed. */
   loadsAtOnce: z.number().int().positive().optional(),
+  /** Milliseconds since each of the latest loads from the weight store, oldest first. */
+  loadAges: z.array(z.number()).default([]),
   feed: z.array(feedUpdateSchema).default([]),
   /**
    * Engines, each with the requests in flight from all nodes; empty in a small cluster,
--- a/packages/placement/__tests__/load_limiter.test.ts
+++ b/packages/placement/__tests__/load_limiter.test.ts
@@ -30,6 +30,19 @@
 }
 
 describe('the limit on concurrent loads from the weight store', () => {
+  it('counts the loads that the previous lease holder started in the same window', () => {
+    const loadsPerSecond = 2;
+    const previous = LoadLimiter.create(WINDOW_MILLISECONDS, 8);
+    for (let count = 0; count < 8; count += 1) previous.startLoad(at(1_000));
+    const next = LoadLimiter.create(
+      WINDOW_MILLISECONDS,
+      8,
+      previous.recentStarts,
+    );
+    expect(next.availableLoads(loadsPerSecond, at(3_000))).toEqual(0);
+    expect(next.availableLoads(loadsPerSecond, at(6_000))).toEqual(8);
+  });
+
   it('converges to the number of loads that the store serves at full speed', () => {
     const limiter = LoadLimiter.create(WINDOW_MILLISECONDS);
     const slowedAbove = (maximum: number) => (concurrency: number) =>
--- a/packages/placement/src/load_limiter.ts
+++ b/packages/placement/src/load_limiter.ts
@@ -35,7 +35,6 @@
 
 /** Adapts the number of concurrent loads to the speed of completed ones. */
 export class LoadLimiter {
-  private readonly recentStarts: Instant[] = [];
   /** Loads in progress, each with the peak number of concurrent loads, itself included. */
   private readonly inProgress = new Set<{peakLoads: number}>();
 
@@ -44,17 +43,27 @@
   private constructor(
     private readonly windowMilliseconds: Milliseconds,
     private limit: number,
+    private readonly starts: Instant[],
   ) {}
 
   /**
    * `windowMilliseconds` is the window in which starts of loads are counted.
-   * `initialLimit` is the limit that the previous lease holder had reached, if known.
+   * `initialLimit` is the limit that the previous lease holder had reached, and
+   * `earlierStarts` are the loads that it started last, if known.
    */
   static create(
     windowMilliseconds: Milliseconds,
     initialLimit = INITIAL_CONCURRENCY,
+    earlierStarts: readonly Instant[] = [],
   ): LoadLimiter {
-    return new LoadLimiter(windowMilliseconds, initialLimit);
+    return new LoadLimiter(windowMilliseconds, initialLimit, [
+      ...earlierStarts,
+    ]);
+  }
+
+  /** When the latest loads started, oldest first. */
+  get recentStarts(): readonly Instant[] {
+    return this.starts;
   }
 
   /** Concurrent loads that the weight store is assumed to serve at full speed. */
@@ -65,10 +74,10 @@
   /** Loads that may start now; negative when more are in progress than the limit allows. */
   availableLoads(loadsPerSecond: number, now: Instant): number {
     while (
-      this.recentStarts[0] !== undefined &&
-      until(this.recentStarts[0], now) >= this.windowMilliseconds
+      this.starts[0] !== undefined &&
+      until(this.starts[0], now) >= this.windowMilliseconds
     ) {
-      this.recentStarts.shift();
+      this.starts.shift();
     }
     const maximumInWindow = Math.max(
       1,
@@ -79,13 +88,13 @@
     );
     return Math.min(
       this.limit - this.inProgress.size,
-      maximumInWindow - this.recentStarts.length,
+      maximumInWindow - this.starts.length,
     );
   }
 
   /** Records the start of a load; the returned function has to be called when it ends. */
   startLoad(now: Instant): FinishLoad {
-    this.recentStarts.push(now);
+    this.starts.push(now);
     const load = {peakLoads: 0};
     this.inProgress.add(load);
     for (const other of this.inProgress) {
