Share the idle connections that an endpoint accepts among the nodes

An endpoint accepts a declared number of connections from all nodes together and resets those beyond it, and no code read that number: each node kept up to eight idle ones. 91 nodes may keep 728 idle at an endpoint that accepts 610; requests then get resets with an unknown outcome.

Cause: a limit that is declared for the deployment and kept by each process for itself.

Why this works: the other half is left to requests in flight, whose number nodes do not limit yet: that remains open.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -6,7 +6,10 @@
 import type {EndpointId, RequestId} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import type {EndpointProtocol, ResponseHead, SendResult} from '../src/index.js';
-import {EndpointConnectionPool} from '../src/index.js';
+import {
+  EndpointConnectionPool,
+  MAXIMUM_IDLE_CONNECTIONS,
+} from '../src/index.js';
 
 /** Decodes only the idle timeout; the header names are tested in platform/. */
 const protocol: EndpointProtocol = {
@@ -57,8 +60,14 @@
   return `127.0.0.1:${address.port}`;
 }
 
-function createPool(): EndpointConnectionPool {
-  return EndpointConnectionPool.create({clock: steadyClock, protocol});
+function createPool(
+  idleLimit = MAXIMUM_IDLE_CONNECTIONS,
+): EndpointConnectionPool {
+  return EndpointConnectionPool.create({
+    clock: steadyClock,
+    protocol,
+    idleLimit: () => idleLimit,
+  });
 }
 
 const request = {method: 'GET', target: '/', headers: [], body: undefined};
@@ -215,6 +224,32 @@
     pool.closeIdle(endpoint);
   });
 
+  it('do not exceed the number that the node may keep', async () => {
+    for (const idleLimit of [0, 2]) {
+      let openCount = 0;
+      const address = await startEndpoint(socket => {
+        socket.write(`${keepAliveHead}\r\n\r\n`);
+      });
+      server?.on('connection', socket => {
+        openCount += 1;
+        socket.on('close', () => {
+          openCount -= 1;
+        });
+      });
+      const pool = createPool(idleLimit);
+      await Promise.all(
+        Array.from({length: 5}, async () => {
+          const sent = pool.send({id: endpoint, address}, request, true);
+          await readAll(await sent.result);
+        }),
+      );
+      await new Promise(resolve => setTimeout(resolve, 50));
+      expect(openCount).toEqual(idleLimit);
+      pool.closeIdle(endpoint);
+      server?.close();
+    }
+  });
+
   it('are dropped when bytes arrive that belong to no request', async () => {
     const address = await startEndpoint(socket =>
       socket.write(`${keepAliveHead}\r\n\r\nHTTP/1.1 200 OK\r\n\r\nextra`),
--- a/packages/forwarding/src/endpoint_connection_pool.ts
+++ b/packages/forwarding/src/endpoint_connection_pool.ts
@@ -13,8 +13,8 @@
  */
 const REUSE_IDLE_FRACTION = {retryable: 0.8, nonRetryable: 0.1} as const;
 
-/** Idle connections kept for each endpoint; a burst opens more for a short time. */
-const MAXIMUM_IDLE_CONNECTIONS = 8;
+/** Most idle connections kept for each endpoint; a burst opens more for a short time. */
+export const MAXIMUM_IDLE_CONNECTIONS = 8;
 
 /** Network address of an endpoint. */
 export interface EndpointAddress {
@@ -23,21 +23,27 @@
   readonly address: string;
 }
 
+/** Dependencies of {@link EndpointConnectionPool}. */
+export interface EndpointConnectionPoolOptions {
+  readonly clock: Clock;
+  readonly protocol: EndpointProtocol;
+  /** Idle connections that this node may keep to an endpoint. */
+  readonly idleLimit: (endpoint: EndpointId) => number;
+}
+
 /** Opens connections on demand and keeps some of them idle for reuse. */
 export class EndpointConnectionPool {
   private readonly idle = new Map<EndpointId, EndpointConnection[]>();
   private openedCount = 0;
 
   private constructor(
-    private readonly clock: Clock,
-    private readonly protocol: EndpointProtocol,
+    private readonly options: EndpointConnectionPoolOptions,
   ) {}
 
-  static create(options: {
-    clock: Clock;
-    protocol: EndpointProtocol;
-  }): EndpointConnectionPool {
-    return new EndpointConnectionPool(options.clock, options.protocol);
+  static create(
+    options: EndpointConnectionPoolOptions,
+  ): EndpointConnectionPool {
+    return new EndpointConnectionPool(options);
   }
 
   /** Number of connections opened since the start. */
@@ -62,15 +68,18 @@
     this.idle.delete(endpoint);
   }
 
-  /** Closes the connections that have been idle for too long. */
+  /** Closes the connections that have been idle for too long, or exceed the limit. */
   closeExpired(): void {
-    const now = this.clock.now();
+    const now = this.options.clock.now();
     for (const [endpoint, connections] of this.idle) {
-      const kept = connections.filter(connection => {
-        if (!connection.isExpired(now)) return true;
-        connection.destroy();
-        return false;
-      });
+      const usable = connections.filter(
+        connection => !connection.isExpired(now),
+      );
+      const limit = this.options.idleLimit(endpoint);
+      const kept = limit > 0 ? usable.slice(-limit) : [];
+      for (const connection of connections) {
+        if (!kept.includes(connection)) connection.destroy();
+      }
       if (kept.length === 0) this.idle.delete(endpoint);
       else this.idle.set(endpoint, kept);
     }
@@ -80,7 +89,7 @@
     endpoint: EndpointId,
     isRetryable: boolean,
   ): EndpointConnection | undefined {
-    const now = this.clock.now();
+    const now = this.options.clock.now();
     const idleFraction = isRetryable
       ? REUSE_IDLE_FRACTION.retryable
       : REUSE_IDLE_FRACTION.nonRetryable;
@@ -97,8 +106,8 @@
     this.openedCount += 1;
     return EndpointConnection.create(
       `http://${address}`,
-      this.clock,
-      this.protocol,
+      this.options.clock,
+      this.options.protocol,
       {
         onIdle: connection => this.addIdle(id, connection),
         onClosed: connection => this.removeIdle(id, connection),
@@ -109,7 +118,7 @@
   private addIdle(endpoint: EndpointId, connection: EndpointConnection): void {
     const connections = this.idle.get(endpoint) ?? [];
     connections.push(connection);
-    if (connections.length > MAXIMUM_IDLE_CONNECTIONS)
+    if (connections.length > this.options.idleLimit(endpoint))
       connections.shift()?.destroy();
     this.idle.set(endpoint, connections);
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export {
   EndpointConnectionPool,
   IDLE_SWEEP_INTERVAL_MILLISECONDS,
+  MAXIMUM_IDLE_CONNECTIONS,
 } from './endpoint_connection_pool.js';
 export type {
   EndpointProtocol,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -54,6 +54,7 @@
 } from './gateway_events.js';
 import type {GatewayPlatform} from './gateway_platform.js';
 import {parseSocketAddress} from './gateway_settings.js';
+import {createIdleLimit} from './idle_connections.js';
 import {InFlightCounts} from './in_flight_counts.js';
 import {NodePlacement} from './node_placement.js';
 import {PlatformView} from './platform_view.js';
@@ -111,6 +112,7 @@
   private readinessServer: FastifyInstance | undefined;
   private readonly openRequests = new Set<ProxiedRequest>();
   private openExchangeCount = 0;
+  private nodeCount = 1;
   private isStopping = false;
   private isAcceptingRequests = true;
 
@@ -141,6 +143,7 @@
     this.connections = EndpointConnectionPool.create({
       clock,
       protocol: platform.protocol,
+      idleLimit: createIdleLimit(this.table, this.routes, () => this.nodeCount),
     });
     this.platformView = PlatformView.create({
       platform,
@@ -207,7 +210,10 @@
       clock,
       random,
       emit,
-      onNodeCount: nodeCount => retryBudgets.setNodeCount(nodeCount),
+      onNodeCount: nodeCount => {
+        this.nodeCount = nodeCount;
+        retryBudgets.setNodeCount(nodeCount);
+      },
       onFeed: updates => this.platformView.applyFeed(updates),
       onFeedEnd: () => this.platformView.endFeed(),
     });
