Keep a node's part of the retry allowance when fewer nodes are reported

The allowance is shared by the number of nodes that the lease holder's heartbeat states. A holder that is cut off from the others counts only itself and takes the whole allowance, while the others, under their own holder, share it among themselves. The same happened for seconds after each takeover.

Why this works: a smaller number takes effect after five minutes, the largest reported meanwhile counting; a larger one at once. A cut that lasts longer than that still lets each side share the whole allowance; without a message between the sides nothing can tell a cut from nodes that have left.

--- a/packages/gateway/__tests__/retry_budgets.test.ts
+++ b/packages/gateway/__tests__/retry_budgets.test.ts
@@ -74,6 +74,38 @@
     });
   }
 
+  it('keep both sides of a cut within the deployment’s limit when each counts only its own nodes', async () => {
+    const deployment = new Deployment(7, 54);
+    const {clock} = deployment;
+    const processes = Array.from({length: 7}, () => deployment.startProcess());
+    for (const process of processes) process.setNodeCount(7);
+    await clock.advance(60_000);
+    const [cutOffHolder, ...others] = processes;
+    for (let second = 0; second < 60; second += 1) {
+      cutOffHolder!.setNodeCount(1);
+      for (const process of others) process.setNodeCount(6);
+      for (const process of processes) deployment.receiveRequests(process, 10);
+      await clock.advance(1_000);
+    }
+    deployment.requests = 0;
+    for (const process of processes) deployment.retryUntilRefused(process);
+    expect(deployment.retries).toBeLessThanOrEqual(deployment.allowedRetries);
+  });
+
+  it('give the part of nodes that left for good to the others', async () => {
+    const deployment = new Deployment(7, 54);
+    const {clock} = deployment;
+    const process = deployment.startProcess();
+    process.setNodeCount(7);
+    for (let minute = 0; minute < 10; minute += 1) {
+      process.setNodeCount(2);
+      deployment.receiveRequests(process, 1_000);
+      await clock.advance(60_000);
+    }
+    deployment.retryUntilRefused(process);
+    expect(deployment.retries).toEqual(16);
+  });
+
   it('allow retries of the first requests to a service once the process has run for a window', async () => {
     const deployment = new Deployment(7, 54);
     const process = deployment.startProcess();
--- a/packages/gateway/src/retry_budgets.ts
+++ b/packages/gateway/src/retry_budgets.ts
@@ -7,6 +7,7 @@
 import type {
   Clock,
   EmitEvent,
+  Instant,
   Milliseconds,
   ServiceName,
 } from '@siskinmux/kernel';
@@ -24,6 +25,12 @@
 /** Part of the platform's allowance that nodes use, for the same reason as above. */
 const ALLOWANCE_SAFETY_FACTOR = 0.6;
 
+/**
+ * How long fewer nodes have to be reported before their part is shared among the others: a
+ * lease holder that is cut off from other nodes counts fewer of them.
+ */
+const NODE_LOSS_DELAY_MILLISECONDS: Milliseconds = 300_000;
+
 /** The platform's limits for one service over all nodes. */
 export interface ClusterRetryLimits {
   /** Retries allowed per request. */
@@ -46,6 +53,9 @@
   private readonly budgets = new Map<ServiceName, RetryBudget>();
   /** Undefined until the first heartbeat. */
   private nodeCount: number | undefined;
+  /** The most nodes reported since fewer than {@link nodeCount} were. */
+  private fewerNodes:
+    {readonly count: number; readonly appliesAt: Instant} | undefined;
   /** Whether the retries of this node's previous process no longer count. */
   private hasRunForWindow = false;
 
@@ -70,8 +80,28 @@
     return budget;
   }
 
-  /** Sets the number of nodes that share the limits. */
+  /** Sets the number of nodes that share the limits; a smaller one takes effect later. */
   setNodeCount(nodeCount: number): void {
+    if (this.nodeCount !== undefined && nodeCount < this.nodeCount) {
+      this.recordFewerNodes(nodeCount, this.options.clock.now());
+      return;
+    }
+    this.fewerNodes = undefined;
+    this.applyNodeCount(nodeCount);
+  }
+
+  private recordFewerNodes(nodeCount: number, now: Instant): void {
+    const since = this.fewerNodes;
+    this.fewerNodes = {
+      count: Math.max(since?.count ?? 0, nodeCount),
+      appliesAt: since?.appliesAt ?? after(now, NODE_LOSS_DELAY_MILLISECONDS),
+    };
+    if (now < this.fewerNodes.appliesAt) return;
+    this.applyNodeCount(this.fewerNodes.count);
+    this.fewerNodes = undefined;
+  }
+
+  private applyNodeCount(nodeCount: number): void {
     if (nodeCount === this.nodeCount) return;
     this.updateLimits(() => {
       this.nodeCount = nodeCount;
