--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -42,11 +42,21 @@
  */
 const UNIT_TESTS = ['packages/allocation/__tests__/plan_allocation.test.ts'];
 
+/** The only tests for faults in the gateway, which no scenario runs. */
+const GATEWAY_TESTS = [
+  'packages/routing/__tests__/crash_suspects.test.ts',
+  'packages/gateway/__tests__/crash_detector.test.ts',
+  'packages/gateway/__tests__/crash_quarantine.test.ts',
+  'packages/gateway/__tests__/retry_budgets.test.ts',
+  'packages/placement/__tests__/adapter_cache.test.ts',
+];
+
 const mutantsSchema = z.strictObject({
   mutants: z.array(
     z.strictObject({
       name: z.string(),
       proves: z.string(),
+      part: z.enum(['product', 'gateway']).default('product'),
       file: z.string(),
       find: z.string(),
       replace: z.string(),
@@ -82,6 +92,10 @@
   const folder = copyTree();
   try {
     applyMutant(join(folder, mutant.file), mutant);
+    if (mutant.part === 'gateway') {
+      const tests = await runTests(folder, GATEWAY_TESTS);
+      return tests.code === 0 ? undefined : firstFailure(tests.output);
+    }
     const scenarios = await runTests(folder, SCENARIO_TESTS);
     if (scenarios.code !== 0) return firstFailure(scenarios.output);
     const schedules = await run(folder, [
