Send a new lease holder all records of crashes that it lacks

A node that had just started could take the lease without a record, and the others reported only what they had recorded themselves. If the reporter had ended meanwhile, the new holder lacked the record, allowed runs on probation and told new nodes nothing.

Change: a node that connects compares its records with those that the holder sent first, and reports the difference.

--- a/packages/gateway/__tests__/crash_quarantine.test.ts
+++ b/packages/gateway/__tests__/crash_quarantine.test.ts
@@ -1,103 +1,26 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {
-  EndpointId,
-  Fingerprint,
-  RequestId,
-  ServiceName,
-} from '@siskinmux/kernel';
-import {Outcome, as, discardEvents, until} from '@siskinmux/kernel';
-import type {CrashId, Suspect} from '@siskinmux/routing';
-import {VirtualClock} from '@siskinmux/testkit';
+import type {Fingerprint, Instant, RequestId} from '@siskinmux/kernel';
+import {Outcome, after, as, randomBelow, until} from '@siskinmux/kernel';
+import {createSeededRandom} from '@siskinmux/testkit';
 import {CrashQuarantine} from '../src/crash_quarantine.js';
-import {
-  decodeSuspects,
-  encodeSuspects,
-  suspectsSchema,
-} from '../src/suspect_messages.js';
-import {createEngineDescription} from './engine_description.js';
+import {ENDPOINT, QuarantineCluster} from './quarantine_cluster.js';
 
 const STABLE_MILLISECONDS = 3_000;
 const ALLOWED_SENDS_AFTER_THIRD_CRASH = 3;
 const DAY_MILLISECONDS = 86_400_000;
 
+const SEEDS = 200;
+const RANDOM_STEPS = 400;
+const STEP_MILLISECONDS = 500;
+const ARRIVAL_CHANCE = 0.4;
+const FAULT_CHANCE = 0.15;
+
 const id = as<RequestId>('id');
 const culprit = as<Fingerprint>('culprit');
-const endpoint = createEngineDescription(
-  as<EndpointId>('e'),
-  as<ServiceName>('text'),
-  [],
-);
-
-/** Nodes of which the first one holds the lease. */
-class Cluster {
-  readonly clock = VirtualClock.create();
-  readonly nodes: CrashQuarantine[] = [];
-  crashCount = 0;
-
-  constructor(nodeCount: number) {
-    for (let index = 0; index < nodeCount; index += 1) this.addNode();
-    this.connect(0);
-  }
-
-  addNode(): CrashQuarantine {
-    const node = CrashQuarantine.create({
-      clock: this.clock,
-      emit: discardEvents,
-      onCrash: () => {},
-      onWithheld: () => {},
-    });
-    this.nodes.push(node);
-    return node;
-  }
-
-  /** Connects all nodes to a lease holder. */
-  connect(holderIndex: number): void {
-    const holder = this.nodes[holderIndex];
-    if (holder === undefined) throw new TypeError('no such node');
-    for (const node of this.nodes) {
-      node.merge(this.transmit(holder.records));
-      node.setExchange({
-        reportSuspects: suspects => {
-          const received = this.transmit(suspects);
-          const added = node === holder ? received : holder.merge(received);
-          for (const other of this.nodes) other.merge(added);
-        },
-        requestProbation: fingerprint =>
-          Promise.resolve(holder.allowProbation(fingerprint)),
-      });
-    }
-  }
-
-  crash(node: CrashQuarantine, fingerprint: Fingerprint, name?: string): void {
-    this.crashCount += 1;
-    const crash = as<CrashId>(name ?? `e${this.crashCount}`);
-    node.recordCrash(
-      {
-        fingerprint,
-        endpoint,
-        sentAt: this.clock.now(),
-        hadResponded: false,
-      },
-      crash,
-      'refused',
-    );
-  }
-
-  private transmit(suspects: readonly Suspect[]): Suspect[] {
-    const now = this.clock.now();
-    return encodeSuspects(suspects, now).flatMap(message =>
-      decodeSuspects(
-        suspectsSchema.parse(JSON.parse(JSON.stringify(message))),
-        now,
-      ),
-    );
-  }
-}
-
 describe(CrashQuarantine.name, () => {
   it('lets a request that crashes its endpoints run at most three times after the third crash, over all nodes in a day', async () => {
-    const cluster = new Cluster(7);
+    const cluster = new QuarantineCluster(7);
     const {clock, nodes} = cluster;
     const start = clock.now();
     let thirdCrashAt = Infinity;
@@ -118,8 +41,18 @@
     expect(lateSends).toBeLessThanOrEqual(ALLOWED_SENDS_AFTER_THIRD_CRASH);
   });
 
+  it('keeps that bound while nodes start again, are cut off and lose their lease holder', async () => {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const lateSends = await countLateSends(seed);
+      expect([seed, lateSends <= ALLOWED_SENDS_AFTER_THIRD_CRASH]).toEqual([
+        seed,
+        true,
+      ]);
+    }
+  });
+
   it('withholds the request at a node that connects after the crashes, and after a takeover', async () => {
-    const cluster = new Cluster(3);
+    const cluster = new QuarantineCluster(3);
     const [holder, reporter] = cluster.nodes;
     cluster.crash(reporter!, culprit);
     cluster.crash(reporter!, culprit);
@@ -133,7 +66,7 @@
   });
 
   it('reports crashes that were recorded without a lease holder to the next one', async () => {
-    const cluster = new Cluster(3);
+    const cluster = new QuarantineCluster(3);
     const [holder, cutOff] = cluster.nodes;
     cutOff!.setExchange(undefined);
     cluster.crash(cutOff!, culprit);
@@ -144,7 +77,7 @@
   });
 
   it('allows a single run after a quarantine, although all nodes receive the request at once', async () => {
-    const cluster = new Cluster(7);
+    const cluster = new QuarantineCluster(7);
     cluster.crash(cluster.nodes[1]!, culprit);
     cluster.crash(cluster.nodes[2]!, culprit);
     await cluster.clock.advance(40_000);
@@ -155,7 +88,7 @@
   });
 
   it('refuses a request on probation while no lease holder can be asked', async () => {
-    const cluster = new Cluster(2);
+    const cluster = new QuarantineCluster(2);
     const [, node] = cluster.nodes;
     cluster.crash(node!, culprit);
     cluster.crash(node!, culprit);
@@ -165,7 +98,7 @@
   });
 
   it('serves a harmless request again within a minute although it shared three crashed endpoints', async () => {
-    const cluster = new Cluster(3);
+    const cluster = new QuarantineCluster(3);
     const [first, second] = cluster.nodes;
     const harmless = as<Fingerprint>('harmless');
     for (const crash of ['e1', 'e2', 'e3']) {
@@ -180,7 +113,7 @@
   });
 
   it('is cleared on all nodes once an endpoint has completed the request', async () => {
-    const cluster = new Cluster(3);
+    const cluster = new QuarantineCluster(3);
     const [first, second, third] = cluster.nodes;
     cluster.crash(first!, culprit);
     cluster.crash(second!, culprit);
@@ -190,15 +123,72 @@
   });
 
   it('avoids endpoints on which another suspect of this node runs', () => {
-    const cluster = new Cluster(1);
+    const cluster = new QuarantineCluster(1);
     const [node] = cluster.nodes;
     const other = as<Fingerprint>('other');
     cluster.crash(node!, culprit, 'e1');
     cluster.crash(node!, other, 'e1');
-    const end = node!.trackRun(culprit, endpoint.id);
-    expect([...node!.endpointsToAvoid(other)]).toEqual([endpoint.id]);
+    const end = node!.trackRun(culprit, ENDPOINT.id);
+    expect([...node!.endpointsToAvoid(other)]).toEqual([ENDPOINT.id]);
     expect([...node!.endpointsToAvoid(culprit)]).toEqual([]);
     end();
     expect([...node!.endpointsToAvoid(other)]).toEqual([]);
   });
 });
+
+/**
+ * Runs a random history of arrivals, restarts, cuts and lost leases. Counts the sends that
+ * nodes in touch with the others made after the third crash.
+ */
+async function countLateSends(seed: number): Promise<number> {
+  const random = createSeededRandom(seed);
+  const cluster = new QuarantineCluster(5);
+  const {clock, nodes} = cluster;
+  const pick = (): number => randomBelow(random, nodes.length);
+  const disturbedUntil = new Map<number, Instant>();
+  const cutOff = new Set<number>();
+  let holderReturnsAt: Instant | undefined;
+  let thirdCrashAt: Instant | undefined;
+  let lateSends = 0;
+  const disturb = (index: number): void => {
+    disturbedUntil.set(index, after(clock.now(), STABLE_MILLISECONDS));
+  };
+  const causeFault = (index: number): void => {
+    disturb(index);
+    if (random() < 0.5) {
+      cutOff.delete(index);
+      cluster.restart(index);
+    } else if (cutOff.delete(index)) {
+      cluster.heal(index);
+    } else {
+      cutOff.add(index);
+      cluster.cut(index);
+    }
+    holderReturnsAt ??= after(clock.now(), random() * 2_000);
+  };
+  for (let step = 0; step < RANDOM_STEPS; step += 1) {
+    if (random() < FAULT_CHANCE) causeFault(pick());
+    if (holderReturnsAt !== undefined && holderReturnsAt <= clock.now()) {
+      const connected = nodes.findIndex((_, index) => !cutOff.has(index));
+      if (connected >= 0) cluster.connect(connected);
+      holderReturnsAt = undefined;
+    }
+    if (random() < ARRIVAL_CHANCE) {
+      const index = pick();
+      const node = nodes[index]!;
+      if ((await node.check(culprit, id)) === undefined) {
+        const isInTouch =
+          !cutOff.has(index) &&
+          (disturbedUntil.get(index) ?? clock.now()) <= clock.now();
+        const isLate =
+          thirdCrashAt !== undefined &&
+          clock.now() > after(thirdCrashAt, STABLE_MILLISECONDS);
+        if (isInTouch && isLate) lateSends += 1;
+        cluster.crash(node, culprit);
+        if (cluster.crashCount === 3) thirdCrashAt = clock.now();
+      }
+    }
+    await clock.advance(STEP_MILLISECONDS);
+  }
+  return lateSends;
+}
--- /dev/null
+++ b/packages/gateway/__tests__/quarantine_cluster.ts
@@ -0,0 +1,130 @@
+/** Quarantines of several nodes, connected through a lease holder without a network. */
+
+import type {EndpointId, Fingerprint, ServiceName} from '@siskinmux/kernel';
+import {as, discardEvents} from '@siskinmux/kernel';
+import type {CrashId, Suspect} from '@siskinmux/routing';
+import {VirtualClock} from '@siskinmux/testkit';
+import {CrashQuarantine} from '../src/crash_quarantine.js';
+import {
+  decodeSuspects,
+  encodeSuspects,
+  suspectsSchema,
+} from '../src/suspect_messages.js';
+import {createEngineDescription} from './engine_description.js';
+
+/** The endpoint that runs all requests. */
+export const ENDPOINT = createEngineDescription(
+  as<EndpointId>('e'),
+  as<ServiceName>('text'),
+  [],
+);
+
+/** Nodes and the messages between them; messages arrive at once. */
+export class QuarantineCluster {
+  readonly clock = VirtualClock.create();
+  readonly nodes: CrashQuarantine[] = [];
+  crashCount = 0;
+  /** Nodes without a connection to the lease holder. */
+  private readonly cutOff = new Set<CrashQuarantine>();
+  private holder: CrashQuarantine | undefined;
+
+  /** The first node holds the lease. */
+  constructor(nodeCount: number) {
+    for (let index = 0; index < nodeCount; index += 1) this.addNode();
+    this.connect(0);
+  }
+
+  addNode(): CrashQuarantine {
+    const node = this.createNode();
+    this.nodes.push(node);
+    return node;
+  }
+
+  /** Connects all nodes that aren't cut off to a lease holder. */
+  connect(holderIndex: number): void {
+    this.holder = this.nodes[holderIndex];
+    for (const node of this.nodes) {
+      if (!this.cutOff.has(node)) this.connectNode(node);
+    }
+  }
+
+  /** Ends the lease; no node has a holder until {@link connect}. */
+  loseHolder(): void {
+    this.holder = undefined;
+    for (const node of this.nodes) node.setExchange(undefined);
+  }
+
+  cut(index: number): void {
+    const node = this.nodes[index]!;
+    this.cutOff.add(node);
+    node.setExchange(undefined);
+    if (node === this.holder) this.loseHolder();
+  }
+
+  heal(index: number): void {
+    const node = this.nodes[index]!;
+    if (this.cutOff.delete(node)) this.connectNode(node);
+  }
+
+  /** Replaces a node by a new process that knows nothing yet. */
+  restart(index: number): void {
+    const before = this.nodes[index]!;
+    this.cutOff.delete(before);
+    if (before === this.holder) this.loseHolder();
+    before.setExchange(undefined);
+    const node = this.createNode();
+    this.nodes[index] = node;
+    this.connectNode(node);
+  }
+
+  /** An endpoint crashes while it runs a request of a node. */
+  crash(node: CrashQuarantine, fingerprint: Fingerprint, name?: string): void {
+    this.crashCount += 1;
+    node.recordCrash(
+      {
+        fingerprint,
+        endpoint: ENDPOINT,
+        sentAt: this.clock.now(),
+        hadResponded: false,
+      },
+      as<CrashId>(name ?? `e${this.crashCount}`),
+      'refused',
+    );
+  }
+
+  private createNode(): CrashQuarantine {
+    return CrashQuarantine.create({
+      clock: this.clock,
+      emit: discardEvents,
+      onCrash: () => {},
+      onWithheld: () => {},
+    });
+  }
+
+  private connectNode(node: CrashQuarantine): void {
+    const {holder} = this;
+    if (holder === undefined) return;
+    node.merge(this.transmit(holder.records));
+    node.setExchange({
+      reportSuspects: suspects => {
+        const received = this.transmit(suspects);
+        const added = node === holder ? received : holder.merge(received);
+        for (const other of this.nodes) {
+          if (!this.cutOff.has(other)) other.merge(added);
+        }
+      },
+      requestProbation: fingerprint =>
+        Promise.resolve(holder.allowProbation(fingerprint)),
+    });
+  }
+
+  private transmit(suspects: readonly Suspect[]): Suspect[] {
+    const now = this.clock.now();
+    return encodeSuspects(suspects, now).flatMap(message =>
+      decodeSuspects(
+        suspectsSchema.parse(JSON.parse(JSON.stringify(message))),
+        now,
+      ),
+    );
+  }
+}
--- a/packages/gateway/src/crash_quarantine.ts
+++ b/packages/gateway/src/crash_quarantine.ts
@@ -74,8 +74,8 @@
   private readonly runs = SuspectRuns.create();
   /** When the next run on probation may be allowed; used while this node holds the lease. */
   private readonly nextProbationAt = new Map<Fingerprint, Instant>();
-  /** Requests whose records this node has changed itself; a new lease holder may lack them. */
-  private readonly ownReports = new Set<Fingerprint>();
+  /** What a lease holder has sent since the connection to the previous one ended. */
+  private holderRecords = CrashSuspects.create(quarantinePolicy);
   private exchange: SuspectExchange | undefined;
 
   private constructor(private readonly options: CrashQuarantineOptions) {}
@@ -94,15 +94,17 @@
     return [...this.suspects.all];
   }
 
-  /** Switches to another lease holder, and sends it what the previous one may not have forwarded. */
+  /** Switches to another lease holder, and sends it the records that it lacks. */
   setExchange(exchange: SuspectExchange | undefined): void {
     this.exchange = exchange;
+    const {holderRecords} = this;
+    this.holderRecords = CrashSuspects.create(quarantinePolicy);
     if (exchange === undefined) return;
-    this.forgetEvicted();
-    const own = this.records.filter(({fingerprint}) =>
-      this.ownReports.has(fingerprint),
+    const now = this.options.clock.now();
+    const lacking = this.records.filter(suspect =>
+      holderRecords.merge(suspect, now),
     );
-    if (own.length > 0) exchange.reportSuspects(own);
+    if (lacking.length > 0) exchange.reportSuspects(lacking);
   }
 
   /**
@@ -176,7 +178,7 @@
       crashes: this.suspects.crashCountOf(fingerprint),
     });
     this.logIfQuarantined(fingerprint, before);
-    this.report(suspect);
+    this.exchange?.reportSuspects([suspect]);
   };
 
   /** Clears a request that an endpoint has completed. */
@@ -187,15 +189,17 @@
       content: fingerprint,
       crashes: cleared.crashes.length,
     });
-    this.report(cleared);
+    this.exchange?.reportSuspects([cleared]);
   }
 
   /** Merges records of other nodes; returns those that were new. */
   merge(received: readonly Suspect[]): Suspect[] {
     const {clock} = this.options;
+    const now = clock.now();
     return received.filter(suspect => {
+      if (this.exchange === undefined) this.holderRecords.merge(suspect, now);
       const before = this.suspicionOf(suspect.fingerprint);
-      const isNew = this.suspects.merge(suspect, clock.now());
+      const isNew = this.suspects.merge(suspect, now);
       if (isNew) this.logIfQuarantined(suspect.fingerprint, before);
       return isNew;
     });
@@ -217,19 +221,6 @@
     return true;
   }
 
-  private forgetEvicted(): void {
-    const recorded = new Set(this.records.map(({fingerprint}) => fingerprint));
-    for (const fingerprint of this.ownReports) {
-      if (!recorded.has(fingerprint)) this.ownReports.delete(fingerprint);
-    }
-  }
-
-  private report(suspect: Suspect): void {
-    if (this.ownReports.size > 2 * this.suspects.size) this.forgetEvicted();
-    this.ownReports.add(suspect.fingerprint);
-    this.exchange?.reportSuspects([suspect]);
-  }
-
   private suspicionOf(fingerprint: Fingerprint): Suspicion {
     return this.suspects.suspicionOf(fingerprint, this.options.clock.now());
   }
