--- a/packages/gateway/__tests__/crash_quarantine.test.ts
+++ b/packages/gateway/__tests__/crash_quarantine.test.ts
@@ -112,6 +112,31 @@
     expect(await second!.check(harmless, id)).toEqual(undefined);
   });
 
+  it('keeps serving a popular request although several endpoints that ran copies of it crashed at once', async () => {
+    const cluster = new QuarantineCluster(3);
+    const popular = as<Fingerprint>('popular');
+    for (const node of cluster.nodes) node.recordServed(popular);
+    await cluster.clock.advance(10_000);
+    for (const node of cluster.nodes) cluster.crash(node, popular);
+    for (const node of cluster.nodes)
+      expect(await node.check(popular, id)).toEqual(undefined);
+  });
+
+  it('quarantines a popular request that has begun to crash endpoints within two minutes', async () => {
+    const cluster = new QuarantineCluster(3);
+    const {clock, nodes} = cluster;
+    for (const node of nodes) node.recordServed(culprit);
+    for (let elapsed = 0; elapsed < 120_000; elapsed += 1_000) {
+      const node = nodes[elapsed % nodes.length]!;
+      if ((await node.check(culprit, id)) === undefined)
+        cluster.crash(node, culprit);
+      await clock.advance(1_000);
+    }
+    expect((await nodes[0]!.check(culprit, id))?.outcome).toEqual(
+      Outcome.NotRun,
+    );
+  });
+
   it('is cleared on all nodes once an endpoint has completed the request', async () => {
     const cluster = new QuarantineCluster(3);
     const [first, second, third] = cluster.nodes;
--- a/packages/gateway/src/crash_quarantine.ts
+++ b/packages/gateway/src/crash_quarantine.ts
@@ -28,6 +28,7 @@
   REQUEST_WITHHELD,
   RUN_CRASHED,
 } from './gateway_events.js';
+import {RecentlyServed} from './recently_served.js';
 import {SuspectRuns} from './suspect_runs.js';
 
 /**
@@ -72,6 +73,7 @@
 export class CrashQuarantine {
   private readonly suspects = CrashSuspects.create(quarantinePolicy);
   private readonly runs = SuspectRuns.create();
+  private readonly recentlyServed = RecentlyServed.create();
   /** When the next run on probation may be allowed; used while this node holds the lease. */
   private readonly nextProbationAt = new Map<Fingerprint, Instant>();
   /** What a lease holder has sent since the connection to the previous one ended. */
@@ -163,11 +165,15 @@
     const {clock, emit, onCrash} = this.options;
     const {fingerprint, hadResponded, endpoint} = run;
     const before = this.suspicionOf(fingerprint);
-    const suspect = this.suspects.recordCrash(
+    const now = clock.now();
+    let suspect = this.suspects.recordCrash(
       fingerprint,
       {crash, hadResponded},
-      clock.now(),
+      now,
     );
+    // Several endpoints may crash at once while they run copies of a popular request.
+    if (this.recentlyServed.has(fingerprint, now))
+      suspect = this.suspects.recordSuccess(fingerprint) ?? suspect;
     onCrash(run, evidence);
     emit(RUN_CRASHED, {
       content: fingerprint,
@@ -183,6 +189,7 @@
 
   /** Clears a request that an endpoint has completed. */
   recordServed(fingerprint: Fingerprint): void {
+    this.recentlyServed.record(fingerprint, this.options.clock.now());
     const cleared = this.suspects.recordSuccess(fingerprint);
     if (cleared === undefined) return;
     this.options.emit(REQUEST_CLEARED, {
--- a/packages/gateway/src/request_containment.ts
+++ b/packages/gateway/src/request_containment.ts
@@ -42,7 +42,7 @@
     private readonly computeFingerprint: () => Fingerprint,
   ) {}
 
-  /** `computeFingerprint` is called at most once, and only if crashes have to be considered. */
+  /** `computeFingerprint` is called at most once. */
   static create(
     dependencies: ContainmentDependencies,
     id: RequestId,
@@ -91,8 +91,7 @@
 
   /** Clears the request if it was suspected. */
   recordServed(): void {
-    const {quarantine} = this.dependencies;
-    if (quarantine.hasSuspects) quarantine.recordServed(this.fingerprint);
+    this.dependencies.quarantine.recordServed(this.fingerprint);
   }
 
   /** Finds out whether the endpoint crashed; resolves as soon as a probe can tell. */
