--- a/packages/gateway/src/crash_quarantine.ts
+++ b/packages/gateway/src/crash_quarantine.ts
@@ -86,7 +86,7 @@
     return new CrashQuarantine(options);
   }
 
-  /** Whether any request is recorded; if not, requests need no fingerprint. */
+  /** Whether any request is recorded; if not, none needs to be checked. */
   get hasSuspects(): boolean {
     return this.suspects.size > 0;
   }
--- a/packages/gateway/src/recently_served.ts
+++ b/packages/gateway/src/recently_served.ts
@@ -3,7 +3,10 @@
 import type {Fingerprint, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 
-/** A request that has become harmful since, with a new endpoint version, is shielded so long. */
+/**
+ * How long a completed request isn't suspected. It may become harmful in this time, with a
+ * new version of its endpoints.
+ */
 const SERVED_LIFETIME_MILLISECONDS: Milliseconds = 60_000;
 
 /** Bound on the remembered requests; the one that was served longest ago is evicted first. */
--- a/packages/kernel/src/brand.ts
+++ b/packages/kernel/src/brand.ts
@@ -30,7 +30,7 @@
 export type RequestId = Brand<string, 'RequestId'>;
 /** The caller's key for a request that must not run twice. */
 export type IdempotencyKey = Brand<string, 'IdempotencyKey'>;
-/** Digest of a request's method, target and body. */
+/** Digest of a request's content, equal for requests that an endpoint can't tell apart. */
 export type Fingerprint = Brand<string, 'Fingerprint'>;
 /** Version of an object in the object service, or revision in the metadata store. */
 export type ObjectVersion = Brand<number, 'ObjectVersion'>;
