List a history in which a request crashes a fourth endpoint after the third crash

Trace: at 147.5 s nodes 0, 1 and 4, which have the record, are cut off; nodes 2 and 3 have started since and hold the lease among themselves, so nothing in touch with them knows the record. Cause: records are in the nodes' memory only.

--- a/packages/gateway/__tests__/crash_quarantine.test.ts
+++ b/packages/gateway/__tests__/crash_quarantine.test.ts
@@ -51,6 +51,16 @@
     }
   });
 
+  it(
+    'keeps that bound when all nodes that have the record are cut off',
+    {todo: 'KNOWN-RED.txt'},
+    async () => {
+      expect(await countLateSends(518)).toBeLessThanOrEqual(
+        ALLOWED_SENDS_AFTER_THIRD_CRASH,
+      );
+    },
+  );
+
   it('withholds the request at a node that connects after the crashes, and after a takeover', async () => {
     const cluster = new QuarantineCluster(3);
     const [holder, reporter] = cluster.nodes;
