--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -216,6 +216,15 @@
     'An endpoint has completed a request with this `content`, so that it was not the cause of the crashes recorded for it.',
 };
 
+/** This node ended a run before the endpoint had responded completely. */
+export const RUN_ABORTED: EventDescriptor = {
+  number: 7025,
+  name: 'run-aborted',
+  level: 'info',
+  meaning:
+    'This node ended a run before the endpoint had responded completely: the caller left, or a timeout passed. `life` is the incarnation of the endpoint, `elapsed` the milliseconds since the request was sent, `hadResponded` says whether a response had begun. If `isWatched`, the run counts as a crash should the endpoint turn out to have restarted.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -242,6 +251,7 @@
   REQUEST_QUARANTINED,
   REQUEST_WITHHELD,
   REQUEST_CLEARED,
+  RUN_ABORTED,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/request_containment.ts
+++ b/packages/gateway/src/request_containment.ts
@@ -4,6 +4,7 @@
 import type {SentRequest} from '@siskinmux/forwarding';
 import type {
   Clock,
+  EmitEvent,
   EndpointId,
   Fingerprint,
   Instant,
@@ -13,6 +14,7 @@
 import {until} from '@siskinmux/kernel';
 import type {CrashDetector} from './crash_detector.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
+import {RUN_ABORTED} from './gateway_events.js';
 
 /** A run that this node ended sooner without a response shows nothing about its endpoint. */
 const MINIMUM_SILENCE_MILLISECONDS: Milliseconds = 1_000;
@@ -20,6 +22,7 @@
 /** Dependencies of {@link RequestContainment}. */
 export interface ContainmentDependencies {
   readonly clock: Clock;
+  readonly emit: EmitEvent;
   readonly quarantine: CrashQuarantine;
   readonly crashDetector: CrashDetector;
 }
@@ -96,8 +99,8 @@
 
   /** Finds out whether the endpoint crashed; resolves as soon as a probe can tell. */
   async recordBroken(run: EndedRun): Promise<void> {
-    const {crashDetector, clock} = this.dependencies;
-    const {sentRequest, sentAt, hadResponded} = run;
+    const {crashDetector, clock, emit} = this.dependencies;
+    const {endpoint, sentRequest, sentAt, hadResponded} = run;
     if (!sentRequest.isAborted) {
       await crashDetector.checkBrokenRun({
         ...run,
@@ -105,9 +108,17 @@
       });
       return;
     }
-    const isSilent =
-      !hadResponded &&
-      until(sentAt, clock.now()) >= MINIMUM_SILENCE_MILLISECONDS;
+    const elapsed = until(sentAt, clock.now());
+    const isSilent = !hadResponded && elapsed >= MINIMUM_SILENCE_MILLISECONDS;
+    emit(RUN_ABORTED, {
+      id: this.id,
+      content: this.fingerprint,
+      endpoint: endpoint.id,
+      life: endpoint.incarnation,
+      elapsed: Math.round(elapsed),
+      hadResponded,
+      isWatched: isSilent,
+    });
     if (isSilent)
       crashDetector.watchForRestart({...run, fingerprint: this.fingerprint});
   }
