Watch runs that a node aborted early for a restart of their endpoint

The timeout of a caller or a route says nothing about what follows. Change: each aborted run is watched for a restart. A run aborted within 1 s, or after a response had begun, is cleared when the endpoint responds over a connection that was established before the run ended: connections don't survive a process. A response over a newer connection doesn't clear it, as the endpoint may have started again under its id.

--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -41,6 +41,7 @@
 export class EndpointConnection {
   private readonly client: Client;
   private isConnected = false;
+  private connectedAt: Instant | undefined;
   private isBusy = false;
   private isReset = false;
   private idleUntil: Instant;
@@ -73,6 +74,7 @@
     });
     this.client.on('connect', () => {
       this.isConnected = true;
+      this.connectedAt = clock.now();
     });
     this.client.on('disconnect', () => this.handleDisconnect());
   }
@@ -114,6 +116,7 @@
       request,
       this.protocol,
       () => this.isReset,
+      () => this.connectedAt,
       head => this.handleEnd(head),
     ).sentRequest;
   }
@@ -187,6 +190,7 @@
     request: OutgoingRequest,
     private readonly protocol: EndpointProtocol,
     private readonly isReset: () => boolean,
+    connectedAt: () => Instant | undefined,
     private readonly onEnd: (head: ResponseHead | undefined) => void,
   ) {
     const result = new Promise<Awaited<SentRequest['result']>>(resolve => {
@@ -198,6 +202,9 @@
       get isAborted() {
         return isAborted();
       },
+      get connectedAt() {
+        return connectedAt();
+      },
       abort: () => this.abort(),
     };
     client.dispatch(
--- a/packages/forwarding/src/sent_request.ts
+++ b/packages/forwarding/src/sent_request.ts
@@ -1,5 +1,6 @@
 /** A request that was sent to an endpoint, and its streamed response. */
 
+import type {Instant} from '@siskinmux/kernel';
 import type {RawHeaders, ResponseMetadata} from './endpoint_protocol.js';
 
 /** Status and headers of a response, and the metadata decoded from them. */
@@ -28,6 +29,8 @@
   readonly result: Promise<SendResult>;
   /** Whether this node aborted the request; otherwise a broken response is the endpoint's. */
   readonly isAborted: boolean;
+  /** When the connection that carries the request was established; undefined before. */
+  readonly connectedAt: Instant | undefined;
   /** Closes the connection; the result fails, or the body ends as broken. */
   abort(): void;
 }
--- a/packages/gateway/__tests__/crash_detector.test.ts
+++ b/packages/gateway/__tests__/crash_detector.test.ts
@@ -126,6 +126,32 @@
     expect(crashes).toEqual(['x e@1 refused', 'x e@1#2 refused']);
   });
 
+  it('reports a run that was aborted early at an endpoint that restarts without having responded again', async () => {
+    const {clock, crashes, detector, list, run} = build('unknown');
+    list(endpoint('e'));
+    const connectedAt = clock.now();
+    await clock.advance(100);
+    detector.watchWhileSilent(run(endpoint('e'), 'silenced'));
+    await clock.advance(1_000);
+    const reconnectedAt = clock.now();
+    detector.recordResponse(endpoint('f'), connectedAt);
+    detector.recordResponse(endpoint('e'), reconnectedAt);
+    list(endpoint('e', 2));
+    expect(crashes).toEqual(['silenced e@1 restarted']);
+  });
+
+  it('does not report a run that was aborted early if the same process responded afterwards', async () => {
+    const {clock, crashes, detector, list, run} = build('unknown');
+    list(endpoint('e'));
+    const connectedAt = clock.now();
+    await clock.advance(100);
+    detector.watchWhileSilent(run(endpoint('e'), 'aborted'));
+    detector.watchForRestart(run(endpoint('e'), 'silent'));
+    detector.recordResponse(endpoint('e'), connectedAt);
+    list(endpoint('e', 2));
+    expect(crashes).toEqual(['silent e@1 restarted']);
+  });
+
   it('keeps a bounded number of runs whose endpoint may have restarted', async () => {
     const {crashes, detector, list, run} = build('unknown');
     list(endpoint('e'));
--- a/packages/gateway/src/crash_detector.ts
+++ b/packages/gateway/src/crash_detector.ts
@@ -51,7 +51,10 @@
 
 interface OpenRun {
   readonly run: BrokenRun;
+  readonly endedAt: Instant;
   readonly expiresAt: Instant;
+  /** Whether a later response of the same process shows that it survived the run. */
+  readonly isClearedByResponse: boolean;
 }
 
 interface ConfirmedCrash {
@@ -83,6 +86,32 @@
 
   /** Reports the run as a crash if the endpoint turns out to have restarted. */
   watchForRestart(run: BrokenRun): void {
+    this.watch(run, false);
+  }
+
+  /** Like {@link watchForRestart}, until the process that got the run responds again. */
+  watchWhileSilent(run: BrokenRun): void {
+    this.watch(run, true);
+  }
+
+  /**
+   * Records a response over a connection established at `connectedAt`. A run that ended after
+   * that didn't crash the endpoint: connections don't survive its process.
+   */
+  recordResponse(
+    {incarnation}: EndpointDescription,
+    connectedAt: Instant | undefined,
+  ): void {
+    if (connectedAt === undefined || this.openRuns.length === 0) return;
+    this.openRuns = this.openRuns.filter(
+      ({run, endedAt, isClearedByResponse}) =>
+        !isClearedByResponse ||
+        run.endpoint.incarnation !== incarnation ||
+        endedAt < connectedAt,
+    );
+  }
+
+  private watch(run: BrokenRun, isClearedByResponse: boolean): void {
     const {clock, table} = this.options;
     const listed = table.get(run.endpoint.id);
     if (
@@ -92,9 +121,12 @@
       this.confirm(run, 'restarted');
       return;
     }
+    const endedAt = clock.now();
     this.openRuns.push({
       run,
-      expiresAt: after(clock.now(), RESTART_WINDOW_MILLISECONDS),
+      endedAt,
+      expiresAt: after(endedAt, RESTART_WINDOW_MILLISECONDS),
+      isClearedByResponse,
     });
     if (this.openRuns.length > MAXIMUM_OPEN_RUNS) this.openRuns.shift();
   }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -320,10 +320,10 @@
       );
       this.sentRequest = sentRequest;
       this.inactivityTimer = this.startInactivityTimer(sentRequest);
-      const result = await this.handleResult(
-        endpoint,
-        await sentRequest.result,
-      );
+      const response = await sentRequest.result;
+      if (response.kind === 'answered')
+        this.containment.recordResponse(endpoint, sentRequest);
+      const result = await this.handleResult(endpoint, response);
       endRun();
       await this.reportRunEnd(result, {endpoint, sentRequest, sentAt});
       return result;
@@ -341,6 +341,7 @@
     run: Omit<EndedRun, 'hadResponded'>,
   ): Promise<void> {
     if (result.kind === 'delivered') {
+      this.containment.recordResponse(run.endpoint, run.sentRequest);
       if (this.result === SERVED) this.containment.recordServed();
       return;
     }
--- a/packages/gateway/src/request_containment.ts
+++ b/packages/gateway/src/request_containment.ts
@@ -16,7 +16,7 @@
 import type {CrashQuarantine} from './crash_quarantine.js';
 import {RUN_ABORTED} from './gateway_events.js';
 
-/** A run that this node ended sooner without a response shows nothing about its endpoint. */
+/** After a shorter silence, a later response of the endpoint clears the run. */
 const MINIMUM_SILENCE_MILLISECONDS: Milliseconds = 1_000;
 
 /** Dependencies of {@link RequestContainment}. */
@@ -97,6 +97,14 @@
     this.dependencies.quarantine.recordServed(this.fingerprint);
   }
 
+  /** Records that an endpoint responded, over a connection established at `connectedAt`. */
+  recordResponse(
+    endpoint: EndpointDescription,
+    {connectedAt}: SentRequest,
+  ): void {
+    this.dependencies.crashDetector.recordResponse(endpoint, connectedAt);
+  }
+
   /** Finds out whether the endpoint crashed; resolves as soon as a probe can tell. */
   async recordBroken(run: EndedRun): Promise<void> {
     const {crashDetector, clock, emit} = this.dependencies;
@@ -117,9 +125,10 @@
       life: endpoint.incarnation,
       elapsed: Math.round(elapsed),
       hadResponded,
-      isWatched: isSilent,
+      isSilent,
     });
-    if (isSilent)
-      crashDetector.watchForRestart({...run, fingerprint: this.fingerprint});
+    const broken = {...run, fingerprint: this.fingerprint};
+    if (isSilent) crashDetector.watchForRestart(broken);
+    else crashDetector.watchWhileSilent(broken);
   }
 }
