Read the request limits that endpoints name, and log their changes

The platform's header codec decodes them into a statement (none, limit, invalid); endpoint-limit-changed (7029) and endpoint-limit-invalid (7030) report what a node learns. Nothing is limited yet.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -23,6 +23,7 @@
     isSealed: true,
     isNotRun: status === 503,
     isMisdirected: false,
+    requestLimit: {kind: 'none'},
     idleTimeoutMilliseconds: headers.some(text => text === 'timeout=5')
       ? 5_000
       : undefined,
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -48,6 +48,13 @@
   readonly resumeAfter: string | undefined;
 }
 
+/** What a response says about the requests that its endpoint takes from all nodes together. */
+export type RequestLimitStatement =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'limit'; readonly requestsPerSecond: number}
+  /** Not a positive decimal number, or several different ones. */
+  | {readonly kind: 'invalid'; readonly text: string};
+
 /** Metadata of a response, from its status and headers. */
 export interface ResponseMetadata {
   /** The attempt to which the response belongs; undefined if it names none. */
@@ -60,6 +67,7 @@
   readonly isMisdirected: boolean;
   /** How long the connection may be idle until the endpoint closes it. */
   readonly idleTimeoutMilliseconds: Milliseconds | undefined;
+  readonly requestLimit: RequestLimitStatement;
 }
 
 /** Decodes and encodes the headers of a platform. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -13,6 +13,7 @@
   PromptPart,
   RawHeaders,
   RequestMetadata,
+  RequestLimitStatement,
   ResponseMetadata,
 } from './endpoint_protocol.js';
 export {EventStreamSplitter} from './event_stream_splitter.js';
--- /dev/null
+++ b/packages/gateway/src/endpoint_limits.ts
@@ -0,0 +1,130 @@
+/**
+ * The request limits that endpoints in need name in their responses, each for all nodes
+ * together, as far as this node knows them.
+ */
+
+import type {
+  EndpointDescription,
+  EndpointTableChange,
+  Incarnation,
+} from '@siskinmux/endpoints';
+import type {RequestLimitStatement, ResponseHead} from '@siskinmux/forwarding';
+import type {Clock, EmitEvent, Instant} from '@siskinmux/kernel';
+import {until} from '@siskinmux/kernel';
+import {
+  ENDPOINT_LIMIT_CHANGED,
+  ENDPOINT_LIMIT_INVALID,
+} from './gateway_events.js';
+
+/**
+ * Lowest limit that is applied. An endpoint that gets no requests couldn't tell that its
+ * need has ended.
+ */
+const MINIMUM_REQUESTS_PER_SECOND = 0.1;
+
+/** Bound on the known limits; the one that was observed first is dropped. */
+const MAXIMUM_KNOWN_LIMITS = 2_000;
+
+/** What is known about the limit of one run of an endpoint. */
+export interface EndpointLimit {
+  readonly incarnation: Incarnation;
+  /** Requests a second from all nodes; undefined if the endpoint no longer names a limit. */
+  readonly requestsPerSecond: number | undefined;
+  /** When the response arrived that says so. */
+  readonly observedAt: Instant;
+}
+
+/** Dependencies of {@link EndpointLimits}. */
+export interface EndpointLimitsOptions {
+  readonly clock: Clock;
+  readonly emit: EmitEvent;
+}
+
+/** The latest limit of each endpoint. */
+export class EndpointLimits {
+  private readonly known = new Map<Incarnation, EndpointLimit>();
+  /** The last invalid value of each endpoint, which is logged once. */
+  private readonly invalidTexts = new Map<Incarnation, string>();
+
+  private constructor(private readonly options: EndpointLimitsOptions) {}
+
+  static create(options: EndpointLimitsOptions): EndpointLimits {
+    return new EndpointLimits(options);
+  }
+
+  /** Limits in force. */
+  get all(): EndpointLimit[] {
+    return [...this.known.values()].filter(
+      ({requestsPerSecond}) => requestsPerSecond !== undefined,
+    );
+  }
+
+  /** Requests a second that a run of an endpoint takes from all nodes; undefined for no limit. */
+  limitOf(incarnation: Incarnation): number | undefined {
+    return this.known.get(incarnation)?.requestsPerSecond;
+  }
+
+  /** Reads a response. A limit ends with a response to a request that ran and names none. */
+  recordResponse(
+    {id, incarnation}: EndpointDescription,
+    {metadata}: ResponseHead,
+  ): void {
+    const statement = metadata.requestLimit;
+    if (statement.kind === 'invalid') {
+      this.logInvalid(id, incarnation, statement);
+      return;
+    }
+    if (statement.kind === 'none' && (metadata.isNotRun || !metadata.isSealed))
+      return;
+    const requestsPerSecond =
+      statement.kind === 'limit'
+        ? Math.max(MINIMUM_REQUESTS_PER_SECOND, statement.requestsPerSecond)
+        : undefined;
+    const before = this.limitOf(incarnation);
+    if (before === requestsPerSecond) return;
+    const observedAt = this.options.clock.now();
+    this.put({incarnation, requestsPerSecond, observedAt}, 'response');
+  }
+
+  /** Drops what is known about endpoints that have ended. */
+  applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    for (const {before, now} of changes) {
+      if (before === undefined || before.incarnation === now?.incarnation)
+        continue;
+      this.known.delete(before.incarnation);
+      this.invalidTexts.delete(before.incarnation);
+    }
+  }
+
+  private put(limit: EndpointLimit, source: 'response' | 'peer'): void {
+    const {incarnation, requestsPerSecond, observedAt} = limit;
+    const {clock, emit} = this.options;
+    emit(ENDPOINT_LIMIT_CHANGED, {
+      life: incarnation,
+      limit: requestsPerSecond,
+      before: this.limitOf(incarnation),
+      source,
+      age: Math.round(until(observedAt, clock.now())),
+    });
+    this.known.delete(incarnation);
+    this.known.set(incarnation, limit);
+    if (this.known.size <= MAXIMUM_KNOWN_LIMITS) return;
+    const [oldest] = this.known.keys();
+    if (oldest !== undefined) this.known.delete(oldest);
+  }
+
+  private logInvalid(
+    endpoint: string,
+    incarnation: Incarnation,
+    {text}: Extract<RequestLimitStatement, {kind: 'invalid'}>,
+  ): void {
+    if (this.invalidTexts.get(incarnation) === text) return;
+    this.invalidTexts.set(incarnation, text);
+    this.options.emit(ENDPOINT_LIMIT_INVALID, {
+      endpoint,
+      life: incarnation,
+      text,
+      kept: this.limitOf(incarnation),
+    });
+  }
+}
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -252,6 +252,24 @@
     'This node holds the lease and could not read or write the quarantined requests in the store. It keeps them in memory and tries again after a second.',
 };
 
+/** An endpoint names another request limit than before, or none any more. */
+export const ENDPOINT_LIMIT_CHANGED: EventDescriptor = {
+  number: 7029,
+  name: 'endpoint-limit-changed',
+  level: 'info',
+  meaning:
+    'An endpoint has named another limit on its requests than before. `limit` is the number of requests a second from all nodes together, missing if the endpoint no longer names one; `before` is the previous limit. `source`: `response` if this node got the response, `peer` if another node reported it; `age` is the time in milliseconds since that response.',
+};
+
+/** An endpoint named a request limit that can't be used. */
+export const ENDPOINT_LIMIT_INVALID: EventDescriptor = {
+  number: 7030,
+  name: 'endpoint-limit-invalid',
+  level: 'warn',
+  meaning:
+    'An endpoint named a limit on its requests that is not a positive decimal number, or several different ones. The previous limit, `kept`, still applies, if there is one. One line for each new `text`.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -282,6 +300,8 @@
   QUARANTINE_RESTORED,
   QUARANTINE_STORED,
   QUARANTINE_STORE_FAILED,
+  ENDPOINT_LIMIT_CHANGED,
+  ENDPOINT_LIMIT_INVALID,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -52,6 +52,7 @@
   GATEWAY_STOPPING,
   TASK_FAILED,
 } from './gateway_events.js';
+import {EndpointLimits} from './endpoint_limits.js';
 import type {GatewayPlatform} from './gateway_platform.js';
 import {parseSocketAddress} from './gateway_settings.js';
 import {createIdleLimit} from './idle_connections.js';
@@ -108,6 +109,7 @@
   private readonly requestDependencies: ProxiedRequestDependencies;
   private readonly placement: NodePlacement;
   private readonly crashDetector: CrashDetector;
+  private readonly limits: EndpointLimits;
   private callerListener: CallerListener | undefined;
   private readinessServer: FastifyInstance | undefined;
   private readonly openRequests = new Set<ProxiedRequest>();
@@ -170,6 +172,7 @@
       clock,
       emit,
     });
+    this.limits = EndpointLimits.create({clock, emit});
     const metrics = createRequestMetrics(kernel.inject(METRICS));
     const quarantine = CrashQuarantine.create({clock, emit, ...metrics});
     this.crashDetector = CrashDetector.create({
@@ -221,6 +224,7 @@
       protocol: platform.protocol,
       connections: this.connections,
       inFlightCounts,
+      limits: this.limits,
       outliers,
       retryBudgets,
       quarantine,
@@ -353,6 +357,7 @@
       if (now === undefined) this.connections.closeIdle(id);
     }
     this.crashDetector.applyEndpointChanges(changes);
+    this.limits.applyEndpointChanges(changes);
     this.placement.applyEndpointChanges(changes);
   }
 
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -47,6 +47,7 @@
 import type {AttemptResult} from './attempt_result.js';
 import type {CallerExchange} from './caller_exchange.js';
 import type {EndpointRequirements, FindEndpoint} from './endpoint_choice.js';
+import type {EndpointLimits} from './endpoint_limits.js';
 import {REQUEST_ENDED, SEND_FAILED} from './gateway_events.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import {InactivityTimer} from './inactivity_timer.js';
@@ -77,6 +78,7 @@
   readonly protocol: EndpointProtocol;
   readonly connections: EndpointConnectionPool;
   readonly inFlightCounts: InFlightCounts;
+  readonly limits: EndpointLimits;
   readonly outliers: OutlierDetector;
   readonly retryBudgets: RetryBudgets;
   readonly find: FindEndpoint;
@@ -373,7 +375,7 @@
     endpoint: EndpointDescription,
     result: SendResult,
   ): Promise<AttemptResult> {
-    const {outliers, clock} = this.dependencies;
+    const {outliers, clock, limits} = this.dependencies;
     if (result.kind === 'failed') {
       outliers.recordFailure(endpoint.id, clock.now());
       const cause = result.failure.message;
@@ -399,6 +401,7 @@
         isCut: false,
       };
     }
+    if (!metadata.isMisdirected) limits.recordResponse(endpoint, head);
     if (metadata.isNotRun) {
       void body.read(() => true);
       const {model} = this.metadata;
