Keep the request limits that endpoints name, over all nodes together

Cause: no node read the field; and a limit for the deployment needs one owner, since seven nodes that keep it alone exceed it sevenfold, and seven that keep a seventh waste it. Change: the lease holder owns a token bucket for each limited endpoint (SharedRates) and gives out permits, each for a send within 0.5 s. Nodes report limits that they read; the holder forwards them. A request whose endpoint has no permit left is diverted; if there is no other endpoint, it waits at the holder, most urgent first, as long as its turn comes in time, and is otherwise refused at once as not run, with return times spread at the rate of the limit. While there may be two holders (the first three seconds of a lease, or after a late renewal), each gives out half; a bucket starts empty. A node without a holder sends nothing to limited endpoints. A limit ends with a response to a request that ran and names none, or with the endpoint's incarnation; invalid values are logged and change nothing.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,4 +1,4 @@
-/** Admission: deadline-based admission, queue order and concurrency limits. */
+/** Admission: deadline-based admission, queue order, concurrency limits and shared rates. */
 
 export type {ConcurrencyBounds} from './concurrency_limit.js';
 export {ConcurrencyLimit} from './concurrency_limit.js';
@@ -11,6 +11,10 @@
   RequestQueue,
   STARVATION_LIMIT_MILLISECONDS,
 } from './request_queue.js';
+export type {PermitDecision, PermitRequest} from './shared_rate.js';
+export {PERMIT_LIFETIME_MILLISECONDS, SharedRate} from './shared_rate.js';
+export type {SharedRatesOptions} from './shared_rates.js';
+export {SharedRates} from './shared_rates.js';
 export {
   DepartureIntervalEstimate,
   ServiceTimeEstimate,
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import type {PermitDecision} from '@siskinmux/admission';
 import {EndpointTable} from '@siskinmux/endpoints';
 import type {
   AdapterName,
@@ -7,17 +8,20 @@
   FailureDomain,
   Instant,
   ModelName,
+  RequestId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {ErrorCode, after, as} from '@siskinmux/kernel';
+import {ErrorCode, after, as, discardEvents} from '@siskinmux/kernel';
 import type {NodeUsage} from '@siskinmux/placement';
 import {OutlierDetector} from '@siskinmux/routing';
 import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
 import type {AllocatorApi} from '../src/allocator_api.js';
 import {ClusterLoad} from '../src/cluster_load.js';
 import type {EndpointRequirements} from '../src/endpoint_choice.js';
+import {EndpointLimits} from '../src/endpoint_limits.js';
 import {InFlightCounts} from '../src/in_flight_counts.js';
 import {PlacementClient} from '../src/placement_client.js';
+import {SendPermits} from '../src/send_permits.js';
 import {createEngineDescription} from './engine_description.js';
 
 const service = as<ServiceName>('text');
@@ -42,6 +46,13 @@
     return Promise.resolve(true);
   }
 
+  reportLimits(): void {}
+
+  requestPermit(): Promise<PermitDecision> {
+    const retryAt = after(this.clock.now(), 1_000);
+    return Promise.resolve({kind: 'refused', retryAt});
+  }
+
   requestAdapter() {
     const now = this.clock.now();
     return Promise.resolve({
@@ -61,7 +72,15 @@
     undefined,
   );
   const inFlightCounts = InFlightCounts.create();
+  const limits = EndpointLimits.create({clock, emit: discardEvents});
   const client = PlacementClient.create({
+    limitDependencies: {
+      limits,
+      permits: SendPermits.create({limits, clock, onPermitUsed: () => {}}),
+      clock,
+      emit: discardEvents,
+      onLimited: () => {},
+    },
     table,
     inFlightCounts,
     choice: {
@@ -84,6 +103,7 @@
     timeoutMilliseconds = 8_000,
   ): {outcome: string | undefined; settledAt: Instant | undefined} => {
     const requirements: EndpointRequirements = {
+      id: as<RequestId>('request'),
       service,
       model: model(name),
       adapter: adapter === undefined ? undefined : as<AdapterName>(adapter),
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -9,9 +9,10 @@
   ReadinessForecast,
 } from '@siskinmux/placement';
 import type {SuspectExchange} from './crash_quarantine.js';
+import type {PermitExchange} from './send_permits.js';
 
 /** Calls from a node to the allocator. */
-export interface AllocatorApi extends SuspectExchange {
+export interface AllocatorApi extends SuspectExchange, PermitExchange {
   reportUsage(service: ServiceName, usage: NodeUsage): void;
   /** Reports that an engine lacks a model, or the adapter that was granted. */
   reportMissingModel(
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -1,8 +1,11 @@
 /** Runs the allocators of all engine services on the lease holder, and serves the other nodes. */
 
+import type {PermitDecision, PermitRequest} from '@siskinmux/admission';
+import {SharedRates} from '@siskinmux/admission';
 import type {
   EndpointDescription,
   EndpointTableChange,
+  Incarnation,
 } from '@siskinmux/endpoints';
 import type {
   Clock,
@@ -32,7 +35,16 @@
 import {ChangeFeed} from './change_feed.js';
 import type {EndpointLoad} from './cluster_load.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
+import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 import {Follower} from './follower.js';
+import {
+  decodeLimit,
+  decodePermitRequest,
+  encodeLimit,
+  encodePermitDecision,
+  limitsSchema,
+  permitRequestSchema,
+} from './limit_messages.js';
 import type {PeerConnection} from './peer_connection.js';
 import type {HeartbeatMessage} from './placement_messages.js';
 import {
@@ -85,6 +97,10 @@
   readonly self: NodeId;
   /** This node's records of requests that crashed endpoints. */
   readonly quarantine: CrashQuarantine;
+  /** Limits that endpoints have named, as far as this node knows. */
+  readonly limits: EndpointLimits;
+  /** Part of each limit that this node may give out as permits. */
+  readonly limitShare: () => number;
   /** Receives the allocators' notifications for this node itself. */
   readonly listener: AllocatorListener;
   readonly endpoints: () => Iterable<EndpointDescription>;
@@ -98,6 +114,7 @@
   private readonly followers = new Map<NodeId, Follower>();
   private readonly loadLimiter: LoadLimiter;
   private readonly feed: ChangeFeed;
+  private readonly rates: SharedRates<Incarnation>;
   /** Engines whose available models changed since the last broadcast. */
   private readonly unsentChanges = new Map<
     ServiceName,
@@ -111,6 +128,11 @@
       options.earlierLoadStarts,
     );
     this.feed = ChangeFeed.create(options);
+    this.rates = SharedRates.create({
+      clock: options.clock,
+      share: options.limitShare,
+    });
+    this.applyLimits(options.limits.all);
   }
 
   static create(options: AllocatorServerOptions): AllocatorServer {
@@ -144,6 +166,8 @@
       else if (before !== undefined) {
         this.allocators.get(before.service)?.removeEngine(id);
       }
+      if (before !== undefined && before.incarnation !== now?.incarnation)
+        this.rates.setLimit(before.incarnation, undefined);
     }
   }
 
@@ -161,6 +185,7 @@
         );
       }
       this.sendSuspects(this.options.quarantine.records, connection);
+      this.sendLimits(this.options.limits.all, connection);
       return {node: this.options.self, isHolder: true};
     });
     connection.handle(PEER_METHODS.usage, usageSchema, message => {
@@ -203,6 +228,22 @@
         isAllowed: await this.requestProbation(as<Fingerprint>(content)),
       }),
     );
+    connection.handle(PEER_METHODS.limits, limitsSchema, ({limits}) => {
+      const now = clock.now();
+      this.mergeLimits(limits.map(limit => decodeLimit(limit, now)));
+    });
+    connection.handle(
+      PEER_METHODS.permit,
+      permitRequestSchema,
+      async message => {
+        const now = clock.now();
+        const decision = await this.requestPermit(
+          decodeLimit(message.limit, now),
+          decodePermitRequest(message, now),
+        );
+        return encodePermitDecision(decision, clock.now());
+      },
+    );
     connection.onClosed(() => {
       if (node && this.followers.get(node)?.connection === connection)
         this.removeFollower(node);
@@ -238,6 +279,21 @@
     return this.options.quarantine.allowProbation(fingerprint);
   }
 
+  /** Applies limits that this node has read, and forwards them to all others. */
+  reportLimits(limits: readonly EndpointLimit[]): void {
+    this.applyLimits(limits);
+    for (const {connection} of this.followers.values())
+      this.sendLimits(limits, connection);
+  }
+
+  async requestPermit(
+    limit: EndpointLimit,
+    request: PermitRequest,
+  ): Promise<PermitDecision> {
+    this.mergeLimits([limit]);
+    return this.rates.request(limit.incarnation, request);
+  }
+
   /** Records what this node has read from the metadata store, to be sent with the next heartbeat. */
   recordRead(read: KindRead): void {
     this.feed.record(read);
@@ -278,6 +334,7 @@
   /** Stops all allocators, and closes the connections after a notice of resignation. */
   stop(): void {
     for (const allocator of this.allocators.values()) allocator.stop();
+    this.rates.stop();
     for (const {connection} of this.followers.values()) {
       connection.notify(PEER_METHODS.resign, {});
       connection.close();
@@ -290,6 +347,27 @@
     if (added.length > 0) this.reportSuspects(added);
   }
 
+  private mergeLimits(received: readonly EndpointLimit[]): void {
+    const added = this.options.limits.merge(received);
+    if (added.length > 0) this.reportLimits(added);
+  }
+
+  private applyLimits(limits: readonly EndpointLimit[]): void {
+    for (const {incarnation, requestsPerSecond} of limits)
+      this.rates.setLimit(incarnation, requestsPerSecond);
+  }
+
+  private sendLimits(
+    limits: readonly EndpointLimit[],
+    connection: PeerConnection,
+  ): void {
+    if (limits.length === 0) return;
+    const now = this.options.clock.now();
+    connection.notify(PEER_METHODS.newLimits, {
+      limits: limits.map(limit => encodeLimit(limit, now)),
+    });
+  }
+
   private sendSuspects(
     suspects: readonly Suspect[],
     connection: PeerConnection,
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -7,8 +7,10 @@
   EndpointId,
   FailureDomain,
   Instant,
+  Milliseconds,
   ModelName,
   Random,
+  RequestId,
   ServiceName,
 } from '@siskinmux/kernel';
 import {
@@ -21,12 +23,19 @@
 import {CROSS_DOMAIN_COST, chooseEndpoint} from '@siskinmux/routing';
 import type {ClusterLoad} from './cluster_load.js';
 import type {InFlightCounts} from './in_flight_counts.js';
+import type {LimitDependencies} from './limited_choice.js';
+import {chooseWithinLimits} from './limited_choice.js';
 
 /** `Retry-After` for a service without endpoints; one may have registered by then. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
+/** Time that an endpoint of a plain service needs at least. */
+const PLAIN_SERVICE_MILLISECONDS: Milliseconds = 20;
+
 /** What a request requires of its endpoint, and how long it can wait for one. */
 export interface EndpointRequirements {
+  /** Names the request in log lines. */
+  readonly id: RequestId;
   readonly service: ServiceName;
   readonly model: ModelName | undefined;
   readonly adapter: AdapterName | undefined;
@@ -130,17 +139,42 @@
   return others.length > 0 ? others : endpoints;
 }
 
+/** Whether the same run of an endpoint is still listed and doesn't drain. */
+export function isListed(
+  table: EndpointTable,
+  {id, incarnation}: EndpointDescription,
+): boolean {
+  const listed = table.get(id);
+  return listed?.incarnation === incarnation && !listed.isDraining;
+}
+
 /** Creates a finder for plain services, whose endpoints are interchangeable. */
 export function createPlainEndpointFinder(
   dependencies: ChoiceDependencies,
+  limitDependencies: LimitDependencies,
 ): FindEndpoint {
+  const {table} = dependencies;
   return async requirements => {
-    const endpoints = dependencies.table
-      .availableFor(requirements.service)
-      .filter(({id}) => !requirements.triedEndpoints.has(id));
-    const chosen = chooseLeastLoaded(
-      preferUnavoided(endpoints, requirements),
-      dependencies,
+    const {service, triedEndpoints} = requirements;
+    const choose = (
+      excluded: ReadonlySet<EndpointId>,
+    ): EndpointDescription | undefined => {
+      const endpoints = table
+        .availableFor(service)
+        .filter(({id}) => !triedEndpoints.has(id) && !excluded.has(id));
+      return chooseLeastLoaded(
+        preferUnavoided(endpoints, requirements),
+        dependencies,
+      );
+    };
+    const chosen = await chooseWithinLimits(
+      {
+        requirements,
+        serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS,
+        choose,
+        isUsable: endpoint => isListed(table, endpoint),
+      },
+      limitDependencies,
     );
     if (chosen !== undefined) return chosen;
     throw createNotRunRefusal(
--- a/packages/gateway/src/endpoint_limits.ts
+++ b/packages/gateway/src/endpoint_limits.ts
@@ -46,6 +46,8 @@
   /** The last invalid value of each endpoint, which is logged once. */
   private readonly invalidTexts = new Map<Incarnation, string>();
 
+  private report: (limit: EndpointLimit) => void = () => {};
+
   private constructor(private readonly options: EndpointLimitsOptions) {}
 
   static create(options: EndpointLimitsOptions): EndpointLimits {
@@ -59,9 +61,27 @@
     );
   }
 
-  /** Requests a second that a run of an endpoint takes from all nodes; undefined for no limit. */
-  limitOf(incarnation: Incarnation): number | undefined {
-    return this.known.get(incarnation)?.requestsPerSecond;
+  /** The limit in force of a run of an endpoint; undefined if it names none. */
+  get(incarnation: Incarnation): EndpointLimit | undefined {
+    const limit = this.known.get(incarnation);
+    return limit?.requestsPerSecond === undefined ? undefined : limit;
+  }
+
+  /** Sets a function that is called with each limit that this node reads from a response. */
+  setReporter(report: (limit: EndpointLimit) => void): void {
+    this.report = report;
+  }
+
+  /** Merges limits that other nodes have read; returns those that were news. */
+  merge(received: readonly EndpointLimit[]): EndpointLimit[] {
+    return received.filter(limit => {
+      const {incarnation, requestsPerSecond, observedAt} = limit;
+      const known = this.known.get(incarnation);
+      if (known !== undefined && known.observedAt >= observedAt) return false;
+      if (known?.requestsPerSecond === requestsPerSecond) return false;
+      this.put(limit, 'peer');
+      return true;
+    });
   }
 
   /** Reads a response. A limit ends with a response to a request that ran and names none. */
@@ -80,10 +100,11 @@
       statement.kind === 'limit'
         ? Math.max(MINIMUM_REQUESTS_PER_SECOND, statement.requestsPerSecond)
         : undefined;
-    const before = this.limitOf(incarnation);
-    if (before === requestsPerSecond) return;
+    if (this.get(incarnation)?.requestsPerSecond === requestsPerSecond) return;
     const observedAt = this.options.clock.now();
-    this.put({incarnation, requestsPerSecond, observedAt}, 'response');
+    const limit = {incarnation, requestsPerSecond, observedAt};
+    this.put(limit, 'response');
+    this.report(limit);
   }
 
   /** Drops what is known about endpoints that have ended. */
@@ -102,7 +123,7 @@
     emit(ENDPOINT_LIMIT_CHANGED, {
       life: incarnation,
       limit: requestsPerSecond,
-      before: this.limitOf(incarnation),
+      before: this.get(incarnation)?.requestsPerSecond,
       source,
       age: Math.round(until(observedAt, clock.now())),
     });
@@ -124,7 +145,7 @@
       endpoint,
       life: incarnation,
       text,
-      kept: this.limitOf(incarnation),
+      kept: this.get(incarnation)?.requestsPerSecond,
     });
   }
 }
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -270,6 +270,15 @@
     'An endpoint named a limit on its requests that is not a positive decimal number, or several different ones. The previous limit, `kept`, still applies, if there is one. One line for each new `text`.',
 };
 
+/** The request limit of an endpoint concerned a request. */
+export const REQUEST_LIMITED: EventDescriptor = {
+  number: 7031,
+  name: 'request-limited',
+  level: 'info',
+  meaning:
+    'An endpoint that was chosen for a request had no permit left under the limit that it named, `limit` requests a second from all nodes; `age` is the time in milliseconds since the response that named it. `outcome`: `diverted` if the request looks for another endpoint, `waited` if there was none and it got a permit in time, `refused` if it would have got one too late. `retryIn` is the time in milliseconds after which the endpoint has another permit, or the caller may return.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -302,6 +311,7 @@
   QUARANTINE_STORE_FAILED,
   ENDPOINT_LIMIT_CHANGED,
   ENDPOINT_LIMIT_INVALID,
+  REQUEST_LIMITED,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -173,7 +173,7 @@
       emit,
     });
     this.limits = EndpointLimits.create({clock, emit});
-    const metrics = createRequestMetrics(kernel.inject(METRICS));
+    const metrics = createRequestMetrics(kernel.inject(METRICS), this.limits);
     const quarantine = CrashQuarantine.create({clock, emit, ...metrics});
     this.crashDetector = CrashDetector.create({
       table: this.table,
@@ -208,6 +208,9 @@
         failureDomain: identity.failureDomain,
       },
       quarantine,
+      limits: this.limits,
+      onLimited: metrics.onLimited,
+      onPermitUsed: metrics.onPermitUsed,
       reachesStore: () => this.platformView.reachesStore,
       readClocks: options.readClocks,
       clock,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -2,7 +2,11 @@
 
 import type {Server} from 'node:net';
 import {createServer} from 'node:net';
-import type {EndpointTable, EndpointTableChange} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  EndpointTable,
+  EndpointTableChange,
+} from '@siskinmux/endpoints';
 import type {
   Clock,
   EmitEvent,
@@ -34,9 +38,12 @@
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {ChoiceDependencies, FindEndpoint} from './endpoint_choice.js';
 import {createPlainEndpointFinder} from './endpoint_choice.js';
+import type {EndpointLimits} from './endpoint_limits.js';
 import type {HolderConnection} from './leader_election.js';
 import {LeaderElection} from './leader_election.js';
 import {LeaseStore} from './lease_store.js';
+import {limitShareOf} from './limit_share.js';
+import type {LimitOutcome} from './limited_choice.js';
 import {PeerConnection} from './peer_connection.js';
 import {
   PlacementClient,
@@ -46,6 +53,7 @@
 import {PEER_METHODS, helloSchema} from './placement_messages.js';
 import {QuarantineArchive} from './quarantine_archive.js';
 import {RemoteAllocator} from './remote_allocator.js';
+import {SendPermits} from './send_permits.js';
 
 /** An allocator that sent nothing for this long, three heartbeats, is considered lost. */
 const HEARTBEAT_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
@@ -65,6 +73,11 @@
   readonly routes: ActiveRoutes;
   readonly choice: ChoiceDependencies;
   readonly quarantine: CrashQuarantine;
+  readonly limits: EndpointLimits;
+  /** Called for each request that an endpoint's limit concerned. */
+  readonly onLimited: (outcome: LimitOutcome) => void;
+  /** Called for each permit that is used under an endpoint's limit. */
+  readonly onPermitUsed: (endpoint: EndpointDescription) => void;
   readonly reachesStore: () => boolean;
   readonly readClocks: () => ClockReading;
   readonly clock: Clock;
@@ -85,6 +98,7 @@
   private readonly peerServer: Server;
   private readonly connections = new Set<PeerConnection>();
   private readonly findPlain: FindEndpoint;
+  private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
   private holderConnection: PeerConnection | undefined;
   /** Limit on concurrent loads from the weight store in the last heartbeat of a lease holder. */
@@ -94,9 +108,12 @@
 
   private constructor(private readonly options: NodePlacementOptions) {
     const {choice, routes, listen, store, clock, identity} = options;
-    this.findPlain = createPlainEndpointFinder(choice);
+    this.permits = SendPermits.create(options);
+    const limitDependencies = {...options, permits: this.permits};
+    this.findPlain = createPlainEndpointFinder(choice, limitDependencies);
     this.client = PlacementClient.create({
       ...options,
+      limitDependencies,
       inFlightCounts: choice.inFlightCounts,
       isDeclared: (service, model) =>
         this.engineDeclaration(service)?.models.has(model) ?? false,
@@ -180,6 +197,7 @@
 
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    this.permits.applyEndpointChanges(changes);
     this.allocatorServer?.applyEndpointChanges(changes);
   }
 
@@ -231,6 +249,9 @@
       onSuspects: suspects => {
         this.options.quarantine.merge(suspects);
       },
+      onLimits: limits => {
+        this.options.limits.merge(limits);
+      },
       onHeartbeat: heartbeat => {
         this.applyHeartbeat(heartbeat);
         this.options.onFeed(heartbeat.feed);
@@ -280,7 +301,7 @@
   }
 
   private startAllocating(heldLease: HeldLease): {end: () => void} {
-    const {identity, routes, table, readClocks, emit} = this.options;
+    const {identity, routes, table, readClocks, clock, emit} = this.options;
     const allocatorServer = AllocatorServer.create({
       ...this.options,
       authority: () =>
@@ -290,6 +311,7 @@
       onFenced: () => this.election.onFenced(),
       initialConcurrencyLimit: this.lastConcurrencyLimit,
       earlierLoadStarts: this.lastLoadStarts,
+      limitShare: () => limitShareOf(heldLease, clock.now()),
       self: identity.id,
       listener: this.client,
       endpoints: () => table.all,
@@ -317,6 +339,7 @@
   private setAllocator(allocator: AllocatorApi | undefined): void {
     this.client.setAllocator(allocator);
     this.options.quarantine.setExchange(allocator);
+    this.permits.setExchange(allocator);
   }
 
   /** Applies a heartbeat, whether received or sent. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -39,8 +39,10 @@
   EndpointRequirements,
   FindEndpoint,
 } from './endpoint_choice.js';
-import {chooseEngine, preferUnavoided} from './endpoint_choice.js';
+import {chooseEngine, isListed, preferUnavoided} from './endpoint_choice.js';
 import type {InFlightCounts} from './in_flight_counts.js';
+import type {LimitDependencies} from './limited_choice.js';
+import {chooseWithinLimits} from './limited_choice.js';
 
 /**
  * Minimum interval between usage reports: the second value times the number of nodes, but at
@@ -86,6 +88,7 @@
   readonly table: EndpointTable;
   readonly inFlightCounts: InFlightCounts;
   readonly choice: ChoiceDependencies;
+  readonly limitDependencies: LimitDependencies;
   readonly clock: Clock;
   readonly random: Random;
   /** Whether a service's engines are declared to offer a model. */
@@ -219,17 +222,11 @@
       // An engine that refused a request may accept it after the allocator's next order.
       if (untried.length === 0) await this.waitBeforeRetry(requirements);
       const candidates = untried.length > 0 ? untried : engines;
-      const found =
-        requirements.adapter === undefined
-          ? chooseEngine(
-              preferUnavoided(candidates, requirements),
-              this.options.choice,
-            )
-          : await this.findWithAdapter(
-              requirements,
-              model,
-              requirements.adapter,
-            );
+      const found = await this.chooseWithinLimits(
+        requirements,
+        model,
+        candidates,
+      );
       if (found !== undefined) return found;
       await this.waitBeforeRetry(requirements);
     }
@@ -255,6 +252,36 @@
     }
   }
 
+  private chooseWithinLimits(
+    requirements: EndpointRequirements,
+    model: ModelName,
+    candidates: readonly EndpointDescription[],
+  ): Promise<EndpointDescription | undefined> {
+    const {choice, table, limitDependencies} = this.options;
+    const {adapter} = requirements;
+    const choose = (
+      excluded: ReadonlySet<EndpointId>,
+    ):
+      | EndpointDescription
+      | undefined
+      | Promise<EndpointDescription | undefined> => {
+      if (adapter !== undefined)
+        return this.findWithAdapter(requirements, model, adapter, excluded);
+      const allowed = candidates.filter(({id}) => !excluded.has(id));
+      return chooseEngine(preferUnavoided(allowed, requirements), choice);
+    };
+    return chooseWithinLimits(
+      {
+        requirements,
+        serviceMilliseconds: TIME_TO_FIRST_EVENT_MILLISECONDS,
+        choose,
+        isUsable: endpoint =>
+          isListed(table, endpoint) && this.hasModel(endpoint, model),
+      },
+      limitDependencies,
+    );
+  }
+
   /** Engines that currently accept requests for the model. */
   private enginesWithModel(
     requirements: EndpointRequirements,
@@ -286,19 +313,26 @@
     requirements: EndpointRequirements,
     model: ModelName,
     adapter: AdapterName,
+    atLimit: ReadonlySet<EndpointId>,
   ): Promise<EndpointDescription | undefined> {
     const {clock, table} = this.options;
     const key = `${requirements.service}/${adapterKey(model, adapter)}`;
     const cached = this.grants.get(key);
-    const grant = this.isGrantUsable(cached, requirements, model)
+    const excluded = new Set([...requirements.triedEndpoints, ...atLimit]);
+    const grant = this.isGrantUsable(cached, requirements, model, excluded)
       ? cached
       : await this.allocator?.requestAdapter(requirements.service, {
           model,
           adapter,
-          excluded: requirements.triedEndpoints,
+          excluded,
         });
     if (grant === undefined) {
-      const listed = this.findListedWithAdapter(requirements, model, adapter);
+      const listed = this.findListedWithAdapter(
+        requirements,
+        model,
+        adapter,
+        excluded,
+      );
       if (listed === undefined)
         await this.waitForAllocator(requirements, model);
       return listed;
@@ -314,9 +348,9 @@
     grant: AdapterGrant | undefined,
     requirements: EndpointRequirements,
     model: ModelName,
+    excluded: ReadonlySet<EndpointId>,
   ): grant is AdapterGrant {
-    if (grant === undefined || requirements.triedEndpoints.has(grant.engine))
-      return false;
+    if (grant === undefined || excluded.has(grant.engine)) return false;
     if (grant.validUntil <= this.options.clock.now()) return false;
     const engine = this.options.table.get(grant.engine);
     return (
@@ -332,11 +366,12 @@
     requirements: EndpointRequirements,
     model: ModelName,
     adapter: AdapterName,
+    excluded: ReadonlySet<EndpointId>,
   ): EndpointDescription | undefined {
     if (this.allocator !== undefined) return undefined;
     const candidates = this.enginesWithModel(requirements).filter(
       ({id, models}) =>
-        !requirements.triedEndpoints.has(id) &&
+        !excluded.has(id) &&
         models.some(
           loaded => loaded.model === model && loaded.adapters.includes(adapter),
         ),
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -30,11 +30,14 @@
   missingModel: 'allocator.missing',
   suspects: 'allocator.suspects',
   probation: 'allocator.probation',
+  limits: 'allocator.limits',
+  permit: 'allocator.permit',
   availableModels: 'node.holdings',
   forecasts: 'node.forecasts',
   allocatorHeartbeat: 'node.alive',
   resign: 'node.resign',
   newSuspects: 'node.suspects',
+  newLimits: 'node.limits',
 } as const;
 
 const name = z.string().min(1);
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -262,6 +262,7 @@
     if (this.sends === 0)
       this.dependencies.retryBudgets.forService(service).recordRequest();
     return {
+      id: this.metadata.id,
       service,
       model,
       adapter,
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -1,5 +1,6 @@
 /** Client of an allocator that runs on another node. */
 
+import type {PermitDecision, PermitRequest} from '@siskinmux/admission';
 import type {
   Clock,
   EndpointId,
@@ -18,6 +19,14 @@
 } from '@siskinmux/placement';
 import type {Suspect} from '@siskinmux/routing';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
+import type {EndpointLimit} from './endpoint_limits.js';
+import {
+  decodeLimit,
+  decodePermitDecision,
+  encodeLimit,
+  encodePermitRequest,
+  limitsSchema,
+} from './limit_messages.js';
 import type {PeerConnection} from './peer_connection.js';
 import type {HeartbeatMessage} from './placement_messages.js';
 import {
@@ -46,6 +55,9 @@
 
 const PROBATION_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
+/** Timeout of a request for a permit, in addition to the time that the request can wait. */
+const PERMIT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
+
 /** Dependencies of {@link RemoteAllocator}. */
 export interface RemoteAllocatorOptions {
   readonly peerConnection: PeerConnection;
@@ -54,6 +66,8 @@
   readonly reachesStore: () => boolean;
   /** Called with records of requests that crashed endpoints. */
   readonly onSuspects: (suspects: readonly Suspect[]) => void;
+  /** Called with limits that endpoints have named to other nodes. */
+  readonly onLimits: (limits: readonly EndpointLimit[]) => void;
   /** Called with each heartbeat of the allocator's node, several times a second. */
   readonly onHeartbeat: (heartbeat: HeartbeatMessage) => void;
 }
@@ -61,7 +75,8 @@
 /** Calls the allocator over a connection and passes its notifications to a listener. */
 export class RemoteAllocator implements AllocatorApi {
   private constructor(private readonly options: RemoteAllocatorOptions) {
-    const {peerConnection, clock, listener, onHeartbeat, onSuspects} = options;
+    const {peerConnection, clock, listener, onHeartbeat, onSuspects, onLimits} =
+      options;
     peerConnection.handle(
       PEER_METHODS.availableModels,
       availableModelsSchema,
@@ -80,6 +95,10 @@
     peerConnection.handle(PEER_METHODS.newSuspects, suspectsSchema, message =>
       onSuspects(decodeSuspects(message, clock.now())),
     );
+    peerConnection.handle(PEER_METHODS.newLimits, limitsSchema, ({limits}) => {
+      const now = clock.now();
+      onLimits(limits.map(limit => decodeLimit(limit, now)));
+    });
     peerConnection.handle(
       PEER_METHODS.allocatorHeartbeat,
       heartbeatSchema,
@@ -132,6 +151,44 @@
       peerConnection.notify(PEER_METHODS.suspects, message);
   }
 
+  reportLimits(limits: readonly EndpointLimit[]): void {
+    const {peerConnection, clock} = this.options;
+    const now = clock.now();
+    peerConnection.notify(PEER_METHODS.limits, {
+      limits: limits.map(limit => encodeLimit(limit, now)),
+    });
+  }
+
+  async requestPermit(
+    limit: EndpointLimit,
+    request: PermitRequest,
+  ): Promise<PermitDecision> {
+    const {peerConnection, clock} = this.options;
+    const now = clock.now();
+    const deadline = after(
+      request.waitUntil ?? now,
+      PERMIT_TIMEOUT_MILLISECONDS,
+    );
+    try {
+      const decision = decodePermitDecision(
+        await peerConnection.request(
+          PEER_METHODS.permit,
+          encodePermitRequest(limit, request, now),
+          deadline,
+        ),
+        clock.now(),
+      );
+      if (decision !== undefined) return decision;
+    } catch (failure) {
+      if (!(failure instanceof PeerUnreachableError)) throw failure;
+      // The request is diverted or refused, and that is logged.
+    }
+    return {
+      kind: 'refused',
+      retryAt: after(clock.now(), PERMIT_TIMEOUT_MILLISECONDS),
+    };
+  }
+
   async requestProbation(fingerprint: Fingerprint): Promise<boolean> {
     const {peerConnection, clock} = this.options;
     try {
--- a/packages/gateway/src/request_metrics.ts
+++ b/packages/gateway/src/request_metrics.ts
@@ -1,8 +1,10 @@
 /** Metrics of callers' requests. */
 
 import type {Registry} from 'prom-client';
-import {Counter, Histogram} from 'prom-client';
+import {Counter, Gauge, Histogram} from 'prom-client';
 import type {CrashQuarantineOptions} from './crash_quarantine.js';
+import type {EndpointLimits} from './endpoint_limits.js';
+import type {NodePlacementOptions} from './node_placement.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
 
 /**
@@ -18,10 +20,14 @@
   ProxiedRequestDependencies,
   'onRequestEnd' | 'onRetryDecision'
 > &
-  Pick<CrashQuarantineOptions, 'onCrash' | 'onWithheld'>;
+  Pick<CrashQuarantineOptions, 'onCrash' | 'onWithheld'> &
+  Pick<NodePlacementOptions, 'onLimited' | 'onPermitUsed'>;
 
 /** Registers the metrics; returns the callbacks that update them. */
-export function createRequestMetrics(registry: Registry): RequestMetrics {
+export function createRequestMetrics(
+  registry: Registry,
+  limits: EndpointLimits,
+): RequestMetrics {
   const registers = [registry];
   const requestsTotal = new Counter({
     name: 'siskinmux_requests_total',
@@ -53,7 +59,32 @@
     help: 'Requests refused because they are quarantined',
     registers,
   });
+  const limitedTotal = new Counter({
+    name: 'siskinmux_limited_requests_total',
+    help: 'Requests that the limit of an endpoint concerned, by outcome',
+    labelNames: ['outcome'],
+    registers,
+  });
+  const permitsTotal = new Counter({
+    name: 'siskinmux_used_permits_total',
+    help: 'Sends to endpoints that limit their requests, by service',
+    labelNames: ['service'],
+    registers,
+  });
+  new Gauge({
+    name: 'siskinmux_endpoint_limit',
+    help: 'Requests a second that an endpoint takes from all nodes, by its incarnation',
+    labelNames: ['life'],
+    registers,
+    collect() {
+      this.reset();
+      for (const {incarnation, requestsPerSecond} of limits.all)
+        this.set({life: incarnation}, requestsPerSecond ?? 0);
+    },
+  });
   return {
+    onLimited: outcome => limitedTotal.inc({outcome}),
+    onPermitUsed: ({service}) => permitsTotal.inc({service}),
     onRequestEnd: (route, result, durationMilliseconds) => {
       requestsTotal.inc({route: route.name, result});
       requestSeconds.observe({route: route.name}, durationMilliseconds / 1_000);
--- /dev/null
+++ b/packages/gateway/src/send_permits.ts
@@ -0,0 +1,120 @@
+/** This node's permits to send to endpoints that limit their requests. */
+
+import type {PermitDecision, PermitRequest} from '@siskinmux/admission';
+import type {
+  EndpointDescription,
+  EndpointTableChange,
+  Incarnation,
+} from '@siskinmux/endpoints';
+import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
+import {after} from '@siskinmux/kernel';
+import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
+
+/** When to ask again while no lease holder can be asked; a takeover takes about as long. */
+const OWNER_LOST_RETRY_MILLISECONDS: Milliseconds = 1_000;
+
+/** Access to the node that owns the limits, the lease holder. */
+export interface PermitExchange {
+  /** Reports limits that this node has read from responses. */
+  reportLimits(limits: readonly EndpointLimit[]): void;
+  /** Requests permits under a limit; `refused` if the owner doesn't respond. */
+  requestPermit(
+    limit: EndpointLimit,
+    request: PermitRequest,
+  ): Promise<PermitDecision>;
+}
+
+/** Permits that have been granted but not used yet, or when to ask again. */
+interface HeldPermits {
+  count: number;
+  validUntil: Instant;
+  refusedUntil: Instant;
+}
+
+/** Dependencies of {@link SendPermits}. */
+export interface SendPermitsOptions {
+  readonly limits: EndpointLimits;
+  readonly clock: Clock;
+  /** Called for each permit that is used. */
+  readonly onPermitUsed: (endpoint: EndpointDescription) => void;
+}
+
+/** Obtains permits from the lease holder; without one, limited endpoints get no requests. */
+export class SendPermits {
+  private readonly held = new Map<Incarnation, HeldPermits>();
+  private exchange: PermitExchange | undefined;
+
+  private constructor(private readonly options: SendPermitsOptions) {}
+
+  static create(options: SendPermitsOptions): SendPermits {
+    return new SendPermits(options);
+  }
+
+  /** Switches to another lease holder, and reports the limits that this node knows. */
+  setExchange(exchange: PermitExchange | undefined): void {
+    this.exchange = exchange;
+    const {limits} = this.options;
+    limits.setReporter(limit => exchange?.reportLimits([limit]));
+    const known = limits.all;
+    if (known.length > 0) exchange?.reportLimits(known);
+  }
+
+  /** Drops the permits for endpoints that have ended. */
+  applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    for (const {before, now} of changes) {
+      if (before !== undefined && before.incarnation !== now?.incarnation)
+        this.held.delete(before.incarnation);
+    }
+  }
+
+  /**
+   * Takes a permit for one send. Returns undefined if the request may be sent now, otherwise
+   * when it may be tried again.
+   */
+  async acquire(
+    endpoint: EndpointDescription,
+    request: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<Instant | undefined> {
+    const {clock, limits} = this.options;
+    const {incarnation} = endpoint;
+    const limit = limits.get(incarnation);
+    if (limit === undefined) return undefined;
+    const held = this.heldFor(incarnation);
+    const now = clock.now();
+    if (held.count > 0 && now < held.validUntil) {
+      this.use(endpoint, held);
+      return undefined;
+    }
+    if (request.waitUntil === undefined && now < held.refusedUntil)
+      return held.refusedUntil;
+    if (this.exchange === undefined)
+      return after(now, OWNER_LOST_RETRY_MILLISECONDS);
+    const decision = await this.exchange.requestPermit(limit, request);
+    if (decision.kind === 'refused') {
+      if (limits.get(incarnation) === undefined) return undefined;
+      if (request.waitUntil === undefined) held.refusedUntil = decision.retryAt;
+      return decision.retryAt;
+    }
+    held.count =
+      decision.count + (clock.now() < held.validUntil ? held.count : 0);
+    held.validUntil = decision.validUntil;
+    // The permit of a request that has ended meanwhile is left to another one.
+    if (!signal.aborted) this.use(endpoint, held);
+    return undefined;
+  }
+
+  private use(endpoint: EndpointDescription, held: HeldPermits): void {
+    held.count -= 1;
+    this.options.onPermitUsed(endpoint);
+  }
+
+  private heldFor(incarnation: Incarnation): HeldPermits {
+    const existing = this.held.get(incarnation);
+    if (existing !== undefined) return existing;
+    const now = this.options.clock.now();
+    const created = {count: 0, validUntil: now, refusedUntil: now};
+    this.held.set(incarnation, created);
+    return created;
+  }
+}
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -18,6 +18,7 @@
   NoEndpoint = 'no-endpoint',
   EndpointFailed = 'endpoint-failed',
   EndpointBusy = 'endpoint-busy',
+  EndpointLimited = 'endpoint-limited',
   EndpointUnreachable = 'endpoint-unreachable',
   AnswerCut = 'answer-cut',
   OutcomeUnknown = 'outcome-unknown',
@@ -64,6 +65,8 @@
   [ErrorCode.NoEndpoint]: 'No endpoint can serve this target now.',
   [ErrorCode.EndpointFailed]: 'The endpoint ran the request and failed.',
   [ErrorCode.EndpointBusy]: 'The endpoint took no more work.',
+  [ErrorCode.EndpointLimited]:
+    'All endpoints of this target have named limits, which are used up for now.',
   [ErrorCode.EndpointUnreachable]: 'The endpoint could not be reached.',
   [ErrorCode.AnswerCut]: 'The answer ended before it was complete.',
   [ErrorCode.OutcomeUnknown]:
--- a/packages/leases/src/held_lease.ts
+++ b/packages/leases/src/held_lease.ts
@@ -8,6 +8,7 @@
 } from '@siskinmux/kernel';
 import {after, until} from '@siskinmux/kernel';
 import type {LeaseRules} from './lease.js';
+import {HOLDER_SILENCE_MILLISECONDS} from './lease.js';
 
 /** Interval of the checks by which a holder detects that its process was paused. */
 export const PAUSE_CHECK_INTERVAL_MILLISECONDS: Milliseconds = 150;
@@ -28,6 +29,7 @@
 export class HeldLease {
   private lastRenewalSentAt: Instant;
   private lastReading: ClockReading;
+  private readonly takenAt: Instant;
   private isRenewalRequired = false;
   private isEnded = false;
 
@@ -40,6 +42,7 @@
   ) {
     this.lastRenewalSentAt = reading.steady;
     this.lastReading = reading;
+    this.takenAt = reading.steady;
   }
 
   static create(options: {
@@ -102,6 +105,17 @@
     );
   }
 
+  /**
+   * Whether no other node can act as the holder: the previous one's lease has run out, and
+   * this one's was renewed too recently for a takeover.
+   */
+  isExclusive(now: Instant): boolean {
+    return (
+      now >= after(this.takenAt, this.rules.leaseMilliseconds) &&
+      this.millisecondsSinceRenewal(now) < HOLDER_SILENCE_MILLISECONDS
+    );
+  }
+
   /** Time since the last acknowledged renewal was sent. */
   millisecondsSinceRenewal(now: Instant): Milliseconds {
     return until(this.lastRenewalSentAt, now);
--- a/packages/leases/src/index.ts
+++ b/packages/leases/src/index.ts
@@ -11,6 +11,7 @@
   LeaseRules,
 } from './lease.js';
 export {
+  HOLDER_SILENCE_MILLISECONDS,
   RENEWAL_INTERVAL_MILLISECONDS,
   ordersAllowedAt,
   releasedRecord,
--- a/packages/leases/src/lease.ts
+++ b/packages/leases/src/lease.ts
@@ -57,7 +57,7 @@
  * Time without a renewal after which the lease of a silent holder may be taken over;
  * allows for one late renewal whose response is late as well.
  */
-const HOLDER_SILENCE_MILLISECONDS: Milliseconds = 1_300;
+export const HOLDER_SILENCE_MILLISECONDS: Milliseconds = 1_300;
 
 /**
  * Time after which a lease may be taken over whose holder says that it doesn't hold it: a
