Keep models and adapters away from engines that limit their requests

Seen by callers: requests for a model whose only engine limits its requests would wait for its few permits, while other engines have room; and new models would be loaded on, or evicted from, an engine in need. Cause: the planner counted such an engine as any other. Change: a load on a limited engine is the last resort, for requests that wait; a model whose engines all limit their requests gets a replica elsewhere once its arrivals use half of those limits; an adapter on a limited engine is loaded on another one that has the model. Evidence: three tests in plan_models.test.ts and place_adapter.test.ts fail without the change (the planner's and the adapter's choice), two more keep the last resort.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -161,9 +161,11 @@
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
     for (const {id, before, now} of changes) {
-      if (now !== undefined)
+      if (now !== undefined) {
         this.allocators.get(now.service)?.updateEngine(now);
-      else if (before !== undefined) {
+        const limit = this.options.limits.get(now.incarnation);
+        if (limit !== undefined) this.applyLimits([limit]);
+      } else if (before !== undefined) {
         this.allocators.get(before.service)?.removeEngine(id);
       }
       if (before !== undefined && before.incarnation !== now?.incarnation)
@@ -353,8 +355,11 @@
   }
 
   private applyLimits(limits: readonly EndpointLimit[]): void {
-    for (const {incarnation, requestsPerSecond} of limits)
+    for (const {incarnation, requestsPerSecond} of limits) {
       this.rates.setLimit(incarnation, requestsPerSecond);
+      for (const allocator of this.allocators.values())
+        allocator.updateRequestLimit(incarnation, requestsPerSecond);
+    }
   }
 
   private sendLimits(
@@ -405,6 +410,7 @@
     for (const endpoint of endpoints()) {
       if (endpoint.service === service) allocator.updateEngine(endpoint);
     }
+    this.applyLimits(this.options.limits.all);
     return allocator;
   }
 
--- a/packages/placement/__tests__/place_adapter.test.ts
+++ b/packages/placement/__tests__/place_adapter.test.ts
@@ -59,6 +59,22 @@
   return placeAdapter(request, engines, demand, MAXIMUM_ADAPTERS, later);
 }
 
+describe('adapter on an engine that limits its requests', () => {
+  it('is loaded on another engine that has the model', () => {
+    const limited = engine('one', ['a1']);
+    const other = engine('two', []);
+    limited.requestLimit = 2.6;
+    const placement = placementOf('a1', [limited, other]);
+    expect([placement?.kind, placement?.engine.id]).toEqual(['load', other.id]);
+  });
+
+  it('is used there if no other engine has the model', () => {
+    const limited = engine('one', ['a1']);
+    limited.requestLimit = 2.6;
+    expect(placementOf('a1', [limited])?.engine.id).toEqual(limited.id);
+  });
+});
+
 describe('placement of an adapter', () => {
   it('uses an engine that already has the adapter, without a load', () => {
     const found = placementOf('a1', [
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -55,6 +55,47 @@
 }
 
 describe('planning of model changes', () => {
+  it('does not load models on an engine that limits its requests, or evict its models, while another can take them', () => {
+    const limited = engine('one', [0], [9]);
+    limited.requestLimit = 2.6;
+    const other = engine('two', [3, 4, 5], []);
+    for (const index of [9, 3, 4, 5]) other.onDisk.add(model(index));
+    const changes = plan([limited, other], demandOf({waiting: [waiting(9)]}));
+    expect(changes.map(({engine: id, load}) => [id, load])).toEqual([
+      [other.id, model(9)],
+    ]);
+  });
+
+  it('loads a model that requests wait for although all engines limit their requests', () => {
+    const limited = engine('one', [0], [9]);
+    limited.requestLimit = 2.6;
+    const changes = plan([limited], demandOf({waiting: [waiting(9)]}));
+    expect(changes.map(({engine: id, load}) => [id, load])).toEqual([
+      [limited.id, model(9)],
+    ]);
+  });
+
+  it('adds a replica of a model whose only engine limits its requests to fewer than arrive, although another model is evicted for it', () => {
+    const limited = engine('one', [0], []);
+    const other = engine('two', [3, 4, 5], [0]);
+    const arrived = [
+      {model: model(0), count: 40},
+      {model: model(4), count: 5},
+      {model: model(5), count: 5},
+    ];
+    expect(plan([limited, other], demandOf({arrived}), 0)).toEqual([]);
+    limited.requestLimit = 2.6;
+    expect(plan([limited, other], demandOf({arrived}), 0)).toEqual([
+      {
+        engine: other.id,
+        load: model(0),
+        unload: [model(3)],
+        tier: 'disk',
+        reason: 'busy',
+      },
+    ]);
+  });
+
   it('selects the engine with a copy on its disk, and evicts its least used model', () => {
     const changes = plan(
       [engine('one', [0, 1, 2], []), engine('two', [3, 4, 5], [9])],
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -4,7 +4,7 @@
  * holder only.
  */
 
-import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
 import type {
   Clock,
   EmitEvent,
@@ -138,6 +138,17 @@
     this.schedulePlan();
   }
 
+  /** Applies the request limit that an engine has named, or no longer names. */
+  updateRequestLimit(
+    incarnation: Incarnation,
+    requestsPerSecond: number | undefined,
+  ): void {
+    for (const {view} of this.engines.values()) {
+      if (view.incarnation === incarnation)
+        view.requestLimit = requestsPerSecond;
+    }
+  }
+
   /** Removes an engine that has left. */
   removeEngine(engine: EndpointId): void {
     this.engines.get(engine)?.orderQueue.close();
--- a/packages/placement/src/engine_view.ts
+++ b/packages/placement/src/engine_view.ts
@@ -62,6 +62,8 @@
   pendingLoad:
     {readonly model: ModelName; readonly readyAt: Instant} | undefined;
   isDraining: boolean;
+  /** Requests a second that the engine takes from all nodes; undefined if it names no limit. */
+  requestLimit: number | undefined;
 
   private constructor(
     readonly id: EndpointId,
--- a/packages/placement/src/place_adapter.ts
+++ b/packages/placement/src/place_adapter.ts
@@ -63,16 +63,19 @@
     )
     .sort(
       (left, right) =>
+        Number(left.requestLimit !== undefined) -
+          Number(right.requestLimit !== undefined) ||
         demand.inFlightAtEngine(left.id) / left.slots -
-        demand.inFlightAtEngine(right.id) / right.slots,
+          demand.inFlightAtEngine(right.id) / right.slots,
     );
   const key = adapterKey(request.model, request.adapter);
   const heldPlacement = findHeldAdapter(key, candidates);
   const shouldSpread =
     heldPlacement !== undefined &&
     heldPlacement.engine !== candidates[0] &&
-    demand.inFlightAtEngine(heldPlacement.engine.id) >=
-      ADAPTER_SPREAD_SHARE * heldPlacement.engine.slots;
+    (heldPlacement.engine.requestLimit !== undefined ||
+      demand.inFlightAtEngine(heldPlacement.engine.id) >=
+        ADAPTER_SPREAD_SHARE * heldPlacement.engine.slots);
   if (heldPlacement !== undefined && !shouldSpread) return heldPlacement;
   const loadCandidates = candidates.filter(
     // An engine accepts no adapter while it changes its models. Nor can it reload an
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -75,6 +75,15 @@
  */
 const ADAPTER_WAIT_SECONDS = 0.3;
 
+/** Cost of a change on an engine that limits its requests, in seconds of waiting. */
+const LIMITED_ENGINE_SECONDS = 10;
+
+/**
+ * Share of its engines' request limits that a model's arrivals use before it gets a replica
+ * on an engine without a limit.
+ */
+const LIMIT_USE_SHARE = 0.5;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A model to load on an engine, and the models to evict for it. */
@@ -119,6 +128,26 @@
   readonly earliestDeadline: Instant;
 }
 
+interface CandidateRules {
+  /** Whether only spare replicas and unused models may be evicted. */
+  readonly isEvictionRestricted: boolean;
+  /** Whether the engine may be one that limits its requests, if there is no other. */
+  readonly mayBeLimited: boolean;
+}
+
+const WAITING_RULES: CandidateRules = {
+  isEvictionRestricted: false,
+  mayBeLimited: true,
+};
+const BUSY_RULES: CandidateRules = {
+  isEvictionRestricted: false,
+  mayBeLimited: false,
+};
+const SPARE_RULES: CandidateRules = {
+  isEvictionRestricted: true,
+  mayBeLimited: false,
+};
+
 interface LoadCandidate {
   readonly engine: EngineView;
   readonly unload: readonly PlacedModel[];
@@ -154,7 +183,7 @@
 
   plan(): ModelChange[] {
     for (const {model, score} of this.prioritizedUnservedModels()) {
-      const candidate = this.cheapestCandidate(model, score, false);
+      const candidate = this.cheapestCandidate(model, score, WAITING_RULES);
       if (candidate !== undefined) this.addChange(model, candidate, 'waiting');
     }
     this.addExtraReplicas();
@@ -217,7 +246,7 @@
         const candidate = this.cheapestCandidate(
           model,
           demand.inFlightForModel(model),
-          false,
+          BUSY_RULES,
         );
         if (candidate !== undefined) this.addChange(model, candidate, 'busy');
         continue;
@@ -230,16 +259,17 @@
       const candidate = this.cheapestCandidate(
         model,
         demand.inFlightForModel(model),
-        true,
+        SPARE_RULES,
       );
       if (candidate?.unload.length === 0)
         this.addChange(model, candidate, 'busy');
     }
   }
 
-  /** Whether the model's replicas, or all engines that have one, are too loaded. */
+  /** Whether the model's replicas, or all engines that have one, are too loaded or limited. */
   private needsReplica(model: ModelName, replicas: number): boolean {
     const {demand, declaration, engines} = this.input;
+    if (this.isLimitReached(model)) return true;
     const ownShare =
       demand.inFlightForModel(model) / (replicas * declaration.slots);
     if (ownShare >= REPLICA_LOAD_SHARE) return true;
@@ -253,12 +283,30 @@
       );
   }
 
+  /** Whether the model has replicas only on engines whose limits its arrivals use up. */
+  private isLimitReached(model: ModelName): boolean {
+    const {demand, engines, now} = this.input;
+    let limit = 0;
+    for (const engine of engines) {
+      if (engine.isDraining) continue;
+      const isReplica =
+        engine.pendingLoad?.model === model || engine.models.has(model);
+      if (!isReplica) continue;
+      if (engine.requestLimit === undefined) return false;
+      limit += engine.requestLimit;
+    }
+    return (
+      limit > 0 &&
+      demand.arrivalsPerSecond(model, now) >= limit * LIMIT_USE_SHARE
+    );
+  }
+
   /** Loads models that no engine has a copy of, without evicting models in use. */
   private loadUncopiedModels(): void {
     for (const model of this.input.declaration.models.keys()) {
       if (this.remainingStoreLoads <= 0) return;
       if (this.replicaCount(model) > 0 || this.hasCopy(model)) continue;
-      const candidate = this.cheapestCandidate(model, 0, true);
+      const candidate = this.cheapestCandidate(model, 0, SPARE_RULES);
       // No engine that can change now has room for this model. The other models could only
       // use the same engines; they are left to a later plan, even smaller ones that might
       // still fit.
@@ -268,14 +316,13 @@
   }
 
   /**
-   * The engine with the lowest cost for loading a model. With `isEvictionRestricted`, only
-   * spare replicas and unused models may be evicted. `servedRequests` is the number of
+   * The engine with the lowest cost for loading a model. `servedRequests` is the number of
    * requests that the replica would serve.
    */
   private cheapestCandidate(
     model: ModelName,
     servedRequests: number,
-    isEvictionRestricted: boolean,
+    {isEvictionRestricted, mayBeLimited}: CandidateRules,
   ): LoadCandidate | undefined {
     const declared = this.input.declaration.models.get(model);
     if (declared === undefined) return undefined;
@@ -284,6 +331,7 @@
       if (!engine.canPlanChange || this.changingEngines.has(engine.id))
         continue;
       if (engine.models.has(model)) continue;
+      if (engine.requestLimit !== undefined && !mayBeLimited) continue;
       const candidate = this.candidateAt(
         engine,
         declared,
@@ -335,11 +383,14 @@
     const adapterWait = engine.hasGrantedAdapters(this.input.now)
       ? ADAPTER_WAIT_SECONDS
       : 0;
+    const limitCost =
+      engine.requestLimit === undefined ? 0 : LIMITED_ENGINE_SECONDS;
     return {
       engine,
       unload,
       tier,
-      cost: loadSeconds + evictionSeconds + copyBalance + adapterWait,
+      cost:
+        loadSeconds + evictionSeconds + copyBalance + adapterWait + limitCost,
     };
   }
 
