Take the later of two responses when nodes report an endpoint's limit out of order

Seen in a new test, not by callers: a report that a limit had ended was dropped by a node that did not know the limit yet, so that the older report that arrived after it was applied. Cause: a report equal to the current state was ignored together with its time.

--- a/packages/gateway/src/endpoint_limits.ts
+++ b/packages/gateway/src/endpoint_limits.ts
@@ -78,7 +78,13 @@
       const {incarnation, requestsPerSecond, observedAt} = limit;
       const known = this.known.get(incarnation);
       if (known !== undefined && known.observedAt >= observedAt) return false;
-      if (known?.requestsPerSecond === requestsPerSecond) return false;
+      if (
+        known !== undefined &&
+        known.requestsPerSecond === requestsPerSecond
+      ) {
+        this.known.set(incarnation, limit);
+        return false;
+      }
       this.put(limit, 'peer');
       return true;
     });
