Let requests at limited endpoints wait through a change of the lease holder, and explain them

Seen by callers: with all endpoints of a service at their limits, a request that waited for a permit was refused at once when the lease holder stopped or could not be reached, although its deadline left time for the next holder; by reading, before any landing. Cause: the node could not tell a refusal by the owner of the limit from the lack of an owner. Change: permit decisions have a third kind, unowned; such a request pauses and chooses again among the endpoints that are then listed, until its deadline. 'siskinmux explain' leads from a limited request to the lines about the limit. Evidence: limited_choice.test.ts (the wait for the next holder, with and without a stop of the first; an endpoint that leaves during the wait; the permit of a caller that left), explain.test.ts.

--- a/packages/admission/src/shared_rate.ts
+++ b/packages/admission/src/shared_rate.ts
@@ -26,14 +26,17 @@
   readonly waitUntil: Instant | undefined;
 }
 
-/** Permits for `count` sends until `validUntil`, or when the caller may try again. */
+/**
+ * Permits for `count` sends until `validUntil`, or when the caller may try again. `unowned`:
+ * no node gives out permits now.
+ */
 export type PermitDecision =
   | {
       readonly kind: 'granted';
       readonly count: number;
       readonly validUntil: Instant;
     }
-  | {readonly kind: 'refused'; readonly retryAt: Instant};
+  | {readonly kind: 'refused' | 'unowned'; readonly retryAt: Instant};
 
 /** Receives the decision on a request that waits. */
 export type SettlePermit = (decision: PermitDecision) => void;
@@ -121,11 +124,11 @@
       });
   }
 
-  /** Refuses all who wait, since another node owns the limit from now on. */
+  /** Ends the wait of all, since another node owns the limit from now on. */
   abandon(now: Instant): void {
     const {waiters} = this;
     this.waiters = [];
-    for (const {settle} of waiters) settle({kind: 'refused', retryAt: now});
+    for (const {settle} of waiters) settle({kind: 'unowned', retryAt: now});
   }
 
   private grant(count: number, now: Instant): PermitDecision {
--- a/packages/admission/src/shared_rates.ts
+++ b/packages/admission/src/shared_rates.ts
@@ -71,7 +71,7 @@
     });
   }
 
-  /** Ends the ownership of all limits; those who wait are refused and may ask the next owner. */
+  /** Ends the ownership of all limits; those who wait may ask the next owner. */
   stop(): void {
     const now = this.options.clock.now();
     for (const {rate, cancelTimer} of this.owned.values()) {
--- a/packages/cli/__tests__/explain.test.ts
+++ b/packages/cli/__tests__/explain.test.ts
@@ -90,6 +90,25 @@
   }),
 ];
 
+/** A request that an endpoint's limit diverted, and then refused; another limit beside it. */
+const LIMITED_REQUEST = [
+  logLine(500, 'b-1-y', 'endpoint-limit-changed', {life: 'e1@1', limit: 2.6}),
+  logLine(600, 'b-1-y', 'endpoint-limit-changed', {life: 'e2@1', limit: 4}),
+  logLine(900, 'a-1-x', 'request-limited', {
+    id: 'r10',
+    life: 'e1@1',
+    outcome: 'refused',
+  }),
+  logLine(901, 'a-1-x', 'request-ended', {
+    id: 'r10',
+    version: 3,
+    result: 'endpoint-limited',
+    sends: 0,
+    milliseconds: 1,
+  }),
+  logLine(950, 'b-1-y', 'endpoint-limit-changed', {life: 'e1@1'}),
+];
+
 function writeLogs(...files: (readonly string[])[]): string[] {
   const folder = mkdtempSync(join(tmpdir(), 'logs-'));
   return files.map((lines, index) => {
@@ -148,6 +167,21 @@
     expect(out.at(-1) ?? '').toInclude('not run: requests with the same');
   });
 
+  it('leads from a request that was refused for a limit to the response that named it', async () => {
+    const {out} = await explain(
+      '--request',
+      'r10',
+      ...writeLogs(LIMITED_REQUEST),
+    );
+    const lines = out.slice(0, -1);
+    expect(lines.map(text => text.split('  ')[2])).toEqual([
+      'endpoint-limit-changed',
+      'request-limited',
+      'request-ended',
+    ]);
+    expect(out.at(-1) ?? '').toInclude('had named limits');
+  });
+
   it('lists what one node lost and regained, and no events of other nodes', async () => {
     const files = writeLogs(STORE_OUTAGES);
     const {out} = await explain('--node', 'b-1', ...files);
--- a/packages/cli/src/explain/explain_request.ts
+++ b/packages/cli/src/explain/explain_request.ts
@@ -21,6 +21,12 @@
   'request-cleared',
 ]);
 
+/** Events about the limit that an endpoint names. */
+const LIMIT_EVENTS: ReadonlySet<string> = new Set([
+  'endpoint-limit-changed',
+  'endpoint-limit-invalid',
+]);
+
 /** Log lines that explain a request, and its outcome in words. */
 export interface RequestExplanation {
   /** Lines with the ID of the request, and related ones while it was open. */
@@ -39,8 +45,11 @@
   const related = ends.flatMap(end =>
     allLines.filter(line => isRelated(line, end)),
   );
-  const crashes = linesOfCrashes(ownLines, allLines);
-  const lines = [...new Set([...ownLines, ...related, ...crashes])].sort(
+  const causes = [
+    ...linesOfCrashes(ownLines, allLines),
+    ...linesOfLimits(ownLines, allLines),
+  ];
+  const lines = [...new Set([...ownLines, ...related, ...causes])].sort(
     (left, right) => left.time - right.time,
   );
   const outcome =
@@ -87,6 +96,20 @@
   );
 }
 
+/** Lines about the limits because of which a request was diverted, waited or was refused. */
+function linesOfLimits(
+  ownLines: readonly LogLine[],
+  allLines: readonly LogLine[],
+): LogLine[] {
+  const limited = ownLines.filter(({event}) => event === 'request-limited');
+  const lives = new Set(limited.map(({fields}) => fields['life']));
+  const lastAt = Math.max(...limited.map(({time}) => time));
+  return allLines.filter(
+    ({event, fields, time}) =>
+      LIMIT_EVENTS.has(event) && lives.has(fields['life']) && time <= lastAt,
+  );
+}
+
 function describeOutcome(end: LogLine): string {
   const {result, endpoint, model, version} = end.fields;
   const durationMilliseconds = numberOf(end, 'milliseconds') ?? 0;
@@ -103,6 +126,8 @@
       }.`;
     case 'request-quarantined':
       return `${prefix}: refused after ${durationMilliseconds} ms, not run: requests with the same content crashed endpoints; the lines \`run-crashed\` name them.`;
+    case 'endpoint-limited':
+      return `${prefix}: refused after ${durationMilliseconds} ms, not run: all endpoints of the service had named limits that were used up; the lines \`endpoint-limit-changed\` name them.`;
     case 'outcome-unknown':
       return `${prefix}: ended after ${durationMilliseconds} ms with an unknown outcome: ${String(endpoint)} received the request and did not respond; it was not retried because it must not run twice.`;
     case 'caller_gone':
--- /dev/null
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -0,0 +1,186 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {PermitDecision} from '@siskinmux/admission';
+import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {EndpointId, RequestId, ServiceName} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  Outcome,
+  RefusalError,
+  after,
+  as,
+  discardEvents,
+  until,
+} from '@siskinmux/kernel';
+import {VirtualClock} from '@siskinmux/testkit';
+import {EndpointLimits} from '../src/endpoint_limits.js';
+import type {LimitOutcome} from '../src/limited_choice.js';
+import {chooseWithinLimits} from '../src/limited_choice.js';
+import {SendPermits} from '../src/send_permits.js';
+import {createEngineDescription} from './engine_description.js';
+import {LimitHolder, LimitNode, createResponse} from './limit_cluster.js';
+
+const SERVICE = as<ServiceName>('text');
+const DEADLINE_MILLISECONDS = 5_000;
+
+function describeEndpoint(name: string): EndpointDescription {
+  return createEngineDescription(name, SERVICE);
+}
+
+/** Endpoints in the order in which a request prefers them. */
+function build(...names: string[]) {
+  const clock = VirtualClock.create();
+  const endpoints = names.map(describeEndpoint);
+  const limits = EndpointLimits.create({clock, emit: discardEvents});
+  const permits = SendPermits.create({limits, clock, onPermitUsed: () => {}});
+  const outcomes: LimitOutcome[] = [];
+  const gone = new Set<EndpointId>();
+  const start = clock.now();
+  const caller = new AbortController();
+  const find = async (): Promise<string> => {
+    try {
+      const found = await chooseWithinLimits(
+        {
+          requirements: {
+            id: as<RequestId>('request'),
+            service: SERVICE,
+            model: undefined,
+            adapter: undefined,
+            triedEndpoints: new Set(),
+            avoidedEndpoints: new Set(),
+            deadline: after(start, DEADLINE_MILLISECONDS),
+            priority: 0,
+            isFirstAttempt: true,
+            signal: caller.signal,
+          },
+          serviceMilliseconds: 100,
+          choose: excluded =>
+            endpoints.find(({id}) => !excluded.has(id) && !gone.has(id)),
+          isUsable: ({id}) => !gone.has(id),
+        },
+        {
+          limits,
+          permits,
+          clock,
+          emit: discardEvents,
+          onLimited: outcome => outcomes.push(outcome),
+        },
+      );
+      return `${found?.id} after ${until(start, clock.now())}`;
+    } catch (failure) {
+      if (!(failure instanceof RefusalError)) throw failure;
+      expect(failure.outcome).toEqual(Outcome.NotRun);
+      return `${failure.code} after ${until(start, clock.now())}`;
+    }
+  };
+  const limit = (name: string): void =>
+    limits.recordResponse(describeEndpoint(name), createResponse(2));
+  const setOwner = (decide: () => Promise<PermitDecision>): void =>
+    permits.setExchange({reportLimits: () => {}, requestPermit: decide});
+  return {clock, permits, outcomes, gone, find, limit, setOwner, caller};
+}
+
+describe('choice of an endpoint within limits', () => {
+  it('takes the preferred endpoint without asking while it names no limit', async () => {
+    const {find} = build('one', 'two');
+    expect(await find()).toEqual('one after 0');
+  });
+
+  it('diverts the request to another endpoint, and asks again only when there may be a permit', async () => {
+    const {clock, find, limit, setOwner, outcomes} = build('one', 'two');
+    limit('one');
+    let requests = 0;
+    setOwner(() => {
+      requests += 1;
+      const retryAt = after(clock.now(), 500);
+      return Promise.resolve({kind: 'refused', retryAt});
+    });
+    expect(await find()).toEqual('two after 0');
+    expect(await find()).toEqual('two after 0');
+    expect([requests, outcomes]).toEqual([1, ['diverted', 'diverted']]);
+    await clock.advance(500);
+    await find();
+    expect(requests).toEqual(2);
+  });
+
+  it('waits for a permit if all endpoints are at their limits', async () => {
+    const {clock, permits, find, limit, outcomes} = build('one');
+    limit('one');
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    const found = find();
+    await clock.advance(3_000);
+    expect(await found).toEqual('one after 1000');
+    expect(outcomes).toEqual(['diverted', 'waited']);
+  });
+
+  it('refuses the request at once if its turn would come too late', async () => {
+    const {clock, permits, find, limit} = build('one');
+    limit('one');
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    const results = Array.from({length: 12}, find);
+    await clock.advance(0);
+    expect(await results.at(-1)).toEqual(
+      `${ErrorCode.EndpointLimited} after 0`,
+    );
+  });
+
+  it('waits for the next lease holder while there is none, until the deadline', async () => {
+    const {clock, permits, find, limit} = build('one');
+    limit('one');
+    const served = find();
+    await clock.advance(600);
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    await clock.advance(2_000);
+    expect(await served).toEqual('one after 1600');
+    permits.setExchange(undefined);
+    const refused = find();
+    await clock.advance(5_000);
+    expect((await refused).startsWith(ErrorCode.EndpointLimited)).toEqual(true);
+  });
+
+  it('asks the next lease holder when the one at which it waits stops', async () => {
+    const {clock, permits, find, limit} = build('one');
+    limit('one');
+    const first = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(first.exchange);
+    const served = find();
+    await clock.advance(500);
+    const second = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(second.exchange);
+    first.stop();
+    await clock.advance(3_000);
+    expect(await served).toEqual('one after 1500');
+  });
+
+  it('does not return an endpoint that left during the wait', async () => {
+    const {clock, permits, gone, find, limit} = build('one');
+    limit('one');
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    const found = find();
+    await clock.advance(500);
+    gone.add(as<EndpointId>('one'));
+    await clock.advance(3_000);
+    expect(await found).toEqual('undefined after 1000');
+  });
+
+  it('leaves the permit of a request whose caller has left to the next one', async () => {
+    const {clock, permits, find, limit, caller} = build('one');
+    limit('one');
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    void find();
+    await clock.advance(500);
+    caller.abort();
+    await clock.advance(500);
+    const refusal = await permits.acquire(
+      describeEndpoint('one'),
+      {priority: 0, waitUntil: undefined},
+      new AbortController().signal,
+    );
+    expect(refusal).toEqual(undefined);
+  });
+});
--- a/packages/gateway/src/limit_messages.ts
+++ b/packages/gateway/src/limit_messages.ts
@@ -24,10 +24,13 @@
   waitFor: z.number().nullable(),
 });
 
-/** Permits and the milliseconds of their validity, or the milliseconds until a retry. */
+/**
+ * Permits and the milliseconds of their validity, or the milliseconds until a retry and
+ * whether the responding node gives out permits.
+ */
 export const permitDecisionSchema = z.union([
   z.object({granted: z.number().int().positive(), validFor: z.number()}),
-  z.object({retryIn: z.number()}),
+  z.object({retryIn: z.number(), isOwned: z.boolean()}),
 ]);
 
 export type LimitMessage = z.infer<typeof limitSchema>;
@@ -80,7 +83,10 @@
         granted: decision.count,
         validFor: Math.max(0, until(now, decision.validUntil)),
       }
-    : {retryIn: Math.max(0, until(now, decision.retryAt))};
+    : {
+        retryIn: Math.max(0, until(now, decision.retryAt)),
+        isOwned: decision.kind === 'refused',
+      };
 }
 
 /** Undefined if the message can't be read. */
@@ -96,5 +102,8 @@
         count: parsed.data.granted,
         validUntil: after(now, parsed.data.validFor),
       }
-    : {kind: 'refused', retryAt: after(now, parsed.data.retryIn)};
+    : {
+        kind: parsed.data.isOwned ? 'refused' : 'unowned',
+        retryAt: after(now, parsed.data.retryIn),
+      };
 }
--- a/packages/gateway/src/limited_choice.ts
+++ b/packages/gateway/src/limited_choice.ts
@@ -8,7 +8,13 @@
   Instant,
   Milliseconds,
 } from '@siskinmux/kernel';
-import {ErrorCode, after, createNotRunRefusal, until} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  after,
+  createNotRunRefusal,
+  sleepUntil,
+  until,
+} from '@siskinmux/kernel';
 import type {EndpointRequirements} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import {REQUEST_LIMITED} from './gateway_events.js';
@@ -60,36 +66,45 @@
   const refused = new Map<EndpointId, RefusedEndpoint>();
   while (!requirements.signal.aborted) {
     const endpoint = await choose(new Set(refused.keys()));
-    if (endpoint === undefined)
-      return refused.size === 0
-        ? undefined
-        : waitForPermit([...refused.values()], choice, dependencies);
+    if (endpoint === undefined) {
+      if (refused.size === 0) return undefined;
+      const waited = await waitForPermit(
+        [...refused.values()],
+        choice,
+        dependencies,
+      );
+      if (waited !== 'choose again') return waited;
+      refused.clear();
+      continue;
+    }
     if (limits.get(endpoint.incarnation) === undefined) return endpoint;
     const {priority} = requirements;
-    const retryAt = await permits.acquire(
+    const refusal = await permits.acquire(
       endpoint,
       {priority, waitUntil: undefined},
       requirements.signal,
     );
-    if (retryAt === undefined && isUsable(endpoint)) return endpoint;
-    if (retryAt !== undefined)
+    if (refusal === undefined && isUsable(endpoint)) return endpoint;
+    const retryAt = refusal?.retryAt ?? dependencies.clock.now();
+    if (refusal !== undefined)
       report(choice, endpoint, 'diverted', retryAt, dependencies);
-    refused.set(endpoint.id, {
-      endpoint,
-      retryAt: retryAt ?? dependencies.clock.now(),
-    });
+    refused.set(endpoint.id, {endpoint, retryAt});
   }
   throw createNotRunRefusal(ErrorCode.CallerGone, requirements.service);
 }
 
-/** Waits for the endpoint that takes a request first. */
+/**
+ * Waits for the endpoint that takes a request first. Resolves to undefined if it has left,
+ * and to `choose again` after a pause while the lease holder is being replaced.
+ */
 async function waitForPermit(
   refused: readonly RefusedEndpoint[],
   choice: LimitedChoice,
   dependencies: LimitDependencies,
-): Promise<EndpointDescription | undefined> {
+): Promise<EndpointDescription | 'choose again' | undefined> {
   const {requirements, serviceMilliseconds, isUsable} = choice;
-  const {permits} = dependencies;
+  const {permits, clock} = dependencies;
+  const waitUntil = after(requirements.deadline, -serviceMilliseconds);
   const usable = refused.filter(({endpoint}) => isUsable(endpoint));
   const first = usable.reduce<RefusedEndpoint | undefined>(
     (earliest, candidate) =>
@@ -100,15 +115,17 @@
   );
   if (first === undefined) return undefined;
   const {endpoint} = first;
-  const retryAt = await permits.acquire(
+  const refusal = await permits.acquire(
     endpoint,
-    {
-      priority: requirements.priority,
-      waitUntil: after(requirements.deadline, -serviceMilliseconds),
-    },
+    {priority: requirements.priority, waitUntil},
     requirements.signal,
   );
-  if (retryAt !== undefined) {
+  if (refusal !== undefined) {
+    const {retryAt, isUnowned} = refusal;
+    if (isUnowned && retryAt < waitUntil) {
+      await sleepUntil(clock, retryAt);
+      return 'choose again';
+    }
     report(choice, endpoint, 'refused', retryAt, dependencies);
     throw createNotRunRefusal(
       ErrorCode.EndpointLimited,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -221,12 +221,7 @@
       }
       // An engine that refused a request may accept it after the allocator's next order.
       if (untried.length === 0) await this.waitBeforeRetry(requirements);
-      const candidates = untried.length > 0 ? untried : engines;
-      const found = await this.chooseWithinLimits(
-        requirements,
-        model,
-        candidates,
-      );
+      const found = await this.chooseWithinLimits(requirements, model);
       if (found !== undefined) return found;
       await this.waitBeforeRetry(requirements);
     }
@@ -255,7 +250,6 @@
   private chooseWithinLimits(
     requirements: EndpointRequirements,
     model: ModelName,
-    candidates: readonly EndpointDescription[],
   ): Promise<EndpointDescription | undefined> {
     const {choice, table, limitDependencies} = this.options;
     const {adapter} = requirements;
@@ -267,7 +261,13 @@
       | Promise<EndpointDescription | undefined> => {
       if (adapter !== undefined)
         return this.findWithAdapter(requirements, model, adapter, excluded);
-      const allowed = candidates.filter(({id}) => !excluded.has(id));
+      const engines = this.enginesWithModel(requirements);
+      const untried = engines.filter(
+        ({id}) => !requirements.triedEndpoints.has(id),
+      );
+      const allowed = (untried.length > 0 ? untried : engines).filter(
+        ({id}) => !excluded.has(id),
+      );
       return chooseEngine(preferUnavoided(allowed, requirements), choice);
     };
     return chooseWithinLimits(
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -181,10 +181,10 @@
       if (decision !== undefined) return decision;
     } catch (failure) {
       if (!(failure instanceof PeerUnreachableError)) throw failure;
-      // The request is diverted or refused, and that is logged.
+      // The request is diverted, waits for another holder or is refused; that is logged.
     }
     return {
-      kind: 'refused',
+      kind: 'unowned',
       retryAt: after(clock.now(), PERMIT_TIMEOUT_MILLISECONDS),
     };
   }
--- a/packages/gateway/src/send_permits.ts
+++ b/packages/gateway/src/send_permits.ts
@@ -10,20 +10,27 @@
 import {after} from '@siskinmux/kernel';
 import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 
-/** When to ask again while no lease holder can be asked; a takeover takes about as long. */
-const OWNER_LOST_RETRY_MILLISECONDS: Milliseconds = 1_000;
+/** When to ask again while there is no lease holder. */
+const OWNER_LOST_RETRY_MILLISECONDS: Milliseconds = 250;
 
 /** Access to the node that owns the limits, the lease holder. */
 export interface PermitExchange {
   /** Reports limits that this node has read from responses. */
   reportLimits(limits: readonly EndpointLimit[]): void;
-  /** Requests permits under a limit; `refused` if the owner doesn't respond. */
+  /** Requests permits under a limit; `unowned` if the owner doesn't respond. */
   requestPermit(
     limit: EndpointLimit,
     request: PermitRequest,
   ): Promise<PermitDecision>;
 }
 
+/** Why a request may not be sent now, and when it may be tried again. */
+export interface PermitRefusal {
+  readonly retryAt: Instant;
+  /** Whether no lease holder gives out permits now. */
+  readonly isUnowned: boolean;
+}
+
 /** Permits that have been granted but not used yet, or when to ask again. */
 interface HeldPermits {
   count: number;
@@ -67,15 +74,12 @@
     }
   }
 
-  /**
-   * Takes a permit for one send. Returns undefined if the request may be sent now, otherwise
-   * when it may be tried again.
-   */
+  /** Takes a permit for one send; returns undefined if the request may be sent now. */
   async acquire(
     endpoint: EndpointDescription,
     request: PermitRequest,
     signal: AbortSignal,
-  ): Promise<Instant | undefined> {
+  ): Promise<PermitRefusal | undefined> {
     const {clock, limits} = this.options;
     const {incarnation} = endpoint;
     const limit = limits.get(incarnation);
@@ -87,14 +91,20 @@
       return undefined;
     }
     if (request.waitUntil === undefined && now < held.refusedUntil)
-      return held.refusedUntil;
+      return {retryAt: held.refusedUntil, isUnowned: false};
     if (this.exchange === undefined)
-      return after(now, OWNER_LOST_RETRY_MILLISECONDS);
+      return {
+        retryAt: after(now, OWNER_LOST_RETRY_MILLISECONDS),
+        isUnowned: true,
+      };
     const decision = await this.exchange.requestPermit(limit, request);
-    if (decision.kind === 'refused') {
+    if (decision.kind !== 'granted') {
       if (limits.get(incarnation) === undefined) return undefined;
-      if (request.waitUntil === undefined) held.refusedUntil = decision.retryAt;
-      return decision.retryAt;
+      const {kind, retryAt} = decision;
+      const isUnowned = kind === 'unowned';
+      if (request.waitUntil === undefined && !isUnowned)
+        held.refusedUntil = retryAt;
+      return {retryAt, isUnowned};
     }
     held.count =
       decision.count + (clock.now() < held.validUntil ? held.count : 0);
