--- a/packages/benchmarks/src/measure_state.ts
+++ b/packages/benchmarks/src/measure_state.ts
@@ -24,6 +24,7 @@
 import type {AttemptId, ClaimKey} from '@siskinmux/ledger';
 import {ClaimTable, encodeRecord} from '@siskinmux/ledger';
 import type {CrashId} from '@siskinmux/routing';
+import {SharedRate} from '@siskinmux/admission';
 import {CrashSuspects, fingerprintOf, rankMembers} from '@siskinmux/routing';
 
 const NOW = as<Instant>(1_700_000_000_000);
@@ -34,6 +35,9 @@
 const BODY_BYTES = 2_000;
 const PLAN_COUNT = 20;
 const RANKING_COUNT = 2_000;
+const PERMIT_COUNT = 20_000;
+const WAITER_COUNT = 200;
+const DAY_MILLISECONDS = 86_400_000;
 
 /** Creates declarations of a given size. */
 export function declarationsOfSize(size: {
@@ -176,6 +180,28 @@
   };
 }
 
+/** Microseconds to decide on a permit, with none and with many requests that wait. */
+export function measurePermits(): {
+  readonly microsecondsPerRefusal: number;
+  readonly microsecondsPerWaiter: number;
+} {
+  const rate = SharedRate.create(1, NOW);
+  const wait = (index: number): void =>
+    rate.request(
+      {priority: index % 3, waitUntil: as<Instant>(NOW + DAY_MILLISECONDS)},
+      () => {},
+      NOW,
+    );
+  const microsecondsPerRefusal = microsecondsOf(PERMIT_COUNT, () =>
+    rate.request({priority: 0, waitUntil: undefined}, () => {}, NOW),
+  );
+  for (let index = 0; index < WAITER_COUNT; index += 1) wait(index);
+  return {
+    microsecondsPerRefusal,
+    microsecondsPerWaiter: microsecondsOf(WAITER_COUNT, wait),
+  };
+}
+
 function microsecondsOf(count: number, run: (index: number) => void): number {
   const startedAt = performance.now();
   for (let index = 0; index < count; index += 1) run(index);
--- a/packages/benchmarks/src/run_capacity.ts
+++ b/packages/benchmarks/src/run_capacity.ts
@@ -13,6 +13,7 @@
   measurePlan,
   measureRanking,
   measureSize,
+  measurePermits,
   measureSuspects,
 } from './measure_state.js';
 
@@ -54,6 +55,10 @@
 print(
   `  a request that crashed endpoints: ${suspect.heap.toFixed(0)} B in memory, ${suspect.json.toFixed(0)} B as JSON; with a full table ${suspect.microsecondsPerCheck.toFixed(1)} us to check, ${suspect.microsecondsPerMerge.toFixed(0)} us to add; ${suspect.microsecondsPerFingerprint.toFixed(1)} us for a fingerprint`,
 );
+const permit = measurePermits();
+print(
+  `  a permit under a request limit: ${permit.microsecondsPerRefusal.toFixed(1)} us to refuse, ${permit.microsecondsPerWaiter.toFixed(1)} us to let a request wait behind 200 others`,
+);
 for (const engines of PLAN_ENGINE_COUNTS) {
   const milliseconds = measurePlan(engines);
   const share = (milliseconds * PLANS_PER_SECOND) / 1_000;
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -49,6 +49,11 @@
   'packages/gateway/__tests__/crash_quarantine.test.ts',
   'packages/gateway/__tests__/retry_budgets.test.ts',
   'packages/placement/__tests__/adapter_cache.test.ts',
+  'packages/placement/__tests__/plan_models.test.ts',
+  'packages/admission/__tests__/shared_rate.test.ts',
+  'packages/gateway/__tests__/endpoint_limits.test.ts',
+  'packages/gateway/__tests__/limit_histories.test.ts',
+  'packages/gateway/__tests__/limited_choice.test.ts',
 ];
 
 const mutantsSchema = z.strictObject({
