Give permits first to requests that have no other endpoint

Change: a request that has other endpoints gets a permit only when the bucket is full, that is one that would be lost; the bucket holds two tokens at least, one in reserve.

--- a/packages/admission/__tests__/shared_rate.test.ts
+++ b/packages/admission/__tests__/shared_rate.test.ts
@@ -105,6 +105,20 @@
     }
   });
 
+  it('keeps permits for requests without another endpoint, and gives the others only what would be lost', async () => {
+    const {clock, order, ask, askNow} = build(1);
+    await clock.advance(1_500);
+    expect((await askNow()).kind).toEqual('refused');
+    ask('bound', 2);
+    await clock.advance(0);
+    expect(order).toEqual(['bound']);
+    await clock.advance(1_500);
+    expect((await askNow()).kind).toEqual('granted');
+    ask('next', 2);
+    await clock.advance(0);
+    expect(order).toEqual(['bound', 'next']);
+  });
+
   it('starts without permits, since a previous owner may have given them out', async () => {
     expect((await build(40).askNow()).kind).toEqual('refused');
   });
--- a/packages/admission/src/rate_bucket.ts
+++ b/packages/admission/src/rate_bucket.ts
@@ -3,9 +3,12 @@
 import type {Instant} from '@siskinmux/kernel';
 import {after, until} from '@siskinmux/kernel';
 
-/** Tokens that accumulate unused, in seconds of the rate; at least one token does. */
+/** Tokens that accumulate unused, in seconds of the rate. */
 const BURST_SECONDS = 0.5;
 
+/** Least burst: one token to give out, and one in reserve. */
+const MINIMUM_BURST = 2;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Accumulates tokens at a rate, up to a burst. */
@@ -23,7 +26,7 @@
 
   /** Most tokens that accumulate. */
   get capacity(): number {
-    return Math.max(1, this.tokensPerSecond * BURST_SECONDS);
+    return Math.max(MINIMUM_BURST, this.tokensPerSecond * BURST_SECONDS);
   }
 
   /** Changes the rate from `now` on; tokens beyond the new burst are discarded. */
@@ -39,6 +42,12 @@
     return Math.floor(this.tokens);
   }
 
+  /** Whether no more tokens accumulate. */
+  isFull(now: Instant): boolean {
+    this.refill(now);
+    return this.tokens >= this.capacity;
+  }
+
   /** Takes tokens that are available. */
   take(count: number): void {
     this.tokens -= count;
--- a/packages/admission/src/shared_rate.ts
+++ b/packages/admission/src/shared_rate.ts
@@ -1,6 +1,7 @@
 /**
  * A rate limit that all nodes share. One node owns it and gives out permits, each for a
- * send within a short time. Requests that can wait are served in order of their priority.
+ * send within a short time. Requests without another endpoint wait in order of their
+ * priority; the others only get permits that would be lost otherwise.
  */
 
 import type {Instant, Milliseconds} from '@siskinmux/kernel';
@@ -86,13 +87,12 @@
     now: Instant,
   ): void {
     this.advance(now);
-    if (this.waiters.length === 0 && this.bucket.available(now) >= 1) {
-      settle(this.grant(this.batchSize(now), now));
+    if (waitUntil === undefined) {
+      settle(this.decideWithoutWait(now));
       return;
     }
-    if (waitUntil === undefined) {
-      const retryAt = this.bucket.readyAt(this.waiters.length + 1, now);
-      settle({kind: 'refused', retryAt});
+    if (this.waiters.length === 0 && this.bucket.available(now) >= 1) {
+      settle(this.grant(this.batchSize(now), now));
       return;
     }
     const behind = this.waiters.findIndex(waiter => waiter.priority > priority);
@@ -131,6 +131,13 @@
     for (const {settle} of waiters) settle({kind: 'unowned', retryAt: now});
   }
 
+  private decideWithoutWait(now: Instant): PermitDecision {
+    if (this.waiters.length === 0 && this.bucket.isFull(now))
+      return this.grant(this.batchSize(now), now);
+    const count = this.waiters.length + this.bucket.capacity;
+    return {kind: 'refused', retryAt: this.bucket.readyAt(count, now)};
+  }
+
   private grant(count: number, now: Instant): PermitDecision {
     this.bucket.take(count);
     return {
