Load models elsewhere for requests that wait at engines at their limits

Cause: a model that a limited engine holds counted as served, so that it was loaded elsewhere only in place of spare or unused models, and requests without a permit were refused while such a load would have served them in time. An engine whose limit has ended, but which got no request since, was never a target. Change: a request without a permit also waits for its model on another engine, and takes what comes first; the planner treats such a model like one without a replica. An engine with a limit is a target if its permits are left unused, so that requests reach it and their responses end a limit that is over.

--- a/packages/admission/src/shared_rate.ts
+++ b/packages/admission/src/shared_rate.ts
@@ -72,6 +72,11 @@
     return this.waiters.length;
   }
 
+  /** Whether permits would be lost because nobody needs them. */
+  hasUnused(now: Instant): boolean {
+    return this.waiters.length === 0 && this.bucket.isFull(now);
+  }
+
   /** Changes the rate from `now` on, and refuses those who would now wait for too long. */
   setRate(perSecond: number, now: Instant): void {
     if (perSecond === this.perSecond) return;
@@ -132,8 +137,7 @@
   }
 
   private decideWithoutWait(now: Instant): PermitDecision {
-    if (this.waiters.length === 0 && this.bucket.isFull(now))
-      return this.grant(this.batchSize(now), now);
+    if (this.hasUnused(now)) return this.grant(this.batchSize(now), now);
     const count = this.waiters.length + this.bucket.capacity;
     return {kind: 'refused', retryAt: this.bucket.readyAt(count, now)};
   }
--- a/packages/admission/src/shared_rates.ts
+++ b/packages/admission/src/shared_rates.ts
@@ -50,11 +50,10 @@
     this.schedule(owned);
   }
 
-  /** Removes limits whose endpoints have ended. */
-  retain(keys: ReadonlySet<Key>): void {
-    for (const key of [...this.owned.keys()]) {
-      if (!keys.has(key)) this.setLimit(key, undefined);
-    }
+  /** Whether permits would be lost because nobody needs them. */
+  hasUnused(key: Key): boolean {
+    const {rate} = this.owned.get(key) ?? {};
+    return rate === undefined || rate.hasUnused(this.options.clock.now());
   }
 
   /** Requests a permit; resolves at once unless the request waits. */
--- a/packages/gateway/__tests__/limited_choice.test.ts
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -9,7 +9,9 @@
   RefusalError,
   after,
   as,
+  createNotRunRefusal,
   discardEvents,
+  sleepFor,
   until,
 } from '@siskinmux/kernel';
 import {VirtualClock} from '@siskinmux/testkit';
@@ -37,7 +39,9 @@
   const gone = new Set<EndpointId>();
   const start = clock.now();
   const caller = new AbortController();
-  const find = async (): Promise<string> => {
+  const find = async (
+    waitForUnlimited?: (signal: AbortSignal) => Promise<void>,
+  ): Promise<string> => {
     try {
       const found = await chooseWithinLimits(
         {
@@ -57,6 +61,7 @@
           choose: excluded =>
             endpoints.find(({id}) => !excluded.has(id) && !gone.has(id)),
           isUsable: ({id}) => !gone.has(id),
+          waitForUnlimited,
         },
         {
           limits,
@@ -119,7 +124,7 @@
     limit('one');
     const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
     permits.setExchange(holder.exchange);
-    const results = Array.from({length: 12}, find);
+    const results = Array.from({length: 12}, () => find());
     await clock.advance(0);
     expect(await results.at(-1)).toEqual(
       `${ErrorCode.EndpointLimited} after 0`,
@@ -155,6 +160,46 @@
     expect(await served).toEqual('one after 1500');
   });
 
+  it('takes another endpoint that becomes available during the wait, and leaves the permit to the next request', async () => {
+    const {clock, permits, gone, find, limit} = build('one', 'two');
+    limit('one');
+    gone.add(as<EndpointId>('two'));
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    const found = find(async () => {
+      await sleepFor(clock, 600);
+      gone.delete(as<EndpointId>('two'));
+    });
+    await clock.advance(1_000);
+    expect(await found).toEqual('two after 600');
+    const refusal = await permits.acquire(
+      describeEndpoint('one'),
+      {priority: 0, waitUntil: undefined},
+      new AbortController().signal,
+    );
+    expect(refusal).toEqual(undefined);
+  });
+
+  it('waits for another endpoint although its turn for a permit comes too late, and is refused if there will be none', async () => {
+    const {clock, permits, find, limit, setOwner} = build('one');
+    limit('one');
+    setOwner(() =>
+      Promise.resolve({kind: 'refused', retryAt: after(clock.now(), 9_000)}),
+    );
+    const refuseLater = async (): Promise<void> => {
+      await sleepFor(clock, 700);
+      throw createNotRunRefusal(ErrorCode.NoEndpoint, 'm');
+    };
+    const refused = find(refuseLater);
+    await clock.advance(1_000);
+    expect(await refused).toEqual(`${ErrorCode.EndpointLimited} after 700`);
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    const served = find(refuseLater);
+    await clock.advance(2_000);
+    expect(await served).toEqual('one after 2000');
+  });
+
   it('does not return an endpoint that left during the wait', async () => {
     const {clock, permits, gone, find, limit} = build('one');
     limit('one');
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -394,6 +394,7 @@
       ...this.options,
       service,
       loadLimiter: this.loadLimiter,
+      hasUnusedPermits: incarnation => this.rates.hasUnused(incarnation),
       onAvailableModels: change => {
         listener.onAvailableModels(service, [change]);
         this.sendAvailableModels(service, change);
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -173,6 +173,7 @@
         serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS,
         choose,
         isUsable: endpoint => isListed(table, endpoint),
+        waitForUnlimited: undefined,
       },
       limitDependencies,
     );
--- a/packages/gateway/src/limited_choice.ts
+++ b/packages/gateway/src/limited_choice.ts
@@ -10,6 +10,7 @@
 } from '@siskinmux/kernel';
 import {
   ErrorCode,
+  RefusalError,
   after,
   createNotRunRefusal,
   sleepUntil,
@@ -45,6 +46,12 @@
     EndpointDescription | undefined | Promise<EndpointDescription | undefined>;
   /** Whether the endpoint may still be used; it may have left during a wait. */
   readonly isUsable: (endpoint: EndpointDescription) => boolean;
+  /**
+   * Resolves when there is an endpoint without a limit; rejects with a `RefusalError` if
+   * there will be none in time. Undefined if none can be added.
+   */
+  readonly waitForUnlimited:
+    ((signal: AbortSignal) => Promise<void>) | undefined;
 }
 
 interface RefusedEndpoint {
@@ -94,8 +101,9 @@
 }
 
 /**
- * Waits for the endpoint that takes a request first. Resolves to undefined if it has left,
- * and to `choose again` after a pause while the lease holder is being replaced.
+ * Waits for a permit at the endpoint that takes a request first. Resolves to undefined if it
+ * has left, and to `choose again` if there may be another endpoint, or after a pause while
+ * the lease holder is being replaced.
  */
 async function waitForPermit(
   refused: readonly RefusedEndpoint[],
@@ -115,11 +123,24 @@
   );
   if (first === undefined) return undefined;
   const {endpoint} = first;
-  const refusal = await permits.acquire(
+  const ended = new AbortController();
+  const signal = AbortSignal.any([requirements.signal, ended.signal]);
+  const permit = permits.acquire(
     endpoint,
     {priority: requirements.priority, waitUntil},
-    requirements.signal,
+    signal,
   );
+  const hasUnlimited = isResolved(choice.waitForUnlimited?.(signal));
+  const isPermitFirst = await Promise.race([
+    permit.then(refusal => refusal === undefined),
+    hasUnlimited.then(() => false),
+  ]);
+  if (!isPermitFirst && (await hasUnlimited)) {
+    ended.abort();
+    return 'choose again';
+  }
+  const refusal = await permit;
+  ended.abort();
   if (refusal !== undefined) {
     const {retryAt, isUnowned} = refusal;
     if (isUnowned && retryAt < waitUntil) {
@@ -137,6 +158,21 @@
   return isUsable(endpoint) ? endpoint : undefined;
 }
 
+/** Resolves to whether the promise resolves; to false if there is none. */
+async function isResolved(
+  promise: Promise<void> | undefined,
+): Promise<boolean> {
+  if (promise === undefined) return false;
+  try {
+    await promise;
+    return true;
+  } catch (failure) {
+    // The permit decides about the request, and its refusal is logged.
+    if (!(failure instanceof RefusalError)) throw failure;
+    return false;
+  }
+}
+
 function report(
   {requirements}: LimitedChoice,
   {id, incarnation}: EndpointDescription,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -79,6 +79,8 @@
 
 interface Waiter {
   readonly requirements: EndpointRequirements;
+  /** Whether an engine that has the model ends the wait. */
+  readonly accepts: (engine: EndpointDescription) => boolean;
   /** Ends the wait: rejects with the refusal, or lets the search continue if there is none. */
   readonly settle: (refusal: RefusalError | undefined) => void;
 }
@@ -177,7 +179,7 @@
     }
     for (const waiter of this.waiters) {
       if (waiter.requirements.service !== service) continue;
-      if (this.enginesWithModel(waiter.requirements).length > 0)
+      if (this.enginesWithModel(waiter.requirements).some(waiter.accepts))
         waiter.settle(undefined);
     }
   }
@@ -216,7 +218,7 @@
       );
       if (engines.length === 0) {
         await this.waitForAllocator(requirements, model);
-        await this.waitForModel(requirements, model);
+        await this.waitForModel(requirements, model, () => true);
         continue;
       }
       // An engine that refused a request may accept it after the allocator's next order.
@@ -277,6 +279,13 @@
         choose,
         isUsable: endpoint =>
           isListed(table, endpoint) && this.hasModel(endpoint, model),
+        waitForUnlimited: signal =>
+          this.waitForModel(
+            {...requirements, signal},
+            model,
+            ({incarnation}) =>
+              limitDependencies.limits.get(incarnation) === undefined,
+          ),
       },
       limitDependencies,
     );
@@ -410,10 +419,14 @@
     );
   }
 
-  /** Resolves once an engine has the model; rejects with a refusal if none will have it in time. */
+  /**
+   * Resolves once an engine that is accepted has the model; rejects with a refusal if none
+   * will have it in time.
+   */
   private waitForModel(
     requirements: EndpointRequirements,
     model: ModelName,
+    accepts: Waiter['accepts'],
   ): Promise<void> {
     const {clock} = this.options;
     return new Promise((resolve, reject) => {
@@ -427,7 +440,7 @@
       };
       const stop = (): void =>
         settle(createNotRunRefusal(ErrorCode.CallerGone, model));
-      const waiter = {requirements, settle};
+      const waiter = {requirements, accepts, settle};
       const cancel = clock.schedule(requirements.deadline, () =>
         settle(
           this.createRefusalWithRetry(
--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -51,6 +51,7 @@
         ? {holder: node, fencingNumber: as<FencingNumber>(term)}
         : undefined;
     const allocator = Allocator.create({
+      hasUnusedPermits: () => true,
       service: SERVICE,
       orders,
       loadLimiter: LoadLimiter.create(5_000),
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -66,6 +66,34 @@
     ]);
   });
 
+  it('loads a model on another engine, once, if requests wait for it at engines that limit their requests', () => {
+    const limited = engine('one', [9], []);
+    limited.requestLimit = 2.6;
+    const other = engine('two', [3, 4, 5], [9]);
+    const third = engine('three', [6, 7, 8], [9]);
+    const demand = demandOf({
+      waiting: [waiting(9, 3)],
+      arrived: [3, 4, 5, 6, 7, 8, 9].map(index => ({
+        model: model(index),
+        count: 4,
+      })),
+    });
+    const changes = plan([limited, other, third], demand);
+    expect(changes.map(({load, reason}) => [load, reason])).toEqual([
+      [model(9), 'waiting'],
+    ]);
+    other.requestLimit = 2.6;
+    third.requestLimit = 2.6;
+    expect(plan([limited, other, third], demand)).toEqual([]);
+    third.hasUnusedPermits = true;
+    expect(
+      plan([limited, other, third], demand).map(({engine: id}) => id),
+    ).toEqual([third.id]);
+    other.requestLimit = undefined;
+    other.pendingLoad = {model: model(9), readyAt: now};
+    expect(plan([limited, other, third], demand)).toEqual([]);
+  });
+
   it('loads a model that requests wait for although all engines limit their requests', () => {
     const limited = engine('one', [0], [9]);
     limited.requestLimit = 2.6;
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -63,6 +63,8 @@
   readonly authority: () => OrderAuthority | undefined;
   /** Called when an engine has seen a later term. */
   readonly onFenced: () => void;
+  /** Whether permits under the request limit of an engine are left unused. */
+  readonly hasUnusedPermits: (incarnation: Incarnation) => boolean;
   /** Called when the models that nodes may use on an engine have changed. */
   readonly onAvailableModels: (available: AvailableModels) => void;
   /** Called with the new forecasts after each plan. */
@@ -312,6 +314,11 @@
     if (declaration === undefined || this.isStopped) return;
     const now: Instant = clock.now();
     const engines = [...this.engines.values()].map(({view}) => view);
+    for (const view of engines) {
+      view.hasUnusedPermits =
+        view.requestLimit !== undefined &&
+        this.options.hasUnusedPermits(view.incarnation);
+    }
     const availableStoreLoads = loadLimiter.availableLoads(
       declaration.maximumStoreLoadsPerSecond,
       now,
--- a/packages/placement/src/engine_view.ts
+++ b/packages/placement/src/engine_view.ts
@@ -64,6 +64,8 @@
   isDraining: boolean;
   /** Requests a second that the engine takes from all nodes; undefined if it names no limit. */
   requestLimit: number | undefined;
+  /** Whether permits under the limit are left unused. */
+  hasUnusedPermits = false;
 
   private constructor(
     readonly id: EndpointId,
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -131,21 +131,25 @@
 interface CandidateRules {
   /** Whether only spare replicas and unused models may be evicted. */
   readonly isEvictionRestricted: boolean;
-  /** Whether the engine may be one that limits its requests, if there is no other. */
-  readonly mayBeLimited: boolean;
+  /** Whether an engine that limits its requests may be used if there is no other. */
+  readonly limitedEngines: 'all' | 'with unused permits' | 'none';
 }
 
 const WAITING_RULES: CandidateRules = {
   isEvictionRestricted: false,
-  mayBeLimited: true,
+  limitedEngines: 'all',
+};
+const STUCK_RULES: CandidateRules = {
+  isEvictionRestricted: false,
+  limitedEngines: 'with unused permits',
 };
 const BUSY_RULES: CandidateRules = {
   isEvictionRestricted: false,
-  mayBeLimited: false,
+  limitedEngines: 'none',
 };
 const SPARE_RULES: CandidateRules = {
   isEvictionRestricted: true,
-  mayBeLimited: false,
+  limitedEngines: 'none',
 };
 
 interface LoadCandidate {
@@ -187,7 +191,8 @@
 
   plan(): ModelChange[] {
     for (const {model, score} of this.prioritizedUnservedModels()) {
-      const candidate = this.cheapestCandidate(model, score, WAITING_RULES);
+      const rules = this.replicaCount(model) > 0 ? STUCK_RULES : WAITING_RULES;
+      const candidate = this.cheapestCandidate(model, score, rules);
       if (candidate !== undefined) this.addChange(model, candidate, 'waiting');
     }
     this.addExtraReplicas();
@@ -196,14 +201,14 @@
   }
 
   /**
-   * Models without a replica that requests wait for, or that are in use by their arrival
-   * rate while no engine has a copy: those requests may have been refused instead of
+   * Models without a replica, or with replicas only on engines at their limits, that requests
+   * wait for, or that are in use by their arrival rate while no engine has a copy: those requests may have been refused instead of
    * waiting. Highest score first, in powers of two, then the most urgent.
    */
   private prioritizedUnservedModels(): UnservedModel[] {
     const unserved: UnservedModel[] = [];
     for (const model of this.input.declaration.models.keys()) {
-      if (this.replicaCount(model) > 0) continue;
+      if (this.replicaCount(model) > 0 && !this.isStuckAtLimit(model)) continue;
       const unservedModel = this.unservedModel(model);
       if (unservedModel !== undefined) unserved.push(unservedModel);
     }
@@ -255,7 +260,7 @@
         if (candidate !== undefined) this.addChange(model, candidate, 'busy');
         continue;
       }
-      if (this.isLimitReached(model)) {
+      if (this.isLimitReached(model) && !this.isPlanned(model)) {
         const candidate = this.cheapestCandidate(model, 0, SPARE_RULES);
         if (candidate !== undefined) this.addChange(model, candidate, 'busy');
         continue;
@@ -291,6 +296,25 @@
       );
   }
 
+  private isLimitAllowed(
+    engine: EngineView,
+    limitedEngines: CandidateRules['limitedEngines'],
+  ): boolean {
+    if (engine.requestLimit === undefined || limitedEngines === 'all')
+      return true;
+    return limitedEngines === 'with unused permits' && engine.hasUnusedPermits;
+  }
+
+  /** Whether requests wait for the model although engines that limit their requests have it. */
+  private isStuckAtLimit(model: ModelName): boolean {
+    return (
+      this.hasLimitedEngines &&
+      this.input.demand.waitingByModel.has(model) &&
+      this.isOnlyAtLimitedEngines(model) &&
+      this.enginesWith(model).every(engine => engine.isReady(model))
+    );
+  }
+
   /**
    * Whether the model is in use, has replicas only on engines that limit their requests, and
    * the arrivals of such models use up the limit of one of these engines.
@@ -331,6 +355,10 @@
     );
   }
 
+  private isPlanned(model: ModelName): boolean {
+    return this.changes.some(({load}) => load === model);
+  }
+
   /** Engines that have the model or load it, and don't drain. */
   private enginesWith(model: ModelName): EngineView[] {
     return this.input.engines.filter(
@@ -360,7 +388,7 @@
   private cheapestCandidate(
     model: ModelName,
     servedRequests: number,
-    {isEvictionRestricted, mayBeLimited}: CandidateRules,
+    {isEvictionRestricted, limitedEngines}: CandidateRules,
   ): LoadCandidate | undefined {
     const declared = this.input.declaration.models.get(model);
     if (declared === undefined) return undefined;
@@ -369,7 +397,7 @@
       if (!engine.canPlanChange || this.changingEngines.has(engine.id))
         continue;
       if (engine.models.has(model)) continue;
-      if (engine.requestLimit !== undefined && !mayBeLimited) continue;
+      if (!this.isLimitAllowed(engine, limitedEngines)) continue;
       const candidate = this.candidateAt(
         engine,
         declared,
--- a/packages/placement/src/readiness_forecast.ts
+++ b/packages/placement/src/readiness_forecast.ts
@@ -56,6 +56,9 @@
   for (const engine of engines) {
     if (engine.isDraining) continue;
     const placed = engine.models.get(declared.name);
+    // Requests that wait although the model is ready there have got no permit.
+    if (placed?.state === 'ready' && engine.requestLimit !== undefined)
+      continue;
     if (placed?.state === 'loading' && !isLoading) {
       isLoading = true;
       earliest = placed.readyAt;
