Compare the quarantined requests with the store only after a change of the records

Seen by callers: nothing yet; found by reading. The lease holder went through all records of crashes four times a second to find out whether the stored ones had changed, 8.5 to 20 us for each of up to 2,000 records, which callers can cause: up to a tenth of its processor and more (calculated from the figures in docs/CAPACITY.md, not measured). Cause: the archive polled the records themselves. Change: the quarantine counts the changes of its records, and the archive compares them only after one.

--- a/packages/gateway/src/crash_quarantine.ts
+++ b/packages/gateway/src/crash_quarantine.ts
@@ -79,6 +79,7 @@
   /** What a lease holder has sent since the connection to the previous one ended. */
   private holderRecords = CrashSuspects.create(quarantinePolicy);
   private exchange: SuspectExchange | undefined;
+  private recordChanges = 0;
 
   private constructor(private readonly options: CrashQuarantineOptions) {}
 
@@ -96,6 +97,11 @@
     return [...this.suspects.all];
   }
 
+  /** Counts the changes of the records. */
+  get changeCount(): number {
+    return this.recordChanges;
+  }
+
   /** Requests that are quarantined or on probation, those with the most crashes first. */
   get quarantined(): Suspect[] {
     return this.suspects.quarantined(this.options.clock.now());
@@ -179,6 +185,7 @@
     // Several endpoints may crash at once while they run copies of a popular request.
     if (this.recentlyServed.has(fingerprint, now))
       suspect = this.suspects.recordSuccess(fingerprint) ?? suspect;
+    this.recordChanges += 1;
     onCrash(run, evidence);
     emit(RUN_CRASHED, {
       content: fingerprint,
@@ -197,6 +204,7 @@
     this.recentlyServed.record(fingerprint, this.options.clock.now());
     const cleared = this.suspects.recordSuccess(fingerprint);
     if (cleared === undefined) return;
+    this.recordChanges += 1;
     this.options.emit(REQUEST_CLEARED, {
       content: fingerprint,
       crashes: cleared.crashes.length,
@@ -212,7 +220,10 @@
       if (this.exchange === undefined) this.holderRecords.merge(suspect, now);
       const before = this.suspicionOf(suspect.fingerprint);
       const isNew = this.suspects.merge(suspect, now);
-      if (isNew) this.logIfQuarantined(suspect.fingerprint, before);
+      if (isNew) {
+        this.recordChanges += 1;
+        this.logIfQuarantined(suspect.fingerprint, before);
+      }
       return isNew;
     });
   }
--- a/packages/gateway/src/quarantine_archive.ts
+++ b/packages/gateway/src/quarantine_archive.ts
@@ -64,6 +64,8 @@
   /** What is stored, to compare with. */
   private storedKey = '';
   private nextCallAt: Instant;
+  /** Changes of the records that have been compared with what is stored. */
+  private comparedChanges: number | undefined;
 
   private constructor(private readonly options: QuarantineArchiveOptions) {
     const {clock} = options;
@@ -97,6 +99,7 @@
       emit(QUARANTINE_STORE_FAILED, {cause: failure.message});
       // Another holder may have written, or a write without a response may still take effect.
       this.revision = undefined;
+      this.comparedChanges = undefined;
       this.nextCallAt = after(clock.now(), CALL_INTERVAL_MILLISECONDS);
     }
   }
@@ -133,12 +136,17 @@
     revision: ObjectVersion | 'absent',
   ): Promise<void> {
     const {store, quarantine, clock, readClocks, emit} = this.options;
+    const {changeCount} = quarantine;
+    if (changeCount === this.comparedChanges) return;
     const quarantined = quarantine.quarantined.slice(
       0,
       MAXIMUM_STORED_REQUESTS,
     );
     const key = keyOf(quarantined);
-    if (key === this.storedKey) return;
+    if (key === this.storedKey) {
+      this.comparedChanges = changeCount;
+      return;
+    }
     const suspects = encodeSuspects(quarantined, clock.now()).flatMap(
       message => message.suspects,
     );
@@ -150,6 +158,7 @@
       revision,
     );
     this.storedKey = key;
+    this.comparedChanges = changeCount;
     emit(QUARANTINE_STORED, {stored: quarantined.length});
   }
 }
