Ask the next lease holder for a permit also while a request waits for another engine

Seen by callers: with its engine at its limit, a request that also waited for its model elsewhere would have waited to its deadline for that alone once the lease holder was lost; found in the last read, before any landing. Cause: a permit decision without an owner was awaited like a refusal by the owner. Change: without an owner the request pauses and chooses again, whatever else it waits for. Evidence: limited_choice.test.ts 'waits for the next lease holder also while ...' never settles without the change.

--- a/packages/gateway/__tests__/limited_choice.test.ts
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -146,6 +146,17 @@
     expect((await refused).startsWith(ErrorCode.EndpointLimited)).toEqual(true);
   });
 
+  it('waits for the next lease holder also while it waits for another endpoint', async () => {
+    const {clock, permits, find, limit} = build('one');
+    limit('one');
+    const served = find(() => sleepFor(clock, 60_000));
+    await clock.advance(600);
+    const holder = new LimitHolder(clock, new LimitNode(clock), () => {});
+    permits.setExchange(holder.exchange);
+    await clock.advance(2_000);
+    expect(await served).toEqual('one after 1600');
+  });
+
   it('asks the next lease holder when the one at which it waits stops', async () => {
     const {clock, permits, find, limit} = build('one');
     limit('one');
--- a/packages/gateway/src/limited_choice.ts
+++ b/packages/gateway/src/limited_choice.ts
@@ -114,15 +114,13 @@
   const {permits, clock} = dependencies;
   const waitUntil = after(requirements.deadline, -serviceMilliseconds);
   const usable = refused.filter(({endpoint}) => isUsable(endpoint));
-  const first = usable.reduce<RefusedEndpoint | undefined>(
-    (earliest, candidate) =>
-      earliest === undefined || candidate.retryAt < earliest.retryAt
-        ? candidate
-        : earliest,
+  const earliest = usable.reduce<RefusedEndpoint | undefined>(
+    (best, candidate) =>
+      best === undefined || candidate.retryAt < best.retryAt ? candidate : best,
     undefined,
   );
-  if (first === undefined) return undefined;
-  const {endpoint} = first;
+  if (earliest === undefined) return undefined;
+  const {endpoint} = earliest;
   const ended = new AbortController();
   const signal = AbortSignal.any([requirements.signal, ended.signal]);
   const permit = permits.acquire(
@@ -131,11 +129,15 @@
     signal,
   );
   const hasUnlimited = isResolved(choice.waitForUnlimited?.(signal));
-  const isPermitFirst = await Promise.race([
-    permit.then(refusal => refusal === undefined),
-    hasUnlimited.then(() => false),
+  // A refusal by the owner is final; without an owner, the request asks the next one.
+  const isRefused = permit.then(
+    refusal => refusal !== undefined && !refusal.isUnowned,
+  );
+  const first = await Promise.race([
+    isRefused.then(refused => (refused ? 'refused' : 'decided')),
+    hasUnlimited.then(has => (has ? 'unlimited' : 'none')),
   ]);
-  if (!isPermitFirst && (await hasUnlimited)) {
+  if (first === 'unlimited' || (first === 'refused' && (await hasUnlimited))) {
     ended.abort();
     return 'choose again';
   }
