--- a/packages/gateway/src/endpoint_limits.ts
+++ b/packages/gateway/src/endpoint_limits.ts
@@ -1,5 +1,5 @@
 /**
- * The request limits that endpoints in need name in their responses, each for all nodes
+ * The request limits that overloaded endpoints name in their responses, each for all nodes
  * together, as far as this node knows them.
  */
 
@@ -18,7 +18,7 @@
 
 /**
  * Lowest limit that is applied. An endpoint that gets no requests couldn't tell that its
- * need has ended.
+ * overload has ended.
  */
 const MINIMUM_REQUESTS_PER_SECOND = 0.1;
 
