Spread the return of refused callers also after thirty seconds of refusals

Seen by callers: while the endpoints of a service stay at their limits, every refused caller was told to come back after the same 30 s. Cause: the time for the next return only moved on, up to its bound, and stayed there. Change: beyond the bound it starts over.

--- a/packages/admission/__tests__/shared_rate.test.ts
+++ b/packages/admission/__tests__/shared_rate.test.ts
@@ -87,14 +87,16 @@
     expect(decisions.get('second')?.kind).toEqual('refused');
   });
 
-  it('tells refused requests to return one after the other at the rate of the limit, within 30 seconds', async () => {
+  it('tells refused requests to return one after the other at the rate of the limit, and starts over after 30 seconds', async () => {
     const {clock, ask, retryIn} = build(2);
     for (let index = 0; index < 100; index += 1) ask(`r${index}`, 1, 0);
     await clock.advance(0);
     expect([retryIn('r0'), retryIn('r1'), retryIn('r2')]).toEqual([
       500, 1_000, 1_500,
     ]);
-    expect(retryIn('r99')).toEqual(30_000);
+    expect([retryIn('r59'), retryIn('r60'), retryIn('r99')]).toEqual([
+      30_000, 500, 20_000,
+    ]);
   });
 
   it('gives out no more than its share of the limit and a burst', async () => {
--- a/packages/admission/src/shared_rate.ts
+++ b/packages/admission/src/shared_rate.ts
@@ -169,16 +169,19 @@
       settle({kind: 'refused', retryAt: this.takeReturnTime(now)});
   }
 
-  /** Spreads the return of refused requests at the rate of the limit. */
+  /**
+   * Spreads the return of refused requests at the rate of the limit. Beyond the latest time it
+   * starts over: most of them won't return.
+   */
   private takeReturnTime(now: Instant): Instant {
     const freeAt = this.bucket.readyAt(this.waiters.length + 1, now);
-    const returnAt = later(this.nextReturnAt, freeAt);
+    const latest = after(now, MAXIMUM_RETURN_MILLISECONDS);
+    const next = later(this.nextReturnAt, freeAt);
+    const returnAt = next > latest ? earlier(freeAt, latest) : next;
     this.nextReturnAt = after(
       returnAt,
       MILLISECONDS_PER_SECOND / this.perSecond,
     );
-    const latest = after(now, MAXIMUM_RETURN_MILLISECONDS);
-    this.nextReturnAt = earlier(this.nextReturnAt, latest);
-    return earlier(returnAt, latest);
+    return returnAt;
   }
 }
