Log the parts of the prompt of each request whose endpoint crashed

Cause: the hypotheses about BUDGET and LOST differ in what the requests that ran at crashed engines have in common; no line of the log showed it. Change: the ids of the parts that requests may share are decoded, equal for all spellings, and the first eight are in run-crashed. No decision uses them yet.

--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -5,6 +5,7 @@
 
 import type {
   AdapterName,
+  Brand,
   EndpointId,
   Milliseconds,
   ModelName,
@@ -14,6 +15,11 @@
 /** Alternating header names and values, as received. */
 export type RawHeaders = readonly string[];
 
+/**
+ * Identity of a part of a prompt, equal for all spellings of the same id.
+ */
+export type PromptPartId = Brand<string, 'PromptPartId'>;
+
 /** A part of a prompt; requests share a prefix if they begin with the same parts. */
 export interface PromptPart {
   readonly id: string;
@@ -33,6 +39,11 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly prompt: readonly PromptPart[];
+  /**
+   * The parts of the prompt that other requests may share, which are all but the last, each
+   * once. Includes parts that are malformed otherwise, since an endpoint may read them.
+   */
+  readonly sharedParts: readonly PromptPartId[];
   /** Id of the last event that the caller received from this stream. */
   readonly resumeAfter: string | undefined;
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -11,6 +11,7 @@
   EndpointProtocol,
   ForwardingOptions,
   PromptPart,
+  PromptPartId,
   RawHeaders,
   RequestMetadata,
   RequestLimitStatement,
--- a/packages/gateway/__tests__/crash_detector.test.ts
+++ b/packages/gateway/__tests__/crash_detector.test.ts
@@ -43,6 +43,7 @@
     detector.applyEndpointChanges(table.replaceAll(listed, undefined));
   const run = (at: EndpointDescription, content = 'x'): BrokenRun => ({
     fingerprint: as<Fingerprint>(content),
+    sharedParts: [],
     endpoint: at,
     sentAt: clock.now(),
     hadResponded: false,
--- a/packages/gateway/__tests__/quarantine_cluster.ts
+++ b/packages/gateway/__tests__/quarantine_cluster.ts
@@ -109,6 +109,7 @@
     node.recordCrash(
       {
         fingerprint,
+        sharedParts: [],
         endpoint: ENDPOINT,
         sentAt: this.clock.now(),
         hadResponded: false,
--- a/packages/gateway/src/crash_detector.ts
+++ b/packages/gateway/src/crash_detector.ts
@@ -9,7 +9,7 @@
   EndpointTableChange,
   Incarnation,
 } from '@siskinmux/endpoints';
-import type {ProbeResult} from '@siskinmux/forwarding';
+import type {ProbeResult, PromptPartId} from '@siskinmux/forwarding';
 import type {
   Clock,
   Fingerprint,
@@ -28,6 +28,8 @@
 /** A run that ended without a complete response. */
 export interface BrokenRun {
   readonly fingerprint: Fingerprint;
+  /** The parts of the prompt that other requests may share. */
+  readonly sharedParts: readonly PromptPartId[];
   readonly endpoint: EndpointDescription;
   readonly sentAt: Instant;
   /** Whether the endpoint had begun to respond. */
--- a/packages/gateway/src/crash_quarantine.ts
+++ b/packages/gateway/src/crash_quarantine.ts
@@ -45,6 +45,9 @@
 /** `Retry-After` while the lease holder can't be asked, or another node tries the request. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 5_000;
 
+/** Bound on the parts of a prompt in one log line. */
+const MAXIMUM_LOGGED_PARTS = 8;
+
 /** How the quarantine of the gateway lengthens with the crashes. */
 export const quarantinePolicy: QuarantinePolicy = crashCount =>
   QUARANTINE_MILLISECONDS[
@@ -174,7 +177,7 @@
     evidence: CrashEvidence,
   ): void => {
     const {clock, emit, onCrash} = this.options;
-    const {fingerprint, hadResponded, endpoint} = run;
+    const {fingerprint, sharedParts, hadResponded, endpoint} = run;
     const before = this.suspicionOf(fingerprint);
     const now = clock.now();
     let suspect = this.suspects.recordCrash(
@@ -189,6 +192,7 @@
     onCrash(run, evidence);
     emit(RUN_CRASHED, {
       content: fingerprint,
+      parts: sharedParts.slice(0, MAXIMUM_LOGGED_PARTS).join(' '),
       endpoint: endpoint.id,
       crash,
       evidence,
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -186,7 +186,7 @@
   name: 'run-crashed',
   level: 'warn',
   meaning:
-    'An endpoint crashed while it ran a request of this node. `content` is the fingerprint of the request, `crash` the incarnation that ended; other requests that ran there have a line with the same `crash`. `evidence`: `refused` if no process listened at the address any more, `restarted` if the endpoint has a new incarnation. `crashes` is the number of crashes attributed to the request so far, on all nodes.',
+    'An endpoint crashed while it ran a request of this node. `content` is the fingerprint of the request, `parts` are the first eight parts of its prompt that other requests may share, `crash` is the incarnation that ended; other requests that ran there have a line with the same `crash`. `evidence`: `refused` if no process listened at the address any more, `restarted` if the endpoint has a new incarnation. `crashes` is the number of crashes attributed to the request so far, on all nodes.',
 };
 
 /** A request is quarantined. */
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -131,6 +131,7 @@
     this.containment = RequestContainment.create(
       dependencies,
       metadata.id,
+      metadata.sharedParts,
       () => this.contentFingerprint(),
     );
   }
--- a/packages/gateway/src/request_containment.ts
+++ b/packages/gateway/src/request_containment.ts
@@ -1,7 +1,7 @@
 /** One request's checks against the quarantine, and its reports of broken runs. */
 
 import type {EndpointDescription} from '@siskinmux/endpoints';
-import type {SentRequest} from '@siskinmux/forwarding';
+import type {PromptPartId, SentRequest} from '@siskinmux/forwarding';
 import type {
   Clock,
   EmitEvent,
@@ -12,7 +12,7 @@
   RequestId,
 } from '@siskinmux/kernel';
 import {until} from '@siskinmux/kernel';
-import type {CrashDetector} from './crash_detector.js';
+import type {BrokenRun, CrashDetector} from './crash_detector.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import {RUN_ABORTED} from './gateway_events.js';
 
@@ -42,6 +42,7 @@
   private constructor(
     private readonly dependencies: ContainmentDependencies,
     private readonly id: RequestId,
+    private readonly sharedParts: readonly PromptPartId[],
     private readonly computeFingerprint: () => Fingerprint,
   ) {}
 
@@ -49,9 +50,15 @@
   static create(
     dependencies: ContainmentDependencies,
     id: RequestId,
+    sharedParts: readonly PromptPartId[],
     computeFingerprint: () => Fingerprint,
   ): RequestContainment {
-    return new RequestContainment(dependencies, id, computeFingerprint);
+    return new RequestContainment(
+      dependencies,
+      id,
+      sharedParts,
+      computeFingerprint,
+    );
   }
 
   /** Equal for requests that an endpoint can't tell apart, apart from ids and deadlines. */
@@ -60,6 +67,11 @@
     return this.knownFingerprint;
   }
 
+  private get identity(): Pick<BrokenRun, 'fingerprint' | 'sharedParts'> {
+    const {fingerprint, sharedParts} = this;
+    return {fingerprint, sharedParts};
+  }
+
   /** Throws a `RefusalError` if the request may not be sent now. */
   async throwIfWithheld(): Promise<void> {
     const {quarantine} = this.dependencies;
@@ -110,10 +122,7 @@
     const {crashDetector, clock, emit} = this.dependencies;
     const {endpoint, sentRequest, sentAt, hadResponded} = run;
     if (!sentRequest.isAborted) {
-      await crashDetector.checkBrokenRun({
-        ...run,
-        fingerprint: this.fingerprint,
-      });
+      await crashDetector.checkBrokenRun({...run, ...this.identity});
       return;
     }
     const elapsed = until(sentAt, clock.now());
@@ -127,7 +136,7 @@
       hadResponded,
       isSilent,
     });
-    const broken = {...run, fingerprint: this.fingerprint};
+    const broken = {...run, ...this.identity};
     if (isSilent) crashDetector.watchForRestart(broken);
     else crashDetector.watchWhileSilent(broken);
   }
