Move the containment of crashes into a package of its own

Cause: the record of crashes lay in routing, and its detection, exchange and archive in gateway, out of reach of the product's own interface, which needs the same. Change: packages/containment with the files as they were, its events and its tests; the in-memory store and the described engines of tests move to testkit. An unreadable archive has an event of its own (quarantine-unreadable), as its previous one belongs to gateway. No other behaviour changes.

--- a/packages/benchmarks/src/measure_state.ts
+++ b/packages/benchmarks/src/measure_state.ts
@@ -23,9 +23,10 @@
 import {declarationsSchema} from '@siskinmux/declarations';
 import type {AttemptId, ClaimKey} from '@siskinmux/ledger';
 import {ClaimTable, encodeRecord} from '@siskinmux/ledger';
-import type {CrashId} from '@siskinmux/routing';
+import type {CrashId} from '@siskinmux/containment';
 import {SharedRate} from '@siskinmux/admission';
-import {CrashSuspects, fingerprintOf, rankMembers} from '@siskinmux/routing';
+import {CrashSuspects} from '@siskinmux/containment';
+import {fingerprintOf, rankMembers} from '@siskinmux/routing';
 
 const NOW = as<Instant>(1_700_000_000_000);
 const CLAIM_COUNT = 100_000;
--- a/packages/gateway/__tests__/crash_detector.test.ts
+++ b/packages/containment/__tests__/crash_detector.test.ts
@@ -5,10 +5,9 @@
 import type {ProbeResult} from '@siskinmux/forwarding';
 import type {EndpointId, Fingerprint, ServiceName} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import {VirtualClock} from '@siskinmux/testkit';
+import {VirtualClock, createEngineDescription} from '@siskinmux/testkit';
 import type {BrokenRun} from '../src/crash_detector.js';
 import {CrashDetector} from '../src/crash_detector.js';
-import {createEngineDescription} from './engine_description.js';
 
 const service = as<ServiceName>('text');
 
--- a/packages/gateway/__tests__/quarantine_cluster.ts
+++ b/packages/containment/__tests__/quarantine_cluster.ts
@@ -2,8 +2,13 @@
 
 import type {EndpointId, Fingerprint, ServiceName} from '@siskinmux/kernel';
 import {as, discardEvents} from '@siskinmux/kernel';
-import type {CrashId, Suspect} from '@siskinmux/routing';
-import {VirtualClock} from '@siskinmux/testkit';
+import type {CrashId, Suspect} from '../src/index.js';
+import {
+  MemoryStore,
+  SharedObjects,
+  VirtualClock,
+  createEngineDescription,
+} from '@siskinmux/testkit';
 import {CrashQuarantine} from '../src/crash_quarantine.js';
 import {QuarantineArchive} from '../src/quarantine_archive.js';
 import {
@@ -11,8 +16,6 @@
   encodeSuspects,
   suspectsSchema,
 } from '../src/suspect_messages.js';
-import {createEngineDescription} from './engine_description.js';
-import {MemoryStore, SharedObjects} from './memory_store.js';
 
 /** The endpoint that runs all requests. */
 export const ENDPOINT = createEngineDescription(
--- a/packages/gateway/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -17,7 +17,7 @@
   Milliseconds,
 } from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
-import type {CrashId} from '@siskinmux/routing';
+import type {CrashId} from './crash_suspects.js';
 
 /** An endpoint that crashed has started again, and its entry has been read, within this time. */
 const RESTART_WINDOW_MILLISECONDS: Milliseconds = 15_000;
--- a/packages/gateway/src/crash_quarantine.ts
+++ b/packages/containment/src/crash_quarantine.ts
@@ -19,15 +19,15 @@
   QuarantinePolicy,
   Suspect,
   Suspicion,
-} from '@siskinmux/routing';
-import {CrashSuspects} from '@siskinmux/routing';
+} from './crash_suspects.js';
+import {CrashSuspects} from './crash_suspects.js';
 import type {BrokenRun, CrashEvidence} from './crash_detector.js';
 import {
   REQUEST_CLEARED,
   REQUEST_QUARANTINED,
   REQUEST_WITHHELD,
   RUN_CRASHED,
-} from './gateway_events.js';
+} from './containment_events.js';
 import {RecentlyServed} from './recently_served.js';
 import {SuspectRuns} from './suspect_runs.js';
 
--- /dev/null
+++ b/packages/containment/src/index.ts
@@ -0,0 +1,28 @@
+/** Containment of requests that crash endpoints: detection, attribution and quarantine. */
+
+export {CONTAINMENT_EVENTS} from './containment_events.js';
+export type {BrokenRun, CrashEvidence} from './crash_detector.js';
+export {CrashDetector} from './crash_detector.js';
+export type {
+  CrashQuarantineOptions,
+  SuspectExchange,
+} from './crash_quarantine.js';
+export {CrashQuarantine} from './crash_quarantine.js';
+export type {
+  CrashId,
+  QuarantinePolicy,
+  RunCrash,
+  Suspect,
+  Suspicion,
+} from './crash_suspects.js';
+export {CrashSuspects} from './crash_suspects.js';
+export {QuarantineArchive} from './quarantine_archive.js';
+export type {ContainmentDependencies, EndedRun} from './request_containment.js';
+export {RequestContainment} from './request_containment.js';
+export {
+  decodeSuspects,
+  encodeSuspects,
+  probationResponseSchema,
+  probationSchema,
+  suspectsSchema,
+} from './suspect_messages.js';
--- a/packages/gateway/src/quarantine_archive.ts
+++ b/packages/containment/src/quarantine_archive.ts
@@ -13,17 +13,17 @@
 import {SiskinmuxError, after, as, until} from '@siskinmux/kernel';
 import type {ClockReading} from '@siskinmux/leases';
 import type {MetadataStore} from '@siskinmux/ports';
-import type {Suspect} from '@siskinmux/routing';
+import type {Suspect} from './crash_suspects.js';
 import type {PeriodicJob} from '@siskinmux/runtime';
 import {createPeriodicJob} from '@siskinmux/runtime';
 import {z} from 'zod';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import {
-  ENTRY_UNREADABLE,
   QUARANTINE_RESTORED,
   QUARANTINE_STORED,
   QUARANTINE_STORE_FAILED,
-} from './gateway_events.js';
+  QUARANTINE_UNREADABLE,
+} from './containment_events.js';
 import {
   decodeSuspects,
   encodeSuspects,
@@ -112,7 +112,7 @@
     if (object === undefined) return 'absent';
     const parsed = archiveSchema.safeParse(object.content);
     if (!parsed.success) {
-      emit(ENTRY_UNREADABLE, {kind: ARCHIVE_KIND, name: ARCHIVE_NAME});
+      emit(QUARANTINE_UNREADABLE, {kind: ARCHIVE_KIND, name: ARCHIVE_NAME});
       return object.revision;
     }
     const {timeOfDay} = readClocks();
--- a/packages/gateway/src/request_containment.ts
+++ b/packages/containment/src/request_containment.ts
@@ -14,7 +14,7 @@
 import {until} from '@siskinmux/kernel';
 import type {BrokenRun, CrashDetector} from './crash_detector.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
-import {RUN_ABORTED} from './gateway_events.js';
+import {RUN_ABORTED} from './containment_events.js';
 
 /** After a shorter silence, a later response of the endpoint clears the run. */
 const MINIMUM_SILENCE_MILLISECONDS: Milliseconds = 1_000;
--- a/packages/gateway/src/suspect_messages.ts
+++ b/packages/containment/src/suspect_messages.ts
@@ -2,7 +2,7 @@
 
 import type {Fingerprint, Instant} from '@siskinmux/kernel';
 import {after, as, until} from '@siskinmux/kernel';
-import type {CrashId, Suspect} from '@siskinmux/routing';
+import type {CrashId, Suspect} from './crash_suspects.js';
 import {z} from 'zod';
 
 /** Records in one message; a new node gets several messages. */
--- a/packages/gateway/__tests__/endpoint_choice.test.ts
+++ b/packages/gateway/__tests__/endpoint_choice.test.ts
@@ -9,12 +9,16 @@
 } from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import {OutlierDetector} from '@siskinmux/routing';
-import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import {
+  ENGINE_SLOTS,
+  VirtualClock,
+  createEngineDescription,
+  createSeededRandom,
+} from '@siskinmux/testkit';
 import {ClusterLoad} from '../src/cluster_load.js';
 import type {ChoiceDependencies} from '../src/endpoint_choice.js';
 import {chooseEngine} from '../src/endpoint_choice.js';
 import {InFlightCounts} from '../src/in_flight_counts.js';
-import {ENGINE_SLOTS, createEngineDescription} from './engine_description.js';
 
 const ENGINES = 20;
 const NODES = 90;
--- a/packages/gateway/__tests__/endpoint_limits.test.ts
+++ b/packages/gateway/__tests__/endpoint_limits.test.ts
@@ -3,9 +3,8 @@
 import type {RequestLimitStatement, ResponseHead} from '@siskinmux/forwarding';
 import type {EndpointId, ServiceName} from '@siskinmux/kernel';
 import {after, as, discardEvents} from '@siskinmux/kernel';
-import {VirtualClock} from '@siskinmux/testkit';
+import {VirtualClock, createEngineDescription} from '@siskinmux/testkit';
 import {EndpointLimits} from '../src/endpoint_limits.js';
-import {createEngineDescription} from './engine_description.js';
 import {ENDPOINT, createResponse} from './limit_cluster.js';
 
 const {incarnation} = ENDPOINT;
--- a/packages/gateway/__tests__/idle_connections.test.ts
+++ b/packages/gateway/__tests__/idle_connections.test.ts
@@ -6,7 +6,7 @@
 import type {RouteConfiguration, RouteVersion} from '@siskinmux/routes';
 import {ActiveRoutes} from '../src/active_routes.js';
 import {createIdleLimit} from '../src/idle_connections.js';
-import {createEngineDescription} from './engine_description.js';
+import {createEngineDescription} from '@siskinmux/testkit';
 
 const service = as<ServiceName>('text');
 const engine = as<EndpointId>('engine-1');
--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -2,10 +2,14 @@
 import {expect} from 'earl';
 import type {Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, discardEvents} from '@siskinmux/kernel';
-import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import {
+  MemoryStore,
+  SharedObjects,
+  VirtualClock,
+  createSeededRandom,
+} from '@siskinmux/testkit';
 import {ChangeFeed} from '../src/change_feed.js';
 import {KindWatcher} from '../src/kind_watcher.js';
-import {MemoryStore, SharedObjects} from './memory_store.js';
 
 interface Environment {
   readonly clock: VirtualClock;
--- a/packages/gateway/__tests__/leader_election.test.ts
+++ b/packages/gateway/__tests__/leader_election.test.ts
@@ -3,11 +3,15 @@
 import type {Instant, Milliseconds, NodeId, Random} from '@siskinmux/kernel';
 import {as, discardEvents, randomBelow} from '@siskinmux/kernel';
 import type {HeldLease, LeaseObservation, LeaseRules} from '@siskinmux/leases';
-import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import {
+  MemoryStore,
+  SharedObjects,
+  VirtualClock,
+  createSeededRandom,
+} from '@siskinmux/testkit';
 import type {HolderConnection} from '../src/leader_election.js';
 import {LeaderElection} from '../src/leader_election.js';
 import {LeaseStore} from '../src/lease_store.js';
-import {MemoryStore, SharedObjects} from './memory_store.js';
 
 const RULES: LeaseRules = {leaseMilliseconds: 3_000, isFencingEnforced: true};
 
--- a/packages/gateway/__tests__/limit_cluster.ts
+++ b/packages/gateway/__tests__/limit_cluster.ts
@@ -26,7 +26,7 @@
 import {limitShareOf} from '../src/limit_share.js';
 import type {PermitExchange} from '../src/send_permits.js';
 import {SendPermits} from '../src/send_permits.js';
-import {createEngineDescription} from './engine_description.js';
+import {createEngineDescription} from '@siskinmux/testkit';
 
 export const LEASE_RULES: LeaseRules = {
   leaseMilliseconds: 3_000,
--- a/packages/gateway/__tests__/limited_choice.test.ts
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -14,12 +14,11 @@
   sleepFor,
   until,
 } from '@siskinmux/kernel';
-import {VirtualClock} from '@siskinmux/testkit';
+import {VirtualClock, createEngineDescription} from '@siskinmux/testkit';
 import {EndpointLimits} from '../src/endpoint_limits.js';
 import type {LimitOutcome} from '../src/limited_choice.js';
 import {chooseWithinLimits} from '../src/limited_choice.js';
 import {SendPermits} from '../src/send_permits.js';
-import {createEngineDescription} from './engine_description.js';
 import {LimitHolder, LimitNode, createResponse} from './limit_cluster.js';
 
 const SERVICE = as<ServiceName>('text');
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -14,7 +14,11 @@
 import {ErrorCode, after, as, discardEvents} from '@siskinmux/kernel';
 import type {NodeUsage} from '@siskinmux/placement';
 import {OutlierDetector} from '@siskinmux/routing';
-import {VirtualClock, createSeededRandom} from '@siskinmux/testkit';
+import {
+  VirtualClock,
+  createEngineDescription,
+  createSeededRandom,
+} from '@siskinmux/testkit';
 import type {AllocatorApi} from '../src/allocator_api.js';
 import {ClusterLoad} from '../src/cluster_load.js';
 import type {EndpointRequirements} from '../src/endpoint_choice.js';
@@ -22,7 +26,6 @@
 import {InFlightCounts} from '../src/in_flight_counts.js';
 import {PlacementClient} from '../src/placement_client.js';
 import {SendPermits} from '../src/send_permits.js';
-import {createEngineDescription} from './engine_description.js';
 
 const service = as<ServiceName>('text');
 const engine = as<EndpointId>('engine-1');
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -8,7 +8,7 @@
   NodeUsage,
   ReadinessForecast,
 } from '@siskinmux/placement';
-import type {SuspectExchange} from './crash_quarantine.js';
+import type {SuspectExchange} from '@siskinmux/containment';
 import type {PermitExchange} from './send_permits.js';
 
 /** Calls from a node to the allocator. */
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -29,12 +29,11 @@
 } from '@siskinmux/placement';
 import {Allocator, LoadLimiter} from '@siskinmux/placement';
 import type {RouteConfiguration} from '@siskinmux/routes';
-import type {Suspect} from '@siskinmux/routing';
+import type {CrashQuarantine, Suspect} from '@siskinmux/containment';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {KindRead} from './change_feed.js';
 import {ChangeFeed} from './change_feed.js';
 import type {EndpointLoad} from './cluster_load.js';
-import type {CrashQuarantine} from './crash_quarantine.js';
 import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 import {Follower} from './follower.js';
 import {
@@ -64,7 +63,7 @@
   encodeSuspects,
   probationSchema,
   suspectsSchema,
-} from './suspect_messages.js';
+} from '@siskinmux/containment';
 
 /** Interval between heartbeats to the followers, whose timeout covers three of them. */
 export const HEARTBEAT_MILLISECONDS: Milliseconds = 300;
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -1,5 +1,6 @@
 /** Numbered events of the gateway. */
 
+import {CONTAINMENT_EVENTS} from '@siskinmux/containment';
 import type {EventDescriptor} from '@siskinmux/kernel';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
 import {renderEventsPage} from '@siskinmux/runtime';
@@ -180,78 +181,6 @@
     'This node shares the limits on retries with another number of nodes than before, or has run long enough to use its part of the allowance. `nodes` is missing until a lease holder has been found; `allowance` is the number of retries for each service that it may accumulate beyond its share of the requests.',
 };
 
-/** An endpoint crashed while it ran a request. */
-export const RUN_CRASHED: EventDescriptor = {
-  number: 7021,
-  name: 'run-crashed',
-  level: 'warn',
-  meaning:
-    'An endpoint crashed while it ran a request of this node. `content` is the fingerprint of the request, `parts` are the first eight parts of its prompt that other requests may share, `crash` is the incarnation that ended; other requests that ran there have a line with the same `crash`. `evidence`: `refused` if no process listened at the address any more, `restarted` if the endpoint has a new incarnation. `crashes` is the number of crashes attributed to the request so far, on all nodes.',
-};
-
-/** A request is quarantined. */
-export const REQUEST_QUARANTINED: EventDescriptor = {
-  number: 7022,
-  name: 'request-quarantined',
-  level: 'warn',
-  meaning:
-    'Requests with this `content` crashed `crashes` endpoints and are refused for the given milliseconds. Each node writes this line.',
-};
-
-/** A request was refused because of its quarantine. */
-export const REQUEST_WITHHELD: EventDescriptor = {
-  number: 7023,
-  name: 'request-withheld',
-  level: 'info',
-  meaning:
-    'A request was not sent because requests with the same `content` crashed endpoints. `retryIn` is the time in milliseconds after which it may be sent again.',
-};
-
-/** An endpoint completed a request that was suspected before. */
-export const REQUEST_CLEARED: EventDescriptor = {
-  number: 7024,
-  name: 'request-cleared',
-  level: 'info',
-  meaning:
-    'An endpoint has completed a request with this `content`, so that it was not the cause of the crashes recorded for it.',
-};
-
-/** This node ended a run before the endpoint had responded completely. */
-export const RUN_ABORTED: EventDescriptor = {
-  number: 7025,
-  name: 'run-aborted',
-  level: 'info',
-  meaning:
-    'This node ended a run before the endpoint had responded completely: the caller left, or a timeout passed. `life` is the incarnation of the endpoint, `elapsed` the milliseconds since the request was sent, `hadResponded` says whether a response had begun. The run counts as a crash should the endpoint turn out to have restarted; unless `isSilent`, only as long as the same process has not responded since.',
-};
-
-/** The lease holder has read the quarantined requests from the store. */
-export const QUARANTINE_RESTORED: EventDescriptor = {
-  number: 7026,
-  name: 'quarantine-restored',
-  level: 'info',
-  meaning:
-    'This node holds the lease and has read the quarantined requests from the store: `stored` of them, of which it did not know `added`. `age` is the time in milliseconds since they were written.',
-};
-
-/** The lease holder has written the quarantined requests to the store. */
-export const QUARANTINE_STORED: EventDescriptor = {
-  number: 7027,
-  name: 'quarantine-stored',
-  level: 'info',
-  meaning:
-    'This node holds the lease and has written the quarantined requests to the store, after a change.',
-};
-
-/** The lease holder could not read or write the quarantined requests. */
-export const QUARANTINE_STORE_FAILED: EventDescriptor = {
-  number: 7028,
-  name: 'quarantine-store-failed',
-  level: 'warn',
-  meaning:
-    'This node holds the lease and could not read or write the quarantined requests in the store. It keeps them in memory and tries again after a second.',
-};
-
 /** An endpoint names another request limit than before, or none any more. */
 export const ENDPOINT_LIMIT_CHANGED: EventDescriptor = {
   number: 7029,
@@ -301,14 +230,7 @@
   ALLOCATOR_LOST,
   LEASE_UNREACHABLE,
   RETRY_LIMITS_CHANGED,
-  RUN_CRASHED,
-  REQUEST_QUARANTINED,
-  REQUEST_WITHHELD,
-  REQUEST_CLEARED,
-  RUN_ABORTED,
-  QUARANTINE_RESTORED,
-  QUARANTINE_STORED,
-  QUARANTINE_STORE_FAILED,
+  ...CONTAINMENT_EVENTS,
   ENDPOINT_LIMIT_CHANGED,
   ENDPOINT_LIMIT_INVALID,
   REQUEST_LIMITED,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -42,8 +42,7 @@
 import {CallerListener} from './caller_listener.js';
 import {readGatewaySettings} from './check_settings.js';
 import {ClusterLoad} from './cluster_load.js';
-import {CrashDetector} from './crash_detector.js';
-import {CrashQuarantine} from './crash_quarantine.js';
+import {CrashDetector, CrashQuarantine} from '@siskinmux/containment';
 import {
   ENTRY_UNREADABLE,
   GATEWAY_EVENTS,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -35,7 +35,7 @@
 import type {AllocatorApi} from './allocator_api.js';
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
-import type {CrashQuarantine} from './crash_quarantine.js';
+import type {CrashQuarantine} from '@siskinmux/containment';
 import type {ChoiceDependencies, FindEndpoint} from './endpoint_choice.js';
 import {createPlainEndpointFinder} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
@@ -51,7 +51,7 @@
 } from './placement_client.js';
 import type {HeartbeatMessage} from './placement_messages.js';
 import {PEER_METHODS, helloSchema} from './placement_messages.js';
-import {QuarantineArchive} from './quarantine_archive.js';
+import {QuarantineArchive} from '@siskinmux/containment';
 import {RemoteAllocator} from './remote_allocator.js';
 import {SendPermits} from './send_permits.js';
 
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -52,8 +52,8 @@
 import type {InFlightCounts} from './in_flight_counts.js';
 import {InactivityTimer} from './inactivity_timer.js';
 import {refusalResponse} from './refusal_response.js';
-import type {ContainmentDependencies, EndedRun} from './request_containment.js';
-import {RequestContainment} from './request_containment.js';
+import type {ContainmentDependencies, EndedRun} from '@siskinmux/containment';
+import {RequestContainment} from '@siskinmux/containment';
 import {
   bufferBody,
   isSuccess,
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -17,7 +17,7 @@
   AdapterRequest,
   NodeUsage,
 } from '@siskinmux/placement';
-import type {Suspect} from '@siskinmux/routing';
+import type {Suspect} from '@siskinmux/containment';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {EndpointLimit} from './endpoint_limits.js';
 import {
@@ -46,7 +46,7 @@
   encodeSuspects,
   probationResponseSchema,
   suspectsSchema,
-} from './suspect_messages.js';
+} from '@siskinmux/containment';
 
 /** Timeout of a request for a grant, which takes a round trip and an order to an engine. */
 const GRANT_TIMEOUT_MILLISECONDS: Milliseconds = 600;
--- a/packages/gateway/src/request_metrics.ts
+++ b/packages/gateway/src/request_metrics.ts
@@ -2,7 +2,7 @@
 
 import type {Registry} from 'prom-client';
 import {Counter, Gauge, Histogram} from 'prom-client';
-import type {CrashQuarantineOptions} from './crash_quarantine.js';
+import type {CrashQuarantineOptions} from '@siskinmux/containment';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {NodePlacementOptions} from './node_placement.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
--- a/packages/node/src/requests_plugin.ts
+++ b/packages/node/src/requests_plugin.ts
@@ -17,8 +17,9 @@
   TextRequests,
   requestQuarantinePolicy,
 } from '@siskinmux/requests';
-import type {Suspect} from '@siskinmux/routing';
-import {CrashSuspects, RetryBudget} from '@siskinmux/routing';
+import type {Suspect} from '@siskinmux/containment';
+import {CrashSuspects} from '@siskinmux/containment';
+import {RetryBudget} from '@siskinmux/routing';
 import {Gauge} from 'prom-client';
 import {z} from 'zod';
 import {ALLOCATION} from './allocation_task.js';
--- a/packages/requests/src/request_quarantine.ts
+++ b/packages/requests/src/request_quarantine.ts
@@ -22,7 +22,7 @@
   CrashSuspects,
   QuarantinePolicy,
   Suspect,
-} from '@siskinmux/routing';
+} from '@siskinmux/containment';
 import {createDeadlineSignal} from './deadline_signal.js';
 
 /** Timeout of the status call that checks an engine after its response broke off. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,15 +1,7 @@
-/** Routing: endpoint choice, retry budgets, outlier ejection and request quarantine. */
+/** Routing: endpoint choice, retry budgets and outlier ejection. */
 
 export type {Candidate, ChoiceContext} from './choose_endpoint.js';
 export {CROSS_DOMAIN_COST, chooseEndpoint} from './choose_endpoint.js';
-export type {
-  CrashId,
-  QuarantinePolicy,
-  RunCrash,
-  Suspect,
-  Suspicion,
-} from './crash_suspects.js';
-export {CrashSuspects} from './crash_suspects.js';
 export {fingerprintOf} from './fingerprint.js';
 export {OutlierDetector} from './outlier_detector.js';
 export {hash32, ownerOf, rankMembers} from './rendezvous.js';
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,6 @@
-/** Virtual time and seeded random numbers for tests and benchmarks. */
+/** Virtual time, seeded random numbers and an in-memory store, for tests and benchmarks. */
 
+export {ENGINE_SLOTS, createEngineDescription} from './engine_description.js';
+export {MemoryStore, SharedObjects} from './memory_store.js';
 export {createSeededRandom} from './seeded_random.js';
 export {VirtualClock} from './virtual_clock.js';
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -44,9 +44,9 @@
 
 /** The only tests for faults in the gateway, which no scenario runs. */
 const GATEWAY_TESTS = [
-  'packages/routing/__tests__/crash_suspects.test.ts',
-  'packages/gateway/__tests__/crash_detector.test.ts',
-  'packages/gateway/__tests__/crash_quarantine.test.ts',
+  'packages/containment/__tests__/crash_suspects.test.ts',
+  'packages/containment/__tests__/crash_detector.test.ts',
+  'packages/containment/__tests__/crash_quarantine.test.ts',
   'packages/gateway/__tests__/retry_budgets.test.ts',
   'packages/placement/__tests__/adapter_cache.test.ts',
   'packages/placement/__tests__/plan_models.test.ts',
