--- a/packages/benchmarks/src/measure_state.ts
+++ b/packages/benchmarks/src/measure_state.ts
@@ -23,7 +23,7 @@
 import {declarationsSchema} from '@siskinmux/declarations';
 import type {AttemptId, ClaimKey} from '@siskinmux/ledger';
 import {ClaimTable, encodeRecord} from '@siskinmux/ledger';
-import type {CrashId} from '@siskinmux/containment';
+import type {CrashId, Trait} from '@siskinmux/containment';
 import {SharedRate} from '@siskinmux/admission';
 import {CrashSuspects} from '@siskinmux/containment';
 import {fingerprintOf, rankMembers} from '@siskinmux/routing';
@@ -151,7 +151,7 @@
   const suspects = CrashSuspects.create(() => 0);
   const record = (index: number) =>
     suspects.recordCrash(
-      as<Fingerprint>(`f${index}`.padEnd(22, 'x')),
+      [as<Trait>(`f${index}`.padEnd(22, 'x'))],
       {
         crash: as<CrashId>(
           `i-${Math.floor(index / REQUESTS_PER_CRASH)}`.padEnd(26, 'x'),
@@ -164,13 +164,13 @@
   globalThis.gc?.();
   const heap = (process.memoryUsage().heapUsed - before) / SUSPECT_COUNT;
   const json = JSON.stringify([...suspects.all]).length / SUSPECT_COUNT;
-  const fingerprints = [...suspects.all].map(({fingerprint}) => fingerprint);
+  const traits = [...suspects.all].map(({trait}) => [trait]);
   const body = Buffer.alloc(BODY_BYTES);
   return {
     heap,
     json,
     microsecondsPerCheck: microsecondsOf(SUSPECT_COUNT, index =>
-      suspects.suspicionOf(fingerprints[index] ?? fingerprintOf(''), NOW),
+      suspects.suspicionOf(traits[index] ?? [], NOW),
     ),
     microsecondsPerMerge: microsecondsOf(SUSPECT_COUNT, index =>
       record(SUSPECT_COUNT + index),
--- a/packages/cli/__tests__/explain.test.ts
+++ b/packages/cli/__tests__/explain.test.ts
@@ -78,9 +78,9 @@
 const WITHHELD_REQUEST = [
   logLine(1_000, 'a-1-x', 'run-crashed', {content: 'c1', crash: 'e1@1'}),
   logLine(1_500, 'b-1-y', 'run-crashed', {content: 'c1', crash: 'e2@1'}),
-  logLine(1_501, 'a-1-x', 'request-quarantined', {content: 'c1', crashes: 2}),
+  logLine(1_501, 'a-1-x', 'request-quarantined', {trait: 'c1', crashes: 2}),
   logLine(1_600, 'a-1-x', 'run-crashed', {content: 'c2', crash: 'e3@1'}),
-  logLine(9_000, 'a-1-x', 'request-withheld', {id: 'r9', content: 'c1'}),
+  logLine(9_000, 'a-1-x', 'request-withheld', {id: 'r9', trait: 'c1'}),
   logLine(9_001, 'a-1-x', 'request-ended', {
     id: 'r9',
     version: 3,
@@ -90,6 +90,30 @@
   }),
 ];
 
+/** A request that was withheld for a part of its prompt, which another content shares. */
+const WITHHELD_PART = [
+  logLine(1_000, 'a-1-x', 'run-crashed', {
+    content: 'c1',
+    traits: 'part:1f part:2f',
+    crash: 'e1@1',
+  }),
+  logLine(1_500, 'b-1-y', 'run-crashed', {
+    content: 'c2',
+    traits: 'part:3f part:2f',
+    crash: 'e2@1',
+  }),
+  logLine(1_600, 'b-1-y', 'run-crashed', {
+    content: 'c3',
+    traits: 'part:1f part:3f',
+    crash: 'e3@1',
+  }),
+  logLine(9_000, 'a-1-x', 'request-withheld', {
+    id: 'r11',
+    content: 'c4',
+    trait: 'part:2f',
+  }),
+];
+
 /** A request that an endpoint's limit diverted, and then refused; another limit beside it. */
 const LIMITED_REQUEST = [
   logLine(500, 'b-1-y', 'endpoint-limit-changed', {life: 'e1@1', limit: 2.6}),
@@ -167,6 +191,20 @@
     expect(out.at(-1) ?? '').toInclude('not run: requests with the same');
   });
 
+  it('leads from a request that was withheld for a part of its prompt to the crashes of other contents', async () => {
+    const {out} = await explain(
+      '--request',
+      'r11',
+      ...writeLogs(WITHHELD_PART),
+    );
+    const text = out.join(' ');
+    expect([text.includes('e1@1'), text.includes('e2@1')]).toEqual([
+      true,
+      true,
+    ]);
+    expect(text).not.toInclude('e3@1');
+  });
+
   it('leads from a request that was refused for a limit to the response that named it', async () => {
     const {out} = await explain(
       '--request',
--- a/packages/cli/src/explain/explain_request.ts
+++ b/packages/cli/src/explain/explain_request.ts
@@ -14,11 +14,11 @@
   'routes-in-force',
 ]);
 
-/** Events about requests with the same content, at any time and on any node. */
+/** Events about requests with the same trait, at any time and on any node. */
 const CRASH_EVENTS: ReadonlySet<string> = new Set([
   'run-crashed',
   'request-quarantined',
-  'request-cleared',
+  'trait-cleared',
 ]);
 
 /** Events about the limit that an endpoint names. */
@@ -88,14 +88,21 @@
   const withheld = new Set(
     ownLines
       .filter(({event}) => event === 'request-withheld')
-      .map(({fields}) => fields['content']),
+      .map(({fields}) => fields['trait']),
   );
   return allLines.filter(
     ({event, fields}) =>
-      CRASH_EVENTS.has(event) && withheld.has(fields['content']),
+      CRASH_EVENTS.has(event) &&
+      traitsOf(fields).some(trait => withheld.has(trait)),
   );
 }
 
+/** The traits that a line about crashes names. */
+function traitsOf({trait, content, traits}: LogLine['fields']): unknown[] {
+  const others = typeof traits === 'string' ? traits.split(' ') : [];
+  return [trait, content, ...others];
+}
+
 /** Lines about the limits because of which a request was diverted, waited or was refused. */
 function linesOfLimits(
   ownLines: readonly LogLine[],
@@ -125,7 +132,7 @@
           : `no engine could load ${String(model)} in time`
       }.`;
     case 'request-quarantined':
-      return `${prefix}: refused after ${durationMilliseconds} ms, not run: requests with the same content crashed endpoints; the lines \`run-crashed\` name them.`;
+      return `${prefix}: refused after ${durationMilliseconds} ms, not run: requests with the same content or part of a prompt crashed endpoints; the lines \`run-crashed\` name them.`;
     case 'endpoint-limited':
       return `${prefix}: refused after ${durationMilliseconds} ms, not run: all endpoints of the service had named limits that were used up; the lines \`endpoint-limit-changed\` name them.`;
     case 'outcome-unknown':
--- a/packages/containment/__tests__/crash_detector.test.ts
+++ b/packages/containment/__tests__/crash_detector.test.ts
@@ -3,10 +3,11 @@
 import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
 import type {ProbeResult} from '@siskinmux/forwarding';
-import type {EndpointId, Fingerprint, ServiceName} from '@siskinmux/kernel';
+import type {EndpointId, ServiceName} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import {VirtualClock, createEngineDescription} from '@siskinmux/testkit';
 import type {BrokenRun} from '../src/crash_detector.js';
+import type {Trait} from '../src/index.js';
 import {CrashDetector} from '../src/crash_detector.js';
 
 const service = as<ServiceName>('text');
@@ -36,13 +37,12 @@
       return Promise.resolve(probeResult);
     },
     onCrash: (run, crash, evidence) =>
-      crashes.push(`${run.fingerprint} ${crash} ${evidence}`),
+      crashes.push(`${run.traits.join()} ${crash} ${evidence}`),
   });
   const list = (...listed: EndpointDescription[]): void =>
     detector.applyEndpointChanges(table.replaceAll(listed, undefined));
   const run = (at: EndpointDescription, content = 'x'): BrokenRun => ({
-    fingerprint: as<Fingerprint>(content),
-    sharedParts: [],
+    traits: [as<Trait>(content)],
     endpoint: at,
     sentAt: clock.now(),
     hadResponded: false,
--- a/packages/containment/__tests__/crash_quarantine.test.ts
+++ b/packages/containment/__tests__/crash_quarantine.test.ts
@@ -1,10 +1,15 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {Fingerprint, Instant, RequestId} from '@siskinmux/kernel';
+import type {Instant, RefusalError, RequestId} from '@siskinmux/kernel';
 import {Outcome, after, as, randomBelow, until} from '@siskinmux/kernel';
 import {createSeededRandom} from '@siskinmux/testkit';
 import {CrashQuarantine} from '../src/crash_quarantine.js';
-import {ENDPOINT, QuarantineCluster} from './quarantine_cluster.js';
+import type {Trait} from '../src/index.js';
+import {
+  ENDPOINT,
+  QuarantineCluster,
+  RandomFaults,
+} from './quarantine_cluster.js';
 
 const STABLE_MILLISECONDS = 3_000;
 const ALLOWED_SENDS_AFTER_THIRD_CRASH = 3;
@@ -17,7 +22,15 @@
 const FAULT_CHANCE = 0.15;
 
 const id = as<RequestId>('id');
-const culprit = as<Fingerprint>('culprit');
+const culprit = as<Trait>('culprit');
+
+async function refusalOf(
+  node: CrashQuarantine,
+  ...traits: Trait[]
+): Promise<RefusalError | undefined> {
+  return (await node.check(traits, id)).refusal;
+}
+
 describe(CrashQuarantine.name, () => {
   it('lets a request that crashes its endpoints run at most three times after the third crash, over all nodes in a day', async () => {
     const cluster = new QuarantineCluster(7);
@@ -31,7 +44,7 @@
       arrival += 1
     ) {
       const node = nodes[arrival % nodes.length]!;
-      if ((await node.check(culprit, id)) === undefined) {
+      if ((await refusalOf(node, culprit)) === undefined) {
         if (clock.now() > thirdCrashAt + STABLE_MILLISECONDS) lateSends += 1;
         cluster.crash(node, culprit);
         if (cluster.crashCount === 3) thirdCrashAt = clock.now();
@@ -67,7 +80,7 @@
     cluster.connect(2);
     await cluster.clock.advance(1_000);
     for (const restarted of cluster.nodes) {
-      const refusal = await restarted.check(culprit, id);
+      const refusal = await refusalOf(restarted, culprit);
       expect(refusal?.outcome).toEqual(Outcome.NotRun);
     }
   });
@@ -78,13 +91,13 @@
     cluster.crash(node!, culprit);
     cluster.crash(node!, culprit);
     await cluster.clock.advance(2_000);
-    node!.recordServed(culprit);
+    node!.recordServed([culprit]);
     await cluster.clock.advance(2_000);
     for (const index of cluster.nodes.keys()) cluster.restart(index);
     cluster.connect(1);
     await cluster.clock.advance(1_000);
     for (const restarted of cluster.nodes)
-      expect(await restarted.check(culprit, id)).toEqual(undefined);
+      expect(await refusalOf(restarted, culprit)).toEqual(undefined);
   });
 
   it('withholds the request at a node that connects after the crashes, and after a takeover', async () => {
@@ -95,7 +108,7 @@
     cluster.addNode();
     cluster.connect(2);
     for (const node of cluster.nodes) {
-      const refusal = await node.check(culprit, id);
+      const refusal = await refusalOf(node, culprit);
       expect(refusal?.outcome).toEqual(Outcome.NotRun);
     }
     expect(holder?.records.length).toEqual(1);
@@ -107,9 +120,11 @@
     cutOff!.setExchange(undefined);
     cluster.crash(cutOff!, culprit);
     cluster.crash(cutOff!, culprit);
-    expect(await holder!.check(culprit, id)).toEqual(undefined);
+    expect(await refusalOf(holder!, culprit)).toEqual(undefined);
     cluster.connect(0);
-    expect((await holder!.check(culprit, id))?.outcome).toEqual(Outcome.NotRun);
+    expect((await refusalOf(holder!, culprit))?.outcome).toEqual(
+      Outcome.NotRun,
+    );
   });
 
   it('allows a single run after a quarantine, although all nodes receive the request at once', async () => {
@@ -118,11 +133,71 @@
     cluster.crash(cluster.nodes[2]!, culprit);
     await cluster.clock.advance(40_000);
     const refusals = await Promise.all(
-      cluster.nodes.map(node => node.check(culprit, id)),
+      cluster.nodes.map(node => refusalOf(node, culprit)),
     );
     expect(refusals.filter(refusal => refusal === undefined).length).toEqual(1);
   });
 
+  it('tries the next request with a rare part as soon as the one on probation has ended without a result', async () => {
+    const cluster = new QuarantineCluster(3);
+    const [first, second] = cluster.nodes;
+    const rare = as<Trait>('part:rare');
+    for (const crash of ['e1', 'e2'])
+      cluster.crash(first!, [as<Trait>(`in ${crash}`), culprit, rare], crash);
+    const tried = [as<Trait>('c1'), rare];
+    const {refusal, grant} = await second!.check(tried, id);
+    expect(refusal).toEqual(undefined);
+    expect((await second!.check(tried, id, grant)).refusal).toEqual(undefined);
+    const waiting = [as<Trait>('c2'), rare] as const;
+    const refused = await refusalOf(first!, ...waiting);
+    expect(refused?.outcome).toEqual(Outcome.NotRun);
+    expect(until(cluster.clock.now(), refused!.retryAt!)).toEqual(2_000);
+    second!.returnGrant(tried, grant!);
+    expect(await refusalOf(first!, ...waiting)).toEqual(undefined);
+  });
+
+  it('does not let a request use an expired permission for its run on probation', async () => {
+    const cluster = new QuarantineCluster(3);
+    const [first, second] = cluster.nodes;
+    const rare = as<Trait>('part:rare');
+    for (const crash of ['e1', 'e2'])
+      cluster.crash(first!, [as<Trait>(`in ${crash}`), culprit, rare], crash);
+    const {grant} = await second!.check([as<Trait>('c1'), rare], id);
+    await cluster.clock.advance(5_000);
+    expect(await refusalOf(first!, as<Trait>('c2'), rare)).toEqual(undefined);
+    const late = await second!.check([as<Trait>('c1'), rare], id, grant);
+    expect(late.refusal?.outcome).toEqual(Outcome.NotRun);
+  });
+
+  it('refuses a part that all crashes have in common after all nodes have been replaced', async () => {
+    const cluster = new QuarantineCluster(3);
+    const [first, second] = cluster.nodes;
+    const harmful = as<Trait>('part:harmful');
+    cluster.crash(first!, [as<Trait>('c1'), harmful], 'e1');
+    cluster.crash(second!, [as<Trait>('c2'), harmful], 'e2');
+    await cluster.clock.advance(1_000);
+    for (const index of cluster.nodes.keys()) cluster.restart(index);
+    cluster.connect(1);
+    await cluster.clock.advance(1_000);
+    for (const node of cluster.nodes) {
+      const refusal = await refusalOf(node, as<Trait>('c3'), harmful);
+      expect(refusal?.outcome).toEqual(Outcome.NotRun);
+    }
+  });
+
+  it('serves a part that another node has served shortly before its endpoints crashed', async () => {
+    const cluster = new QuarantineCluster(3);
+    const [first, second, third] = cluster.nodes;
+    const popular = as<Trait>('part:popular');
+    second!.recordServed([as<Trait>('c0'), popular]);
+    cluster.crash(first!, [as<Trait>('c1'), popular], 'e1');
+    cluster.crash(first!, [as<Trait>('c2'), popular], 'e2');
+    for (const node of [first!, second!, third!])
+      expect(await refusalOf(node, as<Trait>('c3'), popular)).toEqual(
+        undefined,
+      );
+  });
+
   it('refuses a request on probation while no lease holder can be asked', async () => {
     const cluster = new QuarantineCluster(2);
     const [, node] = cluster.nodes;
@@ -130,45 +205,45 @@
     cluster.crash(node!, culprit);
     await cluster.clock.advance(40_000);
     node!.setExchange(undefined);
-    expect((await node!.check(culprit, id))?.outcome).toEqual(Outcome.NotRun);
+    expect((await refusalOf(node!, culprit))?.outcome).toEqual(Outcome.NotRun);
   });
 
   it('serves a harmless request again within a minute although it shared three crashed endpoints', async () => {
     const cluster = new QuarantineCluster(3);
     const [first, second] = cluster.nodes;
-    const harmless = as<Fingerprint>('harmless');
+    const harmless = as<Trait>('harmless');
     for (const crash of ['e1', 'e2', 'e3']) {
       cluster.crash(first!, culprit, crash);
       if (crash !== 'e3') cluster.crash(second!, harmless, crash);
     }
-    expect(await second!.check(harmless, id)).toEqual(undefined);
+    expect(await refusalOf(second!, harmless)).toEqual(undefined);
     cluster.crash(second!, harmless, 'e3');
     await cluster.clock.advance(60_000);
     cluster.crash(first!, culprit, 'e4');
-    expect(await second!.check(harmless, id)).toEqual(undefined);
+    expect(await refusalOf(second!, harmless)).toEqual(undefined);
   });
 
   it('keeps serving a popular request although several endpoints that ran copies of it crashed at once', async () => {
     const cluster = new QuarantineCluster(3);
-    const popular = as<Fingerprint>('popular');
-    for (const node of cluster.nodes) node.recordServed(popular);
+    const popular = as<Trait>('popular');
+    for (const node of cluster.nodes) node.recordServed([popular]);
     await cluster.clock.advance(10_000);
     for (const node of cluster.nodes) cluster.crash(node, popular);
     for (const node of cluster.nodes)
-      expect(await node.check(popular, id)).toEqual(undefined);
+      expect(await refusalOf(node, popular)).toEqual(undefined);
   });
 
   it('quarantines a popular request that has begun to crash endpoints within two minutes', async () => {
     const cluster = new QuarantineCluster(3);
     const {clock, nodes} = cluster;
-    for (const node of nodes) node.recordServed(culprit);
+    for (const node of nodes) node.recordServed([culprit]);
     for (let elapsed = 0; elapsed < 120_000; elapsed += 1_000) {
       const node = nodes[elapsed % nodes.length]!;
-      if ((await node.check(culprit, id)) === undefined)
+      if ((await refusalOf(node, culprit)) === undefined)
         cluster.crash(node, culprit);
       await clock.advance(1_000);
     }
-    expect((await nodes[0]!.check(culprit, id))?.outcome).toEqual(
+    expect((await refusalOf(nodes[0]!, culprit))?.outcome).toEqual(
       Outcome.NotRun,
     );
   });
@@ -178,22 +253,22 @@
     const [first, second, third] = cluster.nodes;
     cluster.crash(first!, culprit);
     cluster.crash(second!, culprit);
-    third!.recordServed(culprit);
+    third!.recordServed([culprit]);
     for (const node of cluster.nodes)
-      expect(await node.check(culprit, id)).toEqual(undefined);
+      expect(await refusalOf(node, culprit)).toEqual(undefined);
   });
 
   it('avoids endpoints on which another suspect of this node runs', () => {
     const cluster = new QuarantineCluster(1);
     const [node] = cluster.nodes;
-    const other = as<Fingerprint>('other');
+    const other = as<Trait>('other');
     cluster.crash(node!, culprit, 'e1');
     cluster.crash(node!, other, 'e1');
-    const end = node!.trackRun(culprit, ENDPOINT.id);
-    expect([...node!.endpointsToAvoid(other)]).toEqual([ENDPOINT.id]);
-    expect([...node!.endpointsToAvoid(culprit)]).toEqual([]);
+    const end = node!.trackRun([culprit], ENDPOINT.id);
+    expect([...node!.endpointsToAvoid([other])]).toEqual([ENDPOINT.id]);
+    expect([...node!.endpointsToAvoid([culprit])]).toEqual([]);
     end();
-    expect([...node!.endpointsToAvoid(other)]).toEqual([]);
+    expect([...node!.endpointsToAvoid([other])]).toEqual([]);
   });
 });
 
@@ -206,45 +281,20 @@
   const cluster = new QuarantineCluster(5);
   const {clock, nodes} = cluster;
   const pick = (): number => randomBelow(random, nodes.length);
-  const disturbedUntil = new Map<number, Instant>();
-  const cutOff = new Set<number>();
-  let holderReturnsAt: Instant | undefined;
+  const faults = new RandomFaults(cluster, random, STABLE_MILLISECONDS);
   let thirdCrashAt: Instant | undefined;
   let lateSends = 0;
-  const disturb = (index: number): void => {
-    disturbedUntil.set(index, after(clock.now(), STABLE_MILLISECONDS));
-  };
-  const causeFault = (index: number): void => {
-    disturb(index);
-    if (random() < 0.5) {
-      cutOff.delete(index);
-      cluster.restart(index);
-    } else if (cutOff.delete(index)) {
-      cluster.heal(index);
-    } else {
-      cutOff.add(index);
-      cluster.cut(index);
-    }
-    holderReturnsAt ??= after(clock.now(), random() * 2_000);
-  };
   for (let step = 0; step < RANDOM_STEPS; step += 1) {
-    if (random() < FAULT_CHANCE) causeFault(pick());
-    if (holderReturnsAt !== undefined && holderReturnsAt <= clock.now()) {
-      const connected = nodes.findIndex((_, index) => !cutOff.has(index));
-      if (connected >= 0) cluster.connect(connected);
-      holderReturnsAt = undefined;
-    }
+    if (random() < FAULT_CHANCE) faults.cause(pick());
+    faults.restoreHolder();
     if (random() < ARRIVAL_CHANCE) {
       const index = pick();
       const node = nodes[index]!;
-      if ((await node.check(culprit, id)) === undefined) {
-        const isInTouch =
-          !cutOff.has(index) &&
-          (disturbedUntil.get(index) ?? clock.now()) <= clock.now();
+      if ((await refusalOf(node, culprit)) === undefined) {
         const isLate =
           thirdCrashAt !== undefined &&
           clock.now() > after(thirdCrashAt, STABLE_MILLISECONDS);
-        if (isInTouch && isLate) lateSends += 1;
+        if (faults.isInTouch(index) && isLate) lateSends += 1;
         cluster.crash(node, culprit);
         if (cluster.crashCount === 3) thirdCrashAt = clock.now();
       }
--- a/packages/containment/__tests__/crash_suspects.test.ts
+++ b/packages/containment/__tests__/crash_suspects.test.ts
@@ -1,16 +1,23 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
+import type {PromptPartId} from '@siskinmux/forwarding';
 import type {Fingerprint, Instant} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
-import type {CrashId, Suspect} from '../src/index.js';
-import {CrashSuspects} from '../src/index.js';
+import type {CrashId, Suspect, Trait} from '../src/index.js';
+import {
+  CrashSuspects,
+  MAXIMUM_TRAITS,
+  namedTrait,
+  promptPartTrait,
+  traitsOfPrompt,
+} from '../src/index.js';
 
 const NOW = as<Instant>(1_000_000);
 const QUARANTINE_MILLISECONDS = 30_000;
 const MAXIMUM_SUSPECTS = 2_000;
 
-const content = (name: string): Fingerprint => as<Fingerprint>(name);
+const content = (name: string): Trait => as<Trait>(name);
 const crash = (name: string): CrashId => as<CrashId>(name);
 
 function create(): CrashSuspects {
@@ -26,15 +33,34 @@
   options: {hadResponded?: boolean; now?: Instant} = {},
 ): Suspect {
   const {hadResponded = false, now = NOW} = options;
-  return suspects.recordCrash(
-    content(name),
+  suspects.recordCrash(
+    [content(name)],
     {crash: crash(crashName), hadResponded},
     now,
   );
+  return [...suspects.all].find(({trait}) => trait === name)!;
 }
 
 function kindOf(suspects: CrashSuspects, name: string, now = NOW): string {
-  return suspects.suspicionOf(content(name), now).kind;
+  return suspects.suspicionOf([content(name)], now).kind;
+}
+
+function part(name: string): Trait {
+  return promptPartTrait(as<PromptPartId>(name));
+}
+
+function crashOn(
+  suspects: CrashSuspects,
+  crashName: string,
+  traits: readonly Trait[],
+  hadResponded = false,
+  now = NOW,
+): void {
+  suspects.recordCrash(traits, {crash: crash(crashName), hadResponded}, now);
+}
+
+function kindOfRequest(suspects: CrashSuspects, ...traits: Trait[]): string {
+  return suspects.suspicionOf(traits, NOW).kind;
 }
 
 describe(CrashSuspects.name, () => {
@@ -44,9 +70,10 @@
     expect(suspects.merge(first, NOW)).toEqual(false);
     expect(kindOf(suspects, 'culprit')).toEqual('suspect');
     record(suspects, 'culprit', 'e2');
-    expect(suspects.suspicionOf(content('culprit'), NOW)).toEqual({
+    expect(suspects.suspicionOf([content('culprit')], NOW)).toEqual({
       kind: 'quarantined',
       until: after(NOW, QUARANTINE_MILLISECONDS),
+      trait: content('culprit'),
     });
     expect(kindOf(suspects, 'culprit', after(NOW, 3_600_000))).toEqual('none');
   });
@@ -64,7 +91,7 @@
   it('clears a suspect request once an endpoint has completed it', () => {
     const suspects = create();
     record(suspects, 'innocent', 'e1');
-    suspects.recordSuccess(content('innocent'));
+    suspects.recordSuccess([content('innocent')], NOW);
     expect(kindOf(suspects, 'innocent')).toEqual('none');
   });
 
@@ -118,6 +145,146 @@
     expect(suspects.size).toBeLessThanOrEqual(MAXIMUM_SUSPECTS);
   });
 
+  describe('with requests of which no two are alike', () => {
+    const HARMFUL = part('harmful');
+    const FIRST = part('first');
+    const RARE = part('rare');
+
+    it('quarantines the part that they share after two crashes, and no part that was served in between', () => {
+      const suspects = create();
+      crashOn(suspects, 'e1', [content('c1'), FIRST, HARMFUL]);
+      suspects.recordSuccess([content('c2'), FIRST], NOW);
+      crashOn(suspects, 'e2', [content('c3'), FIRST, HARMFUL]);
+      expect(kindOfRequest(suspects, content('c4'), FIRST, HARMFUL)).toEqual(
+        'quarantined',
+      );
+      expect(kindOfRequest(suspects, content('c5'), FIRST)).toEqual('none');
+    });
+
+    it('quarantines the part although the endpoints had begun to respond', () => {
+      const suspects = create();
+      for (const name of ['1', '2']) {
+        crashOn(suspects, `e${name}`, [content(`c${name}`), HARMFUL], true);
+        crashOn(suspects, `e${name}`, [content(`neighbour ${name}`)]);
+      }
+      expect(kindOfRequest(suspects, content('c3'), HARMFUL)).toEqual(
+        'quarantined',
+      );
+    });
+
+    it('lets a request with one of two parts that explain all crashes run on probation, and none with both', () => {
+      const suspects = create();
+      for (const name of ['1', '2', '3'])
+        crashOn(suspects, `e${name}`, [content(`c${name}`), RARE, HARMFUL]);
+      expect(suspects.rivalsOf(HARMFUL)).toEqual([RARE]);
+      expect(kindOfRequest(suspects, content('c4'), RARE, HARMFUL)).toEqual(
+        'quarantined',
+      );
+      expect(kindOfRequest(suspects, content('c5'), RARE)).toEqual('probation');
+      suspects.recordSuccess([content('c5'), RARE], NOW);
+      expect(kindOfRequest(suspects, content('c6'), RARE)).toEqual('none');
+      expect(kindOfRequest(suspects, content('c7'), HARMFUL)).toEqual(
+        'quarantined',
+      );
+    });
+
+    it('does not quarantine a rare part that was present in two crashes of a part with three', () => {
+      const suspects = create();
+      crashOn(suspects, 'e1', [content('c1'), HARMFUL]);
+      crashOn(suspects, 'e1', [content('n1'), RARE]);
+      crashOn(suspects, 'e2', [content('c2'), HARMFUL]);
+      crashOn(suspects, 'e2', [content('n2'), RARE]);
+      expect(kindOfRequest(suspects, content('n3'), RARE)).toEqual('probation');
+      crashOn(suspects, 'e3', [content('c3'), HARMFUL]);
+      expect(kindOfRequest(suspects, content('n3'), RARE)).toEqual('none');
+      expect(kindOfRequest(suspects, content('c4'), HARMFUL)).toEqual(
+        'quarantined',
+      );
+    });
+
+    it('finds two harmful parts, and a harmful part beside a harmful content', () => {
+      const suspects = create();
+      const other = part('other');
+      for (const name of ['1', '2', '3']) {
+        crashOn(suspects, `a${name}`, [content(`c${name}`), FIRST, HARMFUL]);
+        crashOn(suspects, `b${name}`, [content(`d${name}`), FIRST, other]);
+        crashOn(suspects, `c${name}`, [content('culprit'), FIRST]);
+        suspects.recordSuccess([content(`s${name}`), FIRST], NOW);
+      }
+      for (const culprit of [HARMFUL, other, content('culprit')])
+        expect(kindOfRequest(suspects, content('x'), culprit)).toEqual(
+          'quarantined',
+        );
+      expect(kindOfRequest(suspects, content('y'), FIRST)).toEqual('none');
+    });
+
+    it('blames a content that crashes endpoints, and not its part, once the part was served', () => {
+      const suspects = create();
+      for (const name of ['e1', 'e2'])
+        crashOn(suspects, name, [content('culprit'), RARE]);
+      expect(kindOfRequest(suspects, content('c1'), RARE)).toEqual('probation');
+      suspects.recordSuccess([content('c1'), RARE], NOW);
+      expect(kindOfRequest(suspects, content('culprit'), RARE)).toEqual(
+        'quarantined',
+      );
+      expect(kindOfRequest(suspects, content('c2'), RARE)).toEqual('none');
+    });
+
+    it('attributes crashes to a trait of any other kind', () => {
+      const suspects = create();
+      const model = namedTrait('model', 'm1');
+      for (const name of ['1', '2'])
+        crashOn(suspects, `e${name}`, [content(`c${name}`), model]);
+      expect(kindOfRequest(suspects, content('c3'), model)).toEqual(
+        'quarantined',
+      );
+    });
+
+    it('does not blame a popular part for endpoints that crash at the same time, but for those that crash later', () => {
+      const suspects = create();
+      suspects.recordSuccess([FIRST], NOW);
+      const crashAt = after(NOW, 10_000);
+      for (const name of ['1', '2', '3'])
+        crashOn(
+          suspects,
+          `e${name}`,
+          [content(`c${name}`), FIRST],
+          false,
+          crashAt,
+        );
+      expect(kindOf(suspects, FIRST, crashAt)).toEqual('none');
+      const laterAt = after(crashAt, 2_000);
+      for (const name of ['4', '5'])
+        crashOn(
+          suspects,
+          `e${name}`,
+          [content(`c${name}`), FIRST],
+          false,
+          laterAt,
+        );
+      expect(kindOf(suspects, FIRST, laterAt)).toEqual('quarantined');
+    });
+
+    it('keeps a bounded number of records whatever parts callers send', () => {
+      const suspects = create();
+      for (const name of ['1', '2'])
+        crashOn(suspects, `e${name}`, [content(`c${name}`), HARMFUL]);
+      for (let index = 0; index < MAXIMUM_SUSPECTS; index += 1) {
+        const parts = Array.from({length: 100}, (_, at) =>
+          as<PromptPartId>(`${index}x${at}`.repeat(20)),
+        );
+        const traits = traitsOfPrompt(as<Fingerprint>(`f${index}`), parts);
+        expect(traits.length).toEqual(MAXIMUM_TRAITS);
+        expect(Math.max(...traits.map(({length}) => length))).toBeLessThan(80);
+        crashOn(suspects, `n${index}`, traits);
+      }
+      expect(suspects.size).toBeLessThanOrEqual(MAXIMUM_SUSPECTS);
+      expect(kindOfRequest(suspects, content('c3'), HARMFUL)).toEqual(
+        'quarantined',
+      );
+    });
+  });
+
   it('reaches the same decisions on all nodes, in whichever order they merge the records', () => {
     const run = fc.record({
       content: fc.constantFrom('a', 'b', 'c'),
@@ -134,7 +301,7 @@
             const node = create();
             const suspect = record(node, name, crashed.crash, crashed);
             return isServed
-              ? (node.recordSuccess(content(name)) ?? suspect)
+              ? (node.recordSuccess([content(name)], NOW)[0] ?? suspect)
               : suspect;
           });
           const shuffled = records
--- a/packages/containment/__tests__/quarantine_cluster.ts
+++ b/packages/containment/__tests__/quarantine_cluster.ts
@@ -1,8 +1,14 @@
 /** Quarantines of several nodes, connected through a lease holder without a network. */
 
-import type {EndpointId, Fingerprint, ServiceName} from '@siskinmux/kernel';
-import {as, discardEvents} from '@siskinmux/kernel';
-import type {CrashId, Suspect} from '../src/index.js';
+import type {
+  EndpointId,
+  Instant,
+  Milliseconds,
+  Random,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {after, as, discardEvents} from '@siskinmux/kernel';
+import type {CrashId, Suspect, Trait} from '../src/index.js';
 import {
   MemoryStore,
   SharedObjects,
@@ -107,12 +113,15 @@
   }
 
   /** An endpoint crashes while it runs a request of a node. */
-  crash(node: CrashQuarantine, fingerprint: Fingerprint, name?: string): void {
+  crash(
+    node: CrashQuarantine,
+    traits: Trait | readonly Trait[],
+    name?: string,
+  ): void {
     this.crashCount += 1;
     node.recordCrash(
       {
-        fingerprint,
-        sharedParts: [],
+        traits: typeof traits === 'string' ? [traits] : traits,
         endpoint: ENDPOINT,
         sentAt: this.clock.now(),
         hadResponded: false,
@@ -141,8 +150,9 @@
         const added = node === holder ? received : holder.merge(received);
         this.broadcast(added);
       },
-      requestProbation: fingerprint =>
-        Promise.resolve(holder.allowProbation(fingerprint)),
+      requestProbation: traits =>
+        Promise.resolve(holder.allowProbation(traits)),
+      endProbation: traits => holder.endProbation(traits),
     });
   }
 
@@ -156,3 +166,51 @@
     );
   }
 }
+
+/** Random restarts and cuts of the nodes, each followed by a time without a lease holder. */
+export class RandomFaults {
+  private readonly cutOff = new Set<number>();
+  private readonly disturbedUntil = new Map<number, Instant>();
+  private holderReturnsAt: Instant | undefined;
+
+  /** A node is in touch again once it was undisturbed for `stableMilliseconds`. */
+  constructor(
+    private readonly cluster: QuarantineCluster,
+    private readonly random: Random,
+    private readonly stableMilliseconds: Milliseconds,
+  ) {}
+
+  /** Restarts a node, or cuts it off, or heals its cut. */
+  cause(index: number): void {
+    const {cluster, cutOff, random} = this;
+    const now = cluster.clock.now();
+    this.disturbedUntil.set(index, after(now, this.stableMilliseconds));
+    if (random() < 0.5) {
+      cutOff.delete(index);
+      cluster.restart(index);
+    } else if (cutOff.delete(index)) {
+      cluster.heal(index);
+    } else {
+      cutOff.add(index);
+      cluster.cut(index);
+    }
+    this.holderReturnsAt ??= after(now, random() * 2_000);
+  }
+
+  /** Connects the nodes to a new lease holder when it is due. */
+  restoreHolder(): void {
+    const {cluster, cutOff, holderReturnsAt} = this;
+    if (holderReturnsAt === undefined || holderReturnsAt > cluster.clock.now())
+      return;
+    const connected = cluster.nodes.findIndex((_, index) => !cutOff.has(index));
+    if (connected >= 0) cluster.connect(connected);
+    this.holderReturnsAt = undefined;
+  }
+
+  isInTouch(index: number): boolean {
+    const now = this.cluster.clock.now();
+    return (
+      !this.cutOff.has(index) && (this.disturbedUntil.get(index) ?? now) <= now
+    );
+  }
+}
--- a/packages/containment/src/containment_events.ts
+++ b/packages/containment/src/containment_events.ts
@@ -8,16 +8,16 @@
   name: 'run-crashed',
   level: 'warn',
   meaning:
-    'An endpoint crashed while it ran a request of this node. `content` is the fingerprint of the request, `parts` are the first eight parts of its prompt that other requests may share, `crash` is the incarnation that ended; other requests that ran there have a line with the same `crash`. `evidence`: `refused` if no process listened at the address any more, `restarted` if the endpoint has a new incarnation. `crashes` is the number of crashes attributed to the request so far, on all nodes.',
+    'An endpoint crashed while it ran a request of this node. `content` is the fingerprint of the request, `traits` are the first eight others that it shares with other requests, `crash` is the incarnation that ended; other requests that ran there have a line with the same `crash`. `evidence`: `refused` if no process listened at the address any more, `restarted` if the endpoint has a new incarnation. `crashes` is the largest number of crashes attributed to one of its traits so far, on all nodes.',
 };
 
-/** A request is quarantined. */
+/** Requests with a trait are quarantined. */
 export const REQUEST_QUARANTINED: EventDescriptor = {
   number: 7022,
   name: 'request-quarantined',
   level: 'warn',
   meaning:
-    'Requests with this `content` crashed `crashes` endpoints and are refused for the given milliseconds. Each node writes this line.',
+    'Requests with this `trait` crashed `crashes` endpoints and are refused for the given milliseconds. `trait` is the fingerprint of a content, or `part:` and the id of a part of prompts. Each node writes this line.',
 };
 
 /** A request was refused because of its quarantine. */
@@ -26,16 +26,16 @@
   name: 'request-withheld',
   level: 'info',
   meaning:
-    'A request was not sent because requests with the same `content` crashed endpoints. `retryIn` is the time in milliseconds after which it may be sent again.',
+    'A request was not sent because requests with the same `trait` crashed endpoints. `state` is `quarantined`, or `probation` while a single request is tried, on all nodes together. `retryIn` is the time in milliseconds after which it may be sent again.',
 };
 
-/** An endpoint completed a request that was suspected before. */
-export const REQUEST_CLEARED: EventDescriptor = {
+/** An endpoint completed a request with a trait that was suspected before. */
+export const TRAIT_CLEARED: EventDescriptor = {
   number: 7024,
-  name: 'request-cleared',
+  name: 'trait-cleared',
   level: 'info',
   meaning:
-    'An endpoint has completed a request with this `content`, so that it was not the cause of the crashes recorded for it.',
+    'An endpoint has completed a request with this `trait`, now or shortly before the crash, so that it was not the cause of the `crashes` recorded for it.',
 };
 
 /** This node ended a run before the endpoint had responded completely. */
@@ -83,15 +83,25 @@
     'The object with the quarantined requests does not match its schema. This node holds the lease and replaces it by what the nodes know.',
 };
 
+/** The lease holder has allowed a run on probation. */
+export const PROBATION_ALLOWED: EventDescriptor = {
+  number: 7033,
+  name: 'probation-allowed',
+  level: 'info',
+  meaning:
+    'This node holds the lease and has allowed one run of a request with these `traits`, as it tells whether they crash endpoints. No other run with them is allowed until this one has ended, or for `milliseconds`.',
+};
+
 /** Events of the containment, in the order of their numbers. */
 export const CONTAINMENT_EVENTS: readonly EventDescriptor[] = [
   RUN_CRASHED,
   REQUEST_QUARANTINED,
   REQUEST_WITHHELD,
-  REQUEST_CLEARED,
+  TRAIT_CLEARED,
   RUN_ABORTED,
   QUARANTINE_RESTORED,
   QUARANTINE_STORED,
   QUARANTINE_STORE_FAILED,
   QUARANTINE_UNREADABLE,
+  PROBATION_ALLOWED,
 ];
--- a/packages/containment/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -9,15 +9,11 @@
   EndpointTableChange,
   Incarnation,
 } from '@siskinmux/endpoints';
-import type {ProbeResult, PromptPartId} from '@siskinmux/forwarding';
-import type {
-  Clock,
-  Fingerprint,
-  Instant,
-  Milliseconds,
-} from '@siskinmux/kernel';
+import type {ProbeResult} from '@siskinmux/forwarding';
+import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
 import type {CrashId} from './crash_suspects.js';
+import type {Trait} from './trait.js';
 
 /** An endpoint that crashed has started again, and its entry has been read, within this time. */
 const RESTART_WINDOW_MILLISECONDS: Milliseconds = 15_000;
@@ -27,9 +23,8 @@
 
 /** A run that ended without a complete response. */
 export interface BrokenRun {
-  readonly fingerprint: Fingerprint;
-  /** The parts of the prompt that other requests may share. */
-  readonly sharedParts: readonly PromptPartId[];
+  /** Traits of the request, the first of which names it in log lines. */
+  readonly traits: readonly Trait[];
   readonly endpoint: EndpointDescription;
   readonly sentAt: Instant;
   /** Whether the endpoint had begun to respond. */
--- a/packages/containment/src/crash_quarantine.ts
+++ b/packages/containment/src/crash_quarantine.ts
@@ -1,19 +1,26 @@
 /**
  * Contains requests that crash endpoints: records crashes, exchanges the records with the
- * other nodes through the lease holder, and refuses requests that are quarantined.
+ * other nodes through the lease holder, and refuses requests with quarantined traits.
  */
 
 import type {
   Clock,
   EmitEvent,
   EndpointId,
-  Fingerprint,
   Instant,
   Milliseconds,
   RefusalError,
   RequestId,
 } from '@siskinmux/kernel';
 import {ErrorCode, after, createNotRunRefusal, until} from '@siskinmux/kernel';
+import {
+  PROBATION_ALLOWED,
+  REQUEST_QUARANTINED,
+  REQUEST_WITHHELD,
+  RUN_CRASHED,
+  TRAIT_CLEARED,
+} from './containment_events.js';
+import type {BrokenRun, CrashEvidence} from './crash_detector.js';
 import type {
   CrashId,
   QuarantinePolicy,
@@ -21,15 +28,8 @@
   Suspicion,
 } from './crash_suspects.js';
 import {CrashSuspects} from './crash_suspects.js';
-import type {BrokenRun, CrashEvidence} from './crash_detector.js';
-import {
-  REQUEST_CLEARED,
-  REQUEST_QUARANTINED,
-  REQUEST_WITHHELD,
-  RUN_CRASHED,
-} from './containment_events.js';
-import {RecentlyServed} from './recently_served.js';
 import {SuspectRuns} from './suspect_runs.js';
+import type {Trait} from './trait.js';
 
 /**
  * Quarantine after a number of crashes; the last entry applies to more. The first one is
@@ -39,14 +39,17 @@
   0, 0, 30_000, 600_000, 7_200_000, 86_400_000,
 ];
 
-/** The lease holder allows one run of a request on probation in this time. */
+/** The lease holder allows one run with a trait on probation in this time, unless it ends sooner. */
 const PROBATION_INTERVAL_MILLISECONDS: Milliseconds = 5_000;
 
-/** `Retry-After` while the lease holder can't be asked, or another node tries the request. */
-const RETRY_AFTER_MILLISECONDS: Milliseconds = 5_000;
+/**
+ * `Retry-After` while the lease holder can't be asked, or a run on probation is going on; most
+ * runs have ended by then.
+ */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 2_000;
 
-/** Bound on the parts of a prompt in one log line. */
-const MAXIMUM_LOGGED_PARTS = 8;
+/** Bound on the traits in one log line. */
+const MAXIMUM_LOGGED_TRAITS = 8;
 
 /** How the quarantine of the gateway lengthens with the crashes. */
 export const quarantinePolicy: QuarantinePolicy = crashCount =>
@@ -58,8 +61,10 @@
 export interface SuspectExchange {
   /** Sends records to the lease holder, which forwards those that are new to all nodes. */
   reportSuspects(suspects: readonly Suspect[]): void;
-  /** Whether this node may run a request on probation once. */
-  requestProbation(fingerprint: Fingerprint): Promise<boolean>;
+  /** Whether this node may run one request with these traits on probation. */
+  requestProbation(traits: readonly Trait[]): Promise<boolean>;
+  /** Tells the lease holder that such a run has ended and decided nothing, or never began. */
+  endProbation(traits: readonly Trait[]): void;
 }
 
 /** Dependencies of {@link CrashQuarantine}. */
@@ -72,13 +77,23 @@
   readonly onWithheld: () => void;
 }
 
-/** One node's records of requests that crashed endpoints. */
+/** Permission for one run on probation. */
+export interface ProbationGrant {
+  readonly expiresAt: Instant;
+}
+
+/** Whether a request may be sent now, and its permission if it is on probation. */
+export interface QuarantineCheck {
+  readonly refusal?: RefusalError;
+  readonly grant?: ProbationGrant | undefined;
+}
+
+/** One node's records of traits that were present when endpoints crashed. */
 export class CrashQuarantine {
   private readonly suspects = CrashSuspects.create(quarantinePolicy);
   private readonly runs = SuspectRuns.create();
-  private readonly recentlyServed = RecentlyServed.create();
   /** When the next run on probation may be allowed; used while this node holds the lease. */
-  private readonly nextProbationAt = new Map<Fingerprint, Instant>();
+  private readonly nextProbationAt = new Map<Trait, Instant>();
   /** What a lease holder has sent since the connection to the previous one ended. */
   private holderRecords = CrashSuspects.create(quarantinePolicy);
   private exchange: SuspectExchange | undefined;
@@ -90,7 +105,7 @@
     return new CrashQuarantine(options);
   }
 
-  /** Whether any request is recorded; if not, none needs to be checked. */
+  /** Whether any trait is recorded; if not, no request needs to be checked. */
   get hasSuspects(): boolean {
     return this.suspects.size > 0;
   }
@@ -105,7 +120,7 @@
     return this.recordChanges;
   }
 
-  /** Requests that are quarantined or on probation, those with the most crashes first. */
+  /** Traits that are quarantined or on probation, those with the most crashes first. */
   get quarantined(): Suspect[] {
     return this.suspects.quarantined(this.options.clock.now());
   }
@@ -124,50 +139,41 @@
   }
 
   /**
-   * Returns a refusal if a request may not be sent now. A request on probation needs the
-   * permission of the lease holder, so that a single node tries it.
+   * Contains a refusal if a request with these traits may not be sent now. On probation it
+   * needs the permission of the lease holder, so that a single node tries it; an unexpired
+   * `grant` of an earlier check still holds.
    */
   async check(
-    fingerprint: Fingerprint,
+    traits: readonly Trait[],
     id: RequestId,
-  ): Promise<RefusalError | undefined> {
+    grant?: ProbationGrant,
+  ): Promise<QuarantineCheck> {
     const {clock} = this.options;
-    const suspicion = this.suspicionOf(fingerprint);
+    const suspicion = this.suspicionOf(traits);
     if (suspicion.kind === 'quarantined')
-      return this.withhold(fingerprint, id, suspicion.until);
-    if (suspicion.kind !== 'probation') return undefined;
-    const isAllowed = await this.exchange?.requestProbation(fingerprint);
-    if (isAllowed === true) return undefined;
-    return this.withhold(
-      fingerprint,
-      id,
-      after(clock.now(), RETRY_AFTER_MILLISECONDS),
-    );
-  }
-
-  /** Refuses a request that was quarantined while it waited for an endpoint. */
-  checkAgain(
-    fingerprint: Fingerprint,
-    id: RequestId,
-  ): RefusalError | undefined {
-    const suspicion = this.suspicionOf(fingerprint);
-    return suspicion.kind === 'quarantined'
-      ? this.withhold(fingerprint, id, suspicion.until)
-      : undefined;
+      return {refusal: this.withhold(traits, id, suspicion)};
+    if (suspicion.kind !== 'probation') return {grant};
+    if (grant !== undefined && grant.expiresAt > clock.now()) return {grant};
+    const expiresAt = after(clock.now(), PROBATION_INTERVAL_MILLISECONDS);
+    const isAllowed = await this.exchange?.requestProbation(traits);
+    if (isAllowed === true) return {grant: {expiresAt}};
+    return {refusal: this.withhold(traits, id, suspicion)};
   }
 
   /** Endpoints on which this node runs other suspects, if the request is one itself. */
-  endpointsToAvoid(fingerprint: Fingerprint): ReadonlySet<EndpointId> {
-    return this.suspicionOf(fingerprint).kind === 'none'
+  endpointsToAvoid(traits: readonly Trait[]): ReadonlySet<EndpointId> {
+    const suspected = this.suspectedOf(traits);
+    return suspected.length === 0
       ? new Set()
-      : this.runs.endpointsOfOthers(fingerprint);
+      : this.runs.endpointsOfOthers(suspected);
   }
 
   /** Tracks the run of a suspect until the returned function is called. */
-  trackRun(fingerprint: Fingerprint, endpoint: EndpointId): () => void {
-    return this.suspicionOf(fingerprint).kind === 'none'
+  trackRun(traits: readonly Trait[], endpoint: EndpointId): () => void {
+    const suspected = this.suspectedOf(traits);
+    return suspected.length === 0
       ? () => {}
-      : this.runs.track(fingerprint, endpoint);
+      : this.runs.track(suspected, endpoint);
   }
 
   /** Records that an endpoint crashed while it ran a request of this node. */
@@ -177,92 +183,115 @@
     evidence: CrashEvidence,
   ): void => {
     const {clock, emit, onCrash} = this.options;
-    const {fingerprint, sharedParts, hadResponded, endpoint} = run;
-    const before = this.suspicionOf(fingerprint);
-    const now = clock.now();
-    let suspect = this.suspects.recordCrash(
-      fingerprint,
+    const {traits, hadResponded, endpoint} = run;
+    const before = this.quarantineEnds(traits);
+    const changed = this.suspects.recordCrash(
+      traits,
       {crash, hadResponded},
-      now,
+      clock.now(),
     );
-    // Several endpoints may crash at once while they run copies of a popular request.
-    if (this.recentlyServed.has(fingerprint, now))
-      suspect = this.suspects.recordSuccess(fingerprint) ?? suspect;
     this.recordChanges += 1;
     onCrash(run, evidence);
+    const [content, ...others] = traits;
     emit(RUN_CRASHED, {
-      content: fingerprint,
-      parts: sharedParts.slice(0, MAXIMUM_LOGGED_PARTS).join(' '),
+      content,
+      traits: others.slice(0, MAXIMUM_LOGGED_TRAITS).join(' '),
       endpoint: endpoint.id,
       crash,
       evidence,
       hadResponded,
-      crashes: this.suspects.crashCountOf(fingerprint),
+      crashes: Math.max(0, ...traits.map(trait => this.crashCountOf(trait))),
     });
-    this.logIfQuarantined(fingerprint, before);
-    this.exchange?.reportSuspects([suspect]);
+    this.logQuarantines(before);
+    if (changed.length > 0) this.exchange?.reportSuspects(changed);
   };
 
-  /** Clears a request that an endpoint has completed. */
-  recordServed(fingerprint: Fingerprint): void {
-    this.recentlyServed.record(fingerprint, this.options.clock.now());
-    const cleared = this.suspects.recordSuccess(fingerprint);
-    if (cleared === undefined) return;
-    this.recordChanges += 1;
-    this.options.emit(REQUEST_CLEARED, {
-      content: fingerprint,
-      crashes: cleared.crashes.length,
-    });
-    this.exchange?.reportSuspects([cleared]);
+  /** Clears the traits of a request that an endpoint has completed. */
+  recordServed(traits: readonly Trait[]): void {
+    const {clock} = this.options;
+    this.reportCleared(this.suspects.recordSuccess(traits, clock.now()));
   }
 
   /** Merges records of other nodes; returns those that were new. */
   merge(received: readonly Suspect[]): Suspect[] {
-    const {clock} = this.options;
-    const now = clock.now();
-    return received.filter(suspect => {
+    const now = this.options.clock.now();
+    const before = this.quarantineEnds(received.map(({trait}) => trait));
+    const added = received.filter(suspect => {
       if (this.exchange === undefined) this.holderRecords.merge(suspect, now);
-      const before = this.suspicionOf(suspect.fingerprint);
-      const isNew = this.suspects.merge(suspect, now);
-      if (isNew) {
-        this.recordChanges += 1;
-        this.logIfQuarantined(suspect.fingerprint, before);
-      }
-      return isNew;
+      return this.suspects.merge(suspect, now);
     });
+    this.recordChanges += added.length;
+    const traits = added.map(({trait}) => trait);
+    this.reportCleared(this.suspects.clearRecentlyServed(traits, now));
+    this.logQuarantines(before);
+    return added;
   }
 
   /** As the lease holder, allows a run on probation unless one was allowed recently. */
-  allowProbation(fingerprint: Fingerprint): boolean {
+  allowProbation(traits: readonly Trait[]): boolean {
     const now = this.options.clock.now();
-    for (const [key, at] of this.nextProbationAt) {
-      if (at <= now) this.nextProbationAt.delete(key);
+    for (const [trait, at] of this.nextProbationAt) {
+      if (at <= now) this.nextProbationAt.delete(trait);
     }
-    const isWaiting = this.nextProbationAt.has(fingerprint);
-    if (isWaiting || this.suspicionOf(fingerprint).kind === 'quarantined')
-      return false;
-    this.nextProbationAt.set(
-      fingerprint,
-      after(now, PROBATION_INTERVAL_MILLISECONDS),
+    if (this.suspicionOf(traits).kind === 'quarantined') return false;
+    const tried = traits.filter(
+      trait => this.suspects.suspicionOf([trait], now).kind === 'probation',
     );
+    if (tried.some(trait => this.nextProbationAt.has(trait))) return false;
+    const nextAt = after(now, PROBATION_INTERVAL_MILLISECONDS);
+    for (const trait of tried) this.nextProbationAt.set(trait, nextAt);
+    this.options.emit(PROBATION_ALLOWED, {
+      traits: tried.slice(0, MAXIMUM_LOGGED_TRAITS).join(' '),
+      milliseconds: PROBATION_INTERVAL_MILLISECONDS,
+    });
     return true;
   }
 
-  private suspicionOf(fingerprint: Fingerprint): Suspicion {
-    return this.suspects.suspicionOf(fingerprint, this.options.clock.now());
+  /** Returns an unexpired permission, so that another request can be tried. */
+  returnGrant(traits: readonly Trait[], {expiresAt}: ProbationGrant): void {
+    if (expiresAt > this.options.clock.now())
+      this.exchange?.endProbation(traits);
+  }
+
+  /** As the lease holder, allows the next run with these traits. */
+  endProbation(traits: readonly Trait[]): void {
+    for (const trait of traits) this.nextProbationAt.delete(trait);
+  }
+
+  private suspicionOf(traits: readonly Trait[]): Suspicion {
+    return this.suspects.suspicionOf(traits, this.options.clock.now());
+  }
+
+  private suspectedOf(traits: readonly Trait[]): Trait[] {
+    return this.suspects.suspectedOf(traits, this.options.clock.now());
+  }
+
+  private crashCountOf(trait: Trait): number {
+    return this.suspects.crashCountOf(trait);
   }
 
   private withhold(
-    fingerprint: Fingerprint,
+    traits: readonly Trait[],
     id: RequestId,
-    retryAt: Instant,
+    suspicion: Suspicion,
   ): RefusalError {
     const {clock, emit, onWithheld} = this.options;
-    const crashes = this.suspects.crashCountOf(fingerprint);
+    const [content] = traits;
+    const blamed =
+      suspicion.kind === 'quarantined'
+        ? suspicion.trait
+        : traits.find(trait => this.suspicionOf([trait]).kind === 'probation');
+    const retryAt =
+      suspicion.kind === 'quarantined'
+        ? suspicion.until
+        : after(clock.now(), RETRY_AFTER_MILLISECONDS);
+    const crashes = blamed === undefined ? 0 : this.crashCountOf(blamed);
     onWithheld();
     emit(REQUEST_WITHHELD, {
       id,
-      content: fingerprint,
+      content,
+      trait: blamed,
+      state: suspicion.kind,
       crashes,
       retryIn: Math.round(until(clock.now(), retryAt)),
     });
@@ -273,17 +302,42 @@
     );
   }
 
-  private logIfQuarantined(fingerprint: Fingerprint, before: Suspicion): void {
-    const suspicion = this.suspicionOf(fingerprint);
-    if (suspicion.kind !== 'quarantined') return;
-    if (before.kind === 'quarantined' && before.until >= suspicion.until)
-      return;
-    this.options.emit(REQUEST_QUARANTINED, {
-      content: fingerprint,
-      crashes: this.suspects.crashCountOf(fingerprint),
-      milliseconds: Math.round(
-        until(this.options.clock.now(), suspicion.until),
-      ),
-    });
+  private reportCleared(cleared: readonly Suspect[]): void {
+    if (cleared.length === 0) return;
+    this.recordChanges += cleared.length;
+    for (const {trait, crashes} of cleared)
+      this.options.emit(TRAIT_CLEARED, {trait, crashes: crashes.length});
+    this.exchange?.reportSuspects(cleared);
+  }
+
+  /** When the quarantine of each of these traits ends; undefined for those without one. */
+  private quarantineEnds(
+    traits: readonly Trait[],
+  ): Map<Trait, Instant | undefined> {
+    return new Map(
+      traits.map(trait => {
+        const suspicion = this.suspicionOf([trait]);
+        return [
+          trait,
+          suspicion.kind === 'quarantined' ? suspicion.until : undefined,
+        ];
+      }),
+    );
+  }
+
+  private logQuarantines(
+    before: ReadonlyMap<Trait, Instant | undefined>,
+  ): void {
+    const now = this.options.clock.now();
+    for (const [trait, endsAt] of this.quarantineEnds([...before.keys()])) {
+      const endedAt = before.get(trait);
+      if (endsAt === undefined || (endedAt !== undefined && endedAt >= endsAt))
+        continue;
+      this.options.emit(REQUEST_QUARANTINED, {
+        trait,
+        crashes: this.crashCountOf(trait),
+        milliseconds: Math.round(until(now, endsAt)),
+      });
+    }
   }
 }
--- a/packages/containment/src/crash_suspects.ts
+++ b/packages/containment/src/crash_suspects.ts
@@ -1,15 +1,19 @@
 /**
- * Records requests whose endpoint crashed while it ran them, and decides which of them are
- * quarantined. Nodes exchange their records; merging them in any order gives the same result.
+ * Records the traits of requests whose endpoint crashed while it ran them, and infers which
+ * traits are the cause. Nodes exchange their records; merging them in any order gives the
+ * same result.
+ *
+ * The inference is group testing: a crash is explained by the trait with the most crashes
+ * among those that were present, so that few traits explain all crashes. Traits that were
+ * present in the same crashes explain them equally well, until a request that has only some
+ * of these traits is completed or crashes its endpoint.
  */
 
-import type {
-  Brand,
-  Fingerprint,
-  Instant,
-  Milliseconds,
-} from '@siskinmux/kernel';
+import type {Brand, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, later} from '@siskinmux/kernel';
+import {RecentlyServed} from './recently_served.js';
+import type {Trait} from './trait.js';
+import {isContentTrait} from './trait.js';
 
 /** Identifies one crash of an endpoint, for instance by the incarnation that ended. */
 export type CrashId = Brand<string, 'CrashId'>;
@@ -17,53 +21,68 @@
 /** How long a record is kept after the last crash, in addition to its quarantine. */
 const SUSPECT_LIFETIME_MILLISECONDS: Milliseconds = 600_000;
 
-/** Bound on the recorded requests; those with the fewest crashes are evicted first. */
+/** Bound on the recorded traits; those with the fewest crashes are evicted first. */
 const MAXIMUM_SUSPECTS = 2_000;
 
 /** Records kept when the bound is exceeded, so that evictions are rare. */
 const KEPT_SHARE = 0.9;
 
-/** Bound on the crashes of one request; no decision depends on more. */
+/** Bound on the crashes of one trait; no decision depends on more. */
 const MAXIMUM_CRASHES = 8;
 
 /**
- * A run that the endpoint had responded to weighs this many crashes less: a request that
- * crashes endpoints mostly does so before there is a response.
+ * Between two contents, a run that the endpoint had responded to weighs this many crashes
+ * less: a request whose content crashes endpoints mostly does so before there is a response.
  */
 const RESPONDED_DISCOUNT = 3;
 
-/** The crash of an endpoint while it ran a certain request. */
+/** The crash of an endpoint while it ran requests with a certain trait. */
 export interface RunCrash {
   readonly crash: CrashId;
-  /** Whether the endpoint had begun to respond to the request. */
+  /** Whether the endpoint had begun to respond to all of these requests. */
   readonly hadResponded: boolean;
-  /** Whether an endpoint completed the request afterwards, so that it wasn't the cause. */
+  /** Whether an endpoint completed a request with the trait, so that it wasn't the cause. */
   readonly isCleared: boolean;
 }
 
-/** A request during which endpoints crashed, as nodes send it to each other. */
+/** A trait that was present when endpoints crashed, as nodes send it to each other. */
 export interface Suspect {
-  readonly fingerprint: Fingerprint;
+  readonly trait: Trait;
   readonly crashes: readonly RunCrash[];
   readonly lastCrashAt: Instant;
 }
 
 /**
- * How a request is treated because of crashes. After its quarantine a request is on
- * probation: a single run decides whether it is cleared or quarantined for longer.
+ * How a request is treated because of crashes. On probation, a single run decides whether
+ * its traits are cleared or quarantined: after a quarantine, and while several traits
+ * explain the same crashes and the request has only some of them.
  */
 export type Suspicion =
   | {readonly kind: 'none' | 'suspect' | 'probation'}
-  | {readonly kind: 'quarantined'; readonly until: Instant};
+  | {
+      readonly kind: 'quarantined';
+      readonly until: Instant;
+      readonly trait: Trait;
+    };
 
-/** Returns how long a request is quarantined after its last crash; 0 if it isn't. */
+/** Returns how long a trait is quarantined after its last crash; 0 if it isn't. */
 export type QuarantinePolicy = (crashCount: number) => Milliseconds;
 
-/** Suspect requests that this node has recorded or received from other nodes. */
+const NOT_SUSPECTED: Suspicion = {kind: 'none'};
+
+const RANK_BY_KIND: Readonly<Record<Suspicion['kind'], number>> = {
+  none: 0,
+  suspect: 1,
+  probation: 2,
+  quarantined: 3,
+};
+
+/** Suspected traits that this node has recorded or received from other nodes. */
 export class CrashSuspects {
-  private readonly suspects = new Map<Fingerprint, Suspect>();
-  /** The requests that ran when an endpoint crashed; one of them may explain the crash. */
-  private readonly requestsByCrash = new Map<CrashId, Set<Fingerprint>>();
+  private readonly suspects = new Map<Trait, Suspect>();
+  /** The traits that were present at a crash; one of them may explain it. */
+  private readonly traitsByCrash = new Map<CrashId, Set<Trait>>();
+  private readonly recentlyServed = RecentlyServed.create();
 
   private constructor(private readonly quarantineAfter: QuarantinePolicy) {}
 
@@ -71,83 +90,112 @@
     return new CrashSuspects(quarantineAfter);
   }
 
-  /** Number of recorded requests. */
+  /** Number of recorded traits. */
   get size(): number {
     return this.suspects.size;
   }
 
-  /** All recorded requests. */
+  /** All recorded traits. */
   get all(): Iterable<Suspect> {
     return this.suspects.values();
   }
 
-  /** Records of requests that are quarantined or on probation, those with the most crashes first. */
+  /** Records of traits that are quarantined or on probation, those with the most crashes first. */
   quarantined(now: Instant): Suspect[] {
     return [...this.suspects.values()]
-      .filter(({fingerprint}) => {
-        const {kind} = this.suspicionOf(fingerprint, now);
+      .filter(suspect => {
+        if (this.quarantineAfter(uncleared(suspect).length) === 0) return false;
+        const {kind} = this.suspicionOf([suspect.trait], now);
         return kind === 'quarantined' || kind === 'probation';
       })
       .sort(compareStrength);
   }
 
-  /** Returns how a request is to be treated at `now`. */
-  suspicionOf(fingerprint: Fingerprint, now: Instant): Suspicion {
-    const suspect = this.suspects.get(fingerprint);
-    if (suspect === undefined || this.expiresAt(suspect) <= now)
-      return {kind: 'none'};
-    const crashCount = this.crashCountOf(fingerprint);
-    if (crashCount === 0) return {kind: 'none'};
-    const quarantineMilliseconds = this.quarantineAfter(crashCount);
-    if (quarantineMilliseconds === 0) return {kind: 'suspect'};
-    const until = after(suspect.lastCrashAt, quarantineMilliseconds);
-    return until > now ? {kind: 'quarantined', until} : {kind: 'probation'};
+  /** Returns how a request with these traits is to be treated at `now`. */
+  suspicionOf(traits: readonly Trait[], now: Instant): Suspicion {
+    let gravest = NOT_SUSPECTED;
+    for (const trait of traits) {
+      const suspicion = this.suspicionOfTrait(trait, traits, now);
+      if (isGraver(suspicion, gravest)) gravest = suspicion;
+    }
+    return gravest;
+  }
+
+  /** Those of a request's traits that aren't free of suspicion. */
+  suspectedOf(traits: readonly Trait[], now: Instant): Trait[] {
+    return traits.filter(
+      trait => this.suspicionOfTrait(trait, traits, now).kind !== 'none',
+    );
+  }
+
+  /** Crashes that are attributed to a trait: not cleared, and not explained by another one. */
+  crashCountOf(trait: Trait): number {
+    const suspect = this.suspects.get(trait);
+    return suspect === undefined ? 0 : this.attributedCrashes(suspect).length;
   }
 
-  /** Crashes that are attributed to a request: not cleared, and not explained by another one. */
-  crashCountOf(fingerprint: Fingerprint): number {
-    const suspect = this.suspects.get(fingerprint);
-    if (suspect === undefined) return 0;
-    return suspect.crashes.filter(
-      run => !run.isCleared && !this.isExplainedByOther(suspect, run),
-    ).length;
+  /** Traits that explain all crashes of a trait as well as the trait itself does. */
+  rivalsOf(trait: Trait): Trait[] {
+    const suspect = this.suspects.get(trait);
+    if (suspect === undefined) return [];
+    const crashes = this.attributedCrashes(suspect);
+    const [first] = crashes;
+    if (first === undefined) return [];
+    return [...(this.traitsByCrash.get(first.crash) ?? [])].filter(other => {
+      const rival = this.suspects.get(other);
+      return (
+        rival !== undefined &&
+        other !== trait &&
+        crashes.every(run => this.explainsAsWell(rival, suspect, run))
+      );
+    });
   }
 
-  /** Records that an endpoint crashed while it ran a request; returns the record for peers. */
+  /**
+   * Records that an endpoint crashed while it ran a request with these traits; returns the
+   * records that have changed, for peers.
+   */
   recordCrash(
-    fingerprint: Fingerprint,
+    traits: readonly Trait[],
     run: Omit<RunCrash, 'isCleared'>,
     now: Instant,
-  ): Suspect {
-    this.merge(
-      {fingerprint, crashes: [{...run, isCleared: false}], lastCrashAt: now},
-      now,
+  ): Suspect[] {
+    const crashes = [{...run, isCleared: false}];
+    const added = traits.filter(trait =>
+      this.merge({trait, crashes, lastCrashAt: now}, now),
     );
-    return this.suspects.get(fingerprint)!;
+    this.clearRecentlyServed(added, now);
+    return this.recordsOf(added);
   }
 
   /**
-   * Clears a request that an endpoint has completed; its crashes had another cause. Returns
-   * the record for peers, or undefined if nothing was recorded against the request.
+   * Clears the traits of a request that an endpoint has completed; their crashes had another
+   * cause. Returns the records that have changed, for peers.
    */
-  recordSuccess(fingerprint: Fingerprint): Suspect | undefined {
-    const suspect = this.suspects.get(fingerprint);
-    if (suspect === undefined || !suspect.crashes.some(run => !run.isCleared))
-      return undefined;
-    const crashes = suspect.crashes.map(run => ({...run, isCleared: true}));
-    const cleared = {...suspect, crashes};
-    this.suspects.set(fingerprint, cleared);
-    return cleared;
+  recordSuccess(traits: readonly Trait[], now: Instant): Suspect[] {
+    for (const trait of traits) this.recentlyServed.record(trait, now);
+    return this.clear(traits);
+  }
+
+  /**
+   * Clears received traits that this node's endpoints have served shortly before. Returns
+   * the records that have changed, for peers.
+   */
+  clearRecentlyServed(traits: readonly Trait[], now: Instant): Suspect[] {
+    return this.clear(
+      traits.filter(trait => this.recentlyServed.explainsCrash(trait, now)),
+    );
   }
 
   /** Merges a peer's record; returns whether it contained anything new. */
   merge(received: Suspect, now: Instant): boolean {
-    const known = this.suspects.get(received.fingerprint);
+    const {trait} = received;
+    const known = this.suspects.get(trait);
     if (!hasNews(known?.crashes ?? [], received.crashes)) return false;
     const crashes = mergeRuns(known?.crashes ?? [], received.crashes);
-    this.delete(received.fingerprint);
+    this.delete(trait);
     this.insert({
-      fingerprint: received.fingerprint,
+      trait,
       crashes,
       lastCrashAt: later(
         known?.lastCrashAt ?? received.lastCrashAt,
@@ -158,19 +206,74 @@
     return true;
   }
 
-  /** Whether another request that ran there is the more likely cause of the crash. */
+  private suspicionOfTrait(
+    trait: Trait,
+    traits: readonly Trait[],
+    now: Instant,
+  ): Suspicion {
+    const suspect = this.suspects.get(trait);
+    if (suspect === undefined || this.expiresAt(suspect) <= now)
+      return NOT_SUSPECTED;
+    const crashCount = this.crashCountOf(trait);
+    if (crashCount === 0) return NOT_SUSPECTED;
+    const quarantineMilliseconds = this.quarantineAfter(crashCount);
+    if (quarantineMilliseconds === 0) return {kind: 'suspect'};
+    // The run of a request that lacks one of the rivals tells them apart.
+    if (this.rivalsOf(trait).some(rival => !traits.includes(rival)))
+      return {kind: 'probation'};
+    const until = after(suspect.lastCrashAt, quarantineMilliseconds);
+    return until > now
+      ? {kind: 'quarantined', until, trait}
+      : {kind: 'probation'};
+  }
+
+  private attributedCrashes(suspect: Suspect): RunCrash[] {
+    return uncleared(suspect).filter(
+      run => !this.isExplainedByOther(suspect, run),
+    );
+  }
+
+  /** Whether another trait that was present is the more likely cause of the crash. */
   private isExplainedByOther(suspect: Suspect, run: RunCrash): boolean {
-    const own = weightOf(suspect, run);
-    for (const fingerprint of this.requestsByCrash.get(run.crash) ?? []) {
-      if (fingerprint === suspect.fingerprint) continue;
-      const other = this.suspects.get(fingerprint);
-      const otherRun = other?.crashes.find(({crash}) => crash === run.crash);
-      if (other === undefined || otherRun === undefined) continue;
-      if (!otherRun.isCleared && weightOf(other, otherRun) > own) return true;
+    for (const trait of this.traitsByCrash.get(run.crash) ?? []) {
+      const other = this.suspects.get(trait);
+      if (other === undefined || trait === suspect.trait) continue;
+      const otherRun = unclearedRun(other, run.crash);
+      if (otherRun === undefined) continue;
+      if (weightOf(other, otherRun, suspect) > weightOf(suspect, run, other))
+        return true;
     }
     return false;
   }
 
+  private explainsAsWell(
+    rival: Suspect,
+    suspect: Suspect,
+    run: RunCrash,
+  ): boolean {
+    const rivalRun = unclearedRun(rival, run.crash);
+    return (
+      rivalRun !== undefined &&
+      weightOf(rival, rivalRun, suspect) >= weightOf(suspect, run, rival)
+    );
+  }
+
+  private clear(traits: readonly Trait[]): Suspect[] {
+    const cleared = this.recordsOf(traits).filter(
+      suspect => uncleared(suspect).length > 0,
+    );
+    return cleared.map(suspect => {
+      const crashes = suspect.crashes.map(run => ({...run, isCleared: true}));
+      const record = {...suspect, crashes};
+      this.suspects.set(suspect.trait, record);
+      return record;
+    });
+  }
+
+  private recordsOf(traits: readonly Trait[]): Suspect[] {
+    return traits.flatMap(trait => this.suspects.get(trait) ?? []);
+  }
+
   private expiresAt(suspect: Suspect): Instant {
     const quarantineMilliseconds = this.quarantineAfter(
       uncleared(suspect).length,
@@ -182,22 +285,23 @@
   }
 
   private insert(suspect: Suspect): void {
-    this.suspects.set(suspect.fingerprint, suspect);
+    const {trait} = suspect;
+    this.suspects.set(trait, suspect);
     for (const {crash} of suspect.crashes) {
-      const requests = this.requestsByCrash.get(crash) ?? new Set();
-      requests.add(suspect.fingerprint);
-      this.requestsByCrash.set(crash, requests);
+      const traits = this.traitsByCrash.get(crash) ?? new Set();
+      traits.add(trait);
+      this.traitsByCrash.set(crash, traits);
     }
   }
 
-  private delete(fingerprint: Fingerprint): void {
-    const suspect = this.suspects.get(fingerprint);
+  private delete(trait: Trait): void {
+    const suspect = this.suspects.get(trait);
     if (suspect === undefined) return;
-    this.suspects.delete(fingerprint);
+    this.suspects.delete(trait);
     for (const {crash} of suspect.crashes) {
-      const requests = this.requestsByCrash.get(crash);
-      requests?.delete(fingerprint);
-      if (requests?.size === 0) this.requestsByCrash.delete(crash);
+      const traits = this.traitsByCrash.get(crash);
+      traits?.delete(trait);
+      if (traits?.size === 0) this.traitsByCrash.delete(crash);
     }
   }
 
@@ -209,21 +313,39 @@
       .slice(0, MAXIMUM_SUSPECTS * KEPT_SHARE);
     const keptSet = new Set(kept);
     for (const suspect of [...this.suspects.values()]) {
-      if (!keptSet.has(suspect)) this.delete(suspect.fingerprint);
+      if (!keptSet.has(suspect)) this.delete(suspect.trait);
     }
   }
 }
 
+function isGraver(left: Suspicion, right: Suspicion): boolean {
+  if (left.kind === 'quarantined' && right.kind === 'quarantined')
+    return left.until > right.until;
+  return RANK_BY_KIND[left.kind] > RANK_BY_KIND[right.kind];
+}
+
 function uncleared({crashes}: Suspect): RunCrash[] {
   return crashes.filter(({isCleared}) => !isCleared);
 }
 
-/** How much speaks for a request as the cause of one of its crashes. */
-function weightOf(suspect: Suspect, {hadResponded}: RunCrash): number {
-  return uncleared(suspect).length - (hadResponded ? RESPONDED_DISCOUNT : 0);
+function unclearedRun({crashes}: Suspect, id: CrashId): RunCrash | undefined {
+  return crashes.find(({crash, isCleared}) => crash === id && !isCleared);
+}
+
+/** How much speaks for a trait, compared with another one, as the cause of one of its crashes. */
+function weightOf(
+  suspect: Suspect,
+  {hadResponded}: RunCrash,
+  other: Suspect,
+): number {
+  const isDiscounted =
+    hadResponded &&
+    isContentTrait(suspect.trait) &&
+    isContentTrait(other.trait);
+  return uncleared(suspect).length - (isDiscounted ? RESPONDED_DISCOUNT : 0);
 }
 
-/** Sorts requests with more crashes first, then those with later ones. */
+/** Sorts traits with more crashes first, then those with later ones. */
 function compareStrength(left: Suspect, right: Suspect): number {
   return (
     uncleared(right).length - uncleared(left).length ||
--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -5,6 +5,8 @@
 export {CrashDetector} from './crash_detector.js';
 export type {
   CrashQuarantineOptions,
+  ProbationGrant,
+  QuarantineCheck,
   SuspectExchange,
 } from './crash_quarantine.js';
 export {CrashQuarantine} from './crash_quarantine.js';
@@ -26,3 +28,11 @@
   probationSchema,
   suspectsSchema,
 } from './suspect_messages.js';
+export type {Trait} from './trait.js';
+export {
+  MAXIMUM_TRAITS,
+  contentTrait,
+  namedTrait,
+  promptPartTrait,
+  traitsOfPrompt,
+} from './trait.js';
--- a/packages/containment/src/quarantine_archive.ts
+++ b/packages/containment/src/quarantine_archive.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the quarantined requests in the platform's store. Only the lease holder uses it: it
+ * Keeps the quarantined traits in the platform's store. Only the lease holder uses it: it
  * reads them when it takes the lease, and writes them when they have changed.
  */
 
@@ -33,8 +33,8 @@
 const ARCHIVE_KIND = 'siskinmux-quarantines';
 const ARCHIVE_NAME = 'requests';
 
-/** Bound on the stored requests; those with the most crashes are kept. */
-const MAXIMUM_STORED_REQUESTS = 200;
+/** Bound on the stored traits; those with the most crashes are kept. */
+const MAXIMUM_STORED_TRAITS = 200;
 
 /** Interval of the checks for changes, which call the store only after a change. */
 const CHECK_INTERVAL_MILLISECONDS: Milliseconds = 250;
@@ -56,7 +56,7 @@
   readonly onRestored: (suspects: readonly Suspect[]) => void;
 }
 
-/** Reads and writes the quarantined requests while this node holds the lease. */
+/** Reads and writes the quarantined traits while this node holds the lease. */
 export class QuarantineArchive {
   private readonly job: PeriodicJob;
   /** The stored object's revision; undefined until it has been read, and after a failure. */
@@ -79,7 +79,7 @@
     return new QuarantineArchive(options);
   }
 
-  /** Reads the stored requests, then writes each change until {@link stop}. */
+  /** Reads the stored traits, then writes each change until {@link stop}. */
   start(): void {
     this.job.start();
   }
@@ -138,10 +138,7 @@
     const {store, quarantine, clock, readClocks, emit} = this.options;
     const {changeCount} = quarantine;
     if (changeCount === this.comparedChanges) return;
-    const quarantined = quarantine.quarantined.slice(
-      0,
-      MAXIMUM_STORED_REQUESTS,
-    );
+    const quarantined = quarantine.quarantined.slice(0, MAXIMUM_STORED_TRAITS);
     const key = keyOf(quarantined);
     if (key === this.storedKey) {
       this.comparedChanges = changeCount;
@@ -165,8 +162,8 @@
 
 function keyOf(suspects: readonly Suspect[]): string {
   return suspects
-    .map(({fingerprint, crashes}) =>
-      [fingerprint, ...crashes.map(({crash}) => crash)].join(' '),
+    .map(({trait, crashes}) =>
+      [trait, ...crashes.map(({crash}) => crash)].join(' '),
     )
     .join('\n');
 }
--- a/packages/containment/src/recently_served.ts
+++ b/packages/containment/src/recently_served.ts
@@ -1,20 +1,31 @@
-/** Remembers the requests that endpoints completed a short time ago. */
+/** Remembers the traits of requests that endpoints completed a short time ago. */
 
-import type {Fingerprint, Instant, Milliseconds} from '@siskinmux/kernel';
+import type {Instant, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
+import type {Trait} from './trait.js';
+
+/** How long a trait counts as harmless after a completed request. */
+const SERVED_LIFETIME_MILLISECONDS: Milliseconds = 60_000;
 
 /**
- * How long a completed request isn't suspected. It may become harmful in this time, with a
- * new version of its endpoints.
+ * Several endpoints may crash at once while they run requests with the same harmless trait.
+ * Crashes that come later than this after the first one count, since the trait may have
+ * become harmful, for instance with a new version of the endpoints.
  */
-const SERVED_LIFETIME_MILLISECONDS: Milliseconds = 60_000;
+const CONCURRENT_CRASHES_MILLISECONDS: Milliseconds = 2_000;
 
-/** Bound on the remembered requests; the one that was served longest ago is evicted first. */
+/** Bound on the remembered traits; the one that was served longest ago is evicted first. */
 const MAXIMUM_SERVED = 5_000;
 
-/** Fingerprints of requests that this node's endpoints have completed. */
+/** When a trait was served, and when an endpoint first crashed on it after that. */
+interface ServedTrait {
+  readonly expiresAt: Instant;
+  readonly crashesCountFrom: Instant | undefined;
+}
+
+/** Traits of requests that this node's endpoints have completed. */
 export class RecentlyServed {
-  private readonly expiries = new Map<Fingerprint, Instant>();
+  private readonly served = new Map<Trait, ServedTrait>();
 
   private constructor() {}
 
@@ -22,16 +33,24 @@
     return new RecentlyServed();
   }
 
-  record(fingerprint: Fingerprint, now: Instant): void {
-    this.expiries.delete(fingerprint);
-    this.expiries.set(fingerprint, after(now, SERVED_LIFETIME_MILLISECONDS));
-    if (this.expiries.size <= MAXIMUM_SERVED) return;
-    const [oldest] = this.expiries.keys();
-    if (oldest !== undefined) this.expiries.delete(oldest);
+  record(trait: Trait, now: Instant): void {
+    this.served.delete(trait);
+    this.served.set(trait, {
+      expiresAt: after(now, SERVED_LIFETIME_MILLISECONDS),
+      crashesCountFrom: undefined,
+    });
+    if (this.served.size <= MAXIMUM_SERVED) return;
+    const [oldest] = this.served.keys();
+    if (oldest !== undefined) this.served.delete(oldest);
   }
 
-  has(fingerprint: Fingerprint, now: Instant): boolean {
-    const expiresAt = this.expiries.get(fingerprint);
-    return expiresAt !== undefined && expiresAt > now;
+  /** Whether a crash of an endpoint that ran a request with the trait isn't its fault. */
+  explainsCrash(trait: Trait, now: Instant): boolean {
+    const served = this.served.get(trait);
+    if (served === undefined || served.expiresAt <= now) return false;
+    const crashesCountFrom =
+      served.crashesCountFrom ?? after(now, CONCURRENT_CRASHES_MILLISECONDS);
+    this.served.set(trait, {...served, crashesCountFrom});
+    return now < crashesCountFrom;
   }
 }
--- a/packages/containment/src/request_containment.ts
+++ b/packages/containment/src/request_containment.ts
@@ -1,19 +1,19 @@
 /** One request's checks against the quarantine, and its reports of broken runs. */
 
 import type {EndpointDescription} from '@siskinmux/endpoints';
-import type {PromptPartId, SentRequest} from '@siskinmux/forwarding';
+import type {SentRequest} from '@siskinmux/forwarding';
 import type {
   Clock,
   EmitEvent,
   EndpointId,
-  Fingerprint,
   Instant,
   Milliseconds,
   RequestId,
 } from '@siskinmux/kernel';
 import {until} from '@siskinmux/kernel';
-import type {BrokenRun, CrashDetector} from './crash_detector.js';
-import type {CrashQuarantine} from './crash_quarantine.js';
+import type {CrashDetector} from './crash_detector.js';
+import type {CrashQuarantine, ProbationGrant} from './crash_quarantine.js';
+import type {Trait} from './trait.js';
 import {RUN_ABORTED} from './containment_events.js';
 
 /** After a shorter silence, a later response of the endpoint clears the run. */
@@ -37,62 +37,56 @@
 
 /** Keeps one request from crashing more and more endpoints. */
 export class RequestContainment {
-  private knownFingerprint: Fingerprint | undefined;
+  private knownTraits: readonly Trait[] | undefined;
+  private grant: ProbationGrant | undefined;
 
   private constructor(
     private readonly dependencies: ContainmentDependencies,
     private readonly id: RequestId,
-    private readonly sharedParts: readonly PromptPartId[],
-    private readonly computeFingerprint: () => Fingerprint,
+    private readonly readTraits: () => readonly Trait[],
   ) {}
 
-  /** `computeFingerprint` is called at most once. */
+  /**
+   * `readTraits` is called at most once; the first trait is the content of the request, equal
+   * for requests that an endpoint can't tell apart, apart from ids and deadlines.
+   */
   static create(
     dependencies: ContainmentDependencies,
     id: RequestId,
-    sharedParts: readonly PromptPartId[],
-    computeFingerprint: () => Fingerprint,
+    readTraits: () => readonly Trait[],
   ): RequestContainment {
-    return new RequestContainment(
-      dependencies,
-      id,
-      sharedParts,
-      computeFingerprint,
-    );
+    return new RequestContainment(dependencies, id, readTraits);
   }
 
-  /** Equal for requests that an endpoint can't tell apart, apart from ids and deadlines. */
-  get fingerprint(): Fingerprint {
-    this.knownFingerprint ??= this.computeFingerprint();
-    return this.knownFingerprint;
+  /** The traits that a crash of an endpoint may be attributed to. */
+  get traits(): readonly Trait[] {
+    this.knownTraits ??= this.readTraits();
+    return this.knownTraits;
   }
 
-  private get identity(): Pick<BrokenRun, 'fingerprint' | 'sharedParts'> {
-    const {fingerprint, sharedParts} = this;
-    return {fingerprint, sharedParts};
+  /** Names the request in log lines. */
+  get content(): Trait | undefined {
+    return this.traits[0];
   }
 
   /** Throws a `RefusalError` if the request may not be sent now. */
   async throwIfWithheld(): Promise<void> {
     const {quarantine} = this.dependencies;
     if (!quarantine.hasSuspects) return;
-    const refusal = await quarantine.check(this.fingerprint, this.id);
-    if (refusal !== undefined) throw refusal;
-  }
-
-  /** Throws a `RefusalError` if the request was quarantined while it waited. */
-  throwIfQuarantined(): void {
-    const {quarantine} = this.dependencies;
-    if (!quarantine.hasSuspects) return;
-    const refusal = quarantine.checkAgain(this.fingerprint, this.id);
+    const {refusal, grant} = await quarantine.check(
+      this.traits,
+      this.id,
+      this.grant,
+    );
     if (refusal !== undefined) throw refusal;
+    this.grant = grant;
   }
 
   /** Endpoints that run other suspects, if the request is one. */
   endpointsToAvoid(): ReadonlySet<EndpointId> {
     const {quarantine} = this.dependencies;
     return quarantine.hasSuspects
-      ? quarantine.endpointsToAvoid(this.fingerprint)
+      ? quarantine.endpointsToAvoid(this.traits)
       : new Set();
   }
 
@@ -100,13 +94,20 @@
   trackRun(endpoint: EndpointId): () => void {
     const {quarantine} = this.dependencies;
     return quarantine.hasSuspects
-      ? quarantine.trackRun(this.fingerprint, endpoint)
+      ? quarantine.trackRun(this.traits, endpoint)
       : () => {};
   }
 
   /** Clears the request if it was suspected. */
   recordServed(): void {
-    this.dependencies.quarantine.recordServed(this.fingerprint);
+    this.dependencies.quarantine.recordServed(this.traits);
+  }
+
+  /** Returns the permission for a run on probation when the request has ended. */
+  end(): void {
+    if (this.grant === undefined) return;
+    this.dependencies.quarantine.returnGrant(this.traits, this.grant);
+    this.grant = undefined;
   }
 
   /** Records that an endpoint responded, over a connection established at `connectedAt`. */
@@ -121,22 +122,24 @@
   async recordBroken(run: EndedRun): Promise<void> {
     const {crashDetector, clock, emit} = this.dependencies;
     const {endpoint, sentRequest, sentAt, hadResponded} = run;
+    // The endpoint may turn out to have crashed, so no other request may be tried yet.
+    this.grant = undefined;
     if (!sentRequest.isAborted) {
-      await crashDetector.checkBrokenRun({...run, ...this.identity});
+      await crashDetector.checkBrokenRun({...run, traits: this.traits});
       return;
     }
     const elapsed = until(sentAt, clock.now());
     const isSilent = !hadResponded && elapsed >= MINIMUM_SILENCE_MILLISECONDS;
     emit(RUN_ABORTED, {
       id: this.id,
-      content: this.fingerprint,
+      content: this.content,
       endpoint: endpoint.id,
       life: endpoint.incarnation,
       elapsed: Math.round(elapsed),
       hadResponded,
       isSilent,
     });
-    const broken = {...run, ...this.identity};
+    const broken = {...run, traits: this.traits};
     if (isSilent) crashDetector.watchForRestart(broken);
     else crashDetector.watchWhileSilent(broken);
   }
--- a/packages/containment/src/suspect_messages.ts
+++ b/packages/containment/src/suspect_messages.ts
@@ -1,8 +1,10 @@
-/** Messages with records of requests that crashed endpoints. */
+/** Messages with records of traits that were present when endpoints crashed. */
 
-import type {Fingerprint, Instant} from '@siskinmux/kernel';
+import type {Instant} from '@siskinmux/kernel';
 import {after, as, until} from '@siskinmux/kernel';
 import type {CrashId, Suspect} from './crash_suspects.js';
+import type {Trait} from './trait.js';
+import {MAXIMUM_TRAITS} from './trait.js';
 import {z} from 'zod';
 
 /** Records in one message; a new node gets several messages. */
@@ -10,7 +12,7 @@
 
 const name = z.string().min(1).max(256);
 
-/** Fingerprint, milliseconds since its last crash, crashes. */
+/** Trait, milliseconds since its last crash, crashes. */
 const suspectSchema = z.tuple([
   name,
   z.number().nonnegative(),
@@ -22,8 +24,10 @@
 /** Records of suspects, in either direction. */
 export const suspectsSchema = z.object({suspects: z.array(suspectSchema)});
 
-/** Request to run a suspect on probation. */
-export const probationSchema = z.object({content: name});
+/** Request to run a request with these traits on probation. */
+export const probationSchema = z.object({
+  traits: z.array(name).max(MAXIMUM_TRAITS),
+});
 
 /** Whether the run is allowed. */
 export const probationResponseSchema = z.object({isAllowed: z.boolean()});
@@ -39,8 +43,8 @@
   for (let start = 0; start < suspects.length; start += RECORDS_PER_MESSAGE) {
     const part = suspects.slice(start, start + RECORDS_PER_MESSAGE);
     messages.push({
-      suspects: part.map(({fingerprint, lastCrashAt, crashes}) => [
-        fingerprint,
+      suspects: part.map(({trait, lastCrashAt, crashes}) => [
+        trait,
         Math.max(0, Math.round(until(lastCrashAt, now))),
         [...crashes],
       ]),
@@ -53,8 +57,8 @@
   {suspects}: SuspectsMessage,
   now: Instant,
 ): Suspect[] {
-  return suspects.map(([fingerprint, ageMilliseconds, crashes]) => ({
-    fingerprint: as<Fingerprint>(fingerprint),
+  return suspects.map(([trait, ageMilliseconds, crashes]) => ({
+    trait: as<Trait>(trait),
     lastCrashAt: after(now, -ageMilliseconds),
     crashes: crashes.map(run => ({...run, crash: as<CrashId>(run.crash)})),
   }));
--- a/packages/containment/src/suspect_runs.ts
+++ b/packages/containment/src/suspect_runs.ts
@@ -1,11 +1,13 @@
 /** Where this node runs suspect requests, so that each endpoint runs at most one if possible. */
 
-import type {EndpointId, Fingerprint} from '@siskinmux/kernel';
+import type {EndpointId} from '@siskinmux/kernel';
+import type {Trait} from './trait.js';
 
 /** This node's runs of suspect requests. */
 export class SuspectRuns {
   private readonly runs = new Set<{
-    readonly fingerprint: Fingerprint;
+    /** The suspected traits of the request. */
+    readonly traits: readonly Trait[];
     readonly endpoint: EndpointId;
   }>();
 
@@ -15,18 +17,18 @@
     return new SuspectRuns();
   }
 
-  /** Endpoints that run a suspect with another fingerprint. */
-  endpointsOfOthers(fingerprint: Fingerprint): ReadonlySet<EndpointId> {
+  /** Endpoints that run a suspect which has none of these suspected traits. */
+  endpointsOfOthers(traits: readonly Trait[]): ReadonlySet<EndpointId> {
     return new Set(
       [...this.runs]
-        .filter(run => run.fingerprint !== fingerprint)
+        .filter(run => !run.traits.some(trait => traits.includes(trait)))
         .map(({endpoint}) => endpoint),
     );
   }
 
   /** Tracks a run until the returned function is called. */
-  track(fingerprint: Fingerprint, endpoint: EndpointId): () => void {
-    const run = {fingerprint, endpoint};
+  track(traits: readonly Trait[], endpoint: EndpointId): () => void {
+    const run = {traits, endpoint};
     this.runs.add(run);
     return () => this.runs.delete(run);
   }
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -45,6 +45,8 @@
 
   reportSuspects(): void {}
 
+  endProbation(): void {}
+
   requestProbation(): Promise<boolean> {
     return Promise.resolve(true);
   }
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -11,7 +11,6 @@
   Clock,
   EmitEvent,
   EndpointId,
-  Fingerprint,
   Instant,
   Milliseconds,
   ModelName,
@@ -29,7 +28,7 @@
 } from '@siskinmux/placement';
 import {Allocator, LoadLimiter} from '@siskinmux/placement';
 import type {RouteConfiguration} from '@siskinmux/routes';
-import type {CrashQuarantine, Suspect} from '@siskinmux/containment';
+import type {CrashQuarantine, Suspect, Trait} from '@siskinmux/containment';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {KindRead} from './change_feed.js';
 import {ChangeFeed} from './change_feed.js';
@@ -225,10 +224,15 @@
     connection.handle(
       PEER_METHODS.probation,
       probationSchema,
-      async ({content}) => ({
-        isAllowed: await this.requestProbation(as<Fingerprint>(content)),
+      async ({traits}) => ({
+        isAllowed: await this.requestProbation(
+          traits.map(trait => as<Trait>(trait)),
+        ),
       }),
     );
+    connection.handle(PEER_METHODS.probationEnd, probationSchema, ({traits}) =>
+      this.endProbation(traits.map(trait => as<Trait>(trait))),
+    );
     connection.handle(PEER_METHODS.limits, limitsSchema, ({limits}) => {
       const now = clock.now();
       this.mergeLimits(limits.map(limit => decodeLimit(limit, now)));
@@ -276,8 +280,12 @@
       this.sendSuspects(suspects, connection);
   }
 
-  async requestProbation(fingerprint: Fingerprint): Promise<boolean> {
-    return this.options.quarantine.allowProbation(fingerprint);
+  async requestProbation(traits: readonly Trait[]): Promise<boolean> {
+    return this.options.quarantine.allowProbation(traits);
+  }
+
+  endProbation(traits: readonly Trait[]): void {
+    this.options.quarantine.endProbation(traits);
   }
 
   /** Applies limits that this node has read, and forwards them to all others. */
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -30,6 +30,7 @@
   missingModel: 'allocator.missing',
   suspects: 'allocator.suspects',
   probation: 'allocator.probation',
+  probationEnd: 'allocator.probation_end',
   limits: 'allocator.limits',
   permit: 'allocator.permit',
   availableModels: 'node.holdings',
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -53,7 +53,7 @@
 import {InactivityTimer} from './inactivity_timer.js';
 import {refusalResponse} from './refusal_response.js';
 import type {ContainmentDependencies, EndedRun} from '@siskinmux/containment';
-import {RequestContainment} from '@siskinmux/containment';
+import {RequestContainment, traitsOfPrompt} from '@siskinmux/containment';
 import {
   bufferBody,
   isSuccess,
@@ -131,8 +131,7 @@
     this.containment = RequestContainment.create(
       dependencies,
       metadata.id,
-      metadata.sharedParts,
-      () => this.contentFingerprint(),
+      () => traitsOfPrompt(this.contentFingerprint(), metadata.sharedParts),
     );
   }
 
@@ -180,6 +179,8 @@
       if (this.isFinished) return;
       if (!(failure instanceof SiskinmuxError)) throw failure;
       this.refuse(this.withTrueOutcome(toRefusal(failure, Outcome.NotRun)));
+    } finally {
+      this.containment.end();
     }
   }
 
@@ -214,7 +215,9 @@
       await containment.throwIfWithheld();
       const endpoint = await this.dependencies.find(this.requirements());
       if (this.isFinished) return;
-      containment.throwIfQuarantined();
+      // Its traits may have become suspect while it waited.
+      await containment.throwIfWithheld();
+      if (this.isFinished) return;
       const result = await this.send(endpoint);
       if (this.isFinished || result.kind === 'delivered') return;
       this.triedEndpoints.add(endpoint.id);
@@ -228,7 +231,7 @@
       this.dependencies.onRetryDecision(endpoint.service, decision);
       this.dependencies.emit(SEND_FAILED, {
         id: this.metadata.id,
-        content: containment.fingerprint,
+        content: containment.content,
         endpoint: endpoint.id,
         life: endpoint.incarnation,
         end: result.kind,
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -4,7 +4,6 @@
 import type {
   Clock,
   EndpointId,
-  Fingerprint,
   Milliseconds,
   ModelName,
   NodeId,
@@ -17,7 +16,7 @@
   AdapterRequest,
   NodeUsage,
 } from '@siskinmux/placement';
-import type {Suspect} from '@siskinmux/containment';
+import type {Suspect, Trait} from '@siskinmux/containment';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {EndpointLimit} from './endpoint_limits.js';
 import {
@@ -189,13 +188,13 @@
     };
   }
 
-  async requestProbation(fingerprint: Fingerprint): Promise<boolean> {
+  async requestProbation(traits: readonly Trait[]): Promise<boolean> {
     const {peerConnection, clock} = this.options;
     try {
       const response = probationResponseSchema.safeParse(
         await peerConnection.request(
           PEER_METHODS.probation,
-          {content: fingerprint},
+          {traits: [...traits]},
           after(clock.now(), PROBATION_TIMEOUT_MILLISECONDS),
         ),
       );
@@ -207,6 +206,11 @@
     }
   }
 
+  endProbation(traits: readonly Trait[]): void {
+    const {peerConnection} = this.options;
+    peerConnection.notify(PEER_METHODS.probationEnd, {traits: [...traits]});
+  }
+
   async requestAdapter(
     service: ServiceName,
     request: AdapterRequest,
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -2,11 +2,13 @@
 
 import {All, Controller, Get, Inject, Post, Req, Res} from '@nestjs/common';
 import type {FastifyReply, FastifyRequest} from 'fastify';
-import type {Clock, EndpointId, Plugin} from '@siskinmux/kernel';
+import type {Trait} from '@siskinmux/containment';
+import {MAXIMUM_TRAITS, contentTrait, namedTrait} from '@siskinmux/containment';
+import type {Clock, EndpointId, Fingerprint, Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
 import {policyOf} from '@siskinmux/declarations';
-import type {GenerationChunk} from '@siskinmux/ports';
+import type {GenerationChunk, GenerationInput} from '@siskinmux/ports';
 import type {StartSpan, TraceSpan} from '@siskinmux/requests';
 import {Counter, Histogram} from 'prom-client';
 import {z} from 'zod';
@@ -198,7 +200,10 @@
         {
           ...head,
           ...body,
-          fingerprint: fingerprintOf(`POST ${request.url}`, text),
+          traits: traitsOf(
+            fingerprintOf(`POST ${request.url}`, text),
+            body.input,
+          ),
           signal: abort.signal,
         },
         this.createStartSpan(span),
@@ -363,3 +368,14 @@
     });
   },
 };
+
+/** The content of a request, and each of its messages but the last, which others may share. */
+function traitsOf(fingerprint: Fingerprint, input: GenerationInput): Trait[] {
+  const shared = input.kind === 'chat' ? input.messages.slice(0, -1) : [];
+  const messages = shared
+    .slice(0, MAXIMUM_TRAITS - 1)
+    .map(({role, content}) =>
+      namedTrait('message', fingerprintOf(role, content)),
+    );
+  return [contentTrait(fingerprint), ...new Set(messages)];
+}
--- a/packages/node/src/requests_plugin.ts
+++ b/packages/node/src/requests_plugin.ts
@@ -18,7 +18,7 @@
   requestQuarantinePolicy,
 } from '@siskinmux/requests';
 import type {Suspect} from '@siskinmux/containment';
-import {CrashSuspects} from '@siskinmux/containment';
+import {CrashSuspects, MAXIMUM_TRAITS} from '@siskinmux/containment';
 import {RetryBudget} from '@siskinmux/routing';
 import {Gauge} from 'prom-client';
 import {z} from 'zod';
@@ -43,7 +43,7 @@
 const SUSPECT_TIMEOUT_MILLISECONDS = 1_000;
 
 const suspectSchema = z.object({
-  fingerprint: z.string().max(64),
+  trait: z.string().max(128),
   crashes: z
     .array(
       z.object({
@@ -98,22 +98,26 @@
         allocation.callAllocator(domain, message, deadline),
       onTableChange: () => dispatcher.dispatchQueued(),
     });
-    const announceSuspect = (suspect: Suspect): void => {
-      emit(ENDPOINT_DIED, {
-        deaths: suspects.crashCountOf(suspect.fingerprint),
-      });
+    const announceSuspects = (changed: readonly Suspect[]): void => {
       const deadline = after(clock.now(), SUSPECT_TIMEOUT_MILLISECONDS);
       for (const member of membership.others) {
         peers
-          .call(member.address, SUSPECT_METHOD, [suspect], deadline)
+          .call(member.address, SUSPECT_METHOD, [changed], deadline)
           .catch(() => {});
       }
     };
+    const quarantine = RequestQuarantine.create({
+      clock,
+      suspects,
+      engine: id => endpoints.engine(id),
+      announceSuspects,
+      onCrash: deaths => emit(ENDPOINT_DIED, {deaths}),
+    });
     peers.handle(
       SUSPECT_METHOD,
-      z.tuple([suspectSchema]),
-      async ([suspect]) => {
-        suspects.merge(suspect, clock.now());
+      z.tuple([z.array(suspectSchema).max(MAXIMUM_TRAITS)]),
+      async ([changed]) => {
+        quarantine.merge(changed);
         return true;
       },
     );
@@ -129,12 +133,7 @@
         replicas,
         demands,
         exchange,
-        quarantine: RequestQuarantine.create({
-          clock,
-          suspects,
-          engine: id => endpoints.engine(id),
-          announceSuspect,
-        }),
+        quarantine,
         retryBudget,
         engine: id => endpoints.engine(id),
       }),
--- a/packages/requests/src/request_quarantine.ts
+++ b/packages/requests/src/request_quarantine.ts
@@ -1,12 +1,6 @@
-/** Attributes engine crashes to requests, isolates suspects and enforces the quarantine. */
+/** Attributes engine crashes to traits of requests, isolates suspects and enforces the quarantine. */
 
-import type {
-  Clock,
-  EndpointId,
-  Fingerprint,
-  Instant,
-  Milliseconds,
-} from '@siskinmux/kernel';
+import type {Clock, EndpointId, Instant, Milliseconds} from '@siskinmux/kernel';
 import {
   ErrorCode,
   Outcome,
@@ -22,6 +16,7 @@
   CrashSuspects,
   QuarantinePolicy,
   Suspect,
+  Trait,
 } from '@siskinmux/containment';
 import {createDeadlineSignal} from './deadline_signal.js';
 
@@ -42,7 +37,7 @@
 
 /** A run whose response broke off. */
 export interface BrokenGeneration {
-  readonly fingerprint: Fingerprint;
+  readonly traits: readonly Trait[];
   readonly engine: EndpointId;
   /** Whether the request was a suspect when the run began. */
   readonly wasSuspect: boolean;
@@ -54,8 +49,10 @@
   readonly clock: Clock;
   readonly suspects: CrashSuspects;
   readonly engine: (id: EndpointId) => Engine;
-  /** Sends the other nodes the record of a request during which an endpoint crashed. */
-  readonly announceSuspect: (suspect: Suspect) => void;
+  /** Sends the other nodes the records of traits that were present at a crash. */
+  readonly announceSuspects: (suspects: readonly Suspect[]) => void;
+  /** Called for each crash, with the largest number of crashes attributed to a trait. */
+  readonly onCrash: (crashCount: number) => void;
 }
 
 /** Requests suspected of crashing engines, and the engines on which they run. */
@@ -70,24 +67,24 @@
   }
 
   /** Throws a `RefusalError` for a quarantined request. */
-  throwIfQuarantined(fingerprint: Fingerprint): void {
-    const until = this.quarantinedUntil(fingerprint);
+  throwIfQuarantined(traits: readonly Trait[]): void {
+    const until = this.quarantinedUntil(traits);
     if (until === undefined) return;
     throw createNotRunRefusal(ErrorCode.RequestQuarantined, '', until);
   }
 
   /** Whether a request is suspected of crashing endpoints. */
-  isSuspect(fingerprint: Fingerprint): boolean {
+  isSuspect(traits: readonly Trait[]): boolean {
     const {clock, suspects} = this.options;
-    return suspects.suspicionOf(fingerprint, clock.now()).kind !== 'none';
+    return suspects.suspicionOf(traits, clock.now()).kind !== 'none';
   }
 
   /**
    * Whether a request may run on an engine. An engine runs at most one suspect, because a
    * crash while it runs two could be attributed to neither.
    */
-  canRunOn(engine: EndpointId, fingerprint: Fingerprint): boolean {
-    return !this.enginesWithSuspect.has(engine) || !this.isSuspect(fingerprint);
+  canRunOn(engine: EndpointId, traits: readonly Trait[]): boolean {
+    return !this.enginesWithSuspect.has(engine) || !this.isSuspect(traits);
   }
 
   /** Records that a suspect runs on an engine. */
@@ -100,9 +97,23 @@
     this.enginesWithSuspect.delete(engine);
   }
 
-  /** Clears the suspicion of a request that got a complete response. */
-  clearSuspicion(fingerprint: Fingerprint): void {
-    this.options.suspects.recordSuccess(fingerprint);
+  /** Clears the traits of a request that got a complete response. */
+  recordSuccess(traits: readonly Trait[]): void {
+    const {clock, suspects, announceSuspects} = this.options;
+    const cleared = suspects.recordSuccess(traits, clock.now());
+    if (cleared.length > 0) announceSuspects(cleared);
+  }
+
+  /** Merges records of another node. */
+  merge(received: readonly Suspect[]): void {
+    const {clock, suspects, announceSuspects} = this.options;
+    const now = clock.now();
+    const added = received.filter(suspect => suspects.merge(suspect, now));
+    const cleared = suspects.clearRecentlyServed(
+      added.map(({trait}) => trait),
+      now,
+    );
+    if (cleared.length > 0) announceSuspects(cleared);
   }
 
   /**
@@ -111,19 +122,18 @@
    * suspect. Throws a `RefusalError` if the request is now quarantined.
    */
   async attributeCrash(
-    {fingerprint, engine, wasSuspect, hadResponded}: BrokenGeneration,
+    {traits, engine, wasSuspect, hadResponded}: BrokenGeneration,
     callerSignal: AbortSignal,
   ): Promise<void> {
-    const {clock, suspects, announceSuspect} = this.options;
+    const {clock, suspects, announceSuspects, onCrash} = this.options;
     const hasOtherSuspect = !wasSuspect && this.enginesWithSuspect.has(engine);
     if (await this.isAlive(engine, callerSignal)) return;
     if (hasOtherSuspect) return;
     const now = clock.now();
     const crash = crashIdOf(engine, now);
-    announceSuspect(
-      suspects.recordCrash(fingerprint, {crash, hadResponded}, now),
-    );
-    const until = this.quarantinedUntil(fingerprint);
+    announceSuspects(suspects.recordCrash(traits, {crash, hadResponded}, now));
+    onCrash(Math.max(0, ...traits.map(trait => suspects.crashCountOf(trait))));
+    const until = this.quarantinedUntil(traits);
     if (until === undefined) return;
     throw new RefusalError(
       ErrorCode.RequestQuarantined,
@@ -133,9 +143,9 @@
     );
   }
 
-  private quarantinedUntil(fingerprint: Fingerprint): Instant | undefined {
+  private quarantinedUntil(traits: readonly Trait[]): Instant | undefined {
     const {clock, suspects} = this.options;
-    const suspicion = suspects.suspicionOf(fingerprint, clock.now());
+    const suspicion = suspects.suspicionOf(traits, clock.now());
     return suspicion.kind === 'quarantined' ? suspicion.until : undefined;
   }
 
--- a/packages/requests/src/text_requests.ts
+++ b/packages/requests/src/text_requests.ts
@@ -3,7 +3,6 @@
 import type {
   Clock,
   EndpointId,
-  Fingerprint,
   Instant,
   Random,
   RequestId,
@@ -47,6 +46,7 @@
 } from './engine_candidates.js';
 import type {ReplicaExchange} from './replica_exchange.js';
 import type {ReplicaTable} from './replica_table.js';
+import type {Trait} from '@siskinmux/containment';
 import type {RequestQuarantine} from './request_quarantine.js';
 import {createUnknownTargetRefusal} from './unknown_target.js';
 
@@ -62,7 +62,8 @@
   readonly maximumTokens: number;
   readonly deadline: Instant | undefined;
   readonly priority: Priority | undefined;
-  readonly fingerprint: Fingerprint;
+  /** What a crash of an engine may be attributed to. */
+  readonly traits: readonly Trait[];
   readonly signal: AbortSignal;
 }
 
@@ -170,7 +171,7 @@
     if (deadline <= clock.now()) {
       throw createNotRunRefusal(ErrorCode.DeadlinePassed, '');
     }
-    quarantine.throwIfQuarantined(request.fingerprint);
+    quarantine.throwIfQuarantined(request.traits);
   }
 
   private requestReplicaIfNone(target: ModelTarget): void {
@@ -200,7 +201,7 @@
         signal: request.signal,
         candidates: () =>
           engineCandidates(this.options, target, request.input, engine =>
-            this.options.quarantine.canRunOn(engine, request.fingerprint),
+            this.options.quarantine.canRunOn(engine, request.traits),
           ),
         readyAt: () => earliestReadyAt(this.options, target),
       });
@@ -223,8 +224,8 @@
     startSpan: StartSpan,
   ): AsyncGenerator<GenerationChunk, boolean> {
     const {engine, quarantine} = this.options;
-    const {fingerprint} = context.request;
-    const isSuspect = quarantine.isSuspect(fingerprint);
+    const {traits} = context.request;
+    const isSuspect = quarantine.isSuspect(traits);
     if (isSuspect) quarantine.recordSuspectStart(slot.endpoint);
     const span = startSpan('engine generate', slot.endpoint);
     try {
@@ -238,7 +239,7 @@
         else slot.end('answered');
         yield chunk;
       }
-      if (isSuspect) quarantine.clearSuspicion(fingerprint);
+      quarantine.recordSuccess(traits);
       span.end();
       return true;
     } catch (failure) {
@@ -274,10 +275,10 @@
     slot.end(failure instanceof EndpointBusyError ? 'busy' : 'failed');
     context.triedEndpoints.add(slot.endpoint);
     if (failure instanceof AnswerCutError) {
-      const {fingerprint, signal} = context.request;
+      const {traits, signal} = context.request;
       await this.options.quarantine.attributeCrash(
         {
-          fingerprint,
+          traits,
           engine: slot.endpoint,
           wasSuspect: isSuspect,
           hadResponded: context.deliveredTokens > 0,
--- a/packages/scenarios/src/scenario_simulation.ts
+++ b/packages/scenarios/src/scenario_simulation.ts
@@ -1,5 +1,6 @@
 /** Simulates the nodes, stand-ins and callers of a scenario in virtual time. */
 
+import type {Trait} from '@siskinmux/containment';
 import {randomUUID} from 'node:crypto';
 import type {
   FailureDomain,
@@ -218,7 +219,7 @@
               maximumTokens: options.tokens,
               deadline: attempt.deadline,
               priority: undefined,
-              fingerprint: as<Fingerprint>(`text ${options.model} ${content}`),
+              traits: [as<Trait>(`text ${options.model} ${content}`)],
               signal,
             },
             noSpan,
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -47,6 +47,7 @@
   'packages/containment/__tests__/crash_suspects.test.ts',
   'packages/containment/__tests__/crash_detector.test.ts',
   'packages/containment/__tests__/crash_quarantine.test.ts',
+  'packages/containment/__tests__/harmful_part_histories.test.ts',
   'packages/gateway/__tests__/retry_budgets.test.ts',
   'packages/placement/__tests__/adapter_cache.test.ts',
   'packages/placement/__tests__/plan_models.test.ts',
