Take an endpoint that has crashed out of use on all nodes at once

Cause: a crashed engine stays in the platform's list for up to three heartbeats, and the nodes and the allocator went by the list only, although the crash was known within milliseconds. Change: the crash that is recorded for the quarantine, and forwarded to all nodes, also takes the endpoint out of use: the table doesn't offer it, and the lease holder's allocator plans without it, until it registers its next start, or for five seconds should the report be wrong. Crashes older than two seconds, which a new node is told of, don't count.

--- a/packages/containment/__tests__/crash_quarantine.test.ts
+++ b/packages/containment/__tests__/crash_quarantine.test.ts
@@ -198,6 +198,26 @@
       );
   });
 
+  it('reports each crash once on every node, and no old one to a node that has just connected', async () => {
+    const cluster = new QuarantineCluster(3);
+    const [first, second] = cluster.nodes;
+    cluster.crash(first!, culprit, 'e1');
+    cluster.crash(second!, as<Trait>('c2'), 'e1');
+    cluster.crash(first!, culprit, 'e2');
+    expect(cluster.reportedCrashes).toEqual([
+      'e1',
+      'e1',
+      'e1',
+      'e2',
+      'e2',
+      'e2',
+    ]);
+    await cluster.clock.advance(2_000);
+    cluster.addNode();
+    cluster.connect(0);
+    expect(cluster.reportedCrashes.length).toEqual(6);
+  });
+
   it('refuses a request on probation while no lease holder can be asked', async () => {
     const cluster = new QuarantineCluster(2);
     const [, node] = cluster.nodes;
--- a/packages/containment/__tests__/quarantine_cluster.ts
+++ b/packages/containment/__tests__/quarantine_cluster.ts
@@ -35,6 +35,8 @@
   readonly clock = VirtualClock.create();
   readonly nodes: CrashQuarantine[] = [];
   crashCount = 0;
+  /** Crashes in the order in which nodes learned of them. */
+  readonly reportedCrashes: string[] = [];
   /** Nodes without a connection to the lease holder. */
   private readonly cutOff = new Set<CrashQuarantine>();
   private readonly shared = new SharedObjects();
@@ -136,6 +138,7 @@
       clock: this.clock,
       emit: discardEvents,
       onCrash: () => {},
+      onEndpointCrash: crash => this.reportedCrashes.push(crash),
       onWithheld: () => {},
     });
   }
--- a/packages/containment/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -21,6 +21,9 @@
 /** Bound on the runs whose endpoint may turn out to have restarted. */
 const MAXIMUM_OPEN_RUNS = 1_000;
 
+/** Stands before the number of a further crash of an incarnation that is still listed. */
+const REPEAT_SEPARATOR = '#';
+
 /** A run that ended without a complete response. */
 export interface BrokenRun {
   /** Traits of the request, the first of which names it in log lines. */
@@ -189,10 +192,17 @@
       const confirmedAt = this.options.clock.now();
       this.confirmed.set(incarnation, {confirmedAt, count});
     }
-    return as<CrashId>(count === 1 ? incarnation : `${incarnation}#${count}`);
+    return as<CrashId>(
+      count === 1 ? incarnation : `${incarnation}${REPEAT_SEPARATOR}${count}`,
+    );
   }
 }
 
+/** The incarnation that ended, as far as it was listed; see `crashIdOf`. */
+export function incarnationOf(crash: CrashId): Incarnation {
+  return as<Incarnation>(crash.split(REPEAT_SEPARATOR, 1)[0] ?? crash);
+}
+
 /** Whether an entry describes the same endpoint, possibly after a restart under another id. */
 function isSameEndpoint(
   known: EndpointDescription,
--- a/packages/containment/src/crash_quarantine.ts
+++ b/packages/containment/src/crash_quarantine.ts
@@ -48,6 +48,9 @@
  */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 2_000;
 
+/** An endpoint that crashed longer ago may have started again. */
+const RECENT_CRASH_MILLISECONDS: Milliseconds = 2_000;
+
 /** Bound on the traits in one log line. */
 const MAXIMUM_LOGGED_TRAITS = 8;
 
@@ -73,6 +76,8 @@
   readonly emit: EmitEvent;
   /** Called for each crash of an endpoint while it ran a request of this node. */
   readonly onCrash: (run: BrokenRun, evidence: CrashEvidence) => void;
+  /** Called for each crash that this node learns of, from its own requests or from a peer. */
+  readonly onEndpointCrash: (crash: CrashId) => void;
   /** Called for each request that is refused because of its quarantine. */
   readonly onWithheld: () => void;
 }
@@ -182,8 +187,9 @@
     crash: CrashId,
     evidence: CrashEvidence,
   ): void => {
-    const {clock, emit, onCrash} = this.options;
+    const {clock, emit, onCrash, onEndpointCrash} = this.options;
     const {traits, hadResponded, endpoint} = run;
+    const isNewCrash = !this.suspects.knowsCrash(crash);
     const before = this.quarantineEnds(traits);
     const changed = this.suspects.recordCrash(
       traits,
@@ -204,6 +210,7 @@
     });
     this.logQuarantines(before);
     if (changed.length > 0) this.exchange?.reportSuspects(changed);
+    if (isNewCrash) onEndpointCrash(crash);
   };
 
   /** Clears the traits of a request that an endpoint has completed. */
@@ -216,6 +223,7 @@
   merge(received: readonly Suspect[]): Suspect[] {
     const now = this.options.clock.now();
     const before = this.quarantineEnds(received.map(({trait}) => trait));
+    const newCrashes = this.newCrashesOf(received, now);
     const added = received.filter(suspect => {
       if (this.exchange === undefined) this.holderRecords.merge(suspect, now);
       return this.suspects.merge(suspect, now);
@@ -224,6 +232,7 @@
     const traits = added.map(({trait}) => trait);
     this.reportCleared(this.suspects.clearRecentlyServed(traits, now));
     this.logQuarantines(before);
+    for (const crash of newCrashes) this.options.onEndpointCrash(crash);
     return added;
   }
 
@@ -258,6 +267,21 @@
     for (const trait of traits) this.nextProbationAt.delete(trait);
   }
 
+  /** Crashes of the last seconds that this node didn't know. */
+  private newCrashesOf(
+    received: readonly Suspect[],
+    now: Instant,
+  ): ReadonlySet<CrashId> {
+    const recent = received.filter(
+      ({lastCrashAt}) => after(lastCrashAt, RECENT_CRASH_MILLISECONDS) > now,
+    );
+    return new Set(
+      recent
+        .flatMap(({crashes}) => crashes.map(({crash}) => crash))
+        .filter(crash => !this.suspects.knowsCrash(crash)),
+    );
+  }
+
   private suspicionOf(traits: readonly Trait[]): Suspicion {
     return this.suspects.suspicionOf(traits, this.options.clock.now());
   }
--- a/packages/containment/src/crash_suspects.ts
+++ b/packages/containment/src/crash_suspects.ts
@@ -90,6 +90,11 @@
     return new CrashSuspects(quarantineAfter);
   }
 
+  /** Whether any record names the crash. */
+  knowsCrash(crash: CrashId): boolean {
+    return this.traitsByCrash.has(crash);
+  }
+
   /** Number of recorded traits. */
   get size(): number {
     return this.suspects.size;
--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -2,7 +2,7 @@
 
 export {CONTAINMENT_EVENTS} from './containment_events.js';
 export type {BrokenRun, CrashEvidence} from './crash_detector.js';
-export {CrashDetector} from './crash_detector.js';
+export {CrashDetector, incarnationOf} from './crash_detector.js';
 export type {
   CrashQuarantineOptions,
   ProbationGrant,
--- a/packages/endpoints/__tests__/endpoint_table.test.ts
+++ b/packages/endpoints/__tests__/endpoint_table.test.ts
@@ -48,6 +48,49 @@
     expect(table.get(one)?.isDraining).toEqual(true);
   });
 
+  it('does not offer an endpoint that has crashed until it registers its next start', () => {
+    const table = EndpointTable.create();
+    table.replaceAll([endpoint(one), endpoint(two)], undefined);
+    const now = as<Instant>(0);
+    expect(table.recordCrash(as<Incarnation>('one@1'), now)?.id).toEqual(one);
+    expect(table.recordCrash(as<Incarnation>('one@1'), now)).toEqual(undefined);
+    expect(availableIds(table)).toEqual(['two']);
+    const heartbeat = endpoint(one, {orderCount: 1});
+    table.apply(
+      [{id: one, description: heartbeat, isRemoved: false}],
+      undefined,
+    );
+    expect([availableIds(table), table.hasCrashed(one)]).toEqual([
+      ['two'],
+      true,
+    ]);
+    const restarted = endpoint(one, {incarnation: as<Incarnation>('one@2')});
+    table.apply(
+      [{id: one, description: restarted, isRemoved: false}],
+      undefined,
+    );
+    expect(availableIds(table)).toEqual(['one', 'two']);
+  });
+
+  it('offers an endpoint again five seconds after a crash that the platform has not confirmed', () => {
+    const table = EndpointTable.create();
+    table.replaceAll([endpoint(one), endpoint(two)], undefined);
+    table.recordCrash(as<Incarnation>('one@1'), as<Instant>(0));
+    expect(table.expire(as<Instant>(4_999))).toEqual([]);
+    expect(table.expire(as<Instant>(5_000)).map(({id}) => id)).toEqual([one]);
+    expect(availableIds(table)).toEqual(['one', 'two']);
+  });
+
+  it('ignores the crash of an incarnation that is no longer listed', () => {
+    const table = EndpointTable.create();
+    table.replaceAll(
+      [endpoint(one, {incarnation: as<Incarnation>('one@2')})],
+      undefined,
+    );
+    table.recordCrash(as<Incarnation>('one@1'), as<Instant>(0));
+    expect(availableIds(table)).toEqual(['one']);
+  });
+
   it('removes endpoints whose entry was removed or no longer describes a usable endpoint', () => {
     const table = EndpointTable.create();
     table.replaceAll([endpoint(one), endpoint(two)], undefined);
--- a/packages/endpoints/src/endpoint_table.ts
+++ b/packages/endpoints/src/endpoint_table.ts
@@ -6,7 +6,8 @@
   Milliseconds,
   ServiceName,
 } from '@siskinmux/kernel';
-import type {EndpointDescription} from './endpoint.js';
+import {after} from '@siskinmux/kernel';
+import type {EndpointDescription, Incarnation} from './endpoint.js';
 
 /**
  * How long an endpoint that is missing from the list stays in use after a platform
@@ -14,6 +15,12 @@
  */
 export const REREGISTRATION_GRACE_MILLISECONDS: Milliseconds = 2_200;
 
+/**
+ * How long an endpoint that has crashed isn't used, unless it registers its next start before.
+ * By then, the platform has removed its entry, or the report of the crash was wrong.
+ */
+const CRASHED_MILLISECONDS: Milliseconds = 5_000;
+
 /** One change of the platform's endpoint list. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -37,6 +44,8 @@
   private readonly byService = new Map<ServiceName, EndpointDescription[]>();
   /** When to remove endpoints that were missing from the list after an outage. */
   private readonly removalDeadlines = new Map<EndpointId, Instant>();
+  /** Endpoints whose listed incarnation has crashed, and when they may be used again. */
+  private readonly crashed = new Map<EndpointId, Instant>();
 
   private constructor() {}
 
@@ -44,9 +53,9 @@
     return new EndpointTable();
   }
 
-  /** All endpoints, including draining ones. */
-  get all(): Iterable<EndpointDescription> {
-    return this.byId.values();
+  /** All endpoints, including draining ones, without those that have crashed. */
+  get running(): EndpointDescription[] {
+    return [...this.byId.values()].filter(({id}) => !this.crashed.has(id));
   }
 
   get size(): number {
@@ -58,7 +67,7 @@
     return this.byId.get(id);
   }
 
-  /** Endpoints of a service that accept new requests: those that aren't draining. */
+  /** Endpoints of a service that accept new requests: neither draining nor crashed ones. */
   availableFor(service: ServiceName): readonly EndpointDescription[] {
     return this.byService.get(service) ?? [];
   }
@@ -92,9 +101,39 @@
     );
   }
 
-  /** Removes endpoints that did not register again in time. */
+  /** Whether the listed incarnation of an endpoint has crashed. */
+  hasCrashed(id: EndpointId): boolean {
+    return this.crashed.has(id);
+  }
+
+  /**
+   * Takes an endpoint out of use whose incarnation has crashed; the platform's list shows it
+   * seconds later. Returns the endpoint if it was in use.
+   */
+  recordCrash(
+    incarnation: Incarnation,
+    now: Instant,
+  ): EndpointDescription | undefined {
+    const endpoint = [...this.byId.values()].find(
+      listed => listed.incarnation === incarnation,
+    );
+    if (endpoint === undefined || this.crashed.has(endpoint.id))
+      return undefined;
+    this.crashed.set(endpoint.id, after(now, CRASHED_MILLISECONDS));
+    this.updateServiceIndex(endpoint.service);
+    return endpoint;
+  }
+
+  /** Removes endpoints that did not register again in time, and ends the effect of crashes. */
   expire(now: Instant): EndpointTableChange[] {
     const changes: EndpointTableChange[] = [];
+    for (const [id, deadline] of this.crashed) {
+      const endpoint = this.byId.get(id);
+      if (deadline > now || endpoint === undefined) continue;
+      this.crashed.delete(id);
+      this.updateServiceIndex(endpoint.service);
+      changes.push({id, before: endpoint, now: endpoint});
+    }
     for (const [id, deadline] of this.removalDeadlines) {
       if (deadline <= now) changes.push(...this.put(id, undefined));
     }
@@ -121,6 +160,8 @@
     this.removalDeadlines.delete(id);
     const before = this.byId.get(id);
     if (before === undefined && description === undefined) return [];
+    if (before?.incarnation !== description?.incarnation)
+      this.crashed.delete(id);
     if (description === undefined) this.byId.delete(id);
     else this.byId.set(id, description);
     this.updateServiceIndex(before?.service);
@@ -133,7 +174,10 @@
     this.byService.set(
       service,
       [...this.byId.values()].filter(
-        endpoint => endpoint.service === service && !endpoint.isDraining,
+        endpoint =>
+          endpoint.service === service &&
+          !endpoint.isDraining &&
+          !this.crashed.has(endpoint.id),
       ),
     );
   }
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -139,13 +139,17 @@
   return others.length > 0 ? others : endpoints;
 }
 
-/** Whether the same run of an endpoint is still listed and doesn't drain. */
+/** Whether the same run of an endpoint is still listed, and neither drains nor has crashed. */
 export function isListed(
   table: EndpointTable,
   {id, incarnation}: EndpointDescription,
 ): boolean {
   const listed = table.get(id);
-  return listed?.incarnation === incarnation && !listed.isDraining;
+  return (
+    listed?.incarnation === incarnation &&
+    !listed.isDraining &&
+    !table.hasCrashed(id)
+  );
 }
 
 /** Creates a finder for plain services, whose endpoints are interchangeable. */
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -208,6 +208,15 @@
     'An endpoint that was chosen for a request had no permit left under the limit that it named, `limit` requests a second from all nodes; `age` is the time in milliseconds since the response that named it. `outcome`: `diverted` if the request looks for another endpoint, `waited` if there was none and it got a permit in time, `refused` if it would have got one too late. `retryIn` is the time in milliseconds after which the endpoint has another permit, or the caller may return.',
 };
 
+/** An endpoint has crashed, and isn't used until it registers again. */
+export const ENDPOINT_CRASHED: EventDescriptor = {
+  number: 7034,
+  name: 'endpoint-crashed',
+  level: 'warn',
+  meaning:
+    'This node has learned, from its own requests or from another node, that the process of an endpoint has ended without draining. It sends it no requests, and as the lease holder plans without it, until the endpoint registers its next start, or for five seconds.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -234,6 +243,7 @@
   ENDPOINT_LIMIT_CHANGED,
   ENDPOINT_LIMIT_INVALID,
   REQUEST_LIMITED,
+  ENDPOINT_CRASHED,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -42,8 +42,14 @@
 import {CallerListener} from './caller_listener.js';
 import {readGatewaySettings} from './check_settings.js';
 import {ClusterLoad} from './cluster_load.js';
-import {CrashDetector, CrashQuarantine} from '@siskinmux/containment';
+import type {CrashId} from '@siskinmux/containment';
 import {
+  CrashDetector,
+  CrashQuarantine,
+  incarnationOf,
+} from '@siskinmux/containment';
+import {
+  ENDPOINT_CRASHED,
   ENTRY_UNREADABLE,
   GATEWAY_EVENTS,
   GATEWAY_STARTED,
@@ -173,7 +179,12 @@
     });
     this.limits = EndpointLimits.create({clock, emit});
     const metrics = createRequestMetrics(kernel.inject(METRICS), this.limits);
-    const quarantine = CrashQuarantine.create({clock, emit, ...metrics});
+    const quarantine = CrashQuarantine.create({
+      clock,
+      emit,
+      ...metrics,
+      onEndpointCrash: crash => this.recordEndpointCrash(crash),
+    });
     this.crashDetector = CrashDetector.create({
       table: this.table,
       clock,
@@ -363,6 +374,19 @@
     this.placement.applyEndpointChanges(changes);
   }
 
+  /** Doesn't wait for the platform's list, which shows a crash seconds later. */
+  private recordEndpointCrash(crash: CrashId): void {
+    const {table, clock} = this;
+    const endpoint = table.recordCrash(incarnationOf(crash), clock.now());
+    if (endpoint === undefined) return;
+    const {id, service, incarnation} = endpoint;
+    this.emit(ENDPOINT_CRASHED, {endpoint: id, service, life: incarnation});
+    this.connections.closeIdle(id);
+    this.placement.applyEndpointChanges([
+      {id, before: endpoint, now: undefined},
+    ]);
+  }
+
   private runTask(task: string, work: Promise<void>): void {
     work.catch((failure: unknown) => this.logUnexpectedFailure(task, failure));
   }
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -198,7 +198,12 @@
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
     this.permits.applyEndpointChanges(changes);
-    this.allocatorServer?.applyEndpointChanges(changes);
+    const {table} = this.options;
+    this.allocatorServer?.applyEndpointChanges(
+      changes.map(change =>
+        table.hasCrashed(change.id) ? {...change, now: undefined} : change,
+      ),
+    );
   }
 
   /** The operators' declaration of a service's engines; undefined for plain services. */
@@ -314,7 +319,7 @@
       limitShare: () => limitShareOf(heldLease, clock.now()),
       self: identity.id,
       listener: this.client,
-      endpoints: () => table.all,
+      endpoints: () => table.running,
       emit,
     });
     this.allocatorServer = allocatorServer;
