Pass on a response that is no event stream whole, also on routes for streams

What callers saw: on a route whose streams may be resumed, the connection closed without the body of a response that is no event stream. Cause: every response on such a route was split into events, and a body without one counts as torn. Change: only bodies of the type text/event-stream, or without a type, are streams of events. Others are passed on like the response of a plain service. Evidence: response_framing.test.ts, "that is no event stream on /text/", failed before with 'socket hang up' and passes.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -56,6 +56,7 @@
 import {RequestContainment, traitsOfPrompt} from '@siskinmux/containment';
 import {
   bufferBody,
+  isEventStream,
   isSuccess,
   relayEvents,
   writeWithBackpressure,
@@ -425,7 +426,11 @@
         isCut: false,
       };
     }
-    if (this.route.kind === 'stream' && isSuccess(head)) {
+    if (
+      this.route.kind === 'stream' &&
+      isSuccess(head) &&
+      isEventStream(head)
+    ) {
       return this.relayStream(endpoint, head, body);
     }
     return this.relayResponse(endpoint, head, body);
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -11,6 +11,9 @@
 /** Bodies up to this size are buffered whole before the caller gets any of them. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
+const CONTENT_TYPE = 'content-type';
+const EVENT_STREAM = 'text/event-stream';
+
 /** A whole short body, the failure to read one, or the beginning of a long body. */
 export type BufferingResult =
   | {readonly kind: 'whole'; readonly body: Buffer}
@@ -96,3 +99,14 @@
 export function isSuccess(head: ResponseHead): boolean {
   return head.status >= 200 && head.status < 300;
 }
+
+/** Whether the body is a stream of server-sent events, which it is unless its type is another. */
+export function isEventStream({headers}: ResponseHead): boolean {
+  const at = headers.findIndex(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === CONTENT_TYPE,
+  );
+  const type = at < 0 ? undefined : headers[at + 1];
+  return (
+    type === undefined || type.trim().toLowerCase().startsWith(EVENT_STREAM)
+  );
+}
