Treat a stream that ends inside an event as broken off, also if it may not be resumed

What callers saw: a stream without a length that ended with its connection after half an event reached the caller as a complete success. Cause: events were told apart only on routes whose streams may be resumed; on others, the end of the connection was the end of the stream. Change: complete events are passed on for all event streams; one that ends inside an event is cut. Why it works: the framing of the events says where one ends; nothing else does without a length.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -448,11 +448,9 @@
         protocol.responseHeaders(head.headers),
       );
     }
-    const end = this.route.isResumable
-      ? await relayEvents(this.exchange, body, this.events, () =>
-          this.inactivityTimer?.reset(),
-        )
-      : await body.read(writeWithBackpressure(this.exchange, body));
+    const end = await relayEvents(this.exchange, body, this.events, () =>
+      this.inactivityTimer?.reset(),
+    );
     if (end === 'complete' && !this.events.hasPartialEvent) {
       outliers.recordSuccess(endpoint.id);
       this.finish(SERVED, () => this.exchange.end());
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -81,7 +81,10 @@
   };
 }
 
-/** Relays complete events only, so that a broken stream can resume at another endpoint. */
+/**
+ * Relays complete events only. A stream that ends inside an event has broken off, and can
+ * resume at another endpoint if its route allows that.
+ */
 export function relayEvents(
   exchange: CallerExchange,
   body: ResponseBody,
