Do not send a request again after a part of its response has reached the caller

What callers saw: a response of more than 256 KiB of a repeatable request broke off, another endpoint ran the request again, and the caller's connection broke when the second head was written. Cause: the retry decision knew only whether the route lets a request run again, not whether another endpoint can continue after what the caller has got. Change: a broken response states whether it can be resumed, which only streams of events on resumable routes can.

--- a/packages/gateway/src/attempt_result.ts
+++ b/packages/gateway/src/attempt_result.ts
@@ -17,5 +17,7 @@
   | {
       readonly kind: 'stream_broken';
       readonly cause: string;
+      /** Whether another endpoint can continue after the part that the caller has got. */
+      readonly canResume: boolean;
       readonly isCut: true;
     };
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -458,7 +458,12 @@
     }
     this.events.discardPartialEvent();
     outliers.recordFailure(endpoint.id, clock.now());
-    return {kind: 'stream_broken', cause: 'the stream broke off', isCut: true};
+    return {
+      kind: 'stream_broken',
+      cause: 'the stream broke off',
+      canResume: this.route.isResumable,
+      isCut: true,
+    };
   }
 
   private async relayResponse(
@@ -486,6 +491,7 @@
         return {
           kind: 'stream_broken',
           cause: 'the answer broke off',
+          canResume: false,
           isCut: true,
         };
       }
--- a/packages/gateway/src/retry_decision.ts
+++ b/packages/gateway/src/retry_decision.ts
@@ -38,6 +38,8 @@
 ): RetryDecision {
   if (progress.sends >= MAXIMUM_SENDS || now >= progress.deadline)
     return 'not_allowed';
+  if (result.kind === 'stream_broken' && !result.canResume)
+    return 'not_allowed';
   if (result.kind === 'not_run') {
     // Retrying a request that was never sent costs no retry budget.
     if (!result.isSent) return 'free';
