Do not read a rejection without end

What callers saw: nothing; but the node read the body of a response that rejects a request for as long as the endpoint sent it, 400 MB in the test, and never gave the connection back. Cause: the rest of such a body is read only so that its connection can be reused, without a bound. Change: the connection is closed after 64 KiB or one second. Evidence: response_framing.test.ts, "that rejects a request and never ends ...".

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -56,6 +56,7 @@
 import {RequestContainment, traitsOfPrompt} from '@siskinmux/containment';
 import {
   bufferBody,
+  discardBody,
   isEventStream,
   isSuccess,
   relayEvents,
@@ -331,7 +332,7 @@
       const response = await sentRequest.result;
       if (response.kind === 'answered')
         this.containment.recordResponse(endpoint, sentRequest);
-      const result = await this.handleResult(endpoint, response);
+      const result = await this.handleResult(endpoint, response, sentRequest);
       endRun();
       await this.reportRunEnd(result, {endpoint, sentRequest, sentAt});
       return result;
@@ -380,6 +381,7 @@
   private async handleResult(
     endpoint: EndpointDescription,
     result: SendResult,
+    sentRequest: SentRequest,
   ): Promise<AttemptResult> {
     const {outliers, clock, limits} = this.dependencies;
     if (result.kind === 'failed') {
@@ -409,7 +411,7 @@
     }
     if (!metadata.isMisdirected) limits.recordResponse(endpoint, head);
     if (metadata.isNotRun) {
-      void body.read(() => true);
+      discardBody(body, sentRequest, clock);
       const {model} = this.metadata;
       if (model !== undefined && metadata.isMisdirected) {
         this.dependencies.reportMissingModel(endpoint.id, model);
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -5,12 +5,19 @@
   ResponseHead,
   BodyEnd,
   EventStreamSplitter,
+  SentRequest,
 } from '@siskinmux/forwarding';
+import type {Clock, Milliseconds} from '@siskinmux/kernel';
+import {after} from '@siskinmux/kernel';
 import type {CallerExchange} from './caller_exchange.js';
 
 /** Bodies up to this size are buffered whole before the caller gets any of them. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
+/** Bounds on a body that is read only for the reuse of its connection. */
+const MAXIMUM_DISCARDED_BYTES = 65_536;
+const DISCARD_MILLISECONDS: Milliseconds = 1_000;
+
 const CONTENT_TYPE = 'content-type';
 const EVENT_STREAM = 'text/event-stream';
 
@@ -69,6 +76,29 @@
   };
 }
 
+/**
+ * Reads a short body to its end, so that its connection can be reused. Closes the connection
+ * if the body is long or doesn't end.
+ */
+export function discardBody(
+  body: ResponseBody,
+  sentRequest: SentRequest,
+  clock: Clock,
+): void {
+  const abort = (): void => sentRequest.abort();
+  const cancel = clock.schedule(
+    after(clock.now(), DISCARD_MILLISECONDS),
+    abort,
+  );
+  let size = 0;
+  const end = body.read(chunk => {
+    size += chunk.length;
+    if (size > MAXIMUM_DISCARDED_BYTES) abort();
+    return true;
+  });
+  void end.finally(cancel);
+}
+
 /** Creates a writer that pauses the endpoint's body while the caller's buffer is full. */
 export function writeWithBackpressure(
   exchange: CallerExchange,
