Bound the responses of the store, engines and other nodes that are read whole

What callers saw: nothing yet; an engine in trouble that answers a request for its report without end filled the memory of the lease holder until the call's deadline, 400 MB in the test; a host has 350 MB. Cause: the client of all such calls had a deadline and no limit of size.

--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -15,6 +15,9 @@
 /** Maximum number of connections to one origin. */
 const CONNECTIONS_PER_ORIGIN = 256;
 
+/** No list, report or stream of this size is expected; a server in trouble may send more. */
+const MAXIMUM_RESPONSE_BYTES = 16_777_216;
+
 /** Whether a failed request may have reached the server. */
 export type RequestDelivery = 'not_sent' | 'maybe_sent';
 
@@ -28,6 +31,7 @@
     keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAXIMUM_RESPONSE_BYTES,
     connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS, ...tls},
   });
 }
