Keep the end of a long event in mind after its beginning was passed on

What callers saw: a stream that ended inside an event of more than 1 MiB was passed on as complete. Cause: the beginning of such an event is passed on to bound the memory, and nothing said afterwards that an event had begun. Change: its last three bytes, as many as a line end and half of the next one, are kept back. Evidence: event_stream_splitter.test.ts, "still counts a long event as incomplete ...": failed before with false instead of true.

--- a/packages/forwarding/__tests__/event_stream_splitter.test.ts
+++ b/packages/forwarding/__tests__/event_stream_splitter.test.ts
@@ -28,6 +28,15 @@
     expect(next.toString()).toEqual('id: 2\ndata: b\n\n');
   });
 
+  it('still counts a long event as incomplete after its beginning was passed on', () => {
+    const splitter = EventStreamSplitter.create();
+    const long = Buffer.alloc(2_000_000, 'x');
+    expect(splitter.push(long).length).toBeGreaterThan(0);
+    expect(splitter.hasPartialEvent).toEqual(true);
+    splitter.push(Buffer.from('\n\nid: 2\ndata: a\n\n'));
+    expect(splitter.hasPartialEvent).toEqual(false);
+  });
+
   it('accepts line ends of LF and of CRLF', () => {
     const splitter = EventStreamSplitter.create();
     const bytes = Buffer.from('id: 7\r\ndata: a\r\n\r\n');
--- a/packages/forwarding/src/event_stream_splitter.ts
+++ b/packages/forwarding/src/event_stream_splitter.ts
@@ -3,6 +3,9 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
+/** Bytes of a long event that are kept back, so that its end is recognised. */
+const MAXIMUM_LINE_END_BYTES = 3;
+
 /** Maximum size of a buffered partial event; a larger event is passed on in parts. */
 const MAXIMUM_BUFFERED_EVENT_BYTES = 1_048_576;
 
@@ -38,7 +41,7 @@
         : Buffer.concat([this.partialEvent, chunk]);
     const end = endOfLastEvent(bytes);
     const isTooLong = bytes.length - end > MAXIMUM_BUFFERED_EVENT_BYTES;
-    const splitAt = isTooLong ? bytes.length : end;
+    const splitAt = isTooLong ? bytes.length - MAXIMUM_LINE_END_BYTES : end;
     this.partialEvent = bytes.subarray(splitAt);
     const complete = bytes.subarray(0, splitAt);
     this.lastId = lastIdIn(complete) ?? this.lastId;
