Split the record of crashes and the permissions for runs on probation into files of their own

No behaviour changes: run_crashes.ts has the records and their merging, probations.ts the runs that the lease holder has allowed.

--- a/packages/containment/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -12,7 +12,7 @@
 import type {ProbeResult} from '@siskinmux/forwarding';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
-import type {CrashId} from './crash_suspects.js';
+import type {CrashId} from './run_crashes.js';
 import type {Trait} from './trait.js';
 
 /** An endpoint that crashed has started again, and its entry has been read, within this time. */
--- a/packages/containment/src/crash_quarantine.ts
+++ b/packages/containment/src/crash_quarantine.ts
@@ -21,13 +21,10 @@
   TRAIT_CLEARED,
 } from './containment_events.js';
 import type {BrokenRun, CrashEvidence} from './crash_detector.js';
-import type {
-  CrashId,
-  QuarantinePolicy,
-  Suspect,
-  Suspicion,
-} from './crash_suspects.js';
+import type {QuarantinePolicy, Suspicion} from './crash_suspects.js';
+import type {CrashId, Suspect} from './run_crashes.js';
 import {CrashSuspects} from './crash_suspects.js';
+import {PROBATION_MILLISECONDS, Probations} from './probations.js';
 import {SuspectRuns} from './suspect_runs.js';
 import type {Trait} from './trait.js';
 
@@ -39,9 +36,6 @@
   0, 0, 30_000, 600_000, 7_200_000, 86_400_000,
 ];
 
-/** The lease holder allows one run with a trait on probation in this time, unless it ends sooner. */
-const PROBATION_INTERVAL_MILLISECONDS: Milliseconds = 5_000;
-
 /**
  * `Retry-After` while the lease holder can't be asked, or a run on probation is going on; most
  * runs have ended by then.
@@ -97,8 +91,8 @@
 export class CrashQuarantine {
   private readonly suspects = CrashSuspects.create(quarantinePolicy);
   private readonly runs = SuspectRuns.create();
-  /** When the next run on probation may be allowed; used while this node holds the lease. */
-  private readonly nextProbationAt = new Map<Trait, Instant>();
+  /** Used while this node holds the lease. */
+  private readonly probations = Probations.create();
   /** What a lease holder has sent since the connection to the previous one ended. */
   private holderRecords = CrashSuspects.create(quarantinePolicy);
   private exchange: SuspectExchange | undefined;
@@ -159,7 +153,7 @@
       return {refusal: this.withhold(traits, id, suspicion)};
     if (suspicion.kind !== 'probation') return {grant};
     if (grant !== undefined && grant.expiresAt > clock.now()) return {grant};
-    const expiresAt = after(clock.now(), PROBATION_INTERVAL_MILLISECONDS);
+    const expiresAt = after(clock.now(), PROBATION_MILLISECONDS);
     const isAllowed = await this.exchange?.requestProbation(traits);
     if (isAllowed === true) return {grant: {expiresAt}};
     return {refusal: this.withhold(traits, id, suspicion)};
@@ -236,22 +230,17 @@
     return added;
   }
 
-  /** As the lease holder, allows a run on probation unless one was allowed recently. */
+  /** As the lease holder, allows a run on probation unless another one is going on. */
   allowProbation(traits: readonly Trait[]): boolean {
     const now = this.options.clock.now();
-    for (const [trait, at] of this.nextProbationAt) {
-      if (at <= now) this.nextProbationAt.delete(trait);
-    }
     if (this.suspicionOf(traits).kind === 'quarantined') return false;
     const tried = traits.filter(
       trait => this.suspects.suspicionOf([trait], now).kind === 'probation',
     );
-    if (tried.some(trait => this.nextProbationAt.has(trait))) return false;
-    const nextAt = after(now, PROBATION_INTERVAL_MILLISECONDS);
-    for (const trait of tried) this.nextProbationAt.set(trait, nextAt);
+    if (!this.probations.tryStart(tried, now)) return false;
     this.options.emit(PROBATION_ALLOWED, {
       traits: tried.slice(0, MAXIMUM_LOGGED_TRAITS).join(' '),
-      milliseconds: PROBATION_INTERVAL_MILLISECONDS,
+      milliseconds: PROBATION_MILLISECONDS,
     });
     return true;
   }
@@ -264,7 +253,7 @@
 
   /** As the lease holder, allows the next run with these traits. */
   endProbation(traits: readonly Trait[]): void {
-    for (const trait of traits) this.nextProbationAt.delete(trait);
+    this.probations.end(traits);
   }
 
   /** Crashes of the last seconds that this node didn't know. */
--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -10,13 +10,8 @@
   SuspectExchange,
 } from './crash_quarantine.js';
 export {CrashQuarantine} from './crash_quarantine.js';
-export type {
-  CrashId,
-  QuarantinePolicy,
-  RunCrash,
-  Suspect,
-  Suspicion,
-} from './crash_suspects.js';
+export type {QuarantinePolicy, Suspicion} from './crash_suspects.js';
+export type {CrashId, RunCrash, Suspect} from './run_crashes.js';
 export {CrashSuspects} from './crash_suspects.js';
 export {QuarantineArchive} from './quarantine_archive.js';
 export type {ContainmentDependencies, EndedRun} from './request_containment.js';
--- a/packages/containment/src/quarantine_archive.ts
+++ b/packages/containment/src/quarantine_archive.ts
@@ -13,7 +13,7 @@
 import {SiskinmuxError, after, as, until} from '@siskinmux/kernel';
 import type {ClockReading} from '@siskinmux/leases';
 import type {MetadataStore} from '@siskinmux/ports';
-import type {Suspect} from './crash_suspects.js';
+import type {Suspect} from './run_crashes.js';
 import type {PeriodicJob} from '@siskinmux/runtime';
 import {createPeriodicJob} from '@siskinmux/runtime';
 import {z} from 'zod';
--- a/packages/containment/src/suspect_messages.ts
+++ b/packages/containment/src/suspect_messages.ts
@@ -2,7 +2,7 @@
 
 import type {Instant} from '@siskinmux/kernel';
 import {after, as, until} from '@siskinmux/kernel';
-import type {CrashId, Suspect} from './crash_suspects.js';
+import type {CrashId, Suspect} from './run_crashes.js';
 import type {Trait} from './trait.js';
 import {MAXIMUM_TRAITS} from './trait.js';
 import {z} from 'zod';
