Reset the connection of a broken response that only a close ends

What callers saw: a response that had been broken off looked whole to callers of HTTP/1.0, whether the endpoint broke it off, its time passed or the node stopped. Cause: Node.js sends a response without a length to such a caller without chunks, so that the close of the connection is its regular end; the node cut a broken response by closing, too. The framing of the caller's connection was never asked. Change: cutting a response that has neither a length nor chunks resets the connection. The reset comes 10 ms after the last bytes, as libuv reads one that arrives with bytes as a plain end, and before a stopping process exits. Why it works: a reset is no end in any framing.

--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -2,17 +2,29 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RawHeaders} from '@siskinmux/forwarding';
-import type {Instant} from '@siskinmux/kernel';
-import {ErrorCode, RefusalError, createNotRunRefusal} from '@siskinmux/kernel';
+import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  RefusalError,
+  after,
+  createNotRunRefusal,
+} from '@siskinmux/kernel';
+
+const CONTENT_LENGTH = 'content-length';
+
+/** libuv reads a reset that arrives together with bytes as a plain end. */
+export const RESET_DELAY_MILLISECONDS: Milliseconds = 10;
 
 /** One HTTP exchange with a caller. */
 export class CallerExchange {
   private isHeadSent = false;
+  private hasLength = false;
   private hasEnded = false;
 
   private constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly clock: Clock,
     /** Path and query as the caller sent them. */
     readonly target: string,
     /** When the request's head had been read. */
@@ -25,11 +37,12 @@
   static create(options: {
     request: IncomingMessage;
     response: ServerResponse;
+    clock: Clock;
     target: string;
     receivedAt: Instant;
   }): CallerExchange {
-    const {request, response, target, receivedAt} = options;
-    return new CallerExchange(request, response, target, receivedAt);
+    const {request, response, clock, target, receivedAt} = options;
+    return new CallerExchange(request, response, clock, target, receivedAt);
   }
 
   get method(): string {
@@ -87,6 +100,9 @@
   /** Sends the response's head; `headers` alternates names and values. */
   startResponse(status: number, headers: string[]): void {
     this.isHeadSent = true;
+    this.hasLength = headers.some(
+      (name, index) => index % 2 === 0 && name.toLowerCase() === CONTENT_LENGTH,
+    );
     this.response.writeHead(status, headers);
   }
 
@@ -106,10 +122,26 @@
     this.response.end(lastChunk);
   }
 
-  /** Destroys the connection, so that the caller sees the response as truncated. */
+  /**
+   * Ends the connection so that the caller sees the response as truncated. A close is the
+   * regular end of a response without a length or chunks, so that one needs a reset.
+   */
   cut(): void {
     this.hasEnded = true;
-    this.response.destroy();
+    if (!this.isEndedByClose) {
+      this.response.destroy();
+      return;
+    }
+    const {socket} = this.response;
+    this.clock.schedule(after(this.clock.now(), RESET_DELAY_MILLISECONDS), () =>
+      socket?.resetAndDestroy(),
+    );
+  }
+
+  /** Whether nothing but the close of the connection shows the end of the response. */
+  private get isEndedByClose(): boolean {
+    const {isHeadSent, hasLength, response} = this;
+    return isHeadSent && !hasLength && !response.chunkedEncoding;
   }
 
   /** Closes the connection after this response. */
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -45,11 +45,13 @@
     @Res() reply: FastifyReply,
   ): Promise<void> {
     reply.hijack();
+    const {clock} = this.handler;
     const exchange = CallerExchange.create({
       request: request.raw,
       response: reply.raw,
+      clock,
       target: request.originalUrl,
-      receivedAt: this.handler.clock.now(),
+      receivedAt: clock.now(),
     });
     await this.handler.handle(exchange);
   }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -39,6 +39,7 @@
 import type {FastifyInstance} from 'fastify';
 import {ActiveRoutes} from './active_routes.js';
 import type {CallerExchange} from './caller_exchange.js';
+import {RESET_DELAY_MILLISECONDS} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
 import {readGatewaySettings} from './check_settings.js';
 import {ClusterLoad} from './cluster_load.js';
@@ -86,6 +87,9 @@
 /** Interval at which a stopping node checks for open requests. */
 const DRAIN_CHECK_MILLISECONDS: Milliseconds = 20;
 
+/** Time for the last responses to reach their callers, those that end with a reset included. */
+const ABANDON_MILLISECONDS: Milliseconds = 2 * RESET_DELAY_MILLISECONDS;
+
 /** `Retry-After` while the node has no routes or is shutting down. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
@@ -304,7 +308,7 @@
     }
     const open = this.openExchangeCount;
     for (const request of this.openRequests) request.abandon();
-    await sleepFor(clock, DRAIN_CHECK_MILLISECONDS);
+    await sleepFor(clock, ABANDON_MILLISECONDS);
     this.platformView.stop();
     emit(GATEWAY_STOPPED, {open});
   }
