Frame a stream that may go on elsewhere without the length of its first response

What callers saw: a stream that broke off at one engine and went on at another was sent under the length that the first response had named. More bytes than that stand where the next response of the connection is due; fewer leave the caller waiting. Cause: the length of an endpoint's response was passed on as a header, also where the body may come from two responses. Evidence: "is framed by its own length ..." fails before: 50 bytes under a length of 34. Change: a stream on a route that allows resumption is sent in chunks (to a caller of HTTP/1.0, until close). Others keep their length. Why it works: the framing no longer depends on which response a part of the body comes from.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -60,6 +60,7 @@
   isEventStream,
   isSuccess,
   relayEvents,
+  withoutLength,
   writeWithBackpressure,
 } from './relay_response.js';
 import type {RetryBudgets} from './retry_budgets.js';
@@ -445,9 +446,10 @@
   ): Promise<AttemptResult> {
     const {outliers, clock, protocol} = this.dependencies;
     if (!this.exchange.hasSentHead) {
+      const headers = protocol.responseHeaders(head.headers);
       this.exchange.startResponse(
         head.status,
-        protocol.responseHeaders(head.headers),
+        this.route.isResumable ? withoutLength(headers) : headers,
       );
     }
     const end = await relayEvents(this.exchange, body, this.events, () =>
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -18,6 +18,7 @@
 const MAXIMUM_DISCARDED_BYTES = 65_536;
 const DISCARD_MILLISECONDS: Milliseconds = 1_000;
 
+const CONTENT_LENGTH = 'content-length';
 const CONTENT_TYPE = 'content-type';
 const EVENT_STREAM = 'text/event-stream';
 
@@ -128,6 +129,13 @@
   });
 }
 
+/** The headers of a response whose body may go on at another endpoint, with another length. */
+export function withoutLength(headers: readonly string[]): string[] {
+  const isLength = (index: number): boolean =>
+    headers[index]?.toLowerCase() === CONTENT_LENGTH;
+  return headers.filter((_, index) => !isLength(index - (index % 2)));
+}
+
 /** Whether the status is 2xx. The endpoint has to seal such a response, but not an error. */
 export function isSuccess(head: ResponseHead): boolean {
   return head.status >= 200 && head.status < 300;
