Check that an endpoint still runs before its close counts as the end of a response

What callers saw: a stream without a length whose engine crashed between two events looked whole. Cause: such a response ends with its connection, and the connections of a process that ends are closed like those of one that has sent all. The node asked the bytes only. Change: one function decides whether a response is complete, from the framing of the endpoint's connection, the events, and, if only a close ends it, whether the endpoint still runs: nothing known about a crash or a restart, and its port not closed. Its cause is logged in send-failed. Why it works: an endpoint that has crashed refuses connections until it starts again, seconds later. The check costs a connection for responses without a length or chunks only.

--- a/packages/containment/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -84,6 +84,26 @@
     else this.watchForRestart(run);
   }
 
+  /**
+   * Whether the process that sent a response still runs, as far as this node can tell: nothing
+   * shows that it has ended, and its port isn't closed.
+   */
+  async isRunning({
+    id,
+    incarnation,
+    address,
+  }: EndpointDescription): Promise<boolean> {
+    const {table, probe} = this.options;
+    const hasEnded = (): boolean => {
+      const listed = table.get(id);
+      return (
+        table.hasCrashed(id) ||
+        (listed !== undefined && listed.incarnation !== incarnation)
+      );
+    };
+    return !hasEnded() && (await probe(address)) !== 'refused' && !hasEnded();
+  }
+
   /** Reports the run as a crash if the endpoint turns out to have restarted. */
   watchForRestart(run: BrokenRun): void {
     this.watch(run, false);
--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -6,7 +6,7 @@
 import {Client, buildConnector} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {EndpointProtocol, RawHeaders} from './endpoint_protocol.js';
-import type {ResponseHead, SentRequest} from './sent_request.js';
+import type {BodyFraming, ResponseHead, SentRequest} from './sent_request.js';
 import {ResponseBody} from './sent_request.js';
 
 /** Connect timeout. A lost handshake packet is resent after a second, which is too late. */
@@ -177,6 +177,7 @@
 /** One request and its response, as an undici handler. */
 class HttpExchange implements Dispatcher.DispatchHandler {
   readonly sentRequest: SentRequest;
+  private readonly method: string;
   private controller: Dispatcher.DispatchController | undefined;
   private isWritten = false;
   private head: ResponseHead | undefined;
@@ -196,6 +197,7 @@
     const result = new Promise<Awaited<SentRequest['result']>>(resolve => {
       this.resolve = resolve;
     });
+    this.method = request.method;
     const isAborted = (): boolean => this.isAborted;
     this.sentRequest = {
       result,
@@ -240,6 +242,7 @@
       status,
       headers,
       metadata: this.protocol.readResponse(status, headers),
+      framing: framingOf(this.method, status, headers),
     };
     this.body = ResponseBody.create(controller);
     controller.pause();
@@ -296,6 +299,24 @@
   }
 }
 
+/** RFC 9112, 6.3; undici rejects a response that has both a length and a transfer coding. */
+function framingOf(
+  method: string,
+  status: number,
+  headers: RawHeaders,
+): BodyFraming {
+  const values = (name: string): string[] =>
+    headers.filter(
+      (_, index) =>
+        index % 2 === 1 && headers[index - 1]?.toLowerCase() === name,
+    );
+  if (method === 'HEAD' || status === 204 || status === 304) return 'length';
+  const coding = values('transfer-encoding').at(-1);
+  if (coding !== undefined)
+    return /chunked\s*$/i.test(coding) ? 'chunks' : 'close';
+  return values('content-length').length > 0 ? 'length' : 'close';
+}
+
 function decodeHeaders(
   headers: Dispatcher.DispatchController['rawHeaders'],
 ): RawHeaders {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,6 +22,7 @@
 export {probeEndpoint} from './probe_endpoint.js';
 export type {
   BodyEnd,
+  BodyFraming,
   ResponseHead,
   SendResult,
   SentRequest,
--- a/packages/forwarding/src/sent_request.ts
+++ b/packages/forwarding/src/sent_request.ts
@@ -3,11 +3,15 @@
 import type {Instant} from '@siskinmux/kernel';
 import type {RawHeaders, ResponseMetadata} from './endpoint_protocol.js';
 
+/** What shows the end of a body: its length, its last chunk, or only the close of the connection. */
+export type BodyFraming = 'length' | 'chunks' | 'close';
+
 /** Status and headers of a response, and the metadata decoded from them. */
 export interface ResponseHead {
   readonly status: number;
   readonly headers: RawHeaders;
   readonly metadata: ResponseMetadata;
+  readonly framing: BodyFraming;
 }
 
 /** The response to a request, or the failure to get one. */
--- a/packages/gateway/__tests__/limit_cluster.ts
+++ b/packages/gateway/__tests__/limit_cluster.ts
@@ -45,6 +45,7 @@
 ): ResponseHead {
   return {
     status: 200,
+    framing: 'length',
     headers: [],
     metadata: {
       requestId: undefined,
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -5,6 +5,7 @@
 
 import type {EndpointDescription} from '@siskinmux/endpoints';
 import type {
+  BodyEnd,
   ResponseHead,
   EndpointConnectionPool,
   EndpointProtocol,
@@ -63,6 +64,7 @@
   withoutLength,
   writeWithBackpressure,
 } from './relay_response.js';
+import {findBreak} from './response_end.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {RequestProgress, RetryDecision} from './retry_decision.js';
 import {allowsAnotherRun, decideRetry} from './retry_decision.js';
@@ -455,7 +457,8 @@
     const end = await relayEvents(this.exchange, body, this.events, () =>
       this.inactivityTimer?.reset(),
     );
-    if (end === 'complete' && !this.events.hasPartialEvent) {
+    const cause = await this.findBreak(endpoint, head, end);
+    if (cause === undefined) {
       outliers.recordSuccess(endpoint.id);
       this.finish(SERVED, () => this.exchange.end());
       return {kind: 'delivered'};
@@ -464,7 +467,7 @@
     outliers.recordFailure(endpoint.id, clock.now());
     return {
       kind: 'stream_broken',
-      cause: 'the stream broke off',
+      cause,
       canResume: this.route.isResumable,
       isCut: true,
     };
@@ -478,30 +481,21 @@
     const {outliers, clock} = this.dependencies;
     const buffering = bufferBody(body);
     const result = await buffering.result;
-    if (result.kind === 'broken') {
-      outliers.recordFailure(endpoint.id, clock.now());
-      return {
-        kind: 'may_have_run',
-        cause: 'the answer broke off',
-        isCut: true,
-      };
-    }
     if (result.kind === 'long') {
       this.startResponse(head);
       this.exchange.write(result.buffered);
       buffering.relayRest(writeWithBackpressure(this.exchange, body));
-      const end = await result.end;
-      if (end === 'broken') {
-        return {
-          kind: 'stream_broken',
-          cause: 'the answer broke off',
-          canResume: false,
-          isCut: true,
-        };
-      }
+      const cause = await this.findBreak(endpoint, head, await result.end);
+      if (cause !== undefined)
+        return {kind: 'stream_broken', cause, canResume: false, isCut: true};
       this.finish(SERVED, () => this.exchange.end());
       return {kind: 'delivered'};
     }
+    const cause = await this.findBreak(endpoint, head, result.end);
+    if (cause !== undefined) {
+      outliers.recordFailure(endpoint.id, clock.now());
+      return {kind: 'may_have_run', cause, isCut: true};
+    }
     if (head.status >= 500) {
       return {
         kind: 'may_have_run',
@@ -515,6 +509,17 @@
     return {kind: 'delivered'};
   }
 
+  private findBreak(
+    endpoint: EndpointDescription,
+    {framing}: ResponseHead,
+    end: BodyEnd,
+  ): Promise<string | undefined> {
+    const {hasPartialEvent} = this.events;
+    return findBreak({end, framing, hasPartialEvent}, () =>
+      this.dependencies.crashDetector.isRunning(endpoint),
+    );
+  }
+
   private sendResponse(head: ResponseHead, body: Buffer): void {
     const result = isSuccess(head) ? SERVED : `status_${head.status}`;
     this.finish(result, () => {
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -22,10 +22,9 @@
 const CONTENT_TYPE = 'content-type';
 const EVENT_STREAM = 'text/event-stream';
 
-/** A whole short body, the failure to read one, or the beginning of a long body. */
+/** A short body and how it ended, or the beginning of a long body. */
 export type BufferingResult =
-  | {readonly kind: 'whole'; readonly body: Buffer}
-  | {readonly kind: 'broken'}
+  | {readonly kind: 'short'; readonly body: Buffer; readonly end: BodyEnd}
   | {
       readonly kind: 'long';
       readonly buffered: Buffer;
@@ -57,11 +56,11 @@
     return false;
   });
   const result = Promise.race([
-    end.then((bodyEnd): BufferingResult =>
-      bodyEnd === 'complete'
-        ? {kind: 'whole', body: Buffer.concat(chunks)}
-        : {kind: 'broken'},
-    ),
+    end.then((bodyEnd): BufferingResult => ({
+      kind: 'short',
+      body: Buffer.concat(chunks),
+      end: bodyEnd,
+    })),
     long.then((): BufferingResult => {
       const buffered = Buffer.concat(chunks);
       chunks = [];
