Fail a service's response that was reset, also without a length, in the product's own interface

What callers saw: nothing was reported; found by looking for the same cause elsewhere. A plain service that was reset within a response without a length or chunks was taken to have answered in full. Cause: undici takes a reset for the end of such a response. The gateway's connections watched for resets; the HTTP client of the other adapters did not. Evidence: "reports a response that is reset before its end as cut off" fails before. Change: the clients of the shared agent use the same detection and fail such a response; it is reported as cut off, so that the call's outcome is looked up. Streams of engines were safe: their end is a mark in the stream.

--- a/packages/adapters/__tests__/plain_service_contract.test.ts
+++ b/packages/adapters/__tests__/plain_service_contract.test.ts
@@ -1,3 +1,4 @@
+import {createServer} from 'node:http';
 import {after as afterAll, before, describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {IdempotencyKey, Instant, RequestId} from '@siskinmux/kernel';
@@ -129,4 +130,26 @@
       EndpointUnreachableError,
     );
   });
+
+  for (const framing of ['content-length: 100\r\n', '']) {
+    it(`reports a response ${framing && 'with a length '}that is reset before its end as cut off`, async () => {
+      const resetting = createServer(({socket}) =>
+        socket.write(`HTTP/1.1 200 OK\r\n${framing}\r\n{"coupon":`, () =>
+          socket.resetAndDestroy(),
+        ),
+      );
+      await new Promise<void>(resolve =>
+        resetting.listen(0, '127.0.0.1', resolve),
+      );
+      const {port} = resetting.address() as {port: number};
+      const service = HttpPlainService.create({
+        url: `http://127.0.0.1:${port}`,
+        agent: createAgent(),
+      });
+      await expect(service.call(createCall('x'), signal)).toBeRejectedWith(
+        AnswerCutError,
+      );
+      resetting.close();
+    });
+  }
 });
--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -1,7 +1,8 @@
 /** HTTP requests through undici. Failures are classified by whether the request was sent. */
 
 import type {Dispatcher} from 'undici';
-import {Agent, errors, request as sendRequest} from 'undici';
+import {Agent, Pool, errors, request as sendRequest} from 'undici';
+import {createResetAwareClient} from './reset_aware_client.js';
 
 /** Applies to opening a connection only; a request's `signal` limits its duration. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -33,6 +34,8 @@
     bodyTimeout: 0,
     maxResponseSize: MAXIMUM_RESPONSE_BYTES,
     connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS, ...tls},
+    factory: (origin, options: Pool.Options) =>
+      new Pool(origin, {...options, factory: createResetAwareClient}),
   });
 }
 
--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -1,11 +1,11 @@
 /** A connection to an endpoint that carries one request at a time, based on undici. */
 
-import type {Socket} from 'node:net';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 import {Client, buildConnector} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {EndpointProtocol, RawHeaders} from './endpoint_protocol.js';
+import {watchForReset} from './reset_detection.js';
 import type {BodyFraming, ResponseHead, SentRequest} from './sent_request.js';
 import {ResponseBody} from './sent_request.js';
 
@@ -18,8 +18,6 @@
 /** Maximum size of a response's header block; the default of Node.js. */
 const MAXIMUM_HEADER_BYTES = 16_384;
 
-const EMPTY_BUFFER = Buffer.alloc(0);
-
 /** A request as it is sent. Its body is buffered, so that it can be sent again. */
 export interface OutgoingRequest {
   readonly method: string;
@@ -160,20 +158,6 @@
   }
 }
 
-/**
- * Detects a connection reset, even if Node.js reports only the end of the stream.
- * A reset that arrives together with the last bytes is read as a normal end, and undici
- * treats either as the end of a response without a length. An empty write fails on a
- * connection that was reset and has no effect on one that was closed.
- */
-function watchForReset(socket: Socket | null, onReset: () => void): void {
-  socket?.prependListener('error', onReset);
-  socket?.prependListener('end', () => {
-    socket.write(EMPTY_BUFFER);
-    if (socket.errored) onReset();
-  });
-}
-
 /** One request and its response, as an undici handler. */
 class HttpExchange implements Dispatcher.DispatchHandler {
   readonly sentRequest: SentRequest;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,6 +20,7 @@
 export {EventStreamSplitter} from './event_stream_splitter.js';
 export type {ProbeResult} from './probe_endpoint.js';
 export {probeEndpoint} from './probe_endpoint.js';
+export {watchForReset} from './reset_detection.js';
 export type {
   BodyEnd,
   BodyFraming,
