--- a/packages/endpoints/__tests__/endpoint_table.test.ts
+++ b/packages/endpoints/__tests__/endpoint_table.test.ts
@@ -22,6 +22,7 @@
     id,
     incarnation: as<Incarnation>(`${id}@1`),
     service,
+    softwareVersion: undefined,
     address: '127.0.0.1:1',
     failureDomain: as<FailureDomain>('a'),
     slots: 4,
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -15,6 +15,9 @@
  */
 export type Incarnation = Brand<string, 'Incarnation'>;
 
+/** Version of an endpoint's software; what two versions write does not fit together. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+
 /** A model that an engine has loaded, with its adapters. */
 export interface LoadedModel {
   readonly model: ModelName;
@@ -32,6 +35,8 @@
   readonly id: EndpointId;
   readonly incarnation: Incarnation;
   readonly service: ServiceName;
+  /** Undefined if the endpoint doesn't state it. */
+  readonly softwareVersion: SoftwareVersion | undefined;
   /** IP address and port. */
   readonly address: string;
   readonly failureDomain: FailureDomain;
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -4,6 +4,7 @@
   EndpointDescription,
   Incarnation,
   LoadedModel,
+  SoftwareVersion,
   WeightCopies,
 } from './endpoint.js';
 export type {EndpointChange, EndpointTableChange} from './endpoint_table.js';
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -46,6 +46,8 @@
   readonly sharedParts: readonly PromptPartId[];
   /** Id of the last event that the caller received from this stream. */
   readonly resumeAfter: string | undefined;
+  /** The attempt that brought the first event of the stream that the caller takes up. */
+  readonly resumes: RequestId | undefined;
 }
 
 /** What is added to the headers of a request that is forwarded to an endpoint. */
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -11,7 +11,7 @@
   name: 'request-ended',
   level: 'info',
   meaning:
-    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response.',
+    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller takes up. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response.',
 };
 
 /** A send to an endpoint failed. */
@@ -20,7 +20,7 @@
   name: 'send-failed',
   level: 'info',
   meaning:
-    'An endpoint refused a request, could not be reached, failed, or its response was cut short. `end`: `not_run` if the endpoint did not run the request, `may_have_run` if it ran or may have run it and the caller has got nothing of its response, `stream_broken` if its response broke off after the caller got a part of it. `content` is the fingerprint of the request, equal for requests with the same content; `life` is the incarnation of the endpoint. `next` says whether the node sends the request again, and `retry` why: `free` or `charged` to the retry budget, `over_budget`, or `not_allowed` by the route, the deadline or the limit on sends.',
+    'An endpoint refused a request, could not be reached, failed, or its response was cut short. `end`: `not_run` if the endpoint did not run the request, `may_have_run` if it ran or may have run it and the caller has got nothing of its response, `stream_broken` if its response broke off after the caller got a part of it. `content` is the fingerprint of the request, equal for requests with the same content; `life` is the incarnation of the endpoint, `softwareVersion` the version of its software. `next` says whether the node sends the request again, and `retry` why: `free` or `charged` to the retry budget, `over_budget`, or `not_allowed` by the route, the deadline or the limit on sends.',
 };
 
 /** A newer route configuration is active. */
@@ -46,7 +46,7 @@
   name: 'endpoint-changed',
   level: 'info',
   meaning:
-    'The platform has added an endpoint, removed it, or lists it as draining or restarted. `state`: `ready`, `draining`, or `gone` if it was removed; `life` changes when its process restarts.',
+    'The platform has added an endpoint, removed it, or lists it as draining or restarted. `state`: `ready`, `draining`, or `gone` if it was removed; `life` changes when its process restarts; `softwareVersion` is the version of its software.',
 };
 
 /** The store no longer responds to this node. */
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -217,6 +217,7 @@
       service: (now ?? before)?.service,
       address: now?.address,
       life: now?.incarnation,
+      softwareVersion: now?.softwareVersion,
       state: now === undefined ? 'gone' : now.isDraining ? 'draining' : 'ready',
     });
   }
@@ -233,10 +234,11 @@
 
 function forwardedFields(endpoint: EndpointDescription): string {
   const {incarnation, service, address, failureDomain, slots} = endpoint;
-  const {isDraining, models} = endpoint;
+  const {isDraining, models, softwareVersion} = endpoint;
   const names = models.map(({model}) => model).join(' ');
   return [
     incarnation,
+    softwareVersion,
     service,
     address,
     failureDomain,
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -75,6 +75,9 @@
 /** `Retry-After` of a request that endpoints refused; their queues drain in about this time. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 400;
 
+/** Bound on an id that a caller sent, in log lines. */
+const MAXIMUM_LOGGED_CHARACTERS = 64;
+
 /** Result of a request whose caller got a complete response with a success status. */
 const SERVED = 'served';
 
@@ -116,7 +119,7 @@
   private runs = 0;
   private isFinished = false;
   private result = '';
-  private lastEndpoint: EndpointId | undefined;
+  private lastEndpoint: EndpointDescription | undefined;
   private sentAt: Instant | undefined;
   private respondedAt: Instant | undefined;
   private sentRequest: SentRequest | undefined;
@@ -239,6 +242,7 @@
         content: containment.content,
         endpoint: endpoint.id,
         life: endpoint.incarnation,
+        softwareVersion: endpoint.softwareVersion,
         end: result.kind,
         cause: result.cause,
         sends: this.sends,
@@ -304,7 +308,7 @@
       throw createNotRunRefusal(ErrorCode.DeadlinePassed, this.route.name);
     }
     this.sends += 1;
-    this.lastEndpoint = endpoint.id;
+    this.lastEndpoint = endpoint;
     const sentAt = clock.now();
     this.sentAt = sentAt;
     const {model, adapter} = this.metadata;
@@ -619,7 +623,9 @@
       model: this.metadata.model,
       adapter: this.metadata.adapter,
       result: this.result,
-      endpoint: this.lastEndpoint,
+      endpoint: this.lastEndpoint?.id,
+      softwareVersion: this.lastEndpoint?.softwareVersion,
+      resumes: this.metadata.resumes?.slice(0, MAXIMUM_LOGGED_CHARACTERS),
       sends: this.sends,
       runs: this.runs,
       sentAfter: this.millisecondsSinceReceived(this.sentAt),
--- a/packages/testkit/src/engine_description.ts
+++ b/packages/testkit/src/engine_description.ts
@@ -22,6 +22,7 @@
     id: as<EndpointId>(name),
     incarnation: as<Incarnation>(`${name}@1`),
     service,
+    softwareVersion: undefined,
     address: '127.0.0.1:1',
     failureDomain: as<FailureDomain>('a'),
     slots: ENGINE_SLOTS,
