Continue a stream within its response only at the software version that began it

What callers saw: a stream that its engine broke off went on at an engine of another version; what the two write doesn't fit together. Cause: the choice of the next endpoint knew its service, model and adapter, not the version of its software. Change: the endpoint that brings the first event binds the version, for all later choices of that request, with adapters and without. An unknown version equals none. If no engine of the version is listed, the request is refused at once, since none will start there. Why it works: a version is taken from the description of the incarnation that the request was sent to.

--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -8,6 +8,8 @@
   WeightCopies,
 } from './endpoint.js';
 export type {EndpointChange, EndpointTableChange} from './endpoint_table.js';
+export type {VersionRequirement} from './version_requirement.js';
+export {ANY_VERSION, meetsVersion} from './version_requirement.js';
 export {
   EndpointTable,
   REREGISTRATION_GRACE_MILLISECONDS,
--- a/packages/gateway/__tests__/limited_choice.test.ts
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import {ANY_VERSION} from '@siskinmux/endpoints';
 import {expect} from 'earl';
 import type {PermitDecision} from '@siskinmux/admission';
 import type {EndpointDescription} from '@siskinmux/endpoints';
@@ -49,6 +50,7 @@
             service: SERVICE,
             model: undefined,
             adapter: undefined,
+            version: ANY_VERSION,
             triedEndpoints: new Set(),
             avoidedEndpoints: new Set(),
             deadline: after(start, DEADLINE_MILLISECONDS),
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import {ANY_VERSION} from '@siskinmux/endpoints';
 import {expect} from 'earl';
 import type {PermitDecision} from '@siskinmux/admission';
 import {EndpointTable} from '@siskinmux/endpoints';
@@ -112,6 +113,7 @@
       service,
       model: model(name),
       adapter: adapter === undefined ? undefined : as<AdapterName>(adapter),
+      version: ANY_VERSION,
       triedEndpoints: new Set(),
       avoidedEndpoints: new Set(),
       deadline: after(clock.now(), timeoutMilliseconds),
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -1,6 +1,11 @@
 /** Chooses an endpoint for a request among those that accept requests now. */
 
-import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  EndpointTable,
+  VersionRequirement,
+} from '@siskinmux/endpoints';
+import {meetsVersion} from '@siskinmux/endpoints';
 import type {
   AdapterName,
   Clock,
@@ -39,6 +44,7 @@
   readonly service: ServiceName;
   readonly model: ModelName | undefined;
   readonly adapter: AdapterName | undefined;
+  readonly version: VersionRequirement;
   /** Endpoints that the request has already been sent to. */
   readonly triedEndpoints: ReadonlySet<EndpointId>;
   /** Endpoints that the request is sent to only if there is no other. */
@@ -165,7 +171,12 @@
     ): EndpointDescription | undefined => {
       const endpoints = table
         .availableFor(service)
-        .filter(({id}) => !triedEndpoints.has(id) && !excluded.has(id));
+        .filter(
+          endpoint =>
+            meetsVersion(endpoint, requirements.version) &&
+            !triedEndpoints.has(endpoint.id) &&
+            !excluded.has(endpoint.id),
+        );
       return chooseLeastLoaded(
         preferUnavoided(endpoints, requirements),
         dependencies,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -4,6 +4,7 @@
  */
 
 import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
+import {meetsVersion} from '@siskinmux/endpoints';
 import type {
   AdapterName,
   CancelTimer,
@@ -212,6 +213,7 @@
     }
     if (requirements.isFirstAttempt) this.countArrival(service, model);
     for (;;) {
+      this.throwIfVersionIsGone(requirements);
       const engines = this.enginesWithModel(requirements);
       const untried = engines.filter(
         ({id}) => !requirements.triedEndpoints.has(id),
@@ -229,6 +231,17 @@
     }
   };
 
+  /** No engine starts at a version that has left, so waiting for one would be in vain. */
+  private throwIfVersionIsGone({service, version}: EndpointRequirements): void {
+    if (version.kind === 'any') return;
+    const engines = this.options.table.availableFor(service);
+    if (engines.some(engine => meetsVersion(engine, version))) return;
+    throw createNotRunRefusal(
+      ErrorCode.NoEndpoint,
+      `${service} at the version that began the stream`,
+    );
+  }
+
   /** Reports usage as a heartbeat unless a report was sent recently. */
   sendHeartbeat(): void {
     const {clock} = this.options;
@@ -299,7 +312,11 @@
     if (model === undefined) return [];
     return this.options.table
       .availableFor(requirements.service)
-      .filter(endpoint => this.hasModel(endpoint, model));
+      .filter(
+        endpoint =>
+          meetsVersion(endpoint, requirements.version) &&
+          this.hasModel(endpoint, model),
+      );
   }
 
   private hasModel(endpoint: EndpointDescription, model: ModelName): boolean {
@@ -327,7 +344,11 @@
     const {clock, table} = this.options;
     const key = `${requirements.service}/${adapterKey(model, adapter)}`;
     const cached = this.grants.get(key);
-    const excluded = new Set([...requirements.triedEndpoints, ...atLimit]);
+    const excluded = new Set([
+      ...requirements.triedEndpoints,
+      ...atLimit,
+      ...this.enginesOfOtherVersions(requirements),
+    ]);
     const grant = this.isGrantUsable(cached, requirements, model, excluded)
       ? cached
       : await this.allocator?.requestAdapter(requirements.service, {
@@ -350,7 +371,21 @@
     if (grant.usableAt > clock.now()) {
       await sleepUntil(clock, grant.usableAt);
     }
-    return table.get(grant.engine);
+    const engine = table.get(grant.engine);
+    return engine && meetsVersion(engine, requirements.version)
+      ? engine
+      : undefined;
+  }
+
+  private enginesOfOtherVersions({
+    service,
+    version,
+  }: EndpointRequirements): EndpointId[] {
+    if (version.kind === 'any') return [];
+    return this.options.table
+      .availableFor(service)
+      .filter(engine => !meetsVersion(engine, version))
+      .map(({id}) => id);
   }
 
   private isGrantUsable(
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -3,7 +3,11 @@
  * response, and retries or refuses when an attempt fails.
  */
 
-import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  VersionRequirement,
+} from '@siskinmux/endpoints';
+import {ANY_VERSION} from '@siskinmux/endpoints';
 import type {
   BodyEnd,
   ResponseHead,
@@ -120,6 +124,8 @@
   private isFinished = false;
   private result = '';
   private lastEndpoint: EndpointDescription | undefined;
+  /** Set when the first event has been passed on. */
+  private version: VersionRequirement = ANY_VERSION;
   private sentAt: Instant | undefined;
   private respondedAt: Instant | undefined;
   private sentRequest: SentRequest | undefined;
@@ -279,6 +285,7 @@
       service,
       model,
       adapter,
+      version: this.version,
       triedEndpoints: this.triedEndpoints,
       avoidedEndpoints: this.containment.endpointsToAvoid(),
       deadline: this.currentDeadline(),
@@ -458,8 +465,12 @@
         this.route.isResumable ? withoutLength(headers) : headers,
       );
     }
-    const end = await relayEvents(this.exchange, body, this.events, () =>
-      this.inactivityTimer?.reset(),
+    const end = await relayEvents(
+      this.exchange,
+      body,
+      this.events,
+      () => this.inactivityTimer?.reset(),
+      () => this.bindVersion(endpoint),
     );
     const cause = await this.findBreak(endpoint, head, end);
     if (cause === undefined) {
@@ -477,6 +488,12 @@
     };
   }
 
+  /** What two software versions write doesn't fit together, so one has to bring all events. */
+  private bindVersion({softwareVersion}: EndpointDescription): void {
+    if (this.version.kind === 'any')
+      this.version = {kind: 'only', version: softwareVersion};
+  }
+
   private async relayResponse(
     endpoint: EndpointDescription,
     head: ResponseHead,
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -120,11 +120,14 @@
   body: ResponseBody,
   events: EventStreamSplitter,
   onChunk: () => void,
+  onEvents: () => void,
 ): Promise<BodyEnd> {
   const write = writeWithBackpressure(exchange, body);
   return body.read(chunk => {
     onChunk();
-    return write(events.push(chunk));
+    const complete = events.push(chunk);
+    if (complete.length > 0) onEvents();
+    return write(complete);
   });
 }
 
