Let callers take streams up only at the software version that began them

What callers saw: a stream that its caller took up in another attempt went on at whatever engine had its model, half of the time at another version than the one that began it. Cause: neither the version of an endpoint nor the attempt that a caller names was read, and nothing told a node where a stream of another node, or of its own earlier process, had begun. Change: a package of its own, continuity. Each node remembers the origin of the streams that began at it. While a service has, or had lately, endpoints of several versions, nodes report theirs to the lease holder, which keeps them and writes them to a ring of objects in the store a few times a second. A taken-up stream goes on only at the version of its origin: from memory, from the store, or because the service had only one version for a minute, as far as this node's list is up to date and the store has told what was before its start. Otherwise it is refused as not run, with a time to return if the store doesn't respond. It also goes to the service that its first attempt was routed to. Options weighed: a version derived from the attempt's id needs no state, but binds each new stream to one version, and rare models lie on one engine; the engines' reports lose a run with its connection; memory of the nodes alone is gone after a restart of all. While one version serves, nothing is exchanged or written, and a node reads the store once, at its first taken-up stream. Why it works: an origin never changes once known, and without one nothing is guessed.

--- /dev/null
+++ b/packages/continuity/src/origin_messages.ts
@@ -0,0 +1,113 @@
+/**
+ * Origins of streams as nodes exchange and store them. Clocks differ, so instants are
+ * encoded relative to the time of encoding.
+ */
+
+import type {SoftwareVersion} from '@siskinmux/endpoints';
+import type {Instant, RequestId, ServiceName} from '@siskinmux/kernel';
+import {after, as, until} from '@siskinmux/kernel';
+import {z} from 'zod';
+import type {SeenVersion, ServiceVersions} from './service_versions.js';
+import type {StreamOrigin} from './stream_origins.js';
+
+const name = z.string().min(1).max(256);
+const milliseconds = z.number().nonnegative();
+
+/** Streams in one message; a new lease holder gets several messages. */
+const STREAMS_PER_MESSAGE = 1_000;
+
+/** Service, version, and streams with the milliseconds for which they may be taken up. */
+const groupSchema = z.tuple([
+  name,
+  name,
+  z.array(z.tuple([name, milliseconds])).max(STREAMS_PER_MESSAGE),
+]);
+
+/** Origins of streams, grouped by service and version. */
+export const originsSchema = z.object({groups: z.array(groupSchema)});
+
+/** Service, version (null if not stated), milliseconds since it was seen. */
+const sightingSchema = z.tuple([name, name.nullable(), milliseconds]);
+
+/** A stored part of the origins; ages count from `writtenAt`, a time of day. */
+export const storedOriginsSchema = originsSchema.extend({
+  writtenAt: z.number(),
+  versions: z.array(sightingSchema),
+});
+
+/** Origins on the wire. */
+export type OriginsMessage = z.infer<typeof originsSchema>;
+
+/** Encodes origins into messages of bounded size. */
+export function encodeOrigins(
+  origins: readonly StreamOrigin[],
+  now: Instant,
+): OriginsMessage[] {
+  const messages: OriginsMessage[] = [];
+  for (let at = 0; at < origins.length; at += STREAMS_PER_MESSAGE) {
+    const part = origins.slice(at, at + STREAMS_PER_MESSAGE);
+    messages.push({groups: groupOrigins(part, now)});
+  }
+  return messages;
+}
+
+function groupOrigins(
+  origins: readonly StreamOrigin[],
+  now: Instant,
+): z.infer<typeof groupSchema>[] {
+  const groups = new Map<string, z.infer<typeof groupSchema>>();
+  for (const {stream, service, version, expiresAt} of origins) {
+    const key = JSON.stringify([service, version]);
+    const group = groups.get(key) ?? [service, version, []];
+    groups.set(key, group);
+    const remaining = Math.max(0, Math.round(until(now, expiresAt)));
+    group[2].push([stream, remaining]);
+  }
+  return [...groups.values()];
+}
+
+/** Decodes origins whose times count from `encodedAt`. */
+export function decodeOrigins(
+  {groups}: OriginsMessage,
+  encodedAt: Instant,
+): StreamOrigin[] {
+  return groups.flatMap(([service, version, streams]) =>
+    streams.map(([stream, remaining]) => ({
+      stream: as<RequestId>(stream),
+      service: as<ServiceName>(service),
+      version: as<SoftwareVersion>(version),
+      expiresAt: after(encodedAt, remaining),
+    })),
+  );
+}
+
+/** The versions of services of which several were seen lately. */
+export function encodeMixedVersions(
+  versions: ServiceVersions,
+  now: Instant,
+): z.infer<typeof sightingSchema>[] {
+  return [...versions.services]
+    .filter(service => versions.isMixed(service, now))
+    .flatMap(service =>
+      versions
+        .sightings(service, now)
+        .map(({version, seenAt}): z.infer<typeof sightingSchema> => [
+          service,
+          version ?? null,
+          Math.max(0, Math.round(until(seenAt, now))),
+        ]),
+    );
+}
+
+/** Records stored sightings whose times count from `encodedAt`. */
+export function observeStoredVersions(
+  stored: z.infer<typeof storedOriginsSchema>['versions'],
+  encodedAt: Instant,
+  versions: ServiceVersions,
+): void {
+  for (const [service, version, age] of stored) {
+    const seen: SeenVersion =
+      version === null ? undefined : as<SoftwareVersion>(version);
+    versions.observe(as<ServiceName>(service), seen, after(encodedAt, -age));
+  }
+}
--- /dev/null
+++ b/packages/continuity/src/origin_writer.ts
@@ -0,0 +1,158 @@
+/** Writes the origins of streams to the platform's store. Only the lease holder uses it. */
+
+import type {
+  Clock,
+  EmitEvent,
+  Instant,
+  Milliseconds,
+  ObjectVersion,
+} from '@siskinmux/kernel';
+import {SiskinmuxError, after} from '@siskinmux/kernel';
+import type {PeriodicJob} from '@siskinmux/runtime';
+import {createPeriodicJob} from '@siskinmux/runtime';
+import {ORIGINS_STORED, ORIGINS_STORE_FAILED} from './continuity_events.js';
+import {encodeMixedVersions, encodeOrigins} from './origin_messages.js';
+import type {ServiceVersions} from './service_versions.js';
+import type {StoredOriginsOptions} from './stored_origins.js';
+import {ORIGINS_KIND} from './stored_origins.js';
+import type {StreamOrigin} from './stream_origins.js';
+
+/** Objects in the ring, and the time for which one is written: together, the memory of streams. */
+const PARTS = 32;
+const PART_MILLISECONDS: Milliseconds = 2_000;
+
+/** Streams in one object, well below the largest object that the store takes. */
+const MAXIMUM_STREAMS_PER_PART = 8_000;
+
+/** Interval of the checks for changes, which call the store only after a change. */
+const CHECK_INTERVAL_MILLISECONDS: Milliseconds = 100;
+
+/** Minimum time between two writes, and after a failure. */
+const WRITE_INTERVAL_MILLISECONDS: Milliseconds = 250;
+const FAILURE_PAUSE_MILLISECONDS: Milliseconds = 500;
+
+/** Dependencies of {@link OriginWriter}. */
+export interface OriginWriterOptions extends Omit<
+  StoredOriginsOptions,
+  'nodeCount'
+> {
+  readonly versions: ServiceVersions;
+}
+
+/** Collects the origins that nodes report, and writes them a few times a second. */
+export class OriginWriter {
+  private readonly job: PeriodicJob;
+  private readonly clock: Clock;
+  private readonly emit: EmitEvent;
+  /** Revisions of the ring's objects; undefined until they have been read. */
+  private revisions: Map<string, ObjectVersion> | undefined;
+  private part = 0;
+  private partEndsAt: Instant;
+  private written: StreamOrigin[] = [];
+  private unwritten: StreamOrigin[] = [];
+  private writtenVersions = '';
+  private nextCallAt: Instant;
+
+  private constructor(private readonly options: OriginWriterOptions) {
+    this.clock = options.clock;
+    this.emit = options.emit;
+    this.nextCallAt = this.clock.now();
+    this.partEndsAt = this.clock.now();
+    this.job = createPeriodicJob(this.clock, CHECK_INTERVAL_MILLISECONDS, () =>
+      this.writeChanges(),
+    );
+  }
+
+  static create(options: OriginWriterOptions): OriginWriter {
+    return new OriginWriter(options);
+  }
+
+  start(): void {
+    this.job.start();
+  }
+
+  stop(): void {
+    this.job.stop();
+  }
+
+  /** Adds origins to the next write. */
+  add(origins: readonly StreamOrigin[]): void {
+    this.unwritten.push(...origins);
+    const excess = this.unwritten.length - MAXIMUM_STREAMS_PER_PART;
+    if (excess > 0) this.unwritten.splice(0, excess);
+  }
+
+  private async writeChanges(): Promise<void> {
+    const now = this.clock.now();
+    const versions = encodeMixedVersions(this.options.versions, now);
+    const versionsKey = JSON.stringify(
+      versions.map(([service, version]) => [service, version]),
+    );
+    const isChanged =
+      this.unwritten.length > 0 || versionsKey !== this.writtenVersions;
+    if (!isChanged || now < this.nextCallAt) return;
+    this.nextCallAt = after(now, WRITE_INTERVAL_MILLISECONDS);
+    const added = this.unwritten;
+    this.unwritten = [];
+    try {
+      await this.write(added, versions);
+      this.writtenVersions = versionsKey;
+    } catch (failure) {
+      if (!(failure instanceof SiskinmuxError)) throw failure;
+      this.emit(ORIGINS_STORE_FAILED, {call: 'write', cause: failure.message});
+      this.unwritten.unshift(...added);
+      // Another holder may have written, or a write without a response may still take effect.
+      this.revisions = undefined;
+      this.nextCallAt = after(this.clock.now(), FAILURE_PAUSE_MILLISECONDS);
+    }
+  }
+
+  private async write(
+    added: readonly StreamOrigin[],
+    versions: ReturnType<typeof encodeMixedVersions>,
+  ): Promise<void> {
+    const {store, readClocks} = this.options;
+    const revisions = await this.currentRevisions();
+    const now = this.clock.now();
+    const isFull =
+      this.written.length + added.length > MAXIMUM_STREAMS_PER_PART;
+    if (now >= this.partEndsAt || isFull) {
+      this.part = (this.part + 1) % PARTS;
+      this.partEndsAt = after(now, PART_MILLISECONDS);
+      this.written = [];
+    }
+    const streams = [...this.written, ...added];
+    const name = String(this.part);
+    const revision = await store.write(
+      ORIGINS_KIND,
+      name,
+      {
+        writtenAt: readClocks().timeOfDay,
+        versions,
+        groups: encodeOrigins(streams, now).flatMap(({groups}) => groups),
+      },
+      revisions.get(name) ?? 'absent',
+    );
+    revisions.set(name, revision);
+    this.written = streams;
+    this.emit(ORIGINS_STORED, {part: name, streams: streams.length});
+  }
+
+  /** Continues after the object that was written last. */
+  private async currentRevisions(): Promise<Map<string, ObjectVersion>> {
+    if (this.revisions !== undefined) return this.revisions;
+    const {store} = this.options;
+    const {objects} = await store.list(ORIGINS_KIND, false);
+    const latest = objects.reduce<(typeof objects)[number] | undefined>(
+      (best, object) =>
+        best === undefined || object.revision > best.revision ? object : best,
+      undefined,
+    );
+    this.part = Number(latest?.name ?? 0) || 0;
+    this.partEndsAt = this.clock.now();
+    this.revisions = new Map(
+      objects.map(({name, revision}) => [name, revision]),
+    );
+    return this.revisions;
+  }
+}
--- /dev/null
+++ b/packages/continuity/src/stream_continuity.ts
@@ -0,0 +1,267 @@
+/**
+ * Lets a stream that a caller takes up in another attempt go on only at the software version
+ * that began it. A node knows the streams that began at itself. While a service has endpoints
+ * of several versions, nodes report theirs to the lease holder, which stores them.
+ */
+
+import type {
+  EndpointDescription,
+  EndpointTableChange,
+  SoftwareVersion,
+  VersionRequirement,
+} from '@siskinmux/endpoints';
+import type {
+  Clock,
+  EmitEvent,
+  Instant,
+  Milliseconds,
+  RequestId,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  after,
+  createNotRunRefusal,
+  earlier,
+  sleepFor,
+  until,
+} from '@siskinmux/kernel';
+import {STREAM_TAKEN_UP, VERSIONS_CHANGED} from './continuity_events.js';
+import {observeStoredVersions} from './origin_messages.js';
+import {ServiceVersions} from './service_versions.js';
+import type {StoredOrigins} from './stored_origins.js';
+import {isRecent, originsOf} from './stored_origins.js';
+import type {StreamOrigin} from './stream_origins.js';
+import {StreamOrigins} from './stream_origins.js';
+
+/** Delay in which origins are batched into one report. */
+const REPORT_DELAY_MILLISECONDS: Milliseconds = 25;
+
+/** How long the origin of a stream that has just begun elsewhere takes to be stored. */
+const STORE_DELAY_MILLISECONDS: Milliseconds = 600;
+
+/** Pause between two reads of the store for the same request. */
+const READ_PAUSE_MILLISECONDS: Milliseconds = 100;
+
+/** `Retry-After` while the store doesn't respond. */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 1_000;
+
+/** Bound on ids in log lines. */
+const MAXIMUM_LOGGED_CHARACTERS = 64;
+
+/** Takes origins to the lease holder. */
+export interface OriginExchange {
+  reportOrigins(origins: readonly StreamOrigin[]): void;
+}
+
+/** A request that takes up a stream. */
+export interface TakenUpStream {
+  /** The request's own id, for the log. */
+  readonly id: RequestId;
+  /** The attempt that brought the first event; undefined if the caller names none. */
+  readonly stream: RequestId | undefined;
+  readonly service: ServiceName;
+  /** When the caller gives up. */
+  readonly deadline: Instant;
+}
+
+/** Dependencies of {@link StreamContinuity}. */
+export interface StreamContinuityOptions {
+  readonly stored: StoredOrigins;
+  readonly clock: Clock;
+  readonly emit: EmitEvent;
+  /** Whether this node's list of endpoints is up to date, apart from the last moments. */
+  readonly isListCurrent: () => boolean;
+}
+
+type OriginSource = 'memory' | 'store' | 'only version';
+
+/** What one node knows about the origins of streams. */
+export class StreamContinuity {
+  readonly versions = ServiceVersions.create();
+  /** Streams that began at this node. */
+  private readonly own = StreamOrigins.create();
+  /** Streams of this node and others. */
+  private readonly known = StreamOrigins.create();
+  private exchange: OriginExchange | undefined;
+  private unreported: StreamOrigin[] = [];
+  private isReportScheduled = false;
+  /** Whether the store has told which versions served before this node started. */
+  private knowsHistory = false;
+
+  private constructor(private readonly options: StreamContinuityOptions) {}
+
+  static create(options: StreamContinuityOptions): StreamContinuity {
+    return new StreamContinuity(options);
+  }
+
+  /** Records that the first event of a stream has been passed on. */
+  recordStart(
+    stream: RequestId,
+    {service, softwareVersion: version}: EndpointDescription,
+    expiresAt: Instant,
+  ): void {
+    if (version === undefined) return;
+    const now = this.options.clock.now();
+    const origin = {stream, service, version, expiresAt};
+    this.own.add(origin, now);
+    this.known.add(origin, now);
+    if (this.versions.isMixed(service, now)) this.report([origin]);
+  }
+
+  /** Reports the streams of services of which several versions serve from now on. */
+  applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    const {clock, emit} = this.options;
+    const now = clock.now();
+    const services = new Set(
+      changes.flatMap(({before, now: listed}) =>
+        [before, listed].flatMap(endpoint => endpoint?.service ?? []),
+      ),
+    );
+    const earlierVersions = new Map(
+      [...services].map(service => [service, this.versionsText(service, now)]),
+    );
+    this.versions.applyEndpointChanges(changes, now);
+    for (const [service, before] of earlierVersions) {
+      const versions = this.versionsText(service, now);
+      if (versions === before) continue;
+      emit(VERSIONS_CHANGED, {service, versions});
+      if (this.versions.isMixed(service, now))
+        this.report(this.own.ofService(service, now));
+    }
+  }
+
+  /** Switches to another lease holder, which needs all origins that callers may refer to. */
+  setExchange(exchange: OriginExchange | undefined): void {
+    this.exchange = exchange;
+    if (exchange === undefined) return;
+    const now = this.options.clock.now();
+    this.unreported = [...this.versions.services].flatMap(service =>
+      this.versions.isMixed(service, now)
+        ? this.own.ofService(service, now)
+        : [],
+    );
+    this.scheduleReport();
+  }
+
+  /** Adds origins that other nodes have reported. */
+  merge(origins: readonly StreamOrigin[]): void {
+    const now = this.options.clock.now();
+    for (const origin of origins) this.known.add(origin, now);
+  }
+
+  /**
+   * The versions at which a stream may go on. Throws a `RefusalError` if that isn't known,
+   * with a time to return if it may become known.
+   */
+  async requirementOf(
+    taken: TakenUpStream,
+    signal: AbortSignal,
+  ): Promise<VersionRequirement> {
+    const {clock, stored} = this.options;
+    const takenUpAt = clock.now();
+    let isStoreRead = false;
+    const storedBy = earlier(
+      after(takenUpAt, STORE_DELAY_MILLISECONDS),
+      taken.deadline,
+    );
+    let found = this.findOrigin(taken, isStoreRead);
+    while (found === undefined && !signal.aborted) {
+      const parts = await stored.read();
+      isStoreRead = parts !== undefined;
+      const now = clock.now();
+      for (const part of parts ?? []) {
+        if (!isRecent(part, now) || part.content === undefined) continue;
+        this.merge(originsOf(part));
+        const {versions} = part.content;
+        observeStoredVersions(versions, part.writtenAt, this.versions);
+      }
+      if (isStoreRead) this.knowsHistory = true;
+      found = this.findOrigin(taken, isStoreRead);
+      if (found !== undefined) break;
+      const isFinal = taken.stream === undefined || now >= storedBy;
+      if (!isStoreRead || isFinal) break;
+      await sleepFor(clock, READ_PAUSE_MILLISECONDS);
+    }
+    this.log(taken, found, takenUpAt);
+    if (found !== undefined && found.version !== undefined)
+      return {kind: 'only', version: found.version};
+    const mayBecomeKnown = found === undefined && !isStoreRead;
+    throw createNotRunRefusal(
+      ErrorCode.StreamOriginUnknown,
+      taken.service,
+      mayBecomeKnown ? after(clock.now(), RETRY_AFTER_MILLISECONDS) : undefined,
+    );
+  }
+
+  /** The version that began a stream; `version` is undefined if it is certain that none fits. */
+  private findOrigin(
+    {stream, service}: TakenUpStream,
+    isStoreRead: boolean,
+  ):
+    | {
+        readonly version: SoftwareVersion | undefined;
+        readonly source: OriginSource;
+      }
+    | undefined {
+    const now = this.options.clock.now();
+    const known = stream && this.known.get(stream, now);
+    if (known !== undefined) {
+      const fits = known !== 'ambiguous' && known.service === service;
+      return {
+        version: fits ? known.version : undefined,
+        source: isStoreRead ? 'store' : 'memory',
+      };
+    }
+    const isHistoryCertain =
+      this.knowsHistory && (isStoreRead || this.options.isListCurrent());
+    const only = this.versions.only(service, now);
+    return isHistoryCertain && only !== undefined
+      ? {version: only, source: 'only version'}
+      : undefined;
+  }
+
+  private report(origins: readonly StreamOrigin[]): void {
+    this.unreported.push(...origins);
+    this.scheduleReport();
+  }
+
+  private scheduleReport(): void {
+    if (this.isReportScheduled || this.unreported.length === 0) return;
+    this.isReportScheduled = true;
+    const {clock} = this.options;
+    clock.schedule(after(clock.now(), REPORT_DELAY_MILLISECONDS), () => {
+      this.isReportScheduled = false;
+      // The next lease holder gets all of them from `setExchange`.
+      const origins = this.unreported;
+      this.unreported = [];
+      this.exchange?.reportOrigins(origins);
+    });
+  }
+
+  private versionsText(service: ServiceName, now: Instant): string {
+    return this.versions
+      .recent(service, now)
+      .map(version => version ?? 'unknown')
+      .sort()
+      .join(' ');
+  }
+
+  private log(
+    {id, stream, service}: TakenUpStream,
+    found: ReturnType<StreamContinuity['findOrigin']>,
+    takenUpAt: Instant,
+  ): void {
+    const {clock, emit} = this.options;
+    const now = clock.now();
+    emit(STREAM_TAKEN_UP, {
+      id,
+      resumes: stream?.slice(0, MAXIMUM_LOGGED_CHARACTERS),
+      service,
+      source: found?.version === undefined ? 'unknown' : found.source,
+      softwareVersion: found?.version,
+      versions: this.versionsText(service, now),
+      waited: Math.round(until(takenUpAt, now)),
+    });
+  }
+}
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -52,6 +52,8 @@
     return Promise.resolve(true);
   }
 
+  reportOrigins(): void {}
+
   reportLimits(): void {}
 
   requestPermit(): Promise<PermitDecision> {
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -9,10 +9,12 @@
   ReadinessForecast,
 } from '@siskinmux/placement';
 import type {SuspectExchange} from '@siskinmux/containment';
+import type {OriginExchange} from '@siskinmux/continuity';
 import type {PermitExchange} from './send_permits.js';
 
 /** Calls from a node to the allocator. */
-export interface AllocatorApi extends SuspectExchange, PermitExchange {
+export interface AllocatorApi
+  extends SuspectExchange, PermitExchange, OriginExchange {
   reportUsage(service: ServiceName, usage: NodeUsage): void;
   /** Reports that an engine lacks a model, or the adapter that was granted. */
   reportMissingModel(
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -29,6 +29,8 @@
 import {Allocator, LoadLimiter} from '@siskinmux/placement';
 import type {RouteConfiguration} from '@siskinmux/routes';
 import type {CrashQuarantine, Suspect, Trait} from '@siskinmux/containment';
+import type {StreamOrigin} from '@siskinmux/continuity';
+import {decodeOrigins, originsSchema} from '@siskinmux/continuity';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {KindRead} from './change_feed.js';
 import {ChangeFeed} from './change_feed.js';
@@ -97,6 +99,8 @@
   readonly quarantine: CrashQuarantine;
   /** Limits that endpoints have named, as far as this node knows. */
   readonly limits: EndpointLimits;
+  /** Called with the origins of streams that any node reports. */
+  readonly onOrigins: (origins: readonly StreamOrigin[]) => void;
   /** Part of each limit that this node may give out as permits. */
   readonly limitShare: () => number;
   /** Receives the allocators' notifications for this node itself. */
@@ -249,6 +253,9 @@
         return encodePermitDecision(decision, clock.now());
       },
     );
+    connection.handle(PEER_METHODS.origins, originsSchema, message =>
+      this.reportOrigins(decodeOrigins(message, clock.now())),
+    );
     connection.onClosed(() => {
       if (node && this.followers.get(node)?.connection === connection)
         this.removeFollower(node);
@@ -295,6 +302,10 @@
       this.sendLimits(limits, connection);
   }
 
+  reportOrigins(origins: readonly StreamOrigin[]): void {
+    this.options.onOrigins(origins);
+  }
+
   async requestPermit(
     limit: EndpointLimit,
     request: PermitRequest,
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -1,6 +1,7 @@
 /** Numbered events of the gateway. */
 
 import {CONTAINMENT_EVENTS} from '@siskinmux/containment';
+import {CONTINUITY_EVENTS} from '@siskinmux/continuity';
 import type {EventDescriptor} from '@siskinmux/kernel';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
 import {renderEventsPage} from '@siskinmux/runtime';
@@ -244,6 +245,7 @@
   ENDPOINT_LIMIT_INVALID,
   REQUEST_LIMITED,
   ENDPOINT_CRASHED,
+  ...CONTINUITY_EVENTS,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -49,6 +49,7 @@
   CrashQuarantine,
   incarnationOf,
 } from '@siskinmux/containment';
+import {StoredOrigins, StreamContinuity} from '@siskinmux/continuity';
 import {
   ENDPOINT_CRASHED,
   ENTRY_UNREADABLE,
@@ -118,6 +119,7 @@
   private readonly requestDependencies: ProxiedRequestDependencies;
   private readonly placement: NodePlacement;
   private readonly crashDetector: CrashDetector;
+  private readonly continuity: StreamContinuity;
   private readonly limits: EndpointLimits;
   private callerListener: CallerListener | undefined;
   private readinessServer: FastifyInstance | undefined;
@@ -195,6 +197,18 @@
       probe: endpointAddress => probeEndpoint(endpointAddress, clock),
       onCrash: quarantine.recordCrash,
     });
+    this.continuity = StreamContinuity.create({
+      stored: StoredOrigins.create({
+        store: this.store,
+        clock,
+        readClocks: options.readClocks,
+        emit,
+        nodeCount: () => this.nodeCount,
+      }),
+      clock,
+      emit,
+      isListCurrent: () => this.platformView.isEndpointListCurrent,
+    });
     const identity = kernel.inject(NODE_IDENTITY);
     this.placement = NodePlacement.create({
       identity,
@@ -222,6 +236,7 @@
         failureDomain: identity.failureDomain,
       },
       quarantine,
+      continuity: this.continuity,
       limits: this.limits,
       onLimited: metrics.onLimited,
       onPermitUsed: metrics.onPermitUsed,
@@ -246,6 +261,7 @@
       retryBudgets,
       quarantine,
       crashDetector: this.crashDetector,
+      continuity: this.continuity,
       reportMissingModel: (endpoint, model) =>
         this.placement.reportMissingModel(endpoint, model),
       find: this.placement.find,
@@ -373,6 +389,7 @@
     for (const {id, now} of changes) {
       if (now === undefined) this.connections.closeIdle(id);
     }
+    this.continuity.applyEndpointChanges(changes);
     this.crashDetector.applyEndpointChanges(changes);
     this.limits.applyEndpointChanges(changes);
     this.placement.applyEndpointChanges(changes);
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -119,6 +119,14 @@
     return this.options.clock.now() < end;
   }
 
+  /** Whether everything that the store held a few seconds ago has been read. */
+  get isCurrent(): boolean {
+    const {feedFreshUntil} = this;
+    const isFeedFresh =
+      feedFreshUntil !== undefined && this.options.clock.now() < feedFreshUntil;
+    return isFeedFresh || this.reachesStore;
+  }
+
   /** Watches until {@link stop}. */
   async run(): Promise<void> {
     while (!this.isStopped) {
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -36,6 +36,8 @@
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import type {CrashQuarantine} from '@siskinmux/containment';
+import type {StreamContinuity} from '@siskinmux/continuity';
+import {OriginWriter} from '@siskinmux/continuity';
 import type {ChoiceDependencies, FindEndpoint} from './endpoint_choice.js';
 import {createPlainEndpointFinder} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
@@ -73,6 +75,7 @@
   readonly routes: ActiveRoutes;
   readonly choice: ChoiceDependencies;
   readonly quarantine: CrashQuarantine;
+  readonly continuity: StreamContinuity;
   readonly limits: EndpointLimits;
   /** Called for each request that an endpoint's limit concerned. */
   readonly onLimited: (outcome: LimitOutcome) => void;
@@ -307,6 +310,11 @@
 
   private startAllocating(heldLease: HeldLease): {end: () => void} {
     const {identity, routes, table, readClocks, clock, emit} = this.options;
+    const {continuity} = this.options;
+    const originWriter = OriginWriter.create({
+      ...this.options,
+      versions: continuity.versions,
+    });
     const allocatorServer = AllocatorServer.create({
       ...this.options,
       authority: () =>
@@ -316,6 +324,10 @@
       onFenced: () => this.election.onFenced(),
       initialConcurrencyLimit: this.lastConcurrencyLimit,
       earlierLoadStarts: this.lastLoadStarts,
+      onOrigins: origins => {
+        continuity.merge(origins);
+        originWriter.add(origins);
+      },
       limitShare: () => limitShareOf(heldLease, clock.now()),
       self: identity.id,
       listener: this.client,
@@ -331,9 +343,11 @@
       onRestored: suspects => allocatorServer.reportSuspects(suspects),
     });
     archive.start();
+    originWriter.start();
     return {
       end: () => {
         archive.stop();
+        originWriter.stop();
         this.allocatorServer = undefined;
         this.setAllocator(undefined);
         allocatorServer.stop();
@@ -344,6 +358,7 @@
   private setAllocator(allocator: AllocatorApi | undefined): void {
     this.client.setAllocator(allocator);
     this.options.quarantine.setExchange(allocator);
+    this.options.continuity.setExchange(allocator);
     this.permits.setExchange(allocator);
   }
 
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -33,6 +33,7 @@
   probationEnd: 'allocator.probation_end',
   limits: 'allocator.limits',
   permit: 'allocator.permit',
+  origins: 'allocator.origins',
   availableModels: 'node.holdings',
   forecasts: 'node.forecasts',
   allocatorHeartbeat: 'node.alive',
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -92,6 +92,14 @@
     return this.watchers.every(watcher => watcher.reachesStore);
   }
 
+  /** Whether the list of endpoints is up to date, apart from the last seconds. */
+  get isEndpointListCurrent(): boolean {
+    const {kind} = this.options.platform.endpoints;
+    return this.watchers.some(
+      watcher => watcher.kind === kind && watcher.isCurrent,
+    );
+  }
+
   /** Applies what the lease holder has read. */
   applyFeed(updates: readonly FeedUpdate[]): void {
     for (const update of updates) {
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -70,6 +70,7 @@
 } from './relay_response.js';
 import {findBreak} from './response_end.js';
 import type {RetryBudgets} from './retry_budgets.js';
+import type {StreamContinuity} from '@siskinmux/continuity';
 import type {RequestProgress, RetryDecision} from './retry_decision.js';
 import {allowsAnotherRun, decideRetry} from './retry_decision.js';
 
@@ -79,6 +80,9 @@
 /** `Retry-After` of a request that endpoints refused; their queues drain in about this time. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 400;
 
+/** Time beyond a caller's deadline for which the origin of its stream is kept. */
+const TAKE_UP_MARGIN_MILLISECONDS: Milliseconds = 1_000;
+
 /** Bound on an id that a caller sent, in log lines. */
 const MAXIMUM_LOGGED_CHARACTERS = 64;
 
@@ -93,6 +97,7 @@
   readonly limits: EndpointLimits;
   readonly outliers: OutlierDetector;
   readonly retryBudgets: RetryBudgets;
+  readonly continuity: StreamContinuity;
   readonly find: FindEndpoint;
   readonly emit: EmitEvent;
   /** Called when an engine lacks the model or adapter that the node expected it to hold. */
@@ -141,7 +146,9 @@
     /** The earlier of the route's timeout and the caller's own. */
     private readonly deadline: Instant,
   ) {
-    this.service = pickTarget(route, hash32(metadata.id) / 2 ** 32);
+    // A stream that is taken up goes to the service that began it.
+    const stream = metadata.resumes ?? metadata.id;
+    this.service = pickTarget(route, hash32(stream) / 2 ** 32);
     this.containment = RequestContainment.create(
       dependencies,
       metadata.id,
@@ -188,6 +195,7 @@
       this.body = await exchange.readBody(
         this.configuration.limits.maximumBodyBytes,
       );
+      await this.requireOriginVersion();
       await this.sendUntilDone();
     } catch (failure) {
       if (this.isFinished) return;
@@ -259,6 +267,18 @@
     }
   }
 
+  /** Lets a stream that the caller takes up go on only at the version that began it. */
+  private async requireOriginVersion(): Promise<void> {
+    const {metadata, service, route} = this;
+    const {id, resumes: stream, resumeAfter} = metadata;
+    const isTakenUp = stream !== undefined || resumeAfter !== undefined;
+    if (!isTakenUp || service === undefined || route.kind !== 'stream') return;
+    this.version = await this.dependencies.continuity.requirementOf(
+      {id, stream, service, deadline: this.currentDeadline()},
+      this.abortController.signal,
+    );
+  }
+
   private get progress(): RequestProgress {
     const {route, deadline, sends, runs} = this;
     return {route, deadline, sends, runs};
@@ -489,9 +509,17 @@
   }
 
   /** What two software versions write doesn't fit together, so one has to bring all events. */
-  private bindVersion({softwareVersion}: EndpointDescription): void {
-    if (this.version.kind === 'any')
-      this.version = {kind: 'only', version: softwareVersion};
+  private bindVersion(endpoint: EndpointDescription): void {
+    if (this.version.kind === 'only') return;
+    this.version = {kind: 'only', version: endpoint.softwareVersion};
+    if (!this.route.isResumable) return;
+    const {id, timeoutMilliseconds} = this.metadata;
+    const expiresAt = after(
+      this.exchange.receivedAt,
+      (timeoutMilliseconds ?? this.route.timeoutMilliseconds) +
+        TAKE_UP_MARGIN_MILLISECONDS,
+    );
+    this.dependencies.continuity.recordStart(id, endpoint, expiresAt);
   }
 
   private async relayResponse(
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -17,6 +17,8 @@
   NodeUsage,
 } from '@siskinmux/placement';
 import type {Suspect, Trait} from '@siskinmux/containment';
+import type {StreamOrigin} from '@siskinmux/continuity';
+import {encodeOrigins} from '@siskinmux/continuity';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {EndpointLimit} from './endpoint_limits.js';
 import {
@@ -158,6 +160,12 @@
     });
   }
 
+  reportOrigins(origins: readonly StreamOrigin[]): void {
+    const {peerConnection, clock} = this.options;
+    for (const message of encodeOrigins(origins, clock.now()))
+      peerConnection.notify(PEER_METHODS.origins, message);
+  }
+
   async requestPermit(
     limit: EndpointLimit,
     request: PermitRequest,
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -24,6 +24,7 @@
   OutcomeUnknown = 'outcome-unknown',
   AnswerNotKept = 'answer-not-kept',
   RequestQuarantined = 'request-quarantined',
+  StreamOriginUnknown = 'stream-origin-unknown',
   ShuttingDown = 'shutting-down',
   CallerGone = 'caller-gone',
   PlatformUnavailable = 'platform-unavailable',
@@ -75,6 +76,8 @@
     'The request ran, but its answer was too large to keep.',
   [ErrorCode.RequestQuarantined]:
     'Endpoints failed while running this request; it is not sent again for now.',
+  [ErrorCode.StreamOriginUnknown]:
+    'No node knows at which software version this stream began.',
   [ErrorCode.ShuttingDown]: 'This node takes no new work.',
   [ErrorCode.CallerGone]: 'The caller closed the connection.',
   [ErrorCode.PlatformUnavailable]: 'The object service did not answer.',
