Load models at the version that began a stream which waits to go on there

What callers saw: nothing was reported; it is the other side of binding streams to versions. A stream whose model only engines of other versions had waited until its deadline and was refused then. Cause: the plan counts the replicas of a model over all versions, and a forecast of a model that is ready anywhere lies in the past. Evidence: "goes on after another engine of that version has loaded the model" fails before after 3.5 s, and so does "loads a model at the version that began a stream ...". Change: nodes report requests that one version only can serve apart from the others. The plan loads their model on an engine of that version if it will be there in time, before all other loads; forecasts are made for that version, so that such a request is refused at once if none can have the model in time. Their models are not evicted. A wait ends when the last engine of the version leaves. The messages between nodes have new optional fields.

--- a/packages/gateway/src/follower.ts
+++ b/packages/gateway/src/follower.ts
@@ -7,7 +7,12 @@
   ServiceName,
 } from '@siskinmux/kernel';
 import {after, until} from '@siskinmux/kernel';
-import type {NodeUsage, ReadinessForecast} from '@siskinmux/placement';
+import type {
+  NodeUsage,
+  ReadinessForecast,
+  WaitingKey,
+} from '@siskinmux/placement';
+import {waitingKey} from '@siskinmux/placement';
 import type {PeerConnection} from './peer_connection.js';
 import {PEER_METHODS, encodeForecasts} from './placement_messages.js';
 
@@ -25,7 +30,11 @@
   /** Last forecast sent for each model that the follower's requests wait for. */
   private readonly sentForecasts = new Map<
     ServiceName,
-    Map<ModelName, Instant | undefined>
+    Map<WaitingKey, Instant | undefined>
+  >();
+  private readonly awaitedModels = new Map<
+    ServiceName,
+    ReadonlySet<ModelName>
   >();
 
   private constructor(
@@ -56,14 +65,20 @@
     const previous = this.sentForecasts.get(service);
     this.sentForecasts.set(
       service,
-      new Map(waiting.map(({model}) => [model, previous?.get(model)])),
+      new Map(
+        waiting.map(requests => {
+          const key = waitingKey(requests);
+          return [key, previous?.get(key)];
+        }),
+      ),
     );
+    this.awaitedModels.set(service, new Set(waiting.map(({model}) => model)));
   }
 
   /** Whether any of the follower's requests wait for one of the models. */
   isWaitingFor(service: ServiceName, models: readonly ModelName[]): boolean {
-    const sent = this.sentForecasts.get(service);
-    return sent !== undefined && models.some(model => sent.has(model));
+    const awaited = this.awaitedModels.get(service);
+    return awaited !== undefined && models.some(model => awaited.has(model));
   }
 
   /** Sends new and changed forecasts of the models that the follower's requests wait for. */
@@ -74,14 +89,17 @@
   ): void {
     const sent = this.sentForecasts.get(service);
     if (sent === undefined || sent.size === 0) return;
-    const changed = forecasts.filter(({model, readyAt}) => {
-      if (!sent.has(model)) return false;
-      const last = sent.get(model);
+    const changed = forecasts.filter(forecast => {
+      const {readyAt} = forecast;
+      const key = waitingKey(forecast);
+      if (!sent.has(key)) return false;
+      const last = sent.get(key);
       if (last === undefined) return true;
       return Math.abs(until(last, readyAt)) >= FORECAST_CHANGE_MILLISECONDS;
     });
     if (changed.length === 0) return;
-    for (const {model, readyAt} of changed) sent.set(model, readyAt);
+    for (const forecast of changed)
+      sent.set(waitingKey(forecast), forecast.readyAt);
     this.connection.notify(
       PEER_METHODS.forecasts,
       encodeForecasts(service, changed, now),
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -201,6 +201,7 @@
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
     this.permits.applyEndpointChanges(changes);
+    this.client.onEndpointChanges();
     const {table} = this.options;
     this.allocatorServer?.applyEndpointChanges(
       changes.map(change =>
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -3,7 +3,11 @@
  * loaded; those that can't be served before their deadline are refused.
  */
 
-import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  EndpointTable,
+  SoftwareVersion,
+} from '@siskinmux/endpoints';
 import {meetsVersion} from '@siskinmux/endpoints';
 import type {
   AdapterName,
@@ -31,9 +35,10 @@
   AvailableModels,
   NodeUsage,
   ReadinessForecast,
+  WaitingKey,
   WaitingRequests,
 } from '@siskinmux/placement';
-import {adapterKey, addWaiting} from '@siskinmux/placement';
+import {adapterKey, addWaiting, waitingKey} from '@siskinmux/placement';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {
   ChoiceDependencies,
@@ -190,12 +195,14 @@
     forecasts: readonly ReadinessForecast[],
   ): void {
     const readyAt = new Map(
-      forecasts.map(({model, readyAt: at}) => [model, at]),
+      forecasts.map(forecast => [waitingKey(forecast), forecast.readyAt]),
     );
     for (const {requirements, settle} of this.waiters) {
       if (requirements.service !== service || requirements.model === undefined)
         continue;
-      const at = readyAt.get(requirements.model);
+      const {model} = requirements;
+      const boundTo = boundVersion(requirements);
+      const at = readyAt.get(waitingKey({model, boundTo}));
       if (at === undefined) continue;
       if (after(at, TIME_TO_FIRST_EVENT_MILLISECONDS) <= requirements.deadline)
         continue;
@@ -213,7 +220,8 @@
     }
     if (requirements.isFirstAttempt) this.countArrival(service, model);
     for (;;) {
-      this.throwIfVersionIsGone(requirements);
+      const refusal = this.refusalOfGoneVersion(requirements);
+      if (refusal !== undefined) throw refusal;
       const engines = this.enginesWithModel(requirements);
       const untried = engines.filter(
         ({id}) => !requirements.triedEndpoints.has(id),
@@ -231,15 +239,27 @@
     }
   };
 
-  /** No engine starts at a version that has left, so waiting for one would be in vain. */
-  private throwIfVersionIsGone({service, version}: EndpointRequirements): void {
-    if (version.kind === 'any') return;
+  /** Ends the waits for versions that have left. */
+  onEndpointChanges(): void {
+    for (const {requirements, settle} of this.waiters) {
+      const refusal = this.refusalOfGoneVersion(requirements);
+      if (refusal !== undefined) settle(refusal);
+    }
+  }
+
+  /** Waiting for a version that has left would be in vain. */
+  private refusalOfGoneVersion({
+    service,
+    version,
+  }: EndpointRequirements): RefusalError | undefined {
+    if (version.kind === 'any') return undefined;
     const engines = this.options.table.availableFor(service);
-    if (engines.some(engine => meetsVersion(engine, version))) return;
-    throw createNotRunRefusal(
-      ErrorCode.NoEndpoint,
-      `${service} at the version that began the stream`,
-    );
+    return engines.some(engine => meetsVersion(engine, version))
+      ? undefined
+      : createNotRunRefusal(
+          ErrorCode.NoEndpoint,
+          `${service} at the version that began the stream`,
+        );
   }
 
   /** Reports usage as a heartbeat unless a report was sent recently. */
@@ -574,17 +594,24 @@
   }
 
   private waitingRequests(service: ServiceName): WaitingRequests[] {
-    const byModel = new Map<ModelName, WaitingRequests>();
+    const totals = new Map<WaitingKey, WaitingRequests>();
     for (const {requirements} of this.waiters) {
       const {model, priority, deadline} = requirements;
       if (requirements.service !== service || model === undefined) continue;
-      addWaiting(byModel, {
+      addWaiting(totals, {
         model,
+        boundTo: boundVersion(requirements),
         count: 1,
         priority,
         earliestDeadline: deadline,
       });
     }
-    return [...byModel.values()];
+    return [...totals.values()];
   }
 }
+
+function boundVersion({
+  version,
+}: EndpointRequirements): SoftwareVersion | undefined {
+  return version.kind === 'only' ? version.version : undefined;
+}
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -3,6 +3,7 @@
  * milliseconds, since the nodes' clocks differ.
  */
 
+import type {SoftwareVersion} from '@siskinmux/endpoints';
 import type {
   AdapterName,
   EndpointId,
@@ -18,6 +19,7 @@
   AvailableModels,
   NodeUsage,
   ReadinessForecast,
+  WaitingRequests,
 } from '@siskinmux/placement';
 import {z} from 'zod';
 import {feedUpdateSchema} from './change_feed.js';
@@ -60,6 +62,10 @@
   reachesStore: z.boolean(),
   /** Model, requests, priority of the most urgent one, milliseconds until the earliest deadline. */
   waiting: z.array(z.tuple([name, count, z.number(), z.number()])),
+  /** The same for requests that only one software version can serve, followed by it. */
+  bound: z
+    .array(z.tuple([name, count, z.number(), z.number(), name]))
+    .default([]),
   /** Engine, model, requests. */
   running: z.array(z.tuple([name, name, count])),
   /** Model, requests. */
@@ -97,6 +103,8 @@
 export const forecastsSchema = z.object({
   service: name,
   models: z.array(z.tuple([name, z.number()])),
+  /** The same for requests that only one software version can serve, followed by it. */
+  bound: z.array(z.tuple([name, z.number(), name])).default([]),
 });
 
 /** The allocator's heartbeat, with what its node has read from the store. */
@@ -130,13 +138,13 @@
   return {
     service,
     reachesStore,
-    waiting: usage.waiting.map(
-      ({model, count: waiting, priority, earliestDeadline}) => [
-        model,
-        waiting,
-        priority,
-        until(now, earliestDeadline),
-      ],
+    waiting: usage.waiting.flatMap(requests =>
+      requests.boundTo === undefined ? [encodeWaiting(requests, now)] : [],
+    ),
+    bound: usage.waiting.flatMap(requests =>
+      requests.boundTo === undefined
+        ? []
+        : [[...encodeWaiting(requests, now), requests.boundTo]],
     ),
     running: usage.inFlight.map(({engine, model, count: inFlight}) => [
       engine,
@@ -147,14 +155,24 @@
   };
 }
 
+function encodeWaiting(
+  {model, count: waiting, priority, earliestDeadline}: WaitingRequests,
+  now: Instant,
+): [string, number, number, number] {
+  return [model, waiting, priority, until(now, earliestDeadline)];
+}
+
 export function decodeUsage(message: UsageMessage, now: Instant): NodeUsage {
   return {
-    waiting: message.waiting.map(([model, waiting, priority, remaining]) => ({
-      model: as<ModelName>(model),
-      count: waiting,
-      priority,
-      earliestDeadline: after(now, remaining),
-    })),
+    waiting: [...message.waiting, ...message.bound].map(
+      ([model, waiting, priority, remaining, boundTo]) => ({
+        model: as<ModelName>(model),
+        count: waiting,
+        priority,
+        earliestDeadline: after(now, remaining),
+        ...(boundTo !== undefined && {boundTo: as<SoftwareVersion>(boundTo)}),
+      }),
+    ),
     inFlight: message.running.map(([engine, model, inFlight]) => ({
       engine: as<EndpointId>(engine),
       model: as<ModelName>(model),
@@ -242,10 +260,14 @@
 ): z.infer<typeof forecastsSchema> {
   return {
     service,
-    models: forecasts.map(({model, readyAt}) => [
-      model,
-      Math.round(until(now, readyAt)),
-    ]),
+    models: forecasts.flatMap(({model, boundTo, readyAt}) =>
+      boundTo === undefined ? [[model, Math.round(until(now, readyAt))]] : [],
+    ),
+    bound: forecasts.flatMap(({model, boundTo, readyAt}) =>
+      boundTo === undefined
+        ? []
+        : [[model, Math.round(until(now, readyAt)), boundTo]],
+    ),
   };
 }
 
@@ -253,10 +275,13 @@
   message: z.infer<typeof forecastsSchema>,
   now: Instant,
 ): ReadinessForecast[] {
-  return message.models.map(([model, remaining]) => ({
-    model: as<ModelName>(model),
-    readyAt: after(now, remaining),
-  }));
+  return [...message.models, ...message.bound].map(
+    ([model, remaining, boundTo]) => ({
+      model: as<ModelName>(model),
+      readyAt: after(now, remaining),
+      ...(boundTo !== undefined && {boundTo: as<SoftwareVersion>(boundTo)}),
+    }),
+  );
 }
 
 export function decodeHello(message: z.infer<typeof helloSchema>): NodeId {
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import type {SoftwareVersion} from '@siskinmux/endpoints';
 import type {EndpointId, Instant, ModelName, NodeId} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import type {EngineView, NodeUsage} from '../src/index.js';
@@ -55,6 +56,66 @@
 }
 
 describe('planning of model changes', () => {
+  const v1 = as<SoftwareVersion>('v1');
+  const v2 = as<SoftwareVersion>('v2');
+
+  function engineOf(
+    version: SoftwareVersion,
+    name: string,
+    loaded: number[],
+    onDisk: number[],
+  ): EngineView {
+    const view = createEngineView(name, loaded.map(model), version);
+    for (const index of [...loaded, ...onDisk]) view.onDisk.add(model(index));
+    return view;
+  }
+
+  function enginesToLoad(
+    wanted: ModelName,
+    engines: EngineView[],
+    demand: ServiceDemand,
+  ): string[] {
+    return plan(engines, demand)
+      .filter(({load}) => load === wanted)
+      .map(({engine: id}) => id);
+  }
+
+  it('loads a model at the version that began a stream, once, though another version has the model', () => {
+    const engines = [
+      engineOf(v2, 'one', [9], []),
+      engineOf(v2, 'two', [], [9]),
+      engineOf(v1, 'three', [3, 4, 5], [9]),
+    ];
+    const bound = {...waiting(9), boundTo: v1};
+    const demand = demandOf({waiting: [bound]});
+    expect(enginesToLoad(model(9), engines, demand)).toEqual(['three']);
+    expect(demand.waitingByModel.size).toEqual(0);
+  });
+
+  it('loads nothing for a stream at a version that has the model, or can not have it in time', () => {
+    const bound = {...waiting(9), boundTo: v1};
+    const ready = [engineOf(v1, 'one', [9], []), engineOf(v1, 'two', [], [9])];
+    expect(
+      enginesToLoad(model(9), ready, demandOf({waiting: [bound]})),
+    ).toEqual([]);
+    const late = {...bound, earliestDeadline: as<Instant>(now + 100)};
+    const empty = [engineOf(v1, 'one', [], []), engineOf(v2, 'two', [9], [])];
+    expect(enginesToLoad(model(9), empty, demandOf({waiting: [late]}))).toEqual(
+      [],
+    );
+  });
+
+  it('does not evict a model that a stream of any version waits for', () => {
+    const engines = [engineOf(v1, 'one', [3, 4, 5], [9])];
+    const demand = demandOf({
+      waiting: [
+        waiting(9),
+        ...[3, 4, 5].map(index => ({...waiting(index), boundTo: v2})),
+      ],
+    });
+    expect(plan(engines, demand)).toEqual([]);
+  });
+
   it('does not load models on an engine that limits its requests, or evict its models, while another can take them', () => {
     const limited = engine('one', [0], [9]);
     limited.requestLimit = 2.6;
--- a/packages/placement/__tests__/simulated_engines.ts
+++ b/packages/placement/__tests__/simulated_engines.ts
@@ -1,6 +1,10 @@
 /** Simulated engines in virtual time, and faults in the transmission of orders. */
 
-import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  Incarnation,
+  SoftwareVersion,
+} from '@siskinmux/endpoints';
 import type {
   Clock,
   EndpointId,
@@ -62,12 +66,13 @@
 export function createEngineView(
   name: string,
   loaded: readonly ModelName[],
+  softwareVersion?: SoftwareVersion,
 ): EngineView {
   const view = EngineView.create({
     id: as<EndpointId>(name),
     incarnation: as<Incarnation>(name),
     service: SERVICE,
-    softwareVersion: undefined,
+    softwareVersion,
     address: '127.0.0.1:1',
     failureDomain: as<FailureDomain>('a'),
     slots: 16,
--- a/packages/placement/src/engine_view.ts
+++ b/packages/placement/src/engine_view.ts
@@ -3,7 +3,11 @@
  * without a response, an adapter that is being loaded, and an unload in progress.
  */
 
-import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
+import type {
+  EndpointDescription,
+  Incarnation,
+  SoftwareVersion,
+} from '@siskinmux/endpoints';
 import type {
   AdapterName,
   EndpointId,
@@ -72,6 +76,7 @@
     readonly address: string,
     readonly service: ServiceName,
     readonly incarnation: Incarnation,
+    readonly softwareVersion: SoftwareVersion | undefined,
     readonly failureDomain: FailureDomain,
     readonly slots: number,
     isDraining: boolean,
@@ -86,6 +91,7 @@
       address,
       service,
       incarnation,
+      description.softwareVersion,
       failureDomain,
       description.slots,
       description.isDraining,
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -23,5 +23,5 @@
 export {PLACEMENT_EVENTS} from './placement_events.js';
 export type {ModelChange, ModelPlanInput} from './plan_models.js';
 export {planModels} from './plan_models.js';
-export type {WaitingRequests} from './waiting_requests.js';
-export {addWaiting} from './waiting_requests.js';
+export type {WaitingKey, WaitingRequests} from './waiting_requests.js';
+export {addWaiting, waitingKey} from './waiting_requests.js';
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -190,6 +190,7 @@
   }
 
   plan(): ModelChange[] {
+    this.loadForContinuedStreams();
     for (const {model, score} of this.prioritizedUnservedModels()) {
       const rules = this.replicaCount(model) > 0 ? STUCK_RULES : WAITING_RULES;
       const candidate = this.cheapestCandidate(model, score, rules);
@@ -200,6 +201,30 @@
     return this.changes;
   }
 
+  /**
+   * Loads models that requests wait for at one software version, as they continue streams that
+   * began there. They come first: what has been generated would be lost with them.
+   */
+  private loadForContinuedStreams(): void {
+    for (const {model, boundTo, earliestDeadline} of this.input.demand
+      .boundWaiting) {
+      const isOfVersion = (engine: EngineView): boolean =>
+        engine.softwareVersion === boundTo;
+      if (this.enginesWith(model).some(isOfVersion)) continue;
+      const candidate = this.cheapestCandidate(
+        model,
+        0,
+        WAITING_RULES,
+        isOfVersion,
+      );
+      if (candidate === undefined) continue;
+      const declared = this.input.declaration.models.get(model);
+      const loadMilliseconds = declared?.loadMilliseconds[candidate.tier] ?? 0;
+      if (loadMilliseconds >= until(this.input.now, earliestDeadline)) continue;
+      this.addChange(model, candidate, 'waiting');
+    }
+  }
+
   /**
    * Models without a replica, or with replicas only on engines at their limits, that requests
    * wait for, or that are in use by their arrival rate while no engine has a copy: those requests may have been refused instead of
@@ -389,6 +414,7 @@
     model: ModelName,
     servedRequests: number,
     {isEvictionRestricted, limitedEngines}: CandidateRules,
+    accepts: (engine: EngineView) => boolean = () => true,
   ): LoadCandidate | undefined {
     const declared = this.input.declaration.models.get(model);
     if (declared === undefined) return undefined;
@@ -396,7 +422,7 @@
     for (const engine of this.input.engines) {
       if (!engine.canPlanChange || this.changingEngines.has(engine.id))
         continue;
-      if (engine.models.has(model)) continue;
+      if (engine.models.has(model) || !accepts(engine)) continue;
       if (!this.isLimitAllowed(engine, limitedEngines)) continue;
       const candidate = this.candidateAt(
         engine,
@@ -494,7 +520,7 @@
     if (placed.state !== 'ready') return false;
     if (until(placed.since, now) < MINIMUM_READY_MILLISECONDS) return false;
     if (demand.inFlightForModelAt(engine.id, placed.model) > 0) return false;
-    if (demand.waitingByModel.has(placed.model)) return false;
+    if (demand.isWaitedFor(placed.model)) return false;
     if (!isEvictionRestricted) return true;
     return (
       this.replicaCount(placed.model) > 1 ||
--- a/packages/placement/src/readiness_forecast.ts
+++ b/packages/placement/src/readiness_forecast.ts
@@ -1,5 +1,6 @@
 /** Earliest time at which a model can be ready for the requests that wait for it. */
 
+import type {SoftwareVersion} from '@siskinmux/endpoints';
 import type {Instant, Milliseconds, ModelName} from '@siskinmux/kernel';
 import {after, earlier} from '@siskinmux/kernel';
 import type {EngineDeclaration, ServiceModel} from '@siskinmux/routes';
@@ -15,6 +16,8 @@
 /** When a model can be ready at the earliest. */
 export interface ReadinessForecast {
   readonly model: ModelName;
+  /** Set for requests that only this software version can serve. */
+  readonly boundTo?: SoftwareVersion;
   readonly readyAt: Instant;
 }
 
@@ -37,6 +40,15 @@
     if (declared === undefined) continue;
     forecasts.push({model, readyAt: earliestReadyAt(declared, input)});
   }
+  for (const {model, boundTo} of input.demand.boundWaiting) {
+    const declared = input.declaration.models.get(model);
+    if (declared === undefined) continue;
+    const engines = input.engines.filter(
+      ({softwareVersion}) => softwareVersion === boundTo,
+    );
+    const readyAt = earliestReadyAt(declared, {...input, engines});
+    forecasts.push({model, boundTo, readyAt});
+  }
   return forecasts;
 }
 
--- a/packages/placement/src/service_demand.ts
+++ b/packages/placement/src/service_demand.ts
@@ -11,7 +11,7 @@
   NodeId,
 } from '@siskinmux/kernel';
 import {until} from '@siskinmux/kernel';
-import type {WaitingRequests} from './waiting_requests.js';
+import type {WaitingKey, WaitingRequests} from './waiting_requests.js';
 import {addWaiting} from './waiting_requests.js';
 
 /**
@@ -47,6 +47,7 @@
   private inFlightByModelAndEngine = new Map<string, number>();
   private inFlightByModel = new Map<ModelName, number>();
   private inFlightTotals = new Map<EndpointId, number>();
+  private waitingByKey = new Map<WaitingKey, WaitingRequests>();
   private waiting = new Map<ModelName, WaitingRequests>();
   /** Whether the totals are older than the latest report. */
   private hasStaleTotals = false;
@@ -76,7 +77,23 @@
     return (this.usageByNode.get(node)?.waiting.length ?? 0) > 0;
   }
 
-  /** Requests that wait for a model, by model. */
+  /** Requests that wait for a model at one software version, because they continue a stream. */
+  get boundWaiting(): readonly WaitingRequests[] {
+    this.updateTotals();
+    return [...this.waitingByKey.values()].filter(
+      ({boundTo}) => boundTo !== undefined,
+    );
+  }
+
+  /** Whether any request waits for a model. */
+  isWaitedFor(model: ModelName): boolean {
+    return (
+      this.waitingByModel.has(model) ||
+      this.boundWaiting.some(waiting => waiting.model === model)
+    );
+  }
+
+  /** Requests that wait for a model at any software version, by model. */
   get waitingByModel(): ReadonlyMap<ModelName, WaitingRequests> {
     this.updateTotals();
     return this.waiting;
@@ -125,15 +142,20 @@
     this.inFlightByModelAndEngine = new Map();
     this.inFlightByModel = new Map();
     this.inFlightTotals = new Map();
-    this.waiting = new Map();
+    this.waitingByKey = new Map();
     for (const {inFlight, waiting} of this.usageByNode.values()) {
       for (const {engine, model, count} of inFlight) {
         add(this.inFlightByModelAndEngine, `${engine} ${model}`, count);
         add(this.inFlightByModel, model, count);
         add(this.inFlightTotals, engine, count);
       }
-      for (const requests of waiting) addWaiting(this.waiting, requests);
+      for (const requests of waiting) addWaiting(this.waitingByKey, requests);
     }
+    this.waiting = new Map(
+      [...this.waitingByKey.values()].flatMap(requests =>
+        requests.boundTo === undefined ? [[requests.model, requests]] : [],
+      ),
+    );
   }
 }
 
--- a/packages/placement/src/waiting_requests.ts
+++ b/packages/placement/src/waiting_requests.ts
@@ -1,11 +1,14 @@
 /** Aggregated requests that wait for a model. */
 
-import type {Instant, ModelName} from '@siskinmux/kernel';
-import {earlier} from '@siskinmux/kernel';
+import type {SoftwareVersion} from '@siskinmux/endpoints';
+import type {Brand, Instant, ModelName} from '@siskinmux/kernel';
+import {as, earlier} from '@siskinmux/kernel';
 
 /** Requests that wait for a model, at one node or at all nodes. */
 export interface WaitingRequests {
   readonly model: ModelName;
+  /** The only software version that can serve them; undefined if any can. */
+  readonly boundTo?: SoftwareVersion;
   readonly count: number;
   /** Priority of the most urgent request; 0 is served first. */
   readonly priority: number;
@@ -13,18 +16,30 @@
   readonly earliestDeadline: Instant;
 }
 
-/** Merges requests into the totals per model. */
+/** Identifies requests that the same engines can serve. */
+export type WaitingKey = Brand<string, 'WaitingKey'>;
+
+/** Key of requests for a model, at one software version or at any. */
+export function waitingKey({
+  model,
+  boundTo,
+}: Pick<WaitingRequests, 'model' | 'boundTo'>): WaitingKey {
+  return as<WaitingKey>(boundTo === undefined ? model : `${model} ${boundTo}`);
+}
+
+/** Merges requests into the totals. */
 export function addWaiting(
-  totals: Map<ModelName, WaitingRequests>,
+  totals: Map<WaitingKey, WaitingRequests>,
   added: WaitingRequests,
 ): void {
-  const known = totals.get(added.model);
+  const key = waitingKey(added);
+  const known = totals.get(key);
   totals.set(
-    added.model,
+    key,
     known === undefined
       ? added
       : {
-          model: added.model,
+          ...added,
           count: known.count + added.count,
           priority: Math.min(known.priority, added.priority),
           earliestDeadline: earlier(
