Record all software versions of services, and distrust what was seen before a gap

Cause: a node took the only version that it had seen for the only one that had served. Change: the lease holder records the versions of all services, also of those with one version only, once at each change. What was listed in the last record may have been listed until now. A node trusts its own sightings only since the last gap in its list; after one, and after its start, it reads the record again. Why it works: each version at which a stream can have begun is in the record, or has been seen by a node without a gap. The lease holder writes the record before an engine of a new version can have loaded its first model.

--- /dev/null
+++ b/packages/continuity/__tests__/stream_continuity.test.ts
@@ -0,0 +1,202 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {Incarnation, SoftwareVersion} from '@siskinmux/endpoints';
+import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {Instant, RequestId, ServiceName} from '@siskinmux/kernel';
+import {RefusalError, after, as} from '@siskinmux/kernel';
+import {
+  MemoryStore,
+  SharedObjects,
+  VirtualClock,
+  createEngineDescription,
+  createSeededRandom,
+} from '@siskinmux/testkit';
+import {
+  ORIGINS_KIND,
+  OriginWriter,
+  StoredOrigins,
+  StreamContinuity,
+  StreamOrigins,
+} from '../src/index.js';
+
+const service = as<ServiceName>('engines');
+const stream = as<RequestId>('stream-1');
+const LONG_MILLISECONDS = 3_600_000;
+
+function engine(version: string, name = version): EndpointDescription {
+  return {
+    ...createEngineDescription(name, service),
+    incarnation: as<Incarnation>(`${name}@1`),
+    softwareVersion: as<SoftwareVersion>(version),
+  };
+}
+
+/** Nodes that share a store, and a caller that takes a stream up. */
+class Deployment {
+  readonly clock = VirtualClock.create();
+  readonly shared = new SharedObjects();
+
+  start(...listed: EndpointDescription[]) {
+    const {clock} = this;
+    const store = new MemoryStore(this.shared, clock, createSeededRandom(1));
+    const startedAt = clock.now();
+    const options = {
+      store,
+      clock,
+      readClocks: () => ({
+        steady: clock.now(),
+        boot: clock.now(),
+        timeOfDay: clock.now(),
+      }),
+      emit: () => {},
+    };
+    const continuity = StreamContinuity.create({
+      stored: StoredOrigins.create({...options, nodeCount: () => 1}),
+      clock,
+      emit: () => {},
+      listCurrentSince: () => startedAt,
+    });
+    const {versions, stored} = continuity;
+    const writer = OriginWriter.create({...options, versions, stored});
+    const update = (
+      before: EndpointDescription | undefined,
+      now: EndpointDescription | undefined,
+    ): void => {
+      const id = (now ?? before)?.id;
+      if (id !== undefined)
+        continuity.applyEndpointChanges([{id, before, now}]);
+    };
+    for (const endpoint of listed) update(undefined, endpoint);
+    return {store, continuity, writer, update};
+  }
+
+  /** The version at which the stream may go on, or the refusal. */
+  async takeUp(
+    continuity: StreamContinuity,
+    taken: {stream?: RequestId; service?: ServiceName} = {},
+  ): Promise<string | RefusalError | undefined> {
+    const requirement = continuity.requirementOf(
+      {
+        id: as<RequestId>('request'),
+        stream,
+        service,
+        deadline: after(this.clock.now(), 12_000),
+        ...taken,
+      },
+      new AbortController().signal,
+    );
+    try {
+      const settled = await this.clock.runUntilSettled(requirement);
+      return settled.kind === 'only' ? settled.version : undefined;
+    } catch (failure) {
+      if (failure instanceof RefusalError) return failure;
+      throw failure;
+    }
+  }
+}
+
+describe('continuation of a stream', () => {
+  it('is refused after a start if the version that served long before has left unseen', async () => {
+    const deployment = new Deployment();
+    const {writer} = deployment.start(engine('v1'));
+    writer.start();
+    await deployment.clock.advance(1_000);
+    writer.stop();
+    await deployment.clock.advance(LONG_MILLISECONDS);
+    const {continuity} = deployment.start(engine('v2'));
+    const refusal = await deployment.takeUp(continuity);
+    expect(refusal).toBeA(RefusalError);
+  });
+
+  it('is allowed after a start if the only version is the recorded one', async () => {
+    const deployment = new Deployment();
+    const {writer} = deployment.start(engine('v1'));
+    writer.start();
+    await deployment.clock.advance(1_000);
+    writer.stop();
+    const {continuity} = deployment.start(engine('v1'));
+    expect(await deployment.takeUp(continuity)).toEqual('v1');
+  });
+
+  it('is refused without a record of the versions before, and with a time to return without the store', async () => {
+    const deployment = new Deployment();
+    const {continuity, store} = deployment.start(engine('v1'));
+    const refusal = await deployment.takeUp(continuity);
+    expect(refusal).toBeA(RefusalError);
+    expect((refusal as RefusalError).retryAt).toEqual(undefined);
+    store.isUnreachable = true;
+    const away = await deployment.takeUp(continuity);
+    expect((away as RefusalError).retryAt).not.toEqual(undefined);
+  });
+
+  it('is refused at another service, and if streams of two versions have its id', async () => {
+    const deployment = new Deployment();
+    const {continuity} = deployment.start(engine('v1'), engine('v2'));
+    const expiresAt = after(deployment.clock.now(), 12_000);
+    continuity.recordStart(stream, engine('v2'), expiresAt);
+    expect(await deployment.takeUp(continuity)).toEqual('v2');
+    const other = as<ServiceName>('others');
+    expect(await deployment.takeUp(continuity, {service: other})).toBeA(
+      RefusalError,
+    );
+    continuity.recordStart(stream, engine('v1'), expiresAt);
+    expect(await deployment.takeUp(continuity)).toBeA(RefusalError);
+  });
+
+  it('is refused if the engine that began the stream did not state its version', async () => {
+    const deployment = new Deployment();
+    const unknown = {...engine('v1'), softwareVersion: undefined};
+    const {continuity, writer} = deployment.start(unknown);
+    writer.start();
+    await deployment.clock.advance(1_000);
+    const expiresAt = after(deployment.clock.now(), 12_000);
+    continuity.recordStart(stream, unknown, expiresAt);
+    expect(await deployment.takeUp(continuity)).toBeA(RefusalError);
+    writer.stop();
+  });
+
+  it('is refused while the record that was written last is unreadable', async () => {
+    const deployment = new Deployment();
+    const {writer} = deployment.start(engine('v1'));
+    writer.start();
+    await deployment.clock.advance(1_000);
+    writer.stop();
+    deployment.shared.put(ORIGINS_KIND, '5', {groups: 'none'});
+    const {continuity} = deployment.start(engine('v1'));
+    expect(await deployment.takeUp(continuity)).toBeA(RefusalError);
+  });
+
+  it('costs no call to the store while one version serves, after the first', async () => {
+    const deployment = new Deployment();
+    const {writer} = deployment.start(engine('v1'));
+    writer.start();
+    await deployment.clock.advance(1_000);
+    const {continuity, store} = deployment.start(engine('v1'));
+    for (let count = 0; count < 5; count += 1)
+      expect(await deployment.takeUp(continuity)).toEqual('v1');
+    expect(store.calls).toEqual(1);
+    const written = deployment.shared.changes.length;
+    await deployment.clock.advance(LONG_MILLISECONDS);
+    expect(deployment.shared.changes.length).toEqual(written);
+    writer.stop();
+  });
+});
+
+describe('memory of streams', () => {
+  it('is bounded, whatever ids callers choose', () => {
+    const origins = StreamOrigins.create();
+    const now = as<Instant>(0);
+    const origin = {
+      service,
+      version: as<SoftwareVersion>('v1'),
+      expiresAt: after(now, LONG_MILLISECONDS),
+    };
+    for (let count = 0; count < 60_000; count += 1)
+      origins.add({...origin, stream: as<RequestId>(`s${count}`)}, now);
+    expect(origins.size).toEqual(50_000);
+    const huge = as<RequestId>('x'.repeat(1_000));
+    origins.add({...origin, stream: huge}, now);
+    expect(origins.get(huge, now)).toEqual(undefined);
+    expect(origins.ofService(service, after(now, 60_001))).toEqual([]);
+  });
+});
--- a/packages/continuity/src/origin_messages.ts
+++ b/packages/continuity/src/origin_messages.ts
@@ -7,7 +7,7 @@
 import type {Instant, RequestId, ServiceName} from '@siskinmux/kernel';
 import {after, as, until} from '@siskinmux/kernel';
 import {z} from 'zod';
-import type {SeenVersion, ServiceVersions} from './service_versions.js';
+import type {ServiceVersions} from './service_versions.js';
 import type {StreamOrigin} from './stream_origins.js';
 
 const name = z.string().min(1).max(256);
@@ -26,8 +26,16 @@
 /** Origins of streams, grouped by service and version. */
 export const originsSchema = z.object({groups: z.array(groupSchema)});
 
-/** Service, version (null if not stated), milliseconds since it was seen. */
-const sightingSchema = z.tuple([name, name.nullable(), milliseconds]);
+/** Service, version (null if not stated), milliseconds since it was seen; 0 while listed. */
+const sightingSchema = z.object({
+  service: name,
+  version: name.nullable(),
+  age: milliseconds,
+  isListed: z.boolean(),
+});
+
+/** A version of a service, as the lease holder recorded it. */
+export type RecordedVersion = z.infer<typeof sightingSchema>;
 
 /** A stored part of the origins; ages count from `writtenAt`, a time of day. */
 export const storedOriginsSchema = originsSchema.extend({
@@ -81,33 +89,37 @@
   );
 }
 
-/** The versions of services of which several were seen lately. */
-export function encodeMixedVersions(
+/** The versions of all services that were seen lately. */
+export function encodeVersions(
   versions: ServiceVersions,
   now: Instant,
-): z.infer<typeof sightingSchema>[] {
-  return [...versions.services]
-    .filter(service => versions.isMixed(service, now))
-    .flatMap(service =>
-      versions
-        .sightings(service, now)
-        .map(({version, seenAt}): z.infer<typeof sightingSchema> => [
-          service,
-          version ?? null,
-          Math.max(0, Math.round(until(seenAt, now))),
-        ]),
-    );
+): RecordedVersion[] {
+  return [...versions.services].flatMap(service =>
+    versions.sightings(service, now).map(({version, seenAt, isListed}) => ({
+      service,
+      version: version ?? null,
+      age: Math.max(0, Math.round(until(seenAt, now))),
+      isListed,
+    })),
+  );
 }
 
-/** Records stored sightings whose times count from `encodedAt`. */
-export function observeStoredVersions(
-  stored: z.infer<typeof storedOriginsSchema>['versions'],
-  encodedAt: Instant,
+/**
+ * Observes a record that was written at `writtenAt`. What was listed then may have been listed
+ * until now, since nobody may have seen it leave.
+ */
+export function observeVersions(
+  recorded: readonly RecordedVersion[],
+  writtenAt: Instant,
   versions: ServiceVersions,
+  now: Instant,
 ): void {
-  for (const [service, version, age] of stored) {
-    const seen: SeenVersion =
-      version === null ? undefined : as<SoftwareVersion>(version);
-    versions.observe(as<ServiceName>(service), seen, after(encodedAt, -age));
+  for (const {service, version, age, isListed} of recorded) {
+    versions.observe(
+      as<ServiceName>(service),
+      version === null ? undefined : as<SoftwareVersion>(version),
+      isListed ? now : after(writtenAt, -age),
+      now,
+    );
   }
 }
--- a/packages/continuity/src/origin_writer.ts
+++ b/packages/continuity/src/origin_writer.ts
@@ -11,10 +11,15 @@
 import type {PeriodicJob} from '@siskinmux/runtime';
 import {createPeriodicJob} from '@siskinmux/runtime';
 import {ORIGINS_STORED, ORIGINS_STORE_FAILED} from './continuity_events.js';
-import {encodeMixedVersions, encodeOrigins} from './origin_messages.js';
+import type {RecordedVersion} from './origin_messages.js';
+import {
+  encodeOrigins,
+  encodeVersions,
+  observeVersions,
+} from './origin_messages.js';
 import type {ServiceVersions} from './service_versions.js';
-import type {StoredOriginsOptions} from './stored_origins.js';
-import {ORIGINS_KIND} from './stored_origins.js';
+import type {StoredOrigins, StoredOriginsOptions} from './stored_origins.js';
+import {ORIGINS_KIND, latestPart, observeRecord} from './stored_origins.js';
 import type {StreamOrigin} from './stream_origins.js';
 
 /** Objects in the ring, and the time for which one is written: together, the memory of streams. */
@@ -36,6 +41,7 @@
   StoredOriginsOptions,
   'nodeCount'
 > {
+  readonly stored: StoredOrigins;
   readonly versions: ServiceVersions;
 }
 
@@ -50,7 +56,7 @@
   private partEndsAt: Instant;
   private written: StreamOrigin[] = [];
   private unwritten: StreamOrigin[] = [];
-  private writtenVersions = '';
+  private recordedKey = '';
   private nextCallAt: Instant;
 
   private constructor(private readonly options: OriginWriterOptions) {
@@ -83,20 +89,25 @@
   }
 
   private async writeChanges(): Promise<void> {
-    const now = this.clock.now();
-    const versions = encodeMixedVersions(this.options.versions, now);
-    const versionsKey = JSON.stringify(
-      versions.map(([service, version]) => [service, version]),
+    if (this.clock.now() < this.nextCallAt) return;
+    if (!(await this.readRevisions())) return;
+    const {versions} = this.options;
+    const recorded = encodeVersions(versions, this.clock.now());
+    const recordedKey = JSON.stringify(
+      recorded.map(({service, version, isListed}) => [
+        service,
+        version,
+        isListed,
+      ]),
     );
-    const isChanged =
-      this.unwritten.length > 0 || versionsKey !== this.writtenVersions;
-    if (!isChanged || now < this.nextCallAt) return;
-    this.nextCallAt = after(now, WRITE_INTERVAL_MILLISECONDS);
+    if (this.unwritten.length === 0 && recordedKey === this.recordedKey) return;
+    this.nextCallAt = after(this.clock.now(), WRITE_INTERVAL_MILLISECONDS);
     const added = this.unwritten;
     this.unwritten = [];
     try {
-      await this.write(added, versions);
-      this.writtenVersions = versionsKey;
+      await this.write(added, recorded);
+      this.recordedKey = recordedKey;
+      observeVersions(recorded, this.clock.now(), versions, this.clock.now());
     } catch (failure) {
       if (!(failure instanceof SiskinmuxError)) throw failure;
       this.emit(ORIGINS_STORE_FAILED, {call: 'write', cause: failure.message});
@@ -109,10 +120,9 @@
 
   private async write(
     added: readonly StreamOrigin[],
-    versions: ReturnType<typeof encodeMixedVersions>,
+    versions: readonly RecordedVersion[],
   ): Promise<void> {
     const {store, readClocks} = this.options;
-    const revisions = await this.currentRevisions();
     const now = this.clock.now();
     const isFull =
       this.written.length + added.length > MAXIMUM_STREAMS_PER_PART;
@@ -131,28 +141,28 @@
         versions,
         groups: encodeOrigins(streams, now).flatMap(({groups}) => groups),
       },
-      revisions.get(name) ?? 'absent',
+      this.revisions?.get(name) ?? 'absent',
     );
-    revisions.set(name, revision);
+    this.revisions?.set(name, revision);
     this.written = streams;
     this.emit(ORIGINS_STORED, {part: name, streams: streams.length});
   }
 
-  /** Continues after the object that was written last. */
-  private async currentRevisions(): Promise<Map<string, ObjectVersion>> {
-    if (this.revisions !== undefined) return this.revisions;
-    const {store} = this.options;
-    const {objects} = await store.list(ORIGINS_KIND, false);
-    const latest = objects.reduce<(typeof objects)[number] | undefined>(
-      (best, object) =>
-        best === undefined || object.revision > best.revision ? object : best,
-      undefined,
-    );
-    this.part = Number(latest?.name ?? 0) || 0;
-    this.partEndsAt = this.clock.now();
+  /** Continues after the part that was written last; false if the store doesn't respond. */
+  private async readRevisions(): Promise<boolean> {
+    if (this.revisions !== undefined) return true;
+    const parts = await this.options.stored.read();
+    const now = this.clock.now();
+    if (parts === undefined) {
+      this.nextCallAt = after(now, FAILURE_PAUSE_MILLISECONDS);
+      return false;
+    }
+    observeRecord(parts, this.options.versions, now);
+    this.part = Number(latestPart(parts)?.object.name ?? 0) || 0;
+    this.partEndsAt = now;
     this.revisions = new Map(
-      objects.map(({name, revision}) => [name, revision]),
+      parts.map(({object}) => [object.name, object.revision]),
     );
-    return this.revisions;
+    return true;
   }
 }
--- a/packages/continuity/src/service_versions.ts
+++ b/packages/continuity/src/service_versions.ts
@@ -22,6 +22,8 @@
     Map<SeenVersion, Sighting>
   >();
 
+  private readonly recordReads = new Map<ServiceName, Instant>();
+
   private constructor() {}
 
   static create(): ServiceVersions {
@@ -46,8 +48,19 @@
     }
   }
 
-  /** Records that other nodes saw a version at `seenAt`. */
-  observe(service: ServiceName, version: SeenVersion, seenAt: Instant): void {
+  /** When the record in the store was last read that names the service; undefined before. */
+  recordReadAt(service: ServiceName): Instant | undefined {
+    return this.recordReads.get(service);
+  }
+
+  /** Adds what the record in the store says, read at `now`: the version was seen at `seenAt`. */
+  observe(
+    service: ServiceName,
+    version: SeenVersion,
+    seenAt: Instant,
+    now: Instant,
+  ): void {
+    this.recordReads.set(service, now);
     const sighting = this.sightingOf(service, version, seenAt);
     sighting.seenAt = later(sighting.seenAt, seenAt);
   }
@@ -67,10 +80,15 @@
   sightings(
     service: ServiceName,
     now: Instant,
-  ): {readonly version: SeenVersion; readonly seenAt: Instant}[] {
+  ): {
+    readonly version: SeenVersion;
+    readonly seenAt: Instant;
+    readonly isListed: boolean;
+  }[] {
     return this.recent(service, now).map(version => {
       const {count, seenAt} = this.sightingOf(service, version, now);
-      return {version, seenAt: count > 0 ? now : seenAt};
+      const isListed = count > 0;
+      return {version, seenAt: isListed ? now : seenAt, isListed};
     });
   }
 
--- a/packages/continuity/src/stored_origins.ts
+++ b/packages/continuity/src/stored_origins.ts
@@ -1,7 +1,7 @@
 /**
  * The origins of streams in the platform's store, for nodes that start later. They lie in a
  * ring of objects, each of which holds the streams that began in a few seconds; the oldest
- * object is overwritten.
+ * object is overwritten. Each also records the versions of all services when it was written.
  */
 
 import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
@@ -9,8 +9,13 @@
 import type {ClockReading} from '@siskinmux/leases';
 import type {MetadataObject, MetadataStore} from '@siskinmux/ports';
 import {ORIGINS_STORE_FAILED, ORIGINS_UNREADABLE} from './continuity_events.js';
-import {decodeOrigins, storedOriginsSchema} from './origin_messages.js';
+import {
+  decodeOrigins,
+  observeVersions,
+  storedOriginsSchema,
+} from './origin_messages.js';
 import type {storedOriginsSchema as schema} from './origin_messages.js';
+import type {ServiceVersions} from './service_versions.js';
 import type {StreamOrigin} from './stream_origins.js';
 import {MAXIMUM_MEMORY_MILLISECONDS} from './stream_origins.js';
 import type {z} from 'zod';
@@ -114,3 +119,27 @@
   const kept = MAXIMUM_MEMORY_MILLISECONDS + CLOCK_DIFFERENCE_MILLISECONDS;
   return after(writtenAt, kept) > now;
 }
+
+/** The part that was written last, which records the versions of all services. */
+export function latestPart(
+  parts: readonly StoredPart[],
+): StoredPart | undefined {
+  return parts.reduce<StoredPart | undefined>(
+    (best, part) =>
+      best === undefined || part.object.revision > best.object.revision
+        ? part
+        : best,
+    undefined,
+  );
+}
+
+/** Observes the versions that the part written last records. */
+export function observeRecord(
+  parts: readonly StoredPart[],
+  versions: ServiceVersions,
+  now: Instant,
+): void {
+  const latest = latestPart(parts);
+  if (latest?.content === undefined) return;
+  observeVersions(latest.content.versions, latest.writtenAt, versions, now);
+}
--- a/packages/continuity/src/stream_continuity.ts
+++ b/packages/continuity/src/stream_continuity.ts
@@ -27,10 +27,9 @@
   until,
 } from '@siskinmux/kernel';
 import {STREAM_TAKEN_UP, VERSIONS_CHANGED} from './continuity_events.js';
-import {observeStoredVersions} from './origin_messages.js';
 import {ServiceVersions} from './service_versions.js';
 import type {StoredOrigins} from './stored_origins.js';
-import {isRecent, originsOf} from './stored_origins.js';
+import {isRecent, observeRecord, originsOf} from './stored_origins.js';
 import type {StreamOrigin} from './stream_origins.js';
 import {StreamOrigins} from './stream_origins.js';
 
@@ -70,8 +69,11 @@
   readonly stored: StoredOrigins;
   readonly clock: Clock;
   readonly emit: EmitEvent;
-  /** Whether this node's list of endpoints is up to date, apart from the last moments. */
-  readonly isListCurrent: () => boolean;
+  /**
+   * Since when this node's list of endpoints has been up to date without a gap, apart from about
+   * the last second; undefined if it isn't now.
+   */
+  readonly listCurrentSince: () => Instant | undefined;
 }
 
 type OriginSource = 'memory' | 'store' | 'only version';
@@ -79,6 +81,8 @@
 /** What one node knows about the origins of streams. */
 export class StreamContinuity {
   readonly versions = ServiceVersions.create();
+  /** Reads the origins that the lease holder has stored. */
+  readonly stored: StoredOrigins;
   /** Streams that began at this node. */
   private readonly own = StreamOrigins.create();
   /** Streams of this node and others. */
@@ -86,10 +90,10 @@
   private exchange: OriginExchange | undefined;
   private unreported: StreamOrigin[] = [];
   private isReportScheduled = false;
-  /** Whether the store has told which versions served before this node started. */
-  private knowsHistory = false;
 
-  private constructor(private readonly options: StreamContinuityOptions) {}
+  private constructor(private readonly options: StreamContinuityOptions) {
+    this.stored = options.stored;
+  }
 
   static create(options: StreamContinuityOptions): StreamContinuity {
     return new StreamContinuity(options);
@@ -158,7 +162,8 @@
     taken: TakenUpStream,
     signal: AbortSignal,
   ): Promise<VersionRequirement> {
-    const {clock, stored} = this.options;
+    const {stored} = this;
+    const {clock} = this.options;
     const takenUpAt = clock.now();
     let isStoreRead = false;
     const storedBy = earlier(
@@ -170,13 +175,11 @@
       const parts = await stored.read();
       isStoreRead = parts !== undefined;
       const now = clock.now();
-      for (const part of parts ?? []) {
-        if (!isRecent(part, now) || part.content === undefined) continue;
-        this.merge(originsOf(part));
-        const {versions} = part.content;
-        observeStoredVersions(versions, part.writtenAt, this.versions);
+      if (parts !== undefined) {
+        observeRecord(parts, this.versions, now);
+        const recent = parts.filter(part => isRecent(part, now));
+        this.merge(recent.flatMap(originsOf));
       }
-      if (isStoreRead) this.knowsHistory = true;
       found = this.findOrigin(taken, isStoreRead);
       if (found !== undefined) break;
       const isFinal = taken.stream === undefined || now >= storedBy;
@@ -213,14 +216,25 @@
         source: isStoreRead ? 'store' : 'memory',
       };
     }
-    const isHistoryCertain =
-      this.knowsHistory && (isStoreRead || this.options.isListCurrent());
+    const isHistoryCertain = this.isHistoryCertain(service, isStoreRead);
     const only = this.versions.only(service, now);
     return isHistoryCertain && only !== undefined
       ? {version: only, source: 'only version'}
       : undefined;
   }
 
+  /** Whether no version of the service can have gone unseen, before this node's start either. */
+  private isHistoryCertain(
+    service: ServiceName,
+    isStoreRead: boolean,
+  ): boolean {
+    const recordReadAt = this.versions.recordReadAt(service);
+    if (recordReadAt === undefined || isStoreRead)
+      return recordReadAt !== undefined;
+    const currentSince = this.options.listCurrentSince();
+    return currentSince !== undefined && currentSince <= recordReadAt;
+  }
+
   private report(origins: readonly StreamOrigin[]): void {
     this.unreported.push(...origins);
     this.scheduleReport();
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -207,7 +207,7 @@
       }),
       clock,
       emit,
-      isListCurrent: () => this.platformView.isEndpointListCurrent,
+      listCurrentSince: () => this.platformView.endpointListCurrentSince,
     });
     const identity = kernel.inject(NODE_IDENTITY);
     this.placement = NodePlacement.create({
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -13,7 +13,13 @@
   ObjectVersion,
   Random,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, after, jitter, sleepFor} from '@siskinmux/kernel';
+import {
+  SiskinmuxError,
+  after,
+  jitter,
+  later,
+  sleepFor,
+} from '@siskinmux/kernel';
 import type {
   MetadataChange,
   MetadataListing,
@@ -50,6 +56,9 @@
 /** Maximum interval between this node's own reads while a feed replaces its watch. */
 const OWN_READ_INTERVAL_MILLISECONDS: Milliseconds = 30_000;
 
+/** Age up to which the last response counts as current; the feed source reads more often. */
+const CURRENT_MILLISECONDS: Milliseconds = 700;
+
 /** Age up to which the last response shows that the store is reachable. */
 const REACHABILITY_MILLISECONDS: Milliseconds = 2_500;
 
@@ -92,6 +101,9 @@
   private respondedAt: Instant | undefined;
   /** End of the period in which the lease holder's feed replaces this node's own watch. */
   private feedFreshUntil: Instant | undefined;
+  /** The latest period in which reads and the feed left no gap. */
+  private current:
+    {readonly since: Instant; readonly until: Instant} | undefined;
   private wake: (() => void) | undefined;
   private isStopped = false;
 
@@ -119,12 +131,15 @@
     return this.options.clock.now() < end;
   }
 
-  /** Whether everything that the store held a few seconds ago has been read. */
-  get isCurrent(): boolean {
-    const {feedFreshUntil} = this;
-    const isFeedFresh =
-      feedFreshUntil !== undefined && this.options.clock.now() < feedFreshUntil;
-    return isFeedFresh || this.reachesStore;
+  /**
+   * Since when everything that the store held about a second before has been read, without a
+   * gap; undefined if it hasn't been now.
+   */
+  get currentSince(): Instant | undefined {
+    const {current} = this;
+    return current !== undefined && this.options.clock.now() < current.until
+      ? current.since
+      : undefined;
   }
 
   /** Watches until {@link stop}. */
@@ -174,6 +189,7 @@
       now,
       MAXIMUM_FEED_AGE_MILLISECONDS - update.age,
     );
+    this.extendCurrent(this.feedFreshUntil);
   }
 
   /** Returns to this node's own watch: the feed's connection was lost, or it had a gap. */
@@ -290,6 +306,7 @@
     const {emit, kind, clock} = this.options;
     this.failures = 0;
     this.respondedAt = clock.now();
+    this.extendCurrent(after(this.respondedAt, CURRENT_MILLISECONDS));
     if (this.storeLostAt === undefined) return;
     emit(STORE_REGAINED, {
       kind,
@@ -299,6 +316,12 @@
     this.storeLostAt = undefined;
   }
 
+  private extendCurrent(end: Instant): void {
+    const now = this.options.clock.now();
+    const since = this.currentSince ?? now;
+    this.current = {since, until: later(this.current?.until ?? end, end)};
+  }
+
   private async backOff(failure: SiskinmuxError): Promise<void> {
     const {emit, kind, clock, random} = this.options;
     const now = clock.now();
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -314,6 +314,7 @@
     const {continuity} = this.options;
     const originWriter = OriginWriter.create({
       ...this.options,
+      stored: continuity.stored,
       versions: continuity.versions,
     });
     const allocatorServer = AllocatorServer.create({
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -92,12 +92,10 @@
     return this.watchers.every(watcher => watcher.reachesStore);
   }
 
-  /** Whether the list of endpoints is up to date, apart from the last seconds. */
-  get isEndpointListCurrent(): boolean {
+  /** Since when the list of endpoints has been up to date; see {@link KindWatcher}. */
+  get endpointListCurrentSince(): Instant | undefined {
     const {kind} = this.options.platform.endpoints;
-    return this.watchers.some(
-      watcher => watcher.kind === kind && watcher.isCurrent,
-    );
+    return this.watchers.find(watcher => watcher.kind === kind)?.currentSince;
   }
 
   /** Applies what the lease holder has read. */
