Break a stream off if another endpoint answers its continuation with something else than events

What callers saw: a stream that broke off at one engine, and whose continuation the next one answered with 404 or with a body that is no event stream, was neither continued nor ended; the caller waited until its time was over. Cause: such a response was passed on as a response of its own, whose head can't be sent a second time; the exception skipped the end of the request. Evidence: "is broken off if that one answers 404 Not Found ..." fails before: nothing for 4 s, and task-failed in the log. Change: after the head has been sent, only the rest of the stream is passed on; anything else breaks it off at once.

--- a/packages/gateway/src/attempt_result.ts
+++ b/packages/gateway/src/attempt_result.ts
@@ -19,5 +19,5 @@
       readonly cause: string;
       /** Whether another endpoint can continue after the part that the caller has got. */
       readonly canResume: boolean;
-      readonly isCut: true;
+      readonly isCut: boolean;
     };
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -469,6 +469,11 @@
     ) {
       return this.relayStream(endpoint, head, body);
     }
+    if (this.exchange.hasSentHead) {
+      this.sentRequest?.abort();
+      const cause = `status ${status} instead of the rest of the stream`;
+      return {kind: 'stream_broken', cause, canResume: false, isCut: false};
+    }
     return this.relayResponse(endpoint, head, body);
   }
 
