--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -3,11 +3,7 @@
  * response, and retries or refuses when an attempt fails.
  */
 
-import type {
-  EndpointDescription,
-  VersionRequirement,
-} from '@siskinmux/endpoints';
-import {ANY_VERSION} from '@siskinmux/endpoints';
+import type {EndpointDescription} from '@siskinmux/endpoints';
 import type {
   BodyEnd,
   ResponseHead,
@@ -73,6 +69,7 @@
 import type {StreamContinuity} from '@siskinmux/continuity';
 import type {RequestProgress, RetryDecision} from './retry_decision.js';
 import {allowsAnotherRun, decideRetry} from './retry_decision.js';
+import {StreamBinding} from './stream_binding.js';
 
 /** Endpoints enforce the same deadline; the grace period lets their own response arrive first. */
 const TIMEOUT_GRACE_MILLISECONDS: Milliseconds = 30;
@@ -80,9 +77,6 @@
 /** `Retry-After` of a request that endpoints refused; their queues drain in about this time. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 400;
 
-/** Time beyond a caller's deadline for which the origin of its stream is kept. */
-const TAKE_UP_MARGIN_MILLISECONDS: Milliseconds = 1_000;
-
 /** Bound on an id that a caller sent, in log lines. */
 const MAXIMUM_LOGGED_CHARACTERS = 64;
 
@@ -122,6 +116,7 @@
   private readonly events = EventStreamSplitter.create();
   private readonly service: ServiceName | undefined;
   private readonly containment: RequestContainment;
+  private readonly binding: StreamBinding;
   private body: Buffer | undefined;
   private sends = 0;
   /** Sends that an endpoint ran or may have run. */
@@ -129,8 +124,6 @@
   private isFinished = false;
   private result = '';
   private lastEndpoint: EndpointDescription | undefined;
-  /** Set when the first event has been passed on. */
-  private version: VersionRequirement = ANY_VERSION;
   private sentAt: Instant | undefined;
   private respondedAt: Instant | undefined;
   private sentRequest: SentRequest | undefined;
@@ -149,6 +142,12 @@
     // A stream that is taken up goes to the service that began it.
     const stream = metadata.resumes ?? metadata.id;
     this.service = pickTarget(route, hash32(stream) / 2 ** 32);
+    this.binding = StreamBinding.create(
+      dependencies.continuity,
+      route,
+      metadata,
+      exchange.receivedAt,
+    );
     this.containment = RequestContainment.create(
       dependencies,
       metadata.id,
@@ -195,7 +194,11 @@
       this.body = await exchange.readBody(
         this.configuration.limits.maximumBodyBytes,
       );
-      await this.requireOriginVersion();
+      if (this.service !== undefined) {
+        const {signal} = this.abortController;
+        const deadline = this.currentDeadline();
+        await this.binding.requireOrigin(this.service, deadline, signal);
+      }
       await this.sendUntilDone();
     } catch (failure) {
       if (this.isFinished) return;
@@ -267,18 +270,6 @@
     }
   }
 
-  /** Lets a stream that the caller takes up go on only at the version that began it. */
-  private async requireOriginVersion(): Promise<void> {
-    const {metadata, service, route} = this;
-    const {id, resumes: stream, resumeAfter} = metadata;
-    const isTakenUp = stream !== undefined || resumeAfter !== undefined;
-    if (!isTakenUp || service === undefined || route.kind !== 'stream') return;
-    this.version = await this.dependencies.continuity.requirementOf(
-      {id, stream, service, deadline: this.currentDeadline()},
-      this.abortController.signal,
-    );
-  }
-
   private get progress(): RequestProgress {
     const {route, deadline, sends, runs} = this;
     return {route, deadline, sends, runs};
@@ -305,7 +296,7 @@
       service,
       model,
       adapter,
-      version: this.version,
+      version: this.binding.requirement,
       triedEndpoints: this.triedEndpoints,
       avoidedEndpoints: this.containment.endpointsToAvoid(),
       deadline: this.currentDeadline(),
@@ -495,7 +486,7 @@
       body,
       this.events,
       () => this.inactivityTimer?.reset(),
-      () => this.bindVersion(endpoint),
+      () => this.binding.bind(endpoint),
     );
     const cause = await this.findBreak(endpoint, head, end);
     if (cause === undefined) {
@@ -513,20 +504,6 @@
     };
   }
 
-  /** What two software versions write doesn't fit together, so one has to bring all events. */
-  private bindVersion(endpoint: EndpointDescription): void {
-    if (this.version.kind === 'only') return;
-    this.version = {kind: 'only', version: endpoint.softwareVersion};
-    if (!this.route.isResumable) return;
-    const {id, timeoutMilliseconds} = this.metadata;
-    const expiresAt = after(
-      this.exchange.receivedAt,
-      (timeoutMilliseconds ?? this.route.timeoutMilliseconds) +
-        TAKE_UP_MARGIN_MILLISECONDS,
-    );
-    this.dependencies.continuity.recordStart(id, endpoint, expiresAt);
-  }
-
   private async relayResponse(
     endpoint: EndpointDescription,
     head: ResponseHead,
