Reset a response that only a close ends if its caller closes its side

What callers saw: nothing was reported; found by going through the ways in which a response can end. A caller of HTTP/1.0 that closes its side of the connection after its request got a part of a stream, and then the close that looks like its end. Cause: Node.js closes its side of a connection as soon as the caller has closed the other one. Evidence: "because its caller closed its side ..." fails before for HTTP/1.0, not for HTTP/1.1. Change: such a connection is reset first, also in the pause before the reset of a response that was cut. The request counts as one whose caller has left, as before. Measured: broken_response.test.ts, 1 failure before, none of 92 after.

--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -20,6 +20,8 @@
   private isHeadSent = false;
   private hasLength = false;
   private hasEnded = false;
+  /** Whether the response has ended, and wasn't cut. */
+  private isWhole = false;
 
   private constructor(
     private readonly request: IncomingMessage,
@@ -104,6 +106,7 @@
       (name, index) => index % 2 === 0 && name.toLowerCase() === CONTENT_LENGTH,
     );
     this.response.writeHead(status, headers);
+    if (this.isEndedByClose) this.resetIfCallerCloses();
   }
 
   /** Sends a chunk of the body; false if the write buffer is full, see {@link onDrain}. */
@@ -119,6 +122,7 @@
   /** Ends a complete response. */
   end(lastChunk?: Buffer): void {
     this.hasEnded = true;
+    this.isWhole = true;
     this.response.end(lastChunk);
   }
 
@@ -138,6 +142,14 @@
     );
   }
 
+  /** Node.js closes a connection whose caller has closed its side, which would look like the end. */
+  private resetIfCallerCloses(): void {
+    const {socket} = this.response;
+    socket?.prependOnceListener('end', () => {
+      if (!this.isWhole) socket.resetAndDestroy();
+    });
+  }
+
   /** Whether nothing but the close of the connection shows the end of the response. */
   private get isEndedByClose(): boolean {
     const {isHeadSent, hasLength, response} = this;
