Let only events count as signs of life of a stream

What callers saw: an endpoint that stalled inside an event, and sent a byte now and then, held a stream until the time of its route, though it could have gone on elsewhere. Cause: each chunk restarted the timeout after which an endpoint counts as stalled, also if no event came of it. Evidence: "goes on at another engine, though the first one sends a byte now and then" fails before: cut after 4 s. Why it works: callers leave a stream by its events, not its bytes.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -481,13 +481,11 @@
         this.route.isResumable ? withoutLength(headers) : headers,
       );
     }
-    const end = await relayEvents(
-      this.exchange,
-      body,
-      this.events,
-      () => this.inactivityTimer?.reset(),
-      () => this.binding.bind(endpoint),
-    );
+    const end = await relayEvents(this.exchange, body, this.events, () => {
+      // Bytes that complete no event don't count: a stalled endpoint may send some.
+      this.inactivityTimer?.reset();
+      this.binding.bind(endpoint);
+    });
     const cause = await this.findBreak(endpoint, head, end);
     if (cause === undefined) {
       outliers.recordSuccess(endpoint.id);
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -119,12 +119,10 @@
   exchange: CallerExchange,
   body: ResponseBody,
   events: EventStreamSplitter,
-  onChunk: () => void,
   onEvents: () => void,
 ): Promise<BodyEnd> {
   const write = writeWithBackpressure(exchange, body);
   return body.read(chunk => {
-    onChunk();
     const complete = events.push(chunk);
     if (complete.length > 0) onEvents();
     return write(complete);
