Don't take a stream for stalled while its caller doesn't read

What callers saw: a sound stream whose caller read slowly was broken off at its engine after 1.2 s and run again at another one, up to the limit of the route; then it was cut. Cause: the endpoint isn't read while the caller's buffer is full, and the timeout for stalled endpoints went on. Evidence: "is not taken for stalled while the caller does not read" fails before: two engines ran it. Change: the timeout is suspended while the node waits for the caller; the time of the route still ends the request.

--- a/packages/gateway/src/inactivity_timer.ts
+++ b/packages/gateway/src/inactivity_timer.ts
@@ -12,6 +12,7 @@
 export class InactivityTimer {
   private cancel: CancelTimer | undefined;
   private lastActivityAt: Instant;
+  private isSuspended = false;
 
   private constructor(
     private readonly clock: Clock,
@@ -35,6 +36,17 @@
     this.lastActivityAt = this.clock.now();
   }
 
+  /** Stops the timeout until {@link resume}: the endpoint can't send anything. */
+  suspend(): void {
+    this.isSuspended = true;
+  }
+
+  /** Restarts the timeout after {@link suspend}. */
+  resume(): void {
+    this.isSuspended = false;
+    this.reset();
+  }
+
   /** Cancels the timer. */
   stop(): void {
     this.cancel?.();
@@ -42,15 +54,14 @@
 
   /** Reuses one timer for many resets: when it fires early, it is rescheduled. */
   private schedule(): void {
-    const dueAt = after(this.lastActivityAt, this.timeoutMilliseconds);
-    this.cancel = this.clock.schedule(dueAt, () => {
-      if (
-        this.clock.now() >= after(this.lastActivityAt, this.timeoutMilliseconds)
-      ) {
-        this.onTimeout();
-      } else {
-        this.schedule();
-      }
+    const {clock, timeoutMilliseconds} = this;
+    const dueAt = after(this.lastActivityAt, timeoutMilliseconds);
+    this.cancel = clock.schedule(dueAt, () => {
+      if (this.isSuspended) this.reset();
+      const isDue =
+        clock.now() >= after(this.lastActivityAt, timeoutMilliseconds);
+      if (isDue) this.onTimeout();
+      else this.schedule();
     });
   }
 }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -481,10 +481,14 @@
         this.route.isResumable ? withoutLength(headers) : headers,
       );
     }
-    const end = await relayEvents(this.exchange, body, this.events, () => {
-      // Bytes that complete no event don't count: a stalled endpoint may send some.
-      this.inactivityTimer?.reset();
-      this.binding.bind(endpoint);
+    const end = await relayEvents(this.exchange, body, this.events, {
+      onEvents: () => {
+        // Bytes that complete no event don't count: a stalled endpoint may send some.
+        this.inactivityTimer?.reset();
+        this.binding.bind(endpoint);
+      },
+      onPause: () => this.inactivityTimer?.suspend(),
+      onResume: () => this.inactivityTimer?.resume(),
     });
     const cause = await this.findBreak(endpoint, head, end);
     if (cause === undefined) {
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -99,14 +99,28 @@
   void end.finally(cancel);
 }
 
+/** Called while a response is passed on. */
+export interface RelayObserver {
+  /** Complete events are about to be passed on. */
+  readonly onEvents?: () => void;
+  /** The caller's buffer is full, and the endpoint is not read until `onResume`. */
+  readonly onPause?: () => void;
+  readonly onResume?: () => void;
+}
+
 /** Creates a writer that pauses the endpoint's body while the caller's buffer is full. */
 export function writeWithBackpressure(
   exchange: CallerExchange,
   body: ResponseBody,
+  {onPause, onResume}: Pick<RelayObserver, 'onPause' | 'onResume'> = {},
 ): (chunk: Buffer) => boolean {
   return chunk => {
     if (chunk.length === 0 || exchange.write(chunk)) return true;
-    exchange.onDrain(() => body.resume());
+    onPause?.();
+    exchange.onDrain(() => {
+      onResume?.();
+      body.resume();
+    });
     return false;
   };
 }
@@ -119,12 +133,12 @@
   exchange: CallerExchange,
   body: ResponseBody,
   events: EventStreamSplitter,
-  onEvents: () => void,
+  observer: RelayObserver,
 ): Promise<BodyEnd> {
-  const write = writeWithBackpressure(exchange, body);
+  const write = writeWithBackpressure(exchange, body, observer);
   return body.read(chunk => {
     const complete = events.push(chunk);
-    if (complete.length > 0) onEvents();
+    if (complete.length > 0) observer.onEvents?.();
     return write(complete);
   });
 }
