--- a/packages/continuity/__tests__/continuity_cluster.ts
+++ b/packages/continuity/__tests__/continuity_cluster.ts
@@ -203,8 +203,8 @@
     return {stream, version: engine.softwareVersion};
   }
 
-  /** The version at which a stream may go on at a node; undefined if it is refused. */
-  async takeUp(
+  /** The version at which a stream may continue at a node; undefined if it is refused. */
+  async resume(
     host: number,
     stream: RequestId,
   ): Promise<SoftwareVersion | undefined> {
--- a/packages/continuity/__tests__/continuity_histories.test.ts
+++ b/packages/continuity/__tests__/continuity_histories.test.ts
@@ -11,7 +11,7 @@
 
 interface Outcome {
   crossed: number;
-  takenUp: number;
+  resumed: number;
   wentOn: number;
 }
 
@@ -52,14 +52,14 @@
   );
 };
 
-/** Streams begin, break and are taken up at other nodes while the disturbances go on. */
+/** Streams begin, break and are resumed at other nodes while the disturbances go on. */
 async function play(
   seed: number,
   disturbances: readonly (readonly [Disturb, number])[],
 ): Promise<Outcome> {
   const cluster = new ContinuityCluster(seed, NODES);
   const draw = createSeededRandom(seed + 1_000);
-  const outcome = {crossed: 0, takenUp: 0, wentOn: 0};
+  const outcome = {crossed: 0, resumed: 0, wentOn: 0};
   const pending: Promise<void>[] = [];
   for (let step = 0; step < STEPS; step += 1) {
     for (const [disturb, share] of disturbances) {
@@ -73,8 +73,8 @@
       pending.push(
         new Promise(resolve => {
           cluster.clock.schedule(breaksAt as never, () => {
-            void cluster.takeUp(next, began.stream).then(version => {
-              outcome.takenUp += 1;
+            void cluster.resume(next, began.stream).then(version => {
+              outcome.resumed += 1;
               if (version !== undefined) outcome.wentOn += 1;
               if (version !== undefined && version !== began.version)
                 outcome.crossed += 1;
@@ -91,7 +91,7 @@
 }
 
 describe('streams of several software versions, over random histories', () => {
-  it('never go on at another version than the one that began them', async () => {
+  it('never continue at another version than the one that began them', async () => {
     for (let seed = 1; seed <= SEEDS; seed += 1) {
       const outcome = await play(seed, [
         [release, 0.06],
@@ -104,21 +104,21 @@
     }
   });
 
-  it('mostly go on while versions change and single nodes end', async () => {
+  it('mostly continue while versions change and single nodes end', async () => {
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-      const {crossed, takenUp, wentOn} = await play(seed, [
+      const {crossed, resumed, wentOn} = await play(seed, [
         [release, 0.06],
         [killOne, 0.02],
       ]);
       expect([seed, crossed]).toEqual([seed, 0]);
-      expect(wentOn).toBeGreaterThanOrEqual(takenUp / 2);
+      expect(wentOn).toBeGreaterThanOrEqual(resumed / 2);
     }
   });
 
-  it('all go on while only one version serves', async () => {
+  it('all continue while only one version serves', async () => {
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-      const {takenUp, wentOn} = await play(seed, []);
-      expect([seed, wentOn]).toEqual([seed, takenUp]);
+      const {resumed, wentOn} = await play(seed, []);
+      expect([seed, wentOn]).toEqual([seed, resumed]);
     }
   });
 });
--- a/packages/continuity/__tests__/stream_continuity.test.ts
+++ b/packages/continuity/__tests__/stream_continuity.test.ts
@@ -31,7 +31,7 @@
   };
 }
 
-/** Nodes that share a store, and a caller that takes a stream up. */
+/** Nodes that share a store, and a caller that resumes a stream. */
 class Deployment {
   readonly clock = VirtualClock.create();
   readonly shared = new SharedObjects();
@@ -70,8 +70,8 @@
     return {store, continuity, writer, update};
   }
 
-  /** The version at which the stream may go on, or the refusal. */
-  async takeUp(
+  /** The version at which the stream may continue, or the refusal. */
+  async resume(
     continuity: StreamContinuity,
     taken: {stream?: RequestId; service?: ServiceName} = {},
   ): Promise<string | RefusalError | undefined> {
@@ -104,7 +104,7 @@
     writer.stop();
     await deployment.clock.advance(LONG_MILLISECONDS);
     const {continuity} = deployment.start(engine('v2'));
-    const refusal = await deployment.takeUp(continuity);
+    const refusal = await deployment.resume(continuity);
     expect(refusal).toBeA(RefusalError);
   });
 
@@ -115,17 +115,17 @@
     await deployment.clock.advance(1_000);
     writer.stop();
     const {continuity} = deployment.start(engine('v1'));
-    expect(await deployment.takeUp(continuity)).toEqual('v1');
+    expect(await deployment.resume(continuity)).toEqual('v1');
   });
 
   it('is refused without a record of the versions before, and with a time to return without the store', async () => {
     const deployment = new Deployment();
     const {continuity, store} = deployment.start(engine('v1'));
-    const refusal = await deployment.takeUp(continuity);
+    const refusal = await deployment.resume(continuity);
     expect(refusal).toBeA(RefusalError);
     expect((refusal as RefusalError).retryAt).toEqual(undefined);
     store.isUnreachable = true;
-    const away = await deployment.takeUp(continuity);
+    const away = await deployment.resume(continuity);
     expect((away as RefusalError).retryAt).not.toEqual(undefined);
   });
 
@@ -134,13 +134,13 @@
     const {continuity} = deployment.start(engine('v1'), engine('v2'));
     const expiresAt = after(deployment.clock.now(), 12_000);
     continuity.recordStart(stream, engine('v2'), expiresAt);
-    expect(await deployment.takeUp(continuity)).toEqual('v2');
+    expect(await deployment.resume(continuity)).toEqual('v2');
     const other = as<ServiceName>('others');
-    expect(await deployment.takeUp(continuity, {service: other})).toBeA(
+    expect(await deployment.resume(continuity, {service: other})).toBeA(
       RefusalError,
     );
     continuity.recordStart(stream, engine('v1'), expiresAt);
-    expect(await deployment.takeUp(continuity)).toBeA(RefusalError);
+    expect(await deployment.resume(continuity)).toBeA(RefusalError);
   });
 
   it('is refused if the engine that began the stream did not state its version', async () => {
@@ -151,7 +151,7 @@
     await deployment.clock.advance(1_000);
     const expiresAt = after(deployment.clock.now(), 12_000);
     continuity.recordStart(stream, unknown, expiresAt);
-    expect(await deployment.takeUp(continuity)).toBeA(RefusalError);
+    expect(await deployment.resume(continuity)).toBeA(RefusalError);
     writer.stop();
   });
 
@@ -163,7 +163,7 @@
     writer.stop();
     deployment.shared.put(ORIGINS_KIND, '5', {groups: 'none'});
     const {continuity} = deployment.start(engine('v1'));
-    expect(await deployment.takeUp(continuity)).toBeA(RefusalError);
+    expect(await deployment.resume(continuity)).toBeA(RefusalError);
   });
 
   it('costs no call to the store while one version serves, after the first', async () => {
@@ -173,7 +173,7 @@
     await deployment.clock.advance(1_000);
     const {continuity, store} = deployment.start(engine('v1'));
     for (let count = 0; count < 5; count += 1)
-      expect(await deployment.takeUp(continuity)).toEqual('v1');
+      expect(await deployment.resume(continuity)).toEqual('v1');
     expect(store.calls).toEqual(1);
     const written = deployment.shared.changes.length;
     await deployment.clock.advance(LONG_MILLISECONDS);
--- a/packages/continuity/src/continuity_events.ts
+++ b/packages/continuity/src/continuity_events.ts
@@ -2,13 +2,13 @@
 
 import type {EventDescriptor} from '@siskinmux/kernel';
 
-/** A caller takes up a stream that began in an earlier attempt. */
-export const STREAM_TAKEN_UP: EventDescriptor = {
+/** A caller resumes a stream that began in an earlier attempt. */
+export const STREAM_RESUMED: EventDescriptor = {
   number: 7035,
-  name: 'stream-taken-up',
+  name: 'stream-resumed',
   level: 'info',
   meaning:
-    'A caller takes up a stream that began in the attempt `resumes`. `source` says how this node knows the software version at which it began: `memory` of this node and the lease holder, `store`, `only version` if the service had no other one lately, or `unknown`, in which case the request is refused. `versions` are the versions seen lately, `waited` the milliseconds until this decision.',
+    'A caller resumes a stream that began in the attempt `resumes`. `source` says how this node knows the software version at which it began: `memory` of this node and the lease holder, `store`, `only version` if the service had no other one lately, or `unknown`, in which case the request is refused. `versions` are the versions seen lately, `waited` the milliseconds until this decision.',
 };
 
 /** The lease holder has written the origins of streams to the store. */
@@ -49,7 +49,7 @@
 
 /** Events of the continuation of streams, in the order of their numbers. */
 export const CONTINUITY_EVENTS: readonly EventDescriptor[] = [
-  STREAM_TAKEN_UP,
+  STREAM_RESUMED,
   ORIGINS_STORED,
   ORIGINS_STORE_FAILED,
   ORIGINS_UNREADABLE,
--- a/packages/continuity/src/index.ts
+++ b/packages/continuity/src/index.ts
@@ -1,4 +1,4 @@
-/** Continuation of streams: at which software version they began, and where they may go on. */
+/** Continuation of streams: at which software version they began, and where they may continue. */
 
 export {CONTINUITY_EVENTS} from './continuity_events.js';
 export {
@@ -13,7 +13,7 @@
 export type {
   OriginExchange,
   StreamContinuityOptions,
-  TakenUpStream,
+  ResumedStream,
 } from './stream_continuity.js';
 export {StreamContinuity} from './stream_continuity.js';
 export type {StreamOrigin} from './stream_origins.js';
--- a/packages/continuity/src/origin_messages.ts
+++ b/packages/continuity/src/origin_messages.ts
@@ -16,7 +16,7 @@
 /** Streams in one message; a new lease holder gets several messages. */
 const STREAMS_PER_MESSAGE = 1_000;
 
-/** Service, version, and streams with the milliseconds for which they may be taken up. */
+/** Service, version, and streams with the milliseconds for which they may be resumed. */
 const groupSchema = z.tuple([
   name,
   name,
--- a/packages/continuity/src/service_versions.ts
+++ b/packages/continuity/src/service_versions.ts
@@ -65,7 +65,7 @@
     sighting.seenAt = later(sighting.seenAt, seenAt);
   }
 
-  /** Versions at which streams that callers may still take up can have begun. */
+  /** Versions at which streams that callers may still resume can have begun. */
   recent(service: ServiceName, now: Instant): SeenVersion[] {
     const versions =
       this.byService.get(service) ?? new Map<SeenVersion, Sighting>();
@@ -92,7 +92,7 @@
     });
   }
 
-  /** Whether streams of several versions may be taken up. */
+  /** Whether streams of several versions may be resumed. */
   isMixed(service: ServiceName, now: Instant): boolean {
     return this.recent(service, now).length > 1;
   }
--- a/packages/continuity/src/stored_origins.ts
+++ b/packages/continuity/src/stored_origins.ts
@@ -114,7 +114,7 @@
     : decodeOrigins(content, after(writtenAt, CLOCK_DIFFERENCE_MILLISECONDS));
 }
 
-/** Whether callers may still take up streams of a stored part. */
+/** Whether callers may still resume streams of a stored part. */
 export function isRecent({writtenAt}: StoredPart, now: Instant): boolean {
   const kept = MAXIMUM_MEMORY_MILLISECONDS + CLOCK_DIFFERENCE_MILLISECONDS;
   return after(writtenAt, kept) > now;
--- a/packages/continuity/src/stream_continuity.ts
+++ b/packages/continuity/src/stream_continuity.ts
@@ -1,5 +1,5 @@
 /**
- * Lets a stream that a caller takes up in another attempt go on only at the software version
+ * Lets a stream that a caller resumes in another attempt continue only at the software version
  * that began it. A node knows the streams that began at itself. While a service has endpoints
  * of several versions, nodes report theirs to the lease holder, which stores them.
  */
@@ -26,7 +26,7 @@
   sleepFor,
   until,
 } from '@siskinmux/kernel';
-import {STREAM_TAKEN_UP, VERSIONS_CHANGED} from './continuity_events.js';
+import {STREAM_RESUMED, VERSIONS_CHANGED} from './continuity_events.js';
 import {ServiceVersions} from './service_versions.js';
 import type {StoredOrigins} from './stored_origins.js';
 import {isRecent, observeRecord, originsOf} from './stored_origins.js';
@@ -53,11 +53,11 @@
   reportOrigins(origins: readonly StreamOrigin[]): void;
 }
 
-/** A request that takes up a stream. */
-export interface TakenUpStream {
+/** a request that resumes a stream. */
+export interface ResumedStream {
   /** The request's own id, for the log. */
   readonly id: RequestId;
-  /** The attempt that brought the first event; undefined if the caller names none. */
+  /** The attempt that delivered the first event; undefined if the caller names none. */
   readonly stream: RequestId | undefined;
   readonly service: ServiceName;
   /** When the caller gives up. */
@@ -155,19 +155,19 @@
   }
 
   /**
-   * The versions at which a stream may go on. Throws a `RefusalError` if that isn't known,
+   * The versions at which a stream may continue. Throws a `RefusalError` if that isn't known,
    * with a time to return if it may become known.
    */
   async requirementOf(
-    taken: TakenUpStream,
+    taken: ResumedStream,
     signal: AbortSignal,
   ): Promise<VersionRequirement> {
     const {stored} = this;
     const {clock} = this.options;
-    const takenUpAt = clock.now();
+    const resumedAt = clock.now();
     let isStoreRead = false;
     const storedBy = earlier(
-      after(takenUpAt, STORE_DELAY_MILLISECONDS),
+      after(resumedAt, STORE_DELAY_MILLISECONDS),
       taken.deadline,
     );
     let found = this.findOrigin(taken, isStoreRead);
@@ -186,7 +186,7 @@
       if (!isStoreRead || isFinal) break;
       await sleepFor(clock, READ_PAUSE_MILLISECONDS);
     }
-    this.log(taken, found, takenUpAt);
+    this.log(taken, found, resumedAt);
     if (found !== undefined && found.version !== undefined)
       return {kind: 'only', version: found.version};
     const mayBecomeKnown = found === undefined && !isStoreRead;
@@ -199,7 +199,7 @@
 
   /** The version that began a stream; `version` is undefined if it is certain that none fits. */
   private findOrigin(
-    {stream, service}: TakenUpStream,
+    {stream, service}: ResumedStream,
     isStoreRead: boolean,
   ):
     | {
@@ -262,20 +262,20 @@
   }
 
   private log(
-    {id, stream, service}: TakenUpStream,
+    {id, stream, service}: ResumedStream,
     found: ReturnType<StreamContinuity['findOrigin']>,
-    takenUpAt: Instant,
+    resumedAt: Instant,
   ): void {
     const {clock, emit} = this.options;
     const now = clock.now();
-    emit(STREAM_TAKEN_UP, {
+    emit(STREAM_RESUMED, {
       id,
       resumes: stream?.slice(0, MAXIMUM_LOGGED_CHARACTERS),
       service,
       source: found?.version === undefined ? 'unknown' : found.source,
       softwareVersion: found?.version,
       versions: this.versionsText(service, now),
-      waited: Math.round(until(takenUpAt, now)),
+      waited: Math.round(until(resumedAt, now)),
     });
   }
 }
--- a/packages/continuity/src/stream_origins.ts
+++ b/packages/continuity/src/stream_origins.ts
@@ -20,11 +20,11 @@
 
 /** Where a stream began; its continuation has to fit. */
 export interface StreamOrigin {
-  /** The attempt that brought the first event. */
+  /** The attempt that delivered the first event. */
   readonly stream: RequestId;
   readonly service: ServiceName;
   readonly version: SoftwareVersion;
-  /** When no caller takes the stream up any more. */
+  /** When no caller resumes the stream any more. */
   readonly expiresAt: Instant;
 }
 
@@ -74,7 +74,7 @@
     return known.isAmbiguous ? 'ambiguous' : known.origin;
   }
 
-  /** Origins of a service's streams that callers may still take up. */
+  /** Origins of a service's streams that callers may still resume. */
   ofService(service: ServiceName, now: Instant): StreamOrigin[] {
     return [...this.byStream.values()].flatMap(({origin}) =>
       origin.service === service && origin.expiresAt > now ? [origin] : [],
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -15,7 +15,7 @@
  */
 export type Incarnation = Brand<string, 'Incarnation'>;
 
-/** Version of an endpoint's software; what two versions write does not fit together. */
+/** Version of an endpoint's software; streams of two versions are not compatible. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 
 /** A model that an engine has loaded, with its adapters. */
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -46,7 +46,7 @@
   readonly sharedParts: readonly PromptPartId[];
   /** Id of the last event that the caller received from this stream. */
   readonly resumeAfter: string | undefined;
-  /** The attempt that brought the first event of the stream that the caller takes up. */
+  /** The attempt that delivered the first event of the stream that the caller resumes. */
   readonly resumes: RequestId | undefined;
 }
 
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -139,7 +139,7 @@
     /** The earlier of the route's timeout and the caller's own. */
     private readonly deadline: Instant,
   ) {
-    // A stream that is taken up goes to the service that began it.
+    // A resumed stream goes to the service that began it.
     const stream = metadata.resumes ?? metadata.id;
     this.service = pickTarget(route, hash32(stream) / 2 ** 32);
     this.binding = StreamBinding.create(
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -143,7 +143,7 @@
   });
 }
 
-/** The headers of a response whose body may go on at another endpoint, with another length. */
+/** The headers of a response whose body may continue at another endpoint, with another length. */
 export function withoutLength(headers: readonly string[]): string[] {
   const isLength = (index: number): boolean =>
     headers[index]?.toLowerCase() === CONTENT_LENGTH;
--- a/packages/gateway/src/stream_binding.ts
+++ b/packages/gateway/src/stream_binding.ts
@@ -1,4 +1,4 @@
-/** Binds one request's stream to the software version that brought its first event. */
+/** Binds one request's stream to the software version that delivered its first event. */
 
 import type {StreamContinuity} from '@siskinmux/continuity';
 import type {
@@ -12,9 +12,9 @@
 import type {Route} from '@siskinmux/routes';
 
 /** Time beyond a caller's deadline for which the origin of its stream is kept. */
-const TAKE_UP_MARGIN_MILLISECONDS: Milliseconds = 1_000;
+const RESUMPTION_MARGIN_MILLISECONDS: Milliseconds = 1_000;
 
-/** What two versions write doesn't fit together, so one has to bring all events of a stream. */
+/** Streams of two versions are not compatible, so one has to deliver all events of a stream. */
 export class StreamBinding {
   private version: VersionRequirement = ANY_VERSION;
 
@@ -40,7 +40,7 @@
   }
 
   /**
-   * Binds a stream that the caller takes up to the version of its origin. Throws a
+   * Binds a stream that the caller resumes to the version of its origin. Throws a
    * `RefusalError` if that isn't known.
    */
   async requireOrigin(
@@ -49,8 +49,8 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {id, resumes: stream, resumeAfter} = this.metadata;
-    const isTakenUp = stream !== undefined || resumeAfter !== undefined;
-    if (!isTakenUp || this.route.kind !== 'stream') return;
+    const isResumed = stream !== undefined || resumeAfter !== undefined;
+    if (!isResumed || this.route.kind !== 'stream') return;
     this.version = await this.continuity.requirementOf(
       {id, stream, service, deadline},
       signal,
@@ -66,7 +66,7 @@
     const expiresAt = after(
       this.receivedAt,
       (timeoutMilliseconds ?? this.route.timeoutMilliseconds) +
-        TAKE_UP_MARGIN_MILLISECONDS,
+        RESUMPTION_MARGIN_MILLISECONDS,
     );
     this.continuity.recordStart(id, endpoint, expiresAt);
   }
