--- a/packages/containment/__tests__/quarantine_cluster.ts
+++ b/packages/containment/__tests__/quarantine_cluster.ts
@@ -119,6 +119,7 @@
     node: CrashQuarantine,
     traits: Trait | readonly Trait[],
     name?: string,
+    hadResponded = false,
   ): void {
     this.crashCount += 1;
     node.recordCrash(
@@ -126,7 +127,7 @@
         traits: typeof traits === 'string' ? [traits] : traits,
         endpoint: ENDPOINT,
         sentAt: this.clock.now(),
-        hadResponded: false,
+        hadResponded,
       },
       as<CrashId>(name ?? `e${this.crashCount}`),
       'refused',
