Don't count a begun response in favour of a content that crashes engines

Cause: between two contents, a run with a response weighed three crashes less. Engines respond when they begin to run a request, so that the content that crashes them has a response, and those that wait in their queues have none: the waiting ones were blamed, and more so each time they were sent again and met the next crash. Change: traits are compared by their crashes alone. hadResponded stays in log lines and messages, which earlier versions read.

--- a/packages/containment/src/crash_suspects.ts
+++ b/packages/containment/src/crash_suspects.ts
@@ -223,10 +223,8 @@
     for (const trait of this.traitsByCrash.get(run.crash) ?? []) {
       const other = this.suspects.get(trait);
       if (other === undefined || trait === suspect.trait) continue;
-      const otherRun = unclearedRun(other, run.crash);
-      if (otherRun === undefined) continue;
-      if (weightOf(other, otherRun, suspect) > weightOf(suspect, run, other))
-        return true;
+      if (unclearedRun(other, run.crash) === undefined) continue;
+      if (weightOf(other) > weightOf(suspect)) return true;
     }
     return false;
   }
@@ -236,10 +234,9 @@
     suspect: Suspect,
     run: RunCrash,
   ): boolean {
-    const rivalRun = unclearedRun(rival, run.crash);
     return (
-      rivalRun !== undefined &&
-      weightOf(rival, rivalRun, suspect) >= weightOf(suspect, run, rival)
+      unclearedRun(rival, run.crash) !== undefined &&
+      weightOf(rival) >= weightOf(suspect)
     );
   }
 
--- a/packages/containment/src/run_crashes.ts
+++ b/packages/containment/src/run_crashes.ts
@@ -2,7 +2,6 @@
 
 import type {Brand, Instant} from '@siskinmux/kernel';
 import type {Trait} from './trait.js';
-import {isContentTrait} from './trait.js';
 
 /** Identifies one crash of an endpoint, for instance by the incarnation that ended. */
 export type CrashId = Brand<string, 'CrashId'>;
@@ -10,16 +9,13 @@
 /** Bound on the crashes of one trait; no decision depends on more. */
 const MAXIMUM_CRASHES = 8;
 
-/**
- * Between two contents, a run that the endpoint had responded to weighs this many crashes
- * less: a request whose content crashes endpoints mostly does so before there is a response.
- */
-const RESPONDED_DISCOUNT = 3;
-
 /** The crash of an endpoint while it ran requests with a certain trait. */
 export interface RunCrash {
   readonly crash: CrashId;
-  /** Whether the endpoint had begun to respond to all of these requests. */
+  /**
+   * Whether the endpoint had begun to respond to all of these requests. For log lines and for
+   * nodes of earlier versions; a request that has no response may still wait in a queue.
+   */
   readonly hadResponded: boolean;
   /** Whether an endpoint completed a request with the trait, so that it wasn't the cause. */
   readonly isCleared: boolean;
@@ -46,23 +42,14 @@
 }
 
 /** How much speaks for a trait, compared with another one, as the cause of one of its crashes. */
-export function weightOf(
-  suspect: Suspect,
-  {hadResponded}: RunCrash,
-  other: Suspect,
-): number {
-  const isDiscounted =
-    hadResponded &&
-    isContentTrait(suspect.trait) &&
-    isContentTrait(other.trait);
-  return uncleared(suspect).length - (isDiscounted ? RESPONDED_DISCOUNT : 0);
+export function weightOf(suspect: Suspect): number {
+  return uncleared(suspect).length;
 }
 
 /** Sorts traits with more crashes first, then those with later ones. */
 export function compareStrength(left: Suspect, right: Suspect): number {
   return (
-    uncleared(right).length - uncleared(left).length ||
-    right.lastCrashAt - left.lastCrashAt
+    weightOf(right) - weightOf(left) || right.lastCrashAt - left.lastCrashAt
   );
 }
 
--- a/packages/containment/src/trait.ts
+++ b/packages/containment/src/trait.ts
@@ -35,11 +35,6 @@
   return as<Trait>(`${kind}${KIND_SEPARATOR}${text}`);
 }
 
-/** Whether a trait is the whole content of a request. */
-export function isContentTrait(trait: Trait): boolean {
-  return !trait.includes(KIND_SEPARATOR);
-}
-
 /** The content and the first shared parts of a request, within {@link MAXIMUM_TRAITS}. */
 export function traitsOfPrompt(
   fingerprint: Fingerprint,
