Don't take an endpoint that only one node can't reach for a crashed one

What callers saw: while some nodes had lost their links to the endpoints, requests at all the other nodes were refused, too, for five seconds; and requests that had been running counted as suspects of crashes that never were. Cause: a refused connection after a broken one was taken for the end of the endpoint's process. A node whose links are reset sees exactly that at every endpoint, and its word was enough to take them all out of use at all nodes. A crash record of a link also shares its id with a later true crash of the same incarnation, so that its traits compete with the true cause. The node asks another one (a follower the lease holder, the holder a random follower) what it sees of the endpoint: a closed port there is a crash, an open one a broken link. Otherwise the run is watched for a restart, as before.

--- a/packages/containment/__tests__/crash_detector.test.ts
+++ b/packages/containment/__tests__/crash_detector.test.ts
@@ -24,7 +24,7 @@
   };
 }
 
-function build(probeResult: ProbeResult) {
+function build(probeResult: ProbeResult, hasEnded = true) {
   const clock = VirtualClock.create();
   const table = EndpointTable.create();
   const crashes: string[] = [];
@@ -36,6 +36,7 @@
       probeCount += 1;
       return Promise.resolve(probeResult);
     },
+    hasEnded: () => Promise.resolve(hasEnded),
     onCrash: (run, crash, evidence) =>
       crashes.push(`${run.traits.join()} ${crash} ${evidence}`),
   });
@@ -62,6 +63,15 @@
     expect(probes()).toEqual(1);
   });
 
+  it('does not report a refusal that only shows a broken link of this node, until the endpoint restarts', async () => {
+    const {crashes, detector, list, run} = build('refused', false);
+    list(endpoint('e'));
+    await detector.checkBrokenRun(run(endpoint('e')));
+    expect(crashes).toEqual([]);
+    list(endpoint('e', 2));
+    expect(crashes).toEqual(['x e@1 restarted']);
+  });
+
   it('does not report a reset connection at an endpoint that keeps running', async () => {
     const {clock, crashes, detector, list, run} = build('listening');
     list(endpoint('e'));
--- a/packages/containment/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -1,6 +1,7 @@
 /**
  * Finds out whether an endpoint crashed while it ran a request. A broken connection alone
- * doesn't show that: it may have been reset, or its response lost, at a healthy endpoint.
+ * doesn't show that: it may have been reset, or its response lost, at a healthy endpoint, and
+ * the links of this node may be broken.
  */
 
 import type {
@@ -34,7 +35,10 @@
   readonly hadResponded: boolean;
 }
 
-/** What showed the crash: no process listened any more, or it has started again. */
+/**
+ * What showed the crash: no process listened any more, as far as this node and another one
+ * can tell, or it has started again.
+ */
 export type CrashEvidence = 'refused' | 'restarted';
 
 /** Dependencies of {@link CrashDetector}. */
@@ -42,6 +46,11 @@
   readonly table: EndpointTable;
   readonly clock: Clock;
   readonly probe: (address: string) => Promise<ProbeResult>;
+  /**
+   * Whether the process of an endpoint that refused the probe has ended; a broken link of this
+   * node may refuse connections, too.
+   */
+  readonly hasEnded: (endpoint: EndpointDescription) => Promise<boolean>;
   readonly onCrash: (
     run: BrokenRun,
     crash: CrashId,
@@ -185,16 +194,26 @@
   }
 
   private probe(endpoint: EndpointDescription): Promise<ProbeResult> {
-    const {incarnation, address} = endpoint;
+    const {incarnation} = endpoint;
     const pending = this.probes.get(incarnation);
     if (pending !== undefined) return pending;
-    const probe = this.options.probe(address).finally(() => {
+    const probe = this.probeConfirmed(endpoint).finally(() => {
       this.probes.delete(incarnation);
     });
     this.probes.set(incarnation, probe);
     return probe;
   }
 
+  /** `refused` only if the endpoint has ended. */
+  private async probeConfirmed(
+    endpoint: EndpointDescription,
+  ): Promise<ProbeResult> {
+    const {probe, hasEnded} = this.options;
+    const result = await probe(endpoint.address);
+    if (result !== 'refused' || (await hasEnded(endpoint))) return result;
+    return 'unknown';
+  }
+
   private confirm(run: BrokenRun, evidence: CrashEvidence): void {
     this.options.onCrash(run, this.crashIdOf(run), evidence);
   }
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -61,6 +61,10 @@
     return Promise.resolve({kind: 'refused', retryAt});
   }
 
+  requestWitness() {
+    return Promise.resolve('unknown' as const);
+  }
+
   requestAdapter() {
     const now = this.clock.now();
     return Promise.resolve({
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -1,5 +1,6 @@
 /** Interface between a node and the allocator, which runs on this node or on another. */
 
+import type {ProbeResult} from '@siskinmux/forwarding';
 import type {EndpointId, ModelName, ServiceName} from '@siskinmux/kernel';
 import type {
   AdapterGrant,
@@ -22,6 +23,8 @@
     engine: EndpointId,
     model: ModelName,
   ): void;
+  /** What another node sees of an endpoint; `unknown` if none can tell. */
+  requestWitness(endpoint: EndpointId): Promise<ProbeResult>;
   /** Resolves to undefined if no engine can provide the adapter or the allocator doesn't respond. */
   requestAdapter(
     service: ServiceName,
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -15,9 +15,11 @@
   Milliseconds,
   ModelName,
   NodeId,
+  Random,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after, as, until} from '@siskinmux/kernel';
+import {after, as, randomBelow, until} from '@siskinmux/kernel';
+import type {ProbeResult} from '@siskinmux/forwarding';
 import type {
   AdapterGrant,
   AdapterRequest,
@@ -65,6 +67,7 @@
   probationSchema,
   suspectsSchema,
 } from '@siskinmux/containment';
+import {askWitness, handleWitness} from './witness_messages.js';
 
 /** Interval between heartbeats to the followers, whose timeout covers three of them. */
 export const HEARTBEAT_MILLISECONDS: Milliseconds = 300;
@@ -108,6 +111,9 @@
   readonly endpoints: () => Iterable<EndpointDescription>;
   /** Whether this node reaches the metadata store. */
   readonly reachesStore: () => boolean;
+  /** What this node sees of an endpoint. */
+  readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
+  readonly random: Random;
 }
 
 /** Allocates for all nodes while this node holds the lease. */
@@ -253,6 +259,7 @@
         return encodePermitDecision(decision, clock.now());
       },
     );
+    handleWitness(connection, PEER_METHODS.witness, this.options.testify);
     connection.handle(PEER_METHODS.origins, originsSchema, message =>
       this.reportOrigins(decodeOrigins(message, clock.now())),
     );
@@ -302,6 +309,16 @@
       this.sendLimits(limits, connection);
   }
 
+  /** Asks a random follower. */
+  async requestWitness(endpoint: EndpointId): Promise<ProbeResult> {
+    const {random, clock} = this.options;
+    const followers = [...this.followers.values()];
+    const follower = followers[randomBelow(random, followers.length)];
+    if (follower === undefined) return 'unknown';
+    const {connection} = follower;
+    return askWitness(connection, PEER_METHODS.testify, endpoint, clock);
+  }
+
   reportOrigins(origins: readonly StreamOrigin[]): void {
     this.options.onOrigins(origins);
   }
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -2,6 +2,7 @@
 
 import {CONTAINMENT_EVENTS} from '@siskinmux/containment';
 import {CONTINUITY_EVENTS} from '@siskinmux/continuity';
+import {REACH_EVENTS} from '@siskinmux/reach';
 import type {EventDescriptor} from '@siskinmux/kernel';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
 import {renderEventsPage} from '@siskinmux/runtime';
@@ -246,6 +247,7 @@
   REQUEST_LIMITED,
   ENDPOINT_CRASHED,
   ...CONTINUITY_EVENTS,
+  ...REACH_EVENTS,
 ] as const;
 
 /** Text of docs/GATEWAY_EVENTS.md. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -3,6 +3,7 @@
 import {createAgent} from '@siskinmux/adapters';
 import type {EndpointTableChange} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
+import type {ProbeResult} from '@siskinmux/forwarding';
 import {
   EndpointConnectionPool,
   IDLE_SWEEP_INTERVAL_MILLISECONDS,
@@ -25,6 +26,7 @@
 import type {ClockReading} from '@siskinmux/leases';
 import {electionDelayMilliseconds} from '@siskinmux/leases';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
+import {RefusalWitness} from '@siskinmux/reach';
 import type {MetadataStore} from '@siskinmux/ports';
 import {OutlierDetector} from '@siskinmux/routing';
 import type {WriteLine} from '@siskinmux/runtime';
@@ -191,10 +193,20 @@
       ...metrics,
       onEndpointCrash: crash => this.recordEndpointCrash(crash),
     });
+    const probe = (address: string): Promise<ProbeResult> =>
+      probeEndpoint(address, clock);
+    const refusalWitness = RefusalWitness.create({
+      table: this.table,
+      probe,
+      askPeer: endpoint => this.placement.askWitness(endpoint),
+      random,
+      emit,
+    });
     this.crashDetector = CrashDetector.create({
       table: this.table,
       clock,
-      probe: endpointAddress => probeEndpoint(endpointAddress, clock),
+      probe,
+      hasEnded: endpoint => refusalWitness.hasEnded(endpoint),
       onCrash: quarantine.recordCrash,
     });
     this.continuity = StreamContinuity.create({
@@ -241,6 +253,7 @@
       onLimited: metrics.onLimited,
       onPermitUsed: metrics.onPermitUsed,
       reachesStore: () => this.platformView.reachesStore,
+      testify: endpoint => refusalWitness.testify(endpoint),
       readClocks: options.readClocks,
       clock,
       random,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -36,6 +36,7 @@
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import type {CrashQuarantine} from '@siskinmux/containment';
+import type {ProbeResult} from '@siskinmux/forwarding';
 import type {StreamContinuity} from '@siskinmux/continuity';
 import {OriginWriter} from '@siskinmux/continuity';
 import type {ChoiceDependencies, FindEndpoint} from './endpoint_choice.js';
@@ -82,6 +83,8 @@
   /** Called for each permit that is used under an endpoint's limit. */
   readonly onPermitUsed: (endpoint: EndpointDescription) => void;
   readonly reachesStore: () => boolean;
+  /** What this node sees of an endpoint, for other nodes. */
+  readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
   readonly readClocks: () => ClockReading;
   readonly clock: Clock;
   readonly random: Random;
@@ -104,6 +107,8 @@
   private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
   private holderConnection: PeerConnection | undefined;
+  /** The allocator that this node uses; undefined while it has no lease holder. */
+  private allocator: AllocatorApi | undefined;
   /** Limit on concurrent loads from the weight store in the last heartbeat of a lease holder. */
   private lastConcurrencyLimit: number | undefined;
   /** Loads from the weight store that this holder started last. */
@@ -181,6 +186,11 @@
     this.client.onInFlightChange();
   }
 
+  /** What another node sees of an endpoint; `unknown` if none can tell. */
+  async askWitness(endpoint: EndpointId): Promise<ProbeResult> {
+    return (await this.allocator?.requestWitness(endpoint)) ?? 'unknown';
+  }
+
   /** Reports that an engine lacks a model, or an adapter of it, that it was expected to have. */
   reportMissingModel(endpoint: EndpointId, model: ModelName): void {
     this.client.reportMissingModel(endpoint, model);
@@ -358,6 +368,7 @@
   }
 
   private setAllocator(allocator: AllocatorApi | undefined): void {
+    this.allocator = allocator;
     this.client.setAllocator(allocator);
     this.options.quarantine.setExchange(allocator);
     this.options.continuity.setExchange(allocator);
--- a/packages/gateway/src/peer_connection.ts
+++ b/packages/gateway/src/peer_connection.ts
@@ -139,6 +139,22 @@
     }
   }
 
+  /** Like {@link request}, with a decoder; undefined on failure or for an unreadable response. */
+  async ask<Response>(
+    method: string,
+    params: object,
+    deadline: Instant,
+    schema: z.ZodType<Response>,
+  ): Promise<Response | undefined> {
+    try {
+      const response = await this.request(method, params, deadline);
+      return schema.safeParse(response).data;
+    } catch (failure) {
+      if (!(failure instanceof PeerUnreachableError)) throw failure;
+      return undefined;
+    }
+  }
+
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -36,12 +36,14 @@
   limits: 'allocator.limits',
   permit: 'allocator.permit',
   origins: 'allocator.origins',
+  witness: 'allocator.witness',
   availableModels: 'node.holdings',
   forecasts: 'node.forecasts',
   allocatorHeartbeat: 'node.alive',
   resign: 'node.resign',
   newSuspects: 'node.suspects',
   newLimits: 'node.limits',
+  testify: 'node.testify',
 } as const;
 
 const name = z.string().min(1);
@@ -87,6 +89,14 @@
   model: name,
 });
 
+/** Question what a node sees of an endpoint that another node can't connect to. */
+export const witnessSchema = z.object({endpoint: name});
+
+/** The answer. */
+export const witnessResponseSchema = z.object({
+  result: z.enum(['listening', 'refused', 'unknown']),
+});
+
 /**
  * Engine, milliseconds until it is usable, milliseconds of validity; null if no engine was
  * found.
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -10,6 +10,7 @@
   ServiceName,
 } from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
+import type {ProbeResult} from '@siskinmux/forwarding';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {
   AdapterGrant,
@@ -30,6 +31,7 @@
 } from './limit_messages.js';
 import type {PeerConnection} from './peer_connection.js';
 import type {HeartbeatMessage} from './placement_messages.js';
+import {askWitness, handleWitness} from './witness_messages.js';
 import {
   PEER_METHODS,
   availableModelsSchema,
@@ -69,6 +71,8 @@
   readonly onSuspects: (suspects: readonly Suspect[]) => void;
   /** Called with limits that endpoints have named to other nodes. */
   readonly onLimits: (limits: readonly EndpointLimit[]) => void;
+  /** What this node sees of an endpoint. */
+  readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
   /** Called with each heartbeat of the allocator's node, several times a second. */
   readonly onHeartbeat: (heartbeat: HeartbeatMessage) => void;
 }
@@ -78,6 +82,7 @@
   private constructor(private readonly options: RemoteAllocatorOptions) {
     const {peerConnection, clock, listener, onHeartbeat, onSuspects, onLimits} =
       options;
+    handleWitness(peerConnection, PEER_METHODS.testify, options.testify);
     peerConnection.handle(
       PEER_METHODS.availableModels,
       availableModelsSchema,
@@ -219,6 +224,11 @@
     peerConnection.notify(PEER_METHODS.probationEnd, {traits: [...traits]});
   }
 
+  requestWitness(endpoint: EndpointId): Promise<ProbeResult> {
+    const {peerConnection, clock} = this.options;
+    return askWitness(peerConnection, PEER_METHODS.witness, endpoint, clock);
+  }
+
   async requestAdapter(
     service: ServiceName,
     request: AdapterRequest,
