Take relayed requests on the port after the one for peers by default

Change: listen.relays is optional; without it, the port after listen.peers is used, which is the first one of the range for traffic between nodes.

--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -70,7 +70,7 @@
 } from './gateway_events.js';
 import {EndpointLimits} from './endpoint_limits.js';
 import type {GatewayPlatform} from './gateway_platform.js';
-import {parseSocketAddress} from './gateway_settings.js';
+import {parseSocketAddress, relayAddress} from './gateway_settings.js';
 import {createIdleLimit} from './idle_connections.js';
 import {InFlightCounts} from './in_flight_counts.js';
 import {NodePlacement} from './node_placement.js';
@@ -344,17 +344,15 @@
       handle: exchange => this.handle(exchange),
       readRelayed: () => undefined,
     });
-    if (this.listen.relays !== undefined) {
-      const {address, port} = this.listen.relays;
-      this.relayListener = await CallerListener.create({
-        host: address,
-        port,
-        clock,
-        handle: exchange => this.handleRelayed(exchange),
-        readRelayed: decodeProgress,
-      });
-      this.relayListener.setIdleTimeout(RELAY_IDLE_MILLISECONDS);
-    }
+    const relays = relayAddress(this.listen);
+    this.relayListener = await CallerListener.create({
+      host: relays.address,
+      port: relays.port,
+      clock,
+      handle: exchange => this.handleRelayed(exchange),
+      readRelayed: decodeProgress,
+    });
+    this.relayListener.setIdleTimeout(RELAY_IDLE_MILLISECONDS);
     await this.placement.start();
     this.runTask('platform view', this.platformView.run());
     this.runTask('placement', this.placement.run());
@@ -418,12 +416,11 @@
     exchange.cut();
   }
 
-  private relayOffer({id, failureDomain}: NodeIdentity): RelayPeer | undefined {
-    const {relays} = this.listen;
-    if (relays === undefined) return undefined;
+  private relayOffer({id, failureDomain}: NodeIdentity): RelayPeer {
+    const {address, port} = relayAddress(this.listen);
     return {
       node: id,
-      address: `${relays.address}:${relays.port}`,
+      address: `${address}:${port}`,
       failureDomain,
       cutFrom: this.reach.cutServices,
     };
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -16,7 +16,7 @@
     readiness: socketAddressSchema,
     /** Address and first port for traffic between nodes. */
     peers: z.strictObject({address: addressSchema, port: portSchema}),
-    /** Address and port for requests that other nodes relay; without it, the node takes none. */
+    /** Address and port for requests that other nodes relay; by default the next one of `peers`. */
     relays: z
       .strictObject({address: addressSchema, port: portSchema})
       .optional(),
@@ -62,6 +62,23 @@
   }),
 );
 
+/** An address and a port to listen on. */
+export interface ListenAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Where a node takes the requests that other nodes relay. */
+export function relayAddress({
+  peers,
+  relays,
+}: {
+  readonly peers: ListenAddress;
+  readonly relays?: ListenAddress | undefined;
+}): ListenAddress {
+  return relays ?? {address: peers.address, port: peers.port + 1};
+}
+
 /** Splits an address of the form `IP:PORT`. */
 export function parseSocketAddress(address: string): {
   host: string;
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -84,8 +84,8 @@
   /** Called for each permit that is used under an endpoint's limit. */
   readonly onPermitUsed: (endpoint: EndpointDescription) => void;
   readonly reachesStore: () => boolean;
-  /** Where this node takes relayed requests, and what it can't serve; undefined if it takes none. */
-  readonly relayOffer: () => RelayPeer | undefined;
+  /** Where this node takes relayed requests, and what it can't serve. */
+  readonly relayOffer: () => RelayPeer;
   /** Called with the nodes that this one may relay requests to. */
   readonly onRelayPeers: (peers: readonly RelayPeer[]) => void;
   /** What this node sees of an endpoint, for other nodes. */
@@ -193,8 +193,7 @@
 
   /** Tells the lease holder of a change of this node's relay offer. */
   offerRelay(): void {
-    const offer = this.options.relayOffer();
-    if (offer !== undefined) this.allocator?.offerRelay(offer);
+    this.allocator?.offerRelay(this.options.relayOffer());
   }
 
   /** What another node sees of an endpoint; `unknown` if none can tell. */
