Limit endpoints that survive only so many rejections, once they reject requests

Cause: nothing read that number, and rejections were no one's limit. Change: the number is decoded like the limit on requests (one parser, one type). A rejection by an endpoint that names it counts as a limit of 0.4 of the number, over all nodes together, by the mechanism of named limits (permits of the lease holder); it ends with a response to a request that ran, 2 s after the last rejection at the earliest. Nodes refresh each other's hold every 0.5 s. Why it works: what an endpoint may reject can't be more than it is sent.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -25,6 +25,7 @@
     isNotRun: status === 503,
     isMisdirected: false,
     requestLimit: {kind: 'none'},
+    rejectionLimit: {kind: 'none'},
     idleTimeoutMilliseconds: headers.some(text => text === 'timeout=5')
       ? 5_000
       : undefined,
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -61,7 +61,7 @@
   readonly resumeAfter: string | undefined;
 }
 
-/** What a response says about the requests that its endpoint takes from all nodes together. */
+/** What a response says about the requests that its endpoint takes, or rejects, from all nodes together. */
 export type RequestLimitStatement =
   | {readonly kind: 'none'}
   | {readonly kind: 'limit'; readonly requestsPerSecond: number}
@@ -81,6 +81,8 @@
   /** How long the connection may be idle until the endpoint closes it. */
   readonly idleTimeoutMilliseconds: Milliseconds | undefined;
   readonly requestLimit: RequestLimitStatement;
+  /** Rejections a second, of all nodes together, that the endpoint survives. */
+  readonly rejectionLimit: RequestLimitStatement;
 }
 
 /** Decodes and encodes the headers of a platform. */
--- a/packages/gateway/__tests__/endpoint_limits.test.ts
+++ b/packages/gateway/__tests__/endpoint_limits.test.ts
@@ -52,6 +52,26 @@
     expect(record(none)).toEqual(undefined);
   });
 
+  it('limits an endpoint that has rejected a request and survives only so many, until two seconds after the last one', async () => {
+    const {clock, record} = build();
+    const brittle = {rejectionLimit: limit(10)};
+    expect(record(none, brittle)).toEqual(undefined);
+    expect(record(none, {...brittle, isNotRun: true})).toEqual(4);
+    await clock.advance(1_900);
+    expect(record(none, brittle)).toEqual(4);
+    expect(record(none, {...brittle, isNotRun: true})).toEqual(4);
+    await clock.advance(1_900);
+    expect(record(none, brittle)).toEqual(4);
+    await clock.advance(100);
+    expect(record(none, brittle)).toEqual(undefined);
+  });
+
+  it('goes by the limit on requests of an endpoint that names one on rejections, too', () => {
+    const {record} = build();
+    const brittle = {rejectionLimit: limit(10), isNotRun: true};
+    expect(record(limit(3), brittle)).toEqual(3);
+  });
+
   it('is not stopped by a tiny limit, which leaves one request in ten seconds', () => {
     expect(build().record(limit(0.000_1))).toEqual(0.1);
   });
--- a/packages/gateway/__tests__/limit_cluster.ts
+++ b/packages/gateway/__tests__/limit_cluster.ts
@@ -53,6 +53,7 @@
       isNotRun: false,
       isMisdirected: false,
       idleTimeoutMilliseconds: undefined,
+      rejectionLimit: {kind: 'none'},
       requestLimit:
         requestsPerSecond === undefined
           ? {kind: 'none'}
--- a/packages/gateway/src/endpoint_limits.ts
+++ b/packages/gateway/src/endpoint_limits.ts
@@ -1,6 +1,7 @@
 /**
  * The request limits that overloaded endpoints name in their responses, each for all nodes
- * together, as far as this node knows them.
+ * together, as far as this node knows them. An endpoint that survives only so many rejections
+ * has a limit, too, once it has rejected a request: each further one may be rejected.
  */
 
 import type {
@@ -8,9 +9,13 @@
   EndpointTableChange,
   Incarnation,
 } from '@siskinmux/endpoints';
-import type {RequestLimitStatement, ResponseHead} from '@siskinmux/forwarding';
-import type {Clock, EmitEvent, Instant} from '@siskinmux/kernel';
-import {until} from '@siskinmux/kernel';
+import type {
+  RequestLimitStatement,
+  ResponseHead,
+  ResponseMetadata,
+} from '@siskinmux/forwarding';
+import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
+import {after, until} from '@siskinmux/kernel';
 import {
   ENDPOINT_LIMIT_CHANGED,
   ENDPOINT_LIMIT_INVALID,
@@ -22,6 +27,15 @@
  */
 const MINIMUM_REQUESTS_PER_SECOND = 0.1;
 
+/** Part of the rejections that an endpoint survives which all nodes may risk together. */
+const REJECTION_SHARE = 0.4;
+
+/** How long a limit stays after the last rejection by an endpoint that survives only so many. */
+const REJECTION_HOLD_MILLISECONDS: Milliseconds = 2_000;
+
+/** Interval at which nodes tell each other that a limit still applies. */
+const REFRESH_MILLISECONDS: Milliseconds = 500;
+
 /** Bound on the known limits; the one that was observed first is dropped. */
 const MAXIMUM_KNOWN_LIMITS = 2_000;
 
@@ -95,24 +109,61 @@
     {id, incarnation}: EndpointDescription,
     {metadata}: ResponseHead,
   ): void {
-    const statement = metadata.requestLimit;
+    const statement = this.statementOf(metadata);
     if (statement.kind === 'invalid') {
       this.logInvalid(id, incarnation, statement);
       return;
     }
-    if (statement.kind === 'none' && (metadata.isNotRun || !metadata.isSealed))
+    if (statement.kind === 'none' && !this.endsLimit(incarnation, metadata))
       return;
     const requestsPerSecond =
       statement.kind === 'limit'
         ? Math.max(MINIMUM_REQUESTS_PER_SECOND, statement.requestsPerSecond)
         : undefined;
-    if (this.get(incarnation)?.requestsPerSecond === requestsPerSecond) return;
     const observedAt = this.options.clock.now();
     const limit = {incarnation, requestsPerSecond, observedAt};
+    const known = this.get(incarnation);
+    if (known?.requestsPerSecond === requestsPerSecond) {
+      if (known !== undefined) this.refresh(known, limit);
+      return;
+    }
     this.put(limit, 'response');
     this.report(limit);
   }
 
+  /** Other nodes count the hold of a limit from the last rejection, too. */
+  private refresh(known: EndpointLimit, limit: EndpointLimit): void {
+    const refreshAt = after(known.observedAt, REFRESH_MILLISECONDS);
+    if (limit.observedAt < refreshAt) return;
+    this.known.set(limit.incarnation, limit);
+    this.report(limit);
+  }
+
+  /** The limit that follows from a response; a named one goes before that of rejections. */
+  private statementOf({
+    requestLimit,
+    rejectionLimit,
+    isNotRun,
+  }: ResponseMetadata): RequestLimitStatement {
+    if (requestLimit.kind !== 'none' || !isNotRun) return requestLimit;
+    if (rejectionLimit.kind !== 'limit') return rejectionLimit;
+    const requestsPerSecond =
+      rejectionLimit.requestsPerSecond * REJECTION_SHARE;
+    return {kind: 'limit', requestsPerSecond};
+  }
+
+  /** Whether a response that names no limit ends the known one. */
+  private endsLimit(
+    incarnation: Incarnation,
+    {isNotRun, isSealed, rejectionLimit}: ResponseMetadata,
+  ): boolean {
+    if (isNotRun || !isSealed) return false;
+    const known = this.known.get(incarnation);
+    if (rejectionLimit.kind !== 'limit' || known === undefined) return true;
+    const heldUntil = after(known.observedAt, REJECTION_HOLD_MILLISECONDS);
+    return this.options.clock.now() >= heldUntil;
+  }
+
   /** Drops what is known about endpoints that have ended. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
     for (const {before, now} of changes) {
