Recognise lost links while connections are still accepted, by asking another node

Callers saw: at a node whose links fell silent while new connections were accepted (a middlebox, a full accept queue), all requests ended as 504 at their deadline, for as long as the cut lasted. Cause: silence of all sends began a check, but the check's probes only connected, and connections were accepted, so that each round found the links sound. Change: probes want a response, of engines at a path that takes no slot. If endpoints accept connections and none responds, another node is asked through the lease holder whether they respond to it; only then are the links lost. An overloaded service, silent to all nodes, changes nothing. Conclusion: evidence that a host accepts is no evidence that its process responds.

--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,8 +19,8 @@
 } from './endpoint_protocol.js';
 export {findHeader, removeHeaders} from './forwarded_headers.js';
 export {EventStreamSplitter} from './event_stream_splitter.js';
-export type {ProbeResult} from './probe_endpoint.js';
-export {probeEndpoint} from './probe_endpoint.js';
+export type {ProbeResult, ResponseProbeResult} from './probe_endpoint.js';
+export {probeEndpoint, probeResponse} from './probe_endpoint.js';
 export {watchForReset} from './reset_detection.js';
 export type {
   BodyEnd,
--- a/packages/forwarding/src/probe_endpoint.ts
+++ b/packages/forwarding/src/probe_endpoint.ts
@@ -1,5 +1,6 @@
-/** Checks whether a process listens at an address, with a connection that carries nothing. */
+/** Checks whether a process listens at an address, and whether it responds. */
 
+import {get} from 'node:http';
 import {connect} from 'node:net';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
@@ -7,9 +8,16 @@
 /** A process that listens accepts within a round trip, unless its link is broken. */
 const PROBE_TIMEOUT_MILLISECONDS: Milliseconds = 250;
 
+/** A sound endpoint responds at once, unless all its slots are taken. */
+const RESPONSE_TIMEOUT_MILLISECONDS: Milliseconds = 300;
+
 /** `refused`: no process listens there; `unknown`: the host could not be reached. */
 export type ProbeResult = 'listening' | 'refused' | 'unknown';
 
+/** `silent`: a connection could be opened, and nothing came back on it. */
+export type ResponseProbeResult =
+  'responding' | 'silent' | 'refused' | 'unknown';
+
 /** Connects to `address`, an IP address and a port, and closes the connection at once. */
 export function probeEndpoint(
   address: string,
@@ -34,3 +42,37 @@
     );
   });
 }
+
+/** Sends a GET request for `path` on a connection of its own; any reply shows that the link works. */
+export function probeResponse(
+  address: string,
+  path: string,
+  clock: Clock,
+): Promise<ResponseProbeResult> {
+  const [host, port] = address.split(':');
+  return new Promise(resolve => {
+    let isConnected = false;
+    const request = get({host, port: Number(port), path, agent: false});
+    const finish = (result: ResponseProbeResult): void => {
+      cancel();
+      request.destroy();
+      resolve(result);
+    };
+    const cancel = clock.schedule(
+      after(clock.now(), RESPONSE_TIMEOUT_MILLISECONDS),
+      // A late timer may precede a response that has arrived already.
+      () => setImmediate(() => finish(isConnected ? 'silent' : 'unknown')),
+    );
+    request.once('socket', socket =>
+      socket.once('connect', () => {
+        isConnected = true;
+      }),
+    );
+    request.once('response', () => finish('responding'));
+    request.on('error', (failure: NodeJS.ErrnoException) => {
+      // A connection that was reset or carried something else came from a process that runs.
+      if (isConnected) finish('responding');
+      else finish(failure.code === 'ECONNREFUSED' ? 'refused' : 'unknown');
+    });
+  });
+}
--- a/packages/gateway/__tests__/idle_connections.test.ts
+++ b/packages/gateway/__tests__/idle_connections.test.ts
@@ -23,7 +23,7 @@
         service,
         {
           name: service,
-          healthPath: '/',
+          probePath: '/',
           maximumConnections,
           engine: undefined,
         },
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -67,6 +67,10 @@
     return Promise.resolve('unknown' as const);
   }
 
+  requestServiceWitness() {
+    return Promise.resolve(false);
+  }
+
   requestAdapter() {
     const now = this.clock.now();
     return Promise.resolve({
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -28,6 +28,8 @@
   offerRelay(offer: RelayPeer): void;
   /** What another node sees of an endpoint; `unknown` if none can tell. */
   requestWitness(endpoint: EndpointId): Promise<ProbeResult>;
+  /** Whether endpoints of a service respond to another node; false if none can tell. */
+  requestServiceWitness(service: ServiceName): Promise<boolean>;
   /** Resolves to undefined if no engine can provide the adapter or the allocator doesn't respond. */
   requestAdapter(
     service: ServiceName,
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -76,7 +76,12 @@
   encodePeers,
   relayOfferSchema,
 } from '@siskinmux/relay';
-import {askWitness, handleWitness} from './witness_messages.js';
+import {
+  askServiceWitness,
+  askWitness,
+  handleServiceWitness,
+  handleWitness,
+} from './witness_messages.js';
 
 /** Interval between heartbeats to the followers, whose timeout covers three of them. */
 export const HEARTBEAT_MILLISECONDS: Milliseconds = 300;
@@ -127,6 +132,8 @@
   readonly onRelayPeers: (peers: readonly RelayPeer[]) => void;
   /** What this node sees of an endpoint. */
   readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
+  /** Whether endpoints of a service respond to this node. */
+  readonly testifyService: (service: ServiceName) => Promise<boolean>;
   readonly random: Random;
 }
 
@@ -279,6 +286,13 @@
       },
     );
     handleWitness(connection, PEER_METHODS.witness, this.options.testify);
+    handleServiceWitness(
+      connection,
+      PEER_METHODS.serviceWitness,
+      async service =>
+        (await this.options.testifyService(service)) ||
+        (await this.askFollower(service, connection)),
+    );
     connection.handle(PEER_METHODS.relayOffer, relayOfferSchema, message => {
       if (node !== undefined) this.offerRelay(decodeOffer(node, message));
     });
@@ -347,6 +361,26 @@
     return askWitness(connection, PEER_METHODS.testify, endpoint, clock);
   }
 
+  requestServiceWitness(service: ServiceName): Promise<boolean> {
+    return this.askFollower(service, undefined);
+  }
+
+  /** Asks a random follower, other than the one that asks. */
+  private async askFollower(
+    service: ServiceName,
+    asking: PeerConnection | undefined,
+  ): Promise<boolean> {
+    const {random, clock} = this.options;
+    const others = [...this.followers.values()].filter(
+      ({connection}) => connection !== asking,
+    );
+    const follower = others[randomBelow(random, others.length)];
+    if (follower === undefined) return false;
+    const {connection} = follower;
+    const method = PEER_METHODS.testifyService;
+    return askServiceWitness(connection, method, service, clock);
+  }
+
   reportOrigins(origins: readonly StreamOrigin[]): void {
     this.options.onOrigins(origins);
   }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -9,6 +9,7 @@
   IDLE_SWEEP_INTERVAL_MILLISECONDS,
   MAXIMUM_IDLE_CONNECTIONS,
   probeEndpoint,
+  probeResponse,
 } from '@siskinmux/forwarding';
 import type {
   Clock,
@@ -16,6 +17,7 @@
   Milliseconds,
   Random,
   RawSettings,
+  ServiceName,
 } from '@siskinmux/kernel';
 import {
   ErrorCode,
@@ -250,7 +252,9 @@
       clock,
       random,
       emit,
-      probe,
+      probe: ({address, service}) =>
+        probeResponse(address, this.probePathOf(service), clock),
+      askPeer: service => this.placement.askServiceWitness(service),
       onChange: () => this.placement.offerRelay(),
     });
     this.placement = NodePlacement.create({
@@ -285,6 +289,7 @@
       onPermitUsed: metrics.onPermitUsed,
       reachesStore: () => this.platformView.reachesStore,
       testify: endpoint => refusalWitness.testify(endpoint),
+      testifyService: service => this.reach.testify(service),
       relayOffer: () => this.relayOffer(identity),
       onRelayPeers: peers => this.peers.setPeers(peers),
       readClocks: options.readClocks,
@@ -416,6 +421,12 @@
     exchange.cut();
   }
 
+  /** The endpoints of a removed service are asked at the root, where they respond as well. */
+  private probePathOf(service: ServiceName): string {
+    const {services} = this.routes.current?.configuration ?? {};
+    return services?.get(service)?.probePath ?? '/';
+  }
+
   private relayOffer({id, failureDomain}: NodeIdentity): RelayPeer {
     const {address, port} = relayAddress(this.listen);
     return {
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -90,6 +90,8 @@
   readonly onRelayPeers: (peers: readonly RelayPeer[]) => void;
   /** What this node sees of an endpoint, for other nodes. */
   readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
+  /** Whether endpoints of a service respond to this node, for other nodes. */
+  readonly testifyService: (service: ServiceName) => Promise<boolean>;
   readonly readClocks: () => ClockReading;
   readonly clock: Clock;
   readonly random: Random;
@@ -201,6 +203,11 @@
     return (await this.allocator?.requestWitness(endpoint)) ?? 'unknown';
   }
 
+  /** Whether endpoints of a service respond to another node; false if none can tell. */
+  async askServiceWitness(service: ServiceName): Promise<boolean> {
+    return (await this.allocator?.requestServiceWitness(service)) ?? false;
+  }
+
   /** Reports that an engine lacks a model, or an adapter of it, that it was expected to have. */
   reportMissingModel(endpoint: EndpointId, model: ModelName): void {
     this.client.reportMissingModel(endpoint, model);
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -37,6 +37,7 @@
   permit: 'allocator.permit',
   origins: 'allocator.origins',
   witness: 'allocator.witness',
+  serviceWitness: 'allocator.service_witness',
   relayOffer: 'allocator.relay_offer',
   availableModels: 'node.holdings',
   forecasts: 'node.forecasts',
@@ -45,6 +46,7 @@
   newSuspects: 'node.suspects',
   newLimits: 'node.limits',
   testify: 'node.testify',
+  testifyService: 'node.testify_service',
   relayPeers: 'node.relay_peers',
 } as const;
 
@@ -99,6 +101,12 @@
   result: z.enum(['listening', 'refused', 'unknown']),
 });
 
+/** Question whether endpoints of a service respond to a node. */
+export const serviceWitnessSchema = z.object({service: name});
+
+/** The answer. */
+export const serviceWitnessResponseSchema = z.object({responds: z.boolean()});
+
 /**
  * Engine, milliseconds until it is usable, milliseconds of validity; null if no engine was
  * found.
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -33,7 +33,12 @@
 } from './limit_messages.js';
 import type {PeerConnection} from './peer_connection.js';
 import type {HeartbeatMessage} from './placement_messages.js';
-import {askWitness, handleWitness} from './witness_messages.js';
+import {
+  askServiceWitness,
+  askWitness,
+  handleServiceWitness,
+  handleWitness,
+} from './witness_messages.js';
 import {
   PEER_METHODS,
   availableModelsSchema,
@@ -77,6 +82,8 @@
   readonly onRelayPeers: (peers: readonly RelayPeer[]) => void;
   /** What this node sees of an endpoint. */
   readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
+  /** Whether endpoints of a service respond to this node. */
+  readonly testifyService: (service: ServiceName) => Promise<boolean>;
   /** Called with each heartbeat of the allocator's node, several times a second. */
   readonly onHeartbeat: (heartbeat: HeartbeatMessage) => void;
 }
@@ -87,6 +94,11 @@
     const {peerConnection, clock, listener, onHeartbeat, onSuspects, onLimits} =
       options;
     handleWitness(peerConnection, PEER_METHODS.testify, options.testify);
+    handleServiceWitness(
+      peerConnection,
+      PEER_METHODS.testifyService,
+      options.testifyService,
+    );
     peerConnection.handle(PEER_METHODS.relayPeers, relayPeersSchema, message =>
       options.onRelayPeers(decodePeers(message)),
     );
@@ -243,6 +255,12 @@
     return askWitness(peerConnection, PEER_METHODS.witness, endpoint, clock);
   }
 
+  requestServiceWitness(service: ServiceName): Promise<boolean> {
+    const {peerConnection, clock} = this.options;
+    const method = PEER_METHODS.serviceWitness;
+    return askServiceWitness(peerConnection, method, service, clock);
+  }
+
   async requestAdapter(
     service: ServiceName,
     request: AdapterRequest,
--- a/packages/reach/__tests__/endpoint_reach.test.ts
+++ b/packages/reach/__tests__/endpoint_reach.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import type {EndpointDescription} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
-import type {ProbeResult} from '@siskinmux/forwarding';
+import type {ResponseProbeResult} from '@siskinmux/forwarding';
 import type {EndpointId, ServiceName} from '@siskinmux/kernel';
 import {as, discardEvents} from '@siskinmux/kernel';
 import {
@@ -38,6 +38,8 @@
   const table = EndpointTable.create();
   table.replaceAll(ENDPOINTS, undefined);
   const unreachable = new Set<string>();
+  const silent = new Set<string>();
+  let respondsToPeer = false;
   let probes = 0;
   let changes = 0;
   const reach = EndpointReach.create({
@@ -45,12 +47,12 @@
     clock,
     random: createSeededRandom(1),
     emit: discardEvents,
-    probe: (address): Promise<ProbeResult> => {
+    probe: ({address}): Promise<ResponseProbeResult> => {
       probes += 1;
-      return Promise.resolve(
-        unreachable.has(address) ? 'refused' : 'listening',
-      );
+      if (unreachable.has(address)) return Promise.resolve('refused');
+      return Promise.resolve(silent.has(address) ? 'silent' : 'responding');
     },
+    askPeer: () => Promise.resolve(respondsToPeer),
     onChange: () => {
       changes += 1;
     },
@@ -75,7 +77,16 @@
     reach,
     pass,
     cut,
-    heal: () => unreachable.clear(),
+    silence: (...names: string[]): void => {
+      for (const name of names) silent.add(name);
+    },
+    setPeerResponse: (responds: boolean): void => {
+      respondsToPeer = responds;
+    },
+    heal: () => {
+      unreachable.clear();
+      silent.clear();
+    },
     probes: () => probes,
     changes: () => changes,
   };
@@ -113,6 +124,47 @@
     expect([reach.isCutFrom(TEXT), silent]).toEqual([true, 1]);
   });
 
+  it('takes its links for lost if endpoints accept connections and respond to another node only', async () => {
+    const {reach, silence, setPeerResponse, heal, pass} = build();
+    let abandoned = 0;
+    const send = reach.track(endpoint('a'), () => {
+      abandoned += 1;
+    });
+    silence(...ALL);
+    setPeerResponse(true);
+    await pass(1_000);
+    expect([reach.isCutFrom(TEXT), abandoned]).toEqual([true, 1]);
+    send.end();
+    await pass(1_500);
+    expect(reach.isCutFrom(TEXT)).toEqual(true);
+    heal();
+    await pass(1_500);
+    expect(reach.isCutFrom(TEXT)).toEqual(false);
+  });
+
+  it('keeps its links and its sends while all nodes find the endpoints silent', async () => {
+    const {reach, silence, pass} = build();
+    let abandoned = 0;
+    reach.track(endpoint('a'), () => {
+      abandoned += 1;
+    });
+    silence(...ALL);
+    await pass(3_000);
+    expect([reach.isCutFrom(TEXT), abandoned]).toEqual([false, 0]);
+  });
+
+  it('testifies that a service responds, unless it is cut from it or finds it silent', async () => {
+    const {reach, silence, cut, pass} = build();
+    reach.track(endpoint('a'), () => {}).recordContact();
+    silence(...ALL);
+    expect(await reach.testify(TEXT)).toEqual(true);
+    await pass(1_200);
+    expect(await reach.testify(TEXT)).toEqual(false);
+    cut(...ALL);
+    await reach.track(endpoint('a'), () => {}).recordNoConnection();
+    expect(await reach.testify(TEXT)).toEqual(false);
+  });
+
   it('does not end a send whose connection lives on while new ones are refused', async () => {
     const {reach, cut, pass} = build();
     let silent = 0;
--- a/packages/reach/src/endpoint_reach.ts
+++ b/packages/reach/src/endpoint_reach.ts
@@ -5,7 +5,7 @@
  */
 
 import type {EndpointDescription, EndpointTable} from '@siskinmux/endpoints';
-import type {ProbeResult} from '@siskinmux/forwarding';
+import type {ResponseProbeResult} from '@siskinmux/forwarding';
 import type {
   Clock,
   EmitEvent,
@@ -15,7 +15,7 @@
   ServiceName,
 } from '@siskinmux/kernel';
 import {after, later, until} from '@siskinmux/kernel';
-import {LINKS_LOST, LINKS_REGAINED} from './reach_events.js';
+import {LINKS_LOST, LINKS_REGAINED, SERVICE_SILENT} from './reach_events.js';
 import {sampleEndpoints} from './sample_endpoints.js';
 
 /** Endpoints that are probed in one round. */
@@ -27,6 +27,9 @@
 /** A send without a response for this long is suspicious if its service sent nothing else either. */
 const SILENCE_MILLISECONDS: Milliseconds = 400;
 
+/** Another node's links to a service work if an endpoint of it sent something this recently. */
+const RECENT_CONTACT_MILLISECONDS: Milliseconds = 1_000;
+
 /** Pause after a check that found the links of a service sound. */
 const CHECK_PAUSE_MILLISECONDS: Milliseconds = 250;
 
@@ -42,8 +45,12 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly emit: EmitEvent;
-  /** Connects to an address and closes the connection at once. */
-  readonly probe: (address: string) => Promise<ProbeResult>;
+  /** Sends a request to an endpoint that any endpoint responds to. */
+  readonly probe: (
+    endpoint: EndpointDescription,
+  ) => Promise<ResponseProbeResult>;
+  /** Whether another node's endpoints of the service respond; false if none can tell. */
+  readonly askPeer: (service: ServiceName) => Promise<boolean>;
   /** Called when the links to a service are lost or regained. */
   readonly onChange: () => void;
 }
@@ -64,6 +71,12 @@
   contactAt: Instant | undefined;
 }
 
+/**
+ * `silent`: some endpoints accept connections and none responds, because of the links or because
+ * they are overloaded.
+ */
+type RoundResult = 'sound' | 'lost' | 'silent';
+
 interface ServiceLinks {
   isCut: boolean;
   contactAt: Instant | undefined;
@@ -83,7 +96,7 @@
     return new EndpointReach(options);
   }
 
-  /** Whether this node can open a connection to no endpoint of the service. */
+  /** Whether this node gets no response from any endpoint of the service, as others do. */
   isCutFrom(service: ServiceName): boolean {
     return this.links.get(service)?.isCut ?? false;
   }
@@ -118,6 +131,17 @@
     };
   }
 
+  /** Whether endpoints of the service respond to this node; asked by a node to which none does. */
+  async testify(service: ServiceName): Promise<boolean> {
+    const {isCut, contactAt} = this.linksOf(service);
+    if (isCut) return false;
+    const now = this.options.clock.now();
+    const isRecent =
+      contactAt !== undefined &&
+      until(contactAt, now) <= RECENT_CONTACT_MILLISECONDS;
+    return isRecent || (await this.probe(service)) === 'sound';
+  }
+
   /** Checks the services whose oldest send is suspiciously silent; to be called periodically. */
   examineSends(): void {
     const now = this.options.clock.now();
@@ -175,12 +199,25 @@
     links: ServiceLinks,
   ): Promise<void> {
     const {clock} = this.options;
+    let last: RoundResult = 'sound';
     for (let round = 0; round < DECISIVE_ROUNDS; round += 1) {
-      if ((await this.probe(service)) === 'lost') continue;
-      links.checkedUntil = after(clock.now(), CHECK_PAUSE_MILLISECONDS);
-      return;
+      last = await this.probe(service);
+      if (last === 'sound') break;
     }
-    this.recordLoss(service, links);
+    if (
+      last === 'lost' ||
+      (last === 'silent' && (await this.isOnlyHere(service)))
+    )
+      this.recordLoss(service, links);
+    else links.checkedUntil = after(clock.now(), CHECK_PAUSE_MILLISECONDS);
+  }
+
+  /** Whether a service that is silent here responds to another node. */
+  private async isOnlyHere(service: ServiceName): Promise<boolean> {
+    const {askPeer, emit} = this.options;
+    const respondsToPeer = await askPeer(service);
+    emit(SERVICE_SILENT, {service, respondsToPeer});
+    return respondsToPeer;
   }
 
   private recordLoss(service: ServiceName, links: ServiceLinks): void {
@@ -231,16 +268,14 @@
   }
 
   /** Probes some endpoints of a service; without any, its links count as sound. */
-  private async probe(service: ServiceName): Promise<'lost' | 'sound'> {
+  private async probe(service: ServiceName): Promise<RoundResult> {
     const {table, probe, random} = this.options;
     const running = table.running.filter(
       endpoint => endpoint.service === service && !endpoint.isDraining,
     );
     const sample = sampleEndpoints(running, PROBED_ENDPOINTS, random);
-    const results = await Promise.all(
-      sample.map(({address}) => probe(address)),
-    );
-    const isLost = sample.length > 0 && !results.includes('listening');
-    return isLost ? 'lost' : 'sound';
+    const results = await Promise.all(sample.map(endpoint => probe(endpoint)));
+    if (sample.length === 0 || results.includes('responding')) return 'sound';
+    return results.includes('silent') ? 'silent' : 'lost';
   }
 }
--- a/packages/reach/src/reach_events.ts
+++ b/packages/reach/src/reach_events.ts
@@ -17,7 +17,7 @@
   name: 'links-lost',
   level: 'warn',
   meaning:
-    'This node can connect to no endpoint of `service` that it has probed, in two rounds. Its requests are relayed to other nodes. `sends` is the number of requests that were waiting for endpoints of the service, `silentFor` the milliseconds since any of them sent something.',
+    'This node gets no response from any endpoint of `service` that it has probed, in two rounds: none can be connected to, or all are silent (`service-silent`). Its requests are relayed to other nodes. `sends` is the number of requests that were waiting for endpoints of the service, `silentFor` the milliseconds since any of them sent something.',
 };
 
 /** This node reaches the endpoints of a service again. */
@@ -29,9 +29,19 @@
     'This node reaches endpoints of `service` again, or none is registered any more. It sends its requests to them itself.',
 };
 
+/** Endpoints of a service accept connections, and none responds. */
+export const SERVICE_SILENT: EventDescriptor = {
+  number: 7043,
+  name: 'service-silent',
+  level: 'info',
+  meaning:
+    'This node can connect to endpoints of `service`, and none that it has probed responds, in two rounds. `respondsToPeer`: whether endpoints of the service respond to another node; if so, the links of this node are taken for lost (`links-lost`). Otherwise the endpoints themselves are silent, or no node could tell.',
+};
+
 /** All events of this package. */
 export const REACH_EVENTS = [
   REFUSAL_JUDGED,
   LINKS_LOST,
   LINKS_REGAINED,
+  SERVICE_SILENT,
 ] as const;
--- a/packages/routes/src/route.ts
+++ b/packages/routes/src/route.ts
@@ -80,8 +80,8 @@
 /** A service that routes send requests to. */
 export interface RoutedService {
   readonly name: ServiceName;
-  /** Path of an endpoint's health check. */
-  readonly healthPath: string;
+  /** Path at which any endpoint responds to a GET request, without taking a slot if it can. */
+  readonly probePath: string;
   /** Connections that one endpoint accepts in total. */
   readonly maximumConnections: number;
   /** Set for model engines. */
