Write the last origins of streams when a node stops holding the lease

Callers saw: after nodes were replaced one after the other, streams that had begun shortly before their node stopped were refused while two software versions served. Cause: the lease holder stored reported origins up to a quarter of a second later, and dropped what was not written yet when it stopped.

--- a/packages/continuity/__tests__/continuity_cluster.ts
+++ b/packages/continuity/__tests__/continuity_cluster.ts
@@ -137,6 +137,12 @@
     }
   }
 
+  /** Lets a share of all writes take effect without a response. */
+  loseWriteResponses(share: number): void {
+    for (const node of this.nodes)
+      if (node !== undefined) node.store.lostWriteResponseShare = share;
+  }
+
   /** Cuts a node off from the other nodes; it watches the store by itself meanwhile. */
   setCut(host: number, isCut: boolean): void {
     const node = this.nodes[host];
@@ -254,7 +260,7 @@
   }
 
   private endHolder(): void {
-    this.holder?.writer?.stop();
+    void this.holder?.writer?.stop();
     this.holder = undefined;
     for (const node of this.nodes) node?.continuity.setExchange(undefined);
     this.electLater();
--- a/packages/continuity/__tests__/stream_continuity.test.ts
+++ b/packages/continuity/__tests__/stream_continuity.test.ts
@@ -101,7 +101,7 @@
     const {writer} = deployment.start(engine('v1'));
     writer.start();
     await deployment.clock.advance(1_000);
-    writer.stop();
+    void writer.stop();
     await deployment.clock.advance(LONG_MILLISECONDS);
     const {continuity} = deployment.start(engine('v2'));
     const refusal = await deployment.resume(continuity);
@@ -113,7 +113,7 @@
     const {writer} = deployment.start(engine('v1'));
     writer.start();
     await deployment.clock.advance(1_000);
-    writer.stop();
+    void writer.stop();
     const {continuity} = deployment.start(engine('v1'));
     expect(await deployment.resume(continuity)).toEqual('v1');
   });
@@ -152,7 +152,7 @@
     const expiresAt = after(deployment.clock.now(), 12_000);
     continuity.recordStart(stream, unknown, expiresAt);
     expect(await deployment.resume(continuity)).toBeA(RefusalError);
-    writer.stop();
+    void writer.stop();
   });
 
   it('is refused while the record that was written last is unreadable', async () => {
@@ -160,7 +160,7 @@
     const {writer} = deployment.start(engine('v1'));
     writer.start();
     await deployment.clock.advance(1_000);
-    writer.stop();
+    void writer.stop();
     deployment.shared.put(ORIGINS_KIND, '5', {groups: 'none'});
     const {continuity} = deployment.start(engine('v1'));
     expect(await deployment.resume(continuity)).toBeA(RefusalError);
@@ -178,7 +178,7 @@
     const written = deployment.shared.changes.length;
     await deployment.clock.advance(LONG_MILLISECONDS);
     expect(deployment.shared.changes.length).toEqual(written);
-    writer.stop();
+    void writer.stop();
   });
 });
 
--- a/packages/continuity/src/origin_writer.ts
+++ b/packages/continuity/src/origin_writer.ts
@@ -7,7 +7,7 @@
   Milliseconds,
   ObjectVersion,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, after} from '@siskinmux/kernel';
+import {SiskinmuxError, after, sleepUntil} from '@siskinmux/kernel';
 import type {PeriodicJob} from '@siskinmux/runtime';
 import {createPeriodicJob} from '@siskinmux/runtime';
 import {ORIGINS_STORED, ORIGINS_STORE_FAILED} from './continuity_events.js';
@@ -36,6 +36,9 @@
 const WRITE_INTERVAL_MILLISECONDS: Milliseconds = 250;
 const FAILURE_PAUSE_MILLISECONDS: Milliseconds = 500;
 
+/** Attempts to write what is left when the node no longer holds the lease; the next holder writes, too. */
+const LAST_WRITE_ATTEMPTS = 3;
+
 /** Dependencies of {@link OriginWriter}. */
 export interface OriginWriterOptions extends Omit<
   StoredOriginsOptions,
@@ -58,6 +61,7 @@
   private unwritten: StreamOrigin[] = [];
   private recordedKey = '';
   private nextCallAt: Instant;
+  private lastWrite: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: OriginWriterOptions) {
     this.clock = options.clock;
@@ -65,7 +69,7 @@
     this.nextCallAt = this.clock.now();
     this.partEndsAt = this.clock.now();
     this.job = createPeriodicJob(this.clock, CHECK_INTERVAL_MILLISECONDS, () =>
-      this.writeChanges(),
+      this.writeInTurn(),
     );
   }
 
@@ -77,8 +81,21 @@
     this.job.start();
   }
 
-  stop(): void {
+  /** Stops after a last write of what nodes have reported; resolves after it. */
+  async stop(): Promise<void> {
     this.job.stop();
+    for (let attempt = 0; attempt < LAST_WRITE_ATTEMPTS; attempt += 1) {
+      await this.lastWrite;
+      if (this.unwritten.length === 0) return;
+      if (this.nextCallAt > this.clock.now())
+        await sleepUntil(this.clock, this.nextCallAt);
+      await this.writeInTurn();
+    }
+  }
+
+  private writeInTurn(): Promise<void> {
+    this.lastWrite = this.writeChanges();
+    return this.lastWrite;
   }
 
   /** Adds origins to the next write. */
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -376,7 +376,7 @@
     return {
       end: () => {
         archive.stop();
-        originWriter.stop();
+        void originWriter.stop();
         this.allocatorServer = undefined;
         this.setAllocator(undefined);
         allocatorServer.stop();
