Keep a silent send while no other endpoint could take the request over

Callers saw: at an engine whose queue is longer than 1.2 s, resumable streams and safe requests ended as unknown (504) when 60% of the time until the first event had passed, although the caller still waited; the engine's work was lost, callers returned, and the queue stayed as long. Cause: the send was aborted for inactivity whenever the route allowed another run; then the retry allowance was empty, or no other engine had the model at the version wanted. Change: a send is given up only if a retry token is left and another endpoint that has the model has a free slot; this is checked again after each further timeout. Conclusion: an engine that is only slow is better than none.

--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -64,6 +64,12 @@
   requirements: EndpointRequirements,
 ) => Promise<EndpointDescription>;
 
+/** Whether another endpoint than `current` could serve the request now. */
+export type HasAlternative = (
+  requirements: EndpointRequirements,
+  current: EndpointId,
+) => boolean;
+
 /** Dependencies of the functions that choose an endpoint. */
 export interface ChoiceDependencies {
   readonly table: EndpointTable;
@@ -136,6 +142,20 @@
   return endpoints.filter(({id}) => usable.has(id));
 }
 
+/** Whether one of the endpoints, which the request has not been sent to, has a free slot. */
+export function hasFreeAlternative(
+  endpoints: readonly EndpointDescription[],
+  {triedEndpoints}: EndpointRequirements,
+  current: EndpointId,
+  {clusterLoad, inFlightCounts}: ChoiceDependencies,
+): boolean {
+  const load = clusterLoad.isFresh ? clusterLoad : inFlightCounts;
+  return endpoints.some(
+    ({id, slots}) =>
+      id !== current && !triedEndpoints.has(id) && load.at(id) < slots,
+  );
+}
+
 /** Leaves out the endpoints that the request avoids, unless there are no others. */
 export function preferUnavoided(
   endpoints: readonly EndpointDescription[],
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -320,6 +320,7 @@
       reportMissingModel: (endpoint, model) =>
         this.placement.reportMissingModel(endpoint, model),
       find: this.placement.find,
+      hasAlternative: this.placement.hasAlternative,
       clock,
       emit,
       ...metrics,
--- a/packages/gateway/src/inactivity_timer.ts
+++ b/packages/gateway/src/inactivity_timer.ts
@@ -8,11 +8,12 @@
 } from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 
-/** Calls back once if it is not reset within the timeout. */
+/** Calls back each time that it is not reset within the timeout. */
 export class InactivityTimer {
   private cancel: CancelTimer | undefined;
   private lastActivityAt: Instant;
   private isSuspended = false;
+  private isStopped = false;
 
   private constructor(
     private readonly clock: Clock,
@@ -49,6 +50,7 @@
 
   /** Cancels the timer. */
   stop(): void {
+    this.isStopped = true;
     this.cancel?.();
   }
 
@@ -60,8 +62,11 @@
       if (this.isSuspended) this.reset();
       const isDue =
         clock.now() >= after(this.lastActivityAt, timeoutMilliseconds);
-      if (isDue) this.onTimeout();
-      else this.schedule();
+      if (isDue) {
+        this.reset();
+        this.onTimeout();
+      }
+      if (!this.isStopped) this.schedule();
     });
   }
 }
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -7,6 +7,7 @@
   EndpointTable,
   EndpointTableChange,
 } from '@siskinmux/endpoints';
+import {meetsVersion} from '@siskinmux/endpoints';
 import type {
   Clock,
   EmitEvent,
@@ -40,8 +41,15 @@
 import type {ProbeResult} from '@siskinmux/forwarding';
 import type {StreamContinuity} from '@siskinmux/continuity';
 import {OriginWriter} from '@siskinmux/continuity';
-import type {ChoiceDependencies, FindEndpoint} from './endpoint_choice.js';
-import {createPlainEndpointFinder} from './endpoint_choice.js';
+import type {
+  ChoiceDependencies,
+  FindEndpoint,
+  HasAlternative,
+} from './endpoint_choice.js';
+import {
+  createPlainEndpointFinder,
+  hasFreeAlternative,
+} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {HolderConnection} from './leader_election.js';
 import {LeaderElection} from './leader_election.js';
@@ -163,6 +171,17 @@
       ? this.client.find(requirements)
       : this.findPlain(requirements);
 
+  /** Whether another endpoint of any service could serve a request now. */
+  readonly hasAlternative: HasAlternative = (requirements, current) => {
+    const {choice, table} = this.options;
+    if (this.engineDeclaration(requirements.service) !== undefined)
+      return this.client.hasAlternative(requirements, current);
+    const endpoints = table
+      .availableFor(requirements.service)
+      .filter(endpoint => meetsVersion(endpoint, requirements.version));
+    return hasFreeAlternative(endpoints, requirements, current, choice);
+  };
+
   /** Starts listening and the heartbeats; {@link run} joins the leader election. */
   async start(): Promise<void> {
     const {listen, clock} = this.options;
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -44,8 +44,14 @@
   ChoiceDependencies,
   EndpointRequirements,
   FindEndpoint,
+  HasAlternative,
+} from './endpoint_choice.js';
+import {
+  chooseEngine,
+  hasFreeAlternative,
+  isListed,
+  preferUnavoided,
 } from './endpoint_choice.js';
-import {chooseEngine, isListed, preferUnavoided} from './endpoint_choice.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import type {LimitDependencies} from './limited_choice.js';
 import {chooseWithinLimits} from './limited_choice.js';
@@ -239,6 +245,15 @@
     }
   };
 
+  /** Whether another engine that has the model has a free slot. */
+  readonly hasAlternative: HasAlternative = (requirements, current) =>
+    hasFreeAlternative(
+      this.enginesWithModel(requirements),
+      requirements,
+      current,
+      this.options.choice,
+    );
+
   /** Ends the waits for versions that have left. */
   onEndpointChanges(): void {
     for (const {requirements, settle} of this.waiters) {
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -51,7 +51,11 @@
 import {fingerprintOf, hash32} from '@siskinmux/routing';
 import type {AttemptResult, ResponseSource} from './attempt_result.js';
 import type {CallerExchange} from './caller_exchange.js';
-import type {EndpointRequirements, FindEndpoint} from './endpoint_choice.js';
+import type {
+  EndpointRequirements,
+  FindEndpoint,
+  HasAlternative,
+} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import {REQUEST_ENDED, SEND_FAILED} from './gateway_events.js';
 import type {InFlightCounts} from './in_flight_counts.js';
@@ -112,6 +116,7 @@
   readonly retryBudgets: RetryBudgets;
   readonly continuity: StreamContinuity;
   readonly find: FindEndpoint;
+  readonly hasAlternative: HasAlternative;
   readonly emit: EmitEvent;
   /** Called when an engine lacks the model or adapter that the node expected it to hold. */
   readonly reportMissingModel: (endpoint: EndpointId, model: ModelName) => void;
@@ -515,7 +520,7 @@
         isRetryable(this.route),
       );
       this.sentRequest = sentRequest;
-      this.inactivityTimer = this.startInactivityTimer(sentRequest);
+      this.inactivityTimer = this.startInactivityTimer(endpoint, sentRequest);
       const response = await sentRequest.result;
       if (response.kind === 'answered') {
         trackedSend.recordContact();
@@ -564,6 +569,7 @@
 
   /** A send is aborted for inactivity only if another endpoint may still run the request. */
   private startInactivityTimer(
+    endpoint: EndpointDescription,
     sentRequest: SentRequest,
   ): InactivityTimer | undefined {
     const {route} = this;
@@ -573,7 +579,18 @@
     return InactivityTimer.create(
       clock,
       inactivityTimeoutMilliseconds(route),
-      () => sentRequest.abort(),
+      () => {
+        if (this.canMoveFrom(endpoint)) sentRequest.abort();
+      },
+    );
+  }
+
+  /** An endpoint that is only slow is better than none: its work would be lost, and no other could begin. */
+  private canMoveFrom(endpoint: EndpointDescription): boolean {
+    const {retryBudgets, hasAlternative} = this.dependencies;
+    return (
+      retryBudgets.forService(endpoint.service).canRetry &&
+      hasAlternative(this.requirements(), endpoint.id)
     );
   }
 
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -49,9 +49,14 @@
     this.addTokens(this.limits.share);
   }
 
+  /** Whether a retry token is left. */
+  get canRetry(): boolean {
+    return this.tokens >= 1;
+  }
+
   /** Consumes one retry token; returns false when none is left. */
   tryAcquireRetry(): boolean {
-    if (this.tokens < 1) return false;
+    if (!this.canRetry) return false;
     this.tokens -= 1;
     return true;
   }
