Don't raise the limit on loads from the store by loads that others joined at their end

Cause: the limit doubles when a load that ran beside as many others as allowed was as fast as one alone. The first of two raised it to four; the planner started three more, which counted as the peak of the second, and its end raised it to eight. Change: only loads that started beside that many others raise the limit; peaks still tell what has slowed a load.

--- a/packages/placement/__tests__/load_limiter.test.ts
+++ b/packages/placement/__tests__/load_limiter.test.ts
@@ -53,6 +53,23 @@
     expect(loads).toEqual([1, 2, 4, 8, 5, 6, 5]);
   });
 
+  it('is not raised twice by loads that others joined at their end', () => {
+    const limiter = LoadLimiter.create(WINDOW_MILLISECONDS, 2);
+    const timing = {
+      loadMilliseconds: UNCONTENDED_MILLISECONDS,
+      uncontendedMilliseconds: UNCONTENDED_MILLISECONDS,
+    };
+    const earlier = [limiter.startLoad(at(0)), limiter.startLoad(at(0))];
+    earlier[1]?.(timing);
+    expect(limiter.concurrencyLimit).toEqual(4);
+    let joined = 0;
+    for (; limiter.availableLoads(LOADS_PER_SECOND, at(6_000)) > 0; joined += 1)
+      limiter.startLoad(at(6_000));
+    expect(joined).toEqual(3);
+    earlier[0]?.(timing);
+    expect(limiter.concurrencyLimit).toEqual(4);
+  });
+
   it('falls to one when two concurrent loads already slow each other down', () => {
     const limiter = LoadLimiter.create(WINDOW_MILLISECONDS, 4);
     expect(
--- a/packages/placement/src/load_limiter.ts
+++ b/packages/placement/src/load_limiter.ts
@@ -35,8 +35,15 @@
 
 /** Adapts the number of concurrent loads to the speed of completed ones. */
 export class LoadLimiter {
-  /** Loads in progress, each with the peak number of concurrent loads, itself included. */
-  private readonly inProgress = new Set<{peakLoads: number}>();
+  /**
+   * Loads in progress, each with the number of concurrent loads at its start, itself included, and
+   * with their peak. Loads that join at its end may have slowed it, but don't show that it would
+   * have been as fast beside them.
+   */
+  private readonly inProgress = new Set<{
+    readonly initialLoads: number;
+    peakLoads: number;
+  }>();
 
   private hasBeenSlowed = false;
 
@@ -95,15 +102,15 @@
   /** Records the start of a load; the returned function has to be called when it ends. */
   startLoad(now: Instant): FinishLoad {
     this.starts.push(now);
-    const load = {peakLoads: 0};
+    const concurrentLoads = this.inProgress.size + 1;
+    const load = {initialLoads: concurrentLoads, peakLoads: concurrentLoads};
     this.inProgress.add(load);
-    for (const other of this.inProgress) {
-      other.peakLoads = Math.max(other.peakLoads, this.inProgress.size);
-    }
+    for (const other of this.inProgress)
+      other.peakLoads = Math.max(other.peakLoads, concurrentLoads);
     return timing => {
       if (!this.inProgress.delete(load) || timing === undefined) return;
       this.adjustLimit(
-        load.peakLoads,
+        load,
         timing.loadMilliseconds,
         timing.uncontendedMilliseconds,
       );
@@ -111,7 +118,7 @@
   }
 
   private adjustLimit(
-    peakLoads: number,
+    {initialLoads, peakLoads}: {initialLoads: number; peakLoads: number},
     loadMilliseconds: Milliseconds,
     uncontendedMilliseconds: Milliseconds,
   ): void {
@@ -125,7 +132,7 @@
         Math.min(this.limit, servedAtFullSpeed),
       );
       this.hasBeenSlowed = true;
-    } else if (peakLoads >= this.limit) {
+    } else if (initialLoads >= this.limit) {
       const raised = this.hasBeenSlowed ? this.limit + 1 : this.limit * 2;
       this.limit = Math.min(MAXIMUM_CONCURRENCY, raised);
     }
