Count what a load from the store blocks, and keep such loads for demand

Cause: an engine carries out one order at a time, so that a load from the store makes all its copies unusable; the plan counted only the reload time of what it evicted, which is nothing for a model without arrivals. And while traffic had not begun, or no request waited, models without a copy were loaded by the order of the configuration, the first of them although its engines were only about to register. Change: a load from the store costs what it blocks, by engine and by evicted model; models are copied ahead only if the store could copy all such models within two minutes, and after no engine was added for 3 s.

--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -52,6 +52,7 @@
     demand,
     availableStoreLoads,
     storeLoadLimit: 4,
+    engineAddedAt: as<Instant>(0),
   });
 }
 
@@ -285,6 +286,67 @@
     expect(changes.length).toEqual(1);
   });
 
+  it('copies models ahead of requests once no engine is being added, if the store can copy all of them soon', () => {
+    const engines = [engine('e1', [0], []), engine('e2', [1], [])];
+    const input = {
+      now,
+      declaration,
+      engines,
+      demand: demandOf({}),
+      availableStoreLoads: 2,
+      storeLoadLimit: 2,
+      engineAddedAt: as<Instant>(now - 5_000),
+    };
+    expect(planModels(input).map(({reason}) => reason)).toEqual([
+      'spread',
+      'spread',
+    ]);
+    const settling = {...input, engineAddedAt: as<Instant>(now - 500)};
+    expect(planModels(settling)).toEqual([]);
+  });
+
+  it('keeps loads from the store for requested models while the store could not copy all others soon', () => {
+    const input = {
+      now,
+      declaration: createDeclaration(100, 3),
+      engines: [engine('e1', [0], []), engine('e2', [1], [])],
+      demand: demandOf({}),
+      availableStoreLoads: 2,
+      storeLoadLimit: 2,
+      engineAddedAt: as<Instant>(0),
+    };
+    expect(planModels(input)).toEqual([]);
+    const demand = demandOf({waiting: [waiting(50)]});
+    expect(planModels({...input, demand}).map(({load}) => load)).toEqual([
+      model(50),
+    ]);
+  });
+
+  it('evicts a spare replica for a load from the store, not an idle model without another copy', () => {
+    const changes = plan(
+      [engine('e1', [0, 1, 2], []), engine('e2', [0, 3, 4], [])],
+      demandOf({
+        waiting: [waiting(5)],
+        arrived: [{model: model(0), count: 8}],
+      }),
+    );
+    const [load] = changes.filter(change => change.load === model(5));
+    expect(load?.unload).toEqual([model(0)]);
+  });
+
+  it('loads from the store on an engine whose copies other engines have, too', () => {
+    const changes = plan(
+      [
+        engine('e1', [0], [6, 7]),
+        engine('e2', [0], [8, 9, 10, 11]),
+        engine('e3', [0], [8, 9, 10, 11]),
+      ],
+      demandOf({waiting: [waiting(5)]}),
+    );
+    const [load] = changes.filter(change => change.load === model(5));
+    expect(load?.engine).toEqual(as<EndpointId>('e2'));
+  });
+
   it('adds a replica of a model that uses at least 35 % of its slots and evicts a less used model for it', () => {
     const one = engine('one', [0, 1, 2], []);
     const two = engine('two', [3, 4, 5], [0]);
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -86,6 +86,7 @@
   /** Reads of engine states in progress, at most one per engine. */
   private readonly pendingReads = new Map<EngineView, Promise<void>>();
   private declaration: EngineDeclaration | undefined;
+  private engineAddedAt: Instant;
   private isPlanScheduled = false;
   private isStopped = false;
 
@@ -100,6 +101,7 @@
       maximumAdapters: () => this.declaration?.maximumAdapters ?? 0,
       resynchronize: engine => this.resynchronize(engine),
     });
+    this.engineAddedAt = clock.now();
     this.changeExecutor = ModelChangeExecutor.create({
       clock,
       emit,
@@ -233,6 +235,7 @@
     });
     const engine = {view, orderQueue};
     this.engines.set(view.id, engine);
+    this.engineAddedAt = clock.now();
     // The report may not show the last order of the previous lease holder yet.
     void this.resynchronize(engine);
   }
@@ -330,6 +333,7 @@
       demand: this.demand,
       availableStoreLoads,
       storeLoadLimit: loadLimiter.concurrencyLimit,
+      engineAddedAt: this.engineAddedAt,
     };
     if (authority() !== undefined) {
       const changes = planModels(input);
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -47,6 +47,15 @@
 /** A model with a lower arrival rate counts as unused. */
 const UNUSED_BELOW_ARRIVALS_PER_SECOND = 0.02;
 
+/**
+ * Models are copied from the weight store ahead of requests only if all models without a copy
+ * can be copied in this time. Otherwise the loads are kept for models that requests ask for.
+ */
+const COPYING_AHEAD_MILLISECONDS: Milliseconds = 120_000;
+
+/** After an engine was added, others that have copies may still register. */
+const SETTLING_MILLISECONDS: Milliseconds = 3_000;
+
 /** A model's score is the number of its waiting requests plus its arrivals in this time. */
 const SCORED_ARRIVAL_SECONDS = 2;
 
@@ -112,6 +121,8 @@
   readonly availableStoreLoads: number;
   /** Concurrent loads that the weight store is assumed to serve at full speed. */
   readonly storeLoadLimit: number;
+  /** When the latest engine was added. */
+  readonly engineAddedAt: Instant;
 }
 
 /** Plans the changes to start now, at most one per engine. */
@@ -163,8 +174,10 @@
   private readonly changes: ModelChange[] = [];
   private readonly changingEngines = new Set<EndpointId>();
   private readonly replicaCounts = new Map<ModelName, number>();
-  /** Models of which an engine that isn't draining has a local copy. */
+  /** Models of which engines that aren't draining have a local copy. */
   private readonly copiedModels = new Set<ModelName>();
+  /** Of these, those that could be loaded from a copy now, with the number of such engines. */
+  private readonly loadableCopies = new Map<ModelName, number>();
   private remainingStoreLoads: number;
   private readonly hasLimitedEngines: boolean;
 
@@ -174,15 +187,17 @@
       ({requestLimit}) => requestLimit !== undefined,
     );
     for (const engine of input.engines) {
-      const {models, inMemory, onDisk, pendingLoad} = engine;
+      const {models, pendingLoad} = engine;
       if (engine.isDraining) continue;
       // The model of a change counts as a replica while the evictions for it are in
       // progress.
       if (pendingLoad !== undefined && !models.has(pendingLoad.model)) {
         this.addReplica(pendingLoad.model);
       }
-      for (const model of inMemory) this.copiedModels.add(model);
-      for (const model of onDisk) this.copiedModels.add(model);
+      for (const model of copiesOf(engine)) {
+        this.copiedModels.add(model);
+        if (engine.canPlanChange) this.addLoadableCopy(model);
+      }
       for (const {model, state} of models.values()) {
         if (state === 'ready' || state === 'loading') this.addReplica(model);
       }
@@ -394,9 +409,19 @@
 
   /** Loads models that no engine has a copy of, without evicting models in use. */
   private loadUncopiedModels(): void {
-    for (const model of this.input.declaration.models.keys()) {
+    const {declaration, now, engineAddedAt, storeLoadLimit} = this.input;
+    if (until(engineAddedAt, now) < SETTLING_MILLISECONDS) return;
+    const uncopied = [...declaration.models.values()].filter(
+      ({name}) => this.replicaCount(name) === 0 && !this.hasCopy(name),
+    );
+    const copyingMilliseconds = uncopied.reduce(
+      (sum, {loadMilliseconds}) => sum + loadMilliseconds.store,
+      0,
+    );
+    if (copyingMilliseconds / storeLoadLimit > COPYING_AHEAD_MILLISECONDS)
+      return;
+    for (const {name: model} of uncopied) {
       if (this.remainingStoreLoads <= 0) return;
-      if (this.replicaCount(model) > 0 || this.hasCopy(model)) continue;
       const candidate = this.cheapestCandidate(model, 0, SPARE_RULES);
       // No engine that can change now has room for this model. The other models could only
       // use the same engines; they are left to a later plan, even smaller ones that might
@@ -458,14 +483,26 @@
     isEvictionRestricted: boolean,
   ): LoadCandidate | undefined {
     const tier = engine.nearestWeightTier(declared.name);
+    const blockedMilliseconds =
+      tier === 'store' ? declared.loadMilliseconds.store : 0;
+    const evictionCost = (placed: PlacedModel): number =>
+      Math.max(
+        this.evictionCost(placed),
+        this.blockingCost(placed.model, 1, blockedMilliseconds),
+      );
     const unload = this.selectEvictions(
       engine,
       declared.weightsMegabytes,
       isEvictionRestricted,
+      evictionCost,
     );
     if (unload === undefined) return undefined;
     const evictionSeconds = unload.reduce(
-      (sum, placed) => sum + this.evictionCost(placed),
+      (sum, placed) => sum + evictionCost(placed),
+      0,
+    );
+    const blockedSeconds = copiesOf(engine).reduce(
+      (sum, copy) => sum + this.blockingCost(copy, 0, blockedMilliseconds),
       0,
     );
     const loadSeconds =
@@ -482,7 +519,12 @@
       unload,
       tier,
       cost:
-        loadSeconds + evictionSeconds + copyBalance + adapterWait + limitCost,
+        loadSeconds +
+        evictionSeconds +
+        blockedSeconds +
+        copyBalance +
+        adapterWait +
+        limitCost,
     };
   }
 
@@ -494,15 +536,14 @@
     engine: EngineView,
     megabytes: number,
     isEvictionRestricted: boolean,
+    evictionCost: (placed: PlacedModel) => number,
   ): PlacedModel[] | undefined {
     const {declaration} = this.input;
     let free = engine.freeMegabytes(declaration);
     const evicted: PlacedModel[] = [];
     const evictable = [...engine.models.values()]
       .filter(placed => this.canEvict(engine, placed, isEvictionRestricted))
-      .sort(
-        (left, right) => this.evictionCost(left) - this.evictionCost(right),
-      );
+      .sort((left, right) => evictionCost(left) - evictionCost(right));
     for (const placed of evictable) {
       if (free >= megabytes) break;
       evicted.push(placed);
@@ -543,6 +584,25 @@
     return (rate * weight * diskMilliseconds) / MILLISECONDS_PER_SECOND;
   }
 
+  /**
+   * An engine can't load another copy during a load from the weight store. Arrival rate of a model
+   * that would have no replica and no copy elsewhere, multiplied by the seconds of that load.
+   */
+  private blockingCost(
+    model: ModelName,
+    evictedReplicas: number,
+    blockedMilliseconds: Milliseconds,
+  ): number {
+    const {demand, now} = this.input;
+    const otherCopies = (this.loadableCopies.get(model) ?? 0) - 1;
+    if (this.replicaCount(model) > evictedReplicas || otherCopies > 0) return 0;
+    const rate = Math.max(
+      demand.arrivalsPerSecond(model, now),
+      UNUSED_BELOW_ARRIVALS_PER_SECOND,
+    );
+    return (rate * blockedMilliseconds) / MILLISECONDS_PER_SECOND;
+  }
+
   private addChange(
     model: ModelName,
     candidate: LoadCandidate,
@@ -551,6 +611,7 @@
     const {engine, unload, tier} = candidate;
     if (tier === 'store') this.remainingStoreLoads -= 1;
     this.changingEngines.add(engine.id);
+    for (const copy of copiesOf(engine)) this.addLoadableCopy(copy, -1);
     this.addReplica(model);
     for (const placed of unload) this.addReplica(placed.model, -1);
     this.changes.push({
@@ -562,6 +623,13 @@
     });
   }
 
+  private addLoadableCopy(model: ModelName, count = 1): void {
+    this.loadableCopies.set(
+      model,
+      (this.loadableCopies.get(model) ?? 0) + count,
+    );
+  }
+
   private replicaCount(model: ModelName): number {
     return this.replicaCounts.get(model) ?? 0;
   }
@@ -570,3 +638,8 @@
     this.replicaCounts.set(model, this.replicaCount(model) + count);
   }
 }
+
+/** Models that an engine has copies of, in its memory or on its disk. */
+function copiesOf({inMemory, onDisk}: EngineView): ModelName[] {
+  return [...new Set([...inMemory, ...onDisk])];
+}
