Keep three quarters of the engines free of loads from the store

Cause: the limit counted only how many loads the store serves at full speed, not how many engines they occupy. A load from disk takes a tenth of the time and serves requests that wait for it. Change: at most a quarter of the engines, rounded up, load from the store at the same time. Measured: load_limiter.test.ts, a new test.

--- a/packages/placement/__tests__/load_limiter.test.ts
+++ b/packages/placement/__tests__/load_limiter.test.ts
@@ -70,6 +70,18 @@
     expect(limiter.concurrencyLimit).toEqual(4);
   });
 
+  it('leaves the other engines free for changes, however many loads the store serves', () => {
+    const limiter = LoadLimiter.create(WINDOW_MILLISECONDS, 8);
+    const maximum = 2;
+    let started = 0;
+    while (limiter.availableLoads(LOADS_PER_SECOND, at(0), maximum) > 0) {
+      limiter.startLoad(at(0));
+      started += 1;
+    }
+    expect(started).toEqual(maximum);
+    expect(limiter.concurrencyLimit).toEqual(8);
+  });
+
   it('falls to one when two concurrent loads already slow each other down', () => {
     const limiter = LoadLimiter.create(WINDOW_MILLISECONDS, 4);
     expect(
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -52,6 +52,9 @@
   readonly models: readonly ModelName[];
 }
 
+/** Share of the engines that may be busy with loads from the weight store, as they can't change otherwise. */
+const LOADING_SHARE = 0.25;
+
 /** Dependencies of {@link Allocator}. */
 export interface AllocatorOptions {
   readonly service: ServiceName;
@@ -325,6 +328,7 @@
     const availableStoreLoads = loadLimiter.availableLoads(
       declaration.maximumStoreLoadsPerSecond,
       now,
+      Math.ceil(engines.length * LOADING_SHARE),
     );
     const input = {
       now,
--- a/packages/placement/src/load_limiter.ts
+++ b/packages/placement/src/load_limiter.ts
@@ -78,8 +78,15 @@
     return this.limit;
   }
 
-  /** Loads that may start now; negative when more are in progress than the limit allows. */
-  availableLoads(loadsPerSecond: number, now: Instant): number {
+  /**
+   * Loads that may start now; negative when more are in progress than the limit, or `maximum`,
+   * allows.
+   */
+  availableLoads(
+    loadsPerSecond: number,
+    now: Instant,
+    maximum = MAXIMUM_CONCURRENCY,
+  ): number {
     while (
       this.starts[0] !== undefined &&
       until(this.starts[0], now) >= this.windowMilliseconds
@@ -94,7 +101,7 @@
       ),
     );
     return Math.min(
-      this.limit - this.inProgress.size,
+      Math.min(this.limit, maximum) - this.inProgress.size,
       maximumInWindow - this.starts.length,
     );
   }
