Bound the engines that load from the store by how long they are blocked

Change: no wait after an added engine; one load at first, as before; so many engines load that a request that needs a change of any engine waits 1.7 s on average: a quarter of them at 13 s a load, half at 6 s.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -83,12 +83,6 @@
   handleWitness,
 } from './witness_messages.js';
 
-/**
- * Concurrent loads from the weight store before any was measured. If the store serves only one at
- * full speed, the second ends as late as if it had waited, and shows it.
- */
-const FIRST_CONCURRENCY = 2;
-
 /** Interval between heartbeats to the followers, whose timeout covers three of them. */
 export const HEARTBEAT_MILLISECONDS: Milliseconds = 300;
 
@@ -163,7 +157,7 @@
   private constructor(private readonly options: AllocatorServerOptions) {
     this.loadLimiter = LoadLimiter.create(
       options.loadWindowMilliseconds,
-      options.initialConcurrencyLimit ?? FIRST_CONCURRENCY,
+      options.initialConcurrencyLimit,
       options.earlierLoadStarts,
     );
     this.feed = ChangeFeed.create(options);
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -52,8 +52,11 @@
   readonly models: readonly ModelName[];
 }
 
-/** Share of the engines that may be busy with loads from the weight store, as they can't change otherwise. */
-const LOADING_SHARE = 0.25;
+/**
+ * An engine can't change otherwise during a load from the weight store. So many engines may be busy
+ * with such loads that a request that needs a change of any engine waits this long on average.
+ */
+const MEAN_BLOCKING_MILLISECONDS: Milliseconds = 1_700;
 
 /** Dependencies of {@link Allocator}. */
 export interface AllocatorOptions {
@@ -89,7 +92,6 @@
   /** Reads of engine states in progress, at most one per engine. */
   private readonly pendingReads = new Map<EngineView, Promise<void>>();
   private declaration: EngineDeclaration | undefined;
-  private engineAddedAt: Instant;
   private isPlanScheduled = false;
   private isStopped = false;
 
@@ -104,7 +106,6 @@
       maximumAdapters: () => this.declaration?.maximumAdapters ?? 0,
       resynchronize: engine => this.resynchronize(engine),
     });
-    this.engineAddedAt = clock.now();
     this.changeExecutor = ModelChangeExecutor.create({
       clock,
       emit,
@@ -238,7 +239,6 @@
     });
     const engine = {view, orderQueue};
     this.engines.set(view.id, engine);
-    this.engineAddedAt = clock.now();
     // The report may not show the last order of the previous lease holder yet.
     void this.resynchronize(engine);
   }
@@ -328,7 +328,7 @@
     const availableStoreLoads = loadLimiter.availableLoads(
       declaration.maximumStoreLoadsPerSecond,
       now,
-      Math.ceil(engines.length * LOADING_SHARE),
+      maximumLoadingEngines(engines.length, declaration),
     );
     const input = {
       now,
@@ -337,7 +337,6 @@
       demand: this.demand,
       availableStoreLoads,
       storeLoadLimit: loadLimiter.concurrencyLimit,
-      engineAddedAt: this.engineAddedAt,
     };
     if (authority() !== undefined) {
       const changes = planModels(input);
@@ -359,3 +358,17 @@
     .map(({model}) => model);
   return {engine: view.id, models: view.isDraining ? [] : models};
 }
+
+/** The rest of a load takes half of its time on average. */
+function maximumLoadingEngines(
+  engineCount: number,
+  {models}: EngineDeclaration,
+): number {
+  const longestLoad = Math.max(
+    1,
+    ...[...models.values()].map(({loadMilliseconds}) => loadMilliseconds.store),
+  );
+  return Math.ceil(
+    (engineCount * 2 * MEAN_BLOCKING_MILLISECONDS) / longestLoad,
+  );
+}
