Compute what a load blocks only for loads from the store

Cause: the plan examined all copies of each engine also for loads from disk and memory, where nothing is blocked: engines times copies times waiting models, for each plan of the lease holder. Change: it does so for loads from the store only; the result is the same. Measured: the tests of the planner pass; processor time not measured.

--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -169,7 +169,7 @@
   private readonly changes: ModelChange[] = [];
   private readonly changingEngines = new Set<EndpointId>();
   private readonly replicaCounts = new Map<ModelName, number>();
-  /** Models of which engines that aren't draining have a local copy. */
+  /** Models of which an engine that isn't draining has a local copy. */
   private readonly copiedModels = new Set<ModelName>();
   /** Of these, those that could be loaded from a copy now, with the number of such engines. */
   private readonly loadableCopies = new Map<ModelName, number>();
@@ -495,7 +495,8 @@
       (sum, placed) => sum + evictionCost(placed),
       0,
     );
-    const blockedSeconds = copiesOf(engine).reduce(
+    const otherCopies = blockedMilliseconds > 0 ? copiesOf(engine) : [];
+    const blockedSeconds = otherCopies.reduce(
       (sum, copy) => sum + this.blockingCost(copy, 0, blockedMilliseconds),
       0,
     );
@@ -588,6 +589,7 @@
     blockedMilliseconds: Milliseconds,
   ): number {
     const {demand, now} = this.input;
+    if (blockedMilliseconds === 0) return 0;
     const otherCopies = (this.loadableCopies.get(model) ?? 0) - 1;
     if (this.replicaCount(model) > evictedReplicas || otherCopies > 0) return 0;
     const rate = Math.max(
