Log by which way a change reached a node, how late it may be, and how old the knowledge was at each send

Cause: the log couldn't tell whether a node that chose a leaving endpoint had not heard of it, by which way it then heard, or had heard and not heeded it. Change: endpoint-changed and routes-in-force name the source (list, watch, feed) and the greatest possible delay; request-ended names the age of the endpoints and of the routes at the last send. The age of a forwarded change is the one that its sender states, as before. No decision is changed. Conclusion: the hypotheses differ in these lines.

--- a/packages/gateway/__tests__/idle_connections.test.ts
+++ b/packages/gateway/__tests__/idle_connections.test.ts
@@ -36,7 +36,7 @@
       idleTimeoutMilliseconds: 1,
     },
   };
-  routes.applyIfNewer(configuration);
+  routes.applyIfNewer(configuration, {source: 'list', delayUpTo: undefined});
   return nodeCount * createIdleLimit(table, routes, () => nodeCount)(engine);
 }
 
--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -39,15 +39,15 @@
     onRead: read => feed.record(read),
     reregistrationGraceMilliseconds: 2_200,
     handler: {
-      onList: ({objects}, deadline) => {
+      onList: ({objects}, context) => {
         events.push(`list ${objects.map(({name}) => name).join(' ')}`.trim());
-        keepMissingUntil.push(deadline);
+        keepMissingUntil.push(context.keepMissingUntil);
       },
-      onChanges: (changes, deadline) => {
+      onChanges: (changes, context) => {
         for (const {object, isRemoved} of changes) {
           events.push(`${isRemoved ? '-' : '+'}${object.name}`);
         }
-        keepMissingUntil.push(deadline);
+        keepMissingUntil.push(context.keepMissingUntil);
         return changes;
       },
     },
--- a/packages/gateway/src/active_routes.ts
+++ b/packages/gateway/src/active_routes.ts
@@ -1,6 +1,6 @@
 /** The route configuration that this node serves; its version never decreases. */
 
-import type {EmitEvent} from '@siskinmux/kernel';
+import type {EmitEvent, Milliseconds} from '@siskinmux/kernel';
 import type {RouteConfiguration} from '@siskinmux/routes';
 import {RouteTable} from '@siskinmux/routes';
 import {ROUTES_IN_FORCE} from './gateway_events.js';
@@ -11,6 +11,13 @@
   readonly table: RouteTable;
 }
 
+/** How a change reached this node, for the log. */
+export interface ChangeOrigin {
+  readonly source: string;
+  /** Greatest possible milliseconds since its acknowledgement; undefined at the first read. */
+  readonly delayUpTo: Milliseconds | undefined;
+}
+
 /** Holds the newest route configuration that this node has read. */
 export class ActiveRoutes {
   private snapshot: RouteSnapshot | undefined;
@@ -33,7 +40,7 @@
   }
 
   /** Applies a configuration if it is newer; the store may respond with an outdated one. */
-  applyIfNewer(configuration: RouteConfiguration): void {
+  applyIfNewer(configuration: RouteConfiguration, origin: ChangeOrigin): void {
     const before = this.snapshot?.configuration.version;
     if (before !== undefined && configuration.version <= before) return;
     this.snapshot = {configuration, table: RouteTable.create(configuration)};
@@ -41,6 +48,7 @@
       version: configuration.version,
       before,
       routes: configuration.routes.length,
+      ...origin,
     });
     for (const listener of this.listeners) listener(this.snapshot);
   }
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -13,7 +13,7 @@
   name: 'request-ended',
   level: 'info',
   meaning:
-    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response.',
+    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response; `endpointsAge` and `routesAge` are the milliseconds, at the last send, for which a change of the platform may have been unknown to this node.',
 };
 
 /** A send to an endpoint failed. */
@@ -30,7 +30,8 @@
   number: 7003,
   name: 'routes-in-force',
   level: 'info',
-  meaning: 'This node has switched to a newer route configuration.',
+  meaning:
+    'This node has switched to a newer route configuration. `source`: `list` or `watch` if this node read it from the store, `feed` if the lease holder forwarded it; `delayUpTo` is the greatest possible time from its acknowledgement by the store, in milliseconds.',
 };
 
 /** A stored route configuration or endpoint entry is invalid. */
@@ -48,7 +49,7 @@
   name: 'endpoint-changed',
   level: 'info',
   meaning:
-    'The platform has added an endpoint, removed it, or lists it as draining or restarted. `state`: `ready`, `draining`, or `gone` if it was removed; `life` changes when its process restarts; `softwareVersion` is the version of its software.',
+    'The platform has added an endpoint, removed it, or lists it as draining or restarted. `state`: `ready`, `draining`, or `gone` if it was removed; `life` changes when its process restarts; `softwareVersion` is the version of its software; `source` and `delayUpTo` are those of `routes-in-force`.',
 };
 
 /** The store no longer responds to this node. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -310,6 +310,7 @@
       peers: this.peers,
       reach: this.reach,
       findEndpoint: id => this.table.get(id),
+      viewAge: () => this.platformView.age,
       inFlightCounts,
       limits: this.limits,
       outliers,
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -62,16 +62,31 @@
 /** Age up to which the last response shows that the store is reachable. */
 const REACHABILITY_MILLISECONDS: Milliseconds = 2_500;
 
-/**
- * Receives what is read from the store. Objects that are missing or removed shortly after
- * an outage may register again; `keepMissingUntil`, if set, is the end of that grace period.
- */
+/** How changes reached this node. */
+export type ReadSource = 'list' | 'watch' | 'feed';
+
+/** Circumstances of a read. */
+export interface ReadContext {
+  readonly source: ReadSource;
+  /**
+   * Changes that the store acknowledged before this were known already; undefined before the
+   * first read.
+   */
+  readonly knownUntil: Instant | undefined;
+  /**
+   * Objects that are missing or removed shortly after an outage may register again; the end
+   * of that grace period, if there is one.
+   */
+  readonly keepMissingUntil: Instant | undefined;
+}
+
+/** Receives what is read from the store. */
 export interface KindHandler {
-  onList(listing: MetadataListing, keepMissingUntil: Instant | undefined): void;
+  onList(listing: MetadataListing, context: ReadContext): void;
   /** Returns the changes that have to be forwarded to other nodes. */
   onChanges(
     changes: readonly MetadataChange[],
-    keepMissingUntil: Instant | undefined,
+    context: ReadContext,
   ): readonly MetadataChange[];
 }
 
@@ -99,6 +114,7 @@
   private storeLostAt: Instant | undefined;
   private storeRegainedAt: Instant | undefined;
   private respondedAt: Instant | undefined;
+  private confirmedUntil: Instant | undefined;
   /** End of the period in which the lease holder's feed replaces this node's own watch. */
   private feedFreshUntil: Instant | undefined;
   /** The latest period in which reads and the feed left no gap. */
@@ -142,6 +158,14 @@
       : undefined;
   }
 
+  /**
+   * All changes that the store acknowledged before this have been read, unless a feed update
+   * was delayed on its way; undefined before the first read.
+   */
+  get knownUntil(): Instant | undefined {
+    return this.confirmedUntil;
+  }
+
   /** Watches until {@link stop}. */
   async run(): Promise<void> {
     while (!this.isStopped) {
@@ -177,10 +201,11 @@
     if (update.to > this.revision) {
       handler.onChanges(
         update.changes ?? [],
-        decodeKeepMissingUntil(update, now),
+        this.contextOf('feed', decodeKeepMissingUntil(update, now)),
       );
       this.revision = update.to;
     }
+    if (update.to === this.revision) this.confirm(after(now, -update.age));
     if (update.age >= MAXIMUM_FEED_AGE_MILLISECONDS) return;
     if (this.feedFreshUntil === undefined) {
       emit(FEED_USED, {kind, revision: update.to, age: Math.round(update.age)});
@@ -242,11 +267,13 @@
   }
 
   private async list(): Promise<void> {
-    const {store, kind, handler, onRead} = this.options;
+    const {store, kind, handler, clock, onRead} = this.options;
+    const sentAt = clock.now();
     const listing = await store.list(kind, false);
     const keepMissingUntil = this.keepMissingUntil();
-    handler.onList(listing, keepMissingUntil);
+    handler.onList(listing, this.contextOf('list', keepMissingUntil));
     this.revision = listing.revision;
+    this.confirm(sentAt);
     this.recordResponse();
     onRead({
       kind,
@@ -263,13 +290,18 @@
   ): Promise<void> {
     const {store, kind, handler, clock, batchMilliseconds, onRead} =
       this.options;
+    const sentAt = clock.now();
     const {changes, revision: to} = await store.watch(kind, from, waitUntil);
     // The feed may have advanced past this response in the meantime.
     if (this.revision === undefined || to >= this.revision) {
       const keepMissingUntil = this.keepMissingUntil();
+      const context = this.contextOf('watch', keepMissingUntil);
       const forwarded =
-        changes.length > 0 ? handler.onChanges(changes, keepMissingUntil) : [];
+        changes.length > 0 ? handler.onChanges(changes, context) : [];
       this.revision = to;
+      // An empty response shows that nothing had happened when the wait ended.
+      const isWaitOver = changes.length === 0 && clock.now() >= waitUntil;
+      this.confirm(isWaitOver ? waitUntil : sentAt);
       onRead({
         kind,
         from,
@@ -282,6 +314,17 @@
     if (changes.length > 0) await sleepFor(clock, batchMilliseconds());
   }
 
+  private contextOf(
+    source: ReadSource,
+    keepMissingUntil: Instant | undefined,
+  ): ReadContext {
+    return {source, knownUntil: this.confirmedUntil, keepMissingUntil};
+  }
+
+  private confirm(until: Instant): void {
+    this.confirmedUntil = later(this.confirmedUntil ?? until, until);
+  }
+
   private watchUntil(): Instant {
     const {clock, isFeedSource} = this.options;
     const delay = isFeedSource()
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -14,17 +14,18 @@
   Milliseconds,
   Random,
 } from '@siskinmux/kernel';
-import {as} from '@siskinmux/kernel';
+import {as, until} from '@siskinmux/kernel';
 import type {
   MetadataChange,
   MetadataObject,
   MetadataStore,
 } from '@siskinmux/ports';
 import {StoredObjectInvalidError} from '@siskinmux/ports';
-import type {ActiveRoutes} from './active_routes.js';
+import type {ActiveRoutes, ChangeOrigin} from './active_routes.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import {ENDPOINT_CHANGED, ENTRY_UNREADABLE} from './gateway_events.js';
 import type {GatewayPlatform} from './gateway_platform.js';
+import type {ReadContext} from './kind_watcher.js';
 import {KindWatcher} from './kind_watcher.js';
 
 /** Batching delay of endpoint changes; leaving endpoints serve for two more seconds. */
@@ -48,6 +49,12 @@
   readonly onRead: (read: KindRead) => void;
 }
 
+/** Ages of what this node knows; undefined before the first read. */
+export interface ViewAge {
+  readonly routes: Milliseconds | undefined;
+  readonly endpoints: Milliseconds | undefined;
+}
+
 /** This node's view of the platform. */
 export class PlatformView {
   private readonly watchers: readonly KindWatcher[];
@@ -57,10 +64,13 @@
     const {platform} = options;
     this.watchers = [
       this.createWatcher(platform.configuration.kind, () => 0, {
-        onList: ({objects}) => objects.forEach(this.applyConfiguration),
-        onChanges: changes => {
+        onList: ({objects}, context) => {
+          for (const object of objects)
+            this.applyConfiguration(object, context);
+        },
+        onChanges: (changes, context) => {
           for (const {object, isRemoved} of changes) {
-            if (!isRemoved) this.applyConfiguration(object);
+            if (!isRemoved) this.applyConfiguration(object, context);
           }
           return changes;
         },
@@ -69,10 +79,10 @@
         platform.endpoints.kind,
         () => this.endpointBatchMilliseconds(),
         {
-          onList: ({objects}, keepMissingUntil) =>
-            this.replaceEndpoints(objects, keepMissingUntil),
-          onChanges: (changes, keepMissingUntil) =>
-            this.applyEndpointChanges(changes, keepMissingUntil),
+          onList: ({objects}, context) =>
+            this.replaceEndpoints(objects, context),
+          onChanges: (changes, context) =>
+            this.applyEndpointChanges(changes, context),
         },
       ),
     ];
@@ -98,6 +108,21 @@
     return this.watchers.find(watcher => watcher.kind === kind)?.currentSince;
   }
 
+  /** How old this node's knowledge is now, at most; see {@link KindWatcher.knownUntil}. */
+  get age(): ViewAge {
+    const {platform, clock} = this.options;
+    const now = clock.now();
+    const ageOf = (wanted: string): Milliseconds | undefined => {
+      const watcher = this.watchers.find(({kind}) => kind === wanted);
+      const knownUntil = watcher?.knownUntil;
+      return knownUntil === undefined ? undefined : until(knownUntil, now);
+    };
+    return {
+      routes: ageOf(platform.configuration.kind),
+      endpoints: ageOf(platform.endpoints.kind),
+    };
+  }
+
   /** Applies what the lease holder has read. */
   applyFeed(updates: readonly FeedUpdate[]): void {
     for (const update of updates) {
@@ -140,12 +165,15 @@
       : ENDPOINT_BATCH_MILLISECONDS;
   }
 
-  private readonly applyConfiguration = (object: MetadataObject): void => {
+  private applyConfiguration(
+    object: MetadataObject,
+    context: ReadContext,
+  ): void {
     const {platform, routes, emit} = this.options;
     const {kind, name, decode} = platform.configuration;
     if (object.name !== name) return;
     try {
-      routes.applyIfNewer(decode(object.content));
+      routes.applyIfNewer(decode(object.content), this.originOf(context));
     } catch (failure) {
       if (!(failure instanceof StoredObjectInvalidError)) throw failure;
       emit(ENTRY_UNREADABLE, {
@@ -155,21 +183,24 @@
         problem: failure.detail,
       });
     }
-  };
+  }
 
   private replaceEndpoints(
     objects: readonly MetadataObject[],
-    keepMissingUntil: Instant | undefined,
+    context: ReadContext,
   ): void {
     const {table} = this.options;
     const readable = objects.flatMap(object => this.decode(object) ?? []);
     this.hasReadEndpoints = true;
-    this.publishChanges(table.replaceAll(readable, keepMissingUntil));
+    this.publishChanges(
+      table.replaceAll(readable, context.keepMissingUntil),
+      context,
+    );
   }
 
   private applyEndpointChanges(
     changes: readonly MetadataChange[],
-    keepMissingUntil: Instant | undefined,
+    context: ReadContext,
   ): readonly MetadataChange[] {
     const {table} = this.options;
     const applied = table.apply(
@@ -178,9 +209,9 @@
         description: isRemoved ? undefined : this.decode(object),
         isRemoved,
       })),
-      keepMissingUntil,
+      context.keepMissingUntil,
     );
-    this.publishChanges(applied);
+    this.publishChanges(applied, context);
     const changed = new Set<string>(
       applied.filter(isNeededByFollowers).map(({id}) => id),
     );
@@ -205,13 +236,27 @@
     return endpoint;
   }
 
-  private publishChanges(changes: readonly EndpointTableChange[]): void {
+  private publishChanges(
+    changes: readonly EndpointTableChange[],
+    context: ReadContext,
+  ): void {
     if (changes.length === 0) return;
-    for (const change of changes) this.logChange(change);
+    for (const change of changes) this.logChange(change, context);
     this.options.onEndpointChanges(changes);
   }
 
-  private logChange({id, before, now}: EndpointTableChange): void {
+  /** How a change reached this node, for the log, with its greatest possible delay. */
+  private originOf({source, knownUntil}: ReadContext): ChangeOrigin {
+    const now = this.options.clock.now();
+    const delayUpTo =
+      knownUntil === undefined ? undefined : Math.round(until(knownUntil, now));
+    return {source, delayUpTo};
+  }
+
+  private logChange(
+    {id, before, now}: EndpointTableChange,
+    context: ReadContext,
+  ): void {
     const hasSameState =
       before !== undefined &&
       now !== undefined &&
@@ -225,6 +270,7 @@
       life: now?.incarnation,
       softwareVersion: now?.softwareVersion,
       state: now === undefined ? 'gone' : now.isDraining ? 'draining' : 'ready',
+      ...this.originOf(context),
     });
   }
 }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -63,6 +63,7 @@
 import {refusalResponse} from './refusal_response.js';
 import type {ContainmentDependencies, EndedRun} from '@siskinmux/containment';
 import {RequestContainment, traitsOfPrompt} from '@siskinmux/containment';
+import type {ViewAge} from './platform_view.js';
 import {
   bufferBody,
   discardBody,
@@ -118,6 +119,8 @@
   readonly find: FindEndpoint;
   readonly hasAlternative: HasAlternative;
   readonly emit: EmitEvent;
+  /** How old this node's knowledge of the platform is now. */
+  readonly viewAge: () => ViewAge;
   /** Called when an engine lacks the model or adapter that the node expected it to hold. */
   readonly reportMissingModel: (endpoint: EndpointId, model: ModelName) => void;
   /** Called when a send has failed, with the decision whether to send the request again. */
@@ -151,6 +154,8 @@
   private lastEndpoint: EndpointDescription | undefined;
   private sentAt: Instant | undefined;
   private respondedAt: Instant | undefined;
+  /** How old this node's knowledge was at the last send. */
+  private viewAge: ViewAge | undefined;
   private sentRequest: SentRequest | undefined;
   private trackedSend: TrackedSend | undefined;
   private peer: NodeId | undefined;
@@ -492,6 +497,7 @@
     this.lastEndpoint = endpoint;
     const sentAt = clock.now();
     this.sentAt = sentAt;
+    this.viewAge = this.dependencies.viewAge();
     const {model, adapter} = this.metadata;
     const release = inFlightCounts.track({
       endpoint: endpoint.id,
@@ -892,8 +898,16 @@
       sends: this.sends,
       runs: this.runs,
       sentAfter: this.millisecondsSinceReceived(this.sentAt),
+      endpointsAge: round(this.viewAge?.endpoints),
+      routesAge: round(this.viewAge?.routes),
       answeredAfter: this.millisecondsSinceReceived(this.respondedAt),
       milliseconds: Math.round(durationMilliseconds),
     });
   }
 }
+
+function round(
+  milliseconds: Milliseconds | undefined,
+): Milliseconds | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
