--- /dev/null
+++ b/packages/gateway/__tests__/knowledge_histories.test.ts
@@ -0,0 +1,114 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {randomBelow} from '@siskinmux/kernel';
+import {
+  KNOWN_WITHIN_MILLISECONDS,
+  KnowledgeCluster,
+  playHistory,
+} from './knowledge_cluster.js';
+
+const SEEDS = Array.from({length: 25}, (_, index) => index + 1);
+
+type Disturbance = Parameters<typeof playHistory>[1][number];
+
+const silentConnection: Disturbance = (_, node) =>
+  node.loseOnce(() => node.store.silenceOpenConnections());
+
+const lostCall: Disturbance = (_, node) =>
+  node.loseOnce(() => {
+    node.store.callsToLose = 1;
+  });
+
+const heldResponses: Disturbance = ({clock}, {store}, random) => {
+  const heldFor = 100 + randomBelow(random, 900);
+  store.responsesHeldUntil = (clock.now() +
+    heldFor) as typeof store.responsesHeldUntil;
+};
+
+const delayedFeed: Disturbance = ({clock}, node, random) => {
+  node.feedDelay = randomBelow(random, 1_500);
+  clock.schedule((clock.now() + 900) as ReturnType<typeof clock.now>, () => {
+    node.feedDelay = 0;
+  });
+};
+
+const pausedFeed: Disturbance = cluster => {
+  const {clock} = cluster;
+  cluster.isHolderSending = false;
+  clock.schedule((clock.now() + 1_200) as ReturnType<typeof clock.now>, () => {
+    cluster.isHolderSending = true;
+  });
+};
+
+const droppedHistory: Disturbance = cluster => {
+  if (cluster.deaf.until === undefined) cluster.dropHistoryAfter(1_000);
+};
+
+/** Seeds in whose histories a node chose without a change for longer than allowed. */
+async function lateSeeds(
+  ...disturbances: readonly Disturbance[]
+): Promise<string[]> {
+  const late: string[] = [];
+  for (const seed of SEEDS) {
+    const longest = await playHistory(seed, disturbances);
+    if (longest > KNOWN_WITHIN_MILLISECONDS)
+      late.push(`seed ${seed}: ${longest} ms`);
+  }
+  return late;
+}
+
+describe('node that chooses by what the store has acknowledged', () => {
+  it('knows each change in time while nothing disturbs its reads', async () => {
+    expect(await lateSeeds(() => {})).toEqual([]);
+  });
+
+  it('knows each change in time when connections to the store fall silent', async () => {
+    expect(await lateSeeds(silentConnection)).toEqual([]);
+  });
+
+  it('knows each change in time when single calls to the store are lost', async () => {
+    expect(await lateSeeds(lostCall)).toEqual([]);
+  });
+
+  it('knows each change in time when the feed is delayed on its way', async () => {
+    expect(await lateSeeds(delayedFeed)).toEqual([]);
+  });
+
+  it('knows each change in time when the holder stops sending while a call is lost', async () => {
+    expect(await lateSeeds(pausedFeed, lostCall)).toEqual([]);
+  });
+
+  it('knows each change in time when watches hear nothing before the history is dropped', async () => {
+    expect(await lateSeeds(droppedHistory)).toEqual([]);
+  });
+
+  it('knows each change in time when all of this comes together', async () => {
+    expect(
+      await lateSeeds(
+        silentConnection,
+        lostCall,
+        heldResponses,
+        delayedFeed,
+        pausedFeed,
+      ),
+    ).toEqual([]);
+  });
+
+  it('reads for itself when the feed tells of changes that its own open watch has not', async () => {
+    const cluster = new KnowledgeCluster(1);
+    const [follower] = cluster.followers;
+    cluster.isHolderSending = false;
+    await cluster.clock.advance(2_000);
+    follower!.store.silenceOpenConnections();
+    cluster.holder.feed.takeUpdates();
+    cluster.acknowledge('leaves');
+    await cluster.clock.advance(350);
+    cluster.holder.feed.takeUpdates();
+    cluster.acknowledge('another');
+    await cluster.clock.advance(350);
+    cluster.isHolderSending = true;
+    await cluster.clock.advance(400);
+    expect(follower!.known.has('leaves')).toEqual(true);
+    cluster.stop();
+  });
+});
