Bound how old the knowledge may be by which a node routes and chooses

Callers: a request was refused as an older configuration says, and one reached an endpoint 2,083 ms after the store had acknowledged that it leaves (2,000 allowed). Cause: no node knew how old its knowledge was. A feed update stated its age at the sender, so a delayed one counted as new; a gap in the feed had no effect on a node whose own watch was open, which the store may hold without a word; a watch waited 1.5 s on a connection that may have fallen silent; one failed read, of the holder even, kept endpoints that had left for 2.2 s. Change: each read and feed update confirms an instant before which all changes are known. Followers send pulses, which the holder repeats, so that the way of an update counts. Reads that are overdue or behind the feed are made once more, over another connection, and by a list. The holder forwards the differences of a list, so that followers need not list themselves. Beyond 1.5 s (0.5 s less than the time in which changes take effect), requests wait for a read, unless the store is unreachable; the endpoint is checked again when it is sent to. Missing endpoints are kept only after outages in which entries can expire. Holders of earlier versions repeat no pulse: their changes are applied, and this node reads for itself.

--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -10,6 +10,7 @@
 } from '@siskinmux/testkit';
 import {ChangeFeed} from '../src/change_feed.js';
 import {KindWatcher} from '../src/kind_watcher.js';
+import {viewAgeLimits} from '../src/view_age_limits.js';
 
 interface Environment {
   readonly clock: VirtualClock;
@@ -34,6 +35,8 @@
     clock,
     random,
     emit: discardEvents,
+    ageLimits: viewAgeLimits(2_000),
+    outageMilliseconds: 2_400,
     batchMilliseconds: () => batchMilliseconds,
     isFeedSource: () => environment.isFeedSource === true,
     onRead: read => feed.record(read),
@@ -65,7 +68,8 @@
   const sendFeed = (): void => {
     const updates = holder.feed.takeUpdates();
     if (feedConnection.isUp)
-      for (const update of updates) follower.watcher.applyFeed(update);
+      for (const update of updates)
+        follower.watcher.applyFeed(update, clock.now());
     clock.schedule(after(clock.now(), 300), sendFeed);
   };
   clock.schedule(after(clock.now(), 300), sendFeed);
@@ -139,6 +143,20 @@
     watcher.stop();
   });
 
+  it('keeps no object that is removed after a read has failed, as objects expire in longer outages only', async () => {
+    const {clock, sharedObjects, store, keepMissingUntil, watcher} = build();
+    sharedObjects.put('servers', 'one', {});
+    await clock.advance(100);
+    store.isUnreachable = true;
+    await clock.advance(50);
+    store.isUnreachable = false;
+    await clock.advance(1_000);
+    sharedObjects.remove('servers', 'one');
+    await clock.advance(100);
+    expect(keepMissingUntil).toEqual([undefined, undefined]);
+    watcher.stop();
+  });
+
   it('backs off to at most one call a second while the store is unreachable', async () => {
     const {clock, store, watcher} = build();
     await clock.advance(100);
--- a/packages/gateway/__tests__/knowledge_cluster.ts
+++ b/packages/gateway/__tests__/knowledge_cluster.ts
@@ -28,12 +28,15 @@
 import {ChangeFeed} from '../src/change_feed.js';
 import type {FeedUpdate} from '../src/change_feed.js';
 import {KindWatcher} from '../src/kind_watcher.js';
+import {viewAgeLimits} from '../src/view_age_limits.js';
 
 export const KIND = 'servers';
 
 /** When a change has to be known, with time left for a send that begins just before. */
 export const KNOWN_WITHIN_MILLISECONDS: Milliseconds = 1_600;
 
+const AGE_LIMITS = viewAgeLimits(2_000);
+
 const HEARTBEAT_MILLISECONDS: Milliseconds = 300;
 const LINK_MILLISECONDS: Milliseconds = 2;
 const RESPONSE_MILLISECONDS: Milliseconds = 4;
@@ -172,6 +175,9 @@
   /** Delay of what the holder sends to this node, beyond that of the link. */
   feedDelay: Milliseconds = 0;
   private deliveredAt: Instant;
+  /** The last pulse of this node that has reached the holder. */
+  private pulse: Instant | undefined;
+  private nextPulseAt: Instant | undefined;
   private nextLossAt: Instant | undefined;
 
   constructor(
@@ -191,7 +197,10 @@
       clock,
       random,
       emit: discardEvents,
-      batchMilliseconds: () => (isHolder ? 300 : 600),
+      ageLimits: AGE_LIMITS,
+      batchMilliseconds: () =>
+        isHolder ? AGE_LIMITS.feedSourceBatch : AGE_LIMITS.batch,
+      outageMilliseconds: 2_400,
       isFeedSource: () => isHolder,
       onRead: read => this.feed.record(read),
       reregistrationGraceMilliseconds: 2_200,
@@ -210,7 +219,17 @@
 
   /** Whether the node chooses by what it knows now. */
   get isChoosing(): boolean {
-    return this.known.size > 0;
+    return this.known.size > 0 && this.watcher.isDecidable;
+  }
+
+  private sendPulse(): void {
+    const {clock} = this;
+    const now = clock.now();
+    if (this.nextPulseAt !== undefined && now < this.nextPulseAt) return;
+    this.nextPulseAt = after(now, AGE_LIMITS.pulse);
+    clock.schedule(after(now, LINK_MILLISECONDS), () => {
+      this.pulse = now;
+    });
   }
 
   /** Loses something on the way to the store, unless that has happened lately. */
@@ -223,11 +242,12 @@
 
   /** Sends updates to this node over a link that keeps their order. */
   deliver(updates: readonly FeedUpdate[]): void {
-    const {clock} = this;
+    const {clock, pulse} = this;
     const arrivesAt = after(clock.now(), LINK_MILLISECONDS + this.feedDelay);
     this.deliveredAt = as<Instant>(Math.max(arrivesAt, this.deliveredAt));
     clock.schedule(this.deliveredAt, () => {
-      for (const update of updates) this.watcher.applyFeed(update);
+      for (const update of updates) this.watcher.applyFeed(update, pulse);
+      this.sendPulse();
     });
   }
 }
--- a/packages/gateway/__tests__/knowledge_histories.test.ts
+++ b/packages/gateway/__tests__/knowledge_histories.test.ts
@@ -94,6 +94,24 @@
     ).toEqual([]);
   });
 
+  it('waits for a read instead of choosing while a change may be unknown, but not while the store is away', async () => {
+    const cluster = new KnowledgeCluster(1);
+    const [follower] = cluster.followers;
+    await cluster.clock.advance(2_000);
+    cluster.isHolderSending = false;
+    follower!.store.silenceOpenConnections();
+    follower!.store.callsToLose = 100;
+    let heldFor = 0;
+    for (let elapsed = 0; elapsed < 3_000; elapsed += 10) {
+      await cluster.clock.advance(10);
+      if (!follower!.isChoosing) heldFor += 10;
+    }
+    expect(heldFor).toBeGreaterThan(0);
+    expect(heldFor).toBeLessThanOrEqual(500);
+    expect(follower!.isChoosing).toEqual(true);
+    cluster.stop();
+  });
+
   it('reads for itself when the feed tells of changes that its own open watch has not', async () => {
     const cluster = new KnowledgeCluster(1);
     const [follower] = cluster.followers;
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -60,6 +60,7 @@
   encodeGrant,
   helloSchema,
   missingModelSchema,
+  pulseSchema,
   usageSchema,
 } from './placement_messages.js';
 import {
@@ -285,6 +286,10 @@
         return encodePermitDecision(decision, clock.now());
       },
     );
+    connection.handle(PEER_METHODS.pulse, pulseSchema, ({at}) => {
+      const follower = node && this.followers.get(node);
+      if (follower) follower.pulse = at;
+    });
     handleWitness(connection, PEER_METHODS.witness, this.options.testify);
     handleServiceWitness(
       connection,
@@ -418,7 +423,12 @@
       feed: this.feed.takeUpdates(),
       loads: this.endpointLoads(),
     };
-    this.broadcast(PEER_METHODS.allocatorHeartbeat, heartbeat);
+    for (const {connection, pulse} of this.followers.values()) {
+      connection.notify(PEER_METHODS.allocatorHeartbeat, {
+        ...heartbeat,
+        echo: pulse,
+      });
+    }
     return heartbeat;
   }
 
--- a/packages/gateway/src/change_feed.ts
+++ b/packages/gateway/src/change_feed.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Clock, Instant, ObjectVersion} from '@siskinmux/kernel';
-import {after, as, until} from '@siskinmux/kernel';
+import {as, until} from '@siskinmux/kernel';
 import type {MetadataChange} from '@siskinmux/ports';
 import {z} from 'zod';
 
@@ -40,9 +40,12 @@
       }),
     )
     .nullable(),
-  /** Milliseconds since the store responded with revision `to`. */
+  /** Milliseconds, when this is written, since every change was known to be contained. */
   age: z.number().nonnegative(),
-  /** Remaining milliseconds in which missing objects are kept after an outage; 0 without one. */
+  /**
+   * Remaining milliseconds in which missing objects are kept after an outage of the sender; 0
+   * without one. Only nodes of earlier versions heed it.
+   */
   returnLeft: z.number().nonnegative(),
 });
 
@@ -55,6 +58,8 @@
   readonly to: ObjectVersion;
   /** Undefined after a full list, from which the changes are unknown. */
   readonly changes: readonly MetadataChange[] | undefined;
+  /** `to` covers all changes that the store acknowledged before this. */
+  readonly knownUntil: Instant;
   readonly keepMissingUntil: Instant | undefined;
 }
 
@@ -62,7 +67,7 @@
   from: ObjectVersion;
   to: ObjectVersion;
   changes: MetadataChange[] | undefined;
-  respondedAt: Instant;
+  knownUntil: Instant;
   keepMissingUntil: Instant | undefined;
 }
 
@@ -77,8 +82,8 @@
   }
 
   /** Records a response of the store. */
-  record({kind, from, to, changes, keepMissingUntil}: KindRead): void {
-    const respondedAt = this.clock.now();
+  record(read: KindRead): void {
+    const {kind, from, to, changes, knownUntil, keepMissingUntil} = read;
     const batch = this.batches.get(kind);
     if (batch === undefined) {
       // Nothing was sent before, so the first update starts at this revision.
@@ -86,16 +91,17 @@
         from: to,
         to,
         changes: [],
-        respondedAt,
+        knownUntil,
         keepMissingUntil,
       });
       return;
     }
-    const isContiguous = changes !== undefined && from === batch.to;
+    const isContiguous =
+      changes !== undefined && from !== undefined && from <= batch.to;
     if (isContiguous) batch.changes?.push(...changes);
     else batch.changes = undefined;
     batch.to = to;
-    batch.respondedAt = respondedAt;
+    batch.knownUntil = knownUntil;
     batch.keepMissingUntil = keepMissingUntil;
   }
 
@@ -103,7 +109,7 @@
   takeUpdates(): FeedUpdate[] {
     const now = this.clock.now();
     return [...this.batches].map(([kind, batch]) => {
-      const {from, to, respondedAt, keepMissingUntil} = batch;
+      const {from, to, knownUntil, keepMissingUntil} = batch;
       const changes = omitTooLarge(batch.changes);
       batch.from = to;
       batch.changes = [];
@@ -112,21 +118,13 @@
         from,
         to,
         changes,
-        age: until(respondedAt, now),
+        age: Math.max(0, until(knownUntil, now)),
         returnLeft: Math.max(0, until(now, keepMissingUntil ?? now)),
       };
     });
   }
 }
 
-/** The end of `returnLeft` by the receiver's clock; undefined without an outage. */
-export function decodeKeepMissingUntil(
-  {returnLeft}: FeedUpdate,
-  now: Instant,
-): Instant | undefined {
-  return returnLeft > 0 ? after(now, returnLeft) : undefined;
-}
-
 function omitTooLarge(
   changes: MetadataChange[] | undefined,
 ): MetadataChange[] | null {
--- a/packages/gateway/src/follower.ts
+++ b/packages/gateway/src/follower.ts
@@ -26,6 +26,8 @@
 export class Follower {
   /** Whether the follower's last usage report says that it reaches the metadata store. */
   reachesStore = false;
+  /** The follower's last pulse; undefined before the first. */
+  pulse: number | undefined;
   private lastReportAt: Instant;
   /** Last forecast sent for each model that the follower's requests wait for. */
   private readonly sentForecasts = new Map<
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -87,6 +87,24 @@
     'The feed from the lease holder is stale or has a gap; this node watches the store itself again.',
 };
 
+/** A read of the store takes longer than expected, or the feed has more. */
+export const READ_OVERDUE: EventDescriptor = {
+  number: 7044,
+  name: 'read-overdue',
+  level: 'info',
+  meaning:
+    'A response of the store is overdue, or the feed shows that the store has more than this node, which therefore reads once more over another connection. `cause`: `overdue` or `feed has more`; `revision` is the last one that this node has read.',
+};
+
+/** A request waited for a read of the store. */
+export const REQUEST_HELD: EventDescriptor = {
+  number: 7045,
+  name: 'request-held',
+  level: 'info',
+  meaning:
+    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `outcome`: `current` after a read, `unreachable` if the store did not respond and the last knowledge was used, `gone` if the request had ended.',
+};
+
 /** The gateway has opened its listeners. */
 export const GATEWAY_STARTED: EventDescriptor = {
   number: 7008,
@@ -231,6 +249,8 @@
   STORE_REGAINED,
   FEED_USED,
   FEED_LOST,
+  READ_OVERDUE,
+  REQUEST_HELD,
   GATEWAY_STARTED,
   GATEWAY_STOPPING,
   GATEWAY_STOPPED,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -70,6 +70,7 @@
   GATEWAY_STOPPING,
   TASK_FAILED,
 } from './gateway_events.js';
+import {isListed} from './endpoint_choice.js';
 import {EndpointLimits} from './endpoint_limits.js';
 import type {GatewayPlatform} from './gateway_platform.js';
 import {parseSocketAddress, relayAddress} from './gateway_settings.js';
@@ -84,6 +85,8 @@
 import {statementOfRefusal} from './relayed_send.js';
 import {createRequestMetrics} from './request_metrics.js';
 import {RetryBudgets} from './retry_budgets.js';
+import {viewAgeLimits} from './view_age_limits.js';
+import {waitForView} from './wait_for_view.js';
 
 /**
  * Delay between failing the readiness probes and refusing requests: the load balancer
@@ -103,6 +106,9 @@
 /** Time for the last responses to reach their callers, those that end with a reset included. */
 const ABANDON_MILLISECONDS: Milliseconds = 2 * RESET_DELAY_MILLISECONDS;
 
+/** Longest wait of a request for a read of the platform's store; reads are given up earlier. */
+const VIEW_WAIT_MILLISECONDS: Milliseconds = 1_000;
+
 /** Longer than other nodes keep their connections to this one. */
 const RELAY_IDLE_MILLISECONDS: Milliseconds = 10_000;
 
@@ -183,7 +189,15 @@
       protocol: platform.protocol,
       idleLimit: () => MAXIMUM_IDLE_CONNECTIONS,
     });
+    const ageLimits = viewAgeLimits(
+      Math.min(
+        this.rules.drain_milliseconds,
+        this.rules.configuration_milliseconds,
+      ),
+    );
     this.platformView = PlatformView.create({
+      ageLimits,
+      endpointHeartbeatMilliseconds: this.rules.endpoint_heartbeat_milliseconds,
       platform,
       store: this.store,
       routes: this.routes,
@@ -300,7 +314,9 @@
         this.nodeCount = nodeCount;
         retryBudgets.setNodeCount(nodeCount);
       },
-      onFeed: updates => this.platformView.applyFeed(updates),
+      pulseMilliseconds: ageLimits.pulse,
+      onFeed: (updates, writtenAfter) =>
+        this.platformView.applyFeed(updates, writtenAfter),
       onFeedEnd: () => this.platformView.endFeed(),
     });
     this.requestDependencies = {
@@ -310,7 +326,8 @@
       peers: this.peers,
       reach: this.reach,
       findEndpoint: id => this.table.get(id),
-      viewAge: () => this.platformView.age,
+      view: this.platformView,
+      isListed: endpoint => isListed(this.table, endpoint),
       inFlightCounts,
       limits: this.limits,
       outliers,
@@ -445,6 +462,7 @@
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
+    if (!this.platformView.isDecidable) await this.waitForView(exchange);
     const routes = this.routes.current;
     if (routes === undefined || !this.isAcceptingRequests) {
       const code =
@@ -474,6 +492,22 @@
     }
   }
 
+  /** Routes that may be outdated neither serve nor refuse a request before they are read again. */
+  private async waitForView(exchange: CallerExchange): Promise<void> {
+    const left = new AbortController();
+    exchange.onDisconnect(() => left.abort());
+    await waitForView(
+      this.platformView,
+      {
+        id: this.options.platform.protocol.readRequest(exchange.headers).id,
+        deadline: after(exchange.receivedAt, VIEW_WAIT_MILLISECONDS),
+        signal: left.signal,
+      },
+      this.options.clock,
+      this.emit,
+    );
+  }
+
   private refuse(exchange: CallerExchange, code: ErrorCode): void {
     const now = this.clock.now();
     const {id} = this.options.platform.protocol.readRequest(exchange.headers);
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -59,6 +59,12 @@
     repeat_window_seconds: z.number().positive().default(10),
     /** Window in which model loads from the weight store count towards their rate limit. */
     load_window_seconds: z.number().positive().default(5),
+    /** Time from the acknowledgement that an endpoint leaves to the last request that reaches it. */
+    drain_milliseconds: z.number().positive().default(2_000),
+    /** Time from the acknowledgement of a configuration until all nodes follow it. */
+    configuration_milliseconds: z.number().positive().default(2_000),
+    /** Interval at which endpoints renew their entries in the store. */
+    endpoint_heartbeat_milliseconds: z.number().positive().default(1_200),
   }),
 );
 
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -16,9 +16,11 @@
 import {
   SiskinmuxError,
   after,
+  earlier,
   jitter,
   later,
   sleepFor,
+  until,
 } from '@siskinmux/kernel';
 import type {
   MetadataChange,
@@ -27,38 +29,31 @@
 } from '@siskinmux/ports';
 import {HistoryGoneError} from '@siskinmux/ports';
 import type {FeedUpdate, KindRead} from './change_feed.js';
-import {decodeKeepMissingUntil} from './change_feed.js';
 import {
   FEED_LOST,
   FEED_USED,
+  READ_OVERDUE,
   STORE_LOST,
   STORE_REGAINED,
+  TASK_FAILED,
 } from './gateway_events.js';
-
-/** Maximum duration of a watch call, and so the time to detect a silent connection. */
-const WATCH_MILLISECONDS: Milliseconds = 1_500;
-
-/** Maximum duration of a watch call of the feed source, on whose reads all other nodes depend. */
-const FEED_SOURCE_WATCH_MILLISECONDS: Milliseconds = 400;
+import {KnownRevisions} from './known_revisions.js';
+import type {ViewAgeLimits} from './view_age_limits.js';
 
 /** Exponential backoff after failed calls; the jitter keeps nodes from retrying together. */
 const INITIAL_BACKOFF_MILLISECONDS: Milliseconds = 60;
 const MAXIMUM_BACKOFF_MILLISECONDS: Milliseconds = 400;
 const BACKOFF_JITTER = 0.4;
 
-/**
- * Age of the store's last response up to which a feed replaces this node's own watch.
- * Leaving endpoints serve for two more seconds, and a configuration has to be active
- * within two seconds, so about one second remains for this node's own read.
- */
-const MAXIMUM_FEED_AGE_MILLISECONDS: Milliseconds = 1_100;
+/** A response that is later than this may never come; even a store slowed down 60 times is faster. */
+const OVERDUE_MILLISECONDS: Milliseconds = 250;
+
+/** Failures in a row after which the store counts as unreachable for this node. */
+const UNREACHABLE_FAILURES = 2;
 
 /** Maximum interval between this node's own reads while a feed replaces its watch. */
 const OWN_READ_INTERVAL_MILLISECONDS: Milliseconds = 30_000;
 
-/** Age up to which the last response counts as current; the feed source reads more often. */
-const CURRENT_MILLISECONDS: Milliseconds = 700;
-
 /** Age up to which the last response shows that the store is reachable. */
 const REACHABILITY_MILLISECONDS: Milliseconds = 2_500;
 
@@ -98,8 +93,11 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly emit: EmitEvent;
+  readonly ageLimits: ViewAgeLimits;
   /** Pause after changes, so that further ones are batched into one call. */
   readonly batchMilliseconds: () => Milliseconds;
+  /** Objects expire only in outages that are at least this long. */
+  readonly outageMilliseconds: Milliseconds;
   /** Time after an outage in which objects that expired during it may register again. */
   readonly reregistrationGraceMilliseconds: Milliseconds;
   /** Whether other nodes rely on this node's reads. */
@@ -107,20 +105,33 @@
   readonly onRead: (read: KindRead) => void;
 }
 
+/** Why a read is not waited for alone. */
+type Interruption = 'overdue' | 'feed has more';
+
 /** Watches one kind of object. */
 export class KindWatcher {
   private revision: ObjectVersion | undefined;
+  private readonly known = KnownRevisions.create();
+  /** Whether the store no longer has the changes after `revision`. */
+  private isHistoryGone = false;
+  /** Whether the feed has shown that this node lacks changes. */
+  private isBehind = false;
   private failures = 0;
   private storeLostAt: Instant | undefined;
-  private storeRegainedAt: Instant | undefined;
   private respondedAt: Instant | undefined;
   private confirmedUntil: Instant | undefined;
-  /** End of the period in which the lease holder's feed replaces this node's own watch. */
-  private feedFreshUntil: Instant | undefined;
+  private keepMissingUntil: Instant | undefined;
+  /** Up to when the lease holder's feed has confirmed what this node knows, while it is used. */
+  private feedConfirmedUntil: Instant | undefined;
   /** The latest period in which reads and the feed left no gap. */
   private current:
     {readonly since: Instant; readonly until: Instant} | undefined;
+  private isUnreachable = false;
+  /** Whether the last completed watch returned changes. */
+  private hasNewChanges = false;
   private wake: (() => void) | undefined;
+  private interrupt: ((cause: Interruption) => void) | undefined;
+  private readonly waiters = new Set<() => void>();
   private isStopped = false;
 
   private constructor(private readonly options: KindWatcherOptions) {}
@@ -159,24 +170,56 @@
   }
 
   /**
-   * All changes that the store acknowledged before this have been read, unless a feed update
-   * was delayed on its way; undefined before the first read.
+   * All changes that the store acknowledged before this have been read; undefined before the
+   * first read.
    */
   get knownUntil(): Instant | undefined {
     return this.confirmedUntil;
   }
 
+  /** Whether what has been read is recent enough to decide by it. */
+  get isCurrent(): boolean {
+    const {confirmedUntil} = this;
+    const {clock, ageLimits} = this.options;
+    return (
+      confirmedUntil !== undefined &&
+      clock.now() < after(confirmedUntil, ageLimits.choice)
+    );
+  }
+
+  /** Whether decisions may be made: by recent knowledge, or by the last one during an outage. */
+  get isDecidable(): boolean {
+    return this.isUnreachable || this.isCurrent;
+  }
+
+  /** Resolves once {@link isDecidable} holds, or at the deadline, or on abortion. */
+  async waitUntilDecidable(
+    deadline: Instant,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock} = this.options;
+    while (!this.isDecidable && !signal.aborted && clock.now() < deadline) {
+      await new Promise<void>(resolve => {
+        const end = (): void => {
+          this.waiters.delete(end);
+          signal.removeEventListener('abort', end);
+          cancel();
+          resolve();
+        };
+        const cancel = clock.schedule(deadline, end);
+        signal.addEventListener('abort', end);
+        this.waiters.add(end);
+      });
+    }
+  }
+
   /** Watches until {@link stop}. */
   async run(): Promise<void> {
     while (!this.isStopped) {
       try {
-        if (this.revision === undefined) await this.list();
-        else if (this.isFeedFresh) await this.sleepWhileFeedIsFresh();
-        else await this.watch(this.revision);
+        await this.readNext();
       } catch (failure) {
-        if (!(failure instanceof SiskinmuxError)) throw failure;
-        if (failure instanceof HistoryGoneError) this.revision = undefined;
-        else await this.backOff(failure);
+        await this.handleFailure(failure);
       }
     }
   }
@@ -186,71 +229,94 @@
     this.wake?.();
   }
 
-  /** Applies what the lease holder has read; a gap in the revisions ends the feed. */
-  applyFeed(update: FeedUpdate): void {
-    const {handler, clock, emit, kind} = this.options;
+  /**
+   * Applies what the lease holder has read. `writtenAfter` is an instant of this node before
+   * which the update was not written; without one, its age is unknown. An update with a gap
+   * ends the feed.
+   */
+  applyFeed(update: FeedUpdate, writtenAfter: Instant | undefined): void {
+    const {clock, emit, kind, ageLimits} = this.options;
     if (this.revision === undefined) return;
     const isGap =
       update.from > this.revision ||
       (update.changes === null && update.to > this.revision);
     if (isGap) {
+      this.isBehind = true;
       this.endFeed();
+      this.interrupt?.('feed has more');
+      this.wake?.();
       return;
     }
-    const now = clock.now();
     if (update.to > this.revision) {
-      handler.onChanges(
-        update.changes ?? [],
-        this.contextOf('feed', decodeKeepMissingUntil(update, now)),
-      );
+      this.apply(update.changes ?? [], 'feed');
       this.revision = update.to;
     }
-    if (update.to === this.revision) this.confirm(after(now, -update.age));
-    if (update.age >= MAXIMUM_FEED_AGE_MILLISECONDS) return;
-    if (this.feedFreshUntil === undefined) {
-      emit(FEED_USED, {kind, revision: update.to, age: Math.round(update.age)});
+    if (writtenAfter === undefined) return;
+    const knownUntil = after(writtenAfter, -update.age);
+    const now = clock.now();
+    this.confirm(knownUntil);
+    if (now >= after(knownUntil, ageLimits.feed)) return;
+    if (this.feedConfirmedUntil === undefined) {
+      const age = Math.round(until(knownUntil, now));
+      emit(FEED_USED, {kind, revision: update.to, age});
     }
-    this.feedFreshUntil = after(
-      now,
-      MAXIMUM_FEED_AGE_MILLISECONDS - update.age,
+    this.feedConfirmedUntil = later(
+      this.feedConfirmedUntil ?? knownUntil,
+      knownUntil,
     );
-    this.extendCurrent(this.feedFreshUntil);
   }
 
   /** Returns to this node's own watch: the feed's connection was lost, or it had a gap. */
   endFeed(): void {
-    if (this.feedFreshUntil === undefined) return;
-    this.feedFreshUntil = undefined;
+    if (this.feedConfirmedUntil === undefined) return;
+    this.feedConfirmedUntil = undefined;
     const {emit, kind} = this.options;
     emit(FEED_LOST, {kind, revision: this.revision});
     this.wake?.();
   }
 
+  private get feedFreshUntil(): Instant | undefined {
+    const {feedConfirmedUntil, respondedAt} = this;
+    if (feedConfirmedUntil === undefined || respondedAt === undefined)
+      return undefined;
+    return earlier(
+      after(feedConfirmedUntil, this.options.ageLimits.feed),
+      after(respondedAt, OWN_READ_INTERVAL_MILLISECONDS),
+    );
+  }
+
   private get isFeedFresh(): boolean {
-    const now = this.options.clock.now();
-    const {respondedAt, feedFreshUntil} = this;
-    if (feedFreshUntil === undefined || respondedAt === undefined) return false;
+    const {feedFreshUntil} = this;
     return (
-      now < feedFreshUntil &&
-      now < after(respondedAt, OWN_READ_INTERVAL_MILLISECONDS)
+      feedFreshUntil !== undefined && this.options.clock.now() < feedFreshUntil
     );
   }
 
-  /** Sleeps while the feed is fresh, then reads the later changes with one call. */
-  private async sleepWhileFeedIsFresh(): Promise<void> {
+  /** Waits while the feed is fresh, then reads the later changes. */
+  private async readNext(): Promise<void> {
+    const {clock, ageLimits, batchMilliseconds} = this.options;
     while (this.isFeedFresh && !this.isStopped)
-      await this.sleepUntilFeedIsStale();
-    if (this.isStopped || this.revision === undefined) return;
+      await this.pauseUntil(this.feedFreshUntil ?? clock.now());
+    if (this.isStopped) return;
     if (
-      this.feedFreshUntil !== undefined &&
-      this.feedFreshUntil <= this.options.clock.now()
+      this.feedConfirmedUntil !== undefined &&
+      clock.now() >= after(this.feedConfirmedUntil, ageLimits.feed)
     ) {
       this.endFeed();
     }
-    await this.watch(this.revision, this.options.clock.now());
+    if (this.revision === undefined || this.isHistoryGone) {
+      await this.finish(this.list(), clock.now());
+      return;
+    }
+    const {revision} = this;
+    const waitUntil = this.watchUntil();
+    await this.finish(this.watch(revision, waitUntil), waitUntil);
+    if (this.hasNewChanges)
+      await this.pauseUntil(after(clock.now(), batchMilliseconds()));
   }
 
-  private sleepUntilFeedIsStale(): Promise<void> {
+  /** Waits until `at`, or until there is a reason to read. */
+  private pauseUntil(at: Instant): Promise<void> {
     const {clock} = this.options;
     return new Promise(resolve => {
       const end = (): void => {
@@ -258,98 +324,183 @@
         this.wake = undefined;
         resolve();
       };
-      const cancel: CancelTimer = clock.schedule(
-        this.feedFreshUntil ?? clock.now(),
-        end,
-      );
+      const cancel: CancelTimer = clock.schedule(at, end);
       this.wake = end;
     });
   }
 
+  /**
+   * Waits for a read. Watches again if the feed has more than this node has, and lists the
+   * objects if a response is overdue, as its connection may have fallen silent.
+   */
+  private async finish(
+    read: Promise<void>,
+    expectedAt: Instant,
+  ): Promise<void> {
+    const {clock, emit, kind} = this.options;
+    const reads = [read];
+    let overdueAt = after(expectedAt, OVERDUE_MILLISECONDS);
+    let hasWatchedAgain = false;
+    let hasListed = false;
+    while (!this.isUnreachable) {
+      const cause = await this.firstOf(reads, overdueAt);
+      if (cause === undefined) return;
+      if (cause === 'feed has more' && hasWatchedAgain) continue;
+      emit(READ_OVERDUE, {kind, revision: this.revision, cause});
+      const now = clock.now();
+      if (cause === 'feed has more' && this.revision !== undefined) {
+        hasWatchedAgain = true;
+        reads.push(this.watch(this.revision, now));
+      } else if (!hasListed) {
+        hasListed = true;
+        reads.push(this.list());
+      } else {
+        this.setUnreachable();
+        reads.push(this.list());
+      }
+      overdueAt = after(now, OVERDUE_MILLISECONDS);
+    }
+    await firstSuccess(reads);
+  }
+
+  /** Resolves to undefined once a read has succeeded; rejects if all have failed. */
+  private async firstOf(
+    reads: readonly Promise<void>[],
+    overdueAt: Instant,
+  ): Promise<Interruption | undefined> {
+    let cancel: CancelTimer = () => {};
+    const interruption = new Promise<Interruption>(resolve => {
+      cancel = this.options.clock.schedule(overdueAt, () => resolve('overdue'));
+      this.interrupt = resolve;
+    });
+    try {
+      return await Promise.race([
+        firstSuccess(reads).then(() => undefined),
+        interruption,
+      ]);
+    } finally {
+      this.interrupt = undefined;
+      cancel();
+    }
+  }
+
   private async list(): Promise<void> {
     const {store, kind, handler, clock, onRead} = this.options;
     const sentAt = clock.now();
     const listing = await store.list(kind, false);
-    const keepMissingUntil = this.keepMissingUntil();
-    handler.onList(listing, this.contextOf('list', keepMissingUntil));
-    this.revision = listing.revision;
-    this.confirm(sentAt);
+    const from = this.revision;
+    this.isHistoryGone = false;
+    if (from === undefined || listing.revision >= from) {
+      const changes = this.known.replaceAll(listing);
+      const context = this.contextOf('list');
+      handler.onList(listing, context);
+      this.revision = listing.revision;
+      this.confirm(sentAt);
+      this.report(from, from === undefined ? undefined : changes, onRead);
+    }
     this.recordResponse();
-    onRead({
-      kind,
-      from: undefined,
-      to: listing.revision,
-      changes: undefined,
-      keepMissingUntil,
-    });
   }
 
-  private async watch(
-    from: ObjectVersion,
-    waitUntil = this.watchUntil(),
-  ): Promise<void> {
-    const {store, kind, handler, clock, batchMilliseconds, onRead} =
-      this.options;
+  private async watch(from: ObjectVersion, waitUntil: Instant): Promise<void> {
+    const {store, kind, clock, onRead} = this.options;
     const sentAt = clock.now();
     const {changes, revision: to} = await store.watch(kind, from, waitUntil);
-    // The feed may have advanced past this response in the meantime.
+    this.hasNewChanges = changes.length > 0;
+    // The feed, or a later call, may have advanced past this response in the meantime.
     if (this.revision === undefined || to >= this.revision) {
-      const keepMissingUntil = this.keepMissingUntil();
-      const context = this.contextOf('watch', keepMissingUntil);
-      const forwarded =
-        changes.length > 0 ? handler.onChanges(changes, context) : [];
+      const forwarded = this.apply(changes, 'watch');
       this.revision = to;
       // An empty response shows that nothing had happened when the wait ended.
       const isWaitOver = changes.length === 0 && clock.now() >= waitUntil;
-      this.confirm(isWaitOver ? waitUntil : sentAt);
-      onRead({
-        kind,
-        from,
-        to,
-        changes: forwarded,
-        keepMissingUntil,
-      });
+      this.confirm(isWaitOver ? later(sentAt, waitUntil) : sentAt);
+      this.report(from, forwarded, onRead);
     }
     this.recordResponse();
-    if (changes.length > 0) await sleepFor(clock, batchMilliseconds());
   }
 
-  private contextOf(
-    source: ReadSource,
-    keepMissingUntil: Instant | undefined,
-  ): ReadContext {
-    return {source, knownUntil: this.confirmedUntil, keepMissingUntil};
+  private report(
+    from: ObjectVersion | undefined,
+    changes: readonly MetadataChange[] | undefined,
+    onRead: KindWatcherOptions['onRead'],
+  ): void {
+    const {revision, confirmedUntil, keepMissingUntil} = this;
+    if (revision === undefined || confirmedUntil === undefined) return;
+    onRead({
+      kind: this.options.kind,
+      from,
+      to: revision,
+      changes,
+      knownUntil: confirmedUntil,
+      keepMissingUntil,
+    });
   }
 
-  private confirm(until: Instant): void {
-    this.confirmedUntil = later(this.confirmedUntil ?? until, until);
+  /** Passes on the changes that are newer than what is known; returns those to forward. */
+  private apply(
+    changes: readonly MetadataChange[],
+    source: ReadSource,
+  ): readonly MetadataChange[] {
+    const news = changes.filter(change => this.known.record(change));
+    const context = this.contextOf(source);
+    return news.length > 0 ? this.options.handler.onChanges(news, context) : [];
   }
 
   private watchUntil(): Instant {
-    const {clock, isFeedSource} = this.options;
-    const delay = isFeedSource()
-      ? FEED_SOURCE_WATCH_MILLISECONDS
-      : WATCH_MILLISECONDS;
-    return after(clock.now(), delay);
+    const {clock, isFeedSource, ageLimits} = this.options;
+    const now = clock.now();
+    if (this.isBehind || this.failures > 0 || this.isFeedFresh) return now;
+    const wait = isFeedSource() ? ageLimits.feedSourceWatch : ageLimits.watch;
+    const dueAt = after(this.confirmedUntil ?? now, ageLimits.read);
+    return later(now, earlier(dueAt, after(now, wait)));
   }
 
-  /** Set for a grace period that starts with the first response after an outage. */
-  private keepMissingUntil(): Instant | undefined {
-    const now = this.options.clock.now();
-    if (this.storeLostAt !== undefined) this.storeRegainedAt = now;
-    if (this.storeRegainedAt === undefined) return undefined;
-    const end = after(
-      this.storeRegainedAt,
-      this.options.reregistrationGraceMilliseconds,
+  private contextOf(source: ReadSource): ReadContext {
+    const {clock, outageMilliseconds, reregistrationGraceMilliseconds} =
+      this.options;
+    const {confirmedUntil: knownUntil} = this;
+    const now = clock.now();
+    const wasOut =
+      knownUntil !== undefined && now >= after(knownUntil, outageMilliseconds);
+    if (wasOut)
+      this.keepMissingUntil = after(now, reregistrationGraceMilliseconds);
+    else if (
+      this.keepMissingUntil !== undefined &&
+      now >= this.keepMissingUntil
+    )
+      this.keepMissingUntil = undefined;
+    return {source, knownUntil, keepMissingUntil: this.keepMissingUntil};
+  }
+
+  private confirm(confirmedUntil: Instant): void {
+    this.confirmedUntil = later(
+      this.confirmedUntil ?? confirmedUntil,
+      confirmedUntil,
     );
-    return now < end ? end : undefined;
+    const {clock, ageLimits} = this.options;
+    const now = clock.now();
+    const end = after(this.confirmedUntil, ageLimits.feed);
+    if (end > now) {
+      this.isUnreachable = false;
+      this.current = {since: this.currentSince ?? now, until: end};
+    }
+    this.notifyWaiters();
+  }
+
+  private setUnreachable(): void {
+    this.isUnreachable = true;
+    this.notifyWaiters();
+  }
+
+  private notifyWaiters(): void {
+    if (!this.isDecidable) return;
+    for (const end of [...this.waiters]) end();
   }
 
   private recordResponse(): void {
     const {emit, kind, clock} = this.options;
     this.failures = 0;
+    this.isBehind = false;
     this.respondedAt = clock.now();
-    this.extendCurrent(after(this.respondedAt, CURRENT_MILLISECONDS));
     if (this.storeLostAt === undefined) return;
     emit(STORE_REGAINED, {
       kind,
@@ -359,21 +510,23 @@
     this.storeLostAt = undefined;
   }
 
-  private extendCurrent(end: Instant): void {
-    const now = this.options.clock.now();
-    const since = this.currentSince ?? now;
-    this.current = {since, until: later(this.current?.until ?? end, end)};
-  }
-
-  private async backOff(failure: SiskinmuxError): Promise<void> {
+  private async handleFailure(failure: unknown): Promise<void> {
+    if (failure instanceof HistoryGoneError) {
+      this.isHistoryGone = true;
+      return;
+    }
     const {emit, kind, clock, random} = this.options;
-    const now = clock.now();
+    if (!(failure instanceof SiskinmuxError)) {
+      const task = `watch of ${kind}`;
+      emit(TASK_FAILED, {task, failure: String(failure)});
+      this.isHistoryGone = true;
+    }
     if (this.storeLostAt === undefined) {
-      this.storeLostAt = now;
+      this.storeLostAt = clock.now();
       emit(STORE_LOST, {
         kind,
         revision: this.revision,
-        cause: failure.message,
+        cause: failure instanceof Error ? failure.message : String(failure),
       });
     }
     const delay = Math.min(
@@ -381,6 +534,16 @@
       INITIAL_BACKOFF_MILLISECONDS * 2 ** Math.min(this.failures, 8),
     );
     this.failures += 1;
+    if (this.failures >= UNREACHABLE_FAILURES) this.setUnreachable();
     await sleepFor(clock, jitter(random, delay, BACKOFF_JITTER));
   }
 }
+
+/** Resolves with the first read that succeeds; rejects with the last failure if all fail. */
+async function firstSuccess(reads: readonly Promise<void>[]): Promise<void> {
+  try {
+    await Promise.any(reads);
+  } catch (failure) {
+    throw failure instanceof AggregateError ? failure.errors.at(-1) : failure;
+  }
+}
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -106,8 +106,15 @@
   readonly emit: EmitEvent;
   /** Called with the number of nodes. */
   readonly onNodeCount: (nodeCount: number) => void;
-  /** Called with what the lease holder has read from the store. */
-  readonly onFeed: (updates: readonly FeedUpdate[]) => void;
+  readonly pulseMilliseconds: Milliseconds;
+  /**
+   * Called with what the lease holder has read from the store, and with an instant before which
+   * it was not written; undefined if none is known.
+   */
+  readonly onFeed: (
+    updates: readonly FeedUpdate[],
+    writtenAfter: Instant | undefined,
+  ) => void;
   /** Called when the connection to the lease holder ends. */
   readonly onFeedEnd: () => void;
 }
@@ -307,9 +314,9 @@
       onLimits: limits => {
         this.options.limits.merge(limits);
       },
-      onHeartbeat: heartbeat => {
+      onHeartbeat: (heartbeat, writtenAfter) => {
         this.applyHeartbeat(heartbeat);
-        this.options.onFeed(heartbeat.feed);
+        this.options.onFeed(heartbeat.feed, writtenAfter);
       },
     });
     try {
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -36,6 +36,7 @@
   limits: 'allocator.limits',
   permit: 'allocator.permit',
   origins: 'allocator.origins',
+  pulse: 'allocator.pulse',
   witness: 'allocator.witness',
   serviceWitness: 'allocator.service_witness',
   relayOffer: 'allocator.relay_offer',
@@ -93,6 +94,9 @@
   model: name,
 });
 
+/** An instant of the follower, which the holder repeats in its heartbeats. */
+export const pulseSchema = z.object({at: z.number()});
+
 /** Question what a node sees of an endpoint that another node can't connect to. */
 export const witnessSchema = z.object({endpoint: name});
 
@@ -141,6 +145,11 @@
    * where each node's own counts suffice.
    */
   loads: z.array(z.tuple([name, count])).default([]),
+  /**
+   * The last pulse of the follower that had arrived when this was written, which bounds the
+   * time that it took; missing from holders of earlier versions.
+   */
+  echo: z.number().optional(),
 });
 
 /** A heartbeat on the wire. */
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -27,12 +27,10 @@
 import type {GatewayPlatform} from './gateway_platform.js';
 import type {ReadContext} from './kind_watcher.js';
 import {KindWatcher} from './kind_watcher.js';
+import type {ViewAgeLimits} from './view_age_limits.js';
 
-/** Batching delay of endpoint changes; leaving endpoints serve for two more seconds. */
-const ENDPOINT_BATCH_MILLISECONDS = 600;
-
-/** Batching delay of the feed source; shorter, as forwarding to other nodes takes time as well. */
-const FEED_SOURCE_BATCH_MILLISECONDS = 300;
+/** Entries expire after three missed heartbeats, so hardly in an outage of two. */
+const OUTAGE_HEARTBEATS = 2;
 
 /** Dependencies of {@link PlatformView}. */
 export interface PlatformViewOptions {
@@ -43,6 +41,9 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly emit: EmitEvent;
+  readonly ageLimits: ViewAgeLimits;
+  /** Interval at which endpoints renew their entries. */
+  readonly endpointHeartbeatMilliseconds: Milliseconds;
   readonly onEndpointChanges: (changes: readonly EndpointTableChange[]) => void;
   /** Whether other nodes rely on this node's reads. */
   readonly isFeedSource: () => boolean;
@@ -124,13 +125,38 @@
   }
 
   /** Applies what the lease holder has read. */
-  applyFeed(updates: readonly FeedUpdate[]): void {
+  applyFeed(
+    updates: readonly FeedUpdate[],
+    writtenAfter: Instant | undefined,
+  ): void {
     for (const update of updates) {
       const watcher = this.watchers.find(({kind}) => kind === update.kind);
-      watcher?.applyFeed(update);
+      watcher?.applyFeed(update, writtenAfter);
     }
   }
 
+  /** Whether everything that is known is recent. */
+  get isCurrent(): boolean {
+    return this.watchers.every(watcher => watcher.isCurrent);
+  }
+
+  /** Whether requests may be routed and sent by what is known; see {@link KindWatcher}. */
+  get isDecidable(): boolean {
+    return this.watchers.every(watcher => watcher.isDecidable);
+  }
+
+  /** Resolves once {@link isDecidable} holds, or at the deadline, or on abortion. */
+  async waitUntilDecidable(
+    deadline: Instant,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await Promise.all(
+      this.watchers.map(watcher =>
+        watcher.waitUntilDecidable(deadline, signal),
+      ),
+    );
+  }
+
   /** Called when the connection to the lease holder is lost. */
   endFeed(): void {
     for (const watcher of this.watchers) watcher.endFeed();
@@ -154,15 +180,16 @@
       ...this.options,
       kind,
       batchMilliseconds,
+      outageMilliseconds:
+        OUTAGE_HEARTBEATS * this.options.endpointHeartbeatMilliseconds,
       reregistrationGraceMilliseconds: REREGISTRATION_GRACE_MILLISECONDS,
       handler,
     });
   }
 
   private endpointBatchMilliseconds(): Milliseconds {
-    return this.options.isFeedSource()
-      ? FEED_SOURCE_BATCH_MILLISECONDS
-      : ENDPOINT_BATCH_MILLISECONDS;
+    const {isFeedSource, ageLimits} = this.options;
+    return isFeedSource() ? ageLimits.feedSourceBatch : ageLimits.batch;
   }
 
   private applyConfiguration(
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -63,7 +63,7 @@
 import {refusalResponse} from './refusal_response.js';
 import type {ContainmentDependencies, EndedRun} from '@siskinmux/containment';
 import {RequestContainment, traitsOfPrompt} from '@siskinmux/containment';
-import type {ViewAge} from './platform_view.js';
+import type {PlatformView, ViewAge} from './platform_view.js';
 import {
   bufferBody,
   discardBody,
@@ -85,6 +85,7 @@
 import type {RequestProgress, RetryDecision} from './retry_decision.js';
 import {allowsAnotherRun, decideRetry} from './retry_decision.js';
 import {StreamBinding} from './stream_binding.js';
+import {waitForView} from './wait_for_view.js';
 
 /** Endpoints enforce the same deadline; the grace period lets their own response arrive first. */
 const TIMEOUT_GRACE_MILLISECONDS: Milliseconds = 30;
@@ -119,8 +120,10 @@
   readonly find: FindEndpoint;
   readonly hasAlternative: HasAlternative;
   readonly emit: EmitEvent;
-  /** How old this node's knowledge of the platform is now. */
-  readonly viewAge: () => ViewAge;
+  /** What this node knows of the platform. */
+  readonly view: PlatformView;
+  /** Whether an endpoint that was chosen earlier may still be sent to. */
+  readonly isListed: (endpoint: EndpointDescription) => boolean;
   /** Called when an engine lacks the model or adapter that the node expected it to hold. */
   readonly reportMissingModel: (endpoint: EndpointId, model: ModelName) => void;
   /** Called when a send has failed, with the decision whether to send the request again. */
@@ -149,6 +152,8 @@
   private sends: number;
   /** Sends that an endpoint ran or may have run. */
   private runs: number;
+  /** Whether an endpoint has been sought. */
+  private hasSought = false;
   private isFinished = false;
   private result = '';
   private lastEndpoint: EndpointDescription | undefined;
@@ -284,19 +289,38 @@
     const peer = this.choosePeer();
     if (peer !== undefined) return this.relay(peer);
     await containment.throwIfWithheld();
-    const endpoint = await this.dependencies.find(this.requirements());
-    if (this.isFinished) return {kind: 'delivered'};
-    // The links may have been lost, and its traits become suspect, while it waited.
-    const laterPeer = this.choosePeer();
-    if (laterPeer !== undefined) return this.relay(laterPeer);
-    await containment.throwIfWithheld();
-    if (this.isFinished) return {kind: 'delivered'};
+    let endpoint: EndpointDescription;
+    do {
+      await this.waitForView();
+      endpoint = await this.dependencies.find(this.requirements());
+      if (this.isFinished) return {kind: 'delivered'};
+      // The links may have been lost, its traits become suspect, and the endpoint have left,
+      // while it waited.
+      const laterPeer = this.choosePeer();
+      if (laterPeer !== undefined) return this.relay(laterPeer);
+      await containment.throwIfWithheld();
+      if (this.isFinished) return {kind: 'delivered'};
+    } while (!this.maySendTo(endpoint));
     this.peer = undefined;
     const result = await this.send(endpoint);
     this.triedEndpoints.add(endpoint.id);
     return result;
   }
 
+  private maySendTo(endpoint: EndpointDescription): boolean {
+    const {view, isListed} = this.dependencies;
+    return view.isDecidable && isListed(endpoint);
+  }
+
+  private async waitForView(): Promise<void> {
+    const {view, clock, emit} = this.dependencies;
+    if (view.isDecidable) return;
+    const {signal} = this.abortController;
+    const deadline = this.currentDeadline();
+    const {id} = this.metadata;
+    await waitForView(view, {id, deadline, signal}, clock, emit);
+  }
+
   /** Decides whether the request is sent again, and logs the failed send. */
   private isSentAgain(
     result: Exclude<AttemptResult, {kind: 'delivered'}>,
@@ -457,7 +481,9 @@
     if (service === undefined) {
       throw createNotRunRefusal(ErrorCode.NoEndpoint, this.route.name);
     }
-    if (this.sends === 0)
+    const isFirstAttempt = this.sends === 0 && !this.hasSought;
+    this.hasSought = true;
+    if (isFirstAttempt)
       this.dependencies.retryBudgets.forService(service).recordRequest();
     return {
       id: this.metadata.id,
@@ -469,7 +495,7 @@
       avoidedEndpoints: this.containment.endpointsToAvoid(),
       deadline: this.currentDeadline(),
       priority: this.route.priority,
-      isFirstAttempt: this.sends === 0,
+      isFirstAttempt,
       signal: this.abortController.signal,
     };
   }
@@ -497,7 +523,7 @@
     this.lastEndpoint = endpoint;
     const sentAt = clock.now();
     this.sentAt = sentAt;
-    this.viewAge = this.dependencies.viewAge();
+    this.viewAge = this.dependencies.view.age;
     const {model, adapter} = this.metadata;
     const release = inFlightCounts.track({
       endpoint: endpoint.id,
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -4,6 +4,7 @@
 import type {
   Clock,
   EndpointId,
+  Instant,
   Milliseconds,
   ModelName,
   NodeId,
@@ -84,15 +85,24 @@
   readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
   /** Whether endpoints of a service respond to this node. */
   readonly testifyService: (service: ServiceName) => Promise<boolean>;
-  /** Called with each heartbeat of the allocator's node, several times a second. */
-  readonly onHeartbeat: (heartbeat: HeartbeatMessage) => void;
+  /** Least interval between pulses. */
+  readonly pulseMilliseconds: Milliseconds;
+  /**
+   * Called with each heartbeat of the allocator's node, several times a second, and with an
+   * instant before which it was not written; undefined if none is known.
+   */
+  readonly onHeartbeat: (
+    heartbeat: HeartbeatMessage,
+    writtenAfter: Instant | undefined,
+  ) => void;
 }
 
 /** Calls the allocator over a connection and passes its notifications to a listener. */
 export class RemoteAllocator implements AllocatorApi {
+  private pulseSentAt: Instant | undefined;
+
   private constructor(private readonly options: RemoteAllocatorOptions) {
-    const {peerConnection, clock, listener, onHeartbeat, onSuspects, onLimits} =
-      options;
+    const {peerConnection, clock, listener, onSuspects, onLimits} = options;
     handleWitness(peerConnection, PEER_METHODS.testify, options.testify);
     handleServiceWitness(
       peerConnection,
@@ -127,7 +137,7 @@
     peerConnection.handle(
       PEER_METHODS.allocatorHeartbeat,
       heartbeatSchema,
-      onHeartbeat,
+      heartbeat => this.receiveHeartbeat(heartbeat),
     );
   }
 
@@ -147,9 +157,30 @@
     );
     if (!response.success)
       throw new PeerUnreachableError('unreadable response');
+    this.sendPulse(clock.now());
     return {...response.data, node: as<NodeId>(response.data.node)};
   }
 
+  private receiveHeartbeat(heartbeat: HeartbeatMessage): void {
+    const {clock, pulseMilliseconds, onHeartbeat} = this.options;
+    const {pulseSentAt} = this;
+    const {echo} = heartbeat;
+    const isOwn =
+      echo !== undefined && pulseSentAt !== undefined && echo <= pulseSentAt;
+    onHeartbeat(heartbeat, isOwn ? as<Instant>(echo) : undefined);
+    const now = clock.now();
+    if (
+      pulseSentAt === undefined ||
+      now >= after(pulseSentAt, pulseMilliseconds)
+    )
+      this.sendPulse(now);
+  }
+
+  private sendPulse(now: Instant): void {
+    this.pulseSentAt = now;
+    this.options.peerConnection.notify(PEER_METHODS.pulse, {at: now});
+  }
+
   reportUsage(service: ServiceName, usage: NodeUsage): void {
     const {peerConnection, clock, reachesStore} = this.options;
     peerConnection.notify(
