Send no request to an engine that this node knows to leave, whatever the lease holder grants

Cause: a fresh grant of an adapter was used without a look at this node's list, also after the wait until the adapter is usable; the holder may hear of a leaving later than this node. Change: leaving engines are excluded from the request for a grant, and a granted one is checked. Evidence: placement_client.test.ts: "... begins to leave while the request waits for its adapter" failed before; the other new test passed before, as the node's own list left no engine.

--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -35,6 +35,7 @@
 /** An allocator that grants every adapter on the only engine, and records usage reports. */
 class TestAllocator implements AllocatorApi {
   readonly reports: NodeUsage[] = [];
+  usableAfterMilliseconds = 0;
 
   constructor(private readonly clock: VirtualClock) {}
 
@@ -75,7 +76,7 @@
     const now = this.clock.now();
     return Promise.resolve({
       engine,
-      usableAt: now,
+      usableAt: after(now, this.usableAfterMilliseconds),
       validUntil: after(now, 1_000),
     });
   }
@@ -155,6 +156,7 @@
   return {
     clock,
     client,
+    table,
     inFlightCounts,
     find,
     allocator: new TestAllocator(clock),
@@ -209,6 +211,48 @@
   });
 });
 
+describe('PlacementClient with a lease holder that knows less', () => {
+  it('finds no engine that this node knows to leave, whatever the holder grants', async () => {
+    const {clock, client, table, find, allocator} = build();
+    client.setAllocator(allocator);
+    const [listed] = table.availableFor(service);
+    table.apply(
+      [
+        {
+          id: engine,
+          description: {...listed!, isDraining: true},
+          isRemoved: false,
+        },
+      ],
+      undefined,
+    );
+    const search = find('m0', 'a1', 300);
+    await clock.advance(1_000);
+    expect(search.outcome).toEqual(ErrorCode.NoEndpoint);
+  });
+
+  it('finds no engine that begins to leave while the request waits for its adapter', async () => {
+    const {clock, client, table, find, allocator} = build();
+    client.setAllocator(allocator);
+    allocator.usableAfterMilliseconds = 100;
+    const search = find('m0', 'a1', 300);
+    await clock.advance(50);
+    const [listed] = table.availableFor(service);
+    table.apply(
+      [
+        {
+          id: engine,
+          description: {...listed!, isDraining: true},
+          isRemoved: false,
+        },
+      ],
+      undefined,
+    );
+    await clock.advance(1_000);
+    expect(search.outcome).toEqual(ErrorCode.NoEndpoint);
+  });
+});
+
 describe('PlacementClient usage reports', () => {
   it('are batched for longer with many nodes, except for requests that start to wait', async () => {
     const {clock, client, inFlightCounts, find, allocator} = build();
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -383,6 +383,7 @@
       ...requirements.triedEndpoints,
       ...atLimit,
       ...this.enginesOfOtherVersions(requirements),
+      ...this.leavingEngines(requirements.service),
     ]);
     const grant = this.isGrantUsable(cached, requirements, model, excluded)
       ? cached
@@ -407,9 +408,18 @@
       await sleepUntil(clock, grant.usableAt);
     }
     const engine = table.get(grant.engine);
-    return engine && meetsVersion(engine, requirements.version)
-      ? engine
-      : undefined;
+    const isUsable =
+      engine !== undefined &&
+      isListed(table, engine) &&
+      meetsVersion(engine, requirements.version);
+    return isUsable ? engine : undefined;
+  }
+
+  /** The lease holder may not know yet that they leave. */
+  private leavingEngines(service: ServiceName): EndpointId[] {
+    return this.options.table.running
+      .filter(engine => engine.service === service && engine.isDraining)
+      .map(({id}) => id);
   }
 
   private enginesOfOtherVersions({
