Send nothing more to endpoints that say in their responses that they leave

Callers: a request reached an endpoint more than 2 s after a response had told the sending node that the endpoint leaves. Cause: nothing read that statement; a node knew of a leaving only from the endpoint's entry, which may show it later or never. It ends with the next incarnation, or after a minute.

--- a/packages/endpoints/__tests__/endpoint_table.test.ts
+++ b/packages/endpoints/__tests__/endpoint_table.test.ts
@@ -144,6 +144,50 @@
     expect(table.size).toEqual(0);
   });
 
+  it('does not offer an endpoint that said it leaves, though its entry says it is ready, until its next start', () => {
+    const table = EndpointTable.create();
+    const now = as<Instant>(0);
+    const put = (description: EndpointDescription): void => {
+      table.apply([{id: one, description, isRemoved: false}], undefined);
+    };
+    table.replaceAll([endpoint(one), endpoint(two)], undefined);
+    const changes = table.recordLeaving(as<Incarnation>('one@1'), now, now);
+    expect(changes?.map(change => change.now?.isDraining)).toEqual([true]);
+    expect(table.recordLeaving(as<Incarnation>('one@1'), now, now)).toEqual(
+      undefined,
+    );
+    put(endpoint(one, {orderCount: 1}));
+    expect(availableIds(table)).toEqual(['two']);
+    put(endpoint(one, {incarnation: as<Incarnation>('one@2')}));
+    expect(availableIds(table)).toEqual(['one', 'two']);
+    expect(table.leaving).toEqual([]);
+  });
+
+  it('does not offer an endpoint that said it leaves before it was listed, or expired since', () => {
+    const table = EndpointTable.create();
+    const now = as<Instant>(0);
+    expect(table.recordLeaving(as<Incarnation>('one@1'), now, now)).toEqual([]);
+    table.replaceAll([endpoint(one), endpoint(two)], undefined);
+    expect(availableIds(table)).toEqual(['two']);
+    table.replaceAll([endpoint(two)], undefined);
+    table.replaceAll([endpoint(one), endpoint(two)], undefined);
+    expect(availableIds(table)).toEqual(['two']);
+  });
+
+  it('offers an endpoint again that is listed as ready a minute after it said it leaves', () => {
+    const table = EndpointTable.create();
+    const now = as<Instant>(0);
+    table.replaceAll([endpoint(one)], undefined);
+    table.recordLeaving(as<Incarnation>('one@1'), now, now);
+    expect(table.expire(as<Instant>(59_999))).toEqual([]);
+    expect(table.expire(as<Instant>(60_000)).length).toEqual(1);
+    expect(availableIds(table)).toEqual(['one']);
+    const late = as<Instant>(60_000);
+    expect(table.recordLeaving(as<Incarnation>('one@1'), now, late)).toEqual(
+      undefined,
+    );
+  });
+
   it('moves an endpoint to another service when its id is registered for that service', () => {
     const other = as<ServiceName>('engines');
     const table = EndpointTable.create();
--- a/packages/endpoints/src/endpoint_table.ts
+++ b/packages/endpoints/src/endpoint_table.ts
@@ -21,6 +21,15 @@
  */
 const CRASHED_MILLISECONDS: Milliseconds = 5_000;
 
+/**
+ * How long an endpoint that said it leaves isn't used though the platform still lists it as
+ * ready. It ends within seconds, or what said so was wrong.
+ */
+const LEAVING_MILLISECONDS: Milliseconds = 60_000;
+
+/** Bound on the endpoints that have said so; the first one is dropped. */
+const MAXIMUM_LEAVING = 2_000;
+
 /** One change of the platform's endpoint list. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -41,12 +50,17 @@
 /** The registered endpoints, indexed by id and by service. */
 export class EndpointTable {
   private readonly byId = new Map<EndpointId, EndpointDescription>();
+  /** The endpoints as the platform lists them, without what they have said themselves. */
+  private readonly entries = new Map<EndpointId, EndpointDescription>();
   private readonly byService = new Map<ServiceName, EndpointDescription[]>();
   /** When to remove endpoints that were missing from the list after an outage. */
   private readonly removalDeadlines = new Map<EndpointId, Instant>();
   /** Endpoints whose listed incarnation has crashed, and when they may be used again. */
   private readonly crashed = new Map<EndpointId, Instant>();
 
+  /** Runs of endpoints that have said that they leave, and when. */
+  private readonly leavingSince = new Map<Incarnation, Instant>();
+
   private constructor() {}
 
   static create(): EndpointTable {
@@ -101,6 +115,38 @@
     );
   }
 
+  /** Runs of endpoints that have said that they leave. */
+  get leaving(): {incarnation: Incarnation; saidAt: Instant}[] {
+    return [...this.leavingSince].map(([incarnation, saidAt]) => ({
+      incarnation,
+      saidAt,
+    }));
+  }
+
+  /**
+   * Records that an endpoint itself has said that it leaves, which its entry may show later:
+   * it drains from now on. Returns undefined if that was known or is long ago, otherwise the
+   * changes, none if the endpoint isn't listed yet.
+   */
+  recordLeaving(
+    incarnation: Incarnation,
+    saidAt: Instant,
+    now: Instant,
+  ): EndpointTableChange[] | undefined {
+    if (this.leavingSince.has(incarnation)) return undefined;
+    if (now >= after(saidAt, LEAVING_MILLISECONDS)) return undefined;
+    this.leavingSince.set(incarnation, saidAt);
+    const [first] = this.leavingSince.keys();
+    if (this.leavingSince.size > MAXIMUM_LEAVING && first !== undefined)
+      this.leavingSince.delete(first);
+    const endpoint = [...this.byId.values()].find(
+      listed => listed.incarnation === incarnation,
+    );
+    return endpoint === undefined || endpoint.isDraining
+      ? []
+      : this.put(endpoint.id, endpoint);
+  }
+
   /** Whether the listed incarnation of an endpoint has crashed. */
   hasCrashed(id: EndpointId): boolean {
     return this.crashed.has(id);
@@ -124,9 +170,12 @@
     return endpoint;
   }
 
-  /** Removes endpoints that did not register again in time, and ends the effect of crashes. */
+  /**
+   * Removes endpoints that did not register again in time, and ends the effect of crashes, and
+   * that of leaving on endpoints that the platform lists as ready long after.
+   */
   expire(now: Instant): EndpointTableChange[] {
-    const changes: EndpointTableChange[] = [];
+    const changes = this.expireLeaving(now);
     for (const [id, deadline] of this.crashed) {
       const endpoint = this.byId.get(id);
       if (deadline > now || endpoint === undefined) continue;
@@ -140,6 +189,19 @@
     return changes;
   }
 
+  private expireLeaving(now: Instant): EndpointTableChange[] {
+    const ended = [...this.leavingSince].filter(
+      ([, saidAt]) => now >= after(saidAt, LEAVING_MILLISECONDS),
+    );
+    return ended.flatMap(([incarnation]) => {
+      this.leavingSince.delete(incarnation);
+      const entry = [...this.byId.keys()]
+        .map(id => this.entries.get(id))
+        .find(listed => listed?.incarnation === incarnation);
+      return entry === undefined ? [] : this.put(entry.id, entry);
+    });
+  }
+
   /** Removes a draining endpoint at once, as it won't register again. */
   private remove(
     id: EndpointId,
@@ -162,11 +224,34 @@
     if (before === undefined && description === undefined) return [];
     if (before?.incarnation !== description?.incarnation)
       this.crashed.delete(id);
-    if (description === undefined) this.byId.delete(id);
-    else this.byId.set(id, description);
+    if (
+      before !== undefined &&
+      description !== undefined &&
+      before.incarnation !== description.incarnation
+    ) {
+      this.leavingSince.delete(before.incarnation);
+    }
+    const now = this.withOwnStatement(description);
+    if (now === undefined || description === undefined) {
+      this.byId.delete(id);
+      this.entries.delete(id);
+    } else {
+      this.byId.set(id, now);
+      this.entries.set(id, description);
+    }
     this.updateServiceIndex(before?.service);
-    this.updateServiceIndex(description?.service);
-    return [{id, before, now: description}];
+    this.updateServiceIndex(now?.service);
+    return [{id, before, now}];
+  }
+
+  /** An endpoint that has said it leaves drains, whatever its entry says. */
+  private withOwnStatement(
+    description: EndpointDescription | undefined,
+  ): EndpointDescription | undefined {
+    return description !== undefined &&
+      this.leavingSince.has(description.incarnation)
+      ? {...description, isDraining: true}
+      : description;
   }
 
   private updateServiceIndex(service: ServiceName | undefined): void {
--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -25,6 +25,7 @@
     isNotRun: status === 503,
     isMisdirected: false,
     requestLimit: {kind: 'none'},
+    isLeaving: false,
     rejectionLimit: {kind: 'none'},
     idleTimeoutMilliseconds: headers.some(text => text === 'timeout=5')
       ? 5_000
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -78,6 +78,8 @@
   readonly isNotRun: boolean;
   /** Whether the request reached an endpoint other than the intended one. */
   readonly isMisdirected: boolean;
+  /** Whether the endpoint says that it leaves, and should get no more requests. */
+  readonly isLeaving: boolean;
   /** How long the connection may be idle until the endpoint closes it. */
   readonly idleTimeoutMilliseconds: Milliseconds | undefined;
   readonly requestLimit: RequestLimitStatement;
--- a/packages/gateway/__tests__/limit_cluster.ts
+++ b/packages/gateway/__tests__/limit_cluster.ts
@@ -52,6 +52,7 @@
       isSealed: true,
       isNotRun: false,
       isMisdirected: false,
+      isLeaving: false,
       idleTimeoutMilliseconds: undefined,
       rejectionLimit: {kind: 'none'},
       requestLimit:
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -57,6 +57,8 @@
 
   reportLimits(): void {}
 
+  reportLeaving(): void {}
+
   requestPermit(): Promise<PermitDecision> {
     const retryAt = after(this.clock.now(), 1_000);
     return Promise.resolve({kind: 'refused', retryAt});
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -12,11 +12,12 @@
 import type {SuspectExchange} from '@siskinmux/containment';
 import type {OriginExchange} from '@siskinmux/continuity';
 import type {RelayPeer} from '@siskinmux/relay';
+import type {LeavingExchange} from './leaving_endpoints.js';
 import type {PermitExchange} from './send_permits.js';
 
 /** Calls from a node to the allocator. */
 export interface AllocatorApi
-  extends SuspectExchange, PermitExchange, OriginExchange {
+  extends SuspectExchange, PermitExchange, OriginExchange, LeavingExchange {
   reportUsage(service: ServiceName, usage: NodeUsage): void;
   /** Reports that an engine lacks a model, or the adapter that was granted. */
   reportMissingModel(
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -40,6 +40,12 @@
 import type {EndpointLoad} from './cluster_load.js';
 import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 import {Follower} from './follower.js';
+import type {LeavingEndpoints, LeavingStatement} from './leaving_endpoints.js';
+import {
+  decodeLeaving,
+  encodeLeaving,
+  leavingSchema,
+} from './leaving_endpoints.js';
 import {
   decodeLimit,
   decodePermitRequest,
@@ -120,6 +126,8 @@
   readonly quarantine: CrashQuarantine;
   /** Limits that endpoints have named, as far as this node knows. */
   readonly limits: EndpointLimits;
+  /** What endpoints have said about their end, as far as this node knows. */
+  readonly leaving: LeavingEndpoints;
   /** Called with the origins of streams that any node reports. */
   readonly onOrigins: (origins: readonly StreamOrigin[]) => void;
   /** Part of each limit that this node may give out as permits. */
@@ -223,6 +231,7 @@
       }
       this.sendSuspects(this.options.quarantine.records, connection);
       this.sendLimits(this.options.limits.all, connection);
+      this.sendLeaving(this.options.leaving.all, connection);
       return {node: this.options.self, isHolder: true};
     });
     connection.handle(PEER_METHODS.usage, usageSchema, message => {
@@ -274,6 +283,11 @@
       const now = clock.now();
       this.mergeLimits(limits.map(limit => decodeLimit(limit, now)));
     });
+    connection.handle(PEER_METHODS.leaving, leavingSchema, message => {
+      const {leaving} = this.options;
+      const added = leaving.merge(decodeLeaving(message, clock.now()));
+      this.reportLeaving(added);
+    });
     connection.handle(
       PEER_METHODS.permit,
       permitRequestSchema,
@@ -350,6 +364,12 @@
       this.sendLimits(limits, connection);
   }
 
+  /** Forwards statements to all other nodes. */
+  reportLeaving(statements: readonly LeavingStatement[]): void {
+    for (const {connection} of this.followers.values())
+      this.sendLeaving(statements, connection);
+  }
+
   /** Records where a node takes relayed requests, and tells those that may use it. */
   offerRelay(offer: RelayPeer): void {
     this.relayPeers.record(offer);
@@ -508,6 +528,15 @@
     });
   }
 
+  private sendLeaving(
+    statements: readonly LeavingStatement[],
+    connection: PeerConnection,
+  ): void {
+    if (statements.length === 0) return;
+    const message = encodeLeaving(statements, this.options.clock.now());
+    connection.notify(PEER_METHODS.newLeaving, message);
+  }
+
   private sendSuspects(
     suspects: readonly Suspect[],
     connection: PeerConnection,
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -96,6 +96,15 @@
     'A response of the store is overdue, or the feed shows that the store has more than this node, which therefore reads once more over another connection. `cause`: `overdue` or `feed has more`; `revision` is the last one that this node has read.',
 };
 
+/** An endpoint has said that it leaves. */
+export const ENDPOINT_LEAVING: EventDescriptor = {
+  number: 7046,
+  name: 'endpoint-leaving',
+  level: 'info',
+  meaning:
+    'An endpoint has said in a response that it leaves, so that it gets no new requests from now on. `life` is its incarnation, `source` whether this node (`response`) or another one (`peer`) read it, `age` the milliseconds since then; `isListed` is false if it drained already, or isn’t listed at this node.',
+};
+
 /** A request waited for a read of the store. */
 export const REQUEST_HELD: EventDescriptor = {
   number: 7045,
@@ -251,6 +260,7 @@
   FEED_LOST,
   READ_OVERDUE,
   REQUEST_HELD,
+  ENDPOINT_LEAVING,
   GATEWAY_STARTED,
   GATEWAY_STOPPING,
   GATEWAY_STOPPED,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -76,6 +76,7 @@
 import {parseSocketAddress, relayAddress} from './gateway_settings.js';
 import {createIdleLimit} from './idle_connections.js';
 import {InFlightCounts} from './in_flight_counts.js';
+import {LeavingEndpoints} from './leaving_endpoints.js';
 import {NodePlacement} from './node_placement.js';
 import {PlatformView} from './platform_view.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
@@ -142,6 +143,7 @@
   private readonly crashDetector: CrashDetector;
   private readonly continuity: StreamContinuity;
   private readonly limits: EndpointLimits;
+  private readonly leaving: LeavingEndpoints;
   private readonly peerConnections: EndpointConnectionPool;
   private readonly peers: PeerChoice;
   private readonly reach: EndpointReach;
@@ -223,6 +225,12 @@
       emit,
     });
     this.limits = EndpointLimits.create({clock, emit});
+    this.leaving = LeavingEndpoints.create({
+      table: this.table,
+      clock,
+      emit,
+      onChanges: changes => this.applyEndpointChanges(changes),
+    });
     const metrics = createRequestMetrics(kernel.inject(METRICS), this.limits);
     const quarantine = CrashQuarantine.create({
       clock,
@@ -299,6 +307,7 @@
       quarantine,
       continuity: this.continuity,
       limits: this.limits,
+      leaving: this.leaving,
       onLimited: metrics.onLimited,
       onPermitUsed: metrics.onPermitUsed,
       reachesStore: () => this.platformView.reachesStore,
@@ -330,6 +339,7 @@
       isListed: endpoint => isListed(this.table, endpoint),
       inFlightCounts,
       limits: this.limits,
+      leaving: this.leaving,
       outliers,
       retryBudgets,
       quarantine,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -53,6 +53,7 @@
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {HolderConnection} from './leader_election.js';
 import {LeaderElection} from './leader_election.js';
+import type {LeavingEndpoints} from './leaving_endpoints.js';
 import {LeaseStore} from './lease_store.js';
 import {limitShareOf} from './limit_share.js';
 import type {LimitOutcome} from './limited_choice.js';
@@ -87,6 +88,7 @@
   readonly quarantine: CrashQuarantine;
   readonly continuity: StreamContinuity;
   readonly limits: EndpointLimits;
+  readonly leaving: LeavingEndpoints;
   /** Called for each request that an endpoint's limit concerned. */
   readonly onLimited: (outcome: LimitOutcome) => void;
   /** Called for each permit that is used under an endpoint's limit. */
@@ -314,6 +316,9 @@
       onLimits: limits => {
         this.options.limits.merge(limits);
       },
+      onLeaving: statements => {
+        this.options.leaving.merge(statements);
+      },
       onHeartbeat: (heartbeat, writtenAfter) => {
         this.applyHeartbeat(heartbeat);
         this.options.onFeed(heartbeat.feed, writtenAfter);
@@ -416,6 +421,7 @@
     this.options.quarantine.setExchange(allocator);
     this.options.continuity.setExchange(allocator);
     this.permits.setExchange(allocator);
+    this.options.leaving.setExchange(allocator);
     this.offerRelay();
   }
 
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -58,6 +58,7 @@
 } from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import {REQUEST_ENDED, SEND_FAILED} from './gateway_events.js';
+import type {LeavingEndpoints} from './leaving_endpoints.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import {InactivityTimer} from './inactivity_timer.js';
 import {refusalResponse} from './refusal_response.js';
@@ -114,6 +115,7 @@
   readonly findEndpoint: (id: EndpointId) => EndpointDescription | undefined;
   readonly inFlightCounts: InFlightCounts;
   readonly limits: EndpointLimits;
+  readonly leaving: LeavingEndpoints;
   readonly outliers: OutlierDetector;
   readonly retryBudgets: RetryBudgets;
   readonly continuity: StreamContinuity;
@@ -438,6 +440,8 @@
     this.runs = outcome.runs;
     const endpoint = this.dependencies.findEndpoint(outcome.endpoint);
     this.lastEndpoint = endpoint;
+    if (endpoint !== undefined)
+      this.dependencies.leaving.recordResponse(endpoint, head);
     return this.passOn({endpoint, isRelayed: true}, head, outcome.body);
   }
 
@@ -640,7 +644,7 @@
     result: SendResult,
     sentRequest: SentRequest,
   ): Promise<AttemptResult> {
-    const {outliers, clock, limits} = this.dependencies;
+    const {outliers, clock, limits, leaving} = this.dependencies;
     if (result.kind === 'failed') {
       outliers.recordFailure(endpoint.id, clock.now());
       const cause = result.failure.message;
@@ -666,7 +670,10 @@
         isCut: false,
       };
     }
-    if (!metadata.isMisdirected) limits.recordResponse(endpoint, head);
+    if (!metadata.isMisdirected) {
+      limits.recordResponse(endpoint, head);
+      leaving.recordResponse(endpoint, head);
+    }
     if (metadata.isNotRun) {
       discardBody(body, sentRequest, clock);
       const {model} = this.metadata;
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -25,6 +25,12 @@
 import {decodePeers, encodeOffer, relayPeersSchema} from '@siskinmux/relay';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {EndpointLimit} from './endpoint_limits.js';
+import type {LeavingStatement} from './leaving_endpoints.js';
+import {
+  decodeLeaving,
+  encodeLeaving,
+  leavingSchema,
+} from './leaving_endpoints.js';
 import {
   decodeLimit,
   decodePermitDecision,
@@ -79,6 +85,8 @@
   readonly onSuspects: (suspects: readonly Suspect[]) => void;
   /** Called with limits that endpoints have named to other nodes. */
   readonly onLimits: (limits: readonly EndpointLimit[]) => void;
+  /** Called with what endpoints have said to other nodes about their end. */
+  readonly onLeaving: (statements: readonly LeavingStatement[]) => void;
   /** Called with the nodes that this one may relay requests to. */
   readonly onRelayPeers: (peers: readonly RelayPeer[]) => void;
   /** What this node sees of an endpoint. */
@@ -134,6 +142,9 @@
       const now = clock.now();
       onLimits(limits.map(limit => decodeLimit(limit, now)));
     });
+    peerConnection.handle(PEER_METHODS.newLeaving, leavingSchema, message =>
+      options.onLeaving(decodeLeaving(message, clock.now())),
+    );
     peerConnection.handle(
       PEER_METHODS.allocatorHeartbeat,
       heartbeatSchema,
@@ -215,6 +226,12 @@
     });
   }
 
+  reportLeaving(statements: readonly LeavingStatement[]): void {
+    const {peerConnection, clock} = this.options;
+    const message = encodeLeaving(statements, clock.now());
+    peerConnection.notify(PEER_METHODS.leaving, message);
+  }
+
   reportOrigins(origins: readonly StreamOrigin[]): void {
     const {peerConnection, clock} = this.options;
     for (const message of encodeOrigins(origins, clock.now()))
