Let an odd entry of another writer harm only the endpoint that it describes

Callers: with one entry whose port is out of range beside two sound ones, 29 of 45 calls were served (24 with port 0 or an address that is none); no log line named it. Cause: the decoder took any digits for an address, so that opening a connection threw; an unknown field nested 60,000 deep passed, and the lease holder's heartbeat, which forwards entries, threw on it and ended; a name that is no header value would have failed each send.

--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,6 +22,7 @@
 export type {ProbeResult, ResponseProbeResult} from './probe_endpoint.js';
 export {probeEndpoint, probeResponse} from './probe_endpoint.js';
 export {watchForReset} from './reset_detection.js';
+export {isSocketAddress} from './socket_address.js';
 export type {
   BodyEnd,
   BodyFraming,
--- a/packages/gateway/src/peer_connection.ts
+++ b/packages/gateway/src/peer_connection.ts
@@ -9,6 +9,7 @@
 } from 'json-rpc-2.0';
 import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, until} from '@siskinmux/kernel';
+import {isSocketAddress} from '@siskinmux/forwarding';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {z} from 'zod';
 import {PEER_MESSAGE_INVALID} from './gateway_events.js';
@@ -67,6 +68,10 @@
   ): Promise<PeerConnection> {
     const [host, port] = address.split(':');
     return new Promise((resolve, reject) => {
+      if (!isSocketAddress(address)) {
+        reject(new PeerUnreachableError(`not an address: ${address}`));
+        return;
+      }
       const socket = connect({host: host ?? '', port: Number(port)});
       const {clock} = options;
       const cancel = clock.schedule(
--- a/packages/runtime/src/periodic_job.ts
+++ b/packages/runtime/src/periodic_job.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * Creates a job that waits for `pause` after the end of each run. If `work` throws, the job
- * ends and the error is reported as an unhandled rejection.
+ * Creates a job that waits for `pause` after the end of each run. If `work` throws, the error
+ * is reported as an unhandled rejection, and the job goes on.
  */
 export function createPeriodicJob(
   clock: Clock,
@@ -30,8 +30,11 @@
     cancel = clock.schedule(after(clock.now(), nextPause()), () => void run());
   };
   const run = async (): Promise<void> => {
-    await work();
-    schedule();
+    try {
+      await work();
+    } finally {
+      schedule();
+    }
   };
   return {
     start: () => void run(),
