Trust no response without an id on a connection that has carried another request

Callers: of 120 calls that may run once, 68 were told "not run" by a refusal that an endpoint had written once more, without an id, where the response to a run request was due; such a request ran again at the other endpoint. Cause: the id of a response was compared only if there was one. Change: on a used connection, a response without an id to a request with one counts as belonging to another request: the request may have run. Connections to an endpoint that has done this carry one request each for 30 s, so that further callers get their own responses. Not included: skipping the repeated response to wait for the real one, which the HTTP client of the connections can't do; the first caller at each endpoint gets 504.

--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -115,6 +115,7 @@
       this.protocol,
       () => this.isReset,
       () => this.connectedAt,
+      this.idleSince !== undefined,
       head => this.handleEnd(head),
     ).sentRequest;
   }
@@ -176,6 +177,7 @@
     private readonly protocol: EndpointProtocol,
     private readonly isReset: () => boolean,
     connectedAt: () => Instant | undefined,
+    isOnUsedConnection: boolean,
     private readonly onEnd: (head: ResponseHead | undefined) => void,
   ) {
     const result = new Promise<Awaited<SentRequest['result']>>(resolve => {
@@ -185,6 +187,7 @@
     const isAborted = (): boolean => this.isAborted;
     this.sentRequest = {
       result,
+      isOnUsedConnection,
       get isAborted() {
         return isAborted();
       },
--- a/packages/forwarding/src/endpoint_connection_pool.ts
+++ b/packages/forwarding/src/endpoint_connection_pool.ts
@@ -1,6 +1,7 @@
 /** Pool of connections to endpoints. */
 
-import type {Clock, EndpointId, Milliseconds} from '@siskinmux/kernel';
+import type {Clock, EndpointId, Instant, Milliseconds} from '@siskinmux/kernel';
+import {after} from '@siskinmux/kernel';
 import type {OutgoingRequest} from './endpoint_connection.js';
 import {EndpointConnection} from './endpoint_connection.js';
 import type {EndpointProtocol} from './endpoint_protocol.js';
@@ -13,6 +14,9 @@
  */
 const REUSE_IDLE_FRACTION = {retryable: 0.8, nonRetryable: 0.1} as const;
 
+/** How long connections to an endpoint are not reused after a response to an earlier request. */
+const SINGLE_USE_MILLISECONDS: Milliseconds = 30_000;
+
 /** Most idle connections kept for each endpoint; a burst opens more for a short time. */
 export const MAXIMUM_IDLE_CONNECTIONS = 8;
 
@@ -34,6 +38,8 @@
 /** Opens connections on demand and keeps some of them idle for reuse. */
 export class EndpointConnectionPool {
   private readonly idle = new Map<EndpointId, EndpointConnection[]>();
+  /** Endpoints whose connections carry one request each, and until when. */
+  private readonly singleUseUntil = new Map<EndpointId, Instant>();
   private openedCount = 0;
 
   private constructor(
@@ -61,6 +67,16 @@
     return (connection ?? this.open(endpoint)).send(request);
   }
 
+  /**
+   * Opens a connection for each request to an endpoint for some time, as its responses can't be
+   * told apart: it has responded to an earlier request once more.
+   */
+  avoidReuse(endpoint: EndpointId): void {
+    const end = after(this.options.clock.now(), SINGLE_USE_MILLISECONDS);
+    this.singleUseUntil.set(endpoint, end);
+    this.closeIdle(endpoint);
+  }
+
   /** Closes the idle connections to a removed endpoint. */
   closeIdle(endpoint: EndpointId): void {
     for (const connection of this.idle.get(endpoint) ?? [])
@@ -71,6 +87,9 @@
   /** Closes the connections that have been idle for too long, or exceed the limit. */
   closeExpired(): void {
     const now = this.options.clock.now();
+    for (const [endpoint, end] of this.singleUseUntil) {
+      if (now >= end) this.singleUseUntil.delete(endpoint);
+    }
     for (const [endpoint, connections] of this.idle) {
       const usable = connections.filter(
         connection => !connection.isExpired(now),
@@ -116,6 +135,10 @@
   }
 
   private addIdle(endpoint: EndpointId, connection: EndpointConnection): void {
+    if (this.singleUseUntil.has(endpoint)) {
+      connection.destroy();
+      return;
+    }
     const connections = this.idle.get(endpoint) ?? [];
     connections.push(connection);
     if (connections.length > this.options.idleLimit(endpoint))
--- a/packages/forwarding/src/sent_request.ts
+++ b/packages/forwarding/src/sent_request.ts
@@ -33,6 +33,8 @@
   readonly result: Promise<SendResult>;
   /** Whether this node aborted the request; otherwise a broken response is the endpoint's. */
   readonly isAborted: boolean;
+  /** Whether the connection carried a request before, whose endpoint may respond to it once more. */
+  readonly isOnUsedConnection: boolean;
   /** When the connection that carries the request was established; undefined before. */
   readonly connectedAt: Instant | undefined;
   /** Closes the connection; the result fails, or the body ends as broken. */
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -657,12 +657,10 @@
     const {head, body} = result;
     this.respondedAt = clock.now();
     const {metadata, status} = head;
-    if (
-      metadata.requestId !== undefined &&
-      metadata.requestId !== this.metadata.id
-    ) {
+    if (!this.isOwnResponse(head, sentRequest)) {
       // The response to an earlier request; the one to this request can't be identified.
-      this.sentRequest?.abort();
+      sentRequest.abort();
+      this.dependencies.connections.avoidReuse(endpoint.id);
       this.runs += 1;
       return {
         kind: 'may_have_run',
@@ -695,6 +693,17 @@
     return this.passOn({endpoint, isRelayed: false}, head, body);
   }
 
+  /** A response without an id belongs to the only request that its connection has carried. */
+  private isOwnResponse(
+    {metadata: {requestId}}: ResponseHead,
+    {isOnUsedConnection}: SentRequest,
+  ): boolean {
+    const {id} = this.metadata;
+    return requestId === undefined
+      ? id === '' || !isOnUsedConnection
+      : requestId === id;
+  }
+
   /** Passes the response of an endpoint on to the caller. */
   private passOn(
     source: ResponseSource,
