Continue a stream only with a response that is the rest of one

Callers: a stream that had begun and broke off ended as if it were complete if the next endpoint responded with 204, 205, an event stream of length 0, a success without a type, or a stream that a close ended before its first event; a stream of another status was joined to it. No text of an error reached a caller. Cause: a continuation was judged like a first response, for which a success without a type is a stream, and an empty one is complete. Change: the rest of a stream has the status of its beginning and says that it is an event stream; without an event, it is complete only if a last chunk says so.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -68,6 +68,7 @@
 import {
   bufferBody,
   discardBody,
+  isContinuation,
   isEventStream,
   isSuccess,
   relayEvents,
@@ -163,6 +164,8 @@
   private respondedAt: Instant | undefined;
   /** How old this node's knowledge was at the last send. */
   private viewAge: ViewAge | undefined;
+  /** Head of the response that began the stream which the caller gets. */
+  private streamHead: ResponseHead | undefined;
   private sentRequest: SentRequest | undefined;
   private trackedSend: TrackedSend | undefined;
   private peer: NodeId | undefined;
@@ -711,18 +714,18 @@
     body: Parameters<typeof relayEvents>[1],
   ): AttemptResult | Promise<AttemptResult> {
     if (
-      this.route.kind === 'stream' &&
-      isSuccess(head) &&
-      isEventStream(head)
+      this.streamHead !== undefined &&
+      !isContinuation(this.streamHead, head)
     ) {
-      return this.relayStream(source, head, body);
-    }
-    if (this.exchange.hasSentHead) {
       this.sentRequest?.abort();
       const cause = `status ${head.status} instead of the rest of the stream`;
       return {kind: 'stream_broken', cause, canResume: false, isCut: false};
     }
-    return this.relayResponse(source, head, body);
+    return this.route.kind === 'stream' &&
+      isSuccess(head) &&
+      isEventStream(head)
+      ? this.relayStream(source, head, body)
+      : this.relayResponse(source, head, body);
   }
 
   private async relayStream(
@@ -732,7 +735,9 @@
   ): Promise<AttemptResult> {
     const {endpoint, isRelayed} = source;
     const {protocol} = this.dependencies;
-    if (!this.exchange.hasSentHead) {
+    const isContinued = this.streamHead !== undefined;
+    if (!isContinued) {
+      this.streamHead = head;
       const headers = protocol.responseHeaders(head.headers);
       this.startResponse(
         source,
@@ -740,8 +745,10 @@
         this.route.isResumable ? withoutLength(headers) : headers,
       );
     }
+    let hasEvents = false;
     const end = await relayEvents(this.exchange, body, this.events, {
       onEvents: () => {
+        hasEvents = true;
         // Bytes that complete no event don't count: a stalled endpoint may send some.
         this.inactivityTimer?.reset();
         this.trackedSend?.recordContact();
@@ -750,7 +757,13 @@
       onPause: () => this.inactivityTimer?.suspend(),
       onResume: () => this.inactivityTimer?.resume(),
     });
-    const cause = await this.findBreak(source, head, end);
+    // Only a last chunk says that nothing remains; a stream without events may be none.
+    const isEmpty = isContinued && !hasEvents && head.framing !== 'chunks';
+    const cause =
+      (await this.findBreak(source, head, end)) ??
+      (isEmpty
+        ? 'an empty response instead of the rest of the stream'
+        : undefined);
     this.recordEnd(source, cause);
     if (cause === undefined) {
       this.finish(SERVED, () => this.exchange.end());
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -7,6 +7,7 @@
   EventStreamSplitter,
   SentRequest,
 } from '@siskinmux/forwarding';
+import {findHeader} from '@siskinmux/forwarding';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 import type {CallerExchange} from './caller_exchange.js';
@@ -155,13 +156,27 @@
   return head.status >= 200 && head.status < 300;
 }
 
-/** Whether the body is a stream of server-sent events, which it is unless its type is another. */
-export function isEventStream({headers}: ResponseHead): boolean {
-  const at = headers.findIndex(
-    (name, index) => index % 2 === 0 && name.toLowerCase() === CONTENT_TYPE,
+/** Whether a response may be the rest of the stream that another one began: it says so itself. */
+export function isContinuation(
+  began: ResponseHead,
+  continued: ResponseHead,
+): boolean {
+  const hasSameType =
+    contentTypeOf(continued) !== undefined ||
+    contentTypeOf(began) === undefined;
+  return (
+    continued.status === began.status && isEventStream(continued) && hasSameType
   );
-  const type = at < 0 ? undefined : headers[at + 1];
+}
+
+/** Whether the body is a stream of server-sent events, which it is unless its type is another. */
+export function isEventStream(head: ResponseHead): boolean {
+  const type = contentTypeOf(head);
   return (
     type === undefined || type.trim().toLowerCase().startsWith(EVENT_STREAM)
   );
 }
+
+function contentTypeOf({headers}: ResponseHead): string | undefined {
+  return findHeader(headers, CONTENT_TYPE);
+}
