Testify that a service responds only if it has endpoints to ask

Cause: a node that lists no endpoint of a service found an empty sample sound, and testified that the service responds; a service that is silent for all could be taken for lost links of the asking node. Change: without endpoints, and without a recent response, the testimony is that it doesn't. Evidence: endpoint_reach.test.ts: the new test failed before.

--- a/packages/reach/__tests__/endpoint_reach.test.ts
+++ b/packages/reach/__tests__/endpoint_reach.test.ts
@@ -165,6 +165,11 @@
     expect(await reach.testify(TEXT)).toEqual(false);
   });
 
+  it('does not testify that a service responds of which it lists no endpoint', async () => {
+    const {reach} = build();
+    expect(await reach.testify(as<ServiceName>('unlisted'))).toEqual(false);
+  });
+
   it('does not end a send whose connection lives on while new ones are refused', async () => {
     const {reach, cut, pass} = build();
     let silent = 0;
--- a/packages/reach/src/endpoint_reach.ts
+++ b/packages/reach/src/endpoint_reach.ts
@@ -144,7 +144,9 @@
     const isRecent =
       contactAt !== undefined &&
       until(contactAt, now) <= RECENT_CONTACT_MILLISECONDS;
-    return isRecent || (await this.probe(service)) === 'sound';
+    if (isRecent) return true;
+    const hasEndpoints = this.endpointsOf(service).length > 0;
+    return hasEndpoints && (await this.probe(service)) === 'sound';
   }
 
   /** Checks the services whose oldest send is suspiciously silent; to be called periodically. */
@@ -278,12 +280,16 @@
     this.options.onChange();
   }
 
-  /** Probes some endpoints of a service; without any, its links count as sound. */
-  private async probe(service: ServiceName): Promise<RoundResult> {
-    const {table, probe, random} = this.options;
-    const running = table.running.filter(
+  private endpointsOf(service: ServiceName): EndpointDescription[] {
+    return this.options.table.running.filter(
       endpoint => endpoint.service === service && !endpoint.isDraining,
     );
+  }
+
+  /** Probes some endpoints of a service; without any, its links count as sound. */
+  private async probe(service: ServiceName): Promise<RoundResult> {
+    const {probe, random} = this.options;
+    const running = this.endpointsOf(service);
     const sample = sampleEndpoints(running, PROBED_ENDPOINTS, random);
     const results = await Promise.all(sample.map(endpoint => probe(endpoint)));
     if (sample.length === 0 || results.includes('responding')) return 'sound';
