--- a/packages/gateway/__tests__/knowledge_histories.test.ts
+++ b/packages/gateway/__tests__/knowledge_histories.test.ts
@@ -1,7 +1,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import type {ObjectVersion} from '@siskinmux/kernel';
 import {randomBelow} from '@siskinmux/kernel';
 import {
+  KIND,
   KNOWN_WITHIN_MILLISECONDS,
   KnowledgeCluster,
   playHistory,
@@ -94,6 +96,21 @@
     ).toEqual([]);
   });
 
+  it('reads again at once after a gap in the feed, though its own watch is open', async () => {
+    const cluster = new KnowledgeCluster(1);
+    const [follower] = cluster.followers;
+    cluster.isHolderSending = false;
+    await cluster.clock.advance(2_000);
+    follower!.store.silenceOpenConnections();
+    cluster.acknowledge('leaves');
+    const to = cluster.shared.revision as ObjectVersion;
+    const gap = {kind: KIND, from: to, to, changes: [], age: 0, returnLeft: 0};
+    follower!.watcher.applyFeed(gap, cluster.clock.now());
+    await cluster.clock.advance(40);
+    expect(follower!.known.has('leaves')).toEqual(true);
+    cluster.stop();
+  });
+
   it('waits for a read instead of choosing while a change may be unknown, but not while the store is away', async () => {
     const cluster = new KnowledgeCluster(1);
     const [follower] = cluster.followers;
