Bound the hold of a request, and wait until the knowledge of all kinds is decided

The wait for two kinds of objects also ended while one of them had become too old meanwhile. Change: a hold ends after 0.5 s at most, and is then refused as not run with a time to return; the wait goes on until all kinds are decided; a node that knows nothing yet refuses at once, as before.

--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -111,7 +111,7 @@
   name: 'request-held',
   level: 'info',
   meaning:
-    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `outcome`: `current` after a read, `unreachable` if the store did not respond and the last knowledge was used, `gone` if the request had ended.',
+    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `outcome`: `current` after a read, `unreachable` if the store did not respond and the last knowledge was used, `refused` if neither was known in time, `gone` if the request had ended.',
 };
 
 /** The gateway has opened its listeners. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -22,6 +22,7 @@
 import {
   ErrorCode,
   Kernel,
+  RefusalError,
   after,
   createNotRunRefusal,
   sleepFor,
@@ -107,8 +108,8 @@
 /** Time for the last responses to reach their callers, those that end with a reset included. */
 const ABANDON_MILLISECONDS: Milliseconds = 2 * RESET_DELAY_MILLISECONDS;
 
-/** Longest wait of a request for a read of the platform's store; reads are given up earlier. */
-const VIEW_WAIT_MILLISECONDS: Milliseconds = 1_000;
+/** Longest hold of a request without a timeout of its caller. */
+const MAXIMUM_HOLD_MILLISECONDS: Milliseconds = 1_000;
 
 /** Longer than other nodes keep their connections to this one. */
 const RELAY_IDLE_MILLISECONDS: Milliseconds = 10_000;
@@ -472,7 +473,8 @@
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
-    if (!this.platformView.isDecidable) await this.waitForView(exchange);
+    if (!this.platformView.isDecidable && !(await this.holdForView(exchange)))
+      return;
     const routes = this.routes.current;
     if (routes === undefined || !this.isAcceptingRequests) {
       const code =
@@ -502,20 +504,31 @@
     }
   }
 
-  /** Routes that may be outdated neither serve nor refuse a request before they are read again. */
-  private async waitForView(exchange: CallerExchange): Promise<void> {
+  /** Holds a request that might be routed by outdated routes; false if it has ended. */
+  private async holdForView(exchange: CallerExchange): Promise<boolean> {
+    const {clock, platform} = this.options;
+    const {id, timeoutMilliseconds} = platform.protocol.readRequest(
+      exchange.headers,
+    );
     const left = new AbortController();
     exchange.onDisconnect(() => left.abort());
-    await waitForView(
-      this.platformView,
-      {
-        id: this.options.platform.protocol.readRequest(exchange.headers).id,
-        deadline: after(exchange.receivedAt, VIEW_WAIT_MILLISECONDS),
-        signal: left.signal,
-      },
-      this.options.clock,
-      this.emit,
+    const deadline = after(
+      exchange.receivedAt,
+      timeoutMilliseconds ?? MAXIMUM_HOLD_MILLISECONDS,
     );
+    try {
+      await waitForView(
+        this.platformView,
+        {id, deadline, signal: left.signal},
+        clock,
+        this.emit,
+      );
+    } catch (failure) {
+      if (!(failure instanceof RefusalError)) throw failure;
+      this.refuse(exchange, failure.code);
+      return false;
+    }
+    return !left.signal.aborted;
   }
 
   private refuse(exchange: CallerExchange, code: ErrorCode): void {
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -187,9 +187,14 @@
     );
   }
 
-  /** Whether decisions may be made: by recent knowledge, or by the last one during an outage. */
+  /**
+   * Whether decisions may be made: by recent knowledge, by the last one during an outage, or
+   * while nothing is known, which leads to refusals.
+   */
   get isDecidable(): boolean {
-    return this.isUnreachable || this.isCurrent;
+    return (
+      this.isUnreachable || this.isCurrent || this.confirmedUntil === undefined
+    );
   }
 
   /** Resolves once {@link isDecidable} holds, or at the deadline, or on abortion. */
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -150,11 +150,15 @@
     deadline: Instant,
     signal: AbortSignal,
   ): Promise<void> {
-    await Promise.all(
-      this.watchers.map(watcher =>
-        watcher.waitUntilDecidable(deadline, signal),
-      ),
-    );
+    const {clock} = this.options;
+    // The knowledge of one kind may become too old while that of another is waited for.
+    while (!this.isDecidable && !signal.aborted && clock.now() < deadline) {
+      await Promise.all(
+        this.watchers.map(watcher =>
+          watcher.waitUntilDecidable(deadline, signal),
+        ),
+      );
+    }
   }
 
   /** Called when the connection to the lease holder is lost. */
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -325,8 +325,6 @@
     const deadline = this.currentDeadline();
     const {id} = this.metadata;
     await waitForView(view, {id, deadline, signal}, clock, emit);
-    if (!view.isDecidable && !signal.aborted)
-      throw createNotRunRefusal(ErrorCode.DeadlinePassed, this.route.name);
   }
 
   /** Decides whether the request is sent again, and logs the failed send. */
--- a/packages/gateway/src/wait_for_view.ts
+++ b/packages/gateway/src/wait_for_view.ts
@@ -1,22 +1,40 @@
 /** Holds a request while this node's knowledge of the platform may be outdated. */
 
-import type {Clock, EmitEvent, Instant, RequestId} from '@siskinmux/kernel';
-import {until} from '@siskinmux/kernel';
+import type {
+  Clock,
+  EmitEvent,
+  Instant,
+  Milliseconds,
+  RequestId,
+} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  after,
+  createNotRunRefusal,
+  earlier,
+  until,
+} from '@siskinmux/kernel';
 import {REQUEST_HELD} from './gateway_events.js';
 import type {PlatformView} from './platform_view.js';
 
+/** Longest wait; by then, the store has responded, or is known to be unreachable. */
+const HOLD_MILLISECONDS: Milliseconds = 500;
+
+/** `Retry-After` of a request that no read came in time for. */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
+
 /** The request that waits. */
 export interface WaitingRequest {
   readonly id: RequestId;
-  /** When it goes on in any case. */
+  /** When its caller gives up. */
   readonly deadline: Instant;
   /** Aborts when the request has ended. */
   readonly signal: AbortSignal;
 }
 
 /**
- * Waits for a read of the store. Resolves when the knowledge is recent, when the store turns
- * out to be unreachable, or at the deadline.
+ * Waits for a read of the store. Resolves when the knowledge is recent, or when the store turns
+ * out to be unreachable; throws a `RefusalError` if neither is known in time.
  */
 export async function waitForView(
   view: PlatformView,
@@ -26,16 +44,26 @@
 ): Promise<void> {
   const {age} = view;
   const startedAt = clock.now();
-  await view.waitUntilDecidable(deadline, signal);
+  const holdUntil = earlier(deadline, after(startedAt, HOLD_MILLISECONDS));
+  await view.waitUntilDecidable(holdUntil, signal);
+  const now = clock.now();
   emit(REQUEST_HELD, {
     id,
     endpointsAge: age.endpoints,
     routesAge: age.routes,
-    waited: Math.round(until(startedAt, clock.now())),
-    outcome: signal.aborted
-      ? 'gone'
-      : view.isCurrent
-        ? 'current'
-        : 'unreachable',
+    waited: Math.round(until(startedAt, now)),
+    outcome: outcomeOf(view, signal),
   });
+  if (signal.aborted || view.isDecidable) return;
+  throw createNotRunRefusal(
+    ErrorCode.ConfigurationUnavailable,
+    'the platform’s state is unknown',
+    after(now, RETRY_AFTER_MILLISECONDS),
+  );
+}
+
+function outcomeOf(view: PlatformView, signal: AbortSignal): string {
+  if (signal.aborted) return 'gone';
+  if (!view.isDecidable) return 'refused';
+  return view.isCurrent ? 'current' : 'unreachable';
 }
