--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,22 +1,23 @@
-/** One engine in trouble answers its streams with short lines without end. */
+/**
+ * A machine is stopped as planned, and another one gives orders to the engines instead of it.
+ * Then the store comes back from a copy that is older than this change.
+ */
 
 import {randomBytes} from 'node:crypto';
-import {request} from 'node:http';
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {HOST, MODELS, configuration} from '../stand_ins/deployment.mjs';
+import {
+  HOST,
+  MODELS,
+  configuration,
+  holderOf,
+  leaseOf,
+} from '../stand_ins/deployment.mjs';
 import {EndpointStandIn} from '../stand_ins/endpoint_stand_in.mjs';
-import {World, sleep} from '../stand_ins/world.mjs';
+import {World, send, sleep} from '../stand_ins/world.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-const TROUBLE_MS = 12_000;
-const ISSUE_TIMEOUT_MS = 600;
-const STREAMS_A_SECOND = 13;
-const STREAM_PATIENCE_MS = 2_000;
-/** A quarter of the 1,000 Mbit/s of a link. */
-const BYTES_A_SECOND = 31_250_000;
-/** Longest pause of this script itself with which its measurements count. */
-const MAXIMUM_PAUSE_MS = 200;
+const AWAY_MS = 1_000;
 
 const world = new World(dirname(fileURLToPath(import.meta.url)));
 const {store} = world;
@@ -26,27 +27,60 @@
 );
 timer.unref();
 
-/** Longest pause of this process, which plays the clients and the engines. */
-let longestPause = 0;
-let lastTick = Date.now();
-setInterval(() => {
-  const now = Date.now();
-  longestPause = Math.max(longestPause, now - lastTick);
-  lastTick = now;
-}, 10);
+async function text(gateway, model) {
+  const answer = await send({
+    address: gateway.callers,
+    method: 'POST',
+    path: '/text/1',
+    host: HOST,
+    headers: {
+      'attempt-id': randomBytes(8).toString('hex'),
+      'deadline-ms': '12000',
+      'token-counts': '100,50',
+      'prompt-prefix': '5c1e07a2:60,91bd3f06:40',
+      model,
+    },
+    body: 'write',
+  });
+  world.record('request', {
+    machine: gateway.name,
+    model,
+    status: answer.status,
+    failure: answer.failure,
+    isComplete: answer.isComplete,
+    milliseconds: answer.endedAt - answer.sentAt,
+  });
+  return answer;
+}
+
+/** A caller tries each machine that is up once a second, until an answer is complete. */
+async function textUntilServed(gateways, model) {
+  for (let attempt = 0; attempt < 12; attempt += 1) {
+    const {status} = await text(gateways[attempt % gateways.length], model);
+    if (status === 200) return true;
+    await sleep(1_000);
+  }
+  return false;
+}
+
+async function waitFor(condition, milliseconds) {
+  const deadline = Date.now() + milliseconds;
+  while (Date.now() < deadline) {
+    if (condition()) return true;
+    await sleep(50);
+  }
+  return false;
+}
 
 await world.startStore();
-const config = configuration(3);
-config.routes.find(({name}) => name === 'issue').timeoutMs = ISSUE_TIMEOUT_MS;
-store.put('config', 'main', config);
+store.put('config', 'main', configuration(3));
 const engines = [];
-for (const [index, zone] of ['a', 'b', 'c'].entries()) {
+for (const [index, zone] of ['a', 'b'].entries()) {
   const engine = new EndpointStandIn({
     id: `i-engine-${index + 1}`,
     service: 'wordsmith',
     isEngine: true,
-    slots: 64,
-    events: 40,
+    slots: 16,
     models: ['m0'],
     onDisk: MODELS,
     zone,
@@ -57,16 +91,6 @@
   engines.push(engine);
   await world.addEndpoint(engine);
 }
-const till = new EndpointStandIn({
-  id: 'i-till-1',
-  service: 'till',
-  slots: 60,
-  zone: 'a',
-  host: `${world.net}.110`,
-  port: 9_000,
-  store,
-});
-await world.addEndpoint(till);
 for (const [index, zone] of ['a', 'b', 'c'].entries())
   world.addGateway(`front-${zone}-1`, index + 1, zone);
 const {gateways} = world;
@@ -74,163 +98,107 @@
   gateways.map(gateway => gateway.waitUntilReady(20_000)),
 );
 if (areReady.includes(false)) world.finish(2, 'a machine did not become ready');
-await sleep(6_000);
+await waitFor(() => holderOf(store) !== undefined, 5_000);
+await sleep(8_000);
 
-/** Bytes that are no answer, in a body, until the caller closes. */
-const [troubled] = engines;
-const streamSoundly = troubled.stream.bind(troubled);
-let isTroubled = false;
-let allowedBytes = 0;
-let sentBytes = 0;
-setInterval(() => {
-  allowedBytes = BYTES_A_SECOND / 50;
-}, 20);
-troubled.stream = async (incoming, response, headers) => {
-  if (!isTroubled) return streamSoundly(incoming, response, headers);
-  const lines = Buffer.alloc(65_536, 'y\n');
-  response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
-  while (!response.destroyed) {
-    if (allowedBytes < lines.length || response.writableNeedDrain) {
-      await sleep(5);
-      continue;
-    }
-    allowedBytes -= lines.length;
-    sentBytes += lines.length;
-    response.write(lines);
-  }
-};
-
-/** A client leaves a stream without an event for two seconds. */
-function openStream(gateway) {
-  const [host, port] = gateway.callers.split(':');
-  const call = request({
-    host,
-    port,
-    method: 'POST',
-    path: '/text/1',
-    agent: false,
-    headers: {
-      host: HOST,
-      'attempt-id': randomBytes(8).toString('hex'),
-      'deadline-ms': '12000',
-      'token-counts': '100,50',
-      'prompt-prefix': '5c1e07a2:60,91bd3f06:40',
-      model: 'm0',
-    },
-  });
-  const leave = () => call.destroy();
-  let patience = setTimeout(leave, STREAM_PATIENCE_MS);
-  call.on('error', () => {});
-  call.on('close', () => clearTimeout(patience));
-  call.on('response', response => {
-    response.on('error', () => {});
-    response.on('data', chunk => {
-      if (!chunk.includes('\n\n')) return;
-      clearTimeout(patience);
-      patience = setTimeout(leave, STREAM_PATIENCE_MS);
-    });
-  });
-  call.end('write');
+/** The machine that holds the lease, as the store has it; a process adds a suffix to the name. */
+function holder() {
+  const name = holderOf(store) ?? '';
+  return gateways.find(gateway => name.startsWith(gateway.name));
 }
 
-const issued = [];
+/** Some models that no engine holds. */
+function absentModels(count) {
+  return MODELS.filter(
+    model => !engines.some(engine => engine.models.has(model)),
+  ).slice(0, count);
+}
 
-/** A coupon of the sound service; its client waits well beyond the route's timeout. */
-function issue(gateway) {
-  const [host, port] = gateway.callers.split(':');
-  const entry = {machine: gateway.name, sentAt: Date.now()};
-  issued.push(entry);
-  const call = request(
-    {
-      host,
-      port,
-      method: 'POST',
-      path: '/issue/coupon',
-      agent: false,
-      headers: {
-        host: HOST,
-        'attempt-id': randomBytes(8).toString('hex'),
-        'deadline-ms': '5000',
-      },
-    },
-    response => {
-      entry.status = response.statusCode;
-      response.resume();
-      response.on('error', () => {});
-      response.once('close', () => {
-        entry.endedAt = Date.now();
-      });
-    },
+/** Stops a machine as planned; resolves when another one has the lease. */
+async function stopHolder() {
+  const stopped = holder();
+  if (stopped === undefined) world.finish(2, 'no machine holds the lease');
+  world.record('SIGTERM', {name: stopped.name});
+  const {starts} = stopped;
+  stopped.signal('SIGTERM');
+  const isTaken = await waitFor(
+    () => holder() !== undefined && holder() !== stopped,
+    5_000,
   );
-  call.once('error', () => {
-    entry.endedAt ??= Date.now();
-  });
-  call.end('coupon');
+  if (!isTaken) world.finish(2, 'no other machine took the lease');
+  world.record('holder', {name: holder().name, lease: leaseOf(store)});
+  const isBack = async () => {
+    if (!(await waitFor(() => stopped.starts > starts, 12_000)))
+      world.finish(2, 'a stopped machine did not end');
+    if (!(await stopped.waitUntilReady(10_000)))
+      world.finish(2, 'a stopped machine did not come back');
+    world.record('ready again', {name: stopped.name});
+  };
+  return {stopped, isBack};
 }
 
-let isOn = true;
-async function repeat(action, milliseconds) {
-  while (isOn) {
-    action();
-    await sleep(milliseconds);
-  }
-}
-const probes = [];
-for (const gateway of gateways) {
-  void repeat(() => openStream(gateway), 1_000 / STREAMS_A_SECOND);
-  void repeat(() => issue(gateway), 100);
-  void repeat(async () => {
-    const sentAt = Date.now();
-    const status = await gateway.readiness();
-    probes.push({machine: gateway.name, sentAt, status});
-  }, 1_000);
-}
+world.record('holder', {name: holder()?.name, lease: leaseOf(store)});
+for (const gateway of gateways) await text(gateway, 'm0');
 
-await sleep(4_000);
-const troubleAt = Date.now();
-world.record('trouble', {isOn: HAS_TROUBLE});
-isTroubled = HAS_TROUBLE;
-await sleep(TROUBLE_MS);
-const calmAt = Date.now();
-isTroubled = false;
-isOn = false;
-world.record('end of trouble', {sentBytes});
-await sleep(6_000);
+const copy = store.copy();
+world.record('copy', {revision: copy.revision});
 
-let late = 0;
-let overdue = 0;
-let count = 0;
-for (const {machine, sentAt, endedAt, status} of issued) {
-  const milliseconds = endedAt === undefined ? undefined : endedAt - sentAt;
-  world.record('request', {
-    sentAt: ((sentAt - world.startedAt) / 1000).toFixed(3),
-    machine,
-    status,
-    milliseconds,
+// The machines are stopped and started in turn; the second one gives orders in its time.
+const first = await stopHolder();
+const others = gateways.filter(gateway => gateway !== first.stopped);
+const isServed = await Promise.all(
+  absentModels(2).map(model => textUntilServed(others, model)),
+);
+if (isServed.includes(false)) world.finish(2, 'a model was not served');
+await first.isBack();
+const second = await stopHolder();
+
+if (HAS_TROUBLE) {
+  store.goAway();
+  world.record('store away', {
+    revision: store.revision,
+    copyIsSecondsOld: (Date.now() - copy.takenAt) / 1000,
   });
-  if (sentAt < troubleAt || sentAt > calmAt - 2_000) continue;
-  count += 1;
-  if (milliseconds !== undefined && milliseconds <= ISSUE_TIMEOUT_MS) continue;
-  late += 1;
-  if (milliseconds === undefined || milliseconds > ISSUE_TIMEOUT_MS + 500)
-    overdue += 1;
+  await sleep(AWAY_MS);
+  store.comeBack(copy);
+  for (const engine of engines) engine.register();
+  world.record('store back', {era: store.era, revision: store.revision});
 }
-const probed = probes.filter(
-  ({sentAt}) => sentAt >= troubleAt && sentAt <= calmAt,
+await second.isBack();
+await sleep(4_000);
+world.record('holder', {name: holder()?.name, lease: leaseOf(store)});
+await Promise.all(
+  absentModels(2).map(model => textUntilServed(gateways, model)),
 );
-const missed = probed.filter(({status}) => status !== 200).length;
-world.record('result', {
-  count,
-  unansweredAtTimeout: late,
-  unansweredHalfASecondLater: overdue,
-  probes: probed.length,
-  probesMissed: missed,
-  longestPauseOfThisScript: longestPause,
-});
-if (longestPause > MAXIMUM_PAUSE_MS)
-  world.finish(2, 'this script itself was too slow');
-if (count < 200) world.finish(2, 'too few requests were sent');
-const seen = `of ${count} requests to a sound service ${late} had no answer at timeoutMs, and ${overdue} none half a second later; ${missed} of ${probed.length} probes were missed`;
-if (overdue >= 8 && overdue > late / 2)
-  world.finish(1, `CONFIG broken: ${seen}`);
-world.finish(0, `CONFIG held: ${seen}`);
+await sleep(1_000);
+
+const violations = [];
+for (const engine of engines) {
+  const holders = new Map();
+  for (const order of engine.orders) {
+    world.record('order', {
+      at: ((order.at - world.startedAt) / 1000).toFixed(3),
+      engine: engine.id,
+      holder: order.holder,
+      fencingToken: order.fencingToken,
+      operation: order.operation,
+      model: order.model,
+      status: order.status,
+    });
+    // A holder is one machine, whatever name it bears.
+    const machine = gateways.find(({name}) => order.holder.startsWith(name));
+    const known = holders.get(order.fencingToken) ?? new Set();
+    holders.set(order.fencingToken, known.add(machine?.name ?? order.holder));
+  }
+  for (const [token, names] of holders) {
+    if (names.size > 1)
+      violations.push(
+        `${engine.id} got orders with fencing token ${token} from ${[...names].join(' and ')}`,
+      );
+  }
+}
+const orderCount = engines.flatMap(({orders}) => orders).length;
+for (const violation of violations) world.record('broken', {violation});
+if (violations.length > 0) world.finish(1, `ONE broken: ${violations[0]}`);
+if (orderCount < 2) world.finish(2, 'the machines gave too few orders');
+world.finish(0, 'ONE held');
