--- a/review/stand_ins/endpoint_stand_in.mjs
+++ b/review/stand_ins/endpoint_stand_in.mjs
@@ -8,6 +8,15 @@
 const sleep = milliseconds =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
 
+const connectionNumbers = new WeakMap();
+let connectionCount = 0;
+
+function connectionNumber(socket) {
+  if (!connectionNumbers.has(socket))
+    connectionNumbers.set(socket, (connectionCount += 1));
+  return connectionNumbers.get(socket);
+}
+
 export class EndpointStandIn {
   /** Every request that arrived, and what became of it. */
   requests = [];
@@ -21,6 +30,10 @@
   isRegistered = true;
   running = 0;
   sockets = new Set();
+  /** Answers that will come a second time on a connection. */
+  extras = new Map();
+  /** Requests that wait for a slot. */
+  queue = [];
 
   constructor(options) {
     this.options = {
@@ -29,6 +42,7 @@
       events: 10,
       loadMs: 1_000,
       diskMs: 300,
+      queue: 3,
       ...options,
     };
     /** Models whose weights the engine has on its disk. */
@@ -191,21 +205,29 @@
       method: request.method,
       path: request.url,
       outcome: 'ran',
+      connection: connectionNumber(request.socket),
     };
     this.requests.push(entry);
+    this.sendExtra(request.socket);
     if (isEngine && !this.models.has(model)) {
       entry.outcome = 'rejected 421';
-      response.writeHead(421, {'attempt-id': id, 'not-executed': '1'}).end();
+      this.reject(421, entry, request, response);
       return;
     }
-    if (this.running >= slots) {
+    if (this.running >= slots && this.queue.length >= this.options.queue) {
       entry.outcome = 'rejected 503';
-      response.writeHead(503, {'attempt-id': id, 'not-executed': '1'}).end();
+      this.reject(503, entry, request, response);
       return;
     }
+    if (this.running >= slots) {
+      entry.outcome = 'left in the queue';
+      if (!(await this.waitForSlot(response))) return;
+      entry.outcome = 'ran';
+    }
     this.running += 1;
     response.once('close', () => {
       this.running -= 1;
+      this.queue.shift()?.(true);
     });
     const headers = {
       'attempt-id': id,
@@ -216,6 +238,46 @@
     else await this.respond(response, headers, entry);
   }
 
+  /** Resolves to whether a slot is free; a request whose connection closes leaves the queue. */
+  waitForSlot(response) {
+    return new Promise(resolve => {
+      const begin = hasSlot => {
+        response.off('close', leave);
+        resolve(hasSlot);
+      };
+      const leave = () => {
+        this.queue = this.queue.filter(waiting => waiting !== begin);
+        resolve(false);
+      };
+      this.queue.push(begin);
+      response.once('close', leave);
+    });
+  }
+
+  /** Rejects a request; the whole answer may come a second time where the next one is expected. */
+  reject(status, entry, request, response) {
+    response.writeHead(status, {
+      'attempt-id': entry.id,
+      'not-executed': '1',
+      'keep-alive': 'timeout=20',
+      'content-length': 0,
+    });
+    response.end();
+    if (!this.options.mayGiveExtra?.()) return;
+    entry.hadExtra = true;
+    this.extras.set(
+      request.socket,
+      `HTTP/1.1 ${status} Rejected\r\nAttempt-Id: ${entry.id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+    );
+  }
+
+  sendExtra(socket) {
+    const extra = this.extras.get(socket);
+    if (extra === undefined) return;
+    this.extras.delete(socket);
+    socket.write(extra);
+  }
+
   async stream(request, response, headers) {
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
--- a/review/stand_ins/world.mjs
+++ b/review/stand_ins/world.mjs
@@ -58,6 +58,10 @@
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.net = `127.${10 + Math.floor(Math.random() * 240)}.${Math.floor(Math.random() * 250)}`;
     this.store = new StoreStandIn();
+    const stop = cause => this.finish(2, `the case ended early: ${cause}`);
+    for (const kind of ['uncaughtException', 'unhandledRejection'])
+      process.on(kind, failure => stop(failure?.message ?? failure));
+    for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, stop);
   }
 
   async startStore() {
