Pass on nothing of a stream that is no event, and resume no stream after a part of one

Cause: the splitter passed an event above 1 MiB on in parts and kept its last three bytes; discarding these made the stream look as if only complete events had been passed on, so it was resumed. No line was ever checked for being one of an event stream. Change: the splitter follows lines and fields. A name that no field can have, an event above 1 MiB where the stream may be resumed, and a continuation whose ids don't go on are faults of the endpoint: the response ends there and the stream is resumed elsewhere, with complete events only. Elsewhere a long event is passed on in parts, and the stream isn't continued before its end.

--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -18,6 +18,8 @@
   ResponseMetadata,
 } from './endpoint_protocol.js';
 export {findHeader, removeHeaders} from './forwarded_headers.js';
+export {ByteAccumulator} from './byte_accumulator.js';
+export type {EventStreamSplitterOptions} from './event_stream_splitter.js';
 export {EventStreamSplitter} from './event_stream_splitter.js';
 export type {ProbeResult, ResponseProbeResult} from './probe_endpoint.js';
 export {probeEndpoint, probeResponse} from './probe_endpoint.js';
--- a/packages/gateway/__tests__/response_end.test.ts
+++ b/packages/gateway/__tests__/response_end.test.ts
@@ -24,7 +24,9 @@
           const sent = isFinished
             ? whole
             : whole.slice(0, Math.floor(share * whole.length));
-          const splitter = EventStreamSplitter.create();
+          const splitter = EventStreamSplitter.create({
+            passesLongEvents: true,
+          });
           const passedOn = splitter.push(Buffer.from(sent)).toString();
           // A plain close ends a body that has neither a length nor chunks.
           const isEnd =
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -147,7 +147,7 @@
   private readonly triedEndpoints: Set<EndpointId>;
   private readonly triedPeers = new Set<NodeId>();
   private readonly abortController = new AbortController();
-  private readonly events = EventStreamSplitter.create();
+  private readonly events: EventStreamSplitter;
   private readonly service: ServiceName | undefined;
   private readonly containment: RequestContainment;
   private readonly binding: StreamBinding;
@@ -185,6 +185,9 @@
     this.triedEndpoints = new Set(relayed?.tried);
     this.sends = relayed?.sends ?? 0;
     this.runs = relayed?.runs ?? 0;
+    this.events = EventStreamSplitter.create({
+      passesLongEvents: !route.isResumable,
+    });
     // A resumed stream goes to the service that began it.
     const stream = metadata.resumes ?? metadata.id;
     this.service = pickTarget(route, hash32(stream) / 2 ** 32);
@@ -755,12 +758,15 @@
         this.trackedSend?.recordContact();
         if (endpoint !== undefined) this.binding.bind(endpoint);
       },
+      onFault: () => this.sentRequest?.abort(),
       onPause: () => this.inactivityTimer?.suspend(),
       onResume: () => this.inactivityTimer?.resume(),
     });
     // Only a last chunk says that nothing remains; a stream without events may be none.
     const isEmpty = isContinued && !hasEvents && head.framing !== 'chunks';
+    const {fault} = this.events;
     const cause =
+      fault ??
       (await this.findBreak(source, head, end)) ??
       (isEmpty
         ? 'an empty response instead of the rest of the stream'
@@ -770,10 +776,12 @@
       this.finish(SERVED, () => this.exchange.end());
       return {kind: 'delivered'};
     }
-    this.events.discardPartialEvent();
+    const {canContinue} = this.events;
+    this.events.beginContinuation();
     // Another node goes on with a stream as long as it can.
-    const canResume = this.route.isResumable && !isRelayed;
-    return {kind: 'stream_broken', cause, canResume, isCut: !isRelayed};
+    const canResume = this.route.isResumable && canContinue && !isRelayed;
+    const isCut = fault === undefined && !isRelayed;
+    return {kind: 'stream_broken', cause, canResume, isCut};
   }
 
   private async relayResponse(
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -104,6 +104,8 @@
 export interface RelayObserver {
   /** Complete events are about to be passed on. */
   readonly onEvents?: () => void;
+  /** The bytes are no event stream, or not the rest of this one. */
+  readonly onFault?: () => void;
   /** The caller's buffer is full, and the endpoint is not read until `onResume`. */
   readonly onPause?: () => void;
   readonly onResume?: () => void;
@@ -140,7 +142,9 @@
   return body.read(chunk => {
     const complete = events.push(chunk);
     if (complete.length > 0) observer.onEvents?.();
-    return write(complete);
+    const canContinue = write(complete);
+    if (events.fault !== undefined) observer.onFault?.();
+    return canContinue;
   });
 }
 
