Order versions of the store by its era, and use no term a second time

Cause: the term was the stored one plus one, and the store had forgotten the terms used since; nothing read the era that its responses name, so that revisions were compared across returns. The term of a takeover is the version of the record that it replaces, which at most one write can replace. Takeovers and renewals count only in the era that they were conditional on; a write on a version of an earlier era isn't sent. A holder that lives restores its lease with the same term unless another one has taken it over. Where engines don't check terms, each new holder waits for the length of a lease. "Orders at once without a previous record" where engines don't check terms is replaced by the length of a lease: the record may be lost.

--- a/packages/gateway/__tests__/knowledge_cluster.ts
+++ b/packages/gateway/__tests__/knowledge_cluster.ts
@@ -5,6 +5,7 @@
   Milliseconds,
   ObjectVersion,
   Random,
+  StoreEra,
 } from '@siskinmux/kernel';
 import {
   after,
@@ -79,6 +80,10 @@
     this.store = new MemoryStore(shared, clock, random);
   }
 
+  get era(): StoreEra {
+    return this.store.era;
+  }
+
   /** Nothing more arrives on the connections that are open now. */
   silenceOpenConnections(): void {
     this.connections += 1;
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -25,6 +25,42 @@
     'An endpoint refused a request, could not be reached, failed, or its response was cut short. `end`: `not_run` if the endpoint did not run the request, `may_have_run` if it ran or may have run it and the caller has got nothing of its response, `stream_broken` if its response broke off after the caller got a part of it. `content` is the fingerprint of the request, equal for requests with the same content; `life` is the incarnation of the endpoint, `softwareVersion` the version of its software. `next` says whether the node sends the request again, and `retry` why: `free` or `charged` to the retry budget, `over_budget`, or `not_allowed` by the route, the deadline or the limit on sends.',
 };
 
+/** The store has returned from an older copy of itself. */
+export const STORE_ERA_CHANGED: EventDescriptor = {
+  number: 7048,
+  name: 'store-era-changed',
+  level: 'warn',
+  meaning:
+    'A response of the store names a later `era` than all `before` (0 before the first response): the store has returned from an older copy, without what it had acknowledged in the last seconds. One line per node and era.',
+};
+
+/** A response of the store names no era that can be used. */
+export const STORE_ERA_UNUSABLE: EventDescriptor = {
+  number: 7049,
+  name: 'store-era-unusable',
+  level: 'warn',
+  meaning:
+    'The `text` in which a response of the store names its era is missing, is no number, or is lower than `known`, which was known when the call was sent. The response counts as one of that era, so nothing is dropped for it. One line for each new text.',
+};
+
+/** What was read before the store returned from an older copy has been compared with the copy. */
+export const STORE_RELISTED: EventDescriptor = {
+  number: 7050,
+  name: 'store-relisted',
+  level: 'warn',
+  meaning:
+    'This node has listed the objects of a `kind` for the first time since the store returned from an older copy: `objects` are there, of which `changed` differ from what was known; `missing` were known and are kept for `keptFor` milliseconds, as their writers write them again. `from` and `revision` are those before and after.',
+};
+
+/** The lease holder has written its lease again. */
+export const LEASE_RESTORED: EventDescriptor = {
+  number: 7051,
+  name: 'lease-restored',
+  level: 'warn',
+  meaning:
+    'The store had returned from an older copy without this node’s lease, and no other node had taken it over: it is written again, with the same `term`. `found` is the term that the copy held, if any.',
+};
+
 /** A newer route configuration is active. */
 export const ROUTES_IN_FORCE: EventDescriptor = {
   number: 7003,
@@ -256,6 +292,10 @@
   ENDPOINT_CHANGED,
   STORE_LOST,
   STORE_REGAINED,
+  STORE_ERA_CHANGED,
+  STORE_ERA_UNUSABLE,
+  STORE_RELISTED,
+  LEASE_RESTORED,
   FEED_USED,
   FEED_LOST,
   READ_OVERDUE,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -23,6 +23,7 @@
   ErrorCode,
   Kernel,
   RefusalError,
+  UNKNOWN_ERA,
   after,
   createNotRunRefusal,
   sleepFor,
@@ -69,6 +70,8 @@
   GATEWAY_STARTED,
   GATEWAY_STOPPED,
   GATEWAY_STOPPING,
+  STORE_ERA_CHANGED,
+  STORE_ERA_UNUSABLE,
   TASK_FAILED,
 } from './gateway_events.js';
 import {isListed} from './endpoint_choice.js';
@@ -114,6 +117,9 @@
 /** Longer than other nodes keep their connections to this one. */
 const RELAY_IDLE_MILLISECONDS: Milliseconds = 10_000;
 
+/** Bound on texts of other systems in log lines. */
+const MAXIMUM_LOGGED_CHARACTERS = 64;
+
 /** `Retry-After` while the node has no routes or is shutting down. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
@@ -180,6 +186,17 @@
       agent,
       clock,
       onUnreadable: (kind, name) => emit(ENTRY_UNREADABLE, {kind, name}),
+      eraObserver: {
+        onEra: (era, before) => {
+          emit(STORE_ERA_CHANGED, {era, before});
+          if (before !== UNKNOWN_ERA) this.placement.onStoreReturn();
+        },
+        onUnusableEra: (text, known) =>
+          emit(STORE_ERA_UNUSABLE, {
+            text: text?.slice(0, MAXIMUM_LOGGED_CHARACTERS),
+            known,
+          }),
+      },
     });
     this.routes = ActiveRoutes.create(emit);
     this.connections = EndpointConnectionPool.create({
--- a/packages/gateway/src/gateway_platform.ts
+++ b/packages/gateway/src/gateway_platform.ts
@@ -4,7 +4,11 @@
 import type {EndpointProtocol} from '@siskinmux/forwarding';
 import type {Clock} from '@siskinmux/kernel';
 import type {EngineOrderClient} from '@siskinmux/placement';
-import type {MetadataObject, MetadataStore} from '@siskinmux/ports';
+import type {
+  EraObserver,
+  MetadataObject,
+  MetadataStore,
+} from '@siskinmux/ports';
 import type {RouteConfiguration} from '@siskinmux/routes';
 import type {Dispatcher} from 'undici';
 
@@ -15,6 +19,8 @@
   readonly clock: Clock;
   /** Called for each stored object that can't be decoded. */
   readonly onUnreadable: (kind: string, name: string) => void;
+  /** Called when responses name another era of the store. */
+  readonly eraObserver: EraObserver;
 }
 
 /** What a platform's adapter implements. */
--- a/packages/gateway/src/leader_election.ts
+++ b/packages/gateway/src/leader_election.ts
@@ -11,11 +11,12 @@
   NodeId,
   Random,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, sleepFor, until} from '@siskinmux/kernel';
+import {SiskinmuxError, eraOf, sleepFor, until} from '@siskinmux/kernel';
 import type {
   ClockReading,
   HolderStatus,
   LeaseObservation,
+  LeaseRecord,
   LeaseRules,
 } from '@siskinmux/leases';
 import {
@@ -33,6 +34,7 @@
   ALLOCATOR_FOLLOWED,
   ALLOCATOR_LOST,
   LEASE_ENDED,
+  LEASE_RESTORED,
   LEASE_TAKEN,
   LEASE_UNREACHABLE,
 } from './gateway_events.js';
@@ -110,6 +112,11 @@
     this.wake?.();
   }
 
+  /** Called when the store has returned from an older copy, which may lack this node's lease. */
+  onStoreReturn(): void {
+    this.wake?.();
+  }
+
   /** Ends this node's lease after an engine refused an order because it has seen a later term. */
   onFenced(): void {
     this.heldLease?.markEnded();
@@ -167,7 +174,8 @@
   ): Promise<void> {
     const {leaseStore, clock, self, address, rules, readClocks} = this.options;
     if (this.isStopped) return;
-    const record = takeoverRecord(self, address, observed);
+    const {era} = leaseStore;
+    const record = takeoverRecord(self, address, observed, era);
     let revision;
     try {
       revision = await leaseStore.write(record, observed);
@@ -176,10 +184,12 @@
       await sleepFor(this.options.clock, this.jitteredElectionDelay());
       return;
     }
+    // The write was conditional on what the store has lost meanwhile, and so was the term.
+    if (leaseStore.era !== era) return;
     const heldLease = HeldLease.create({
       term: record.term,
       revision,
-      ordersAllowedAt: ordersAllowedAt(clock.now(), observed, rules),
+      ordersAllowedAt: ordersAllowedAt(clock.now(), rules),
       rules,
       reading: readClocks(),
     });
@@ -231,16 +241,19 @@
     heldLease: HeldLease,
     sentAt: Instant,
   ): Promise<'renewed' | 'unanswered' | 'replaced'> {
-    const {leaseStore, self, address, emit} = this.options;
-    const {term} = heldLease;
-    const record = {holder: self, address, term};
+    const {leaseStore, emit} = this.options;
+    const record = this.recordOf(heldLease);
     const observed = {
       record,
       revision: heldLease.revision,
       firstSeenAt: sentAt,
     };
+    const era = eraOf(heldLease.revision);
     try {
-      heldLease.recordRenewal(await leaseStore.write(record, observed), sentAt);
+      const revision = await leaseStore.write(record, observed);
+      // The revision was that of another write, which this one has replaced.
+      if (leaseStore.era !== era) return 'replaced';
+      heldLease.recordRenewal(revision, sentAt);
       return 'renewed';
     } catch (failure) {
       if (!(failure instanceof SiskinmuxError)) throw failure;
@@ -252,7 +265,10 @@
     return this.resolveConflict(heldLease, sentAt);
   }
 
-  /** Finds out after a conflict whether an earlier renewal of this node was applied late. */
+  /**
+   * Finds out after a conflict whether an earlier renewal of this node was applied late, or the
+   * store has lost the lease.
+   */
   private async resolveConflict(
     heldLease: HeldLease,
     sentAt: Instant,
@@ -260,6 +276,8 @@
     const {leaseStore, self, emit} = this.options;
     try {
       const observed = await leaseStore.read();
+      if (leaseStore.era !== eraOf(heldLease.revision))
+        return await this.restore(heldLease, observed, sentAt);
       const {record} = observed ?? {};
       if (record?.holder !== self || record.term !== heldLease.term) {
         return 'replaced';
@@ -273,13 +291,46 @@
     }
   }
 
+  /**
+   * Writes the lease again after the store has returned from an older copy. A takeover since
+   * has a later term than all of the eras before.
+   */
+  private async restore(
+    heldLease: HeldLease,
+    observed: LeaseObservation | undefined,
+    sentAt: Instant,
+  ): Promise<'renewed' | 'unanswered' | 'replaced'> {
+    const {leaseStore, self, emit} = this.options;
+    const {term} = heldLease;
+    const found = observed?.record;
+    const isOwn = found?.holder === self && found.term === term;
+    if (found !== undefined && !isOwn && found.term >= term) return 'replaced';
+    const {era} = leaseStore;
+    let revision;
+    try {
+      revision = await leaseStore.write(this.recordOf(heldLease), observed);
+    } catch (failure) {
+      if (!(failure instanceof VersionConflictError)) throw failure;
+      return 'unanswered';
+    }
+    if (leaseStore.era !== era) return 'replaced';
+    heldLease.recordRenewal(revision, sentAt);
+    emit(LEASE_RESTORED, {term, found: found?.term, era});
+    return 'renewed';
+  }
+
+  private recordOf({term}: HeldLease): LeaseRecord {
+    const {self, address} = this.options;
+    return {holder: self, address, term};
+  }
+
   /**
    * Releases the lease so that another node can take over at once. If the write fails, the
    * takeover takes slightly longer.
    */
   private async release(heldLease: HeldLease): Promise<void> {
-    const {leaseStore, self, address, clock, emit} = this.options;
-    const record = {holder: self, address, term: heldLease.term};
+    const {leaseStore, clock, emit} = this.options;
+    const record = this.recordOf(heldLease);
     const {revision} = heldLease;
     try {
       await leaseStore.write(releasedRecord(heldLease.term), {
--- a/packages/gateway/src/lease_store.ts
+++ b/packages/gateway/src/lease_store.ts
@@ -6,6 +6,7 @@
   Instant,
   NodeId,
   ObjectVersion,
+  StoreEra,
 } from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import type {LeaseObservation, LeaseRecord} from '@siskinmux/leases';
@@ -38,6 +39,11 @@
     return new LeaseStore(options.store, options.clock);
   }
 
+  /** The latest era of the store that this node knows. */
+  get era(): StoreEra {
+    return this.store.era;
+  }
+
   /** Reads the current record; undefined if there is none. */
   async read(): Promise<LeaseObservation | undefined> {
     const object = await this.store.read(LEASE_KIND, LEASE_NAME);
@@ -65,6 +71,7 @@
     observed: LeaseObservation | undefined,
   ): Promise<ObjectVersion> {
     const content = {...record, holder: record.holder ?? null};
+    const {era} = this.store;
     try {
       return await this.store.write(
         LEASE_KIND,
@@ -76,6 +83,7 @@
       if (!(failure instanceof WriteOutcomeUnknownError)) throw failure;
       const current = await this.read();
       const isOwn =
+        this.store.era === era &&
         current?.record.holder === record.holder &&
         current?.record.term === record.term &&
         current.revision !== observed?.revision;
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -216,6 +216,11 @@
     this.election.stop();
   }
 
+  /** Called when the store has returned from an older copy, which may lack the lease. */
+  onStoreReturn(): void {
+    this.election.onStoreReturn();
+  }
+
   /** Called when a request starts or ends at an endpoint. */
   onInFlightChange(): void {
     this.client.onInFlightChange();
--- a/packages/kernel/src/brand.ts
+++ b/packages/kernel/src/brand.ts
@@ -32,8 +32,13 @@
 export type IdempotencyKey = Brand<string, 'IdempotencyKey'>;
 /** Digest of a request's content, equal for requests that an endpoint can't tell apart. */
 export type Fingerprint = Brand<string, 'Fingerprint'>;
-/** Version of an object in the object service, or revision in the metadata store. */
+/**
+ * Version of an object in the object service, or of a write in the metadata store: its era and
+ * revision, see `store_version.ts`.
+ */
 export type ObjectVersion = Brand<number, 'ObjectVersion'>;
+/** Rises each time the metadata store returns from an older copy of itself. */
+export type StoreEra = Brand<number, 'StoreEra'>;
 /** Number of an accepted configuration. */
 export type ConfigurationNumber = Brand<number, 'ConfigurationNumber'>;
 /**
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -15,8 +15,17 @@
   ObjectVersion,
   RequestId,
   ServiceName,
+  StoreEra,
 } from './brand.js';
 export {as} from './brand.js';
+export {
+  UNKNOWN_ERA,
+  eraOf,
+  isEra,
+  isRevision,
+  revisionOf,
+  versionOf,
+} from './store_version.js';
 export type {CancelTimer, Clock, Instant, Milliseconds} from './time.js';
 export {after, earlier, later, sleepFor, sleepUntil, until} from './time.js';
 export type {Random} from './random.js';
--- a/packages/leases/src/lease.ts
+++ b/packages/leases/src/lease.ts
@@ -1,7 +1,7 @@
 /**
  * The lease on the right to send orders to engines: which node holds it, and when another
- * node may take it over. The record is kept in the platform's store. Each takeover
- * increments its term, the fencing token by which engines refuse earlier holders.
+ * node may take it over. The record is kept in the platform's store. Each takeover raises its
+ * term, the fencing token by which engines refuse earlier holders.
  */
 
 import type {
@@ -10,8 +10,9 @@
   Milliseconds,
   NodeId,
   ObjectVersion,
+  StoreEra,
 } from '@siskinmux/kernel';
-import {after, as, later} from '@siskinmux/kernel';
+import {after, as, versionOf} from '@siskinmux/kernel';
 
 /** The lease as it is stored. */
 export interface LeaseRecord {
@@ -82,25 +83,34 @@
 }
 
 /**
- * When a new holder may send its first order. Where engines don't check terms, the
- * previous holder may still send orders until its lease has expired.
+ * When a new holder may send its first order. Where engines don't check terms, the previous
+ * holder may still send orders until its lease has expired. There may be one though the store
+ * has no record: it may have returned from a copy that is older than the first lease.
  */
 export function ordersAllowedAt(
   acquiredAt: Instant,
-  previous: LeaseObservation | undefined,
   rules: LeaseRules,
 ): Instant {
-  if (rules.isFencingEnforced || previous === undefined) return acquiredAt;
-  return later(acquiredAt, after(acquiredAt, rules.leaseMilliseconds));
+  return rules.isFencingEnforced
+    ? acquiredAt
+    : after(acquiredAt, rules.leaseMilliseconds);
 }
 
-/** The record that a node writes to take over the lease. */
+/**
+ * The record that a node writes to take over the lease; `era` is that of the store. The term is
+ * the version of the record that is replaced. At most one write replaces a version, and a later
+ * era has greater ones, so no term is used twice, whatever the store has lost.
+ */
 export function takeoverRecord(
   holder: NodeId,
   address: string,
   previous: LeaseObservation | undefined,
+  era: StoreEra,
 ): LeaseRecord {
-  const term = (previous?.record.term ?? 0) + 1;
+  const term =
+    previous === undefined
+      ? versionOf(era, 1)
+      : Math.max(previous.revision, previous.record.term + 1);
   return {holder, address, term: as<FencingNumber>(term)};
 }
 
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -52,3 +52,5 @@
   MetadataStore,
 } from './metadata_store.js';
 export {HistoryGoneError} from './metadata_store.js';
+export type {EraObserver} from './era_tracker.js';
+export {EraTracker} from './era_tracker.js';
--- a/packages/ports/src/metadata_store.ts
+++ b/packages/ports/src/metadata_store.ts
@@ -3,10 +3,10 @@
  * counter, conditional writes, and watches on a kind.
  */
 
-import type {Instant, ObjectVersion} from '@siskinmux/kernel';
+import type {Instant, ObjectVersion, StoreEra} from '@siskinmux/kernel';
 import {ErrorCode, SiskinmuxError} from '@siskinmux/kernel';
 
-/** An object with the revision of its latest change. */
+/** An object with the version of its latest change. */
 export interface MetadataObject {
   readonly name: string;
   readonly revision: ObjectVersion;
@@ -14,7 +14,7 @@
   readonly content: unknown;
 }
 
-/** All objects of a kind at one revision. */
+/** All objects of a kind at one version. */
 export interface MetadataListing {
   readonly objects: readonly MetadataObject[];
   readonly revision: ObjectVersion;
@@ -26,7 +26,7 @@
   readonly isRemoved: boolean;
 }
 
-/** Changes in order, and the revision from which to continue the watch. */
+/** Changes in order, and the version from which to continue the watch. */
 export interface MetadataChangeBatch {
   readonly changes: readonly MetadataChange[];
   readonly revision: ObjectVersion;
@@ -34,13 +34,19 @@
 
 /** Client of the metadata store. Reads throw `PlatformUnavailableError`. */
 export interface MetadataStore {
-  /** Lists all objects of a kind; with `mayBeStale`, changes of the last seconds may be missing. */
+  /** The latest era that a response to this client has named. */
+  readonly era: StoreEra;
+  /**
+   * Lists all objects of a kind; with `mayBeStale`, changes of the last seconds may be missing.
+   * Throws {@link HistoryGoneError} if the store returns from an older copy between two pages.
+   */
   list(kind: string, mayBeStale: boolean): Promise<MetadataListing>;
   /** Reads an object; undefined if it does not exist. */
   read(kind: string, name: string): Promise<MetadataObject | undefined>;
   /**
    * Waits until `waitUntil` for changes of a kind after `revision`. Throws
-   * {@link HistoryGoneError} if the store no longer has the changes since `revision`.
+   * {@link HistoryGoneError} if the store no longer has the changes since `revision`, or has
+   * returned from an older copy since.
    */
   watch(
     kind: string,
@@ -48,9 +54,12 @@
     waitUntil: Instant,
   ): Promise<MetadataChangeBatch>;
   /**
-   * Replaces an object if it has the expected revision, or creates it for `absent` if it
+   * Replaces an object if it has the expected version, or creates it for `absent` if it
    * does not exist. Throws `VersionConflictError` (not written), `PlatformBusyError`
    * (not written), `WriteOutcomeUnknownError` (may take effect, even seconds later).
+   *
+   * The store compares revisions only. If it has returned from an older copy unnoticed, the
+   * expected revision may be that of another write: the resulting version is of a later era then.
    */
   write(
     kind: string,
