Follow a store that returns from an older copy, and go back in nothing meanwhile

Cause: lists of the returned store had lower revisions and were dropped, watches got 410, without end; its objects were compared by revisions of before; what the copy lacked or listed anew was believed at once. Feed updates name their era and span no two of them. The holder forwards each change of what is listed, not of what it has kept, which followers of any outage lacked too. Messages between nodes: `era` is added to feed updates; those without one are taken as before.

--- a/packages/endpoints/__tests__/endpoint_table.test.ts
+++ b/packages/endpoints/__tests__/endpoint_table.test.ts
@@ -196,4 +196,54 @@
     expect(availableIds(table)).toEqual([]);
     expect(table.availableFor(other).length).toEqual(1);
   });
+
+  it('removes a missing endpoint only after a read beyond its deadline', () => {
+    const table = EndpointTable.create();
+    table.replaceAll([endpoint(one)], undefined);
+    table.replaceAll([], as<Instant>(2_000));
+    const now = as<Instant>(9_000);
+    expect(table.expire(now, as<Instant>(1_999))).toEqual([]);
+    expect(availableIds(table)).toEqual(['one']);
+    expect(table.expire(now, as<Instant>(2_000)).length).toEqual(1);
+  });
+
+  describe('when the store returns from an older copy', () => {
+    const now = as<Instant>(10_000);
+    const keepUntil = as<Instant>(12_000);
+
+    it('goes on draining what the copy lists as ready', () => {
+      const table = EndpointTable.create();
+      table.replaceAll([endpoint(one, {isDraining: true})], undefined);
+      table.replaceByOlder([endpoint(one)], keepUntil, now);
+      expect(availableIds(table)).toEqual([]);
+    });
+
+    it('does not use a run that has ended, unless it writes its entry again', () => {
+      const table = EndpointTable.create();
+      table.replaceAll([endpoint(one), endpoint(two)], undefined);
+      table.replaceAll([], undefined);
+      for (let count = 0; count < 2; count += 1) {
+        table.replaceByOlder([endpoint(one), endpoint(two)], keepUntil, now);
+        expect(availableIds(table)).toEqual([]);
+      }
+      const change = {id: one, description: endpoint(one), isRemoved: false};
+      table.apply([change], keepUntil);
+      table.apply(
+        [{id: two, description: undefined, isRemoved: true}],
+        keepUntil,
+      );
+      expect(availableIds(table)).toEqual(['one']);
+      expect(table.get(two)).toEqual(undefined);
+    });
+
+    it('keeps the later of two runs under one id', () => {
+      const table = EndpointTable.create();
+      const later = endpoint(one, {incarnation: as<Incarnation>('one@2')});
+      table.replaceAll([endpoint(one)], undefined);
+      table.replaceAll([later], undefined);
+      table.replaceByOlder([endpoint(one)], keepUntil, now);
+      expect(table.get(one)?.incarnation).toEqual(later.incarnation);
+      expect(availableIds(table)).toEqual(['one']);
+    });
+  });
 });
--- a/packages/endpoints/src/endpoint_table.ts
+++ b/packages/endpoints/src/endpoint_table.ts
@@ -30,6 +30,18 @@
 /** Bound on the endpoints that have said so; the first one is dropped. */
 const MAXIMUM_LEAVING = 2_000;
 
+/** How long the end of a run is remembered; an older copy of the list is some seconds old. */
+const ENDED_MILLISECONDS: Milliseconds = 60_000;
+
+/**
+ * How long an endpoint isn't used that an older copy lists though its run has ended. Its entry
+ * expires within four seconds of silence, during which the store may return once more.
+ */
+const ENDED_IN_COPY_MILLISECONDS: Milliseconds = 10_000;
+
+/** Bound on the runs that have ended; the first one is dropped. */
+const MAXIMUM_ENDED = 5_000;
+
 /** One change of the platform's endpoint list. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -61,6 +73,12 @@
   /** Runs of endpoints that have said that they leave, and when. */
   private readonly leavingSince = new Map<Incarnation, Instant>();
 
+  /** Runs whose entries have been removed or replaced, and until when they are remembered. */
+  private readonly ended = new Map<Incarnation, Instant | undefined>();
+
+  /** Endpoints that count as crashed because their run had ended when a copy listed it again. */
+  private readonly endedInCopy = new Set<EndpointId>();
+
   private constructor() {}
 
   static create(): EndpointTable {
@@ -81,6 +99,11 @@
     return this.byId.get(id);
   }
 
+  /** The endpoint's entry as the platform lists it now; undefined if it is missing. */
+  listedEntry(id: EndpointId): EndpointDescription | undefined {
+    return this.removalDeadlines.has(id) ? undefined : this.entries.get(id);
+  }
+
   /** Endpoints of a service that accept new requests: neither draining nor crashed ones. */
   availableFor(service: ServiceName): readonly EndpointDescription[] {
     return this.byService.get(service) ?? [];
@@ -105,14 +128,49 @@
     return changes;
   }
 
+  /**
+   * Replaces the content with a list that may be older than what is known, as the store has
+   * returned from a copy. Endpoints that drain go on draining. Those of a run that has ended
+   * aren't used for a while, unless they write their entries again.
+   */
+  replaceByOlder(
+    listed: readonly EndpointDescription[],
+    keepMissingUntil: Instant,
+    now: Instant,
+  ): EndpointTableChange[] {
+    for (const {incarnation, isDraining} of this.byId.values())
+      if (isDraining) this.addLeaving(incarnation, now);
+    // Of two runs under one id, the one that hasn't ended is kept like a missing endpoint.
+    const usable = listed.filter(
+      ({id, incarnation}) =>
+        !this.ended.has(incarnation) ||
+        (this.byId.get(id)?.incarnation ?? incarnation) === incarnation,
+    );
+    const ended = usable.filter(
+      ({id, incarnation}) =>
+        this.ended.has(incarnation) &&
+        (!this.byId.has(id) || this.endedInCopy.has(id)),
+    );
+    const changes = this.replaceAll(usable, keepMissingUntil);
+    for (const {id, service} of ended) {
+      this.crashed.set(id, after(now, ENDED_IN_COPY_MILLISECONDS));
+      this.endedInCopy.add(id);
+      this.updateServiceIndex(service);
+    }
+    return changes;
+  }
+
   /** Applies changes in order; `keepMissingUntil` works as in {@link replaceAll}. */
   apply(
     changes: readonly EndpointChange[],
     keepMissingUntil: Instant | undefined,
   ): EndpointTableChange[] {
-    return changes.flatMap(({id, description, isRemoved}) =>
-      isRemoved ? this.remove(id, keepMissingUntil) : this.put(id, description),
-    );
+    return changes.flatMap(({id, description, isRemoved}) => {
+      if (isRemoved) return this.remove(id, keepMissingUntil);
+      if (this.endedInCopy.delete(id)) this.crashed.delete(id);
+      if (description !== undefined) this.ended.delete(description.incarnation);
+      return this.put(id, description);
+    });
   }
 
   /** Runs of endpoints that have said that they leave. */
@@ -135,10 +193,7 @@
   ): EndpointTableChange[] | undefined {
     if (this.leavingSince.has(incarnation)) return undefined;
     if (now >= after(saidAt, LEAVING_MILLISECONDS)) return undefined;
-    this.leavingSince.set(incarnation, saidAt);
-    const [first] = this.leavingSince.keys();
-    if (this.leavingSince.size > MAXIMUM_LEAVING && first !== undefined)
-      this.leavingSince.delete(first);
+    this.addLeaving(incarnation, saidAt);
     const endpoint = [...this.byId.values()].find(
       listed => listed.incarnation === incarnation,
     );
@@ -172,23 +227,38 @@
 
   /**
    * Removes endpoints that did not register again in time, and ends the effect of crashes, and
-   * that of leaving on endpoints that the platform lists as ready long after.
+   * that of leaving on endpoints that the platform lists as ready long after. What the platform
+   * acknowledged before `knownUntil` is contained in this table; an endpoint is missing for too
+   * long only if that is after its deadline.
    */
-  expire(now: Instant): EndpointTableChange[] {
+  expire(now: Instant, knownUntil: Instant = now): EndpointTableChange[] {
     const changes = this.expireLeaving(now);
+    this.expireEnded(now);
     for (const [id, deadline] of this.crashed) {
       const endpoint = this.byId.get(id);
       if (deadline > now || endpoint === undefined) continue;
       this.crashed.delete(id);
+      this.endedInCopy.delete(id);
       this.updateServiceIndex(endpoint.service);
       changes.push({id, before: endpoint, now: endpoint});
     }
     for (const [id, deadline] of this.removalDeadlines) {
-      if (deadline <= now) changes.push(...this.put(id, undefined));
+      if (deadline > knownUntil) continue;
+      const incarnation = this.byId.get(id)?.incarnation;
+      changes.push(...this.put(id, undefined));
+      // It may still run without reaching the store.
+      if (incarnation !== undefined) this.ended.delete(incarnation);
     }
     return changes;
   }
 
+  private addLeaving(incarnation: Incarnation, saidAt: Instant): void {
+    this.leavingSince.set(incarnation, saidAt);
+    const [first] = this.leavingSince.keys();
+    if (this.leavingSince.size > MAXIMUM_LEAVING && first !== undefined)
+      this.leavingSince.delete(first);
+  }
+
   private expireLeaving(now: Instant): EndpointTableChange[] {
     const ended = [...this.leavingSince].filter(
       ([, saidAt]) => now >= after(saidAt, LEAVING_MILLISECONDS),
@@ -202,14 +272,17 @@
     });
   }
 
-  /** Removes a draining endpoint at once, as it won't register again. */
+  /** Removes an endpoint at once that drains or has ended, as it won't register again. */
   private remove(
     id: EndpointId,
     keepMissingUntil: Instant | undefined,
   ): EndpointTableChange[] {
     const known = this.byId.get(id);
     const isRemovedNow =
-      keepMissingUntil === undefined || known === undefined || known.isDraining;
+      keepMissingUntil === undefined ||
+      known === undefined ||
+      known.isDraining ||
+      this.endedInCopy.has(id);
     if (isRemovedNow) return this.put(id, undefined);
     this.removalDeadlines.set(id, keepMissingUntil);
     return [];
@@ -222,8 +295,11 @@
     this.removalDeadlines.delete(id);
     const before = this.byId.get(id);
     if (before === undefined && description === undefined) return [];
-    if (before?.incarnation !== description?.incarnation)
+    if (before?.incarnation !== description?.incarnation) {
       this.crashed.delete(id);
+      this.endedInCopy.delete(id);
+      if (before !== undefined) this.ended.set(before.incarnation, undefined);
+    }
     if (
       before !== undefined &&
       description !== undefined &&
@@ -244,6 +320,16 @@
     return [{id, before, now}];
   }
 
+  /** Sets the deadlines of runs that have ended since the last call. */
+  private expireEnded(now: Instant): void {
+    for (const [incarnation, until] of this.ended) {
+      if (until === undefined)
+        this.ended.set(incarnation, after(now, ENDED_MILLISECONDS));
+      else if (until <= now) this.ended.delete(incarnation);
+      if (this.ended.size > MAXIMUM_ENDED) this.ended.delete(incarnation);
+    }
+  }
+
   /** An endpoint that has said it leaves drains, whatever its entry says. */
   private withOwnStatement(
     description: EndpointDescription | undefined,
--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -1,13 +1,19 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {Instant, Milliseconds} from '@siskinmux/kernel';
-import {after, discardEvents} from '@siskinmux/kernel';
+import type {
+  Instant,
+  Milliseconds,
+  ObjectVersion,
+  StoreEra,
+} from '@siskinmux/kernel';
+import {after, as, discardEvents, versionOf} from '@siskinmux/kernel';
 import {
   MemoryStore,
   SharedObjects,
   VirtualClock,
   createSeededRandom,
 } from '@siskinmux/testkit';
+import type {FeedUpdate} from '../src/change_feed.js';
 import {ChangeFeed} from '../src/change_feed.js';
 import {KindWatcher} from '../src/kind_watcher.js';
 import {viewAgeLimits} from '../src/view_age_limits.js';
@@ -239,3 +245,75 @@
     stop();
   });
 });
+
+describe('KindWatcher whose store returns from an older copy', () => {
+  function buildReturning(era = 1) {
+    const sharedObjects = new SharedObjects();
+    sharedObjects.era = as<StoreEra>(era);
+    return build(0, {sharedObjects});
+  }
+
+  it('follows a store that names no era, though its revisions have gone back', async () => {
+    const {clock, sharedObjects, events, watcher} = buildReturning(0);
+    const copy = sharedObjects.copy();
+    for (let count = 0; count < 30; count += 1)
+      sharedObjects.put('servers', 'one', {count});
+    await clock.advance(500);
+    sharedObjects.comeBack(copy);
+    sharedObjects.era = as<StoreEra>(0);
+    await clock.advance(1_500);
+    sharedObjects.put('servers', 'two', {});
+    await clock.advance(500);
+    expect(events.at(-1)).toEqual('+two');
+    watcher.stop();
+  });
+
+  it('heeds updates of a holder that knows no eras until the store has returned', async () => {
+    const {clock, sharedObjects, events, watcher} = buildReturning();
+    await clock.advance(100);
+    const {revision} = sharedObjects;
+    const update = (to: number): FeedUpdate => ({
+      kind: 'servers',
+      from: as<ObjectVersion>(revision),
+      to: as<ObjectVersion>(to),
+      changes: [
+        {
+          object: {name: 'fed', revision: as<ObjectVersion>(to), content: {}},
+          isRemoved: false,
+        },
+      ],
+      age: 0,
+      returnLeft: 0,
+    });
+    watcher.applyFeed(update(revision + 1), clock.now());
+    expect(events.at(-1)).toEqual('+fed');
+    sharedObjects.comeBack(sharedObjects.copy());
+    await clock.advance(2_000);
+    const count = events.length;
+    watcher.applyFeed(update(revision + 2), clock.now());
+    expect(events.length).toEqual(count);
+    watcher.stop();
+  });
+
+  it('sends no update that spans two eras, whose changes are unknown', () => {
+    const clock = VirtualClock.create();
+    const feed = ChangeFeed.create({clock});
+    const version = (era: number, revision: number): ObjectVersion =>
+      versionOf(as<StoreEra>(era), revision);
+    const read = {
+      kind: 'servers',
+      knownUntil: clock.now(),
+      keepMissingUntil: undefined,
+      changes: [],
+    };
+    feed.record({...read, from: undefined, to: version(1, 50)});
+    feed.takeUpdates();
+    feed.record({...read, from: version(1, 50), to: version(2, 40)});
+    feed.record({...read, from: version(2, 40), to: version(2, 41)});
+    const [update] = feed.takeUpdates();
+    expect(update?.from).toEqual(version(2, 41));
+    expect(update?.changes).toEqual(null);
+    feed.record({...read, from: version(2, 41), to: version(2, 42)});
+    expect(feed.takeUpdates()[0]?.changes).toEqual([]);
+  });
+});
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -36,7 +36,7 @@
 import {decodeOrigins, originsSchema} from '@siskinmux/continuity';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {KindRead} from './change_feed.js';
-import {ChangeFeed} from './change_feed.js';
+import {ChangeFeed, encodeFeedUpdate} from './change_feed.js';
 import type {EndpointLoad} from './cluster_load.js';
 import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 import {Follower} from './follower.js';
@@ -443,9 +443,11 @@
       feed: this.feed.takeUpdates(),
       loads: this.endpointLoads(),
     };
+    const feed = heartbeat.feed.map(encodeFeedUpdate);
     for (const {connection, pulse} of this.followers.values()) {
       connection.notify(PEER_METHODS.allocatorHeartbeat, {
         ...heartbeat,
+        feed,
         echo: pulse,
       });
     }
--- a/packages/gateway/src/change_feed.ts
+++ b/packages/gateway/src/change_feed.ts
@@ -4,8 +4,23 @@
  * gap and reads the store itself.
  */
 
-import type {Clock, Instant, ObjectVersion} from '@siskinmux/kernel';
-import {as, until} from '@siskinmux/kernel';
+import type {
+  Clock,
+  Instant,
+  Milliseconds,
+  ObjectVersion,
+  StoreEra,
+} from '@siskinmux/kernel';
+import {
+  UNKNOWN_ERA,
+  as,
+  eraOf,
+  isEra,
+  isRevision,
+  revisionOf,
+  until,
+  versionOf,
+} from '@siskinmux/kernel';
 import type {MetadataChange} from '@siskinmux/ports';
 import {z} from 'zod';
 
@@ -16,14 +31,13 @@
  */
 const MAXIMUM_CHANGES_CHARACTERS = 32_768;
 
-const revisionSchema = z
-  .number()
-  .int()
-  .transform(number => as<ObjectVersion>(number));
+const revisionSchema = z.number().refine(isRevision);
 
-/** Changes of one kind between two revisions; part of the heartbeat. */
-export const feedUpdateSchema = z.object({
+/** Changes of one kind between two versions of one era; part of the heartbeat. */
+const feedMessageSchema = z.object({
   kind: z.string().min(1),
+  /** Era of all revisions; missing if the sender is of an earlier build or the store names none. */
+  era: z.number().refine(isEra).optional(),
   /** `changes` holds every relevant change after `from`, up to and including `to`. */
   from: revisionSchema,
   to: revisionSchema,
@@ -49,7 +63,67 @@
   returnLeft: z.number().nonnegative(),
 });
 
-export type FeedUpdate = z.infer<typeof feedUpdateSchema>;
+/** Changes of one kind between two versions. */
+interface UpdateOf<Revision extends number> {
+  readonly kind: string;
+  readonly from: Revision;
+  readonly to: Revision;
+  readonly changes:
+    | readonly {
+        readonly object: {
+          readonly name: string;
+          readonly revision: Revision;
+          readonly content: unknown;
+        };
+        readonly isRemoved: boolean;
+      }[]
+    | null;
+  readonly age: Milliseconds;
+  readonly returnLeft: Milliseconds;
+}
+
+/** An update in the process; its versions are of an unknown era if the sender knows none. */
+export type FeedUpdate = UpdateOf<ObjectVersion>;
+
+/** An update on the wire. */
+type FeedMessage = UpdateOf<number> & {readonly era?: number};
+
+export const feedUpdateSchema = feedMessageSchema.transform(
+  ({era, ...message}): FeedUpdate =>
+    withRevisions(message, revision =>
+      versionOf(era === undefined ? UNKNOWN_ERA : as<StoreEra>(era), revision),
+    ),
+);
+
+/** The update as it is sent. */
+export function encodeFeedUpdate(update: FeedUpdate): FeedMessage {
+  const era = eraOf(update.to);
+  return {
+    ...withRevisions(update, revisionOf),
+    ...(era !== UNKNOWN_ERA && {era}),
+  };
+}
+
+/** The update of a sender that doesn't know the era, which must be that of the receiver. */
+export function withEra(update: FeedUpdate, era: StoreEra): FeedUpdate {
+  return withRevisions(update, revision => versionOf(era, revision));
+}
+
+function withRevisions<From extends number, To extends number>(
+  update: UpdateOf<From>,
+  convert: (revision: From) => To,
+): UpdateOf<To> {
+  return {
+    ...update,
+    from: convert(update.from),
+    to: convert(update.to),
+    changes:
+      update.changes?.map(({object, isRemoved}) => ({
+        object: {...object, revision: convert(object.revision)},
+        isRemoved,
+      })) ?? null,
+  };
+}
 
 /** Changes of one kind of object that one read of the store returned. */
 export interface KindRead {
@@ -97,7 +171,10 @@
       return;
     }
     const isContiguous =
-      changes !== undefined && from !== undefined && from <= batch.to;
+      changes !== undefined &&
+      from !== undefined &&
+      from <= batch.to &&
+      eraOf(from) === eraOf(to);
     if (isContiguous) batch.changes?.push(...changes);
     else batch.changes = undefined;
     batch.to = to;
@@ -109,7 +186,9 @@
   takeUpdates(): FeedUpdate[] {
     const now = this.clock.now();
     return [...this.batches].map(([kind, batch]) => {
-      const {from, to, knownUntil, keepMissingUntil} = batch;
+      const {to, knownUntil, keepMissingUntil} = batch;
+      // No update spans two eras: what lies between them is unknown.
+      const from = eraOf(batch.from) === eraOf(to) ? batch.from : to;
       const changes = omitTooLarge(batch.changes);
       batch.from = to;
       batch.changes = [];
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -49,7 +49,7 @@
   name: 'store-relisted',
   level: 'warn',
   meaning:
-    'This node has listed the objects of a `kind` for the first time since the store returned from an older copy: `objects` are there, of which `changed` differ from what was known; `missing` were known and are kept for `keptFor` milliseconds, as their writers write them again. `from` and `revision` are those before and after.',
+    'This node has listed the objects of a `kind` for the first time since the store returned from an older copy: `objects` are there; `missing` were known and are kept for `keptFor` milliseconds, as their writers write them again. `from` and `revision` are the versions before and after; each contains the era.',
 };
 
 /** The lease holder has written its lease again. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -415,7 +415,9 @@
       this.reach.examineSends(),
     ).start();
     createPeriodicJob(clock, EXPIRY_CHECK_MILLISECONDS, () =>
-      this.applyEndpointChanges(this.table.expire(clock.now())),
+      this.applyEndpointChanges(
+        this.table.expire(clock.now(), this.platformView.endpointsKnownUntil),
+      ),
     ).start();
     this.emit(GATEWAY_STARTED, {
       ...this.listen,
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -12,11 +12,14 @@
   Milliseconds,
   ObjectVersion,
   Random,
+  StoreEra,
 } from '@siskinmux/kernel';
 import {
   SiskinmuxError,
+  UNKNOWN_ERA,
   after,
   earlier,
+  eraOf,
   jitter,
   later,
   sleepFor,
@@ -29,12 +32,14 @@
 } from '@siskinmux/ports';
 import {HistoryGoneError} from '@siskinmux/ports';
 import type {FeedUpdate, KindRead} from './change_feed.js';
+import {withEra} from './change_feed.js';
 import {
   FEED_LOST,
   FEED_USED,
   READ_OVERDUE,
   STORE_LOST,
   STORE_REGAINED,
+  STORE_RELISTED,
   TASK_FAILED,
 } from './gateway_events.js';
 import {KnownRevisions} from './known_revisions.js';
@@ -73,6 +78,8 @@
    * of that grace period, if there is one.
    */
   readonly keepMissingUntil: Instant | undefined;
+  /** Whether this is the first list since the store returned from an older copy. */
+  readonly isOlderCopy: boolean;
 }
 
 /** Receives what is read from the store. */
@@ -129,6 +136,8 @@
   private isUnreachable = false;
   /** Whether the last completed watch returned changes. */
   private hasNewChanges = false;
+  /** Whether the store has returned from an older copy since this node's first read. */
+  private hasStoreReturned = false;
   private wake: (() => void) | undefined;
   private interrupt: ((cause: Interruption) => void) | undefined;
   private readonly waiters = new Set<() => void>();
@@ -239,9 +248,14 @@
    * which the update was not written; without one, its age is unknown. An update with a gap
    * ends the feed.
    */
-  applyFeed(update: FeedUpdate, writtenAfter: Instant | undefined): void {
+  applyFeed(received: FeedUpdate, writtenAfter: Instant | undefined): void {
     const {clock, emit, kind, ageLimits} = this.options;
     if (this.revision === undefined) return;
+    const update = this.inOwnEra(received, eraOf(this.revision));
+    if (update === undefined) {
+      this.endFeed();
+      return;
+    }
     const isGap =
       update.from > this.revision ||
       (update.changes === null && update.to > this.revision);
@@ -271,6 +285,16 @@
     );
   }
 
+  /**
+   * The sender of an update without an era is of an earlier build, which doesn't notice that the
+   * store returns; undefined if it has.
+   */
+  private inOwnEra(update: FeedUpdate, era: StoreEra): FeedUpdate | undefined {
+    const isOfUnknownEra = eraOf(update.to) === UNKNOWN_ERA;
+    if (!isOfUnknownEra || era === UNKNOWN_ERA) return update;
+    return this.hasStoreReturned ? undefined : withEra(update, era);
+  }
+
   /** Returns to this node's own watch: the feed's connection was lost, or it had a gap. */
   endFeed(): void {
     if (this.feedConfirmedUntil === undefined) return;
@@ -392,14 +416,22 @@
   private async list(): Promise<void> {
     const {store, kind, handler, clock, onRead} = this.options;
     const sentAt = clock.now();
+    const {revision: knownWhenSent} = this;
     const listing = await store.list(kind, false);
     const from = this.revision;
     this.isHistoryGone = false;
-    if (from === undefined || listing.revision >= from) {
+    // A store that names no era shows only by a lower revision that it has returned from a copy.
+    const isOlderCopy =
+      from !== undefined &&
+      knownWhenSent !== undefined &&
+      (eraOf(listing.revision) > eraOf(from) ||
+        listing.revision < knownWhenSent);
+    if (from === undefined || listing.revision >= from || isOlderCopy) {
       const changes = this.known.replaceAll(listing);
-      const context = this.contextOf('list');
+      const context = this.contextOf('list', isOlderCopy);
       handler.onList(listing, context);
       this.revision = listing.revision;
+      if (isOlderCopy) this.recordReturn(from, changes, context);
       this.confirm(sentAt);
       this.report(from, from === undefined ? undefined : changes, onRead);
     }
@@ -423,6 +455,25 @@
     this.recordResponse();
   }
 
+  private recordReturn(
+    from: ObjectVersion,
+    changes: readonly MetadataChange[],
+    {keepMissingUntil}: ReadContext,
+  ): void {
+    const {clock, emit, kind} = this.options;
+    this.hasStoreReturned = true;
+    const missing = changes.filter(({isRemoved}) => isRemoved).length;
+    emit(STORE_RELISTED, {
+      kind,
+      from,
+      revision: this.revision,
+      objects: changes.length - missing,
+      missing,
+      keptFor:
+        keepMissingUntil && Math.round(until(clock.now(), keepMissingUntil)),
+    });
+  }
+
   private report(
     from: ObjectVersion | undefined,
     changes: readonly MetadataChange[] | undefined,
@@ -459,21 +510,22 @@
     return later(now, earlier(dueAt, after(now, wait)));
   }
 
-  private contextOf(source: ReadSource): ReadContext {
+  private contextOf(source: ReadSource, isOlderCopy = false): ReadContext {
     const {clock, outageMilliseconds, reregistrationGraceMilliseconds} =
       this.options;
     const {confirmedUntil: knownUntil} = this;
     const now = clock.now();
     const wasOut =
       knownUntil !== undefined && now >= after(knownUntil, outageMilliseconds);
-    if (wasOut)
+    if (wasOut || isOlderCopy)
       this.keepMissingUntil = after(now, reregistrationGraceMilliseconds);
     else if (
       this.keepMissingUntil !== undefined &&
       now >= this.keepMissingUntil
     )
       this.keepMissingUntil = undefined;
-    return {source, knownUntil, keepMissingUntil: this.keepMissingUntil};
+    const {keepMissingUntil} = this;
+    return {source, knownUntil, keepMissingUntil, isOlderCopy};
   }
 
   private confirm(confirmedUntil: Instant): void {
--- a/packages/gateway/src/known_revisions.ts
+++ b/packages/gateway/src/known_revisions.ts
@@ -5,7 +5,7 @@
 
 /** Tells changes that are news from those that an earlier or parallel read has brought. */
 export class KnownRevisions {
-  private readonly byName = new Map<string, ObjectVersion>();
+  private byName = new Map<string, ObjectVersion>();
 
   private constructor() {}
 
@@ -37,8 +37,9 @@
     const changed = objects
       .filter(object => this.byName.get(object.name) !== object.revision)
       .map(object => ({object, isRemoved: false}));
-    const changes = [...removed, ...changed];
-    for (const change of changes) this.record(change);
-    return changes;
+    this.byName = new Map(
+      objects.map(object => [object.name, object.revision]),
+    );
+    return [...removed, ...changed];
   }
 }
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -109,6 +109,12 @@
     return this.watchers.find(watcher => watcher.kind === kind)?.currentSince;
   }
 
+  /** All changes of endpoints that the store acknowledged before this are known. */
+  get endpointsKnownUntil(): Instant | undefined {
+    const {kind} = this.options.platform.endpoints;
+    return this.watchers.find(watcher => watcher.kind === kind)?.knownUntil;
+  }
+
   /** How old this node's knowledge is now, at most; see {@link KindWatcher.knownUntil}. */
   get age(): ViewAge {
     const {platform, clock} = this.options;
@@ -220,13 +226,15 @@
     objects: readonly MetadataObject[],
     context: ReadContext,
   ): void {
-    const {table} = this.options;
+    const {table, clock} = this.options;
+    const {keepMissingUntil, isOlderCopy} = context;
     const readable = objects.flatMap(object => this.decode(object) ?? []);
     this.hasReadEndpoints = true;
-    this.publishChanges(
-      table.replaceAll(readable, context.keepMissingUntil),
-      context,
-    );
+    const changes =
+      isOlderCopy && keepMissingUntil !== undefined
+        ? table.replaceByOlder(readable, keepMissingUntil, clock.now())
+        : table.replaceAll(readable, keepMissingUntil);
+    this.publishChanges(changes, context);
   }
 
   private applyEndpointChanges(
@@ -234,17 +242,22 @@
     context: ReadContext,
   ): readonly MetadataChange[] {
     const {table} = this.options;
-    const applied = table.apply(
-      changes.map(({object, isRemoved}) => ({
-        id: as<EndpointId>(object.name),
-        description: isRemoved ? undefined : this.decode(object),
-        isRemoved,
-      })),
-      context.keepMissingUntil,
-    );
-    this.publishChanges(applied, context);
+    const entries = changes.map(({object, isRemoved}) => ({
+      id: as<EndpointId>(object.name),
+      description: isRemoved ? undefined : this.decode(object),
+      isRemoved,
+    }));
+    // A follower may know less than this node keeps beyond what is listed.
     const changed = new Set<string>(
-      applied.filter(isNeededByFollowers).map(({id}) => id),
+      entries
+        .filter(({id, description}) =>
+          isNeededByFollowers(table.listedEntry(id), description),
+        )
+        .map(({id}) => id),
+    );
+    this.publishChanges(
+      table.apply(entries, context.keepMissingUntil),
+      context,
     );
     return changes.filter(
       ({object, isRemoved}) => isRemoved || changed.has(object.name),
@@ -310,8 +323,11 @@
  * Whether followers of the lease holder need a change. They only choose endpoints, so
  * changes of adapters, local weight copies and order counts are not forwarded to them.
  */
-function isNeededByFollowers({before, now}: EndpointTableChange): boolean {
-  if (before === undefined || now === undefined) return true;
+function isNeededByFollowers(
+  before: EndpointDescription | undefined,
+  now: EndpointDescription | undefined,
+): boolean {
+  if (before === undefined || now === undefined) return before !== now;
   return forwardedFields(before) !== forwardedFields(now);
 }
 
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,6 +1,7 @@
 /** Virtual time, seeded random numbers and an in-memory store, for tests and benchmarks. */
 
 export {ENGINE_SLOTS, createEngineDescription} from './engine_description.js';
+export type {StoreCopy} from './memory_store.js';
 export {MemoryStore, SharedObjects} from './memory_store.js';
 export {createSeededRandom} from './seeded_random.js';
 export {VirtualClock} from './virtual_clock.js';
