Send no request again over a connection that has carried it

Callers: requests that may run once ran twice, or were refused as not run after they had run, when a full engine gave a rejection a second time, late. Cause: responses are told apart by the id of the request, which two sends of it share. The retry went over the connection of the first send, where the second copy was taken for its response. Change: a connection remembers the hashes of its last 64 requests, and the pool gives none of them to it again. The copy then meets another request, whose id shows it.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -5,7 +5,12 @@
 import {steadyClock} from '@siskinmux/adapters';
 import type {EndpointId, RequestId} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import type {EndpointProtocol, ResponseHead, SendResult} from '../src/index.js';
+import type {
+  EndpointProtocol,
+  OutgoingRequest,
+  ResponseHead,
+  SendResult,
+} from '../src/index.js';
 import {
   EndpointConnectionPool,
   MAXIMUM_IDLE_CONNECTIONS,
@@ -74,7 +79,19 @@
   });
 }
 
-const request = {method: 'GET', target: '/', headers: [], body: undefined};
+let lastKey = 0;
+
+/** A request that hasn't been sent before. */
+function nextRequest(): OutgoingRequest {
+  lastKey += 1;
+  return {
+    key: lastKey,
+    method: 'GET',
+    target: '/',
+    headers: [],
+    body: undefined,
+  };
+}
 
 async function readAll(
   result: SendResult,
@@ -97,7 +114,7 @@
       socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello'),
     );
     const pool = createPool();
-    const sent = pool.send({id: endpoint, address}, request, true);
+    const sent = pool.send({id: endpoint, address}, nextRequest(), true);
     const {text, end, head} = await readAll(await sent.result);
     expect([head.status, text, end]).toEqual([200, 'hello', 'complete']);
     pool.closeIdle(endpoint);
@@ -107,7 +124,11 @@
     const address = await startEndpoint(socket =>
       socket.end('HTTP/1.1 200 OK\r\n\r\nhello'),
     );
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const {text, end} = await readAll(await sent.result);
     expect([text, end]).toEqual(['hello', 'complete']);
   });
@@ -118,7 +139,11 @@
         setTimeout(() => socket.resetAndDestroy(), 30),
       );
     });
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const {text, end} = await readAll(await sent.result);
     expect([text, end]).toEqual(['hel', 'broken']);
   });
@@ -133,7 +158,11 @@
         while (performance.now() < busyUntil);
       });
     });
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const {end} = await readAll(await sent.result);
     expect(end).toEqual('broken');
   });
@@ -142,7 +171,11 @@
     const address = await startEndpoint(socket =>
       socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhel'),
     );
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const {end} = await readAll(await sent.result);
     expect(end).toEqual('broken');
   });
@@ -153,7 +186,11 @@
         'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n',
       ),
     );
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const {end} = await readAll(await sent.result);
     expect(end).toEqual('broken');
   });
@@ -161,14 +198,22 @@
   it('fails as not sent when nothing listens at the address', async () => {
     const address = await startEndpoint(() => {});
     server?.close();
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const result = await sent.result;
     expect(result.kind === 'failed' && result.delivery).toEqual('not_sent');
   });
 
   it('fails as possibly run when the connection closes without a response', async () => {
     const address = await startEndpoint(socket => socket.destroy());
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     const result = await sent.result;
     expect(result.kind === 'failed' && result.delivery).toEqual('maybe_run');
   });
@@ -179,7 +224,11 @@
       requests += 1;
       socket.resetAndDestroy();
     });
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     await sent.result;
     await new Promise(resolve => setTimeout(resolve, 50));
     expect(requests).toEqual(1);
@@ -191,7 +240,11 @@
       onClosed = resolve;
     });
     const address = await startEndpoint(socket => socket.on('close', onClosed));
-    const sent = createPool().send({id: endpoint, address}, request, true);
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
     setTimeout(() => sent.abort(), 20);
     const result = await sent.result;
     expect(result.kind).toEqual('failed');
@@ -209,7 +262,7 @@
     );
     const pool = createPool();
     for (let count = 0; count < 3; count += 1) {
-      const sent = pool.send({id: endpoint, address}, request, true);
+      const sent = pool.send({id: endpoint, address}, nextRequest(), true);
       await readAll(await sent.result);
       await new Promise(resolve => setImmediate(resolve));
     }
@@ -223,7 +276,7 @@
     );
     const pool = createPool();
     for (let count = 0; count < 2; count += 1) {
-      const sent = pool.send({id: endpoint, address}, request, false);
+      const sent = pool.send({id: endpoint, address}, nextRequest(), false);
       await readAll(await sent.result);
       await new Promise(resolve => setImmediate(resolve));
     }
@@ -246,7 +299,7 @@
       const pool = createPool(idleLimit);
       await Promise.all(
         Array.from({length: 5}, async () => {
-          const sent = pool.send({id: endpoint, address}, request, true);
+          const sent = pool.send({id: endpoint, address}, nextRequest(), true);
           await readAll(await sent.result);
         }),
       );
@@ -259,13 +312,33 @@
     }
   });
 
+  // A second copy of a rejection was taken for the response to the next send of that request.
+  it('do not carry another send of a request, but those of others', async () => {
+    const address = await startEndpoint(socket => {
+      socket.write(
+        'HTTP/1.1 503 -\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n\r\n',
+      );
+    });
+    const pool = createPool();
+    const first = nextRequest();
+    const requests = [first, first, nextRequest(), first, nextRequest()];
+    const opened: number[] = [];
+    for (const request of requests) {
+      const sent = pool.send({id: endpoint, address}, request, true);
+      await readAll(await sent.result);
+      await new Promise(resolve => setTimeout(resolve, 20));
+      opened.push(pool.totalOpened);
+    }
+    expect(opened).toEqual([1, 2, 2, 3, 3]);
+  });
+
   it('are dropped when bytes arrive that belong to no request', async () => {
     const address = await startEndpoint(socket =>
       socket.write(`${keepAliveHead}\r\n\r\nHTTP/1.1 200 OK\r\n\r\nextra`),
     );
     const pool = createPool();
     for (let count = 0; count < 2; count += 1) {
-      const sent = pool.send({id: endpoint, address}, request, true);
+      const sent = pool.send({id: endpoint, address}, nextRequest(), true);
       await readAll(await sent.result);
       await new Promise(resolve => setTimeout(resolve, 20));
     }
--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -18,8 +18,13 @@
 /** Maximum size of a response's header block; the default of Node.js. */
 const MAXIMUM_HEADER_BYTES = 16_384;
 
+/** Requests that a connection remembers; an endpoint responds again to a recent one, if at all. */
+const MAXIMUM_REMEMBERED_REQUESTS = 64;
+
 /** A request as it is sent. Its body is buffered, so that it can be sent again. */
 export interface OutgoingRequest {
+  /** Equal for all sends of one request, whose responses bear the same id. */
+  readonly key: number;
   readonly method: string;
   /** Path and query, as received from the caller. */
   readonly target: string;
@@ -46,6 +51,8 @@
   /** When the last response was complete; undefined before the first. */
   private idleSince: Instant | undefined;
   private idleTimeoutMilliseconds: Milliseconds | undefined;
+  /** Keys of the latest requests that this connection has carried. */
+  private readonly carriedKeys: number[] = [];
 
   private constructor(
     origin: string,
@@ -101,6 +108,14 @@
     );
   }
 
+  /**
+   * Whether the connection has carried a send of this request. The endpoint may respond to that
+   * one again, and the response to another send couldn't be told from it.
+   */
+  hasCarried({key}: OutgoingRequest): boolean {
+    return this.carriedKeys.includes(key);
+  }
+
   /** Whether the connection is closed or has been idle for too long. */
   isExpired(now: Instant): boolean {
     return !this.isConnected || now >= this.idleUntil;
@@ -109,6 +124,9 @@
   /** Sends a request. Its result is the response, or the failure to get one. */
   send(request: OutgoingRequest): SentRequest {
     this.isBusy = true;
+    this.carriedKeys.push(request.key);
+    if (this.carriedKeys.length > MAXIMUM_REMEMBERED_REQUESTS)
+      this.carriedKeys.shift();
     return new HttpExchange(
       this.client,
       request,
--- a/packages/forwarding/src/endpoint_connection_pool.ts
+++ b/packages/forwarding/src/endpoint_connection_pool.ts
@@ -57,13 +57,13 @@
     return this.openedCount;
   }
 
-  /** Sends a request over an idle connection or a new one. */
+  /** Sends a request over an idle connection that hasn't carried it before, or a new one. */
   send(
     endpoint: EndpointAddress,
     request: OutgoingRequest,
     isRetryable: boolean,
   ): SentRequest {
-    const connection = this.acquireIdle(endpoint.id, isRetryable);
+    const connection = this.acquireIdle(endpoint.id, request, isRetryable);
     return (connection ?? this.open(endpoint)).send(request);
   }
 
@@ -106,6 +106,7 @@
 
   private acquireIdle(
     endpoint: EndpointId,
+    request: OutgoingRequest,
     isRetryable: boolean,
   ): EndpointConnection | undefined {
     const now = this.options.clock.now();
@@ -115,8 +116,10 @@
     const connections = this.idle.get(endpoint);
     // The endpoint is least likely to be closing the most recently used connection.
     const index =
-      connections?.findLastIndex(candidate =>
-        candidate.isReusable(now, idleFraction),
+      connections?.findLastIndex(
+        candidate =>
+          candidate.isReusable(now, idleFraction) &&
+          !candidate.hasCarried(request),
       ) ?? -1;
     return index < 0 ? undefined : connections?.splice(index, 1)[0];
   }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -406,6 +406,7 @@
     this.sentAt = clock.now();
     const release = peers.track(peer);
     const sentRequest = sendToPeer(peerConnections, peer, {
+      key: hash32(metadata.id),
       method: exchange.method,
       target: exchange.target,
       headers,
@@ -550,6 +551,7 @@
       const sentRequest = connections.send(
         endpoint,
         {
+          key: hash32(this.metadata.id),
           method: this.exchange.method,
           target: this.exchange.target,
           headers: protocol.requestHeaders(this.exchange.headers, {
--- a/packages/gateway/src/relayed_send.ts
+++ b/packages/gateway/src/relayed_send.ts
@@ -30,6 +30,8 @@
 
 /** A request as it is relayed. */
 export interface RelayedRequest {
+  /** Equal for all sends of one request. */
+  readonly key: number;
   readonly method: string;
   readonly target: string;
   readonly headers: readonly string[];
