Write origins and quarantines again after the store has returned from an older copy

Callers: after a return of the store, streams whose origins it had lost were refused at nodes that started later, and a request that crashes endpoints was let through by them. Cause: the lease holder writes both when they change, and took what it had written for stored. Change: it reads and writes them again in each era: the origins of all streams that callers may still resume, the recorded versions, and the quarantined traits. One write each, by the holder alone. Evidence: "continues at a node that starts after the store has lost its origin" and "withholds the request after the store has lost the record ..." fail with the change taken back.

--- a/packages/containment/__tests__/crash_quarantine.test.ts
+++ b/packages/containment/__tests__/crash_quarantine.test.ts
@@ -85,6 +85,24 @@
     }
   });
 
+  // What a return of the store had lost was written at the next crash only.
+  it('withholds the request after the store has lost the record and all nodes have been replaced', async () => {
+    const cluster = new QuarantineCluster(3);
+    const [node] = cluster.nodes;
+    cluster.crash(node!, culprit);
+    cluster.crash(node!, culprit);
+    await cluster.clock.advance(2_000);
+    await cluster.loseStored();
+    await cluster.clock.advance(2_000);
+    for (const index of cluster.nodes.keys()) cluster.restart(index);
+    cluster.connect(2);
+    await cluster.clock.advance(1_000);
+    for (const restarted of cluster.nodes) {
+      const refusal = await refusalOf(restarted, culprit);
+      expect(refusal?.outcome).toEqual(Outcome.NotRun);
+    }
+  });
+
   it('forgets a stored request once it has been cleared', async () => {
     const cluster = new QuarantineCluster(2);
     const [node] = cluster.nodes;
--- a/packages/containment/__tests__/quarantine_cluster.ts
+++ b/packages/containment/__tests__/quarantine_cluster.ts
@@ -42,6 +42,7 @@
   private readonly shared = new SharedObjects();
   private holder: CrashQuarantine | undefined;
   private archive: QuarantineArchive | undefined;
+  private archiveStore: MemoryStore | undefined;
 
   /** The first node holds the lease. */
   constructor(nodeCount: number) {
@@ -67,8 +68,9 @@
 
   private startArchive(quarantine: CrashQuarantine): void {
     const {clock} = this;
+    this.archiveStore = new MemoryStore(this.shared, clock, () => 0);
     this.archive = QuarantineArchive.create({
-      store: new MemoryStore(this.shared, clock, () => 0),
+      store: this.archiveStore,
       quarantine,
       clock,
       readClocks: () => ({steady: clock.now(), timeOfDay: clock.now()}),
@@ -84,6 +86,13 @@
     }
   }
 
+  /** The store returns from an empty copy; the holder learns of it from another call. */
+  async loseStored(): Promise<void> {
+    const {shared, clock, archiveStore} = this;
+    shared.comeBack({revision: 10, objects: new Map()});
+    await Promise.all([archiveStore?.list('any'), clock.advance(100)]);
+  }
+
   /** Ends the lease; no node has a holder until {@link connect}. */
   loseHolder(): void {
     this.holder = undefined;
--- a/packages/containment/src/quarantine_archive.ts
+++ b/packages/containment/src/quarantine_archive.ts
@@ -10,7 +10,7 @@
   Milliseconds,
   ObjectVersion,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, after, as, until} from '@siskinmux/kernel';
+import {SiskinmuxError, UNKNOWN_ERA, after, as, until} from '@siskinmux/kernel';
 import type {ClockReading} from '@siskinmux/leases';
 import type {MetadataStore} from '@siskinmux/ports';
 import type {Suspect} from './run_crashes.js';
@@ -66,6 +66,8 @@
   private nextCallAt: Instant;
   /** Changes of the records that have been compared with what is stored. */
   private comparedChanges: number | undefined;
+  /** The era of the store in which they were. */
+  private comparedEra = UNKNOWN_ERA;
 
   private constructor(private readonly options: QuarantineArchiveOptions) {
     const {clock} = options;
@@ -91,6 +93,7 @@
   private async synchronize(): Promise<void> {
     const {clock, emit} = this.options;
     if (clock.now() < this.nextCallAt) return;
+    this.noticeReturn();
     try {
       this.revision ??= await this.restore();
       await this.storeChanges(this.revision);
@@ -104,6 +107,15 @@
     }
   }
 
+  /** What was stored may be lost when the store has returned from an older copy. */
+  private noticeReturn(): void {
+    const {era} = this.options.store;
+    if (era === this.comparedEra) return;
+    this.comparedEra = era;
+    this.revision = undefined;
+    this.comparedChanges = undefined;
+  }
+
   private async restore(): Promise<ObjectVersion | 'absent'> {
     const {store, quarantine, clock, readClocks, emit, onRestored} =
       this.options;
--- a/packages/continuity/__tests__/continuity_cluster.ts
+++ b/packages/continuity/__tests__/continuity_cluster.ts
@@ -250,6 +250,7 @@
       emit: () => {},
       stored: node.continuity.stored,
       versions: node.continuity.versions,
+      recentOrigins: () => node.continuity.recentOrigins(),
     });
     node.writer.start();
     this.loadModels(node);
--- a/packages/continuity/__tests__/stream_continuity.test.ts
+++ b/packages/continuity/__tests__/stream_continuity.test.ts
@@ -57,7 +57,18 @@
       listCurrentSince: () => startedAt,
     });
     const {versions, stored} = continuity;
-    const writer = OriginWriter.create({...options, versions, stored});
+    const writer = OriginWriter.create({
+      ...options,
+      versions,
+      stored,
+      recentOrigins: () => continuity.recentOrigins(),
+    });
+    continuity.setExchange({
+      reportOrigins: origins => {
+        continuity.merge(origins);
+        writer.add(origins);
+      },
+    });
     const update = (
       before: EndpointDescription | undefined,
       now: EndpointDescription | undefined,
@@ -166,6 +177,30 @@
     expect(await deployment.resume(continuity)).toBeA(RefusalError);
   });
 
+  // The origins that a return of the store had lost were missing for good.
+  it('continues at a node that starts after the store has lost its origin', async () => {
+    const deployment = new Deployment();
+    const {clock, shared} = deployment;
+    const {continuity, writer, store} = deployment.start(
+      engine('v1'),
+      engine('v2'),
+    );
+    writer.start();
+    await clock.advance(1_000);
+    const copy = shared.copy();
+    continuity.recordStart(
+      stream,
+      engine('v1'),
+      after(clock.now(), LONG_MILLISECONDS),
+    );
+    await clock.advance(3_000);
+    shared.comeBack(copy);
+    await Promise.all([store.list('any'), clock.advance(1_000)]);
+    const later = deployment.start(engine('v1'), engine('v2'));
+    expect(await deployment.resume(later.continuity)).toEqual('v1');
+    void writer.stop();
+  });
+
   it('costs no call to the store while one version serves, after the first', async () => {
     const deployment = new Deployment();
     const {writer} = deployment.start(engine('v1'));
--- a/packages/continuity/src/origin_writer.ts
+++ b/packages/continuity/src/origin_writer.ts
@@ -46,6 +46,8 @@
 > {
   readonly stored: StoredOrigins;
   readonly versions: ServiceVersions;
+  /** The streams that callers may still resume, as far as this node knows them. */
+  readonly recentOrigins: () => readonly StreamOrigin[];
 }
 
 /** Collects the origins that nodes report, and writes them a few times a second. */
@@ -60,12 +62,15 @@
   private written: StreamOrigin[] = [];
   private unwritten: StreamOrigin[] = [];
   private recordedKey = '';
+  /** The era of the store for which all that is known has been written. */
+  private writtenEra;
   private nextCallAt: Instant;
   private lastWrite: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: OriginWriterOptions) {
     this.clock = options.clock;
     this.emit = options.emit;
+    this.writtenEra = options.store.era;
     this.nextCallAt = this.clock.now();
     this.partEndsAt = this.clock.now();
     this.job = createPeriodicJob(this.clock, CHECK_INTERVAL_MILLISECONDS, () =>
@@ -107,6 +112,7 @@
 
   private async writeChanges(): Promise<void> {
     if (this.clock.now() < this.nextCallAt) return;
+    this.noticeReturn();
     if (!(await this.readRevisions())) return;
     const {versions} = this.options;
     const recorded = encodeVersions(versions, this.clock.now());
@@ -135,6 +141,18 @@
     }
   }
 
+  /** Writes everything again that the store may have lost by its return from an older copy. */
+  private noticeReturn(): void {
+    const {store, recentOrigins} = this.options;
+    if (store.era === this.writtenEra) return;
+    this.writtenEra = store.era;
+    this.revisions = undefined;
+    this.recordedKey = '';
+    this.written = [];
+    this.unwritten = [];
+    this.add(recentOrigins());
+  }
+
   private async write(
     added: readonly StreamOrigin[],
     versions: readonly RecordedVersion[],
--- a/packages/continuity/src/stream_continuity.ts
+++ b/packages/continuity/src/stream_continuity.ts
@@ -148,6 +148,16 @@
     this.scheduleReport();
   }
 
+  /** Streams of services with several versions that callers may still resume. */
+  recentOrigins(): StreamOrigin[] {
+    const now = this.options.clock.now();
+    return [...this.versions.services].flatMap(service =>
+      this.versions.isMixed(service, now)
+        ? this.known.ofService(service, now)
+        : [],
+    );
+  }
+
   /** Adds origins that other nodes have reported. */
   merge(origins: readonly StreamOrigin[]): void {
     const now = this.options.clock.now();
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -379,6 +379,7 @@
       ...this.options,
       stored: continuity.stored,
       versions: continuity.versions,
+      recentOrigins: () => continuity.recentOrigins(),
     });
     const allocatorServer = AllocatorServer.create({
       ...this.options,
