--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -26,7 +26,9 @@
   UNKNOWN_ERA,
   after,
   createNotRunRefusal,
+  earlier,
   sleepFor,
+  sleepUntil,
 } from '@siskinmux/kernel';
 import type {ClockReading} from '@siskinmux/leases';
 import {electionDelayMilliseconds} from '@siskinmux/leases';
@@ -84,12 +86,13 @@
 import {NodePlacement} from './node_placement.js';
 import {PlatformView} from './platform_view.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
-import {ProxiedRequest} from './proxied_request.js';
+import {ProxiedRequest, SERVED} from './proxied_request.js';
 import {listenForReadiness} from './readiness_listener.js';
 import {refusalResponse} from './refusal_response.js';
 import {statementOfRefusal} from './relayed_send.js';
 import {createRequestMetrics} from './request_metrics.js';
 import {RetryBudgets} from './retry_budgets.js';
+import {StopWindow} from './stop_window.js';
 import {viewAgeLimits} from './view_age_limits.js';
 import {waitForView} from './wait_for_view.js';
 
@@ -163,6 +166,7 @@
   private nodeCount = 1;
   private isStopping = false;
   private isAcceptingRequests = true;
+  private readonly stopWindow: StopWindow;
 
   private constructor(private readonly options: GatewayOptions) {
     const {platform, clock, random} = options;
@@ -242,6 +246,7 @@
       clock,
       emit,
     });
+    this.stopWindow = StopWindow.create({clock});
     this.limits = EndpointLimits.create({clock, emit});
     this.leaving = LeavingEndpoints.create({
       table: this.table,
@@ -370,6 +375,12 @@
       clock,
       emit,
       ...metrics,
+      hasTimeFor: route => this.stopWindow.hasTimeFor(route),
+      onRequestEnd: (route, result, milliseconds) => {
+        metrics.onRequestEnd(route, result, milliseconds);
+        if (result === SERVED)
+          this.stopWindow.recordServed(route.name, milliseconds);
+      },
     };
     this.routes.onChange(({configuration}) => {
       const {idleTimeoutMilliseconds} = configuration.limits;
@@ -434,9 +445,16 @@
       this.rules.stop_seconds * 1_000 - EXIT_MARGIN_MILLISECONDS,
     );
     this.isStopping = true;
+    this.stopWindow.close(drainDeadline);
     emit(GATEWAY_STOPPING, {open: this.openExchangeCount});
     this.placement.stop();
-    await sleepFor(clock, DEREGISTRATION_DELAY_MILLISECONDS);
+    await sleepUntil(
+      clock,
+      earlier(
+        after(clock.now(), DEREGISTRATION_DELAY_MILLISECONDS),
+        drainDeadline,
+      ),
+    );
     this.isAcceptingRequests = false;
     this.callerListener?.closeIdle();
     this.relayListener?.closeIdle();
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -102,7 +102,7 @@
 const MAXIMUM_LOGGED_CHARACTERS = 64;
 
 /** Result of a request whose caller got a complete response with a success status. */
-const SERVED = 'served';
+export const SERVED = 'served';
 
 /** Dependencies of {@link ProxiedRequest}. */
 export interface ProxiedRequestDependencies extends ContainmentDependencies {
@@ -134,6 +134,8 @@
     service: ServiceName,
     decision: RetryDecision,
   ) => void;
+  /** Whether a request of the route that begins now ends before this process does. */
+  readonly hasTimeFor: (route: Route) => boolean;
   /** Called when a request has ended; `result` is the one logged in `request-ended`. */
   readonly onRequestEnd: (
     route: Route,
@@ -294,6 +296,7 @@
   /** Sends the request to an endpoint, or to a peer while this node has lost its links. */
   private async sendOnce(): Promise<AttemptResult> {
     const {containment} = this;
+    this.throwIfStopping();
     const peer = this.choosePeer();
     if (peer !== undefined) return this.relay(peer);
     await containment.throwIfWithheld();
@@ -310,12 +313,24 @@
       await containment.throwIfWithheld();
       if (this.isFinished) return {kind: 'delivered'};
     } while (!this.maySendTo(endpoint));
+    this.throwIfStopping();
     this.peer = undefined;
     const result = await this.send(endpoint);
     this.triedEndpoints.add(endpoint.id);
     return result;
   }
 
+  /** A request that would be cut at the end of this process is refused, as others can serve it. */
+  private throwIfStopping(): void {
+    const {hasTimeFor, clock} = this.dependencies;
+    if (this.runs > 0 || hasTimeFor(this.route)) return;
+    throw createNotRunRefusal(
+      ErrorCode.ShuttingDown,
+      this.route.name,
+      clock.now(),
+    );
+  }
+
   private maySendTo(endpoint: EndpointDescription): boolean {
     const {view, isListed} = this.dependencies;
     return view.isDecidable && isListed(endpoint);
