Leave no event stream as complete that a close ended before its first event

Callers: a stream without any event, 200 and complete, if an engine's connection closed right after a head that has neither a length nor chunks. Cause: only a continuation had to have events; for a first response, a close was its end while the engine still ran. Change: such a stream counts as broken, and is sent again where its route allows it. Evidence: cut_head.test.ts, "leaves no stream without events ..." fails before; its other twelve, on heads that are cut on kept connections and as responses to a resumption, pass before, too.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -779,15 +779,15 @@
       onPause: () => this.inactivityTimer?.suspend(),
       onResume: () => this.inactivityTimer?.resume(),
     });
-    // Only a last chunk says that nothing remains; a stream without events may be none.
-    const isEmpty = isContinued && !hasEvents && head.framing !== 'chunks';
+    // A close right after the head says nothing; for the rest of a stream, only a last chunk does.
+    const isEmpty =
+      !hasEvents &&
+      (isContinued ? head.framing !== 'chunks' : head.framing === 'close');
     const {fault} = this.events;
     const cause =
       fault ??
       (await this.findBreak(source, head, end)) ??
-      (isEmpty
-        ? 'an empty response instead of the rest of the stream'
-        : undefined);
+      (isEmpty ? 'a stream that ended before its first event' : undefined);
     this.recordEnd(source, cause);
     if (cause === undefined) {
       this.finish(SERVED, () => this.exchange.end());
