Read the endpoints once more before a stream goes on at the only version known

Callers: a stream could go on at another software version than the one that began it, if it was taken up at a node whose list of endpoints was up to 1.1 s old while an engine of a new version had joined. Cause: the only known version counted as certain for as long as the list counts as current, which allows for that age. Change: a node that doesn't know the origin reads the list first; requests share a read for 100 ms. If it can't, the stored origins decide, or the stream is refused. Evidence: stream_continuity.test.ts, "does not continue at the only known version ...", both forms fail before; kind_watcher.test.ts, "KindWatcher that is asked to read at once".

--- a/packages/continuity/__tests__/continuity_cluster.ts
+++ b/packages/continuity/__tests__/continuity_cluster.ts
@@ -12,7 +12,7 @@
   RequestId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {after, as} from '@siskinmux/kernel';
+import {after, as, sleepFor} from '@siskinmux/kernel';
 import {
   MemoryStore,
   SharedObjects,
@@ -31,6 +31,7 @@
 
 /** An engine starts without models; its first load takes at least this long. */
 const LOAD_MILLISECONDS = 600;
+const RESPONSE_MILLISECONDS = 4;
 const TAKEOVER_MILLISECONDS = 500;
 const STREAM_MILLISECONDS = 12_000;
 
@@ -67,6 +68,12 @@
       clock,
       emit: () => {},
       listCurrentSince: () => this.currentSince,
+      refreshList: async () => {
+        await sleepFor(clock, RESPONSE_MILLISECONDS);
+        if (this.store.isUnreachable) return false;
+        this.apply(cluster.descriptions);
+        return true;
+      },
     });
     this.store.isUnreachable = cluster.isStoreLost;
     if (!this.store.isUnreachable) this.apply(cluster.descriptions);
--- a/packages/continuity/__tests__/stream_continuity.test.ts
+++ b/packages/continuity/__tests__/stream_continuity.test.ts
@@ -35,6 +35,9 @@
 class Deployment {
   readonly clock = VirtualClock.create();
   readonly shared = new SharedObjects();
+  /** Reads the list of endpoints, for a node that lags behind it. */
+  refreshList: (continuity: StreamContinuity) => Promise<boolean> = () =>
+    Promise.resolve(true);
 
   start(...listed: EndpointDescription[]) {
     const {clock} = this;
@@ -55,6 +58,7 @@
       clock,
       emit: () => {},
       listCurrentSince: () => startedAt,
+      refreshList: () => this.refreshList(continuity),
     });
     const {versions, stored} = continuity;
     const writer = OriginWriter.create({
@@ -177,6 +181,23 @@
     expect(await deployment.resume(continuity)).toBeA(RefusalError);
   });
 
+  // It continued at the only version that a node knew whose list lagged behind by a second.
+  for (const isReachable of [true, false]) {
+    it(`does not continue at the only known version after another has joined${isReachable ? '' : ', though the list can’t be read'}`, async () => {
+      const deployment = new Deployment();
+      const {continuity, writer, update} = deployment.start(engine('v1'));
+      writer.start();
+      await deployment.clock.advance(1_000);
+      expect(await deployment.resume(continuity)).toEqual('v1');
+      deployment.refreshList = () => {
+        if (isReachable) update(undefined, engine('v2'));
+        return Promise.resolve(isReachable);
+      };
+      expect(await deployment.resume(continuity)).toBeA(RefusalError);
+      void writer.stop();
+    });
+  }
+
   // The origins that a return of the store had lost were missing for good.
   it('continues at a node that starts after the store has lost its origin', async () => {
     const deployment = new Deployment();
--- a/packages/continuity/src/stream_continuity.ts
+++ b/packages/continuity/src/stream_continuity.ts
@@ -39,6 +39,9 @@
 /** How long the origin of a stream that has just begun elsewhere takes to be stored. */
 const STORE_DELAY_MILLISECONDS: Milliseconds = 600;
 
+/** Longest wait for the list of endpoints. */
+const REFRESH_MILLISECONDS: Milliseconds = 400;
+
 /** Pause between two reads of the store for the same request. */
 const READ_PAUSE_MILLISECONDS: Milliseconds = 100;
 
@@ -74,10 +77,21 @@
    * the last second; undefined if it isn't now.
    */
   readonly listCurrentSince: () => Instant | undefined;
+  /**
+   * Resolves to whether this node knows all endpoints that the store had acknowledged when it was
+   * called; to false at the deadline at the latest.
+   */
+  readonly refreshList: (deadline: Instant) => Promise<boolean>;
 }
 
 type OriginSource = 'memory' | 'store' | 'only version';
 
+/**
+ * What has been read for a request: nothing, the list of endpoints, or the stored origins and
+ * versions too.
+ */
+type OriginEvidence = 'memory' | 'list' | 'store';
+
 /** What one node knows about the origins of streams. */
 export class StreamContinuity {
   readonly versions = ServiceVersions.create();
@@ -176,11 +190,16 @@
     const {clock} = this.options;
     const resumedAt = clock.now();
     let isStoreRead = false;
+    const isListRefreshed =
+      this.findOrigin(taken, 'memory') === undefined &&
+      (await this.refreshList(taken));
     const storedBy = earlier(
       after(resumedAt, STORE_DELAY_MILLISECONDS),
       taken.deadline,
     );
-    let found = this.findOrigin(taken, isStoreRead);
+    const evidence = (): OriginEvidence =>
+      !isListRefreshed ? 'memory' : isStoreRead ? 'store' : 'list';
+    let found = this.findOrigin(taken, evidence());
     while (found === undefined && !signal.aborted) {
       const parts = await stored.read();
       isStoreRead = parts !== undefined;
@@ -190,7 +209,7 @@
         const recent = parts.filter(part => isRecent(part, now));
         this.merge(recent.flatMap(originsOf));
       }
-      found = this.findOrigin(taken, isStoreRead);
+      found = this.findOrigin(taken, evidence());
       if (found !== undefined) break;
       const isFinal = taken.stream === undefined || now >= storedBy;
       if (!isStoreRead || isFinal) break;
@@ -207,10 +226,17 @@
     );
   }
 
+  /** An endpoint of another version may have joined since this node's list was read. */
+  private refreshList({deadline}: ResumedStream): Promise<boolean> {
+    const {clock, refreshList} = this.options;
+    const refreshBy = after(clock.now(), REFRESH_MILLISECONDS);
+    return refreshList(earlier(refreshBy, deadline));
+  }
+
   /** The version that began a stream; `version` is undefined if it is certain that none fits. */
   private findOrigin(
     {stream, service}: ResumedStream,
-    isStoreRead: boolean,
+    evidence: OriginEvidence,
   ):
     | {
         readonly version: SoftwareVersion | undefined;
@@ -223,10 +249,10 @@
       const fits = known !== 'ambiguous' && known.service === service;
       return {
         version: fits ? known.version : undefined,
-        source: isStoreRead ? 'store' : 'memory',
+        source: evidence === 'store' ? 'store' : 'memory',
       };
     }
-    const isHistoryCertain = this.isHistoryCertain(service, isStoreRead);
+    const isHistoryCertain = this.isHistoryCertain(service, evidence);
     const only = this.versions.only(service, now);
     return isHistoryCertain && only !== undefined
       ? {version: only, source: 'only version'}
@@ -236,11 +262,11 @@
   /** Whether no version of the service can have gone unseen, before this node's start either. */
   private isHistoryCertain(
     service: ServiceName,
-    isStoreRead: boolean,
+    evidence: OriginEvidence,
   ): boolean {
     const recordReadAt = this.versions.recordReadAt(service);
-    if (recordReadAt === undefined || isStoreRead)
-      return recordReadAt !== undefined;
+    if (recordReadAt === undefined || evidence === 'memory') return false;
+    if (evidence === 'store') return true;
     const currentSince = this.options.listCurrentSince();
     return currentSince !== undefined && currentSince <= recordReadAt;
   }
--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -246,6 +246,46 @@
   });
 });
 
+describe('KindWatcher that is asked to read at once', () => {
+  it('knows what was acknowledged before, though its feed is fresh', async () => {
+    const {clock, sharedObjects, follower, feedConnection, stop} = buildPair();
+    await clock.advance(2_000);
+    feedConnection.isUp = false;
+    sharedObjects.put('servers', 'joined', {});
+    const isKnown = follower.watcher.refresh(after(clock.now(), 400));
+    await clock.advance(50);
+    expect(await isKnown).toEqual(true);
+    expect(follower.events.at(-1)).toEqual('+joined');
+    stop();
+  });
+
+  it('tells that it does not know when the store does not respond in time', async () => {
+    const {clock, store, watcher} = build();
+    await clock.advance(1_000);
+    store.isUnreachable = true;
+    const isKnown = watcher.refresh(after(clock.now(), 400));
+    await clock.advance(400);
+    expect(await isKnown).toEqual(false);
+    watcher.stop();
+  });
+
+  it('reads ten times a second at most, however many requests ask', async () => {
+    const {clock, store, follower, stop} = buildPair();
+    await clock.advance(2_000);
+    const {calls} = follower.store;
+    const known: Promise<boolean>[] = [];
+    for (let count = 0; count < 500; count += 1) {
+      known.push(follower.watcher.refresh(after(clock.now(), 400)));
+      await clock.advance(2);
+    }
+    await clock.advance(400);
+    expect(new Set(await Promise.all(known))).toEqual(new Set([true]));
+    expect(follower.store.calls - calls).toBeLessThanOrEqual(14);
+    expect(store.calls).toBeGreaterThan(0);
+    stop();
+  });
+});
+
 describe('KindWatcher whose store returns from an older copy', () => {
   function buildReturning(era = 1) {
     const sharedObjects = new SharedObjects();
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -288,6 +288,7 @@
       clock,
       emit,
       listCurrentSince: () => this.platformView.endpointListCurrentSince,
+      refreshList: deadline => this.platformView.refreshEndpoints(deadline),
     });
     const identity = kernel.inject(NODE_IDENTITY);
     const {failureDomain} = identity;
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -23,6 +23,7 @@
   jitter,
   later,
   sleepFor,
+  sleepUntil,
   until,
 } from '@siskinmux/kernel';
 import type {
@@ -59,6 +60,9 @@
 /** Maximum interval between this node's own reads while a feed replaces its watch. */
 const OWN_READ_INTERVAL_MILLISECONDS: Milliseconds = 30_000;
 
+/** Least interval between reads that requests ask for. */
+const REFRESH_INTERVAL_MILLISECONDS: Milliseconds = 100;
+
 /** Age up to which the last response shows that the store is reachable. */
 const REACHABILITY_MILLISECONDS: Milliseconds = 2_500;
 
@@ -141,6 +145,10 @@
   private wake: (() => void) | undefined;
   private interrupt: ((cause: Interruption) => void) | undefined;
   private readonly waiters = new Set<() => void>();
+  /** What is acknowledged until then has to be read without further delay. */
+  private refreshUntil: Instant | undefined;
+  private nextRefreshAt: Instant | undefined;
+  private readonly refreshWaiters = new Set<() => void>();
   private isStopped = false;
 
   private constructor(private readonly options: KindWatcherOptions) {}
@@ -227,6 +235,53 @@
     }
   }
 
+  /**
+   * Reads at once; resolves to whether all changes are known that the store had acknowledged when
+   * this was called, at the deadline at the latest.
+   */
+  async refresh(deadline: Instant): Promise<boolean> {
+    const {clock} = this.options;
+    const askedAt = clock.now();
+    const isDone = (): boolean =>
+      this.confirmedUntil !== undefined && this.confirmedUntil >= askedAt;
+    if (isDone()) return true;
+    const startAt = earlier(
+      later(this.nextRefreshAt ?? askedAt, askedAt),
+      deadline,
+    );
+    if (startAt > askedAt) await sleepUntil(clock, startAt);
+    // Of the requests that wait for the same instant, the first one has started the read.
+    if (!isDone() && clock.now() >= (this.nextRefreshAt ?? askedAt))
+      this.startRefresh();
+    while (!isDone() && clock.now() < deadline)
+      await new Promise<void>(resolve => {
+        const end = (): void => {
+          this.refreshWaiters.delete(end);
+          cancel();
+          resolve();
+        };
+        const cancel = clock.schedule(deadline, end);
+        this.refreshWaiters.add(end);
+      });
+    return isDone();
+  }
+
+  private startRefresh(): void {
+    const now = this.options.clock.now();
+    this.refreshUntil = now;
+    this.nextRefreshAt = after(now, REFRESH_INTERVAL_MILLISECONDS);
+    this.interrupt?.('feed has more');
+    this.wake?.();
+  }
+
+  private get isRefreshDue(): boolean {
+    const {refreshUntil, confirmedUntil} = this;
+    return (
+      refreshUntil !== undefined &&
+      (confirmedUntil === undefined || confirmedUntil < refreshUntil)
+    );
+  }
+
   /** Watches until {@link stop}. */
   async run(): Promise<void> {
     while (!this.isStopped) {
@@ -324,7 +379,7 @@
   /** Waits while the feed is fresh, then reads the later changes. */
   private async readNext(): Promise<void> {
     const {clock, ageLimits, batchMilliseconds} = this.options;
-    while (this.isFeedFresh && !this.isStopped)
+    while (this.isFeedFresh && !this.isRefreshDue && !this.isStopped)
       await this.pauseUntil(this.feedFreshUntil ?? clock.now());
     if (this.isStopped) return;
     if (
@@ -340,7 +395,7 @@
     const {revision} = this;
     const waitUntil = this.watchUntil();
     await this.finish(this.watch(revision, waitUntil), waitUntil);
-    if (this.hasNewChanges)
+    if (this.hasNewChanges && !this.isRefreshDue)
       await this.pauseUntil(after(clock.now(), batchMilliseconds()));
   }
 
@@ -504,7 +559,13 @@
   private watchUntil(): Instant {
     const {clock, isFeedSource, ageLimits} = this.options;
     const now = clock.now();
-    if (this.isBehind || this.failures > 0 || this.isFeedFresh) return now;
+    if (
+      this.isBehind ||
+      this.isRefreshDue ||
+      this.failures > 0 ||
+      this.isFeedFresh
+    )
+      return now;
     const wait = isFeedSource() ? ageLimits.feedSourceWatch : ageLimits.watch;
     const dueAt = after(this.confirmedUntil ?? now, ageLimits.read);
     return later(now, earlier(dueAt, after(now, wait)));
@@ -541,6 +602,7 @@
       this.current = {since: this.currentSince ?? now, until: end};
     }
     this.notifyWaiters();
+    for (const end of [...this.refreshWaiters]) end();
   }
 
   private setUnreachable(): void {
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -115,6 +115,13 @@
     return this.watchers.find(watcher => watcher.kind === kind)?.knownUntil;
   }
 
+  /** Reads the endpoints at once; see {@link KindWatcher.refresh}. */
+  refreshEndpoints(deadline: Instant): Promise<boolean> {
+    const {kind} = this.options.platform.endpoints;
+    const watcher = this.watchers.find(candidate => candidate.kind === kind);
+    return watcher?.refresh(deadline) ?? Promise.resolve(false);
+  }
+
   /** How old this node's knowledge is now, at most; see {@link KindWatcher.knownUntil}. */
   get age(): ViewAge {
     const {platform, clock} = this.options;
