Hold received bytes in one buffer, however short the chunks are

Callers: a body in chunks of one byte, from one endpoint or one caller, ended the process, and requests of others that it had passed on got no answer. Cause: each chunk was kept as a buffer of its own; the bounds count bytes of content. Change: request bodies and buffered response bodies are collected in one buffer that doubles.

--- /dev/null
+++ b/packages/forwarding/__tests__/byte_accumulator.test.ts
@@ -0,0 +1,45 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {ByteAccumulator} from '../src/index.js';
+
+describe('a byte accumulator', () => {
+  it('returns the bytes of all chunks in order, and begins anew', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.array(fc.uint8Array({maxLength: 3_000}))),
+        rounds => {
+          const accumulator = ByteAccumulator.create();
+          for (const chunks of rounds) {
+            for (const chunk of chunks) accumulator.append(Buffer.from(chunk));
+            const all = Buffer.concat(chunks);
+            expect(accumulator.length).toEqual(all.length);
+            expect(accumulator.take().equals(all)).toEqual(true);
+          }
+        },
+      ),
+      {seed: 1, numRuns: 200},
+    );
+  });
+
+  it('does not change what it has returned', () => {
+    const accumulator = ByteAccumulator.create();
+    accumulator.append(Buffer.from('first'));
+    const first = accumulator.take();
+    accumulator.append(Buffer.from('other'));
+    expect(first.toString()).toEqual('first');
+  });
+
+  // A list of the chunks took more than a hundred bytes for each of them, and processes ended.
+  it('takes memory in proportion to its bytes, however short the chunks are', () => {
+    const accumulator = ByteAccumulator.create();
+    const byte = Buffer.from('x');
+    const before = process.memoryUsage();
+    for (let count = 0; count < 1_000_000; count += 1) accumulator.append(byte);
+    const {heapUsed, arrayBuffers} = process.memoryUsage();
+    expect(accumulator.length).toEqual(1_000_000);
+    const grown =
+      heapUsed + arrayBuffers - before.heapUsed - before.arrayBuffers;
+    expect(grown).toBeLessThan(20_000_000);
+  });
+});
--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RawHeaders} from '@siskinmux/forwarding';
+import {ByteAccumulator} from '@siskinmux/forwarding';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import type {RelayStatement, RelayedProgress} from '@siskinmux/relay';
 import {
@@ -93,26 +94,24 @@
 
   /** Reads the whole body; undefined if it is empty. Refuses a body above `limit` bytes. */
   async readBody(limit: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = ByteAccumulator.create();
     try {
       for await (const chunk of this.request) {
         const bytes = chunk as Buffer;
-        size += bytes.length;
-        if (size > limit) {
+        if (body.length + bytes.length > limit) {
           throw createNotRunRefusal(
             ErrorCode.BodyTooLarge,
             `above ${limit} bytes`,
           );
         }
-        chunks.push(bytes);
+        body.append(bytes);
       }
     } catch (failure) {
       if (failure instanceof RefusalError) throw failure;
       // The connection ended before the whole request had arrived.
       throw createNotRunRefusal(ErrorCode.CallerGone, String(failure));
     }
-    return chunks.length === 0 ? undefined : Buffer.concat(chunks);
+    return body.length === 0 ? undefined : body.take();
   }
 
   /**
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -7,7 +7,7 @@
   EventStreamSplitter,
   SentRequest,
 } from '@siskinmux/forwarding';
-import {findHeader} from '@siskinmux/forwarding';
+import {ByteAccumulator, findHeader} from '@siskinmux/forwarding';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 import type {CallerExchange} from './caller_exchange.js';
@@ -41,8 +41,7 @@
   /** Resumes a long body and passes on its remaining chunks. */
   relayRest(onData: (chunk: Buffer) => boolean): void;
 } {
-  let chunks: Buffer[] = [];
-  let size = 0;
+  const buffered = ByteAccumulator.create();
   let onData: ((chunk: Buffer) => boolean) | undefined;
   let resolveLong: (() => void) | undefined;
   const long = new Promise<void>(resolve => {
@@ -50,23 +49,22 @@
   });
   const end = body.read(chunk => {
     if (onData !== undefined) return onData(chunk);
-    chunks.push(chunk);
-    size += chunk.length;
-    if (size <= MAXIMUM_BUFFERED_BYTES) return true;
+    buffered.append(chunk);
+    if (buffered.length <= MAXIMUM_BUFFERED_BYTES) return true;
     resolveLong?.();
     return false;
   });
   const result = Promise.race([
     end.then((bodyEnd): BufferingResult => ({
       kind: 'short',
-      body: Buffer.concat(chunks),
+      body: buffered.take(),
       end: bodyEnd,
     })),
-    long.then((): BufferingResult => {
-      const buffered = Buffer.concat(chunks);
-      chunks = [];
-      return {kind: 'long', buffered, end};
-    }),
+    long.then((): BufferingResult => ({
+      kind: 'long',
+      buffered: buffered.take(),
+      end,
+    })),
   ]);
   return {
     result,
