Write short chunks of a response together

Callers: nothing yet; each chunk of a long body, and each event, was a write with a frame of its own: a body of 400,000 chunks of one byte took 2.5 times its bytes on the wire, and with one such endpoint the process had a peak of 317 MB. Cause: what is received as a chunk was passed on as a chunk. Change: the exchange gathers what it is given in one turn of the event loop, up to 16 KiB, and writes it at the turn's end, so that an event waits for nothing but the work at hand. Evidence: small_chunks.test.ts has 450 KB on the wire for 300 KB of content on, less than 330 KB now.

--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RawHeaders} from '@siskinmux/forwarding';
+import {ByteAccumulator} from '@siskinmux/forwarding';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import type {RelayStatement, RelayedProgress} from '@siskinmux/relay';
 import {
@@ -14,11 +15,17 @@
 
 const CONTENT_LENGTH = 'content-length';
 
+/** Bytes that are written at once; each write takes a frame and several objects. */
+const MAXIMUM_MERGED_BYTES = 16_384;
+
 /** libuv reads a reset that arrives together with bytes as a plain end. */
 export const RESET_DELAY_MILLISECONDS: Milliseconds = 10;
 
 /** One HTTP exchange with a caller. */
 export class CallerExchange {
+  /** Chunks that are written at the end of this turn of the event loop. */
+  private readonly unwritten = ByteAccumulator.create();
+  private isFlushScheduled = false;
   private isHeadSent = false;
   private hasLength = false;
   private hasEnded = false;
@@ -117,9 +124,15 @@
     if (this.isEndedByClose) this.resetIfCallerCloses();
   }
 
-  /** Sends a chunk of the body; false if the write buffer is full, see {@link onDrain}. */
+  /**
+   * Sends a chunk of the body, together with others of this turn of the event loop; false if the
+   * write buffer is full, see {@link onDrain}.
+   */
   write(chunk: Buffer): boolean {
-    return this.response.write(chunk);
+    this.unwritten.append(chunk);
+    if (this.unwritten.length >= MAXIMUM_MERGED_BYTES) this.flush();
+    else this.flushLater();
+    return !this.response.writableNeedDrain;
   }
 
   /** Calls back once when the write buffer has drained. */
@@ -131,6 +144,7 @@
   end(lastChunk?: Buffer): void {
     this.hasEnded = true;
     this.isWhole = true;
+    this.flush();
     this.response.end(lastChunk);
   }
 
@@ -140,16 +154,32 @@
    */
   cut(): void {
     this.hasEnded = true;
+    this.flush();
+    const {response} = this;
     if (!this.isEndedByClose) {
-      this.response.destroy();
+      // Node.js hands writes to the connection at the end of the turn.
+      setImmediate(() => response.destroy());
       return;
     }
-    const {socket} = this.response;
+    const {socket} = response;
     this.clock.schedule(after(this.clock.now(), RESET_DELAY_MILLISECONDS), () =>
       socket?.resetAndDestroy(),
     );
   }
 
+  private flushLater(): void {
+    if (this.isFlushScheduled) return;
+    this.isFlushScheduled = true;
+    setImmediate(() => {
+      this.isFlushScheduled = false;
+      this.flush();
+    });
+  }
+
+  private flush(): void {
+    if (this.unwritten.length > 0) this.response.write(this.unwritten.take());
+  }
+
   /** Node.js closes a connection whose caller has closed its side, which would look like the end. */
   private resetIfCallerCloses(): void {
     const {socket} = this.response;
