Hold back what endpoints send in short chunks before it is parsed

Callers: with one endpoint that sent chunks of one byte without end, the process of a node took 1.7 cores and a peak of 276 MB; its platform ends it at 350. Cause: a connection was paused in the HTTP parser, which puts what it hasn't parsed back into the socket; each resumption reads 64 KiB more and joins all of it, but parses 3 KiB, so that the unread bytes grow for as long as the response lasts. Change: connections to endpoints and nodes are paced like those of callers, before the parser: SocketPacer holds received bytes back and the socket isn't read meanwhile.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -15,6 +15,7 @@
   EndpointConnectionPool,
   MAXIMUM_IDLE_CONNECTIONS,
   ReceiveScheduler,
+  SocketPacer,
 } from '../src/index.js';
 
 /** Decodes only the idle timeout; the header names are tested in platform/. */
@@ -76,11 +77,13 @@
   return EndpointConnectionPool.create({
     clock: steadyClock,
     protocol,
-    scheduler: ReceiveScheduler.create({
-      clock: steadyClock,
-      onNextTurn: setImmediate,
-      processorShare: 1,
-    }),
+    pacer: SocketPacer.create(
+      ReceiveScheduler.create({
+        clock: steadyClock,
+        onNextTurn: setImmediate,
+        processorShare: 1,
+      }),
+    ),
     idleLimit: () => idleLimit,
   });
 }
--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -5,10 +5,11 @@
 import {Client, buildConnector} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {EndpointProtocol, RawHeaders} from './endpoint_protocol.js';
-import type {ReceiveScheduler} from './receive_scheduler.js';
+import type {ReceiveMeter} from './receive_scheduler.js';
 import {watchForReset} from './reset_detection.js';
 import type {BodyFraming, ResponseHead, SentRequest} from './sent_request.js';
 import {ResponseBody} from './sent_request.js';
+import type {SocketPacer} from './socket_pacer.js';
 
 /** Connect timeout. A lost handshake packet is resent after a second, which is too late. */
 const CONNECT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
@@ -48,6 +49,7 @@
   private connectedAt: Instant | undefined;
   private isBusy = false;
   private isReset = false;
+  private meter: ReceiveMeter | undefined;
   private idleUntil: Instant;
   /** When the last response was complete; undefined before the first. */
   private idleSince: Instant | undefined;
@@ -59,7 +61,7 @@
     origin: string,
     private readonly clock: Clock,
     private readonly protocol: EndpointProtocol,
-    private readonly scheduler: ReceiveScheduler,
+    pacer: SocketPacer,
     private readonly callbacks: ConnectionCallbacks,
   ) {
     this.idleUntil = clock.now();
@@ -68,9 +70,11 @@
       pipelining: 1,
       connect: (options, callback) =>
         connect(options, (...result) => {
-          watchForReset(result[1], () => {
+          const [, socket] = result;
+          watchForReset(socket, () => {
             this.isReset = true;
           });
+          if (socket) this.meter = pacer.pace(socket);
           callback(...result);
         }),
       headersTimeout: 0,
@@ -90,16 +94,10 @@
     origin: string,
     clock: Clock,
     protocol: EndpointProtocol,
-    scheduler: ReceiveScheduler,
+    pacer: SocketPacer,
     callbacks: ConnectionCallbacks,
   ): EndpointConnection {
-    return new EndpointConnection(
-      origin,
-      clock,
-      protocol,
-      scheduler,
-      callbacks,
-    );
+    return new EndpointConnection(origin, clock, protocol, pacer, callbacks);
   }
 
   /**
@@ -140,7 +138,7 @@
       this.client,
       request,
       this.protocol,
-      this.scheduler,
+      bytes => this.meter?.record(bytes),
       () => this.isReset,
       () => this.connectedAt,
       this.idleSince !== undefined,
@@ -203,7 +201,7 @@
     private readonly client: Client,
     request: OutgoingRequest,
     private readonly protocol: EndpointProtocol,
-    private readonly scheduler: ReceiveScheduler,
+    private readonly onChunk: (bytes: number) => void,
     private readonly isReset: () => boolean,
     connectedAt: () => Instant | undefined,
     isOnUsedConnection: boolean,
@@ -260,7 +258,8 @@
       metadata: this.protocol.readResponse(status, headers),
       framing: framingOf(this.method, status, headers),
     };
-    this.body = ResponseBody.create(controller, this.scheduler);
+    this.body = ResponseBody.create(controller);
+    controller.pause();
     this.resolve({kind: 'answered', head: this.head, body: this.body});
   }
 
@@ -268,6 +267,7 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.onChunk(chunk.length);
     this.body?.push(chunk);
   }
 
--- a/packages/forwarding/src/endpoint_connection_pool.ts
+++ b/packages/forwarding/src/endpoint_connection_pool.ts
@@ -5,8 +5,8 @@
 import type {OutgoingRequest} from './endpoint_connection.js';
 import {EndpointConnection} from './endpoint_connection.js';
 import type {EndpointProtocol} from './endpoint_protocol.js';
-import type {ReceiveScheduler} from './receive_scheduler.js';
 import type {SentRequest} from './sent_request.js';
+import type {SocketPacer} from './socket_pacer.js';
 
 /**
  * Fraction of an endpoint's idle timeout after which a connection is not reused. A
@@ -32,7 +32,7 @@
 export interface EndpointConnectionPoolOptions {
   readonly clock: Clock;
   readonly protocol: EndpointProtocol;
-  readonly scheduler: ReceiveScheduler;
+  readonly pacer: SocketPacer;
   /** Idle connections that this node may keep to an endpoint. */
   readonly idleLimit: (endpoint: EndpointId) => number;
 }
@@ -132,7 +132,7 @@
       `http://${address}`,
       this.options.clock,
       this.options.protocol,
-      this.options.scheduler,
+      this.options.pacer,
       {
         onIdle: connection => this.addIdle(id, connection),
         onClosed: connection => this.removeIdle(id, connection),
--- a/packages/forwarding/src/sent_request.ts
+++ b/packages/forwarding/src/sent_request.ts
@@ -3,11 +3,7 @@
 import type {Instant} from '@siskinmux/kernel';
 import {ByteAccumulator} from './byte_accumulator.js';
 import type {RawHeaders, ResponseMetadata} from './endpoint_protocol.js';
-import type {
-  FlowControl,
-  ReceiveMeter,
-  ReceiveScheduler,
-} from './receive_scheduler.js';
+import type {FlowControl} from './receive_scheduler.js';
 
 /** What shows the end of a body: its length, its last chunk, or only the close of the connection. */
 export type BodyFraming = 'length' | 'chunks' | 'close';
@@ -56,23 +52,11 @@
   private onEnd: ((end: BodyEnd) => void) | undefined;
   private readonly unread = ByteAccumulator.create();
   private ended: BodyEnd | undefined;
-  private isWanted = false;
-  private isInTurn = true;
-  private readonly meter: ReceiveMeter;
 
-  private constructor(
-    private readonly flow: FlowControl,
-    scheduler: ReceiveScheduler,
-  ) {
-    this.meter = scheduler.createMeter({
-      pause: () => this.setFlow(this.isWanted, false),
-      resume: () => this.setFlow(this.isWanted, true),
-    });
-  }
+  private constructor(private readonly flow: FlowControl) {}
 
-  static create(flow: FlowControl, scheduler: ReceiveScheduler): ResponseBody {
-    flow.pause();
-    return new ResponseBody(flow, scheduler);
+  static create(flow: FlowControl): ResponseBody {
+    return new ResponseBody(flow);
   }
 
   /**
@@ -86,37 +70,25 @@
     });
     const canContinue = this.unread.length === 0 || onData(this.unread.take());
     if (this.ended !== undefined) this.onEnd?.(this.ended);
-    else if (canContinue) this.setFlow(true, this.isInTurn);
+    else if (canContinue) this.flow.resume();
     return bodyEnd;
   }
 
   /** Resumes after `onData` has returned false. */
   resume(): void {
-    this.setFlow(true, this.isInTurn);
+    if (this.ended === undefined) this.flow.resume();
   }
 
   /** @internal Receives bytes from the connection. */
   push(chunk: Buffer): void {
-    this.meter.record(chunk.length);
     if (this.onData === undefined) this.unread.append(chunk);
-    else if (!this.onData(chunk)) this.setFlow(false, this.isInTurn);
+    else if (!this.onData(chunk)) this.flow.pause();
   }
 
   /** @internal Receives the end of the body. */
   end(end: BodyEnd): void {
     if (this.ended !== undefined) return;
     this.ended = end;
-    this.meter.end();
     if (this.onData !== undefined) this.onEnd?.(end);
   }
-
-  private setFlow(isWanted: boolean, isInTurn: boolean): void {
-    const wasOpen = this.isWanted && this.isInTurn;
-    this.isWanted = isWanted;
-    this.isInTurn = isInTurn;
-    const isOpen = isWanted && isInTurn;
-    if (this.ended !== undefined || isOpen === wasOpen) return;
-    if (isOpen) this.flow.resume();
-    else this.flow.pause();
-  }
 }
--- a/packages/gateway/src/paced_socket.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -1,14 +1,15 @@
-/** Paces what a caller's connection passes to the HTTP parser. */
+/** Paces what connections pass to their HTTP parser. */
 
 import type {Socket} from 'node:net';
-import type {ReceiveMeter, ReceiveScheduler} from '@siskinmux/forwarding';
+import type {ReceiveMeter, ReceiveScheduler} from './receive_scheduler.js';
 
 /** Bytes that are parsed at once; a read of the socket returns up to 65,536. */
 const SLICE_BYTES = 4_096;
 
 /**
  * Holds received bytes back while the connection is out of turn, and reads no more meanwhile.
- * Pausing the stream instead has no effect, as a request whose body flows resumes it.
+ * Pausing the parser instead has no effect on a server, whose requests resume it, and lets the
+ * unread bytes of a client's connection grow with each resumption.
  */
 class PacedSocket {
   private readonly held: (Buffer | null)[] = [];
@@ -47,7 +48,7 @@
   }
 }
 
-/** Lets a scheduler pace the connections that a server accepts. */
+/** Lets a scheduler pace connections. */
 export class SocketPacer {
   private readonly meters = new WeakMap<Socket, ReceiveMeter>();
 
@@ -68,8 +69,6 @@
     const meter = this.scheduler.createMeter(paced);
     this.meters.set(socket, meter);
     socket.push = (bytes: Buffer | null) => paced.receive(bytes);
-    // Without a listener, Node.js parses the bytes before they reach the stream.
-    socket.on('data', () => {});
     socket.once('close', () => meter.end());
     return meter;
   }
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -8,13 +8,12 @@
 import type {NestFastifyApplication} from '@nestjs/platform-fastify';
 import {FastifyAdapter} from '@nestjs/platform-fastify';
 import type {FastifyReply, FastifyRequest} from 'fastify';
-import type {RawHeaders, ReceiveScheduler} from '@siskinmux/forwarding';
+import type {RawHeaders, SocketPacer} from '@siskinmux/forwarding';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 import type {RelayedProgress} from '@siskinmux/relay';
 import {CallerBody} from './caller_body.js';
 import {CallerExchange} from './caller_exchange.js';
-import {SocketPacer} from './paced_socket.js';
 
 /** Maximum size of a request's headers; the limit that operators configure is lower. */
 const MAXIMUM_HEADER_BYTES = 65_536;
@@ -90,7 +89,7 @@
     clock: Clock;
     handle: HandleExchange;
     readRelayed: ReadRelayed;
-    scheduler: ReceiveScheduler;
+    pacer: SocketPacer;
   }): Promise<CallerListener> {
     const adapter = new FastifyAdapter({
       // Routes every request to the one controller, even if its path is not a valid URL.
@@ -98,13 +97,13 @@
       forceCloseConnections: 'idle',
       http: {maxHeaderSize: MAXIMUM_HEADER_BYTES},
     });
-    const {handle, clock, readRelayed, scheduler} = options;
+    const {handle, clock, readRelayed, pacer} = options;
     const server = adapter.getHttpServer() as Server;
     const handler = ExchangeHandler.create(
       handle,
       clock,
       readRelayed,
-      receiveBodies(server, scheduler, clock),
+      receiveBodies(server, pacer, clock),
     );
     const module = {
       module: class GatewayModule {},
@@ -140,13 +139,12 @@
   }
 }
 
-/** Receives the bodies of a server's requests, at the pace of the scheduler. */
+/** Receives the bodies of a server's requests, at the pace of their connections. */
 function receiveBodies(
   server: Server,
-  scheduler: ReceiveScheduler,
+  pacer: SocketPacer,
   clock: Clock,
 ): (request: IncomingMessage) => CallerBody {
-  const pacer = SocketPacer.create(scheduler);
   const bodies = new WeakMap<IncomingMessage, CallerBody>();
   const receive = (request: IncomingMessage): CallerBody => {
     const meter = pacer.meterOf(request.socket);
@@ -154,7 +152,11 @@
     bodies.set(request, body);
     return body;
   };
-  server.on('connection', (socket: Socket) => pacer.pace(socket));
+  server.on('connection', (socket: Socket) => {
+    pacer.pace(socket);
+    // Without a listener, Node.js parses the bytes before they reach the stream.
+    socket.on('data', () => {});
+  });
   // The handler of a request is called in a later turn than its first chunks arrive.
   server.prependListener('request', receive);
   return request => bodies.get(request) ?? receive(request);
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -9,6 +9,7 @@
   IDLE_SWEEP_INTERVAL_MILLISECONDS,
   MAXIMUM_IDLE_CONNECTIONS,
   ReceiveScheduler,
+  SocketPacer,
   probeEndpoint,
   probeResponse,
 } from '@siskinmux/forwarding';
@@ -148,7 +149,7 @@
   private readonly routes: ActiveRoutes;
   private readonly table = EndpointTable.create();
   private readonly platformView: PlatformView;
-  private readonly scheduler: ReceiveScheduler;
+  private readonly pacer: SocketPacer;
   private readonly connections: EndpointConnectionPool;
   private readonly requestDependencies: ProxiedRequestDependencies;
   private readonly placement: NodePlacement;
@@ -205,21 +206,23 @@
       },
     });
     this.routes = ActiveRoutes.create(emit);
-    this.scheduler = ReceiveScheduler.create({
-      clock,
-      onNextTurn: setImmediate,
-      processorShare: capacity.processor_share,
-    });
+    this.pacer = SocketPacer.create(
+      ReceiveScheduler.create({
+        clock,
+        onNextTurn: setImmediate,
+        processorShare: capacity.processor_share,
+      }),
+    );
     this.connections = EndpointConnectionPool.create({
       clock,
       protocol: platform.protocol,
-      scheduler: this.scheduler,
+      pacer: this.pacer,
       idleLimit: createIdleLimit(this.table, this.routes, () => this.nodeCount),
     });
     this.peerConnections = EndpointConnectionPool.create({
       clock,
       protocol: platform.protocol,
-      scheduler: this.scheduler,
+      pacer: this.pacer,
       idleLimit: () => MAXIMUM_IDLE_CONNECTIONS,
     });
     const ageLimits = viewAgeLimits(
@@ -416,7 +419,7 @@
       clock,
       handle: exchange => this.handle(exchange),
       readRelayed: () => undefined,
-      scheduler: this.scheduler,
+      pacer: this.pacer,
     });
     const relays = relayAddress(this.listen);
     this.relayListener = await CallerListener.create({
@@ -425,7 +428,7 @@
       clock,
       handle: exchange => this.handleRelayed(exchange),
       readRelayed: decodeProgress,
-      scheduler: this.scheduler,
+      pacer: this.pacer,
     });
     this.relayListener.setIdleTimeout(RELAY_IDLE_MILLISECONDS);
     await this.placement.start();
