Log and count connections whose short chunks are held back

Cause: nothing showed why a request beside such a connection, or on it, became slow. Change: event 7052, one line for each connection, and siskinmux_paced_connections_total. Evidence: socket_pacer.test.ts.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -83,6 +83,7 @@
         onNextTurn: setImmediate,
         processorShare: 1,
       }),
+      () => {},
     ),
     idleLimit: () => idleLimit,
   });
--- a/packages/forwarding/__tests__/socket_pacer.test.ts
+++ b/packages/forwarding/__tests__/socket_pacer.test.ts
@@ -10,16 +10,18 @@
 
 function createWorld() {
   const clock = VirtualClock.create();
+  const pacedAddresses: string[] = [];
   const pacer = SocketPacer.create(
     ReceiveScheduler.create({
       clock,
       onNextTurn: setImmediate,
       processorShare: 1,
     }),
+    address => pacedAddresses.push(address),
   );
   const stream = new Readable({read: () => {}});
   const meter = pacer.pace(stream as Socket);
-  return {clock, stream, meter};
+  return {clock, stream, meter, pacedAddresses};
 }
 
 describe('paced socket', () => {
@@ -42,7 +44,7 @@
 
   // A read of chunks of one byte was parsed whole, 20 ms without a break.
   it('holds back what follows a slice that exceeds the quota, and the end with it', async () => {
-    const {clock, stream, meter} = createWorld();
+    const {clock, stream, meter, pacedAddresses} = createWorld();
     let received = 0;
     let hasEnded = false;
     // A first read, so that the stream passes on at once what it gets.
@@ -64,6 +66,8 @@
     await new Promise(resolve => setImmediate(resolve));
     expect(received).toEqual(2 * SLICE_BYTES);
     expect(hasEnded).toEqual(true);
+    // Held back twice, reported once.
+    expect(pacedAddresses.length).toEqual(1);
   });
 
   it('passes nothing more on once its connection is stopped', async () => {
--- a/packages/forwarding/src/socket_pacer.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -14,8 +14,12 @@
 class PacedSocket {
   private readonly held: (Buffer | null)[] = [];
   private isInTurn = true;
+  private hasBeenPaused = false;
 
-  constructor(private readonly push: (bytes: Buffer | null) => boolean) {}
+  constructor(
+    private readonly push: (bytes: Buffer | null) => boolean,
+    private readonly onFirstPause: () => void,
+  ) {}
 
   /** False if the socket should not be read. */
   receive(bytes: Buffer | null): boolean {
@@ -25,6 +29,8 @@
 
   pause(): void {
     this.isInTurn = false;
+    if (!this.hasBeenPaused) this.onFirstPause();
+    this.hasBeenPaused = true;
   }
 
   resume(): void {
@@ -52,10 +58,17 @@
 export class SocketPacer {
   private readonly meters = new WeakMap<Socket, ReceiveMeter>();
 
-  private constructor(private readonly scheduler: ReceiveScheduler) {}
+  private constructor(
+    private readonly scheduler: ReceiveScheduler,
+    private readonly onPaced: (address: string) => void,
+  ) {}
 
-  static create(scheduler: ReceiveScheduler): SocketPacer {
-    return new SocketPacer(scheduler);
+  /** `onPaced` is called when a connection is held back for the first time, with its other end. */
+  static create(
+    scheduler: ReceiveScheduler,
+    onPaced: (address: string) => void,
+  ): SocketPacer {
+    return new SocketPacer(scheduler, onPaced);
   }
 
   /** The meter of a connection, which all its requests share. */
@@ -65,7 +78,9 @@
 
   /** Paces a connection from now on; returns its meter. */
   pace(socket: Socket): ReceiveMeter {
-    const paced = new PacedSocket(socket.push.bind(socket));
+    const paced = new PacedSocket(socket.push.bind(socket), () =>
+      this.onPaced(`${socket.remoteAddress}:${socket.remotePort}`),
+    );
     const meter = this.scheduler.createMeter(paced);
     this.meters.set(socket, meter);
     socket.push = (bytes: Buffer | null) => paced.receive(bytes);
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -283,6 +283,15 @@
     'This node has learned, from its own requests or from another node, that the process of an endpoint has ended without draining. It sends it no requests, and as the lease holder plans without it, until the endpoint registers its next start, or for five seconds.',
 };
 
+/** A connection delivers short chunks faster than its share. */
+export const CONNECTION_PACED: EventDescriptor = {
+  number: 7052,
+  name: 'connection-paced',
+  level: 'info',
+  meaning:
+    'The caller, endpoint or node at the other end of a connection, `address`, sends so many chunks of a few bytes at once that receiving them would delay others. From now on the connection is read when it is its turn, whenever it exceeds its quota; its requests and responses become slow, and end by their own timeouts. One line for each connection.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -317,6 +326,7 @@
   ENDPOINT_LIMIT_INVALID,
   REQUEST_LIMITED,
   ENDPOINT_CRASHED,
+  CONNECTION_PACED,
   ...CONTINUITY_EVENTS,
   ...REACH_EVENTS,
 ] as const;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -68,6 +68,7 @@
 } from '@siskinmux/containment';
 import {StoredOrigins, StreamContinuity} from '@siskinmux/continuity';
 import {
+  CONNECTION_PACED,
   ENDPOINT_CRASHED,
   ENTRY_UNREADABLE,
   GATEWAY_EVENTS,
@@ -212,6 +213,10 @@
         onNextTurn: setImmediate,
         processorShare: capacity.processor_share,
       }),
+      address => {
+        metrics.onPaced();
+        emit(CONNECTION_PACED, {address});
+      },
     );
     this.connections = EndpointConnectionPool.create({
       clock,
--- a/packages/gateway/src/request_metrics.ts
+++ b/packages/gateway/src/request_metrics.ts
@@ -21,7 +21,10 @@
   'onRequestEnd' | 'onRetryDecision'
 > &
   Pick<CrashQuarantineOptions, 'onCrash' | 'onWithheld'> &
-  Pick<NodePlacementOptions, 'onLimited' | 'onPermitUsed'>;
+  Pick<NodePlacementOptions, 'onLimited' | 'onPermitUsed'> & {
+    /** Called when a connection is paced for the first time. */
+    readonly onPaced: () => void;
+  };
 
 /** Registers the metrics; returns the callbacks that update them. */
 export function createRequestMetrics(
@@ -71,6 +74,11 @@
     labelNames: ['service'],
     registers,
   });
+  const pacedTotal = new Counter({
+    name: 'siskinmux_paced_connections_total',
+    help: 'Connections that delivered short chunks faster than their share',
+    registers,
+  });
   new Gauge({
     name: 'siskinmux_endpoint_limit',
     help: 'Requests a second that an endpoint takes from all nodes, by its incarnation',
@@ -83,6 +91,7 @@
     },
   });
   return {
+    onPaced: () => pacedTotal.inc(),
     onLimited: outcome => limitedTotal.inc({outcome}),
     onPermitUsed: ({service}) => permitsTotal.inc({service}),
     onRequestEnd: (route, result, durationMilliseconds) => {
