Close a connection whose body exceeds what is read after the response with its last byte

Such a connection was neither read nor closed any more. Cause: the end of the body cancelled the close, though reading had been stopped for good. Change: the end cancels it only if reading goes on. Receipt that had paused goes on when the request is answered, also if its last bytes wait in the stream already. Nothing is passed on to a connection that has been destroyed.

--- a/packages/forwarding/src/socket_pacer.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -17,6 +17,7 @@
   private hasBeenPaused = false;
 
   constructor(
+    private readonly socket: Socket,
     private readonly push: (bytes: Buffer | null) => boolean,
     private readonly onFirstPause: () => void,
   ) {}
@@ -40,7 +41,7 @@
 
   private passOn(): boolean {
     let canContinue = true;
-    while (this.isInTurn) {
+    while (this.isInTurn && !this.socket.destroyed) {
       const bytes = this.held.shift();
       if (bytes === undefined) return canContinue;
       if (bytes === null || bytes.length <= SLICE_BYTES) {
@@ -78,8 +79,9 @@
 
   /** Paces a connection from now on; returns its meter. */
   pace(socket: Socket): ReceiveMeter {
-    const paced = new PacedSocket(socket.push.bind(socket), () =>
-      this.onPaced(`${socket.remoteAddress}:${socket.remotePort}`),
+    const {remoteAddress, remotePort} = socket;
+    const paced = new PacedSocket(socket, socket.push.bind(socket), () =>
+      this.onPaced(`${remoteAddress}:${remotePort}`),
     );
     const meter = this.scheduler.createMeter(paced);
     this.meters.set(socket, meter);
--- /dev/null
+++ b/packages/gateway/__tests__/caller_body.test.ts
@@ -0,0 +1,94 @@
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect} from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {steadyClock} from '@siskinmux/adapters';
+import {ReceiveScheduler, SocketPacer} from '@siskinmux/forwarding';
+import {CallerBody} from '../src/caller_body.js';
+
+/** Most bytes that are read after a response. */
+const DISCARDED_BYTES = 262_144;
+const LATER_MILLISECONDS = 100;
+/** Longer than the rest of a body is read. */
+const WAIT_MILLISECONDS = 4_000;
+
+describe('connection whose request is answered before its body is read', () => {
+  let server: Server;
+
+  afterEach(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+
+  /** Starts a server that answers each request after some time, without its body. */
+  async function listen(answerAfterMilliseconds: number): Promise<number> {
+    const pacer = SocketPacer.create(
+      ReceiveScheduler.create({
+        clock: steadyClock,
+        onNextTurn: setImmediate,
+        processorShare: 1,
+      }),
+      () => {},
+    );
+    server = createServer((request, response) => {
+      const meter = pacer.meterOf(request.socket);
+      const body = CallerBody.create(request, meter, steadyClock);
+      const answer = (): void => {
+        body.discard();
+        response.end(request.url);
+      };
+      if (answerAfterMilliseconds === 0) answer();
+      else setTimeout(answer, answerAfterMilliseconds);
+    });
+    server.on('connection', (socket: Socket) => {
+      pacer.pace(socket);
+      socket.on('data', () => {});
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    return (server.address() as AddressInfo).port;
+  }
+
+  /** Sends two requests, the second after the first response; how the second one ends. */
+  function sendTwo(
+    port: number,
+    bytes: number,
+  ): Promise<'answered' | 'closed' | 'neither'> {
+    const socket = connect(port, '127.0.0.1');
+    let received = '';
+    let hasAskedAgain = false;
+    return new Promise(resolve => {
+      setTimeout(() => resolve('neither'), WAIT_MILLISECONDS).unref();
+      socket.on('error', () => {});
+      socket.once('close', () => resolve('closed'));
+      socket.on('data', (part: Buffer) => {
+        received += part.toString();
+        if (received.includes('/second')) resolve('answered');
+        if (hasAskedAgain || !received.includes('/first')) return;
+        hasAskedAgain = true;
+        socket.write('GET /second HTTP/1.1\r\nhost: a\r\n\r\n');
+      });
+      socket.write(
+        `POST /first HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`,
+      );
+    });
+  }
+
+  it('takes the next request, if the body is short', async () => {
+    expect(await sendTwo(await listen(0), 1_000)).toEqual('answered');
+  });
+
+  // It was stopped for good, and not closed, as the body had ended.
+  it('is closed, if the last byte exceeds what is read', async () => {
+    const port = await listen(0);
+    expect(await sendTwo(port, DISCARDED_BYTES + 1)).toEqual('closed');
+  });
+
+  // The bytes that had waited were not read any more, nor was the next request.
+  it('takes the next request, if receipt had paused until the answer', async () => {
+    const port = await listen(LATER_MILLISECONDS);
+    for (const bytes of [65_537, 66_000, 70_000, 80_000, 100_000])
+      expect(await sendTwo(port, bytes)).toEqual('answered');
+  });
+});
--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -29,6 +29,7 @@
   private readonly received = ByteAccumulator.create();
   /** Most bytes to collect; undefined until the request has been routed. */
   private limit: number | undefined;
+  private isSettled = false;
   private isDiscarded = false;
   private isAnswered = false;
   private discardedBytes = 0;
@@ -80,17 +81,20 @@
    * rest is long or doesn't end; until then, the caller has time to read the response.
    */
   discard(): void {
-    const {request, clock} = this;
-    if (this.isAnswered || request.complete) return;
+    if (this.isAnswered) return;
     this.isAnswered = true;
+    const {request, clock} = this;
     this.refuse(ErrorCode.CallerGone, 'answered inside the body');
+    request.resume();
+    if (request.complete) return;
     const cancel = clock.schedule(
       after(clock.now(), DISCARD_MILLISECONDS),
       () => request.socket.destroy(),
     );
-    request.once('end', cancel);
-    request.once('close', cancel);
-    request.resume();
+    request.once('end', () => {
+      if (this.discardedBytes <= MAXIMUM_DISCARDED_BYTES) cancel();
+    });
+    request.socket.once('close', cancel);
   }
 
   private handleChunk(chunk: Buffer): void {
@@ -114,12 +118,16 @@
   }
 
   private handleEnd(): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
     const {received} = this;
     this.settle(received.length === 0 ? undefined : received.take());
   }
 
   /** Has no effect on a body that is whole. */
   private refuse(code: ErrorCode, detail: string): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
     this.isDiscarded = true;
     this.received.take();
     this.settle(createNotRunRefusal(code, detail));
