Bound the memory of all bodies of a process together

What callers saw: 64 callers whose bodies of 8 MiB were each within maxBodyBytes brought a process to 805 MB, where its platform ends one at 350, with all requests that it had passed on. Each body, buffered response and incomplete event had a bound of its own; their sum grew with the connections, and nothing refused a request before the process was ended. Change: all of them take their memory from a BufferBudget, 15% of the machine's memory, a new setting (capacity.memory_megabytes, filled from the platform's). A request that finds none is refused as not run with Retry-After (413 if no gateway of this size could hold it), a response is passed on before it is complete, an event breaks its stream off or is passed on in parts. Events 7053 and 7054, a gauge and a counter. Chunks of 16 KiB and more are written to the caller without a copy.

--- a/packages/forwarding/__tests__/byte_accumulator.test.ts
+++ b/packages/forwarding/__tests__/byte_accumulator.test.ts
@@ -30,6 +30,26 @@
     expect(first.toString()).toEqual('first');
   });
 
+  it('adds nothing without memory for it, and keeps what it has', () => {
+    let left = 4_096;
+    const accumulator = ByteAccumulator.create({
+      grow: bytes => {
+        if (bytes > left) return false;
+        left -= bytes;
+        return true;
+      },
+      shrink: bytes => {
+        left += bytes;
+      },
+    });
+    const chunk = Buffer.alloc(1_000, 'x');
+    const results = Array.from({length: 6}, () => accumulator.append(chunk));
+    expect(results).toEqual([true, true, true, true, false, false]);
+    expect(accumulator.capacity).toEqual(4_096);
+    expect(accumulator.release().length).toEqual(4_000);
+    expect([left, accumulator.capacity]).toEqual([4_096, 0]);
+  });
+
   // A list of the chunks took more than a hundred bytes for each of them, and processes ended.
   it('takes memory in proportion to its bytes, however short the chunks are', () => {
     const accumulator = ByteAccumulator.create();
--- a/packages/forwarding/__tests__/event_stream_splitter.test.ts
+++ b/packages/forwarding/__tests__/event_stream_splitter.test.ts
@@ -33,6 +33,39 @@
     expect(next.toString()).toEqual('id: 2\ndata: b\n\n');
   });
 
+  // Incomplete events of all streams together could take the memory of the process.
+  it('holds no event for which there is no memory', () => {
+    const chunk = Buffer.from('x'.repeat(600));
+    for (const passesLongEvents of [true, false]) {
+      let held = 0;
+      const splitter = EventStreamSplitter.create({
+        passesLongEvents,
+        memory: {
+          grow: bytes => {
+            if (held + bytes > 2_048) return false;
+            held += bytes;
+            return true;
+          },
+          shrink: bytes => {
+            held -= bytes;
+          },
+        },
+      });
+      const passed = [splitter.push(Buffer.from('data: '))];
+      for (let count = 0; count < 10; count += 1)
+        passed.push(splitter.push(chunk));
+      passed.push(splitter.push(Buffer.from('\n\n')));
+      const whole = `data: ${chunk.toString().repeat(10)}\n\n`;
+      expect(Buffer.concat(passed).toString()).toEqual(
+        passesLongEvents ? whole : '',
+      );
+      expect(splitter.fault).toEqual(
+        passesLongEvents ? undefined : 'an event that is too long',
+      );
+      expect(held).toEqual(0);
+    }
+  });
+
   it('counts a long event as incomplete after its beginning was passed on', () => {
     const splitter = create(true);
     const long = Buffer.alloc(2_000_000, 'data: '.padEnd(500, 'x'));
--- a/packages/forwarding/src/event_stream_splitter.ts
+++ b/packages/forwarding/src/event_stream_splitter.ts
@@ -1,5 +1,6 @@
 /** Splits an event stream at event boundaries and tracks the last event id. */
 
+import type {BufferMemory} from './buffer_budget.js';
 import {ByteAccumulator} from './byte_accumulator.js';
 
 const LINE_FEED = 0x0a;
@@ -30,6 +31,8 @@
    * fault, as no endpoint could resume the stream.
    */
   readonly passesLongEvents: boolean;
+  /** What an incomplete event takes its memory from; without any left, it is too long. */
+  readonly memory?: BufferMemory;
 }
 
 /**
@@ -38,7 +41,7 @@
  * that no event can contain are a fault of the endpoint, and are not passed on.
  */
 export class EventStreamSplitter {
-  private readonly partialEvent = ByteAccumulator.create();
+  private readonly partialEvent: ByteAccumulator;
   /** Bytes since the end of the last complete event. */
   private eventBytes = 0;
   private lineBytes = 0;
@@ -53,7 +56,9 @@
   private lastId: string | undefined;
   private currentFault: string | undefined;
 
-  private constructor(private readonly options: EventStreamSplitterOptions) {}
+  private constructor(private readonly options: EventStreamSplitterOptions) {
+    this.partialEvent = ByteAccumulator.create(options.memory);
+  }
 
   static create(options: EventStreamSplitterOptions): EventStreamSplitter {
     return new EventStreamSplitter(options);
@@ -85,18 +90,22 @@
     const end = this.scan(chunk);
     const complete = end > 0 ? this.complete(chunk.subarray(0, end)) : NOTHING;
     if (this.currentFault !== undefined) {
-      this.partialEvent.take();
+      this.partialEvent.release();
       return complete;
     }
-    this.partialEvent.append(chunk.subarray(end));
-    if (this.partialEvent.length <= MAXIMUM_BUFFERED_EVENT_BYTES)
+    const rest = chunk.subarray(end);
+    const isHeld = this.partialEvent.append(rest);
+    if (isHeld && this.partialEvent.length <= MAXIMUM_BUFFERED_EVENT_BYTES)
       return complete;
-    return Buffer.concat([complete, this.takeLongEvent()]);
+    return Buffer.concat([
+      complete,
+      this.takeLongEvent(isHeld ? NOTHING : rest),
+    ]);
   }
 
   /** Discards an incomplete event: the next bytes are those of another response. */
   beginContinuation(): void {
-    this.partialEvent.take();
+    this.partialEvent.release();
     this.eventBytes = 0;
     this.endLine();
     this.isAfterCarriageReturn = false;
@@ -186,8 +195,7 @@
 
   private joinPartial(chunk: Buffer): Buffer {
     if (this.partialEvent.length === 0) return chunk;
-    this.partialEvent.append(chunk);
-    return this.partialEvent.take();
+    return Buffer.concat([this.partialEvent.release(), chunk]);
   }
 
   /** A byte order mark is none in the middle of what the caller gets. */
@@ -206,8 +214,8 @@
     return Number(id) > Number(lastId);
   }
 
-  private takeLongEvent(): Buffer {
-    const bytes = this.partialEvent.take();
+  private takeLongEvent(rest: Buffer): Buffer {
+    const bytes = Buffer.concat([this.partialEvent.release(), rest]);
     if (!this.options.passesLongEvents) {
       this.currentFault = 'an event that is too long';
       return NOTHING;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,6 +19,8 @@
 } from './endpoint_protocol.js';
 export {findHeader, removeHeaders} from './forwarded_headers.js';
 export {ByteAccumulator} from './byte_accumulator.js';
+export type {BufferMemory, BufferUse} from './buffer_budget.js';
+export {BufferBudget, BufferHolder, UNBOUNDED_MEMORY} from './buffer_budget.js';
 export type {EventStreamSplitterOptions} from './event_stream_splitter.js';
 export {EventStreamSplitter} from './event_stream_splitter.js';
 export type {ProbeResult, ResponseProbeResult} from './probe_endpoint.js';
--- a/packages/gateway/__tests__/caller_body.test.ts
+++ b/packages/gateway/__tests__/caller_body.test.ts
@@ -5,7 +5,11 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {steadyClock} from '@siskinmux/adapters';
-import {ReceiveScheduler, SocketPacer} from '@siskinmux/forwarding';
+import {
+  BufferBudget,
+  ReceiveScheduler,
+  SocketPacer,
+} from '@siskinmux/forwarding';
 import {CallerBody} from '../src/caller_body.js';
 
 /** Most bytes that are read after a response. */
@@ -32,9 +36,15 @@
       }),
       () => {},
     );
+    const budget = BufferBudget.create({
+      limitBytes: 16_777_216,
+      onDenied: () => {},
+      onChange: () => {},
+    });
     server = createServer((request, response) => {
       const meter = pacer.meterOf(request.socket);
-      const body = CallerBody.create(request, meter, steadyClock);
+      const holder = budget.createHolder();
+      const body = CallerBody.create(request, meter, steadyClock, holder);
       const answer = (): void => {
         body.discard();
         response.end(request.url);
--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -1,9 +1,9 @@
 /** Receives the body of a caller's request. */
 
 import type {IncomingMessage} from 'node:http';
-import type {ReceiveMeter} from '@siskinmux/forwarding';
+import type {BufferHolder, ReceiveMeter} from '@siskinmux/forwarding';
 import {ByteAccumulator} from '@siskinmux/forwarding';
-import type {Clock, Milliseconds} from '@siskinmux/kernel';
+import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import {
   ErrorCode,
   RefusalError,
@@ -18,6 +18,9 @@
 const MAXIMUM_DISCARDED_BYTES = 262_144;
 const DISCARD_MILLISECONDS: Milliseconds = 1_000;
 
+/** Time after which a request that found no memory for its body is worth a retry. */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 1_000;
+
 /** What has become of a body. */
 type Receipt = Buffer | undefined | RefusalError;
 
@@ -26,7 +29,7 @@
  * receives as an object of its own.
  */
 export class CallerBody {
-  private readonly received = ByteAccumulator.create();
+  private readonly received: ByteAccumulator;
   /** Most bytes to collect; undefined until the request has been routed. */
   private limit: number | undefined;
   private isSettled = false;
@@ -40,7 +43,10 @@
     private readonly request: IncomingMessage,
     private readonly meter: ReceiveMeter,
     private readonly clock: Clock,
+    /** Memory of the body and of its response, until the response has been sent. */
+    readonly memory: BufferHolder,
   ) {
+    this.received = ByteAccumulator.create(memory);
     this.receipt = new Promise(resolve => {
       this.settle = resolve;
     });
@@ -62,8 +68,9 @@
     request: IncomingMessage,
     meter: ReceiveMeter,
     clock: Clock,
+    memory: BufferHolder,
   ): CallerBody {
-    return new CallerBody(request, meter, clock);
+    return new CallerBody(request, meter, clock, memory);
   }
 
   /** Resolves to the whole body; undefined if it is empty. Refuses one above `limit` bytes. */
@@ -104,8 +111,8 @@
       if (this.discardedBytes > MAXIMUM_DISCARDED_BYTES) this.meter.stop();
       return;
     }
-    this.received.append(chunk);
-    this.checkLimit();
+    if (this.received.append(chunk)) this.checkLimit();
+    else this.refuseForMemory(chunk.length);
   }
 
   private checkLimit(): void {
@@ -124,12 +131,24 @@
     this.settle(received.length === 0 ? undefined : received.take());
   }
 
+  private refuseForMemory(bytes: number): void {
+    const {clock, memory, received} = this;
+    const needed = received.length + bytes;
+    if (memory.fits(Math.max(needed, 2 * received.capacity)))
+      this.refuse(
+        ErrorCode.BuffersFull,
+        `after ${received.length} bytes`,
+        after(clock.now(), RETRY_AFTER_MILLISECONDS),
+      );
+    else this.refuse(ErrorCode.BodyTooLarge, 'above what this node can hold');
+  }
+
   /** Has no effect on a body that is whole. */
-  private refuse(code: ErrorCode, detail: string): void {
+  private refuse(code: ErrorCode, detail: string, retryAt?: Instant): void {
     if (this.isSettled) return;
     this.isSettled = true;
     this.isDiscarded = true;
-    this.received.take();
-    this.settle(createNotRunRefusal(code, detail));
+    this.received.release();
+    this.settle(createNotRunRefusal(code, detail, retryAt));
   }
 }
--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -1,7 +1,7 @@
 /** A caller's request and its response, on top of the HTTP server's objects. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {RawHeaders} from '@siskinmux/forwarding';
+import type {BufferMemory, RawHeaders} from '@siskinmux/forwarding';
 import {ByteAccumulator} from '@siskinmux/forwarding';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import type {RelayStatement, RelayedProgress} from '@siskinmux/relay';
@@ -87,6 +87,11 @@
     return this.isHeadSent;
   }
 
+  /** Memory for what is buffered of the request and its response. */
+  get memory(): BufferMemory {
+    return this.body.memory;
+  }
+
   /** Calls back once if the caller disconnects before the response has ended. */
   onDisconnect(callback: () => void): void {
     if (this.response.destroyed && !this.hasEnded) {
@@ -129,9 +134,13 @@
    * write buffer is full, see {@link onDrain}.
    */
   write(chunk: Buffer): boolean {
-    this.unwritten.append(chunk);
-    if (this.unwritten.length >= MAXIMUM_MERGED_BYTES) this.flush();
-    else this.flushLater();
+    if (this.unwritten.length + chunk.length < MAXIMUM_MERGED_BYTES) {
+      this.unwritten.append(chunk);
+      this.flushLater();
+    } else {
+      this.flush();
+      this.response.write(chunk);
+    }
     return !this.response.writableNeedDrain;
   }
 
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -1,16 +1,21 @@
 /** HTTP listener for callers, and for nodes that relay requests, on NestJS and Fastify; accepts any host, path and body. */
 
 import 'reflect-metadata';
-import type {IncomingMessage, Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {All, Controller, Inject, Req, Res} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
 import type {NestFastifyApplication} from '@nestjs/platform-fastify';
 import {FastifyAdapter} from '@nestjs/platform-fastify';
 import type {FastifyReply, FastifyRequest} from 'fastify';
-import type {RawHeaders, SocketPacer} from '@siskinmux/forwarding';
+import type {
+  BufferBudget,
+  BufferHolder,
+  RawHeaders,
+  SocketPacer,
+} from '@siskinmux/forwarding';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
-import {after} from '@siskinmux/kernel';
+import {InvariantViolatedError, after} from '@siskinmux/kernel';
 import type {RelayedProgress} from '@siskinmux/relay';
 import {CallerBody} from './caller_body.js';
 import {CallerExchange} from './caller_exchange.js';
@@ -90,6 +95,7 @@
     handle: HandleExchange;
     readRelayed: ReadRelayed;
     pacer: SocketPacer;
+    budget: BufferBudget;
   }): Promise<CallerListener> {
     const adapter = new FastifyAdapter({
       // Routes every request to the one controller, even if its path is not a valid URL.
@@ -97,13 +103,13 @@
       forceCloseConnections: 'idle',
       http: {maxHeaderSize: MAXIMUM_HEADER_BYTES},
     });
-    const {handle, clock, readRelayed, pacer} = options;
+    const {handle, clock, readRelayed} = options;
     const server = adapter.getHttpServer() as Server;
     const handler = ExchangeHandler.create(
       handle,
       clock,
       readRelayed,
-      receiveBodies(server, pacer, clock),
+      receiveBodies(server, options),
     );
     const module = {
       module: class GatewayModule {},
@@ -139,25 +145,49 @@
   }
 }
 
+/** What the receipt of bodies is subject to. */
+interface BodyReceiptOptions {
+  readonly pacer: SocketPacer;
+  readonly budget: BufferBudget;
+  readonly clock: Clock;
+}
+
 /** Receives the bodies of a server's requests, at the pace of their connections. */
 function receiveBodies(
   server: Server,
-  pacer: SocketPacer,
-  clock: Clock,
+  {pacer, budget, clock}: BodyReceiptOptions,
 ): (request: IncomingMessage) => CallerBody {
   const bodies = new WeakMap<IncomingMessage, CallerBody>();
-  const receive = (request: IncomingMessage): CallerBody => {
-    const meter = pacer.meterOf(request.socket);
-    const body = CallerBody.create(request, meter, clock);
-    bodies.set(request, body);
-    return body;
-  };
+  const holders = new WeakMap<Socket, Set<BufferHolder>>();
   server.on('connection', (socket: Socket) => {
+    const held = new Set<BufferHolder>();
+    holders.set(socket, held);
+    // The responses to pipelined requests that have not begun do not report the close.
+    socket.once('close', () => held.forEach(holder => holder.release()));
     pacer.pace(socket);
     // Without a listener, Node.js parses the bytes before they reach the stream.
     socket.on('data', () => {});
   });
+  const receive = (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void => {
+    const {socket} = request;
+    const holder = budget.createHolder();
+    const held = holders.get(socket);
+    held?.add(holder);
+    response.once('close', () => {
+      held?.delete(holder);
+      holder.release();
+    });
+    const meter = pacer.meterOf(socket);
+    bodies.set(request, CallerBody.create(request, meter, clock, holder));
+  };
   // The handler of a request is called in a later turn than its first chunks arrive.
   server.prependListener('request', receive);
-  return request => bodies.get(request) ?? receive(request);
+  return request => {
+    const body = bodies.get(request);
+    if (body !== undefined) return body;
+    throw new InvariantViolatedError('a request whose body is not received');
+  };
 }
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -292,6 +292,24 @@
     'The caller, endpoint or node at the other end of a connection, `address`, sends so many chunks of a few bytes at once that receiving them would delay others. From now on the connection is read when it is its turn, whenever it exceeds its quota; its requests and responses become slow, and end by their own timeouts. One line for each connection.',
 };
 
+/** The memory for bodies and events is used up. */
+export const BUFFERS_FULL: EventDescriptor = {
+  number: 7053,
+  name: 'buffers-full',
+  level: 'warn',
+  meaning:
+    'The bodies and events that this node holds take `heldBytes` of `limitBytes`, a share of `capacity.memory_megabytes`. Until `buffers-free`, requests whose bodies need more are refused as not run, long responses are passed on before they are complete, and events that need more break off. What the node holds already, and requests without a body, are not affected.',
+};
+
+/** The memory for bodies and events is free again. */
+export const BUFFERS_FREE: EventDescriptor = {
+  number: 7054,
+  name: 'buffers-free',
+  level: 'info',
+  meaning:
+    'The bodies and events that this node holds take half of their memory or less, after `buffers-full`.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -327,6 +345,8 @@
   REQUEST_LIMITED,
   ENDPOINT_CRASHED,
   CONNECTION_PACED,
+  BUFFERS_FULL,
+  BUFFERS_FREE,
   ...CONTINUITY_EVENTS,
   ...REACH_EVENTS,
 ] as const;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -5,6 +5,7 @@
 import {EndpointTable} from '@siskinmux/endpoints';
 import type {ProbeResult} from '@siskinmux/forwarding';
 import {
+  BufferBudget,
   EndpointConnectionPool,
   IDLE_SWEEP_INTERVAL_MILLISECONDS,
   MAXIMUM_IDLE_CONNECTIONS,
@@ -68,6 +69,8 @@
 } from '@siskinmux/containment';
 import {StoredOrigins, StreamContinuity} from '@siskinmux/continuity';
 import {
+  BUFFERS_FREE,
+  BUFFERS_FULL,
   CONNECTION_PACED,
   ENDPOINT_CRASHED,
   ENTRY_UNREADABLE,
@@ -129,6 +132,10 @@
 /** `Retry-After` while the node has no routes or is shutting down. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
+/** Share of the memory of the process that its bodies and incomplete events may take. */
+const BUFFERS_SHARE = 0.15;
+const BYTES_PER_MEGABYTE = 1_048_576;
+
 /** Options of {@link GatewayNode}. */
 export interface GatewayOptions {
   readonly settings: RawSettings;
@@ -151,6 +158,7 @@
   private readonly table = EndpointTable.create();
   private readonly platformView: PlatformView;
   private readonly pacer: SocketPacer;
+  private readonly budget: BufferBudget;
   private readonly connections: EndpointConnectionPool;
   private readonly requestDependencies: ProxiedRequestDependencies;
   private readonly placement: NodePlacement;
@@ -218,6 +226,13 @@
         emit(CONNECTION_PACED, {address});
       },
     );
+    this.budget = BufferBudget.create({
+      limitBytes:
+        capacity.memory_megabytes * BYTES_PER_MEGABYTE * BUFFERS_SHARE,
+      onDenied: () => metrics.onMemoryDenied(),
+      onChange: (isUsedUp, use) =>
+        emit(isUsedUp ? BUFFERS_FULL : BUFFERS_FREE, {...use}),
+    });
     this.connections = EndpointConnectionPool.create({
       clock,
       protocol: platform.protocol,
@@ -271,7 +286,11 @@
       emit,
       onChanges: changes => this.applyEndpointChanges(changes),
     });
-    const metrics = createRequestMetrics(kernel.inject(METRICS), this.limits);
+    const metrics = createRequestMetrics(
+      kernel.inject(METRICS),
+      this.limits,
+      this.budget,
+    );
     const quarantine = CrashQuarantine.create({
       clock,
       emit,
@@ -425,6 +444,7 @@
       handle: exchange => this.handle(exchange),
       readRelayed: () => undefined,
       pacer: this.pacer,
+      budget: this.budget,
     });
     const relays = relayAddress(this.listen);
     this.relayListener = await CallerListener.create({
@@ -434,6 +454,7 @@
       handle: exchange => this.handleRelayed(exchange),
       readRelayed: decodeProgress,
       pacer: this.pacer,
+      budget: this.budget,
     });
     this.relayListener.setIdleTimeout(RELAY_IDLE_MILLISECONDS);
     await this.placement.start();
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -39,6 +39,8 @@
     processor_share: z.number().positive().default(1),
     /** Network bandwidth, in megabits per second. */
     link_megabits: z.number().positive().default(1_000),
+    /** Memory that the process may take, in megabytes. */
+    memory_megabytes: z.number().positive().default(512),
   }),
 );
 
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -189,6 +189,7 @@
     this.runs = relayed?.runs ?? 0;
     this.events = EventStreamSplitter.create({
       passesLongEvents: !route.isResumable,
+      memory: exchange.memory,
     });
     // A resumed stream goes to the service that began it.
     const stream = metadata.resumes ?? metadata.id;
@@ -807,12 +808,14 @@
     body: Parameters<typeof relayEvents>[1],
   ): Promise<AttemptResult> {
     const isCut = !source.isRelayed;
-    const buffering = bufferBody(body);
+    const buffering = bufferBody(body, this.exchange.memory);
     const result = await buffering.result;
     if (result.kind === 'long') {
       this.startResponse(source, head);
-      this.exchange.write(result.buffered);
-      buffering.relayRest(writeWithBackpressure(this.exchange, body));
+      const relayRest = (): void =>
+        buffering.relayRest(writeWithBackpressure(this.exchange, body));
+      if (this.exchange.write(result.buffered)) relayRest();
+      else this.exchange.onDrain(relayRest);
       const cause = await this.findBreak(source, head, await result.end);
       if (cause !== undefined)
         return {kind: 'stream_broken', cause, canResume: false, isCut};
--- a/packages/gateway/src/relay_response.ts
+++ b/packages/gateway/src/relay_response.ts
@@ -1,13 +1,18 @@
 /** Relays an endpoint's response to the caller, with backpressure. */
 
 import type {
+  BufferMemory,
   ResponseBody,
   ResponseHead,
   BodyEnd,
   EventStreamSplitter,
   SentRequest,
 } from '@siskinmux/forwarding';
-import {ByteAccumulator, findHeader} from '@siskinmux/forwarding';
+import {
+  ByteAccumulator,
+  UNBOUNDED_MEMORY,
+  findHeader,
+} from '@siskinmux/forwarding';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 import type {CallerExchange} from './caller_exchange.js';
@@ -34,14 +39,20 @@
 
 /**
  * Buffers a short body, so that the request can be retried if the response breaks off. A
- * body that exceeds the buffer is paused until `relayRest` is called.
+ * body that exceeds the buffer, or the memory, is paused until `relayRest` is called.
  */
-export function bufferBody(body: ResponseBody): {
+export function bufferBody(
+  body: ResponseBody,
+  memory: BufferMemory = UNBOUNDED_MEMORY,
+): {
   readonly result: Promise<BufferingResult>;
-  /** Resumes a long body and passes on its remaining chunks. */
+  /** Resumes a long body whose beginning has been passed on, and passes on the rest. */
   relayRest(onData: (chunk: Buffer) => boolean): void;
 } {
-  const buffered = ByteAccumulator.create();
+  const buffered = ByteAccumulator.create(memory);
+  /** The chunk for which there was no memory. */
+  let lastChunk: Buffer | undefined;
+  let longCapacity = 0;
   let onData: ((chunk: Buffer) => boolean) | undefined;
   let resolveLong: (() => void) | undefined;
   const long = new Promise<void>(resolve => {
@@ -49,8 +60,9 @@
   });
   const end = body.read(chunk => {
     if (onData !== undefined) return onData(chunk);
-    buffered.append(chunk);
-    if (buffered.length <= MAXIMUM_BUFFERED_BYTES) return true;
+    const isHeld = buffered.append(chunk);
+    if (isHeld && buffered.length <= MAXIMUM_BUFFERED_BYTES) return true;
+    if (!isHeld) lastChunk = chunk;
     resolveLong?.();
     return false;
   });
@@ -60,16 +72,21 @@
       body: buffered.take(),
       end: bodyEnd,
     })),
-    long.then((): BufferingResult => ({
-      kind: 'long',
-      buffered: buffered.take(),
-      end,
-    })),
+    long.then((): BufferingResult => {
+      longCapacity = buffered.capacity;
+      const begun = buffered.take();
+      return {
+        kind: 'long',
+        buffered: lastChunk ? Buffer.concat([begun, lastChunk]) : begun,
+        end,
+      };
+    }),
   ]);
   return {
     result,
     relayRest: onRest => {
       onData = onRest;
+      memory.shrink(longCapacity);
       body.resume();
     },
   };
--- a/packages/gateway/src/relayed_send.ts
+++ b/packages/gateway/src/relayed_send.ts
@@ -22,6 +22,7 @@
 
 /** Refusals for the node's own state; another node may serve the request. */
 const UNABLE_CODES: ReadonlySet<ErrorCode> = new Set([
+  ErrorCode.BuffersFull,
   ErrorCode.LinksLost,
   ErrorCode.ShuttingDown,
   ErrorCode.ConfigurationUnavailable,
--- a/packages/gateway/src/request_metrics.ts
+++ b/packages/gateway/src/request_metrics.ts
@@ -3,6 +3,7 @@
 import type {Registry} from 'prom-client';
 import {Counter, Gauge, Histogram} from 'prom-client';
 import type {CrashQuarantineOptions} from '@siskinmux/containment';
+import type {BufferBudget} from '@siskinmux/forwarding';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {NodePlacementOptions} from './node_placement.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
@@ -24,12 +25,15 @@
   Pick<NodePlacementOptions, 'onLimited' | 'onPermitUsed'> & {
     /** Called when a connection is paced for the first time. */
     readonly onPaced: () => void;
+    /** Called when a request or a response gets no more memory. */
+    readonly onMemoryDenied: () => void;
   };
 
 /** Registers the metrics; returns the callbacks that update them. */
 export function createRequestMetrics(
   registry: Registry,
   limits: EndpointLimits,
+  budget: BufferBudget,
 ): RequestMetrics {
   const registers = [registry];
   const requestsTotal = new Counter({
@@ -79,6 +83,19 @@
     help: 'Connections that delivered short chunks faster than their share',
     registers,
   });
+  const memoryDeniedTotal = new Counter({
+    name: 'siskinmux_buffer_denials_total',
+    help: 'Requests and responses that got no more memory',
+    registers,
+  });
+  new Gauge({
+    name: 'siskinmux_buffered_bytes',
+    help: 'Memory of the bodies and events that this node holds',
+    registers,
+    collect() {
+      this.set(budget.heldBytes);
+    },
+  });
   new Gauge({
     name: 'siskinmux_endpoint_limit',
     help: 'Requests a second that an endpoint takes from all nodes, by its incarnation',
@@ -92,6 +109,7 @@
   });
   return {
     onPaced: () => pacedTotal.inc(),
+    onMemoryDenied: () => memoryDeniedTotal.inc(),
     onLimited: outcome => limitedTotal.inc({outcome}),
     onPermitUsed: ({service}) => permitsTotal.inc({service}),
     onRequestEnd: (route, result, durationMilliseconds) => {
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -9,6 +9,7 @@
   InvalidDeclaration = 'invalid-declaration',
   InvalidRequest = 'invalid-request',
   BodyTooLarge = 'body-too-large',
+  BuffersFull = 'buffers-full',
   UnknownTarget = 'unknown-target',
   MissingIdempotencyKey = 'missing-idempotency-key',
   IdempotencyKeyReused = 'idempotency-key-reused',
@@ -54,6 +55,7 @@
   [ErrorCode.InvalidDeclaration]: 'A declaration is not valid.',
   [ErrorCode.InvalidRequest]: 'The request is not valid.',
   [ErrorCode.BodyTooLarge]: 'The request body is larger than allowed.',
+  [ErrorCode.BuffersFull]: 'This node has no memory left for the request body.',
   [ErrorCode.UnknownTarget]:
     'No model, adapter, version or service has this name.',
   [ErrorCode.MissingIdempotencyKey]:
--- a/scripts/chunk_costs.ts
+++ b/scripts/chunk_costs.ts
@@ -17,6 +17,7 @@
 
 const NODE_OPTIONS = ['--max-old-space-size=200'];
 const BUNDLE = ['target/siskinmux_gateway.cjs'];
+const MEMORY_MEGABYTES = 350;
 const BODY_BYTES = 16_777_216;
 /** Bytes of content that a sender hands to its socket at once. */
 const WRITE_BYTES = 16_384;
@@ -45,7 +46,11 @@
   const content = parseInt(chunk, 16);
   const count = Math.max(1, Math.floor(WRITE_BYTES / content));
   const bytes = Buffer.from(chunk.repeat(count));
-  for (let sent = 0; !socket.destroyed && sent < BODY_BYTES; sent += content) {
+  for (
+    let sent = 0;
+    !socket.destroyed && sent < BODY_BYTES;
+    sent += content * count
+  ) {
     await new Promise<void>(resolve => {
       if (socket.write(bytes)) setImmediate(resolve);
       else {
@@ -124,6 +129,7 @@
     {...configuration(1), limits},
     NODE_OPTIONS,
     BUNDLE,
+    ['[capacity]', `memory_megabytes = ${MEMORY_MEGABYTES}`],
   );
   const {child, callerPort} = gateway;
   respondEndlessly(form, gateway);
