Fail a request whose endpoint sends interim responses without end

What callers saw: beside one request that got them, sound requests to the same process took p50 56 and p99 454 ms; beside four, 634 and 1,175. Each such request kept the processor busy until its route's timeout. Change: it counts as a short chunk for the pacing of its connection, and the thousand and first one fails the request, which may have run. The script has two more forms, interim responses and short events.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -190,6 +190,43 @@
     expect(end).toEqual('broken');
   });
 
+  // Each one is parsed and dropped: their sender took the processor until the request timed out.
+  it('fails if interim responses have no end', async () => {
+    const interim = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(1_000);
+    const address = await startEndpoint(socket => {
+      const write = (): void => {
+        while (!socket.destroyed && socket.write(interim));
+      };
+      socket.on('drain', write);
+      write();
+    });
+    const sent = createPool().send(
+      {id: endpoint, address},
+      nextRequest(),
+      true,
+    );
+    const timeout = new Promise<undefined>(resolve =>
+      setTimeout(() => resolve(undefined), CLOSE_MILLISECONDS).unref(),
+    );
+    const result = await Promise.race([sent.result, timeout]);
+    sent.abort();
+    expect(result?.kind).toEqual('failed');
+    expect((result as {delivery: string}).delivery).toEqual('maybe_run');
+  });
+
+  it('receives the response that follows some interim ones', async () => {
+    const address = await startEndpoint(socket =>
+      socket.write(
+        `${'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100)}HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello`,
+      ),
+    );
+    const pool = createPool();
+    const sent = pool.send({id: endpoint, address}, nextRequest(), true);
+    const {text, head} = await readAll(await sent.result);
+    expect([head.status, text]).toEqual([200, 'hello']);
+    pool.closeIdle(endpoint);
+  });
+
   it('reports a chunked response as broken when its last chunk is missing', async () => {
     const address = await startEndpoint(socket =>
       socket.end(
--- a/packages/forwarding/src/endpoint_connection.ts
+++ b/packages/forwarding/src/endpoint_connection.ts
@@ -1,7 +1,7 @@
 /** A connection to an endpoint that carries one request at a time, based on undici. */
 
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
-import {after} from '@siskinmux/kernel';
+import {ErrorCode, SiskinmuxError, after} from '@siskinmux/kernel';
 import {Client, buildConnector} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {EndpointProtocol, RawHeaders} from './endpoint_protocol.js';
@@ -11,6 +11,9 @@
 import {ResponseBody} from './sent_request.js';
 import type {SocketPacer} from './socket_pacer.js';
 
+/** Interim responses before a final one, after which the endpoint counts as faulty. */
+const MAXIMUM_INTERIM_RESPONSES = 1_000;
+
 /** Connect timeout. A lost handshake packet is resent after a second, which is too late. */
 const CONNECT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
@@ -185,6 +188,13 @@
   }
 }
 
+/** An endpoint sends interim responses, and no final one. */
+class InterimResponsesError extends SiskinmuxError {
+  constructor(count: number) {
+    super(ErrorCode.EndpointFailed, `${count} interim responses`);
+  }
+}
+
 /** One request and its response, as an undici handler. */
 class HttpExchange implements Dispatcher.DispatchHandler {
   readonly sentRequest: SentRequest;
@@ -193,6 +203,7 @@
   private isWritten = false;
   private head: ResponseHead | undefined;
   private body: ResponseBody | undefined;
+  private interimCount = 0;
   private hasEnded = false;
   private isAborted = false;
   private resolve!: (result: Awaited<SentRequest['result']>) => void;
@@ -250,7 +261,10 @@
     controller: Dispatcher.DispatchController,
     status: number,
   ): void {
-    if (status < 200) return;
+    if (status < 200) {
+      this.recordInterim(controller);
+      return;
+    }
     const headers = decodeHeaders(controller.rawHeaders);
     this.head = {
       status,
@@ -297,6 +311,14 @@
     });
   }
 
+  /** An interim response is parsed, and costs about as much as a short chunk. */
+  private recordInterim(controller: Dispatcher.DispatchController): void {
+    this.onChunk(0);
+    this.interimCount += 1;
+    if (this.interimCount > MAXIMUM_INTERIM_RESPONSES)
+      controller.abort(new InterimResponsesError(this.interimCount));
+  }
+
   /** Closes the connection, so that the endpoint stops processing the request. */
   private abort(): void {
     if (this.hasEnded) return;
--- a/scripts/chunk_costs.ts
+++ b/scripts/chunk_costs.ts
@@ -19,7 +19,7 @@
 const BUNDLE = ['target/siskinmux_gateway.cjs'];
 const MEMORY_MEGABYTES = 350;
 const BODY_BYTES = 16_777_216;
-/** Bytes of content that a sender hands to its socket at once. */
+/** Bytes that a sender hands to its socket at once. */
 const WRITE_BYTES = 16_384;
 /** As the kernel reports processor time. */
 const TICK_MILLISECONDS = 10;
@@ -29,27 +29,58 @@
 interface Form {
   readonly name: string;
   readonly door: 'caller' | 'endpoint';
+  /** What comes before the chunks. */
+  readonly head: readonly string[];
   readonly chunk: string;
 }
 
 const inChunksOf = (bytes: number): string =>
   `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
 
-const FORMS: readonly Form[] = [1, 16, 1_024, 65_536].flatMap(
-  (bytes): Form[] => [
-    {name: `caller ${bytes}`, door: 'caller', chunk: inChunksOf(bytes)},
-    {name: `endpoint ${bytes}`, door: 'endpoint', chunk: inChunksOf(bytes)},
-  ],
-);
+const CHUNKED = 'transfer-encoding: chunked';
+const CALLER_HEAD = [
+  'POST /issue/1 HTTP/1.1',
+  'host: offers.example',
+  'attempt-id: small',
+];
+const ENDPOINT_HEAD = ['HTTP/1.1 200 OK'];
+
+const FORMS: readonly Form[] = [
+  ...[1, 16, 1_024, 65_536].flatMap((bytes): Form[] => [
+    {
+      name: `caller ${bytes}`,
+      door: 'caller',
+      head: [...CALLER_HEAD, CHUNKED],
+      chunk: inChunksOf(bytes),
+    },
+    {
+      name: `endpoint ${bytes}`,
+      door: 'endpoint',
+      head: [...ENDPOINT_HEAD, CHUNKED],
+      chunk: inChunksOf(bytes),
+    },
+  ]),
+  {
+    name: 'endpoint interim',
+    door: 'endpoint',
+    head: [],
+    chunk: 'HTTP/1.1 102 Processing\r\n\r\n',
+  },
+  {
+    name: 'endpoint events',
+    door: 'endpoint',
+    head: [...ENDPOINT_HEAD, 'content-type: text/event-stream'],
+    chunk: 'data: x\n\n',
+  },
+];
 
 async function writeBody(socket: Socket, {chunk}: Form): Promise<void> {
-  const content = parseInt(chunk, 16);
-  const count = Math.max(1, Math.floor(WRITE_BYTES / content));
+  const count = Math.max(1, Math.floor(WRITE_BYTES / chunk.length));
   const bytes = Buffer.from(chunk.repeat(count));
   for (
     let sent = 0;
     !socket.destroyed && sent < BODY_BYTES;
-    sent += content * count
+    sent += bytes.length
   ) {
     await new Promise<void>(resolve => {
       if (socket.write(bytes)) setImmediate(resolve);
@@ -72,9 +103,7 @@
     const socket = connect(port, '127.0.0.1');
     socket.on('error', () => {});
     socket.resume();
-    socket.write(
-      'POST /issue/1 HTTP/1.1\r\nhost: offers.example\r\nattempt-id: small\r\ntransfer-encoding: chunked\r\n\r\n',
-    );
+    socket.write(`${form.head.join('\r\n')}\r\n\r\n`);
     await writeBody(socket, form);
     socket.destroy();
   }
@@ -89,10 +118,9 @@
       response.writeHead(200, head).end('hello');
       return;
     }
-    const lines = Object.entries(head).map(line => `${line.join(': ')}\r\n`);
-    socket.write(
-      `HTTP/1.1 200 OK\r\n${lines.join('')}transfer-encoding: chunked\r\n\r\n`,
-    );
+    const lines = Object.entries(head).map(line => line.join(': '));
+    if (form.head.length > 0)
+      socket.write(`${[...form.head, ...lines].join('\r\n')}\r\n\r\n`);
     void writeBody(socket, form);
   };
 }
