Refuse a request at once if its declared length is too large

What callers saw: a request with a Content-Length above maxBodyBytes was refused with 413 only after that many bytes had come, or with 503 when the route's time had passed. Cause: only received bytes were compared with the limit. Change: the declared length is compared as soon as the request has been routed. Evidence: "is refused at once, if the length that it declares is too large" (endless_body.test.ts) fails on the commit before (503 after the route's second) and passes now.

--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -115,11 +115,16 @@
     else this.refuseForMemory(chunk.length);
   }
 
+  /** Length that the head states; 0 if it states none. */
+  private get declaredBytes(): number {
+    return Number(this.request.headers['content-length'] ?? 0);
+  }
+
   private checkLimit(): void {
     const {received, limit, request} = this;
     if (limit === undefined) {
       if (received.length > MAXIMUM_UNROUTED_BYTES) request.pause();
-    } else if (received.length > limit) {
+    } else if (Math.max(received.length, this.declaredBytes) > limit) {
       this.refuse(ErrorCode.BodyTooLarge, `above ${limit} bytes`);
     }
   }
