Compare a body that is whole before its request is routed with its limit, too

What callers saw: a body above maxBodyBytes was passed on to an endpoint if it was at most 64 KiB long and had come whole before its request was routed. Cause: since bodies are received from the first chunk on, only bytes that come after the routing were compared. Change: the whole body is compared, too. Evidence: "is refused if it is too large" (caller_body.test.ts) fails on the commit before and passes now.

--- a/packages/gateway/__tests__/caller_body.test.ts
+++ b/packages/gateway/__tests__/caller_body.test.ts
@@ -1,7 +1,7 @@
 import type {Server} from 'node:http';
-import {createServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
-import {connect} from 'node:net';
+import {IncomingMessage, createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {Socket, connect} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {steadyClock} from '@siskinmux/adapters';
@@ -10,6 +10,7 @@
   ReceiveScheduler,
   SocketPacer,
 } from '@siskinmux/forwarding';
+import {ErrorCode, RefusalError} from '@siskinmux/kernel';
 import {CallerBody} from '../src/caller_body.js';
 
 /** Most bytes that are read after a response. */
@@ -18,6 +19,43 @@
 /** Longer than the rest of a body is read. */
 const WAIT_MILLISECONDS = 4_000;
 
+const createBudget = (): BufferBudget =>
+  BufferBudget.create({
+    limitBytes: 16_777_216,
+    onDenied: () => {},
+    onChange: () => {},
+  });
+
+/** Begins to receive a body of this many bytes, and asks for it when it has come. */
+async function collectLater(bytes: number, limit: number): Promise<unknown> {
+  const request = new IncomingMessage(new Socket());
+  request.push(Buffer.alloc(bytes));
+  request.push(null);
+  const scheduler = ReceiveScheduler.create({
+    clock: steadyClock,
+    onNextTurn: setImmediate,
+    processorShare: 1,
+  });
+  const meter = scheduler.createMeter({pause: () => {}, resume: () => {}});
+  const holder = createBudget().createHolder();
+  const body = CallerBody.create(request, meter, steadyClock, holder);
+  await new Promise(resolve => setTimeout(resolve, LATER_MILLISECONDS));
+  return body.collect(limit).catch((refusal: unknown) => refusal);
+}
+
+describe('body that is whole before its request has been routed', () => {
+  // Only bytes that came after the routing were compared with the limit.
+  it('is refused if it is too large', async () => {
+    const refusal = await collectLater(1_001, 1_000);
+    expect(refusal).toBeA(RefusalError);
+    expect((refusal as RefusalError).code).toEqual(ErrorCode.BodyTooLarge);
+  });
+
+  it('is taken otherwise', async () => {
+    expect(await collectLater(1_000, 1_000)).toEqual(Buffer.alloc(1_000));
+  });
+});
+
 describe('connection whose request is answered before its body is read', () => {
   let server: Server;
 
@@ -36,11 +74,7 @@
       }),
       () => {},
     );
-    const budget = BufferBudget.create({
-      limitBytes: 16_777_216,
-      onDenied: () => {},
-      onChange: () => {},
-    });
+    const budget = createBudget();
     server = createServer((request, response) => {
       const meter = pacer.meterOf(request.socket);
       const holder = budget.createHolder();
--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {BufferHolder, ReceiveMeter} from '@siskinmux/forwarding';
 import {ByteAccumulator} from '@siskinmux/forwarding';
-import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
+import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {
   ErrorCode,
   RefusalError,
@@ -55,11 +55,9 @@
     request.read(0);
     request.once('end', () => this.handleEnd());
     // The connection ended before the whole request had arrived.
-    request.on('error', failure =>
-      this.refuse(ErrorCode.CallerGone, String(failure)),
-    );
+    request.on('error', failure => this.refuse(callerGone(String(failure))));
     request.once('close', () =>
-      this.refuse(ErrorCode.CallerGone, 'closed inside the body'),
+      this.refuse(callerGone('closed inside the body')),
     );
   }
 
@@ -80,6 +78,8 @@
     this.request.resume();
     const receipt = await this.receipt;
     if (receipt instanceof RefusalError) throw receipt;
+    // A short body may have been whole before its limit was known.
+    if (receipt !== undefined && receipt.length > limit) throw tooLarge(limit);
     return receipt;
   }
 
@@ -91,7 +91,7 @@
     if (this.isAnswered) return;
     this.isAnswered = true;
     const {request, clock} = this;
-    this.refuse(ErrorCode.CallerGone, 'answered inside the body');
+    this.refuse(callerGone('answered inside the body'));
     request.resume();
     if (request.complete) return;
     const cancel = clock.schedule(
@@ -125,7 +125,7 @@
     if (limit === undefined) {
       if (received.length > MAXIMUM_UNROUTED_BYTES) request.pause();
     } else if (Math.max(received.length, this.declaredBytes) > limit) {
-      this.refuse(ErrorCode.BodyTooLarge, `above ${limit} bytes`);
+      this.refuse(tooLarge(limit));
     }
   }
 
@@ -139,21 +139,32 @@
   private refuseForMemory(bytes: number): void {
     const {clock, memory, received} = this;
     const needed = received.length + bytes;
-    if (memory.fits(Math.max(needed, 2 * received.capacity)))
-      this.refuse(
-        ErrorCode.BuffersFull,
-        `after ${received.length} bytes`,
-        after(clock.now(), RETRY_AFTER_MILLISECONDS),
-      );
-    else this.refuse(ErrorCode.BodyTooLarge, 'above what this node can hold');
+    this.refuse(
+      memory.fits(Math.max(needed, 2 * received.capacity))
+        ? createNotRunRefusal(
+            ErrorCode.BuffersFull,
+            `after ${received.length} bytes`,
+            after(clock.now(), RETRY_AFTER_MILLISECONDS),
+          )
+        : createNotRunRefusal(
+            ErrorCode.BodyTooLarge,
+            'above what this node can hold',
+          ),
+    );
   }
 
   /** Has no effect on a body that is whole. */
-  private refuse(code: ErrorCode, detail: string, retryAt?: Instant): void {
+  private refuse(refusal: RefusalError): void {
     if (this.isSettled) return;
     this.isSettled = true;
     this.isDiscarded = true;
     this.received.release();
-    this.settle(createNotRunRefusal(code, detail, retryAt));
+    this.settle(refusal);
   }
 }
+
+const tooLarge = (limit: number): RefusalError =>
+  createNotRunRefusal(ErrorCode.BodyTooLarge, `above ${limit} bytes`);
+
+const callerGone = (detail: string): RefusalError =>
+  createNotRunRefusal(ErrorCode.CallerGone, detail);
