Answer the caller of a stream that breaks off before its first event

What callers saw: a stream that may not be resumed and broke off after its head, before its first event: the connection was closed without any answer, though the request had run. Cause: the node wrote the endpoint's head at once, and Node.js sends a head only with the first bytes of a body. A head that was written counted as sent, so that the break cut a connection on which nothing had been sent. Change: the head is written with the first complete event, or at the end of a whole stream. Until then a break ends as any other request that may have run: with 504, or at another endpoint where the route allows it. Evidence: "gets an answer for its caller if a stream breaks off before its first event" (cut_head.test.ts) fails on the commit before ("no answer") and passes now. The check of "leaves no stream without events as complete ..." asked for an incomplete response or none; a complete one with 504 is right, so it asks for no complete one with 200, and the new test for 504.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -758,19 +758,22 @@
     const {endpoint, isRelayed} = source;
     const {protocol} = this.dependencies;
     const isContinued = this.streamHead !== undefined;
-    if (!isContinued) {
-      this.streamHead = head;
+    this.streamHead ??= head;
+    // A stream that breaks off before its first event still gets a refusal as its answer.
+    const begin = (): void => {
+      if (this.exchange.hasSentHead) return;
       const headers = protocol.responseHeaders(head.headers);
       this.startResponse(
         source,
         head,
         this.route.isResumable ? withoutLength(headers) : headers,
       );
-    }
+    };
     let hasEvents = false;
     const end = await relayEvents(this.exchange, body, this.events, {
       onEvents: () => {
         hasEvents = true;
+        begin();
         // Bytes that complete no event don't count: a stalled endpoint may send some.
         this.inactivityTimer?.reset();
         this.trackedSend?.recordContact();
@@ -791,7 +794,10 @@
       (isEmpty ? 'a stream that ended before its first event' : undefined);
     this.recordEnd(source, cause);
     if (cause === undefined) {
-      this.finish(SERVED, () => this.exchange.end());
+      this.finish(SERVED, () => {
+        begin();
+        this.exchange.end();
+      });
       return {kind: 'delivered'};
     }
     const {canContinue} = this.events;
