--- a/packages/cli/__tests__/explain.test.ts
+++ b/packages/cli/__tests__/explain.test.ts
@@ -133,6 +133,22 @@
   logLine(950, 'b-1-y', 'endpoint-limit-changed', {life: 'e1@1'}),
 ];
 
+/** A request that was refused for want of memory, beside an earlier want and one of another node. */
+const REQUEST_WITHOUT_MEMORY = [
+  logLine(100, 'a-1-x', 'buffers-full', {heldBytes: 1, limitBytes: 55}),
+  logLine(200, 'a-1-x', 'buffers-free', {heldBytes: 0, limitBytes: 55}),
+  logLine(300, 'a-1-x', 'buffers-full', {heldBytes: 41, limitBytes: 55}),
+  logLine(310, 'b-1-y', 'buffers-full', {heldBytes: 42, limitBytes: 55}),
+  logLine(900, 'a-1-x', 'request-ended', {
+    id: 'r12',
+    version: 3,
+    result: 'buffers-full',
+    sends: 0,
+    milliseconds: 1,
+  }),
+  logLine(950, 'a-1-x', 'buffers-free', {heldBytes: 0, limitBytes: 55}),
+];
+
 function writeLogs(...files: (readonly string[])[]): string[] {
   const folder = mkdtempSync(join(tmpdir(), 'logs-'));
   return files.map((lines, index) => {
@@ -220,6 +236,19 @@
     expect(out.at(-1) ?? '').toInclude('had named limits');
   });
 
+  it('leads from a request that was refused for want of memory to when the memory was used up', async () => {
+    const files = writeLogs(REQUEST_WITHOUT_MEMORY);
+    const {out} = await explain('--request', 'r12', ...files);
+    expect(out.slice(0, -1).map(text => text.split('  ')[2])).toEqual([
+      'buffers-full',
+      'request-ended',
+    ]);
+    expect(out[0] ?? '').toInclude('heldBytes=41');
+    expect(out.at(-1) ?? '').toInclude('not run: the bodies');
+    const node = await explain('--node', 'a-1', ...files);
+    expect(node.out.length).toEqual(4);
+  });
+
   it('lists what one node lost and regained, and no events of other nodes', async () => {
     const files = writeLogs(STORE_OUTAGES);
     const {out} = await explain('--node', 'b-1', ...files);
--- a/packages/cli/src/explain/explain_node.ts
+++ b/packages/cli/src/explain/explain_node.ts
@@ -17,6 +17,8 @@
   'lease-ended',
   'lease-unreachable',
   'retry-limits-changed',
+  'buffers-full',
+  'buffers-free',
 ]);
 
 /**
--- a/packages/cli/src/explain/explain_request.ts
+++ b/packages/cli/src/explain/explain_request.ts
@@ -48,6 +48,7 @@
   const causes = [
     ...linesOfCrashes(ownLines, allLines),
     ...linesOfLimits(ownLines, allLines),
+    ...ends.flatMap(end => lineOfBuffers(end, allLines)),
   ];
   const lines = [...new Set([...ownLines, ...related, ...causes])].sort(
     (left, right) => left.time - right.time,
@@ -117,6 +118,18 @@
   );
 }
 
+/** When the memory of the node was used up that had none for a request. */
+function lineOfBuffers(end: LogLine, allLines: readonly LogLine[]): LogLine[] {
+  if (end.fields['result'] !== 'buffers-full') return [];
+  return allLines
+    .filter(
+      ({event, node, time}) =>
+        event === 'buffers-full' && node === end.node && time <= end.time,
+    )
+    .sort((left, right) => left.time - right.time)
+    .slice(-1);
+}
+
 function describeOutcome(end: LogLine): string {
   const {result, endpoint, model, version} = end.fields;
   const durationMilliseconds = numberOf(end, 'milliseconds') ?? 0;
@@ -135,6 +148,8 @@
       return `${prefix}: refused after ${durationMilliseconds} ms, not run: requests with the same content or part of a prompt crashed endpoints; the lines \`run-crashed\` name them.`;
     case 'endpoint-limited':
       return `${prefix}: refused after ${durationMilliseconds} ms, not run: all endpoints of the service had named limits that were used up; the lines \`endpoint-limit-changed\` name them.`;
+    case 'buffers-full':
+      return `${prefix}: refused after ${durationMilliseconds} ms, not run: the bodies that the node held took all memory for them; the line \`buffers-full\` says how much.`;
     case 'outcome-unknown':
       return `${prefix}: ended after ${durationMilliseconds} ms with an unknown outcome: ${String(endpoint)} received the request and did not respond; it was not retried because it must not run twice.`;
     case 'caller_gone':
