Let a call limit its response's body and follow its progress

No behaviour changes yet: without the two new options a body is read up to the same 16 MiB as before.

Measured: packages/adapters/__tests__ pass.

--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -46,6 +46,10 @@
   readonly headers?: Record<string, string>;
   readonly body?: string;
   readonly signal?: AbortSignal;
+  /** Length of the response's body at which the call fails and its connection closes. */
+  readonly maximumResponseBytes?: number;
+  /** Called when the head of the response has been received, and after each part of its body. */
+  readonly onProgress?: (receivedBytes: number) => void;
 }
 
 /** A response whose body was read to its end. */
@@ -60,9 +64,24 @@
   agent: Dispatcher,
   request: HttpRequest,
 ): Promise<HttpResponse> {
-  const response = await open(agent, request);
-  const body = await response.body.text();
-  return {status: response.statusCode, headers: response.headers, body};
+  const {statusCode, headers, body} = await open(agent, request);
+  const {maximumResponseBytes = MAXIMUM_RESPONSE_BYTES, onProgress} = request;
+  onProgress?.(0);
+  const parts: Buffer[] = [];
+  let received = 0;
+  let expected = Number(headers['content-length'] ?? 0);
+  for await (const part of body as AsyncIterable<Buffer>) {
+    received += part.length;
+    expected = Math.max(expected, received);
+    if (expected > maximumResponseBytes)
+      throw new errors.ResponseExceededMaxSizeError(
+        `${expected} bytes, ${maximumResponseBytes} at most`,
+      );
+    parts.push(part);
+    onProgress?.(received);
+  }
+  const text = Buffer.concat(parts, received).toString('utf8');
+  return {status: statusCode, headers, body: text};
 }
 
 /** Sends a request and resolves with the response head; the body is a stream. */
