Add a deadline that a response's progress extends

ProgressDeadline expires when the head is late, when the body stalls, or when it falls behind a minimum rate, so that a long transfer lasts and a trickle ends. Nothing uses it yet.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -7,5 +7,7 @@
 export {HttpObjectService} from './http_object_service.js';
 export {HttpPlainService} from './http_plain_service.js';
 export {HttpWeightStore} from './http_weight_store.js';
+export {ProgressDeadline} from './progress_deadline.js';
+export type {ProgressDeadlineOptions} from './progress_deadline.js';
 export {readClocks, steadyClock} from './steady_clock.js';
 export {systemClock, systemRandom} from './system_clock.js';
