Let reads of the store go on while they arrive, and list when changes are longer

Callers saw: 404 on routes that had been added and acknowledged up to 21 s before (CONFIG, DENIED), at nodes whose link takes long for a large configuration. The store answered these nodes all the while.

Cause: limits on a whole response where only progress tells. 250 ms without a complete response began a second and a third read over the same link; 700 ms (watch) and 1,500 ms (list) threw away what had arrived. A watch returns each version since the known one in full, so a node that had missed several asked for more with each change, and never again got it within the limit.

Changes that are longer than 1.5 lists are not read; a list is. Lines read-long and read-failed and receivedBytes in read-overdue tell slow links from a store that is away.

--- a/packages/gateway/__tests__/knowledge_cluster.ts
+++ b/packages/gateway/__tests__/knowledge_cluster.ts
@@ -17,9 +17,15 @@
 import type {
   MetadataChangeBatch,
   MetadataListing,
+  MetadataObject,
   MetadataStore,
+  ReadOptions,
+} from '@siskinmux/ports';
+import {
+  ChangesTooLongError,
+  HistoryGoneError,
+  PlatformUnavailableError,
 } from '@siskinmux/ports';
-import {HistoryGoneError, PlatformUnavailableError} from '@siskinmux/ports';
 import {
   MemoryStore,
   SharedObjects,
@@ -60,6 +66,54 @@
   }
 }
 
+/** Part of a response that a link carries at a time. */
+const SEGMENT_BYTES = 16_384;
+
+/** A node's link, which carries all its responses in turn. */
+export class NodeLink {
+  /** Responses that are under way. */
+  transfers = 0;
+  mostTransfers = 0;
+  carriedBytes = 0;
+  private freeAt: Instant;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly bytesPerMillisecond: number,
+  ) {
+    this.freeAt = clock.now();
+  }
+
+  /** Carries a response; ends early once nobody waits for it any more. */
+  async carry(
+    bytes: number,
+    isWanted: () => boolean,
+    onProgress: (receivedBytes: number) => void,
+  ): Promise<void> {
+    const {clock} = this;
+    this.transfers += 1;
+    this.mostTransfers = Math.max(this.mostTransfers, this.transfers);
+    for (let sent = 0; sent < bytes && isWanted();) {
+      const segment = Math.min(SEGMENT_BYTES, bytes - sent);
+      const startAt = as<Instant>(Math.max(clock.now(), this.freeAt));
+      this.freeAt = after(startAt, segment / this.bytesPerMillisecond);
+      await sleepFor(clock, this.freeAt - clock.now());
+      sent += segment;
+      this.carriedBytes += segment;
+      if (isWanted()) onProgress(sent);
+    }
+    this.transfers -= 1;
+  }
+}
+
+/** Length of objects in a response; most of a large one is padding. */
+function lengthOf(objects: readonly MetadataObject[]): number {
+  return objects.reduce((sum, {content}) => {
+    const padding = (content as {padding?: string} | null)?.padding ?? '';
+    return sum + 200 + padding.length;
+  }, 200);
+}
+
 /** One node's way to the store, whose calls can be lost. */
 class LossyStore implements MetadataStore {
   calls = 0;
@@ -67,6 +121,8 @@
   callsToLose = 0;
   /** Responses arrive no earlier than this. */
   responsesHeldUntil: Instant | undefined;
+  /** Calls are rejected until then. */
+  refusedUntil: Instant | undefined;
   /** Incremented when the open connections fall silent. */
   private connections = 0;
   private readonly store: MemoryStore;
@@ -76,6 +132,7 @@
     private readonly shared: SharedObjects,
     private readonly deaf: DeafPeriod,
     random: Random,
+    private readonly link: NodeLink,
   ) {
     this.store = new MemoryStore(shared, clock, random);
   }
@@ -89,9 +146,18 @@
     this.connections += 1;
   }
 
-  async list(kind: string): Promise<MetadataListing> {
-    return this.call(after(this.clock.now(), LIST_TIMEOUT_MILLISECONDS), () =>
-      this.store.list(kind),
+  async list(
+    kind: string,
+    _mayBeStale?: boolean,
+    options?: ReadOptions,
+  ): Promise<MetadataListing> {
+    return this.call(
+      after(this.clock.now(), LIST_TIMEOUT_MILLISECONDS),
+      async () => {
+        const listing = await this.store.list(kind);
+        return [listing, lengthOf(listing.objects)];
+      },
+      options,
     );
   }
 
@@ -103,9 +169,19 @@
     kind: string,
     revision: ObjectVersion,
     waitUntil: Instant,
+    options?: ReadOptions,
   ): Promise<MetadataChangeBatch> {
-    return this.call(after(waitUntil, WATCH_GRACE_MILLISECONDS), () =>
-      this.hear(kind, revision, waitUntil),
+    return this.call(
+      after(waitUntil, WATCH_GRACE_MILLISECONDS),
+      async () => {
+        const batch = await this.hear(kind, revision, waitUntil);
+        const length = lengthOf(batch.changes.map(({object}) => object));
+        const {maximumBytes = Infinity} = options ?? {};
+        if (length > maximumBytes)
+          throw new ChangesTooLongError(kind, revision, maximumBytes);
+        return [batch, length];
+      },
+      options,
     );
   }
 
@@ -145,26 +221,49 @@
     return this.store.watch(kind, revision, waitUntil);
   }
 
+  /** A call whose head has to arrive in time, and which ends if nothing arrives for long. */
   private async call<Response>(
-    timeoutAt: Instant,
-    respond: () => Promise<Response>,
+    headUntil: Instant,
+    respond: () => Promise<readonly [Response, number]>,
+    {onProgress, signal}: ReadOptions = {},
   ): Promise<Response> {
     const {clock} = this;
     this.calls += 1;
     const connection = this.connections;
     const isLost = this.callsToLose > 0;
     if (isLost) this.callsToLose -= 1;
-    const timeout = sleepFor(clock, timeoutAt - clock.now()).then(() => {
+    let timeoutAt = headUntil;
+    let isOver = false;
+    const timeout = (async (): Promise<never> => {
+      while (clock.now() < timeoutAt && !signal?.aborted)
+        await sleepFor(
+          clock,
+          Math.min(CHECK_INTERVAL_MILLISECONDS, timeoutAt - clock.now()),
+        );
+      isOver = true;
       throw new PlatformUnavailableError('timeout');
-    });
+    })();
     timeout.catch(() => {});
     if (isLost) return timeout;
+    const {refusedUntil} = this;
+    if (refusedUntil !== undefined && clock.now() < refusedUntil) {
+      await sleepFor(clock, RESPONSE_MILLISECONDS);
+      throw new PlatformUnavailableError('status 503');
+    }
     const response = (async () => {
-      const received = await respond();
+      const [received, length] = await respond();
       if (connection !== this.connections) return timeout;
       const {responsesHeldUntil} = this;
       if (responsesHeldUntil !== undefined && responsesHeldUntil > clock.now())
         await sleepFor(clock, responsesHeldUntil - clock.now());
+      await this.link.carry(
+        length,
+        () => !isOver && !signal?.aborted,
+        receivedBytes => {
+          timeoutAt = after(clock.now(), LIST_TIMEOUT_MILLISECONDS);
+          onProgress?.(receivedBytes);
+        },
+      );
       return received;
     })();
     return Promise.race([response, timeout]);
@@ -177,6 +276,7 @@
   readonly feed: ChangeFeed;
   readonly store: LossyStore;
   readonly watcher: KindWatcher;
+  readonly link: NodeLink;
   /** Delay of what the holder sends to this node, beyond that of the link. */
   feedDelay: Milliseconds = 0;
   private deliveredAt: Instant;
@@ -191,10 +291,12 @@
     deaf: DeafPeriod,
     seed: number,
     isHolder: boolean,
+    bytesPerMillisecond: number,
   ) {
     this.deliveredAt = clock.now();
     const random = createSeededRandom(seed);
-    this.store = new LossyStore(clock, shared, deaf, random);
+    this.link = new NodeLink(clock, bytesPerMillisecond);
+    this.store = new LossyStore(clock, shared, deaf, random, this.link);
     this.feed = ChangeFeed.create({clock});
     this.watcher = KindWatcher.create({
       store: this.store,
@@ -211,10 +313,10 @@
       reregistrationGraceMilliseconds: 2_200,
       handler: {
         onList: ({objects}) => {
-          for (const {name} of objects) this.known.add(name);
+          for (const object of objects) this.learn(object);
         },
         onChanges: changes => {
-          for (const {object} of changes) this.known.add(object.name);
+          for (const {object} of changes) this.learn(object);
           return changes;
         },
       },
@@ -222,6 +324,12 @@
     void this.watcher.run();
   }
 
+  /** A large object lists the changes that it holds. */
+  private learn({name, content}: MetadataObject): void {
+    const {holds = [name]} = content as {holds?: readonly string[]};
+    for (const change of holds) this.known.add(change);
+  }
+
   /** Whether the node chooses by what it knows now. */
   get isChoosing(): boolean {
     return this.known.size > 0 && this.watcher.isDecidable;
@@ -263,6 +371,17 @@
   readonly at: Instant;
 }
 
+/** What differs from small objects and a fast link. */
+export interface KnowledgeClusterOptions {
+  readonly nodeCount?: number;
+  /** Each change is a version of one object that is this long; undefined for small objects. */
+  readonly objectBytes?: number;
+  readonly bytesPerMillisecond?: number;
+}
+
+/** 1,000 Mbit/s. */
+const FAST_LINK_BYTES_PER_MILLISECOND = 125_000;
+
 /** The store, the lease holder and its followers. */
 export class KnowledgeCluster {
   readonly clock = VirtualClock.create();
@@ -273,10 +392,20 @@
   longestIgnorance: Milliseconds = 0;
   isHolderSending = true;
   private readonly acknowledged: Acknowledged[] = [];
+  private readonly padding: string | undefined;
   private isStopped = false;
 
-  constructor(seed: number, nodeCount = 4) {
-    this.shared.put(KIND, 'first', {});
+  constructor(
+    seed: number,
+    {
+      nodeCount = 4,
+      objectBytes,
+      bytesPerMillisecond = FAST_LINK_BYTES_PER_MILLISECOND,
+    }: KnowledgeClusterOptions = {},
+  ) {
+    this.padding =
+      objectBytes === undefined ? undefined : 'x'.repeat(objectBytes);
+    this.shared.put(KIND, 'first', {padding: this.padding});
     this.nodes = Array.from(
       {length: nodeCount},
       (_, index) =>
@@ -286,6 +415,7 @@
           this.deaf,
           seed * 100 + index,
           index === 0,
+          bytesPerMillisecond,
         ),
     );
     this.sendFeed();
@@ -302,8 +432,13 @@
 
   /** The store acknowledges a change. */
   acknowledge(name: string): void {
-    this.shared.put(KIND, name, {});
     this.acknowledged.push({name, at: this.clock.now()});
+    const {padding} = this;
+    if (padding === undefined) this.shared.put(KIND, name, {});
+    else {
+      const holds = this.acknowledged.map(change => change.name);
+      this.shared.put(KIND, 'first', {padding, holds});
+    }
   }
 
   /** Watches hear nothing for a time, then are cut, and the history is dropped. */
@@ -358,8 +493,9 @@
     node: KnowledgeNode,
     random: Random,
   ) => void)[],
+  options?: KnowledgeClusterOptions,
 ): Promise<Milliseconds> {
-  const cluster = new KnowledgeCluster(seed);
+  const cluster = new KnowledgeCluster(seed, options);
   const random = createSeededRandom(seed);
   await cluster.clock.advance(2_000);
   for (let step = 0; step < 40; step += 1) {
--- a/packages/gateway/__tests__/knowledge_histories.test.ts
+++ b/packages/gateway/__tests__/knowledge_histories.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import type {ObjectVersion} from '@siskinmux/kernel';
 import {randomBelow} from '@siskinmux/kernel';
+import type {KnowledgeClusterOptions} from './knowledge_cluster.js';
 import {
   KIND,
   KNOWN_WITHIN_MILLISECONDS,
@@ -46,13 +47,26 @@
   if (cluster.deaf.until === undefined) cluster.dropHistoryAfter(1_000);
 };
 
+/** One large object behind a link of 10 Mbit/s, which carries it in 0.32 s. */
+const LARGE_BEHIND_SLOW_LINK: KnowledgeClusterOptions = {
+  objectBytes: 400_000,
+  bytesPerMillisecond: 1_250,
+};
+
 /** Seeds in whose histories a node chose without a change for longer than allowed. */
 async function lateSeeds(
   ...disturbances: readonly Disturbance[]
+): Promise<string[]> {
+  return lateSeedsOf({}, disturbances);
+}
+
+async function lateSeedsOf(
+  options: KnowledgeClusterOptions,
+  disturbances: readonly Disturbance[],
 ): Promise<string[]> {
   const late: string[] = [];
   for (const seed of SEEDS) {
-    const longest = await playHistory(seed, disturbances);
+    const longest = await playHistory(seed, disturbances, options);
     if (longest > KNOWN_WITHIN_MILLISECONDS)
       late.push(`seed ${seed}: ${longest} ms`);
   }
@@ -147,3 +161,56 @@
     cluster.stop();
   });
 });
+
+describe('node behind a slow link whose kind has a large object', () => {
+  it('knows each version in time', async () => {
+    expect(await lateSeedsOf(LARGE_BEHIND_SLOW_LINK, [() => {}])).toEqual([]);
+  });
+
+  it('knows each version in time when single calls to the store are lost', async () => {
+    expect(await lateSeedsOf(LARGE_BEHIND_SLOW_LINK, [lostCall])).toEqual([]);
+  });
+
+  it('catches up after the store has refused it while ten versions came', async () => {
+    const cluster = new KnowledgeCluster(1, LARGE_BEHIND_SLOW_LINK);
+    const {clock} = cluster;
+    await clock.advance(2_000);
+    const [follower] = cluster.followers;
+    follower!.store.refusedUntil = (clock.now() + 4_000) as ReturnType<
+      typeof clock.now
+    >;
+    for (let version = 1; version <= 10; version += 1) {
+      cluster.acknowledge(`version-${version}`);
+      await clock.advance(400);
+    }
+    await clock.advance(KNOWN_WITHIN_MILLISECONDS);
+    expect(follower!.known.has('version-10')).toEqual(true);
+    cluster.stop();
+  });
+
+  it('keeps up with versions that come faster than the link carries each of them', async () => {
+    const cluster = new KnowledgeCluster(1, LARGE_BEHIND_SLOW_LINK);
+    const {clock} = cluster;
+    await clock.advance(2_000);
+    for (let version = 1; version <= 30; version += 1) {
+      cluster.acknowledge(`version-${version}`);
+      await clock.advance(200);
+    }
+    expect(cluster.longestIgnorance).toBeLessThanOrEqual(
+      KNOWN_WITHIN_MILLISECONDS,
+    );
+    cluster.stop();
+  });
+
+  it('reads no second copy beside one that arrives', async () => {
+    const cluster = new KnowledgeCluster(1, LARGE_BEHIND_SLOW_LINK);
+    await cluster.clock.advance(2_000);
+    for (let version = 1; version <= 5; version += 1) {
+      cluster.acknowledge(`version-${version}`);
+      await cluster.clock.advance(2_000);
+    }
+    const most = cluster.nodes.map(({link}) => link.mostTransfers);
+    expect(most).toEqual(cluster.nodes.map(() => 1));
+    cluster.stop();
+  });
+});
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -129,7 +129,25 @@
   name: 'read-overdue',
   level: 'info',
   meaning:
-    'A response of the store is overdue, or the feed shows that the store has more than this node, which therefore reads once more over another connection. `cause`: `overdue` or `feed has more`; `revision` is the last one that this node has read.',
+    'Nothing of a response of the store has arrived for 250 ms, or the feed shows that the store has more than this node, which therefore reads once more over another connection. `cause`: `overdue` or `feed has more`; `revision` is the last one that this node has read; `receivedBytes` is what has arrived of the response.',
+};
+
+/** A response of the store took long to arrive. */
+export const READ_LONG: EventDescriptor = {
+  number: 7059,
+  name: 'read-long',
+  level: 'info',
+  meaning:
+    'A response of the store took 250 ms or longer from its head to its end (`transferMilliseconds`): it is large (`bytes`) for the link of this node, or the link carries other traffic. `source`: `list` or `watch`; `sentBefore` is the time since the call, which is how old the knowledge is at least; requests are held if it exceeds `bound`.',
+};
+
+/** Reads of the store fail in a row. */
+export const READ_FAILED: EventDescriptor = {
+  number: 7060,
+  name: 'read-failed',
+  level: 'info',
+  meaning:
+    'Reads of the store have failed `failures` times in a row, since `store-lost`; written at 2, 4, 8 ... of them. `revision` is the last one that this node has read.',
 };
 
 /** An endpoint has said that it leaves. */
@@ -326,6 +344,8 @@
   FEED_USED,
   FEED_LOST,
   READ_OVERDUE,
+  READ_LONG,
+  READ_FAILED,
   REQUEST_HELD,
   ENDPOINT_LEAVING,
   GATEWAY_STARTED,
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -31,12 +31,14 @@
   MetadataListing,
   MetadataStore,
 } from '@siskinmux/ports';
-import {HistoryGoneError} from '@siskinmux/ports';
+import {ChangesTooLongError, HistoryGoneError} from '@siskinmux/ports';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import {withEra} from './change_feed.js';
 import {
   FEED_LOST,
   FEED_USED,
+  READ_FAILED,
+  READ_LONG,
   READ_OVERDUE,
   STORE_LOST,
   STORE_REGAINED,
@@ -44,6 +46,7 @@
   TASK_FAILED,
 } from './gateway_events.js';
 import {KnownRevisions} from './known_revisions.js';
+import {ReadProgress} from './read_progress.js';
 import type {ViewAgeLimits} from './view_age_limits.js';
 
 /** Exponential backoff after failed calls; the jitter keeps nodes from retrying together. */
@@ -51,9 +54,21 @@
 const MAXIMUM_BACKOFF_MILLISECONDS: Milliseconds = 400;
 const BACKOFF_JITTER = 0.4;
 
-/** A response that is later than this may never come; even a store slowed down 60 times is faster. */
+/**
+ * A response of which nothing has arrived for this long may never come; even a store slowed down
+ * 60 times is faster.
+ */
 const OVERDUE_MILLISECONDS: Milliseconds = 250;
 
+/** A read that takes longer, from its head on, is logged. */
+const LONG_READ_MILLISECONDS: Milliseconds = 250;
+
+/** Changes may be this much longer than the last list before a list replaces them. */
+const CHANGES_OVER_LIST_RATIO = 1.5;
+
+/** Length up to which changes are read, however short the last list was. */
+const MINIMUM_CHANGES_BYTES = 131_072;
+
 /** Failures in a row after which the store counts as unreachable for this node. */
 const UNREACHABLE_FAILURES = 2;
 
@@ -125,8 +140,10 @@
   private readonly known = KnownRevisions.create();
   /** Whether the store no longer has the changes after `revision`. */
   private isHistoryGone = false;
-  /** Whether the feed has shown that this node lacks changes. */
-  private isBehind = false;
+  /** When the feed has shown that this node lacks changes, if no read was sent since. */
+  private behindSince: Instant | undefined;
+  /** Length of the last list; 0 before the first. */
+  private listBytes = 0;
   private failures = 0;
   private storeLostAt: Instant | undefined;
   private respondedAt: Instant | undefined;
@@ -315,7 +332,7 @@
       update.from > this.revision ||
       (update.changes === null && update.to > this.revision);
     if (isGap) {
-      this.isBehind = true;
+      this.behindSince = clock.now();
       this.endFeed();
       this.interrupt?.('feed has more');
       this.wake?.();
@@ -389,12 +406,15 @@
       this.endFeed();
     }
     if (this.revision === undefined || this.isHistoryGone) {
-      await this.finish(this.list(), clock.now());
+      await this.finish(progress => this.list(progress), clock.now());
       return;
     }
     const {revision} = this;
     const waitUntil = this.watchUntil();
-    await this.finish(this.watch(revision, waitUntil), waitUntil);
+    await this.finish(
+      progress => this.watch(revision, waitUntil, progress),
+      waitUntil,
+    );
     if (this.hasNewChanges && !this.isRefreshDue)
       await this.pauseUntil(after(clock.now(), batchMilliseconds()));
   }
@@ -414,37 +434,52 @@
   }
 
   /**
-   * Waits for a read. Watches again if the feed has more than this node has, and lists the
-   * objects if a response is overdue, as its connection may have fallen silent.
+   * Waits for a read. While its response arrives, no other is sent over the same link. Before,
+   * watches again if the feed has more than this node has; if nothing arrives any more, lists the
+   * objects, as the connection may have fallen silent. The first success ends all of them.
    */
   private async finish(
-    read: Promise<void>,
+    read: (progress: ReadProgress) => Promise<void>,
     expectedAt: Instant,
   ): Promise<void> {
     const {clock, emit, kind} = this.options;
-    const reads = [read];
+    const progress = ReadProgress.create(clock);
+    const reads = [read(progress)];
     let overdueAt = after(expectedAt, OVERDUE_MILLISECONDS);
     let hasWatchedAgain = false;
     let hasListed = false;
-    while (!this.isUnreachable) {
-      const cause = await this.firstOf(reads, overdueAt);
-      if (cause === undefined) return;
-      if (cause === 'feed has more' && hasWatchedAgain) continue;
-      emit(READ_OVERDUE, {kind, revision: this.revision, cause});
-      const now = clock.now();
-      if (cause === 'feed has more' && this.revision !== undefined) {
-        hasWatchedAgain = true;
-        reads.push(this.watch(this.revision, now));
-      } else if (!hasListed) {
-        hasListed = true;
-        reads.push(this.list());
-      } else {
-        this.setUnreachable();
-        reads.push(this.list());
+    try {
+      while (!this.isUnreachable) {
+        const cause = await this.firstOf(reads, overdueAt);
+        if (cause === undefined) return;
+        const now = clock.now();
+        const stalledAt = after(
+          progress.arrivedAt ?? now,
+          OVERDUE_MILLISECONDS,
+        );
+        const isArriving = progress.arrivedAt !== undefined && now < stalledAt;
+        if (isArriving) overdueAt = later(overdueAt, stalledAt);
+        if (isArriving || (cause === 'feed has more' && hasWatchedAgain))
+          continue;
+        const {revision} = this;
+        const {receivedBytes} = progress;
+        emit(READ_OVERDUE, {kind, revision, cause, receivedBytes});
+        if (cause === 'feed has more' && revision !== undefined) {
+          hasWatchedAgain = true;
+          reads.push(this.watch(revision, now, progress));
+        } else if (!hasListed) {
+          hasListed = true;
+          reads.push(this.list(progress));
+        } else {
+          this.setUnreachable();
+          reads.push(this.list(progress));
+        }
+        overdueAt = after(now, OVERDUE_MILLISECONDS);
       }
-      overdueAt = after(now, OVERDUE_MILLISECONDS);
+      await firstSuccess(reads);
+    } finally {
+      progress.end();
     }
-    await firstSuccess(reads);
   }
 
   /** Resolves to undefined once a read has succeeded; rejects if all have failed. */
@@ -468,11 +503,16 @@
     }
   }
 
-  private async list(): Promise<void> {
+  private async list(progress: ReadProgress): Promise<void> {
     const {store, kind, handler, clock, onRead} = this.options;
     const sentAt = clock.now();
     const {revision: knownWhenSent} = this;
-    const listing = await store.list(kind, false);
+    let bytes = 0;
+    const listing = await store.list(kind, false, {
+      ...progress.options(received => (bytes = received)),
+    });
+    this.listBytes = bytes;
+    this.logIfLong('list', sentAt, bytes, progress);
     const from = this.revision;
     this.isHistoryGone = false;
     // A store that names no era shows only by a lower revision that it has returned from a copy.
@@ -490,13 +530,25 @@
       this.confirm(sentAt);
       this.report(from, from === undefined ? undefined : changes, onRead);
     }
-    this.recordResponse();
+    this.recordResponse(sentAt);
   }
 
-  private async watch(from: ObjectVersion, waitUntil: Instant): Promise<void> {
+  private async watch(
+    from: ObjectVersion,
+    waitUntil: Instant,
+    progress: ReadProgress,
+  ): Promise<void> {
     const {store, kind, clock, onRead} = this.options;
     const sentAt = clock.now();
-    const {changes, revision: to} = await store.watch(kind, from, waitUntil);
+    let bytes = 0;
+    const {changes, revision: to} = await store.watch(kind, from, waitUntil, {
+      ...progress.options(received => (bytes = received)),
+      maximumBytes: Math.max(
+        MINIMUM_CHANGES_BYTES,
+        CHANGES_OVER_LIST_RATIO * this.listBytes,
+      ),
+    });
+    this.logIfLong('watch', sentAt, bytes, progress);
     this.hasNewChanges = changes.length > 0;
     // The feed, or a later call, may have advanced past this response in the meantime.
     if (this.revision === undefined || to >= this.revision) {
@@ -507,7 +559,28 @@
       this.confirm(isWaitOver ? later(sentAt, waitUntil) : sentAt);
       this.report(from, forwarded, onRead);
     }
-    this.recordResponse();
+    this.recordResponse(sentAt);
+  }
+
+  private logIfLong(
+    source: ReadSource,
+    sentAt: Instant,
+    bytes: number,
+    {headAt}: ReadProgress,
+  ): void {
+    const {clock, emit, kind, ageLimits} = this.options;
+    const now = clock.now();
+    const transferred = until(headAt ?? now, now);
+    if (transferred < LONG_READ_MILLISECONDS) return;
+    emit(READ_LONG, {
+      kind,
+      source,
+      revision: this.revision,
+      bytes,
+      sentBefore: Math.round(until(sentAt, now)),
+      transferMilliseconds: Math.round(transferred),
+      bound: ageLimits.choice,
+    });
   }
 
   private recordReturn(
@@ -560,7 +633,7 @@
     const {clock, isFeedSource, ageLimits} = this.options;
     const now = clock.now();
     if (
-      this.isBehind ||
+      this.behindSince !== undefined ||
       this.isRefreshDue ||
       this.failures > 0 ||
       this.isFeedFresh
@@ -615,10 +688,11 @@
     for (const end of [...this.waiters]) end();
   }
 
-  private recordResponse(): void {
+  private recordResponse(sentAt: Instant): void {
     const {emit, kind, clock} = this.options;
     this.failures = 0;
-    this.isBehind = false;
+    if (this.behindSince !== undefined && sentAt >= this.behindSince)
+      this.behindSince = undefined;
     this.respondedAt = clock.now();
     if (this.storeLostAt === undefined) return;
     emit(STORE_REGAINED, {
@@ -630,11 +704,14 @@
   }
 
   private async handleFailure(failure: unknown): Promise<void> {
-    if (failure instanceof HistoryGoneError) {
+    const {emit, kind, clock, random} = this.options;
+    if (
+      failure instanceof HistoryGoneError ||
+      failure instanceof ChangesTooLongError
+    ) {
       this.isHistoryGone = true;
       return;
     }
-    const {emit, kind, clock, random} = this.options;
     if (!(failure instanceof SiskinmuxError)) {
       // What was read may have been applied in part, so it is listed again.
       this.isHistoryGone = true;
@@ -650,6 +727,14 @@
       INITIAL_BACKOFF_MILLISECONDS * 2 ** Math.min(this.failures, 8),
     );
     this.failures += 1;
+    // Logged at 2, 4, 8 ... failures in a row, so that a long outage writes few lines.
+    if (this.failures > 1 && Number.isInteger(Math.log2(this.failures)))
+      emit(READ_FAILED, {
+        kind,
+        revision: this.revision,
+        failures: this.failures,
+        cause: failure instanceof Error ? failure.message : String(failure),
+      });
     if (this.failures >= UNREACHABLE_FAILURES) this.setUnreachable();
     await sleepFor(clock, jitter(random, delay, BACKOFF_JITTER));
   }
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -36,6 +36,7 @@
   ValueTooLarge = 'value-too-large',
   StoredObjectInvalid = 'stored-object-invalid',
   HistoryGone = 'history-gone',
+  ChangesTooLong = 'changes-too-long',
   ConfigurationConflict = 'configuration-conflict',
   ConfigurationUnavailable = 'configuration-unavailable',
   NotOwner = 'not-owner',
@@ -95,6 +96,8 @@
     'The value is larger than the object service holds.',
   [ErrorCode.StoredObjectInvalid]: 'A stored object could not be read.',
   [ErrorCode.HistoryGone]: 'The store no longer has these changes.',
+  [ErrorCode.ChangesTooLong]:
+    'A list is shorter than the changes since a revision.',
   [ErrorCode.ConfigurationConflict]:
     'The configuration has moved on since the patch was made.',
   [ErrorCode.ConfigurationUnavailable]: 'No configuration is known yet.',
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -50,7 +50,8 @@
   MetadataListing,
   MetadataObject,
   MetadataStore,
+  ReadOptions,
 } from './metadata_store.js';
-export {HistoryGoneError} from './metadata_store.js';
+export {ChangesTooLongError, HistoryGoneError} from './metadata_store.js';
 export type {EraObserver} from './era_tracker.js';
 export {EraTracker} from './era_tracker.js';
--- a/packages/ports/src/metadata_store.ts
+++ b/packages/ports/src/metadata_store.ts
@@ -32,7 +32,20 @@
   readonly revision: ObjectVersion;
 }
 
-/** Client of the metadata store. Reads throw `PlatformUnavailableError`. */
+/** Follows and bounds a read of a list or of changes. */
+export interface ReadOptions {
+  /** Called when the head of the response arrives and after each part, with its length so far. */
+  readonly onProgress?: (receivedBytes: number) => void;
+  /** Length beyond which changes are not read; see {@link ChangesTooLongError}. */
+  readonly maximumBytes?: number;
+  /** Aborts the read, which rejects then. */
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Client of the metadata store. Reads throw `PlatformUnavailableError`. A list or watch may take
+ * as long as its response keeps arriving.
+ */
 export interface MetadataStore {
   /** The latest era that a response to this client has named. */
   readonly era: StoreEra;
@@ -40,18 +53,23 @@
    * Lists all objects of a kind; with `mayBeStale`, changes of the last seconds may be missing.
    * Throws {@link HistoryGoneError} if the store returns from an older copy between two pages.
    */
-  list(kind: string, mayBeStale: boolean): Promise<MetadataListing>;
+  list(
+    kind: string,
+    mayBeStale: boolean,
+    options?: ReadOptions,
+  ): Promise<MetadataListing>;
   /** Reads an object; undefined if it does not exist. */
   read(kind: string, name: string): Promise<MetadataObject | undefined>;
   /**
    * Waits until `waitUntil` for changes of a kind after `revision`. Throws
    * {@link HistoryGoneError} if the store no longer has the changes since `revision`, or has
-   * returned from an older copy since.
+   * returned from an older copy since, and {@link ChangesTooLongError} beyond `maximumBytes`.
    */
   watch(
     kind: string,
     revision: ObjectVersion,
     waitUntil: Instant,
+    options?: ReadOptions,
   ): Promise<MetadataChangeBatch>;
   /**
    * Replaces an object if it has the expected version, or creates it for `absent` if it
@@ -77,3 +95,16 @@
     super(ErrorCode.HistoryGone, `${kind} since ${revision}`);
   }
 }
+
+/**
+ * The changes since a revision are longer than the reader wants. They hold each version of an
+ * object in full, so that a list is shorter for a reader that is far behind.
+ */
+export class ChangesTooLongError extends SiskinmuxError {
+  constructor(kind: string, revision: ObjectVersion, maximumBytes: number) {
+    super(
+      ErrorCode.ChangesTooLong,
+      `${kind} since ${revision}: more than ${maximumBytes} bytes`,
+    );
+  }
+}
