Read changes over one connection at a time

Change: the open watch is ended when the node watches again, and once 64 KiB of one response have arrived, the other reads are ended.

--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -466,6 +466,8 @@
         emit(READ_OVERDUE, {kind, revision, cause, receivedBytes});
         if (cause === 'feed has more' && revision !== undefined) {
           hasWatchedAgain = true;
+          // The open watch would bring the same changes over the same link.
+          progress.end();
           reads.push(this.watch(revision, now, progress));
         } else if (!hasListed) {
           hasListed = true;
--- a/packages/gateway/src/read_progress.ts
+++ b/packages/gateway/src/read_progress.ts
@@ -3,9 +3,12 @@
 import type {Clock, Instant} from '@siskinmux/kernel';
 import type {ReadOptions} from '@siskinmux/ports';
 
+/** Once this much of a response has arrived, the other reads would only share its link. */
+const EXCLUSIVE_BYTES = 65_536;
+
 /** When something of a response arrived last, and how much. */
 export class ReadProgress {
-  private readonly abort = new AbortController();
+  private readonly running = new Set<AbortController>();
   private firstAt: Instant | undefined;
   private lastAt: Instant | undefined;
   private received = 0;
@@ -31,14 +34,17 @@
     return this.received;
   }
 
-  /** Options of a read that is followed. */
+  /** Options of a further read that is followed. */
   options(onBytes: (receivedBytes: number) => void): ReadOptions {
+    const abort = new AbortController();
+    this.running.add(abort);
     return {
-      signal: this.abort.signal,
+      signal: abort.signal,
       onProgress: receivedBytes => {
         this.lastAt = this.clock.now();
         this.firstAt ??= this.lastAt;
         this.received = receivedBytes;
+        if (receivedBytes >= EXCLUSIVE_BYTES) this.endOthers(abort);
         onBytes(receivedBytes);
       },
     };
@@ -46,6 +52,14 @@
 
   /** Aborts the reads that are still running. */
   end(): void {
-    this.abort.abort();
+    this.endOthers(undefined);
+  }
+
+  private endOthers(kept: AbortController | undefined): void {
+    for (const abort of this.running) {
+      if (abort === kept) continue;
+      this.running.delete(abort);
+      abort.abort();
+    }
   }
 }
