Let large objects take their time on a slow link to the object service

Callers would see: a node behind a slow link never reads a large configuration, list or log segment; each try is cut at 2 s and read again from the start, three such reads count as the service being unavailable (PlatformClient), and the node serves what it had. A large value that was written counts as a write without an outcome, and is written again.

Cause: one limit for the whole response, and for the upload of a value, whatever its size.

Change: reads, lists and watches use ProgressDeadline; a write may take longer by its size.

A body that stalls or trickles still ends.

--- a/packages/adapters/src/http_object_service.ts
+++ b/packages/adapters/src/http_object_service.ts
@@ -1,6 +1,11 @@
 /** HTTP client of the object service, which sends versions as entity tags. */
 
-import type {Clock, Instant, ObjectVersion} from '@siskinmux/kernel';
+import type {
+  Clock,
+  Instant,
+  Milliseconds,
+  ObjectVersion,
+} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
 import type {
   ExpectedVersion,
@@ -19,9 +24,19 @@
 import {z} from 'zod';
 import type {HttpRequest, HttpResponse} from './http_client.js';
 import {deliveryOf, send} from './http_client.js';
+import {ProgressDeadline} from './progress_deadline.js';
+
+/**
+ * Time allowed for the head of a response, after a watch's wait or the upload of a value, and
+ * for each pause in its body.
+ */
+const RESPONSE_TIMEOUT_MILLISECONDS: Milliseconds = 2_000;
+
+/** Mean rate below which a response counts as stalled although bytes arrive. */
+const MINIMUM_RESPONSE_BYTES_PER_SECOND = 32_768;
 
-/** Also allowed for a watch's response beyond the end of its wait. */
-const RESPONSE_TIMEOUT_MILLISECONDS = 2_000;
+/** Rate at which the upload of a value is assumed to proceed; its progress is not observed. */
+const UPLOAD_BYTES_PER_SECOND = 250_000;
 
 const listingSchema = z.array(
   z.object({key: z.string(), version: z.number().int()}),
@@ -98,18 +113,18 @@
   ): Promise<StoredObject | undefined> {
     const version = afterVersion === 'absent' ? 0 : afterVersion;
     const url = `${this.urlOf(key)}?watch_after=${version}&wait_until=${waitUntil}`;
-    const deadline = after(waitUntil, RESPONSE_TIMEOUT_MILLISECONDS);
-    const response = await this.sendRead(url, deadline);
+    const headUntil = after(waitUntil, RESPONSE_TIMEOUT_MILLISECONDS);
+    const response = await this.sendRead(url, headUntil);
     return response.status === 204 ? undefined : storedObject(key, response);
   }
 
   private async sendRead(
     url: string,
-    deadline: Instant,
+    headUntil: Instant,
   ): Promise<HttpResponse> {
     let response: HttpResponse;
     try {
-      response = await this.sendUntil({method: 'GET', url}, deadline);
+      response = await this.sendUntil({method: 'GET', url}, headUntil);
     } catch (cause) {
       throw new PlatformUnavailableError(url, {cause});
     }
@@ -124,8 +139,13 @@
     key: string,
     request: HttpRequest,
   ): Promise<HttpResponse> {
+    const uploadBytes = Buffer.byteLength(request.body ?? '');
+    const headUntil = after(
+      this.responseDeadline(),
+      (uploadBytes * 1_000) / UPLOAD_BYTES_PER_SECOND,
+    );
     try {
-      return await this.sendUntil(request, this.responseDeadline());
+      return await this.sendUntil(request, headUntil);
     } catch (cause) {
       if (deliveryOf(cause) === 'not_sent') {
         throw new PlatformUnavailableError(key, {cause});
@@ -136,14 +156,25 @@
 
   private async sendUntil(
     request: HttpRequest,
-    deadline: Instant,
+    headUntil: Instant,
   ): Promise<HttpResponse> {
+    const {agent, clock} = this.options;
     const abort = new AbortController();
-    const cancel = this.options.clock.schedule(deadline, () => abort.abort());
+    const deadline = ProgressDeadline.create({
+      clock,
+      headUntil,
+      stallMilliseconds: RESPONSE_TIMEOUT_MILLISECONDS,
+      minimumBytesPerSecond: MINIMUM_RESPONSE_BYTES_PER_SECOND,
+      onExpired: () => abort.abort(),
+    });
     try {
-      return await send(this.options.agent, {...request, signal: abort.signal});
+      return await send(agent, {
+        ...request,
+        signal: abort.signal,
+        onProgress: receivedBytes => deadline.recordProgress(receivedBytes),
+      });
     } finally {
-      cancel();
+      deadline.cancel();
     }
   }
 
