Count a lease holder that sends its state as responding to the handshake

Callers would see: while many nodes follow a new holder at once, or its link is slow, nodes stay without an allocator; their requests for engines wait and are then refused as not run. The holder sends its available models, suspects, limits and statements before the response: up to 318 KB (CAPACITY.md), which 90 followers share on one link. The follower closes the connection after 400 ms, counts the holder as silent, which shortens the time to a takeover, and connects again, for which the holder sends everything again.

Cause: one limit for the response and for all that comes before it.

Change: the limit is that of the first byte, and ProgressDeadline extends it while more arrive.

The messages are unchanged.

--- a/packages/gateway/src/peer_connection.ts
+++ b/packages/gateway/src/peer_connection.ts
@@ -7,6 +7,7 @@
   JSONRPCServer,
   JSONRPCServerAndClient,
 } from 'json-rpc-2.0';
+import {ProgressDeadline} from '@siskinmux/adapters';
 import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, until} from '@siskinmux/kernel';
 import {isSocketAddress} from '@siskinmux/forwarding';
@@ -22,6 +23,12 @@
 
 const CONNECT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
+/** Longest pause of a peer whose response follows other messages. */
+const STALL_MILLISECONDS: Milliseconds = 400;
+
+/** Mean rate below which such a peer counts as silent; many nodes may share its link. */
+const MINIMUM_BYTES_PER_SECOND = 4_096;
+
 /** Dependencies of {@link PeerConnection}. */
 export interface PeerConnectionOptions {
   readonly clock: Clock;
@@ -32,6 +39,7 @@
 export class PeerConnection {
   private readonly rpc: JSONRPCServerAndClient;
   private readonly closeCallbacks: (() => void)[] = [];
+  private readonly dataCallbacks = new Set<() => void>();
   private partialLine = '';
   private receivedAt: Instant;
   private isClosed = false;
@@ -144,6 +152,44 @@
     }
   }
 
+  /**
+   * Like {@link request}, for a response that may follow other messages. `deadline` is that of
+   * the first byte from the peer; it is extended while more arrive.
+   */
+  async requestWhileReceiving(
+    method: string,
+    params: object,
+    deadline: Instant,
+  ): Promise<unknown> {
+    const {socket, dataCallbacks} = this;
+    const bytesBefore = socket.bytesRead;
+    let expire = (): void => {};
+    const expired = new Promise<never>((_, reject) => {
+      expire = () => reject(new PeerUnreachableError(`${method}: no progress`));
+    });
+    const progress = ProgressDeadline.create({
+      clock: this.options.clock,
+      headUntil: deadline,
+      stallMilliseconds: STALL_MILLISECONDS,
+      minimumBytesPerSecond: MINIMUM_BYTES_PER_SECOND,
+      onExpired: expire,
+    });
+    const recordProgress = (): void => {
+      progress.recordProgress(0);
+      progress.recordProgress(socket.bytesRead - bytesBefore);
+    };
+    dataCallbacks.add(recordProgress);
+    try {
+      const response = this.rpc.request(method, params, undefined);
+      return await Promise.race([response, expired]);
+    } catch (cause) {
+      throw new PeerUnreachableError(method, {cause});
+    } finally {
+      dataCallbacks.delete(recordProgress);
+      progress.cancel();
+    }
+  }
+
   /** Like {@link request}, with a decoder; undefined on failure or for an unreadable response. */
   async ask<Response>(
     method: string,
@@ -176,6 +222,7 @@
 
   private onData(text: string): void {
     this.receivedAt = this.options.clock.now();
+    for (const callback of this.dataCallbacks) callback();
     const lines = (this.partialLine + text).split('\n');
     this.partialLine = lines.pop() ?? '';
     if (this.partialLine.length > MAXIMUM_LINE_CHARACTERS) this.close();
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -164,7 +164,12 @@
     const {peerConnection, clock} = this.options;
     const deadline = after(clock.now(), HANDSHAKE_TIMEOUT_MILLISECONDS);
     const response = helloResponseSchema.safeParse(
-      await peerConnection.request(PEER_METHODS.hello, {node}, deadline),
+      // A holder of an earlier build sends its state before the response.
+      await peerConnection.requestWhileReceiving(
+        PEER_METHODS.hello,
+        {node},
+        deadline,
+      ),
     );
     if (!response.success)
       throw new PeerUnreachableError('unreadable response');
