Respond to a handshake before the state of the lease holder

Cause: the holder's state, up to 318 KB of suspects a node, lay between the handshake and its response.

Change: the state is sent in the next turn of the event loop.

--- /dev/null
+++ b/packages/gateway/__tests__/allocator_server.test.ts
@@ -0,0 +1,106 @@
+/** What the lease holder sends to a node that connects. */
+
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {connect, createServer} from 'node:net';
+import {createInterface} from 'node:readline';
+import {it} from 'node:test';
+import type {CrashId, Suspect, Trait} from '@siskinmux/containment';
+import {CrashQuarantine} from '@siskinmux/containment';
+import {EndpointTable} from '@siskinmux/endpoints';
+import type {NodeId} from '@siskinmux/kernel';
+import {as, discardEvents} from '@siskinmux/kernel';
+import {VirtualClock} from '@siskinmux/testkit';
+import {AllocatorServer} from '../src/allocator_server.js';
+import {EndpointLimits} from '../src/endpoint_limits.js';
+import {LeavingEndpoints} from '../src/leaving_endpoints.js';
+import {PeerConnection} from '../src/peer_connection.js';
+import {PEER_METHODS} from '../src/placement_messages.js';
+
+const SUSPECT_COUNT = 400;
+
+/** An allocator server with records of crashes, and the port on which it takes connections. */
+async function createHolder(clock: VirtualClock) {
+  const ignore = (): void => {};
+  const options = {clock, emit: discardEvents};
+  const quarantine = CrashQuarantine.create({
+    ...options,
+    onCrash: ignore,
+    onEndpointCrash: ignore,
+    onWithheld: ignore,
+  });
+  quarantine.merge(
+    Array.from({length: SUSPECT_COUNT}, (_, index): Suspect => ({
+      trait: as<Trait>(`trait ${index}`),
+      lastCrashAt: clock.now(),
+      crashes: [
+        {
+          crash: as<CrashId>(`crash ${index}`),
+          hadResponded: false,
+          isCleared: false,
+        },
+      ],
+    })),
+  );
+  const table = EndpointTable.create();
+  const allocatorServer = AllocatorServer.create({
+    ...options,
+    orders: {
+      send: () => assert.fail('no engines'),
+      report: () => assert.fail('no engines'),
+    },
+    authority: () => undefined,
+    onFenced: ignore,
+    loadWindowMilliseconds: 10_000,
+    initialConcurrencyLimit: undefined,
+    earlierLoadStarts: [],
+    self: as<NodeId>('holder'),
+    quarantine,
+    limits: EndpointLimits.create(options),
+    leaving: LeavingEndpoints.create({...options, table, onChanges: ignore}),
+    onOrigins: ignore,
+    limitShare: () => 1,
+    listener: {onAvailableModels: ignore, onForecasts: ignore},
+    endpoints: () => [],
+    reachesStore: () => true,
+    onRelayPeers: ignore,
+    testify: async () => 'unknown',
+    testifyService: async () => false,
+    random: () => 0,
+  });
+  const server = createServer(socket =>
+    allocatorServer.accept(PeerConnection.create(socket, options)),
+  ).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return {server, port: (server.address() as AddressInfo).port};
+}
+
+it('responds to a handshake before it sends its state', async context => {
+  const clock = VirtualClock.create();
+  const {server, port} = await createHolder(clock);
+  const socket = connect({host: '127.0.0.1', port});
+  context.after(() => {
+    socket.destroy();
+    server.close();
+  });
+  const hello = {
+    jsonrpc: '2.0',
+    id: 1,
+    method: PEER_METHODS.hello,
+    params: {node: 'follower'},
+  };
+  socket.write(`${JSON.stringify(hello)}\n`);
+  const received: {id?: number; method?: string}[] = [];
+  let suspectCount = 0;
+  const lines = createInterface({input: socket});
+  for await (const line of lines) {
+    const message = JSON.parse(line);
+    received.push(message);
+    suspectCount += message.params?.suspects?.length ?? 0;
+    if (suspectCount === SUSPECT_COUNT) break;
+    await clock.advance(1);
+  }
+  assert.equal(received[0]?.id, 1);
+  assert.equal(suspectCount, SUSPECT_COUNT);
+});
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -223,15 +223,8 @@
       node = decodeHello(message);
       this.followers.set(node, Follower.create(connection, clock.now()));
       this.toldPeers.delete(node);
-      for (const [service, allocator] of this.allocators) {
-        connection.notify(
-          PEER_METHODS.availableModels,
-          encodeAvailableModels(service, allocator.availableModels()),
-        );
-      }
-      this.sendSuspects(this.options.quarantine.records, connection);
-      this.sendLimits(this.options.limits.all, connection);
-      this.sendLeaving(this.options.leaving.all, connection);
+      // The state takes long on a slow link, so the response comes first.
+      clock.schedule(clock.now(), () => this.sendState(connection));
       return {node: this.options.self, isHolder: true};
     });
     connection.handle(PEER_METHODS.usage, usageSchema, message => {
@@ -324,6 +317,19 @@
     });
   }
 
+  /** Sends all that a node which has just connected lacks. */
+  private sendState(connection: PeerConnection): void {
+    for (const [service, allocator] of this.allocators) {
+      connection.notify(
+        PEER_METHODS.availableModels,
+        encodeAvailableModels(service, allocator.availableModels()),
+      );
+    }
+    this.sendSuspects(this.options.quarantine.records, connection);
+    this.sendLimits(this.options.limits.all, connection);
+    this.sendLeaving(this.options.leaving.all, connection);
+  }
+
   reportUsage(service: ServiceName, usage: NodeUsage): void {
     this.allocators.get(service)?.recordUsage(this.options.self, usage);
   }
