Let a large configuration from a peer take its time, one copy at once

Callers would see: a node behind a slow link, or one that starts while many do, doesn't get a large configuration from its peers. Each try is cut at 1 s and read again from the start, and announcements of several peers start a copy each on the same link. A node that joins reads the list of all members within 400 ms (570 nodes of about 300 B each: 171 KB), or knows only the nodes that probe it.

Cause: one limit for the whole response, whatever its size, and a retry that adds load.

Change: both calls use ProgressDeadline; of the peers that announce a configuration during a pull, the last one is asked afterwards. The messages are unchanged.

--- a/packages/node/src/configuration_task.ts
+++ b/packages/node/src/configuration_task.ts
@@ -71,7 +71,7 @@
 /** Number of peers to which a newer configuration is announced. */
 const ANNOUNCEMENT_FANOUT = 3;
 
-/** Time limit of a call to a peer. */
+/** Time limit of a call to a peer, or of its response's head. */
 const PEER_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
 
 const ANNOUNCE_METHOD = 'configuration.announce';
@@ -103,7 +103,9 @@
   readonly store: ConfigurationStore;
   private seenHeadVersion: ExpectedVersion = 'absent';
   private isStopped = false;
-  private readonly pendingPulls = new Set<string>();
+  private pendingPull: Promise<void> | undefined;
+  /** The peer that was last named as a source while a pull was in progress. */
+  private nextSource: string | undefined;
 
   private constructor(private readonly options: ConfigurationTaskOptions) {
     const {objects, clock, emit, peers} = options;
@@ -159,25 +161,49 @@
     }
   }
 
-  /** Fetches the configuration changes that this node lacks from a peer. */
-  async pullFrom(address: string): Promise<void> {
-    if (this.pendingPulls.has(address)) return;
-    this.pendingPulls.add(address);
+  /**
+   * Fetches the configuration changes that this node lacks from a peer. While a pull is in
+   * progress, only the last of the other peers is kept and asked afterwards: copies of a large
+   * configuration would share this node's link.
+   */
+  pullFrom(address: string): Promise<void> {
+    if (this.pendingPull !== undefined) this.nextSource = address;
+    this.pendingPull ??= this.pullInTurn(address);
+    return this.pendingPull;
+  }
+
+  private async pullInTurn(address: string): Promise<void> {
+    try {
+      let source: string | undefined = address;
+      while (source !== undefined) {
+        await this.pullOnce(source);
+        source = this.takeNextSource();
+      }
+    } finally {
+      this.pendingPull = undefined;
+    }
+  }
+
+  private takeNextSource(): string | undefined {
+    const {nextSource} = this;
+    this.nextSource = undefined;
+    return nextSource;
+  }
+
+  private async pullOnce(address: string): Promise<void> {
     const {clock, peers} = this.options;
     try {
-      const deadline = after(clock.now(), PEER_TIMEOUT_MILLISECONDS);
+      const headUntil = after(clock.now(), PEER_TIMEOUT_MILLISECONDS);
       const since = this.state.current.number;
-      const update = await peers.call(
+      const update = await peers.callForLargeResponse(
         address,
         UPDATE_SINCE_METHOD,
         [since],
-        deadline,
+        headUntil,
       );
       this.applyUpdate(updateSchema.parse(update));
     } catch (failure) {
       if (!(failure instanceof SiskinmuxError)) throw failure;
-    } finally {
-      this.pendingPulls.delete(address);
     }
   }
 
--- a/packages/node/src/http_peer_transport.ts
+++ b/packages/node/src/http_peer_transport.ts
@@ -72,6 +72,7 @@
     address: string,
     text: string,
     signal: AbortSignal,
+    onProgress?: (receivedBytes: number) => void,
   ): Promise<string> {
     const response = await send(this.agent, {
       method: 'POST',
@@ -79,6 +80,7 @@
       headers: {'content-type': 'application/json'},
       body: text,
       signal,
+      onProgress,
     });
     return response.body;
   }
--- a/packages/node/src/membership_task.ts
+++ b/packages/node/src/membership_task.ts
@@ -264,7 +264,7 @@
     await Promise.allSettled(
       unknownAddresses.map(async address => {
         const updates = this.membership.updatesToSend();
-        const response = await peers.call(
+        const response = await peers.callForLargeResponse(
           address,
           JOIN_METHOD,
           [updates],
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -17,6 +17,7 @@
   NodeId,
   Plugin,
 } from '@siskinmux/kernel';
+import {ProgressDeadline} from '@siskinmux/adapters';
 import {SiskinmuxError, after, injectionKey} from '@siskinmux/kernel';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import {Counter} from 'prom-client';
@@ -34,6 +35,10 @@
 
 const HEARTBEAT_METHOD = 'peer.alive';
 
+/** Longest pause in a large response, and the mean rate below which it counts as stalled. */
+const STALL_MILLISECONDS: Milliseconds = 1_000;
+const MINIMUM_BYTES_PER_SECOND = 32_768;
+
 /** JSON-RPC error code for a `SiskinmuxError` thrown by a handler. */
 const APPLICATION_ERROR = -32000;
 
@@ -52,8 +57,16 @@
 
 /** Sends and receives messages between nodes. */
 export interface PeerTransport {
-  /** Sends a message and resolves with the response. Any rejection means "unreachable". */
-  send(address: string, text: string, signal: AbortSignal): Promise<string>;
+  /**
+   * Sends a message and resolves with the response. Any rejection means "unreachable".
+   * `onProgress` is called with 0 at the response's head, then with its bytes received so far.
+   */
+  send(
+    address: string,
+    text: string,
+    signal: AbortSignal,
+    onProgress?: (receivedBytes: number) => void,
+  ): Promise<string>;
   /** Starts to receive; resolves with the base URL of this node's peer interface. */
   listen(receive: ReceiveMessage): Promise<string>;
   /** Stops receiving after the messages in progress. */
@@ -170,6 +183,37 @@
     }
   }
 
+  /**
+   * Calls a method whose response may be large: `headUntil` is the deadline of its head, and
+   * the body may take as long as it makes progress. Throws {@link PeerUnreachableError}.
+   */
+  async callForLargeResponse(
+    address: string,
+    method: string,
+    params: unknown,
+    headUntil: Instant,
+  ): Promise<unknown> {
+    const abort = new AbortController();
+    const deadline = ProgressDeadline.create({
+      clock: this.clock,
+      headUntil,
+      stallMilliseconds: STALL_MILLISECONDS,
+      minimumBytesPerSecond: MINIMUM_BYTES_PER_SECOND,
+      onExpired: () => abort.abort(),
+    });
+    try {
+      return await this.exchange(
+        address,
+        method,
+        params,
+        abort.signal,
+        receivedBytes => deadline.recordProgress(receivedBytes),
+      );
+    } finally {
+      deadline.cancel();
+    }
+  }
+
   /**
    * Calls a method whose response may take long. Fails early with
    * {@link PeerUnreachableError} when the peer stops responding to heartbeats.
@@ -211,13 +255,19 @@
     method: string,
     params: unknown,
     signal: AbortSignal,
+    onProgress?: (receivedBytes: number) => void,
   ): Promise<unknown> {
     const body = JSON.stringify(createJSONRPCRequest(1, method, params));
     this.sentBytes += body.length;
     this.callCount += 1;
     let response: JSONRPCResponse;
     try {
-      const responseText = await this.transport.send(address, body, signal);
+      const responseText = await this.transport.send(
+        address,
+        body,
+        signal,
+        onProgress,
+      );
       this.receivedBytes += responseText.length;
       response = parseResponse(responseText);
     } catch (cause) {
