Refuse unknown targets as not run while the routes may be outdated

Callers saw: 404 on routes that had been added and acknowledged seconds before, from nodes that had not read them, for as long as these nodes didn't catch up.

Cause: a node decided "no such route" by whatever routes it had. Once two reads are overdue or fail, the store counts as unreachable and all decisions go on by the last knowledge. That is right for known routes, but outdated routes don't show that a route does not exist.

Change: decideRoute (route_decision.ts) refuses with 404 only by current routes. By outdated ones it refuses as not run (503, configuration-unavailable, Retry-After 0.5 s); known routes are still served. By current routes, 404 no longer waits for a read of endpoints. The title of the code no longer claims that no configuration has been read.

--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -98,6 +98,8 @@
 import {statementOfRefusal} from './relayed_send.js';
 import {createRequestMetrics} from './request_metrics.js';
 import {RetryBudgets} from './retry_budgets.js';
+import type {RouteDecision} from './route_decision.js';
+import {decideRoute} from './route_decision.js';
 import {StopWindow} from './stop_window.js';
 import {viewAgeLimits} from './view_age_limits.js';
 import {waitForView} from './wait_for_view.js';
@@ -129,7 +131,7 @@
 /** Bound on texts of other systems in log lines. */
 const MAXIMUM_LOGGED_CHARACTERS = 64;
 
-/** `Retry-After` while the node has no routes or is shutting down. */
+/** `Retry-After` while the node has no current routes or is shutting down. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
 /** Share of the memory of the process that its bodies and incomplete events may take. */
@@ -551,23 +553,20 @@
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
-    if (!this.platformView.isDecidable && !(await this.holdForView(exchange)))
-      return;
-    const routes = this.routes.current;
-    if (routes === undefined || !this.isAcceptingRequests) {
+    let decision = this.decideRoute(exchange);
+    if (decision.kind === 'undecided') {
+      if (!(await this.holdForView(exchange))) return;
+      decision = this.decideRoute(exchange);
+    }
+    if (decision.kind !== 'found') {
       const code =
-        routes === undefined
-          ? ErrorCode.ConfigurationUnavailable
-          : ErrorCode.ShuttingDown;
+        decision.kind === 'refused'
+          ? decision.code
+          : ErrorCode.ConfigurationUnavailable;
       this.refuse(exchange, code);
       return;
     }
-    const route = routes.table.find(exchange.host, exchange.target);
-    if (route === undefined) {
-      this.refuse(exchange, ErrorCode.UnknownTarget);
-      return;
-    }
-    const {configuration} = routes;
+    const {route, configuration} = decision;
     const request = ProxiedRequest.create(
       this.requestDependencies,
       exchange,
@@ -582,6 +581,17 @@
     }
   }
 
+  private decideRoute(exchange: CallerExchange): RouteDecision {
+    const {routes, platformView} = this;
+    if (!this.isAcceptingRequests && routes.current !== undefined)
+      return {kind: 'refused', code: ErrorCode.ShuttingDown};
+    const {areRoutesCurrent: isCurrent, isDecidable} = platformView;
+    return decideRoute(
+      {routes: routes.current, isCurrent, isDecidable},
+      exchange,
+    );
+  }
+
   /** Holds a request that might be routed by outdated routes; false if it has ended. */
   private async holdForView(exchange: CallerExchange): Promise<boolean> {
     const {clock, platform} = this.options;
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -153,6 +153,13 @@
     return this.watchers.every(watcher => watcher.isCurrent);
   }
 
+  /** Whether this node knows every change of the routes that has to be in force. */
+  get areRoutesCurrent(): boolean {
+    const {kind} = this.options.platform.configuration;
+    const watcher = this.watchers.find(candidate => candidate.kind === kind);
+    return watcher?.isCurrent ?? false;
+  }
+
   /** Whether requests may be routed and sent by what is known; see {@link KindWatcher}. */
   get isDecidable(): boolean {
     return this.watchers.every(watcher => watcher.isDecidable);
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -100,7 +100,7 @@
     'A list is shorter than the changes since a revision.',
   [ErrorCode.ConfigurationConflict]:
     'The configuration has moved on since the patch was made.',
-  [ErrorCode.ConfigurationUnavailable]: 'No configuration is known yet.',
+  [ErrorCode.ConfigurationUnavailable]: 'No current configuration is known.',
   [ErrorCode.NotOwner]: 'Another node owns this shard.',
   [ErrorCode.PeerUnreachable]: 'A peer node could not be reached.',
   [ErrorCode.StaleOrder]: 'The engine has seen a newer fencing number.',
