Refuse large bodies as not run while the limit may be outdated

Change: the limit on a body is passed on with whether it is current. A body above an outdated one is refused as not run (503, configuration-unavailable, Retry-After). By a current limit, and for want of the node's own memory, 413 stays. In proxied_request.ts this is one more argument.

Of the other refusals, the limit on headers is a constant of the listener (maxHeaderBytes isn't enforced), no method is refused, and unknown models or services without targets get 503 (no-endpoint).

--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -21,6 +21,9 @@
 /** Time after which a request that found no memory for its body is worth a retry. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 1_000;
 
+/** `Retry-After` of a body above a limit that may have been raised. */
+const LIMIT_RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
+
 /** What has become of a body. */
 type Receipt = Buffer | undefined | RefusalError;
 
@@ -32,6 +35,7 @@
   private readonly received: ByteAccumulator;
   /** Most bytes to collect; undefined until the request has been routed. */
   private limit: number | undefined;
+  private isLimitCurrent = true;
   private isSettled = false;
   private isDiscarded = false;
   private isAnswered = false;
@@ -71,15 +75,23 @@
     return new CallerBody(request, meter, clock, memory);
   }
 
-  /** Resolves to the whole body; undefined if it is empty. Refuses one above `limit` bytes. */
-  async collect(limit: number): Promise<Buffer | undefined> {
+  /**
+   * Resolves to the whole body; undefined if it is empty. Refuses one above `limit` bytes, for
+   * good only if the limit is current.
+   */
+  async collect(
+    limit: number,
+    isLimitCurrent: boolean,
+  ): Promise<Buffer | undefined> {
     this.limit = limit;
+    this.isLimitCurrent = isLimitCurrent;
     this.checkLimit();
     this.request.resume();
     const receipt = await this.receipt;
     if (receipt instanceof RefusalError) throw receipt;
     // A short body may have been whole before its limit was known.
-    if (receipt !== undefined && receipt.length > limit) throw tooLarge(limit);
+    if (receipt !== undefined && receipt.length > limit)
+      throw this.refusalAbove(limit);
     return receipt;
   }
 
@@ -125,7 +137,7 @@
     if (limit === undefined) {
       if (received.length > MAXIMUM_UNROUTED_BYTES) request.pause();
     } else if (Math.max(received.length, this.declaredBytes) > limit) {
-      this.refuse(tooLarge(limit));
+      this.refuse(this.refusalAbove(limit));
     }
   }
 
@@ -136,6 +148,18 @@
     this.settle(received.length === 0 ? undefined : received.take());
   }
 
+  private refusalAbove(limit: number): RefusalError {
+    const {clock, isLimitCurrent} = this;
+    const detail = `above ${limit} bytes`;
+    return isLimitCurrent
+      ? createNotRunRefusal(ErrorCode.BodyTooLarge, detail)
+      : createNotRunRefusal(
+          ErrorCode.ConfigurationUnavailable,
+          detail,
+          after(clock.now(), LIMIT_RETRY_AFTER_MILLISECONDS),
+        );
+  }
+
   private refuseForMemory(bytes: number): void {
     const {clock, memory, received} = this;
     const needed = received.length + bytes;
@@ -163,8 +187,5 @@
   }
 }
 
-const tooLarge = (limit: number): RefusalError =>
-  createNotRunRefusal(ErrorCode.BodyTooLarge, `above ${limit} bytes`);
-
 const callerGone = (detail: string): RefusalError =>
   createNotRunRefusal(ErrorCode.CallerGone, detail);
--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -103,9 +103,12 @@
     });
   }
 
-  /** Reads the whole body; undefined if it is empty. Refuses a body above `limit` bytes. */
-  readBody(limit: number): Promise<Buffer | undefined> {
-    return this.body.collect(limit);
+  /** Reads the whole body; see {@link CallerBody.collect}. */
+  readBody(
+    limit: number,
+    isLimitCurrent: boolean,
+  ): Promise<Buffer | undefined> {
+    return this.body.collect(limit, isLimitCurrent);
   }
 
   /**
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -245,6 +245,7 @@
     try {
       this.body = await exchange.readBody(
         this.configuration.limits.maximumBodyBytes,
+        this.dependencies.view.areRoutesCurrent,
       );
       if (this.service !== undefined) {
         const {signal} = this.abortController;
