Log requests that are refused before routing, with version and age

Cause: a request that was refused without a route (404, 503 without routes or while stopping) wrote no line at all, and a request that was never sent wrote its version without an age; so the record of the incident can't tell a route that didn't exist from one that the node had not read. request-held said "unreachable" also when the store answered for other kinds of objects.

Change: such a request ends with request-ended like all others, one line each, its id bounded; the result is its code, and there is no route. endpointsAge and routesAge are those of the end if nothing was sent; in proxied_request.ts that is the fallback in logEnd, and rounding moved to the view. request-held names the version, and says "outdated" if something of the store was read or forwarded during the wait. siskinmux_requests_total counts the requests, with an empty route.

--- /dev/null
+++ b/packages/gateway/__tests__/wait_for_view.test.ts
@@ -0,0 +1,87 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {EmitEvent, Instant, RequestId} from '@siskinmux/kernel';
+import {RefusalError, after, as} from '@siskinmux/kernel';
+import type {RouteVersion} from '@siskinmux/routes';
+import {VirtualClock} from '@siskinmux/testkit';
+import type {AwaitedView} from '../src/wait_for_view.js';
+import {waitForView} from '../src/wait_for_view.js';
+
+interface Belief {
+  readonly isCurrent: boolean;
+  readonly isDecidable: boolean;
+  /** Whether a change of some kind has become known during the wait. */
+  readonly hasLearned: boolean;
+}
+
+/** Waits for a view that is as given after the wait; resolves to the fields of its line. */
+async function hold(
+  belief: Belief,
+  isAborted = false,
+): Promise<Readonly<Record<string, unknown>>> {
+  const clock = VirtualClock.create();
+  const knownBefore = clock.now();
+  const {isCurrent, isDecidable, hasLearned} = belief;
+  let latestKnownUntil: Instant | undefined = knownBefore;
+  const view: AwaitedView = {
+    age: {routes: 1_600, endpoints: 300},
+    routesVersion: as<RouteVersion>(7),
+    isCurrent,
+    isDecidable,
+    get latestKnownUntil() {
+      return latestKnownUntil;
+    },
+    waitUntilDecidable: () => {
+      if (hasLearned) latestKnownUntil = after(knownBefore, 100);
+      return Promise.resolve();
+    },
+  };
+  let line: Readonly<Record<string, unknown>> = {};
+  const emit: EmitEvent = (_event, fields) => {
+    line = {...fields};
+  };
+  const request = {
+    id: as<RequestId>('r1'),
+    deadline: after(clock.now(), 1_000),
+    signal: isAborted ? AbortSignal.abort() : new AbortController().signal,
+  };
+  try {
+    await waitForView(view, request, clock, emit);
+  } catch (failure) {
+    expect(failure).toBeA(RefusalError);
+    expect(line['outcome']).toEqual('refused');
+  }
+  return line;
+}
+
+describe('line of a request that was held', () => {
+  it('tells a store that is unreachable from routes that are merely outdated', async () => {
+    const belief = {isCurrent: false, isDecidable: true};
+    const silent = await hold({...belief, hasLearned: false});
+    expect(silent['outcome']).toEqual('unreachable');
+    const outdated = await hold({...belief, hasLearned: true});
+    expect(outdated['outcome']).toEqual('outdated');
+  });
+
+  it('names the version of the routes and the ages', async () => {
+    const line = await hold({
+      isCurrent: true,
+      isDecidable: true,
+      hasLearned: true,
+    });
+    const {id, version, routesAge, endpointsAge, outcome} = line;
+    expect({id, version, routesAge, endpointsAge, outcome}).toEqual({
+      id: 'r1',
+      version: 7,
+      routesAge: 1_600,
+      endpointsAge: 300,
+      outcome: 'current',
+    });
+  });
+
+  it('tells of refused requests, and of those that have ended', async () => {
+    const undecided = {isCurrent: false, isDecidable: false, hasLearned: true};
+    expect((await hold(undecided))['outcome']).toEqual('refused');
+    expect((await hold(undecided, true))['outcome']).toEqual('gone');
+  });
+});
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -13,7 +13,7 @@
   name: 'request-ended',
   level: 'info',
   meaning:
-    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response; `endpointsAge` and `routesAge` are the milliseconds, at the last send, for which a change of the platform may have been unknown to this node.',
+    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response; `version` is that of the routes by which it was decided, missing before the first one; `endpointsAge` and `routesAge` are the milliseconds, at the last send, or at the end if there was none, for which a change of the platform may have been unknown to this node. Without a `route`, the request was refused before one was found.',
 };
 
 /** A send to an endpoint failed. */
@@ -165,7 +165,7 @@
   name: 'request-held',
   level: 'info',
   meaning:
-    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `outcome`: `current` after a read, `unreachable` if the store did not respond and the last knowledge was used, `refused` if neither was known in time, `gone` if the request had ended.',
+    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `version` is that of the routes after the wait. `outcome`: `current` after a read; `unreachable` if nothing of the store was read or forwarded during the wait, and the last knowledge was used; `outdated` if it was used although something was, as of another kind of objects; `refused` if no read came in time, `gone` if the request had ended.',
 };
 
 /** The gateway has opened its listeners. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -20,6 +20,7 @@
   Milliseconds,
   Random,
   RawSettings,
+  RequestId,
   ServiceName,
 } from '@siskinmux/kernel';
 import {
@@ -32,6 +33,7 @@
   earlier,
   sleepFor,
   sleepUntil,
+  until,
 } from '@siskinmux/kernel';
 import type {ClockReading} from '@siskinmux/leases';
 import {electionDelayMilliseconds} from '@siskinmux/leases';
@@ -78,6 +80,7 @@
   GATEWAY_STARTED,
   GATEWAY_STOPPED,
   GATEWAY_STOPPING,
+  REQUEST_ENDED,
   STORE_ERA_CHANGED,
   STORE_ERA_UNUSABLE,
   TASK_FAILED,
@@ -96,6 +99,7 @@
 import {listenForReadiness} from './readiness_listener.js';
 import {refusalResponse} from './refusal_response.js';
 import {statementOfRefusal} from './relayed_send.js';
+import type {RequestMetrics} from './request_metrics.js';
 import {createRequestMetrics} from './request_metrics.js';
 import {RetryBudgets} from './retry_budgets.js';
 import type {RouteDecision} from './route_decision.js';
@@ -134,6 +138,9 @@
 /** `Retry-After` while the node has no current routes or is shutting down. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
+/** Result of a request whose caller disconnected while it was held. */
+const CALLER_GONE = 'caller_gone';
+
 /** Share of the memory of the process that its bodies and incomplete events may take. */
 const BUFFERS_SHARE = 0.15;
 const BYTES_PER_MEGABYTE = 1_048_576;
@@ -163,6 +170,7 @@
   private readonly budget: BufferBudget;
   private readonly connections: EndpointConnectionPool;
   private readonly requestDependencies: ProxiedRequestDependencies;
+  private readonly onRefused: RequestMetrics['onRefused'];
   private readonly placement: NodePlacement;
   private readonly crashDetector: CrashDetector;
   private readonly continuity: StreamContinuity;
@@ -293,6 +301,7 @@
       this.limits,
       this.budget,
     );
+    this.onRefused = metrics.onRefused;
     const quarantine = CrashQuarantine.create({
       clock,
       emit,
@@ -616,6 +625,7 @@
       this.refuse(exchange, failure.code);
       return false;
     }
+    if (left.signal.aborted) this.logUnroutedEnd(exchange, id, CALLER_GONE);
     return !left.signal.aborted;
   }
 
@@ -631,6 +641,29 @@
     const statement = statementOfRefusal(refusal);
     exchange.startResponse(response.status, response.headers, statement);
     exchange.end(response.body);
+    this.onRefused(code);
+    this.logUnroutedEnd(exchange, id, code);
+  }
+
+  /** Logs the end of a request for which no route was found. */
+  private logUnroutedEnd(
+    {relayed, receivedAt}: CallerExchange,
+    id: RequestId,
+    result: string,
+  ): void {
+    const {platformView, clock} = this;
+    const {age, routesVersion} = platformView;
+    this.emit(REQUEST_ENDED, {
+      id: id.slice(0, MAXIMUM_LOGGED_CHARACTERS),
+      version: routesVersion,
+      result,
+      isRelayed: relayed !== undefined || undefined,
+      sends: relayed?.sends ?? 0,
+      runs: relayed?.runs ?? 0,
+      endpointsAge: age.endpoints,
+      routesAge: age.routes,
+      milliseconds: Math.round(until(receivedAt, clock.now())),
+    });
   }
 
   private applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -14,13 +14,14 @@
   Milliseconds,
   Random,
 } from '@siskinmux/kernel';
-import {as, until} from '@siskinmux/kernel';
+import {as, later, until} from '@siskinmux/kernel';
 import type {
   MetadataChange,
   MetadataObject,
   MetadataStore,
 } from '@siskinmux/ports';
 import {StoredObjectInvalidError} from '@siskinmux/ports';
+import type {RouteVersion} from '@siskinmux/routes';
 import type {ActiveRoutes, ChangeOrigin} from './active_routes.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import {ENDPOINT_CHANGED, ENTRY_UNREADABLE} from './gateway_events.js';
@@ -122,6 +123,21 @@
     return watcher?.refresh(deadline) ?? Promise.resolve(false);
   }
 
+  /** Up to when the store's changes of any kind are known, by this node's reads or the feed. */
+  get latestKnownUntil(): Instant | undefined {
+    return this.watchers
+      .flatMap(({knownUntil}) => knownUntil ?? [])
+      .reduce<Instant | undefined>(
+        (latest, instant) => later(latest ?? instant, instant),
+        undefined,
+      );
+  }
+
+  /** Version of the routes; undefined until the first configuration has been read. */
+  get routesVersion(): RouteVersion | undefined {
+    return this.options.routes.current?.configuration.version;
+  }
+
   /** How old this node's knowledge is now, at most; see {@link KindWatcher.knownUntil}. */
   get age(): ViewAge {
     const {platform, clock} = this.options;
@@ -129,7 +145,9 @@
     const ageOf = (wanted: string): Milliseconds | undefined => {
       const watcher = this.watchers.find(({kind}) => kind === wanted);
       const knownUntil = watcher?.knownUntil;
-      return knownUntil === undefined ? undefined : until(knownUntil, now);
+      return knownUntil === undefined
+        ? undefined
+        : Math.round(until(knownUntil, now));
     };
     return {
       routes: ageOf(platform.configuration.kind),
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -971,7 +971,8 @@
   }
 
   private logEnd(): void {
-    const {clock, emit, onRequestEnd} = this.dependencies;
+    const {clock, emit, view, onRequestEnd} = this.dependencies;
+    const viewAge = this.viewAge ?? view.age;
     const durationMilliseconds = until(this.exchange.receivedAt, clock.now());
     onRequestEnd(this.route, this.result, durationMilliseconds);
     emit(REQUEST_ENDED, {
@@ -989,16 +990,10 @@
       sends: this.sends,
       runs: this.runs,
       sentAfter: this.millisecondsSinceReceived(this.sentAt),
-      endpointsAge: round(this.viewAge?.endpoints),
-      routesAge: round(this.viewAge?.routes),
+      endpointsAge: viewAge.endpoints,
+      routesAge: viewAge.routes,
       answeredAfter: this.millisecondsSinceReceived(this.respondedAt),
       milliseconds: Math.round(durationMilliseconds),
     });
   }
 }
-
-function round(
-  milliseconds: Milliseconds | undefined,
-): Milliseconds | undefined {
-  return milliseconds === undefined ? undefined : Math.round(milliseconds);
-}
--- a/packages/gateway/src/request_metrics.ts
+++ b/packages/gateway/src/request_metrics.ts
@@ -4,6 +4,7 @@
 import {Counter, Gauge, Histogram} from 'prom-client';
 import type {CrashQuarantineOptions} from '@siskinmux/containment';
 import type {BufferBudget} from '@siskinmux/forwarding';
+import type {ErrorCode} from '@siskinmux/kernel';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {NodePlacementOptions} from './node_placement.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
@@ -23,6 +24,8 @@
 > &
   Pick<CrashQuarantineOptions, 'onCrash' | 'onWithheld'> &
   Pick<NodePlacementOptions, 'onLimited' | 'onPermitUsed'> & {
+    /** Called when a request is refused for which no route was found. */
+    readonly onRefused: (code: ErrorCode) => void;
     /** Called when a connection is paced for the first time. */
     readonly onPaced: () => void;
     /** Called when a request or a response gets no more memory. */
@@ -108,6 +111,7 @@
     },
   });
   return {
+    onRefused: code => requestsTotal.inc({route: '', result: code}),
     onPaced: () => pacedTotal.inc(),
     onMemoryDenied: () => memoryDeniedTotal.inc(),
     onLimited: outcome => limitedTotal.inc({outcome}),
--- a/packages/gateway/src/wait_for_view.ts
+++ b/packages/gateway/src/wait_for_view.ts
@@ -23,6 +23,17 @@
 /** `Retry-After` of a request that no read came in time for. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
+/** What a request waits for. */
+export type AwaitedView = Pick<
+  PlatformView,
+  | 'age'
+  | 'isCurrent'
+  | 'isDecidable'
+  | 'latestKnownUntil'
+  | 'routesVersion'
+  | 'waitUntilDecidable'
+>;
+
 /** The request that waits. */
 export interface WaitingRequest {
   readonly id: RequestId;
@@ -37,12 +48,12 @@
  * out to be unreachable; throws a `RefusalError` if neither is known in time.
  */
 export async function waitForView(
-  view: PlatformView,
+  view: AwaitedView,
   {id, deadline, signal}: WaitingRequest,
   clock: Clock,
   emit: EmitEvent,
 ): Promise<void> {
-  const {age} = view;
+  const {age, latestKnownUntil} = view;
   const startedAt = clock.now();
   const holdUntil = earlier(deadline, after(startedAt, HOLD_MILLISECONDS));
   await view.waitUntilDecidable(holdUntil, signal);
@@ -51,8 +62,9 @@
     id,
     endpointsAge: age.endpoints,
     routesAge: age.routes,
+    version: view.routesVersion,
     waited: Math.round(until(startedAt, now)),
-    outcome: outcomeOf(view, signal),
+    outcome: outcomeOf(view, latestKnownUntil, signal),
   });
   if (signal.aborted || view.isDecidable) return;
   throw createNotRunRefusal(
@@ -62,8 +74,14 @@
   );
 }
 
-function outcomeOf(view: PlatformView, signal: AbortSignal): string {
+/** `knownBefore` is what was known of the store's changes when the wait began. */
+function outcomeOf(
+  view: AwaitedView,
+  knownBefore: Instant | undefined,
+  signal: AbortSignal,
+): string {
   if (signal.aborted) return 'gone';
   if (!view.isDecidable) return 'refused';
-  return view.isCurrent ? 'current' : 'unreachable';
+  if (view.isCurrent) return 'current';
+  return view.latestKnownUntil === knownBefore ? 'unreachable' : 'outdated';
 }
