Explain refusals by the routes with their version, age and reads

Cause: "siskinmux explain" named neither the age of the routes that a 404 or 503 was decided by, nor the reads of the store that made them old, as these end before the request arrives.

Measured (explain.test.ts): before, one line for such a request, its own; after, the five that tell the cause.

--- a/packages/cli/__tests__/explain.test.ts
+++ b/packages/cli/__tests__/explain.test.ts
@@ -149,6 +149,44 @@
   logLine(950, 'a-1-x', 'buffers-free', {heldBytes: 0, limitBytes: 55}),
 ];
 
+/** A node that doesn't read version 8, which another node has; refused by current, then outdated routes. */
+const OUTDATED_ROUTES = [
+  logLine(100, 'a-1-x', 'routes-in-force', {version: 6, source: 'list'}),
+  logLine(500, 'a-1-x', 'routes-in-force', {version: 7, source: 'watch'}),
+  logLine(700, 'a-1-x', 'read-overdue', {kind: 'config', cause: 'overdue'}),
+  logLine(5_000, 'a-1-x', 'request-ended', {
+    id: 'r13',
+    version: 7,
+    result: 'unknown-target',
+    sends: 0,
+    routesAge: 320,
+    endpointsAge: 90,
+    milliseconds: 1,
+  }),
+  logLine(5_900, 'b-1-y', 'read-overdue', {kind: 'servers', cause: 'overdue'}),
+  logLine(6_000, 'b-1-y', 'routes-in-force', {version: 8, source: 'watch'}),
+  logLine(6_100, 'c-1-z', 'routes-in-force', {version: 8, source: 'feed'}),
+  logLine(6_700, 'a-1-x', 'store-lost', {kind: 'config', revision: 70}),
+  logLine(8_300, 'a-1-x', 'request-ended', {
+    id: 'r14',
+    version: 7,
+    result: 'configuration-unavailable',
+    sends: 0,
+    routesAge: 2_900,
+    endpointsAge: 120,
+    milliseconds: 2,
+  }),
+  logLine(9_000, 'a-1-x', 'routes-in-force', {version: 8, delayUpTo: 3_600}),
+  logLine(9_900, 'a-1-x', 'routes-in-force', {version: 9, delayUpTo: 80}),
+];
+
+const WITHOUT_ROUTES = logLine(50, 'a-1-x', 'request-ended', {
+  id: 'r15',
+  result: 'configuration-unavailable',
+  sends: 0,
+  milliseconds: 1,
+});
+
 function writeLogs(...files: (readonly string[])[]): string[] {
   const folder = mkdtempSync(join(tmpdir(), 'logs-'));
   return files.map((lines, index) => {
@@ -249,6 +287,40 @@
     expect(node.out.length).toEqual(4);
   });
 
+  it('leads from a refusal by outdated routes to their version and age, the reads of the node, and a node with newer ones', async () => {
+    const files = writeLogs(OUTDATED_ROUTES);
+    const {out} = await explain('--request', 'r14', ...files);
+    const lines = out.slice(0, -1).map(text => text.split('  ').slice(1, 3));
+    expect(lines).toEqual([
+      ['a-1-x', 'routes-in-force'],
+      ['b-1-y', 'routes-in-force'],
+      ['a-1-x', 'store-lost'],
+      ['a-1-x', 'request-ended'],
+      ['a-1-x', 'routes-in-force'],
+    ]);
+    const outcome = out.at(-1) ?? '';
+    expect(outcome).toInclude(
+      'routes version 7, at most 2900 ms behind the store',
+    );
+    expect(outcome).toInclude('not run: what the node knew may have been');
+    expect(outcome).toInclude(
+      'Version 8 had been in force at b-1-y for 2300 ms',
+    );
+  });
+
+  it('names the version by which a request was refused with 404, and its age', async () => {
+    const files = writeLogs([...OUTDATED_ROUTES, WITHOUT_ROUTES]);
+    const {out} = await explain('--request', 'r13', ...files);
+    const outcome = out.at(-1) ?? '';
+    expect(outcome).toInclude(
+      'routes version 7, at most 320 ms behind the store',
+    );
+    expect(outcome).toInclude('refused with 404');
+    expect(outcome).toInclude('No line shows newer routes');
+    const first = await explain('--request', 'r15', ...files);
+    expect(first.out.at(-1) ?? '').toInclude('had not read any routes');
+  });
+
   it('lists what one node lost and regained, and no events of other nodes', async () => {
     const files = writeLogs(STORE_OUTAGES);
     const {out} = await explain('--node', 'b-1', ...files);
--- a/packages/cli/src/explain/explain_request.ts
+++ b/packages/cli/src/explain/explain_request.ts
@@ -27,6 +27,23 @@
   'endpoint-limit-invalid',
 ]);
 
+/** Results that follow from the routes which a node knew. */
+const DECIDED_BY_ROUTES: ReadonlySet<unknown> = new Set([
+  'unknown-target',
+  'body-too-large',
+  'configuration-unavailable',
+]);
+
+/** Events about a node's reads of the store. */
+const READ_EVENTS: ReadonlySet<string> = new Set([
+  'store-lost',
+  'store-regained',
+  'feed-used',
+  'feed-lost',
+  'read-overdue',
+  'entry-unreadable',
+]);
+
 /** Log lines that explain a request, and its outcome in words. */
 export interface RequestExplanation {
   /** Lines with the ID of the request, and related ones while it was open. */
@@ -49,6 +66,7 @@
     ...linesOfCrashes(ownLines, allLines),
     ...linesOfLimits(ownLines, allLines),
     ...ends.flatMap(end => lineOfBuffers(end, allLines)),
+    ...ends.flatMap(end => linesOfRoutes(end, allLines)),
   ];
   const lines = [...new Set([...ownLines, ...related, ...causes])].sort(
     (left, right) => left.time - right.time,
@@ -56,7 +74,7 @@
   const outcome =
     ends.length === 0
       ? 'Still open, or its node stopped first: no line reports its outcome.'
-      : ends.map(describeOutcome).join('\n');
+      : ends.map(end => describeOutcome(end, allLines)).join('\n');
   return {lines, outcome};
 }
 
@@ -130,14 +148,80 @@
     .slice(-1);
 }
 
-function describeOutcome(end: LogLine): string {
+/**
+ * When the node of a request that it refused by its routes learned of them, before and after,
+ * its reads in between, and the first node with newer ones.
+ */
+function linesOfRoutes(end: LogLine, allLines: readonly LogLine[]): LogLine[] {
+  if (!DECIDED_BY_ROUTES.has(end.fields['result'])) return [];
+  const ownLines = allLines
+    .filter(({node}) => node === end.node)
+    .sort((left, right) => left.time - right.time);
+  const switches = ownLines.filter(({event}) => event === 'routes-in-force');
+  const knownUntil = end.time - (numberOf(end, 'routesAge') ?? Infinity);
+  const newer = findNewerRoutes(end, allLines);
+  const reads = ownLines.filter(
+    ({event, time}) =>
+      READ_EVENTS.has(event) && time >= knownUntil && time <= end.time,
+  );
+  return [
+    ...switches.filter(({time}) => time <= end.time).slice(-1),
+    ...reads,
+    ...switches.filter(({time}) => time > end.time).slice(0, 1),
+    ...(newer === undefined ? [] : [newer]),
+  ];
+}
+
+/** The first switch of any node to newer routes than a request was decided by, before its end. */
+function findNewerRoutes(
+  end: LogLine,
+  allLines: readonly LogLine[],
+): LogLine | undefined {
+  const version = numberOf(end, 'version') ?? 0;
+  return allLines
+    .filter(
+      line =>
+        line.event === 'routes-in-force' &&
+        line.time <= end.time &&
+        (numberOf(line, 'version') ?? 0) > version,
+    )
+    .sort((left, right) => left.time - right.time)
+    .at(0);
+}
+
+function describeNewerRoutes(
+  end: LogLine,
+  allLines: readonly LogLine[],
+): string {
+  const newer = findNewerRoutes(end, allLines);
+  if (newer === undefined)
+    return 'No line shows newer routes at another node by then.';
+  return `Version ${String(newer.fields['version'])} had been in force at ${newer.node} for ${end.time - newer.time} ms.`;
+}
+
+/** The routes that a request was decided by, and how far they may have been behind the store. */
+function describeRoutes(end: LogLine): string {
+  const {version} = end.fields;
+  if (version === undefined) return 'no routes';
+  const age = numberOf(end, 'routesAge');
+  const delay = age === undefined ? '' : `, at most ${age} ms behind the store`;
+  return `routes version ${String(version)}${delay}`;
+}
+
+function describeOutcome(end: LogLine, allLines: readonly LogLine[]): string {
   const {result, endpoint, model, version} = end.fields;
   const durationMilliseconds = numberOf(end, 'milliseconds') ?? 0;
   const sends = numberOf(end, 'sends') ?? 0;
-  const prefix = `Node ${end.node} (routes version ${String(version)})`;
+  const prefix = `Node ${end.node} (${describeRoutes(end)})`;
   switch (result) {
     case 'served':
       return `${prefix}: served by ${String(endpoint)} within ${durationMilliseconds} ms, ${sends} sends. ${describeLatency(end)}`;
+    case 'unknown-target':
+      return `${prefix}: refused with 404 after ${durationMilliseconds} ms, as these routes have none for it. ${describeNewerRoutes(end, allLines)}`;
+    case 'configuration-unavailable':
+      return version === undefined
+        ? `${prefix}: refused after ${durationMilliseconds} ms, not run: the node had not read any routes.`
+        : `${prefix}: refused after ${durationMilliseconds} ms, not run: what the node knew may have been outdated. ${describeNewerRoutes(end, allLines)}`;
     case 'no-endpoint':
       return `${prefix}: refused after ${durationMilliseconds} ms, not run: ${
         model === undefined
