Split the proxied request along its responsibilities

The timer and the contact of a send are handed to the delivery instead of being read from fields that outlive the send.

--- /dev/null
+++ b/packages/gateway/src/endpoint_sender.ts
@@ -0,0 +1,230 @@
+/** Sends a request to an endpoint and acts on what comes back. */
+
+import type {EndedRun, RequestContainment} from '@siskinmux/containment';
+import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {SendResult, SentRequest} from '@siskinmux/forwarding';
+import {ErrorCode, createNotRunRefusal, until} from '@siskinmux/kernel';
+import type {TrackedSend} from '@siskinmux/reach';
+import {inactivityTimeoutMilliseconds, isRetryable} from '@siskinmux/routes';
+import {hash32} from '@siskinmux/routing';
+import type {AttemptResult} from './attempt_result.js';
+import {InactivityTimer} from './inactivity_timer.js';
+import type {ProxiedRequestDependencies} from './proxied_request_dependencies.js';
+import {discardBody} from './relay_response.js';
+import type {RequestEnding} from './request_ending.js';
+import type {RequestState} from './request_state.js';
+import type {DeliveryObserver, ResponseDelivery} from './response_delivery.js';
+import {judgeResponse} from './response_judgement.js';
+import {allowsAnotherRun} from './retry_decision.js';
+
+/** Dependencies of {@link EndpointSender}. */
+export interface EndpointSenderOptions {
+  readonly dependencies: ProxiedRequestDependencies;
+  readonly state: RequestState;
+  readonly ending: RequestEnding;
+  readonly delivery: ResponseDelivery;
+  readonly containment: RequestContainment;
+  /** Whether a request that an endpoint is slow to answer can be moved to another one. */
+  readonly canMoveFrom: (endpoint: EndpointDescription) => boolean;
+}
+
+/** Sends one request to endpoints, one after the other. */
+export class EndpointSender {
+  private constructor(private readonly options: EndpointSenderOptions) {}
+
+  static create(options: EndpointSenderOptions): EndpointSender {
+    return new EndpointSender(options);
+  }
+
+  /** Sends the request; resolves when its response has been passed on or has failed. */
+  async send(endpoint: EndpointDescription): Promise<AttemptResult> {
+    const {dependencies, state, containment} = this.options;
+    const {clock, connections, inFlightCounts, protocol} = dependencies;
+    const remainingMilliseconds = until(clock.now(), state.deadline);
+    if (remainingMilliseconds <= 0) {
+      throw createNotRunRefusal(ErrorCode.DeadlinePassed, state.route.name);
+    }
+    state.sends += 1;
+    state.lastEndpoint = endpoint;
+    const sentAt = clock.now();
+    state.sentAt = sentAt;
+    state.viewAge = dependencies.view.age;
+    const {model, adapter} = state.metadata;
+    const release = inFlightCounts.track({
+      endpoint: endpoint.id,
+      model,
+      adapter,
+    });
+    const endRun = containment.trackRun(endpoint.id);
+    const trackedSend = dependencies.reach.track(endpoint, () =>
+      this.abandonSilentSend(),
+    );
+    let inactivityTimer: InactivityTimer | undefined;
+    try {
+      const sentRequest = connections.send(
+        endpoint,
+        {
+          key: hash32(state.metadata.id),
+          method: state.exchange.method,
+          target: state.exchange.target,
+          headers: protocol.requestHeaders(state.exchange.headers, {
+            endpoint: endpoint.id,
+            remainingMilliseconds,
+            urgency: model === undefined ? undefined : state.urgency,
+            resumeAfter: state.events.lastEventId,
+          }),
+          body: state.body,
+        },
+        isRetryable(state.route),
+      );
+      state.sentRequest = sentRequest;
+      inactivityTimer = this.startInactivityTimer(endpoint, sentRequest);
+      const response = await sentRequest.result;
+      if (response.kind === 'answered') {
+        trackedSend.recordContact();
+        containment.recordResponse(endpoint, sentRequest);
+      } else if (response.delivery === 'not_sent' && !sentRequest.isAborted) {
+        await trackedSend.recordNoConnection();
+      }
+      const result = await this.handleResult(
+        endpoint,
+        response,
+        sentRequest,
+        observeDelivery(trackedSend, inactivityTimer),
+      );
+      endRun();
+      await this.reportRunEnd(result, {endpoint, sentRequest, sentAt});
+      return result;
+    } finally {
+      inactivityTimer?.stop();
+      state.sentRequest = undefined;
+      trackedSend.end();
+      endRun();
+      release();
+    }
+  }
+
+  /** A retry waits until it is known whether the endpoint crashed; other requests don't. */
+  private async reportRunEnd(
+    result: AttemptResult,
+    run: Omit<EndedRun, 'hadResponded'>,
+  ): Promise<void> {
+    const {state, ending, containment} = this.options;
+    if (result.kind === 'delivered') {
+      containment.recordResponse(run.endpoint, run.sentRequest);
+      if (ending.isServed) containment.recordServed();
+      return;
+    }
+    if (result.kind === 'not_run' || !result.isCut) return;
+    const {respondedAt} = state;
+    const report = containment.recordBroken({
+      ...run,
+      hadResponded: respondedAt !== undefined && respondedAt >= run.sentAt,
+    });
+    if (allowsAnotherRun(state.progress)) await report;
+  }
+
+  /** The links are lost; another node may serve a request that may be repeated. */
+  private abandonSilentSend(): void {
+    const {route, runs, sentRequest} = this.options.state;
+    if (isRetryable(route) && runs + 1 < route.maximumRuns)
+      sentRequest?.abort();
+  }
+
+  /** A send is aborted for inactivity only if another endpoint may still run the request. */
+  private startInactivityTimer(
+    endpoint: EndpointDescription,
+    sentRequest: SentRequest,
+  ): InactivityTimer | undefined {
+    const {dependencies, state, canMoveFrom} = this.options;
+    const {route, runs} = state;
+    if (!isRetryable(route) || runs + 1 >= route.maximumRuns) return undefined;
+    return InactivityTimer.create(
+      dependencies.clock,
+      inactivityTimeoutMilliseconds(route),
+      () => {
+        if (canMoveFrom(endpoint)) sentRequest.abort();
+      },
+    );
+  }
+
+  private async handleResult(
+    endpoint: EndpointDescription,
+    result: SendResult,
+    sentRequest: SentRequest,
+    observer: DeliveryObserver,
+  ): Promise<AttemptResult> {
+    const {dependencies, state, delivery} = this.options;
+    const {outliers, clock} = dependencies;
+    if (result.kind === 'failed') {
+      outliers.recordFailure(endpoint.id, clock.now());
+      const cause = result.failure.message;
+      if (result.delivery === 'not_sent') {
+        return {kind: 'not_run', cause, isSent: false};
+      }
+      state.runs += 1;
+      return {kind: 'may_have_run', cause, isCut: true};
+    }
+    const {head, body} = result;
+    state.respondedAt = clock.now();
+    const judgement = judgeResponse(head, state.metadata.id, sentRequest);
+    if (judgement === 'foreign') {
+      // The response to an earlier request; the one to this request can't be identified.
+      sentRequest.abort();
+      dependencies.connections.avoidReuse(endpoint.id);
+      state.runs += 1;
+      return {
+        kind: 'may_have_run',
+        cause: 'answer to another request',
+        isCut: false,
+      };
+    }
+    if (!head.metadata.isMisdirected) {
+      dependencies.limits.recordResponse(endpoint, head);
+      dependencies.leaving.recordResponse(endpoint, head);
+    }
+    if (judgement === 'not_run')
+      return this.handleRejection(endpoint, result, sentRequest);
+    state.runs += 1;
+    if (judgement === 'unsealed') {
+      sentRequest.abort();
+      outliers.recordFailure(endpoint.id, clock.now());
+      return {
+        kind: 'may_have_run',
+        cause: 'not the endpoint’s answer',
+        isCut: false,
+      };
+    }
+    const source = {endpoint, isRelayed: false};
+    return delivery.passOn(source, head, body, observer);
+  }
+
+  private handleRejection(
+    endpoint: EndpointDescription,
+    {head, body}: SendResult & {kind: 'answered'},
+    sentRequest: SentRequest,
+  ): AttemptResult {
+    const {dependencies, state} = this.options;
+    discardBody(body, sentRequest, dependencies.clock);
+    const {model} = state.metadata;
+    if (model !== undefined && head.metadata.isMisdirected) {
+      dependencies.reportMissingModel(endpoint.id, model);
+    }
+    return {kind: 'not_run', cause: `status ${head.status}`, isSent: true};
+  }
+}
+
+function observeDelivery(
+  trackedSend: TrackedSend,
+  inactivityTimer: InactivityTimer | undefined,
+): DeliveryObserver {
+  return {
+    onEvents: () => {
+      // Bytes that complete no event don't count: a stalled endpoint may send some.
+      inactivityTimer?.reset();
+      trackedSend.recordContact();
+    },
+    onPause: () => inactivityTimer?.suspend(),
+    onResume: () => inactivityTimer?.resume(),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peer_sender.ts
@@ -0,0 +1,150 @@
+/** Has another node serve a request while this one has lost its links to the service. */
+
+import type {Milliseconds} from '@siskinmux/kernel';
+import {ErrorCode, after, createNotRunRefusal, until} from '@siskinmux/kernel';
+import type {RelayPeer} from '@siskinmux/relay';
+import {isRetryable} from '@siskinmux/routes';
+import {hash32} from '@siskinmux/routing';
+import type {AttemptResult} from './attempt_result.js';
+import type {ProxiedRequestDependencies} from './proxied_request_dependencies.js';
+import {readRelayOutcome, sendToPeer} from './relayed_send.js';
+import type {RelayOutcome} from './relayed_send.js';
+import type {RequestEnding} from './request_ending.js';
+import type {RequestState} from './request_state.js';
+import type {ResponseDelivery} from './response_delivery.js';
+
+/** `Retry-After` while no node reaches the endpoints; links are probed again in about this time. */
+const LINKS_RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
+
+/** Sends one request to peers, one after the other. */
+export class PeerSender {
+  private constructor(
+    private readonly dependencies: ProxiedRequestDependencies,
+    private readonly state: RequestState,
+    private readonly ending: RequestEnding,
+    private readonly delivery: ResponseDelivery,
+  ) {}
+
+  static create(
+    dependencies: ProxiedRequestDependencies,
+    state: RequestState,
+    ending: RequestEnding,
+    delivery: ResponseDelivery,
+  ): PeerSender {
+    return new PeerSender(dependencies, state, ending, delivery);
+  }
+
+  /**
+   * The node that serves the request while this one has lost its links to the service. Throws a
+   * `RefusalError` if there is none; a request is relayed once at most.
+   */
+  choosePeer(): RelayPeer | undefined {
+    const {reach, peers, clock} = this.dependencies;
+    const {service, exchange, triedPeers} = this.state;
+    if (service === undefined || !reach.isCutFrom(service)) return undefined;
+    const isRelayable = exchange.relayed === undefined;
+    const peer = isRelayable ? peers.choose(service, triedPeers) : undefined;
+    if (peer !== undefined) return peer;
+    throw createNotRunRefusal(
+      ErrorCode.LinksLost,
+      service,
+      after(clock.now(), LINKS_RETRY_AFTER_MILLISECONDS),
+    );
+  }
+
+  /** Sends the request; resolves when its response has been passed on or has failed. */
+  async send(peer: RelayPeer): Promise<AttemptResult> {
+    const {clock, peers, peerConnections, protocol} = this.dependencies;
+    const {state} = this;
+    const {exchange, metadata} = state;
+    const {lastEventId} = state.events;
+    const progress = {
+      age: until(exchange.receivedAt, clock.now()),
+      sends: state.sends,
+      runs: state.runs,
+      tried: [...state.triedEndpoints],
+    };
+    const headers =
+      lastEventId === undefined
+        ? exchange.headers
+        : protocol.resumedHeaders(
+            exchange.headers,
+            metadata.resumes ?? metadata.id,
+            lastEventId,
+          );
+    state.sends += 1;
+    state.peer = peer.node;
+    state.triedPeers.add(peer.node);
+    state.sentAt = clock.now();
+    const release = peers.track(peer);
+    const sentRequest = sendToPeer(peerConnections, peer, {
+      key: hash32(metadata.id),
+      method: exchange.method,
+      target: exchange.target,
+      headers,
+      body: state.body,
+      progress,
+      isRetryable: isRetryable(state.route),
+    });
+    state.sentRequest = sentRequest;
+    try {
+      const outcome = await readRelayOutcome(
+        await sentRequest.result,
+        sentRequest,
+      );
+      if (this.ending.isFinished) return {kind: 'delivered'};
+      return await this.handleOutcome(peer, outcome);
+    } finally {
+      state.sentRequest = undefined;
+      release();
+    }
+  }
+
+  private handleOutcome(
+    peer: RelayPeer,
+    outcome: RelayOutcome,
+  ): AttemptResult | Promise<AttemptResult> {
+    const {peers, clock, findEndpoint, leaving} = this.dependencies;
+    const {state} = this;
+    if (outcome.kind === 'not_run') {
+      peers.avoid(peer);
+      return {kind: 'not_run', cause: outcome.cause, isSent: false};
+    }
+    if (outcome.kind === 'unknown') {
+      // The other node may have sent the request as often as its route allows.
+      state.runs = Math.max(state.runs + 1, state.route.maximumRuns);
+      return {kind: 'may_have_run', cause: outcome.cause, isCut: false};
+    }
+    const {head} = outcome;
+    if (outcome.kind === 'refused') return this.passOnRefusal(outcome);
+    state.respondedAt = clock.now();
+    state.runs = outcome.runs;
+    const endpoint = findEndpoint(outcome.endpoint);
+    state.lastEndpoint = endpoint;
+    if (endpoint !== undefined) leaving.recordResponse(endpoint, head);
+    const source = {endpoint, isRelayed: true};
+    return this.delivery.passOn(source, head, outcome.body);
+  }
+
+  private passOnRefusal({
+    code,
+    head,
+    body,
+  }: RelayOutcome & {kind: 'refused'}): AttemptResult {
+    const {protocol} = this.dependencies;
+    const {exchange} = this.state;
+    if (exchange.hasSentHead) {
+      const cause = `refused as ${code}`;
+      return {kind: 'stream_broken', cause, canResume: false, isCut: false};
+    }
+    this.ending.finish(code, () => {
+      exchange.startResponse(
+        head.status,
+        protocol.responseHeaders(head.headers),
+        {kind: 'refusal', code, isUnable: false},
+      );
+      exchange.end(body);
+    });
+    return {kind: 'delivered'};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request_state.ts
@@ -0,0 +1,118 @@
+/** State of one caller request, shared by the modules that serve it. */
+
+import type {EndpointDescription} from '@siskinmux/endpoints';
+import type {
+  EndpointProtocol,
+  RequestMetadata,
+  SentRequest,
+} from '@siskinmux/forwarding';
+import {EventStreamSplitter} from '@siskinmux/forwarding';
+import type {
+  EndpointId,
+  Fingerprint,
+  Instant,
+  NodeId,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {after, earlier} from '@siskinmux/kernel';
+import type {Route, RouteConfiguration} from '@siskinmux/routes';
+import {firstEventTimeoutMilliseconds, pickTarget} from '@siskinmux/routes';
+import {fingerprintOf, hash32} from '@siskinmux/routing';
+import type {CallerExchange} from './caller_exchange.js';
+import type {ViewAge} from './platform_view.js';
+import type {RequestProgress} from './retry_decision.js';
+
+/** What a request asks for, and what its sends have come to so far. */
+export class RequestState {
+  readonly triedEndpoints: Set<EndpointId>;
+  readonly triedPeers = new Set<NodeId>();
+  readonly events: EventStreamSplitter;
+  readonly service: ServiceName | undefined;
+  body: Buffer | undefined;
+  sends: number;
+  /** Sends that an endpoint ran or may have run. */
+  runs: number;
+  lastEndpoint: EndpointDescription | undefined;
+  /** The node that serves the request for this one, as far as the last send. */
+  peer: NodeId | undefined;
+  sentAt: Instant | undefined;
+  respondedAt: Instant | undefined;
+  /** How old this node's knowledge was at the last send. */
+  viewAge: ViewAge | undefined;
+  /** The send whose response is awaited or passed on. */
+  sentRequest: SentRequest | undefined;
+
+  private constructor(
+    readonly exchange: CallerExchange,
+    readonly configuration: RouteConfiguration,
+    readonly route: Route,
+    readonly metadata: RequestMetadata,
+    /** The earlier of the route's timeout and the caller's own. */
+    readonly deadline: Instant,
+  ) {
+    const {relayed} = exchange;
+    this.triedEndpoints = new Set(relayed?.tried);
+    this.sends = relayed?.sends ?? 0;
+    this.runs = relayed?.runs ?? 0;
+    this.events = EventStreamSplitter.create({
+      passesLongEvents: !route.isResumable,
+      memory: exchange.memory,
+    });
+    // A resumed stream goes to the service that began it.
+    const stream = metadata.resumes ?? metadata.id;
+    this.service = pickTarget(route, hash32(stream) / 2 ** 32);
+  }
+
+  /** Reads what the exchange asks for on the route that matches it. */
+  static create(
+    protocol: EndpointProtocol,
+    exchange: CallerExchange,
+    configuration: RouteConfiguration,
+    route: Route,
+  ): RequestState {
+    const metadata = protocol.readRequest(exchange.headers);
+    const {receivedAt} = exchange;
+    const timeoutAt = after(receivedAt, route.timeoutMilliseconds);
+    const {timeoutMilliseconds} = metadata;
+    const deadline =
+      timeoutMilliseconds === undefined
+        ? timeoutAt
+        : earlier(timeoutAt, after(receivedAt, timeoutMilliseconds));
+    return new RequestState(exchange, configuration, route, metadata, deadline);
+  }
+
+  get progress(): RequestProgress {
+    const {route, deadline, sends, runs} = this;
+    return {route, deadline, sends, runs};
+  }
+
+  /** Whether no endpoint has run the request or may run it now. */
+  get isNotRun(): boolean {
+    return this.runs === 0 && this.sentRequest === undefined;
+  }
+
+  /** Callers abandon a stream that has not started within the first-event timeout. */
+  get currentDeadline(): Instant {
+    const {route, exchange, deadline} = this;
+    if (route.kind !== 'stream' || exchange.hasSentHead) return deadline;
+    const timeoutMilliseconds = firstEventTimeoutMilliseconds(route);
+    return earlier(deadline, after(exchange.receivedAt, timeoutMilliseconds));
+  }
+
+  /** A stream that has begun goes before new ones of its route, which have nothing to lose yet. */
+  get urgency(): number {
+    const {priority} = this.route;
+    const isBegun =
+      this.metadata.resumeAfter !== undefined ||
+      this.events.lastEventId !== undefined;
+    return isBegun ? Math.max(0, priority - 1) : priority;
+  }
+
+  /** Equal for requests that an endpoint can't tell apart, apart from ids and deadlines. */
+  contentFingerprint(): Fingerprint {
+    const {method, host, target} = this.exchange;
+    const {model, adapter} = this.metadata;
+    const head = [method, host, target, model, adapter].join(' ');
+    return fingerprintOf(head, this.body);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/response_delivery.ts
@@ -0,0 +1,218 @@
+/** Receives an endpoint's response and passes it on to the caller. */
+
+import type {BodyEnd, ResponseBody, ResponseHead} from '@siskinmux/forwarding';
+import type {EndpointId} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
+import type {AttemptResult, ResponseSource} from './attempt_result.js';
+import type {ProxiedRequestDependencies} from './proxied_request_dependencies.js';
+import type {RelayObserver} from './relay_response.js';
+import {
+  bufferBody,
+  isContinuation,
+  isEventStream,
+  isSuccess,
+  relayEvents,
+  withoutLength,
+  writeWithBackpressure,
+} from './relay_response.js';
+import type {RequestEnding} from './request_ending.js';
+import {SERVED} from './request_ending.js';
+import type {RequestState} from './request_state.js';
+import {findBreak} from './response_end.js';
+import type {StreamBinding} from './stream_binding.js';
+
+/** Told of the events of a stream, and of pauses that its caller causes. */
+export type DeliveryObserver = Omit<RelayObserver, 'onFault'>;
+
+/** The response that one caller gets, which several endpoints may contribute to. */
+export class ResponseDelivery {
+  /** Head of the response that began the stream which the caller gets. */
+  private streamHead: ResponseHead | undefined;
+
+  private constructor(
+    private readonly dependencies: Pick<
+      ProxiedRequestDependencies,
+      'protocol' | 'clock' | 'outliers' | 'crashDetector'
+    >,
+    private readonly state: RequestState,
+    private readonly ending: RequestEnding,
+    private readonly binding: StreamBinding,
+  ) {}
+
+  static create(
+    dependencies: Pick<
+      ProxiedRequestDependencies,
+      'protocol' | 'clock' | 'outliers' | 'crashDetector'
+    >,
+    state: RequestState,
+    ending: RequestEnding,
+    binding: StreamBinding,
+  ): ResponseDelivery {
+    return new ResponseDelivery(dependencies, state, ending, binding);
+  }
+
+  /** Passes the response of an endpoint on to the caller. */
+  passOn(
+    source: ResponseSource,
+    head: ResponseHead,
+    body: ResponseBody,
+    observer: DeliveryObserver = {},
+  ): AttemptResult | Promise<AttemptResult> {
+    if (
+      this.streamHead !== undefined &&
+      !isContinuation(this.streamHead, head)
+    ) {
+      this.state.sentRequest?.abort();
+      const cause = `status ${head.status} instead of the rest of the stream`;
+      return {kind: 'stream_broken', cause, canResume: false, isCut: false};
+    }
+    return this.state.route.kind === 'stream' &&
+      isSuccess(head) &&
+      isEventStream(head)
+      ? this.relayStream(source, head, body, observer)
+      : this.relayResponse(source, head, body);
+  }
+
+  /** Answers the caller with a response that has been received whole. */
+  sendResponse(source: ResponseSource, head: ResponseHead, body: Buffer): void {
+    const result = isSuccess(head) ? SERVED : `status_${head.status}`;
+    this.ending.finish(result, () => {
+      this.startResponse(source, head);
+      this.state.exchange.end(body);
+    });
+  }
+
+  private async relayStream(
+    source: ResponseSource,
+    head: ResponseHead,
+    body: ResponseBody,
+    observer: DeliveryObserver,
+  ): Promise<AttemptResult> {
+    const {endpoint, isRelayed} = source;
+    const {protocol} = this.dependencies;
+    const {exchange, events, route} = this.state;
+    const isContinued = this.streamHead !== undefined;
+    this.streamHead ??= head;
+    // A stream that breaks off before its first event still gets a refusal as its answer.
+    const begin = (): void => {
+      if (exchange.hasSentHead) return;
+      const headers = protocol.responseHeaders(head.headers);
+      this.startResponse(
+        source,
+        head,
+        route.isResumable ? withoutLength(headers) : headers,
+      );
+    };
+    let hasEvents = false;
+    const end = await relayEvents(exchange, body, events, {
+      ...observer,
+      onEvents: () => {
+        hasEvents = true;
+        begin();
+        observer.onEvents?.();
+        if (endpoint !== undefined) this.binding.bind(endpoint);
+      },
+      onFault: () => this.state.sentRequest?.abort(),
+    });
+    // A close right after the head says nothing; for the rest of a stream, only a last chunk does.
+    const isEmpty =
+      !hasEvents &&
+      (isContinued ? head.framing !== 'chunks' : head.framing === 'close');
+    const {fault} = events;
+    const cause =
+      fault ??
+      (await this.findBreak(source, head, end)) ??
+      (isEmpty ? 'a stream that ended before its first event' : undefined);
+    this.recordEnd(source, cause);
+    if (cause === undefined) {
+      this.ending.finish(SERVED, () => {
+        begin();
+        exchange.end();
+      });
+      return {kind: 'delivered'};
+    }
+    const {canContinue} = events;
+    events.beginContinuation();
+    // Another node goes on with a stream as long as it can.
+    const canResume = route.isResumable && canContinue && !isRelayed;
+    const isCut = fault === undefined && !isRelayed;
+    return {kind: 'stream_broken', cause, canResume, isCut};
+  }
+
+  private async relayResponse(
+    source: ResponseSource,
+    head: ResponseHead,
+    body: ResponseBody,
+  ): Promise<AttemptResult> {
+    const {exchange} = this.state;
+    const isCut = !source.isRelayed;
+    const buffering = bufferBody(body, exchange.memory);
+    const result = await buffering.result;
+    if (result.kind === 'long') {
+      this.startResponse(source, head);
+      const relayRest = (): void =>
+        buffering.relayRest(writeWithBackpressure(exchange, body));
+      if (exchange.write(result.buffered)) relayRest();
+      else exchange.onDrain(relayRest);
+      const cause = await this.findBreak(source, head, await result.end);
+      if (cause !== undefined)
+        return {kind: 'stream_broken', cause, canResume: false, isCut};
+      this.ending.finish(SERVED, () => exchange.end());
+      return {kind: 'delivered'};
+    }
+    const cause = await this.findBreak(source, head, result.end);
+    if (cause !== undefined) {
+      this.recordEnd(source, cause);
+      return {kind: 'may_have_run', cause, isCut};
+    }
+    if (head.status >= 500 && !source.isRelayed) {
+      return {
+        kind: 'may_have_run',
+        cause: `status ${head.status}`,
+        isCut: false,
+        response: {source, head, body: result.body},
+      };
+    }
+    this.recordEnd(source, undefined);
+    this.sendResponse(source, head, result.body);
+    return {kind: 'delivered'};
+  }
+
+  private recordEnd(
+    {endpoint, isRelayed}: ResponseSource,
+    cause: string | undefined,
+  ): void {
+    const {outliers, clock} = this.dependencies;
+    if (isRelayed || endpoint === undefined) return;
+    if (cause === undefined) outliers.recordSuccess(endpoint.id);
+    else outliers.recordFailure(endpoint.id, clock.now());
+  }
+
+  private findBreak(
+    {endpoint, isRelayed}: ResponseSource,
+    {framing}: ResponseHead,
+    end: BodyEnd,
+  ): Promise<string | undefined> {
+    const {hasPartialEvent} = this.state.events;
+    const {crashDetector} = this.dependencies;
+    return findBreak({end, framing, hasPartialEvent}, async () =>
+      // A node resets a response that only a close would end.
+      isRelayed || endpoint === undefined
+        ? isRelayed
+        : crashDetector.isRunning(endpoint),
+    );
+  }
+
+  private startResponse(
+    {endpoint}: ResponseSource,
+    head: ResponseHead,
+    headers = this.dependencies.protocol.responseHeaders(head.headers),
+  ): void {
+    const {exchange, runs} = this.state;
+    exchange.startResponse(head.status, headers, {
+      kind: 'endpoint',
+      endpoint: endpoint?.id ?? as<EndpointId>(''),
+      runs,
+    });
+  }
+}
