--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,3 +8,8 @@
 export {checkGatewaySettings} from './check_settings.js';
 export {GatewayNode} from './gateway_node.js';
 export {GATEWAY_EVENTS, gatewayEventsPage} from './gateway_events.js';
+/** @internal For benchmarks. */
+export {ActiveRoutes} from './active_routes.js';
+export {ChangeFeed, encodeFeedUpdate, feedUpdateSchema} from './change_feed.js';
+export {PlatformView} from './platform_view.js';
+export {viewAgeLimits} from './view_age_limits.js';
