Compare a response's declared length at once, and keep its body in one buffer

Cause: send compared the declared length with its limit when the first part of the body came, and waited for its deadline if none came. It kept each part as a Buffer of its own, so a body in chunks of one byte took more than a hundred times its size. Change: the length is compared as soon as the head has come; the parts are copied into a ByteAccumulator.

--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -1,5 +1,6 @@
 /** HTTP requests through undici. Failures are classified by whether the request was sent. */
 
+import {ByteAccumulator} from '@siskinmux/forwarding';
 import type {Dispatcher} from 'undici';
 import {Agent, Pool, errors, request as sendRequest} from 'undici';
 import {createResetAwareClient} from './reset_aware_client.js';
@@ -65,23 +66,41 @@
   request: HttpRequest,
 ): Promise<HttpResponse> {
   const {statusCode, headers, body} = await open(agent, request);
-  const {maximumResponseBytes = MAXIMUM_RESPONSE_BYTES, onProgress} = request;
-  onProgress?.(0);
-  const parts: Buffer[] = [];
-  let received = 0;
-  let expected = Number(headers['content-length'] ?? 0);
-  for await (const part of body as AsyncIterable<Buffer>) {
-    received += part.length;
-    expected = Math.max(expected, received);
-    if (expected > maximumResponseBytes)
-      throw new errors.ResponseExceededMaxSizeError(
-        `${expected} bytes, ${maximumResponseBytes} at most`,
+  request.onProgress?.(0);
+  const limit = request.maximumResponseBytes ?? MAXIMUM_RESPONSE_BYTES;
+  const bytes = ByteAccumulator.create();
+  await readBody({headers, body}, limit, part => {
+    bytes.append(part);
+    request.onProgress?.(bytes.length);
+  });
+  return {status: statusCode, headers, body: bytes.take().toString('utf8')};
+}
+
+/** Passes the parts of a body to `onPart`; fails once it is longer than `limit`, in bytes. */
+function readBody(
+  {headers, body}: Pick<Dispatcher.ResponseData, 'headers' | 'body'>,
+  limit: number,
+  onPart: (part: Buffer) => void,
+): Promise<void> {
+  const checkLength = (length: number): void => {
+    if (length > limit)
+      body.destroy(
+        new errors.ResponseExceededMaxSizeError(
+          `${length} bytes, ${limit} at most`,
+        ),
       );
-    parts.push(part);
-    onProgress?.(received);
-  }
-  const text = Buffer.concat(parts, received).toString('utf8');
-  return {status: statusCode, headers, body: text};
+  };
+  return new Promise((resolve, reject) => {
+    let received = 0;
+    body.once('end', resolve);
+    body.once('error', reject);
+    checkLength(Number(headers['content-length'] ?? 0));
+    body.on('data', (part: Buffer) => {
+      received += part.length;
+      checkLength(received);
+      if (!body.destroyed) onPart(part);
+    });
+  });
 }
 
 /** Sends a request and resolves with the response head; the body is a stream. */
