Give a call up after a thousand interim responses

Cause: undici drops interim responses and waits for the final one, so that a server that sends them without end was parsed until the call's deadline. Measured: http_client.test.ts, "if interim responses do not end", fails on the commit before (aborted by its signal after 2 s) and passes now.

--- a/packages/adapters/__tests__/http_client.test.ts
+++ b/packages/adapters/__tests__/http_client.test.ts
@@ -92,4 +92,25 @@
       expect([received[0], received.at(-1)]).toEqual([0, LIMIT_BYTES]);
     });
   }
+
+  // Each was parsed until the call's deadline, and took processor time from all others.
+  it('fails and disconnects if interim responses do not end', async () => {
+    const heads = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(1_000);
+    const url = await serve(socket => {
+      const write = (): void => {
+        if (!socket.destroyed && socket.write(heads)) setImmediate(write);
+      };
+      socket.on('drain', write);
+      write();
+    });
+    const startedAt = performance.now();
+    const call = send(createAgent(), {
+      method: 'GET',
+      url,
+      signal: AbortSignal.timeout(CLOSE_MILLISECONDS),
+    });
+    await expect(call).toBeRejectedWith(Error, /interim responses/);
+    expect(await isDisconnected()).toEqual(true);
+    expect(performance.now() - startedAt).toBeLessThan(CLOSE_MILLISECONDS);
+  });
 });
--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -20,6 +20,9 @@
 /** No list, report or stream of this size is expected; a server in trouble may send more. */
 const MAXIMUM_RESPONSE_BYTES = 16_777_216;
 
+/** Interim responses before a final one, after which the server counts as faulty. */
+const MAXIMUM_INTERIM_RESPONSES = 1_000;
+
 /** Whether a failed request may have reached the server. */
 export type RequestDelivery = 'not_sent' | 'maybe_sent';
 
@@ -108,12 +111,18 @@
   agent: Dispatcher,
   request: HttpRequest,
 ): Promise<Dispatcher.ResponseData> {
+  let interimCount = 0;
   return sendRequest(request.url, {
     dispatcher: agent,
     method: request.method,
     headers: request.headers,
     body: request.body,
     signal: request.signal,
+    onInfo: () => {
+      interimCount += 1;
+      if (interimCount > MAXIMUM_INTERIM_RESPONSES)
+        throw new errors.SocketError(`${interimCount} interim responses`);
+    },
   });
 }
 
