Bound the reports and responses to orders that a node reads from engines

Callers saw: engines that sent reports without end made the lease holder hold up to 16 MiB each until the call's deadline, outside the budget of all bodies. With 63 of them the bundle passed 250 MB, from where on its platform ends it, and with it go the requests of all callers. Cause: each call had the client's general limit, and the failure of a report left no line. A report that can not be read is logged as report-unreadable with its reason, once until the result differs.

--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -79,6 +79,27 @@
   return {status: statusCode, headers, body: bytes.take().toString('utf8')};
 }
 
+/** The status of a response whose body isn't used. */
+export interface HttpStatus {
+  readonly status: number;
+  /** The body has ended, or was given up; never rejects. */
+  readonly hasClosed: Promise<void>;
+}
+
+/**
+ * Sends a request and resolves with the status of its response as soon as that is known. The body
+ * is discarded as it comes; beyond `maximumResponseBytes` or after `signal` its connection closes.
+ */
+export async function sendForStatus(
+  agent: Dispatcher,
+  request: HttpRequest,
+): Promise<HttpStatus> {
+  const {statusCode, headers, body} = await open(agent, request);
+  const limit = request.maximumResponseBytes ?? MAXIMUM_RESPONSE_BYTES;
+  const hasClosed = readBody({headers, body}, limit, () => {}).catch(() => {});
+  return {status: statusCode, hasClosed};
+}
+
 /** Passes the parts of a body to `onPart`; fails once it is longer than `limit`, in bytes. */
 function readBody(
   {headers, body}: Pick<Dispatcher.ResponseData, 'headers' | 'body'>,
@@ -136,6 +157,11 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Whether a call failed as its response was longer than its limit. */
+export function isTooLong(failure: unknown): boolean {
+  return failure instanceof errors.ResponseExceededMaxSizeError;
+}
+
 /** Classifies the failure of a request; `maybe_sent` unless no connection was opened. */
 export function deliveryOf(failure: unknown): RequestDelivery {
   if (failure instanceof errors.ConnectTimeoutError) return 'not_sent';
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,6 +1,12 @@
 /** Implementations of the ports: HTTP clients, system clocks and system randomness. */
 
-export {createAgent, deliveryOf, send} from './http_client.js';
+export {
+  createAgent,
+  deliveryOf,
+  isTooLong,
+  send,
+  sendForStatus,
+} from './http_client.js';
 export type {HttpRequest, HttpResponse} from './http_client.js';
 export {HttpEngine} from './http_engine.js';
 export {HttpHostList} from './http_host_list.js';
--- a/packages/placement/__tests__/adapter_cache.test.ts
+++ b/packages/placement/__tests__/adapter_cache.test.ts
@@ -9,6 +9,7 @@
 import {as, discardEvents} from '@siskinmux/kernel';
 import {VirtualClock} from '@siskinmux/testkit';
 import {AdapterCache} from '../src/adapter_cache.js';
+import {EngineReportReader} from '../src/engine_report_reader.js';
 import type {EngineOrderOutcome} from '../src/index.js';
 import {ServiceDemand} from '../src/index.js';
 import {OrderQueue} from '../src/order_queue.js';
@@ -37,7 +38,7 @@
       if (outcome === 'done' && operation === 'unload') loaded.delete(name);
       return Promise.resolve(outcome);
     },
-    report: () => Promise.resolve(undefined),
+    report: () => Promise.resolve('unanswered'),
   } as unknown as Parameters<typeof OrderQueue.create>[0]['orders'];
   const orderQueue = OrderQueue.create({
     engine: view,
@@ -54,7 +55,7 @@
     clock,
     emit: discardEvents,
     demand: ServiceDemand.create(),
-    orders,
+    reports: EngineReportReader.create({orders, emit: discardEvents}),
     engines: () => new Map([[view.id, {view, orderQueue}]]),
     maximumAdapters: () => MAXIMUM_ADAPTERS,
     resynchronize: () => Promise.resolve(),
--- a/packages/placement/__tests__/simulated_engines.ts
+++ b/packages/placement/__tests__/simulated_engines.ts
@@ -22,6 +22,7 @@
   EngineOrderClient,
   EngineOrderOutcome,
   EngineReport,
+  ReportFailure,
 } from '../src/index.js';
 import {EngineView} from '../src/index.js';
 
@@ -314,9 +315,9 @@
       : outcome;
   }
 
-  async report(engine: EngineAddress): Promise<EngineReport | undefined> {
+  async report(engine: EngineAddress): Promise<EngineReport | ReportFailure> {
     await sleepFor(this.clock, RESPONSE_MILLISECONDS);
-    return this.engines.get(engine.id)?.report();
+    return this.engines.get(engine.id)?.report() ?? 'unanswered';
   }
 
   private async deliver(
--- a/packages/placement/src/adapter_cache.ts
+++ b/packages/placement/src/adapter_cache.ts
@@ -11,7 +11,7 @@
 } from '@siskinmux/kernel';
 import {after, later, sleepFor} from '@siskinmux/kernel';
 import type {ManagedEngine} from './allocator.js';
-import type {EngineOrderClient} from './engine_order_client.js';
+import type {EngineReportReader} from './engine_report_reader.js';
 import type {EngineView, PlacedAdapter} from './engine_view.js';
 import {adapterKey} from './engine_view.js';
 import type {QueuedOrderOutcome} from './order_queue.js';
@@ -54,7 +54,7 @@
   readonly clock: Clock;
   readonly emit: EmitEvent;
   readonly demand: ServiceDemand;
-  readonly orders: EngineOrderClient;
+  readonly reports: EngineReportReader;
   readonly engines: () => ReadonlyMap<EndpointId, ManagedEngine>;
   readonly maximumAdapters: () => number;
   /** Reads the engine's state again from its report. */
@@ -207,12 +207,12 @@
     {view}: ManagedEngine,
     placed: PlacedAdapter,
   ): Promise<void> {
-    const {clock, orders} = this.options;
+    const {clock, reports} = this.options;
     const {model, adapter} = placed;
     const key = adapterKey(model, adapter);
     while (view.adapters.get(key) === placed) {
       await sleepFor(clock, UNLOAD_POLL_MILLISECONDS);
-      const report = await orders.report(
+      const report = await reports.read(
         view,
         after(clock.now(), UNLOAD_POLL_MILLISECONDS),
       );
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -20,6 +20,7 @@
 import type {AdapterGrant} from './adapter_cache.js';
 import {AdapterCache} from './adapter_cache.js';
 import type {EngineOrderClient, OrderAuthority} from './engine_order_client.js';
+import {EngineReportReader} from './engine_report_reader.js';
 import {EngineView} from './engine_view.js';
 import type {LoadLimiter} from './load_limiter.js';
 import {ModelChangeExecutor} from './model_change_executor.js';
@@ -87,6 +88,7 @@
 export class Allocator {
   private readonly engines = new Map<EndpointId, ManagedEngine>();
   private readonly demand = ServiceDemand.create();
+  private readonly reports: EngineReportReader;
   private readonly adapterCache: AdapterCache;
   private readonly changeExecutor: ModelChangeExecutor;
   /** Reads of engine states in progress, at most one per engine. */
@@ -97,11 +99,13 @@
 
   private constructor(private readonly options: AllocatorOptions) {
     const {clock, emit} = options;
+    const reports = EngineReportReader.create({orders: options.orders, emit});
+    this.reports = reports;
     this.adapterCache = AdapterCache.create({
       clock,
       emit,
       demand: this.demand,
-      orders: options.orders,
+      reports,
       engines: () => this.engines,
       maximumAdapters: () => this.declaration?.maximumAdapters ?? 0,
       resynchronize: engine => this.resynchronize(engine),
@@ -109,7 +113,7 @@
     this.changeExecutor = ModelChangeExecutor.create({
       clock,
       emit,
-      orders: options.orders,
+      reports,
       loadLimiter: options.loadLimiter,
       demand: this.demand,
       declaration: () => this.declaration,
@@ -245,9 +249,9 @@
 
   /** Reads an engine's state from its report, retrying until the engine is idle. */
   private async readState({view}: ManagedEngine): Promise<void> {
-    const {orders, clock, emit} = this.options;
+    const {clock, emit} = this.options;
     while (this.isManaged(view)) {
-      const report = await orders.report(
+      const report = await this.reports.read(
         view,
         after(clock.now(), REPORT_TIMEOUT_MILLISECONDS),
       );
--- a/packages/placement/src/engine_order_client.ts
+++ b/packages/placement/src/engine_order_client.ts
@@ -80,13 +80,19 @@
   readonly totalTokens: number;
 }
 
+/**
+ * Why a report could not be read. `unanswered`: no whole response arrived. `too_long`: the response
+ * is longer than any report. `invalid`: the engine responded with something else.
+ */
+export type ReportFailure = 'unanswered' | 'too_long' | 'invalid';
+
 /** Sends orders to engines and reads their reports. */
 export interface EngineOrderClient {
   /** Never throws; an order without a response by `deadline` is `unknown`. */
   send(order: AddressedOrder, deadline: Instant): Promise<EngineOrderOutcome>;
-  /** Undefined when the engine sent no valid report by `deadline`. */
+  /** Never throws; resolves by `deadline`. */
   report(
     engine: EngineAddress,
     deadline: Instant,
-  ): Promise<EngineReport | undefined>;
+  ): Promise<EngineReport | ReportFailure>;
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -8,6 +8,7 @@
   EngineOrderOutcome,
   EngineReport,
   OrderAuthority,
+  ReportFailure,
 } from './engine_order_client.js';
 export type {AdapterGrant} from './adapter_cache.js';
 export {GRANT_DURATION_MILLISECONDS} from './adapter_cache.js';
--- a/packages/placement/src/model_change_executor.ts
+++ b/packages/placement/src/model_change_executor.ts
@@ -15,7 +15,8 @@
 import {after, sleepFor, sleepUntil, until} from '@siskinmux/kernel';
 import type {EngineDeclaration} from '@siskinmux/routes';
 import type {ManagedEngine} from './allocator.js';
-import type {EngineChange, EngineOrderClient} from './engine_order_client.js';
+import type {EngineChange} from './engine_order_client.js';
+import type {EngineReportReader} from './engine_report_reader.js';
 import type {EngineView} from './engine_view.js';
 import type {FinishLoad, LoadLimiter} from './load_limiter.js';
 import {CHANGE_ENDED, CHANGE_PLANNED} from './placement_events.js';
@@ -68,7 +69,7 @@
 export interface ModelChangeExecutorOptions {
   readonly clock: Clock;
   readonly emit: EmitEvent;
-  readonly orders: EngineOrderClient;
+  readonly reports: EngineReportReader;
   readonly loadLimiter: LoadLimiter;
   readonly demand: ServiceDemand;
   readonly declaration: () => EngineDeclaration | undefined;
@@ -272,11 +273,11 @@
     engine: ManagedEngine,
     model: ModelName,
   ): Promise<void> {
-    const {clock, orders} = this.options;
+    const {clock, reports} = this.options;
     const {view} = engine;
     await sleepFor(this.options.clock, VERIFICATION_DELAY_MILLISECONDS);
     const {orderCount} = view;
-    const report = await orders.report(
+    const report = await reports.read(
       view,
       after(clock.now(), REPORT_TIMEOUT_MILLISECONDS),
     );
@@ -301,7 +302,7 @@
     readyAt: Instant,
     uncontendedMilliseconds: Milliseconds,
   ): Promise<boolean> {
-    const {clock, orders} = this.options;
+    const {clock, reports} = this.options;
     let isInDescription = false;
     this.loadListeners.set(view.id, models => {
       isInDescription = models.includes(model);
@@ -314,7 +315,7 @@
       await sleepUntil(clock, readyAt);
       while (clock.now() < lostAt) {
         if (isInDescription) return true;
-        const report = await orders.report(
+        const report = await reports.read(
           view,
           after(clock.now(), REPORT_TIMEOUT_MILLISECONDS),
         );
@@ -361,8 +362,8 @@
   }
 
   private async isStillUnloading(view: EngineView): Promise<boolean> {
-    const {clock, orders} = this.options;
-    const report = await orders.report(
+    const {clock, reports} = this.options;
+    const report = await reports.read(
       view,
       after(clock.now(), REPORT_TIMEOUT_MILLISECONDS),
     );
--- a/packages/placement/src/placement_events.ts
+++ b/packages/placement/src/placement_events.ts
@@ -56,6 +56,15 @@
     'The allocator decided to load an adapter for waiting requests; `unload` names the evicted adapter.',
 };
 
+/** An engine's report could not be read. */
+export const REPORT_UNREADABLE: EventDescriptor = {
+  number: 8007,
+  name: 'report-unreadable',
+  level: 'warn',
+  meaning:
+    'The report of an engine could not be read, and is read again. `reason`: `unanswered` if no whole response arrived in time, `too_long` if the response is longer than any report, so that its connection was closed, `invalid` if it is no report. Logged again only after another result. An engine that has just started or ended has this once or twice; one whose reports stay `too_long` or `invalid` is faulty and gets no models.',
+};
+
 /** All events of this package. */
 export const PLACEMENT_EVENTS = [
   ORDER_ANSWERED,
@@ -64,4 +73,5 @@
   CHANGE_ENDED,
   ENGINE_ADOPTED,
   ADAPTER_PLACED,
+  REPORT_UNREADABLE,
 ] as const;
