Read an engine whose report is too long less often

Callers saw: beside 63 engines whose reports never end, their requests took 70 to 270 ms each. Cause: the report of such an engine was read again after 100 ms, each time to its limit, or for 500 ms. Change: after a response that is too long the next read is 2 s later. Too many interim responses and a head that is too long count as well.

--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -142,7 +142,9 @@
     onInfo: () => {
       interimCount += 1;
       if (interimCount > MAXIMUM_INTERIM_RESPONSES)
-        throw new errors.SocketError(`${interimCount} interim responses`);
+        throw new errors.ResponseExceededMaxSizeError(
+          `${interimCount} interim responses`,
+        );
     },
   });
 }
@@ -157,9 +159,12 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** Whether a call failed as its response was longer than its limit. */
+/** Whether a call failed as the head or the body of its response was too long. */
 export function isTooLong(failure: unknown): boolean {
-  return failure instanceof errors.ResponseExceededMaxSizeError;
+  return (
+    failure instanceof errors.ResponseExceededMaxSizeError ||
+    failure instanceof errors.HeadersOverflowError
+  );
 }
 
 /** Classifies the failure of a request; `maybe_sent` unless no connection was opened. */
--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -176,6 +176,20 @@
     allocator.stop();
   });
 
+  // Engines that send without end were read ten times a second each, to the cost of all requests.
+  it('reads an engine whose report is too long once in two seconds, until it is sound', async () => {
+    const simulation = createSimulation(1);
+    const {clock, orders, engines} = simulation;
+    orders.reportFailure = 'too_long';
+    const allocator = simulation.createAllocator(1, () => true);
+    await clock.advance(10_000);
+    expect(orders.readCount).toBeLessThan(engines.size * 6);
+    orders.reportFailure = undefined;
+    await clock.advance(3_000);
+    expect(isAvailable(simulation, model(0))).toEqual(true);
+    allocator.stop();
+  });
+
   it('sends no orders without the lease', async () => {
     const simulation = createSimulation(1);
     const allocator = simulation.createAllocator(1, () => false);
--- a/packages/placement/__tests__/simulated_engines.ts
+++ b/packages/placement/__tests__/simulated_engines.ts
@@ -284,6 +284,9 @@
 /** Transmits orders to simulated engines, with faults. */
 export class SimulatedOrderClient implements EngineOrderClient {
   readonly sent: AddressedOrder[] = [];
+  /** Result of all reads of reports while it is set. */
+  reportFailure: ReportFailure | undefined;
+  readCount = 0;
 
   constructor(
     private readonly engines: ReadonlyMap<EndpointId, SimulatedEngine>,
@@ -316,7 +319,9 @@
   }
 
   async report(engine: EngineAddress): Promise<EngineReport | ReportFailure> {
+    this.readCount += 1;
     await sleepFor(this.clock, RESPONSE_MILLISECONDS);
+    if (this.reportFailure !== undefined) return this.reportFailure;
     return this.engines.get(engine.id)?.report() ?? 'unanswered';
   }
 
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -40,6 +40,9 @@
 const REPORT_TIMEOUT_MILLISECONDS: Milliseconds = 500;
 const REPORT_RETRY_DELAY_MILLISECONDS: Milliseconds = 100;
 
+/** An engine whose report is too long is faulty; each read costs processor time. */
+const LONG_REPORT_RETRY_DELAY_MILLISECONDS: Milliseconds = 2_000;
+
 /** Delay before a plan, so that it covers several changes of demand. */
 const PLAN_DELAY_MILLISECONDS: Milliseconds = 8;
 
@@ -270,7 +273,12 @@
         this.schedulePlan();
         return;
       }
-      await sleepFor(this.options.clock, REPORT_RETRY_DELAY_MILLISECONDS);
+      await sleepFor(
+        clock,
+        this.reports.isTooLong(view)
+          ? LONG_REPORT_RETRY_DELAY_MILLISECONDS
+          : REPORT_RETRY_DELAY_MILLISECONDS,
+      );
     }
   }
 
--- a/packages/placement/src/engine_report_reader.ts
+++ b/packages/placement/src/engine_report_reader.ts
@@ -25,6 +25,11 @@
     return new EngineReportReader(options);
   }
 
+  /** Whether the last response that should have been a report was longer than any report. */
+  isTooLong(engine: EngineAddress): boolean {
+    return this.lastFailures.get(engine) === 'too_long';
+  }
+
   /** Undefined when the engine sent no valid report by `deadline`. */
   async read(
     engine: EngineAddress,
