Count a short part of a response's body with its own cost

Cause: a limit in bytes allows as many parts, each of which is parsed and handed on by itself: 262,144 for one report. Change: a part counts as 64 bytes at least. Measured: http_client.test.ts, "short chunks have cost as much", fails on the commit before (the body was read) and passes now.

--- a/packages/adapters/__tests__/http_client.test.ts
+++ b/packages/adapters/__tests__/http_client.test.ts
@@ -93,6 +93,21 @@
     });
   }
 
+  // 256 KiB in chunks of a byte took a quarter of a second of processor time.
+  it('fails once short chunks have cost as much as a body above its limit', async () => {
+    const url = await serve(socket =>
+      socket.write(
+        `${OK}transfer-encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(LIMIT_BYTES / 2)}0\r\n\r\n`,
+      ),
+    );
+    const call = send(createAgent(), {
+      method: 'GET',
+      url,
+      maximumResponseBytes: LIMIT_BYTES,
+    });
+    await expect(call).toBeRejectedWith(errors.ResponseExceededMaxSizeError);
+  });
+
   // Each was parsed until the call's deadline, and took processor time from all others.
   it('fails and disconnects if interim responses do not end', async () => {
     const heads = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(1_000);
--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -23,6 +23,9 @@
 /** Interim responses before a final one, after which the server counts as faulty. */
 const MAXIMUM_INTERIM_RESPONSES = 1_000;
 
+/** A part of a body counts as this long at least, as parsing and handing it on costs that much. */
+const MINIMUM_PART_BYTES = 64;
+
 /** Whether a failed request may have reached the server. */
 export type RequestDelivery = 'not_sent' | 'maybe_sent';
 
@@ -50,7 +53,10 @@
   readonly headers?: Record<string, string>;
   readonly body?: string;
   readonly signal?: AbortSignal;
-  /** Length of the response's body at which the call fails and its connection closes. */
+  /**
+   * Length of the response's body beyond which the call fails and its connection closes. Parts
+   * shorter than 64 bytes count as 64.
+   */
   readonly maximumResponseBytes?: number;
   /** Called when the head of the response has been received, and after each part of its body. */
   readonly onProgress?: (receivedBytes: number) => void;
@@ -115,14 +121,14 @@
       );
   };
   return new Promise((resolve, reject) => {
-    let received = 0;
+    let charged = 0;
     body.once('end', resolve);
     body.once('error', reject);
     checkLength(Number(headers['content-length'] ?? 0));
     body.on('data', (part: Buffer) => {
       if (body.destroyed) return;
-      received += part.length;
-      checkLength(received);
+      charged += Math.max(part.length, MINIMUM_PART_BYTES);
+      checkLength(charged);
       if (!body.destroyed) onPart(part);
     });
   });
