Bound error texts, the weight store's report and peers' responses

Callers saw: nothing yet. An error that an engine sends without end was kept as text up to 16 MiB, and then the call failed with undici's own error. Cause: HttpEngine read the whole body of an error; the calls to peers and to the weight store had the client's general limit. Change: the first KiB of an error is passed on and its connection closes. A report of the weight store has 4 KiB, a response of a peer the limit of a message. Measured: engine_contract.test.ts, "an error that does not end", fails on the commit before (ResponseExceededMaxSizeError) and passes now; the limits of the weight store and of peers have no test of their own.

--- a/packages/adapters/__tests__/engine_contract.test.ts
+++ b/packages/adapters/__tests__/engine_contract.test.ts
@@ -1,3 +1,5 @@
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
 import {after as afterAll, before, describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {
@@ -11,6 +13,7 @@
 import {
   AnswerCutError,
   EndpointBusyError,
+  EndpointFailedError,
   EndpointUnreachableError,
   StaleOrderError,
 } from '@siskinmux/ports';
@@ -193,6 +196,41 @@
 );
 
 describe(HttpEngine.name, () => {
+  let endless: Server | undefined;
+
+  // All of it was kept as text until the request's deadline.
+  it('passes on the start of an error that does not end, and disconnects', async () => {
+    const isClosed = new Promise<boolean>(resolve => {
+      endless = createServer(({socket}) => {
+        socket.on('error', () => {});
+        socket.once('close', () => resolve(true));
+        const write = (): void => {
+          if (!socket.destroyed && socket.write('x'.repeat(65_536)))
+            setImmediate(write);
+        };
+        socket.on('drain', write);
+        socket.write('HTTP/1.1 500 Broken\r\n\r\n');
+        write();
+      });
+    });
+    await new Promise<void>(resolve =>
+      endless?.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = endless?.address() as {port: number};
+    const engine = HttpEngine.create({
+      url: `http://127.0.0.1:${port}`,
+      agent: createAgent(),
+    });
+    const failure: unknown = await collect(engine, createRequest('hello')).then(
+      () => undefined,
+      (cause: unknown) => cause,
+    );
+    endless?.close();
+    expect(failure).toBeA(EndpointFailedError);
+    expect((failure as Error).message.length).toBeLessThan(2_000);
+    expect(await isClosed).toEqual(true);
+  });
+
   it('reports a refused connection as unreachable, since the request was not sent', async () => {
     const engine = HttpEngine.create({
       url: 'http://127.0.0.1:1',
--- a/packages/adapters/src/http_client.ts
+++ b/packages/adapters/src/http_client.ts
@@ -134,6 +134,19 @@
   });
 }
 
+/** Reads the first `limit` bytes of a body as text; closes the connection if there are more. */
+export async function readTextStart(
+  {body}: Pick<Dispatcher.ResponseData, 'body'>,
+  limit: number,
+): Promise<string> {
+  const bytes = ByteAccumulator.create();
+  for await (const part of body as AsyncIterable<Buffer>) {
+    bytes.append(part.subarray(0, limit - bytes.length));
+    if (bytes.length === limit) break;
+  }
+  return bytes.take().toString('utf8');
+}
+
 /** Sends a request and resolves with the response head; the body is a stream. */
 export function open(
   agent: Dispatcher,
--- a/packages/adapters/src/http_engine.ts
+++ b/packages/adapters/src/http_engine.ts
@@ -23,7 +23,10 @@
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {HttpRequest, HttpResponse} from './http_client.js';
-import {deliveryOf, open, send} from './http_client.js';
+import {deliveryOf, open, readTextStart, send} from './http_client.js';
+
+/** Start of an engine's error that is passed on. */
+const MAXIMUM_ERROR_BYTES = 1_024;
 
 const chunkSchema = z.object({
   choices: z
@@ -149,7 +152,7 @@
       signal,
     });
     if (response.statusCode === 200) return response;
-    const text = await response.body.text();
+    const text = await readTextStart(response, MAXIMUM_ERROR_BYTES);
     // Engines send 503 and 429 only for requests that they haven't started to run.
     if (response.statusCode === 503 || response.statusCode === 429) {
       throw new EndpointBusyError(text);
--- a/packages/adapters/src/http_weight_store.ts
+++ b/packages/adapters/src/http_weight_store.ts
@@ -6,6 +6,9 @@
 import {z} from 'zod';
 import {send} from './http_client.js';
 
+/** Three numbers. */
+const MAXIMUM_REPORT_BYTES = 4_096;
+
 const reportSchema = z.object({
   loadsInTransit: z.number(),
   fullSpeedLoads: z.number(),
@@ -26,7 +29,12 @@
   async report(signal: AbortSignal): Promise<WeightStoreReport> {
     try {
       const url = `${this.url}/report`;
-      const response = await send(this.agent, {method: 'GET', url, signal});
+      const response = await send(this.agent, {
+        method: 'GET',
+        url,
+        signal,
+        maximumResponseBytes: MAXIMUM_REPORT_BYTES,
+      });
       return reportSchema.parse(JSON.parse(response.body));
     } catch (cause) {
       throw new PlatformUnavailableError('weight store', {cause});
--- a/packages/node/src/http_peer_transport.ts
+++ b/packages/node/src/http_peer_transport.ts
@@ -81,6 +81,7 @@
       body: text,
       signal,
       onProgress,
+      maximumResponseBytes: MESSAGE_LIMIT_BYTES,
     });
     return response.body;
   }
