Replace only a watch that waits when the feed tells of more

Each update of the feed, every 300 ms, ended the list that followed too long changes, before its head came, and the node watched from its old revision again.

Measured: knowledge_histories.test.ts, "catches up though the feed tells of more ...", failed before and passes; 36 of 36 tests of the watcher, the histories and the returns of the store pass.

--- a/packages/gateway/__tests__/knowledge_cluster.ts
+++ b/packages/gateway/__tests__/knowledge_cluster.ts
@@ -121,6 +121,8 @@
   callsToLose = 0;
   /** Responses arrive no earlier than this. */
   responsesHeldUntil: Instant | undefined;
+  /** Time until a response begins. */
+  headMilliseconds: Milliseconds = 0;
   /** Calls are rejected until then. */
   refusedUntil: Instant | undefined;
   /** Incremented when the open connections fall silent. */
@@ -251,6 +253,7 @@
       throw new PlatformUnavailableError('status 503');
     }
     const response = (async () => {
+      await sleepFor(clock, this.headMilliseconds);
       const [received, length] = await respond();
       if (connection !== this.connections) return timeout;
       const {responsesHeldUntil} = this;
--- a/packages/gateway/__tests__/knowledge_histories.test.ts
+++ b/packages/gateway/__tests__/knowledge_histories.test.ts
@@ -188,6 +188,23 @@
     cluster.stop();
   });
 
+  it('catches up though the feed tells of more before the store, which is slow, begins to respond', async () => {
+    const cluster = new KnowledgeCluster(1, LARGE_BEHIND_SLOW_LINK);
+    const {clock} = cluster;
+    await clock.advance(2_000);
+    for (const {store} of cluster.nodes) store.headMilliseconds = 220;
+    const [follower] = cluster.followers;
+    follower!.store.refusedUntil = (clock.now() + 2_000) as ReturnType<
+      typeof clock.now
+    >;
+    for (let version = 1; version <= 8; version += 1) {
+      cluster.acknowledge(`version-${version}`);
+      await clock.advance(800);
+    }
+    expect(follower!.known.has('version-7')).toEqual(true);
+    cluster.stop();
+  });
+
   it('keeps up with versions that come faster than the link carries each of them', async () => {
     const cluster = new KnowledgeCluster(1, LARGE_BEHIND_SLOW_LINK);
     const {clock} = cluster;
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -459,8 +459,9 @@
         );
         const isArriving = progress.arrivedAt !== undefined && now < stalledAt;
         if (isArriving) overdueAt = later(overdueAt, stalledAt);
-        if (isArriving || (cause === 'feed has more' && hasWatchedAgain))
-          continue;
+        // Any other read than a watch in its wait brings what the feed tells of, or the next one does.
+        const isPending = hasWatchedAgain || hasListed || now >= expectedAt;
+        if (isArriving || (cause === 'feed has more' && isPending)) continue;
         const {revision} = this;
         const {receivedBytes} = progress;
         emit(READ_OVERDUE, {kind, revision, cause, receivedBytes});
@@ -707,10 +708,7 @@
 
   private async handleFailure(failure: unknown): Promise<void> {
     const {emit, kind, clock, random} = this.options;
-    if (
-      failure instanceof HistoryGoneError ||
-      failure instanceof ChangesTooLongError
-    ) {
+    if (needsList(failure)) {
       this.isHistoryGone = true;
       return;
     }
@@ -742,11 +740,23 @@
   }
 }
 
-/** Resolves with the first read that succeeds; rejects with the last failure if all fail. */
+/**
+ * Resolves with the first read that succeeds. If all fail, rejects with the failure that asks for
+ * a list, or else with the last one, which may be that of an aborted read.
+ */
 async function firstSuccess(reads: readonly Promise<void>[]): Promise<void> {
   try {
     await Promise.any(reads);
   } catch (failure) {
-    throw failure instanceof AggregateError ? failure.errors.at(-1) : failure;
+    if (!(failure instanceof AggregateError)) throw failure;
+    throw failure.errors.find(needsList) ?? failure.errors.at(-1);
   }
 }
+
+/** Whether the objects have to be listed after this failure. */
+function needsList(failure: unknown): boolean {
+  return (
+    failure instanceof HistoryGoneError ||
+    failure instanceof ChangesTooLongError
+  );
+}
