Send a held request on if the view becomes too old right after its wait

Found by reading, after held_request.test.ts and odd_entries.test.ts had failed once each beside other tests on a machine at load 22 to 25; no log shows that this was their cause.

Change: a request that has been held is routed by what is known. Only one without a known route is refused, by the age of the routes.

--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -562,10 +562,11 @@
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
-    let decision = this.decideRoute(exchange);
+    let decision = this.decideRoute(exchange, this.platformView.isDecidable);
     if (decision.kind === 'undecided') {
       if (!(await this.holdForView(exchange))) return;
-      decision = this.decideRoute(exchange);
+      // Should the view have become too old again, the request is held before it is sent.
+      decision = this.decideRoute(exchange, true);
     }
     if (decision.kind !== 'found') {
       const code =
@@ -590,11 +591,14 @@
     }
   }
 
-  private decideRoute(exchange: CallerExchange): RouteDecision {
+  private decideRoute(
+    exchange: CallerExchange,
+    isDecidable: boolean,
+  ): RouteDecision {
     const {routes, platformView} = this;
     if (!this.isAcceptingRequests && routes.current !== undefined)
       return {kind: 'refused', code: ErrorCode.ShuttingDown};
-    const {areRoutesCurrent: isCurrent, isDecidable} = platformView;
+    const {areRoutesCurrent: isCurrent} = platformView;
     return decideRoute(
       {routes: routes.current, isCurrent, isDecidable},
       exchange,
