Say "outdated" only if the store answered a read made during the wait

Cause: request-held said "outdated" for any progress of what is known. Late messages of a feed raise that bound by some milliseconds although the lease holder has read nothing new, so the line could blame a store that was silent.

Change: only an instant later than the begin of the wait counts, which no earlier read can confirm.

Measured: wait_for_view.test.ts has the case, by construction "outdated" on the code before.

--- a/packages/gateway/__tests__/wait_for_view.test.ts
+++ b/packages/gateway/__tests__/wait_for_view.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {EmitEvent, Instant, RequestId} from '@siskinmux/kernel';
+import type {EmitEvent, Milliseconds, RequestId} from '@siskinmux/kernel';
 import {RefusalError, after, as} from '@siskinmux/kernel';
 import type {RouteVersion} from '@siskinmux/routes';
 import {VirtualClock} from '@siskinmux/testkit';
@@ -10,8 +10,8 @@
 interface Belief {
   readonly isCurrent: boolean;
   readonly isDecidable: boolean;
-  /** Whether a change of some kind has become known during the wait. */
-  readonly hasLearned: boolean;
+  /** When, from the begin of the wait, the latest answer of the store was asked for. */
+  readonly answeredRead: Milliseconds;
 }
 
 /** Waits for a view that is as given after the wait; resolves to the fields of its line. */
@@ -20,9 +20,9 @@
   isAborted = false,
 ): Promise<Readonly<Record<string, unknown>>> {
   const clock = VirtualClock.create();
-  const knownBefore = clock.now();
-  const {isCurrent, isDecidable, hasLearned} = belief;
-  let latestKnownUntil: Instant | undefined = knownBefore;
+  const startedAt = clock.now();
+  const {isCurrent, isDecidable, answeredRead} = belief;
+  let latestKnownUntil = after(startedAt, -300);
   const view: AwaitedView = {
     age: {routes: 1_600, endpoints: 300},
     routesVersion: as<RouteVersion>(7),
@@ -32,7 +32,7 @@
       return latestKnownUntil;
     },
     waitUntilDecidable: () => {
-      if (hasLearned) latestKnownUntil = after(knownBefore, 100);
+      latestKnownUntil = after(startedAt, answeredRead);
       return Promise.resolve();
     },
   };
@@ -57,17 +57,22 @@
 describe('line of a request that was held', () => {
   it('tells a store that is unreachable from routes that are merely outdated', async () => {
     const belief = {isCurrent: false, isDecidable: true};
-    const silent = await hold({...belief, hasLearned: false});
-    expect(silent['outcome']).toEqual('unreachable');
-    const outdated = await hold({...belief, hasLearned: true});
+    const outdated = await hold({...belief, answeredRead: 100});
     expect(outdated['outcome']).toEqual('outdated');
+    const silent = await hold({...belief, answeredRead: -300});
+    expect(silent['outcome']).toEqual('unreachable');
+  });
+
+  it('does not take late messages about earlier reads for a store that answers', async () => {
+    const belief = {isCurrent: false, isDecidable: true, answeredRead: -290};
+    expect((await hold(belief))['outcome']).toEqual('unreachable');
   });
 
   it('names the version of the routes and the ages', async () => {
     const line = await hold({
       isCurrent: true,
       isDecidable: true,
-      hasLearned: true,
+      answeredRead: 100,
     });
     const {id, version, routesAge, endpointsAge, outcome} = line;
     expect({id, version, routesAge, endpointsAge, outcome}).toEqual({
@@ -80,7 +85,7 @@
   });
 
   it('tells of refused requests, and of those that have ended', async () => {
-    const undecided = {isCurrent: false, isDecidable: false, hasLearned: true};
+    const undecided = {isCurrent: false, isDecidable: false, answeredRead: 100};
     expect((await hold(undecided))['outcome']).toEqual('refused');
     expect((await hold(undecided, true))['outcome']).toEqual('gone');
   });
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -165,7 +165,7 @@
   name: 'request-held',
   level: 'info',
   meaning:
-    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `version` is that of the routes after the wait. `outcome`: `current` after a read; `unreachable` if nothing of the store was read or forwarded during the wait, and the last knowledge was used; `outdated` if it was used although something was, as of another kind of objects; `refused` if no read came in time, `gone` if the request had ended.',
+    'A request waited, since a change of the platform might have been unknown to this node for too long. `endpointsAge` and `routesAge` are the milliseconds for which that was possible, `waited` those of the wait. `version` is that of the routes after the wait. `outcome`: `current` after a read; `unreachable` if the store answered no read that began during the wait, and the last knowledge was used; `outdated` if it was used although the store answered one, as of another kind of objects; `refused` if no read came in time, `gone` if the request had ended.',
 };
 
 /** The gateway has opened its listeners. */
--- a/packages/gateway/src/wait_for_view.ts
+++ b/packages/gateway/src/wait_for_view.ts
@@ -53,7 +53,7 @@
   clock: Clock,
   emit: EmitEvent,
 ): Promise<void> {
-  const {age, latestKnownUntil} = view;
+  const {age} = view;
   const startedAt = clock.now();
   const holdUntil = earlier(deadline, after(startedAt, HOLD_MILLISECONDS));
   await view.waitUntilDecidable(holdUntil, signal);
@@ -64,7 +64,7 @@
     routesAge: age.routes,
     version: view.routesVersion,
     waited: Math.round(until(startedAt, now)),
-    outcome: outcomeOf(view, latestKnownUntil, signal),
+    outcome: outcomeOf(view, startedAt, signal),
   });
   if (signal.aborted || view.isDecidable) return;
   throw createNotRunRefusal(
@@ -74,14 +74,15 @@
   );
 }
 
-/** `knownBefore` is what was known of the store's changes when the wait began. */
 function outcomeOf(
   view: AwaitedView,
-  knownBefore: Instant | undefined,
+  startedAt: Instant,
   signal: AbortSignal,
 ): string {
   if (signal.aborted) return 'gone';
   if (!view.isDecidable) return 'refused';
   if (view.isCurrent) return 'current';
-  return view.latestKnownUntil === knownBefore ? 'unreachable' : 'outdated';
+  // Earlier instants are also confirmed by late messages of a feed whose source has lost the store.
+  const {latestKnownUntil = startedAt} = view;
+  return latestKnownUntil > startedAt ? 'outdated' : 'unreachable';
 }
