Send the suspects before the response to a handshake again

Reverts the order of: a follower sends requests to engines once it has the response, and without the suspects it could send one that is quarantined. The change follows from reading.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -223,8 +223,8 @@
       node = decodeHello(message);
       this.followers.set(node, Follower.create(connection, clock.now()));
       this.toldPeers.delete(node);
-      // The state takes long on a slow link, so the response comes first.
-      clock.schedule(clock.now(), () => this.sendState(connection));
+      // A follower has the suspects before it sends requests to engines.
+      this.sendState(connection);
       return {node: this.options.self, isHolder: true};
     });
     connection.handle(PEER_METHODS.usage, usageSchema, message => {
