End only the reads that bring a second large response

Why an aborted read delays the next one is not traced (suspected: the shared connections of the client).

--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -436,7 +436,7 @@
   /**
    * Waits for a read. While its response arrives, no other is sent over the same link. Before,
    * watches again if the feed has more than this node has; if nothing arrives any more, lists the
-   * objects, as the connection may have fallen silent. The first success ends all of them.
+   * objects, as the connection may have fallen silent. No two bring a large response.
    */
   private async finish(
     read: (progress: ReadProgress) => Promise<void>,
@@ -467,8 +467,6 @@
         emit(READ_OVERDUE, {kind, revision, cause, receivedBytes});
         if (cause === 'feed has more' && revision !== undefined) {
           hasWatchedAgain = true;
-          // The open watch would bring the same changes over the same link.
-          progress.end();
           reads.push(this.watch(revision, now, progress));
         } else if (!hasListed) {
           hasListed = true;
@@ -511,9 +509,10 @@
     const sentAt = clock.now();
     const {revision: knownWhenSent} = this;
     let bytes = 0;
-    const listing = await store.list(kind, false, {
-      ...progress.options(received => (bytes = received)),
-    });
+    const listing = await progress.follow(
+      options => store.list(kind, false, options),
+      received => (bytes = received),
+    );
     this.listBytes = bytes;
     this.logIfLong('list', sentAt, bytes, progress);
     const from = this.revision;
@@ -544,13 +543,14 @@
     const {store, kind, clock, onRead} = this.options;
     const sentAt = clock.now();
     let bytes = 0;
-    const {changes, revision: to} = await store.watch(kind, from, waitUntil, {
-      ...progress.options(received => (bytes = received)),
-      maximumBytes: Math.max(
-        MINIMUM_CHANGES_BYTES,
-        CHANGES_OVER_LIST_RATIO * this.listBytes,
-      ),
-    });
+    const maximumBytes = Math.max(
+      MINIMUM_CHANGES_BYTES,
+      CHANGES_OVER_LIST_RATIO * this.listBytes,
+    );
+    const {changes, revision: to} = await progress.follow(
+      options => store.watch(kind, from, waitUntil, {...options, maximumBytes}),
+      received => (bytes = received),
+    );
     this.logIfLong('watch', sentAt, bytes, progress);
     this.hasNewChanges = changes.length > 0;
     // The feed, or a later call, may have advanced past this response in the meantime.
--- a/packages/gateway/src/read_progress.ts
+++ b/packages/gateway/src/read_progress.ts
@@ -12,6 +12,7 @@
   private firstAt: Instant | undefined;
   private lastAt: Instant | undefined;
   private received = 0;
+  private isOver = false;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -34,28 +35,39 @@
     return this.received;
   }
 
-  /** Options of a further read that is followed. */
-  options(onBytes: (receivedBytes: number) => void): ReadOptions {
+  /**
+   * Starts a further read that is followed. Its signal never aborts after the read has ended: the
+   * connection may carry another call by then.
+   */
+  async follow<Result>(
+    read: (options: ReadOptions) => Promise<Result>,
+    onBytes: (receivedBytes: number) => void,
+  ): Promise<Result> {
     const abort = new AbortController();
     this.running.add(abort);
-    return {
-      signal: abort.signal,
-      onProgress: receivedBytes => {
-        this.lastAt = this.clock.now();
-        this.firstAt ??= this.lastAt;
-        this.received = receivedBytes;
-        if (receivedBytes >= EXCLUSIVE_BYTES) this.endOthers(abort);
-        onBytes(receivedBytes);
-      },
-    };
+    try {
+      return await read({
+        signal: abort.signal,
+        onProgress: receivedBytes => {
+          this.lastAt = this.clock.now();
+          this.firstAt ??= this.lastAt;
+          this.received = receivedBytes;
+          if (receivedBytes >= EXCLUSIVE_BYTES) this.endOthers(abort);
+          if (receivedBytes >= EXCLUSIVE_BYTES && this.isOver) abort.abort();
+          onBytes(receivedBytes);
+        },
+      });
+    } finally {
+      this.running.delete(abort);
+    }
   }
 
-  /** Aborts the reads that are still running. */
+  /** Ends each read that is left over once much of its response arrives. */
   end(): void {
-    this.endOthers(undefined);
+    this.isOver = true;
   }
 
-  private endOthers(kept: AbortController | undefined): void {
+  private endOthers(kept: AbortController): void {
     for (const abort of this.running) {
       if (abort === kept) continue;
       this.running.delete(abort);
