Run timers after what has arrived, for all decisions

Callers saw requests refused, or runs given up, beside a node that had itself been paused or starved of its processor.

Cause: the event loop runs the timers that fell due during a pause before it reads the sockets that became readable meanwhile. Three places of the request path and three others had a remedy of their own; the deadlines of reads of the store, of held requests, of waits for models, of orders and reports of engines, of handshakes and of permits had none, and took what lay unread for a silence of others.

Change: both clocks call back after the next read of the sockets. The remedies of single places are gone. A follower leaves a lease holder that was silent at two exchanges of heartbeats in a row, for 0.7 s at the first, which takes 1.0 to 1.3 s as before: at the first exchange after a pause that both had, the holder has not had its turn yet.

Conclusion: no timer of a node may judge by what it has not read yet.

--- a/packages/adapters/src/steady_clock.ts
+++ b/packages/adapters/src/steady_clock.ts
@@ -3,6 +3,7 @@
 import {performance} from 'node:perf_hooks';
 import type {Clock, Instant} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
+import {scheduleAfterInput} from './schedule_after_input.js';
 
 /** Unix time at which `performance.now()` was 0, so that instants resemble Unix times. */
 const TIME_ORIGIN = Date.now() - performance.now();
@@ -12,8 +13,7 @@
   now: () => as<Instant>(TIME_ORIGIN + performance.now()),
   schedule: (at, callback) => {
     const delay = Math.max(0, at - (TIME_ORIGIN + performance.now()));
-    const timer = setTimeout(callback, delay);
-    return () => clearTimeout(timer);
+    return scheduleAfterInput(delay, callback);
   },
 };
 
--- a/packages/adapters/src/system_clock.ts
+++ b/packages/adapters/src/system_clock.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, Instant, Random} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
+import {scheduleAfterInput} from './schedule_after_input.js';
 
 /** Longest delay that `setTimeout` accepts. */
 const MAXIMUM_TIMER_MILLISECONDS = 2 ** 31 - 1;
@@ -11,11 +12,10 @@
   now: () => as<Instant>(Date.now()),
   schedule: (at, callback) => {
     const delay = Math.max(0, at - Date.now());
-    const timer = setTimeout(
-      callback,
+    return scheduleAfterInput(
       Math.min(delay, MAXIMUM_TIMER_MILLISECONDS),
+      callback,
     );
-    return () => clearTimeout(timer);
   },
 };
 
--- a/packages/forwarding/src/probe_endpoint.ts
+++ b/packages/forwarding/src/probe_endpoint.ts
@@ -33,8 +33,7 @@
     };
     const cancel = clock.schedule(
       after(clock.now(), PROBE_TIMEOUT_MILLISECONDS),
-      // A late timer may precede a response that has arrived already.
-      () => setImmediate(finish, 'unknown'),
+      () => finish('unknown'),
     );
     socket.once('connect', () => finish('listening'));
     socket.on('error', (failure: NodeJS.ErrnoException) =>
@@ -60,8 +59,7 @@
     };
     const cancel = clock.schedule(
       after(clock.now(), RESPONSE_TIMEOUT_MILLISECONDS),
-      // A late timer may precede a response that has arrived already.
-      () => setImmediate(() => finish(isConnected ? 'silent' : 'unknown')),
+      () => finish(isConnected ? 'silent' : 'unknown'),
     );
     request.once('socket', socket =>
       socket.once('connect', () => {
--- a/packages/gateway/src/inactivity_timer.ts
+++ b/packages/gateway/src/inactivity_timer.ts
@@ -7,7 +7,6 @@
   Milliseconds,
 } from '@siskinmux/kernel';
 import {after, until} from '@siskinmux/kernel';
-import {scheduleAfterInput} from './schedule_after_input.js';
 
 /** Calls back, with the length of the silence, each time that it is not reset within the timeout. */
 export class InactivityTimer {
@@ -59,7 +58,7 @@
   private schedule(): void {
     const {clock, timeoutMilliseconds} = this;
     const dueAt = after(this.lastActivityAt, timeoutMilliseconds);
-    this.cancel = scheduleAfterInput(clock, dueAt, () => {
+    this.cancel = clock.schedule(dueAt, () => {
       if (this.isSuspended) this.reset();
       const isDue =
         clock.now() >= after(this.lastActivityAt, timeoutMilliseconds);
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -69,8 +69,11 @@
 import {RemoteAllocator} from './remote_allocator.js';
 import {SendPermits} from './send_permits.js';
 
-/** An allocator that sent nothing for this long, three heartbeats, is considered lost. */
-const HEARTBEAT_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
+/**
+ * An allocator that sent nothing for this long at two exchanges of heartbeats in a row is considered
+ * lost. At the first exchange after a pause of this process, it may not have had its turn yet.
+ */
+const HEARTBEAT_TIMEOUT_MILLISECONDS: Milliseconds = 700;
 
 /** Dependencies of {@link NodePlacement}. */
 export interface NodePlacementOptions {
@@ -133,6 +136,8 @@
   private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
   private holderConnection: PeerConnection | undefined;
+  /** The connection to the holder, if it was silent at the last exchange of heartbeats. */
+  private silentConnection: PeerConnection | undefined;
   /** The allocator that this node uses; undefined while it has no lease holder. */
   private allocator: AllocatorApi | undefined;
   /** Limit on concurrent loads from the weight store in the last heartbeat of a lease holder. */
@@ -452,11 +457,9 @@
     if (this.allocatorServer !== undefined)
       this.applyHeartbeat(this.allocatorServer.sendHeartbeat());
     const connection = this.holderConnection;
-    if (connection === undefined || !this.isSilent(connection)) return;
-    // A late timer may precede heartbeats that have arrived already.
-    setImmediate(() => {
-      if (this.isSilent(connection)) connection.close();
-    });
+    const isSilent = connection !== undefined && this.isSilent(connection);
+    if (isSilent && connection === this.silentConnection) connection.close();
+    this.silentConnection = isSilent ? connection : undefined;
   }
 
   private isSilent(connection: PeerConnection): boolean {
--- a/packages/gateway/src/request_ending.ts
+++ b/packages/gateway/src/request_ending.ts
@@ -18,7 +18,6 @@
 import {refusalResponse} from './refusal_response.js';
 import {statementOfRefusal} from './relayed_send.js';
 import type {RequestState} from './request_state.js';
-import {scheduleAfterInput} from './schedule_after_input.js';
 
 /** Endpoints enforce the same deadline; the grace period lets their own response arrive first. */
 const TIMEOUT_GRACE_MILLISECONDS: Milliseconds = 30;
@@ -75,10 +74,8 @@
       exchange.receivedAt,
       route.timeoutMilliseconds + TIMEOUT_GRACE_MILLISECONDS,
     );
-    this.cancelTimeout = scheduleAfterInput(
-      this.dependencies.clock,
-      timeoutAt,
-      () => this.handleTimeout(),
+    this.cancelTimeout = this.dependencies.clock.schedule(timeoutAt, () =>
+      this.handleTimeout(),
     );
   }
 
--- a/packages/gateway/src/response_delivery.ts
+++ b/packages/gateway/src/response_delivery.ts
@@ -21,7 +21,6 @@
 import {SERVED} from './request_ending.js';
 import type {RequestState} from './request_state.js';
 import {findBreak} from './response_end.js';
-import {scheduleAfterInput} from './schedule_after_input.js';
 import type {StreamBinding} from './stream_binding.js';
 
 /** Told of the events of a stream, and of pauses that its caller causes. */
@@ -198,8 +197,7 @@
       exchange.memory,
       endWait =>
         exchange.hasSentHead
-          ? scheduleAfterInput(
-              clock,
+          ? clock.schedule(
               after(clock.now(), CONCURRENT_CONTINUATION_MILLISECONDS),
               endWait,
             )
--- a/packages/kernel/src/time.ts
+++ b/packages/kernel/src/time.ts
@@ -23,7 +23,10 @@
 export interface Clock {
   /** The current instant. */
   now(): Instant;
-  /** Runs `callback` once at `at`, or as soon as possible when `at` has passed. */
+  /**
+   * Runs `callback` once at `at`, or as soon as possible when `at` has passed; in either case after
+   * what has arrived by then.
+   */
   schedule(at: Instant, callback: () => void): CancelTimer;
 }
 
