Test that a paused process reads the rest of a body before it closes the connection

After an early answer, a caller's next request could be closed unread, though it and the rest of the body had arrived in time, if the node's process paused beyond the 1,000 ms that the rest may take.

Cause: a process that was paused runs its timers before it reads; the timer closed the connection.

--- a/packages/gateway/__tests__/caller_body.test.ts
+++ b/packages/gateway/__tests__/caller_body.test.ts
@@ -28,6 +28,11 @@
     onChange: () => {},
   });
 
+function blockEventLoop(): void {
+  const end = performance.now() + ANSWER_MILLISECONDS;
+  while (performance.now() < end);
+}
+
 /** Begins to receive a body of this many bytes, and asks for it when it has come. */
 async function collectLater(
   bytes: number,
@@ -131,6 +136,7 @@
     port: number,
     bytes: number,
     rest = '',
+    onSent = (): void => {},
   ): Promise<'answered' | 'closed' | 'neither'> {
     const socket = connect(port, '127.0.0.1');
     let received = '';
@@ -145,6 +151,7 @@
         if (hasAskedAgain || !received.includes('/first')) return;
         hasAskedAgain = true;
         socket.write(`${rest}GET /second HTTP/1.1\r\nhost: a\r\n\r\n`);
+        onSent();
       });
       socket.write(
         `POST /first HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes}\r\n\r\n${'x'.repeat(bytes - rest.length)}`,
@@ -174,6 +181,12 @@
     );
   });
 
+  it('takes the next request, if the process pauses before it reads the rest', async () => {
+    const port = await listen(0);
+    const answered = sendTwo(port, 1_000, 'rest', blockEventLoop);
+    expect(await answered).toEqual('answered');
+  });
+
   // The bytes that had waited were not read any more, nor was the next request.
   it('takes the next request, if receipt had paused until the answer', async () => {
     const port = await listen(LATER_MILLISECONDS);
