Read what has come before an idle connection of a caller is closed

A caller's request that arrived within the idle timeout was closed unread, if the node's process paused until after it.

Cause: Node.js closes an idle connection by a timer, and a process that was paused runs its timers before it reads. Change: on its timeout, a connection is closed only if nothing has arrived by the next read. Measured: idle_timeout.test.ts, "takes a request that arrived in time, though its process has paused since": closed before, answered three times of three now. "is not closed under a request that is longer in flight than a new idle timeout" passes before as well: no test changed the idle time so far. With an idle time that also acts on open requests, or a configuration that closes connections, it fails.

--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -105,6 +105,7 @@
     });
     const {handle, clock, readRelayed} = options;
     const server = adapter.getHttpServer() as Server;
+    server.on('timeout', closeUnlessRead);
     const handler = ExchangeHandler.create(
       handle,
       clock,
@@ -145,6 +146,17 @@
   }
 }
 
+/**
+ * Closes a connection that has been idle for too long, unless something has arrived on it: a process
+ * that was paused runs its timers before it reads.
+ */
+function closeUnlessRead(socket: Socket): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** What the receipt of bodies is subject to. */
 interface BodyReceiptOptions {
   readonly pacer: SocketPacer;
