Keep the demand of a node that may be back within a second

Callers at a node that had left a silent lease holder, and followed it again some hundred milliseconds later, could be refused with 503: the holder moved the models that their requests were running on.

Cause: the end of the connection removed the node's last usage report at once, though its requests go on at the engines. The next plan, 8 ms later, took their models for idle. An engine that unloads a model waits for the requests that run on it, and takes no other change meanwhile.

Change: the demand of a node whose connection has ended is removed after a second, unless the node has reported usage again by then. A node that has been silent for three seconds is still removed at once.

Not measured: what the second costs when a node has died; a model that only its requests were using can be evicted a second later.

Conclusion: requests that begin while the node is away are still unknown to the holder.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -103,6 +103,9 @@
 /** Up to this many nodes, every change is sent to all nodes at once. */
 const SMALL_CLUSTER_NODES = 16;
 
+/** Time in which a node that has closed its connection may be back; its requests go on meanwhile. */
+const RETURN_MILLISECONDS: Milliseconds = 1_000;
+
 /** Interval between updates of the nodes' peers in a large cluster. */
 const PEER_UPDATE_MILLISECONDS: Milliseconds = 300;
 
@@ -313,7 +316,7 @@
     );
     connection.onClosed(() => {
       if (node && this.followers.get(node)?.connection === connection)
-        this.removeFollower(node);
+        this.removeFollower(node, after(clock.now(), RETURN_MILLISECONDS));
     });
   }
 
@@ -438,8 +441,8 @@
     const now = clock.now();
     for (const [node, follower] of this.followers) {
       if (!follower.isExpired(now)) continue;
+      this.removeFollower(node, now);
       follower.connection.close();
-      this.removeFollower(node);
     }
     const heartbeat = {
       nodes: this.nodeCount,
@@ -554,13 +557,13 @@
       connection.notify(PEER_METHODS.newSuspects, message);
   }
 
-  private removeFollower(node: NodeId): void {
+  private removeFollower(node: NodeId, demandEndsAt: Instant): void {
     this.followers.delete(node);
     this.relayPeers.remove(node);
     this.toldPeers.delete(node);
     this.sendRelayPeers();
     for (const allocator of this.allocators.values())
-      allocator.removeNode(node);
+      allocator.removeNode(node, demandEndsAt);
   }
 
   private createAllocator(service: ServiceName): Allocator {
--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -162,6 +162,46 @@
       allocator.stop();
     });
 
+  describe('while a node whose requests are in flight for all models is away', () => {
+    const busy = as<NodeId>('node-2');
+
+    /** A request waits for a model that needs an eviction; the node may be back within a second. */
+    async function createWithNodeAway() {
+      const simulation = createSimulation(1);
+      const {clock} = simulation;
+      const allocator = simulation.createAllocator(1, () => true);
+      const usage = {
+        waiting: [],
+        inFlight: usageOfAllModels(simulation),
+        arrived: [],
+      };
+      allocator.recordUsage(busy, usage);
+      reportWaitingRequest(allocator, simulation, model(9));
+      await clock.advance(1_000);
+      allocator.removeNode(busy, after(clock.now(), 1_000));
+      return {simulation, allocator, usage};
+    }
+
+    for (const awayFor of [50, 300, 900])
+      it(`evicts none of them if it is back after ${awayFor} ms`, async () => {
+        const {simulation, allocator, usage} = await createWithNodeAway();
+        await simulation.clock.advance(awayFor);
+        allocator.recordUsage(busy, usage);
+        await simulation.clock.advance(2_000);
+        expect(simulation.orders.sent).toEqual([]);
+        allocator.stop();
+      });
+
+    it('evicts one of them after a second', async () => {
+      const {simulation, allocator} = await createWithNodeAway();
+      await simulation.clock.advance(950);
+      expect(simulation.orders.sent).toEqual([]);
+      await simulation.clock.advance(1_000);
+      expect(isAvailable(simulation, model(9))).toEqual(true);
+      allocator.stop();
+    });
+  });
+
   it('loads a model on only one engine while requests for it keep arriving', async () => {
     const simulation = createSimulation(1);
     const allocator = simulation.createAllocator(1, () => true);
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -6,6 +6,7 @@
 
 import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
 import type {
+  CancelTimer,
   Clock,
   EmitEvent,
   EndpointId,
@@ -96,6 +97,8 @@
   private readonly changeExecutor: ModelChangeExecutor;
   /** Reads of engine states in progress, at most one per engine. */
   private readonly pendingReads = new Map<EngineView, Promise<void>>();
+  /** Cancels the removal of a node's demand. */
+  private readonly removals = new Map<NodeId, CancelTimer>();
   private declaration: EngineDeclaration | undefined;
   private isPlanScheduled = false;
   private isStopped = false;
@@ -177,15 +180,22 @@
    * waiting.
    */
   recordUsage(node: NodeId, usage: NodeUsage): void {
+    this.removals.get(node)?.();
+    this.removals.delete(node);
     const hadWaitingRequests = this.demand.hasWaiting(node);
     this.demand.recordUsage(node, usage, this.options.clock.now());
     if (hadWaitingRequests || usage.waiting.length > 0) this.schedulePlan();
   }
 
-  /** Removes the demand of a node that has left. */
-  removeNode(node: NodeId): void {
-    this.demand.removeNode(node);
-    this.schedulePlan();
+  /** Removes the demand of a node at an instant, unless the node reports usage before. */
+  removeNode(node: NodeId, at: Instant): void {
+    this.removals.get(node)?.();
+    const cancel = this.options.clock.schedule(at, () => {
+      this.removals.delete(node);
+      this.demand.removeNode(node);
+      this.schedulePlan();
+    });
+    this.removals.set(node, cancel);
   }
 
   /**
@@ -229,6 +239,7 @@
   /** Stops planning and sending orders. */
   stop(): void {
     this.isStopped = true;
+    for (const cancel of this.removals.values()) cancel();
     for (const {orderQueue} of this.engines.values()) orderQueue.close();
   }
 
