Go on by the models that a lost lease holder has sent last

A request for a loaded model got 503 at a node that had left a lease holder which was silent for 1.2 s: it was sent to an engine that had unloaded the model, and the retry budget was used up.

Cause: a node that leaves its holder forgot the available models that the holder had sent, and went by the engines' entries in the store, which are older: they lag, and don't change while the store is out of reach.

Change: without an allocator, a node goes by what the last one has sent, until an engine's entry lists other models or the engine starts again. A model that was withdrawn everywhere is looked for in the entries, as the withdrawal may have been taken back.

Measured: "sends no request to an engine from which the lost allocator had withdrawn the model" failed before (some of 20 requests went there), passes now; the other tests of the file pass.

--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -208,6 +208,52 @@
     ]);
   });
 
+  it('sends no request to an engine from which the lost allocator had withdrawn the model', async () => {
+    const {clock, client, table, find, allocator} = build();
+    const other = as<EndpointId>('engine-2');
+    const engines = [engine, other].map(id =>
+      createEngineDescription(id, service, [model('m0')]),
+    );
+    table.replaceAll(engines, undefined);
+    client.setAllocator(allocator);
+    client.onAvailableModels(service, [
+      {engine, models: [model('m9')]},
+      {engine: other, models: [model('m0')]},
+    ]);
+    client.setAllocator(undefined);
+    const searches = Array.from({length: 20}, () => find('m0'));
+    const loadedLast = find('m9');
+    await clock.advance(50);
+    expect(new Set(searches.map(({outcome}) => outcome))).toEqual(
+      new Set([other]),
+    );
+    expect(loadedLast.outcome).toEqual(engine);
+  });
+
+  it('sends a request to an engine that lists a model which the lost allocator had withdrawn everywhere', async () => {
+    const {clock, client, find, allocator} = build();
+    client.setAllocator(allocator);
+    client.onAvailableModels(service, [{engine, models: []}]);
+    client.setAllocator(undefined);
+    const search = find('m0');
+    await clock.advance(50);
+    expect(search.outcome).toEqual(engine);
+  });
+
+  it('goes by the entry of an engine that has changed since the allocator was lost', async () => {
+    const {clock, client, table, find, allocator} = build();
+    client.setAllocator(allocator);
+    client.onAvailableModels(service, [{engine, models: [model('m9')]}]);
+    client.setAllocator(undefined);
+    const description = createEngineDescription(engine, service, [model('m7')]);
+    client.onEndpointChanges(
+      table.apply([{id: engine, description, isRemoved: false}], undefined),
+    );
+    const [earlier, listed] = [find('m9'), find('m7')];
+    await clock.advance(50);
+    expect([earlier.outcome, listed.outcome]).toEqual([undefined, engine]);
+  });
+
   it('forgets what a lost allocator has sent', async () => {
     const {clock, client, find, allocator} = build();
     client.setAllocator(allocator);
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -268,7 +268,7 @@
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
     this.permits.applyEndpointChanges(changes);
-    this.client.onEndpointChanges();
+    this.client.onEndpointChanges(changes);
     const {table} = this.options;
     this.allocatorServer?.applyEndpointChanges(
       changes.map(change =>
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -6,6 +6,7 @@
 import type {
   EndpointDescription,
   EndpointTable,
+  EndpointTableChange,
   SoftwareVersion,
 } from '@siskinmux/endpoints';
 import {meetsVersion} from '@siskinmux/endpoints';
@@ -113,10 +114,12 @@
 /** Finds engines for requests and reports this node's usage to the allocator. */
 export class PlacementClient implements AllocatorListener {
   private allocator: AllocatorApi | undefined;
-  private readonly availableModels = new Map<
-    EndpointId,
-    ReadonlySet<ModelName>
-  >();
+  private availableModels = new Map<EndpointId, ReadonlySet<ModelName>>();
+  /**
+   * The available models of an allocator that was lost, without engines whose entries have
+   * changed since; empty while there is an allocator.
+   */
+  private lastAvailableModels = new Map<EndpointId, ReadonlySet<ModelName>>();
   private readonly waiters = new Set<Waiter>();
   private readonly arrivalCounts = new Map<
     ServiceName,
@@ -147,13 +150,16 @@
    * when the connection to it was lost.
    */
   setAllocator(allocator: AllocatorApi | undefined): void {
-    if (this.allocator !== undefined)
+    if (this.allocator !== undefined) {
       this.allocatorLostAt = this.options.clock.now();
+      this.lastAvailableModels = this.availableModels;
+    }
     this.allocator = allocator;
     if (allocator === undefined) {
-      this.availableModels.clear();
+      this.availableModels = new Map();
       return;
     }
+    this.lastAvailableModels = new Map();
     for (const service of this.options.engineServices())
       this.endWaitsForModels(service);
     this.sendUsageReports();
@@ -267,7 +273,11 @@
     );
 
   /** Ends the waits for versions that have left. */
-  onEndpointChanges(): void {
+  onEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    for (const {id, before, now} of changes) {
+      if (before === undefined || !hasSameModels(before, now))
+        this.lastAvailableModels.delete(id);
+    }
     for (const {requirements, settle} of this.waiters) {
       const refusal = this.refusalOfGoneVersion(requirements);
       if (refusal !== undefined) settle(refusal);
@@ -338,7 +348,7 @@
         serviceMilliseconds: TIME_TO_FIRST_EVENT_MILLISECONDS,
         choose,
         isUsable: endpoint =>
-          isListed(table, endpoint) && this.hasModel(endpoint, model),
+          isListed(table, endpoint) && this.mayHaveModel(endpoint, model),
         waitForUnlimited: signal =>
           this.waitForModel(
             {...requirements, signal},
@@ -358,20 +368,37 @@
   ): EndpointDescription[] {
     const {model} = requirements;
     if (model === undefined) return [];
-    return this.options.table
+    const engines = this.options.table
       .availableFor(requirements.service)
-      .filter(
-        endpoint =>
-          meetsVersion(endpoint, requirements.version) &&
-          this.hasModel(endpoint, model),
-      );
+      .filter(endpoint => meetsVersion(endpoint, requirements.version));
+    const known = engines.filter(endpoint => this.hasModel(endpoint, model));
+    return known.length > 0
+      ? known
+      : engines.filter(endpoint => this.mayHaveModel(endpoint, model));
   }
 
   private hasModel(endpoint: EndpointDescription, model: ModelName): boolean {
     if (this.isExcluded(endpoint.id, model)) return false;
-    const available = this.allocator && this.availableModels.get(endpoint.id);
+    const known =
+      this.allocator === undefined
+        ? this.lastAvailableModels
+        : this.availableModels;
+    const available = known.get(endpoint.id);
     if (available !== undefined) return available.has(model);
-    return endpoint.models.some(loaded => loaded.model === model);
+    return listsModel(endpoint, model);
+  }
+
+  /** A lost allocator may have restored a model that it had withdrawn. */
+  private mayHaveModel(
+    endpoint: EndpointDescription,
+    model: ModelName,
+  ): boolean {
+    if (this.hasModel(endpoint, model)) return true;
+    return (
+      this.allocator === undefined &&
+      !this.isExcluded(endpoint.id, model) &&
+      listsModel(endpoint, model)
+    );
   }
 
   private isExcluded(engine: EndpointId, model: ModelName): boolean {
@@ -648,6 +675,25 @@
   }
 }
 
+function listsModel({models}: EndpointDescription, model: ModelName): boolean {
+  return models.some(loaded => loaded.model === model);
+}
+
+/** Whether two entries are of one run of an engine and list the same models. */
+function hasSameModels(
+  before: EndpointDescription,
+  now: EndpointDescription | undefined,
+): boolean {
+  const names = ({models}: EndpointDescription): string =>
+    models
+      .map(({model}) => model)
+      .sort()
+      .join(' ');
+  return (
+    before.incarnation === now?.incarnation && names(before) === names(now)
+  );
+}
+
 function boundVersion({
   version,
 }: EndpointRequirements): SoftwareVersion | undefined {
