Look for another engine if the model is withdrawn during a wait for an adapter

Three requests for an adapter got 503 after a pause of 1 s of the lease holder, though another engine had their model.

Cause: a request that waits for its grant, or for the adapter to be usable, counts neither as waiting nor as in flight, so its engine may be chosen for an eviction meanwhile. The node learns that the model is withdrawn, but checked only whether the engine is still listed, and sent the request to it: 421, and the retry budget was used up by the others.

Change: the node checks after the wait that the engine still has the model, as it does before it uses a grant again, and asks for another grant if not.

Measured: "finds no engine from which the model is withdrawn while the request waits for its adapter" failed before, passes now.

Conclusion: the eviction itself is still planned; the requests move.

--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -335,6 +335,17 @@
     await clock.advance(1_000);
     expect(search.outcome).toEqual(ErrorCode.NoEndpoint);
   });
+
+  it('finds no engine from which the model is withdrawn while the request waits for its adapter', async () => {
+    const {clock, client, find, allocator} = build();
+    client.setAllocator(allocator);
+    allocator.usableAfterMilliseconds = 100;
+    const search = find('m0', 'a1', 300);
+    await clock.advance(50);
+    client.onAvailableModels(service, [{engine, models: []}]);
+    await clock.advance(1_000);
+    expect(search.outcome).toEqual(ErrorCode.NoEndpoint);
+  });
 });
 
 describe('PlacementClient usage reports', () => {
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -451,7 +451,8 @@
     const isUsable =
       engine !== undefined &&
       isListed(table, engine) &&
-      meetsVersion(engine, requirements.version);
+      meetsVersion(engine, requirements.version) &&
+      this.mayHaveModel(engine, model);
     return isUsable ? engine : undefined;
   }
 
