Spread the lists of many nodes after a return of the store

After the store has returned from an older copy, or has lost its history, all nodes listed both kinds within the same tenth of a second, watched again at once, and exceeded the store's read rate. Cause: the list followed the refused watch without a delay; the retries' jitter alone spread it. Each node also sent a watch after each list, though the lease holder's feed resumes within 300 ms.

--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -45,6 +45,7 @@
     outageMilliseconds: 2_400,
     batchMilliseconds: () => batchMilliseconds,
     isFeedSource: () => environment.isFeedSource === true,
+    nodeCount: () => 1,
     onRead: read => feed.record(read),
     reregistrationGraceMilliseconds: 2_200,
     handler: {
--- a/packages/gateway/__tests__/knowledge_cluster.ts
+++ b/packages/gateway/__tests__/knowledge_cluster.ts
@@ -312,6 +312,7 @@
         isHolder ? AGE_LIMITS.feedSourceBatch : AGE_LIMITS.batch,
       outageMilliseconds: 2_400,
       isFeedSource: () => isHolder,
+      nodeCount: () => 1,
       onRead: read => this.feed.record(read),
       reregistrationGraceMilliseconds: 2_200,
       handler: {
--- a/packages/gateway/__tests__/store_return_cluster.ts
+++ b/packages/gateway/__tests__/store_return_cluster.ts
@@ -133,6 +133,7 @@
     shared: SharedObjects,
     seed: number,
     isHolder: () => boolean,
+    nodeCount: number,
   ) {
     this.disturbedUntil = after(clock.now(), 1_000);
     const random = createSeededRandom(seed);
@@ -150,6 +151,7 @@
       endpointHeartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
       onEndpointChanges: () => {},
       isFeedSource: isHolder,
+      nodeCount: () => nodeCount,
       onRead: read => this.feed.record(read),
     });
     void this.view.run();
@@ -193,6 +195,7 @@
           shared,
           seed * 100 + index,
           () => index === 0 && nodeCount > 1,
+          nodeCount,
         ),
       );
     this.repeat(FEED_MILLISECONDS, () => this.sendFeed());
--- a/packages/gateway/__tests__/view_model.ts
+++ b/packages/gateway/__tests__/view_model.ts
@@ -76,6 +76,7 @@
       outageMilliseconds: 2_400,
       reregistrationGraceMilliseconds: 2_200,
       isFeedSource: () => isFeedSource,
+      nodeCount: () => 1,
       onRead: read => this.feed.record(read),
     });
     void this.watcher.run();
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -302,6 +302,7 @@
       emit,
       onEndpointChanges: changes => this.applyEndpointChanges(changes),
       isFeedSource: () => this.placement.isFeedSource,
+      nodeCount: () => this.nodeCount,
       onRead: read => this.placement.recordRead(read),
     });
     const inFlightCounts = InFlightCounts.create(() =>
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -47,6 +47,7 @@
 } from './gateway_events.js';
 import {KnownRevisions} from './known_revisions.js';
 import {ReadProgress} from './read_progress.js';
+import {relistDelayMilliseconds} from './relist_delay.js';
 import type {ViewAgeLimits} from './view_age_limits.js';
 
 /** Exponential backoff after failed calls; the jitter keeps nodes from retrying together. */
@@ -75,6 +76,9 @@
 /** Maximum interval between this node's own reads while a feed replaces its watch. */
 const OWN_READ_INTERVAL_MILLISECONDS: Milliseconds = 30_000;
 
+/** Time in which the feed may resume after a list, which makes a watch needless. */
+const FEED_RESUMPTION_MILLISECONDS: Milliseconds = 300;
+
 /** Least interval between reads that requests ask for. */
 const REFRESH_INTERVAL_MILLISECONDS: Milliseconds = 100;
 
@@ -128,6 +132,8 @@
   readonly reregistrationGraceMilliseconds: Milliseconds;
   /** Whether other nodes rely on this node's reads. */
   readonly isFeedSource: () => boolean;
+  /** Number of nodes that read the store. */
+  readonly nodeCount: () => number;
   readonly onRead: (read: KindRead) => void;
 }
 
@@ -395,7 +401,7 @@
 
   /** Waits while the feed is fresh, then reads the later changes. */
   private async readNext(): Promise<void> {
-    const {clock, ageLimits, batchMilliseconds} = this.options;
+    const {clock, ageLimits, batchMilliseconds, isFeedSource} = this.options;
     while (this.isFeedFresh && !this.isRefreshDue && !this.isStopped)
       await this.pauseUntil(this.feedFreshUntil ?? clock.now());
     if (this.isStopped) return;
@@ -406,7 +412,10 @@
       this.endFeed();
     }
     if (this.revision === undefined || this.isHistoryGone) {
+      const isFirst = this.revision === undefined;
       await this.finish(progress => this.list(progress), clock.now());
+      if (!isFirst && !isFeedSource() && !this.isRefreshDue)
+        await this.pauseUntil(after(clock.now(), FEED_RESUMPTION_MILLISECONDS));
       return;
     }
     const {revision} = this;
@@ -713,9 +722,12 @@
   }
 
   private async handleFailure(failure: unknown): Promise<void> {
-    const {emit, kind, clock, random} = this.options;
+    const {emit, kind, clock, random, isFeedSource, nodeCount} = this.options;
     if (needsList(failure)) {
       this.isHistoryGone = true;
+      // The feed source lists first, so that the feed resumes early.
+      if (failure instanceof HistoryGoneError && !isFeedSource())
+        await sleepFor(clock, relistDelayMilliseconds(nodeCount(), random));
       return;
     }
     if (!(failure instanceof SiskinmuxError)) {
--- a/packages/gateway/src/platform_view.ts
+++ b/packages/gateway/src/platform_view.ts
@@ -48,6 +48,8 @@
   readonly onEndpointChanges: (changes: readonly EndpointTableChange[]) => void;
   /** Whether other nodes rely on this node's reads. */
   readonly isFeedSource: () => boolean;
+  /** Number of nodes that read the store. */
+  readonly nodeCount: () => number;
   readonly onRead: (read: KindRead) => void;
 }
 
