Take no pause of this process for a silence of others

Callers saw 503 for a model whose engine had crashed, and requests relayed or refused beside sound endpoints, while their node was short of processor time.

Cause: a probe of an endpoint and a question to another node take several turns of the event loop (connect, send, respond). A process that pauses in between finds the time over when it goes on, though the other side had no turn. A probe then says `silent`, which a node testifies to others and takes for lost links of its own; a question counts as unanswered. The timer of questions was that of the JSON-RPC library, which ran before the answer that had arrived was read.

Change: `scheduleWhileAwake` counts only the time for which the process ran; probes, the opening of connections to other nodes and questions to them use it. A process that gets one turn a second still ends its waits, after six.

Conclusion: a node that was late reports no silence that it did not hear.

--- a/packages/forwarding/src/probe_endpoint.ts
+++ b/packages/forwarding/src/probe_endpoint.ts
@@ -3,7 +3,7 @@
 import {get} from 'node:http';
 import {connect} from 'node:net';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
-import {after} from '@siskinmux/kernel';
+import {after, scheduleWhileAwake} from '@siskinmux/kernel';
 
 /** A process that listens accepts within a round trip, unless its link is broken. */
 const PROBE_TIMEOUT_MILLISECONDS: Milliseconds = 250;
@@ -31,7 +31,8 @@
       socket.destroy();
       resolve(result);
     };
-    const cancel = clock.schedule(
+    const cancel = scheduleWhileAwake(
+      clock,
       after(clock.now(), PROBE_TIMEOUT_MILLISECONDS),
       () => finish('unknown'),
     );
@@ -57,7 +58,8 @@
       request.destroy();
       resolve(result);
     };
-    const cancel = clock.schedule(
+    const cancel = scheduleWhileAwake(
+      clock,
       after(clock.now(), RESPONSE_TIMEOUT_MILLISECONDS),
       () => finish(isConnected ? 'silent' : 'unknown'),
     );
--- a/packages/gateway/src/peer_connection.ts
+++ b/packages/gateway/src/peer_connection.ts
@@ -4,12 +4,15 @@
 import {connect} from 'node:net';
 import {
   JSONRPCClient,
+  JSONRPCErrorCode,
   JSONRPCServer,
   JSONRPCServerAndClient,
+  createJSONRPCErrorResponse,
+  createJSONRPCRequest,
 } from 'json-rpc-2.0';
 import {ProgressDeadline} from '@siskinmux/adapters';
 import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
-import {after, until} from '@siskinmux/kernel';
+import {after, scheduleWhileAwake, until} from '@siskinmux/kernel';
 import {isSocketAddress} from '@siskinmux/forwarding';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {z} from 'zod';
@@ -37,7 +40,9 @@
 
 /** One end of a connection between two nodes. */
 export class PeerConnection {
+  private readonly client: JSONRPCClient;
   private readonly rpc: JSONRPCServerAndClient;
+  private lastId = 0;
   private readonly closeCallbacks: (() => void)[] = [];
   private readonly dataCallbacks = new Set<() => void>();
   private partialLine = '';
@@ -49,9 +54,13 @@
     private readonly options: PeerConnectionOptions,
   ) {
     this.receivedAt = options.clock.now();
+    this.client = new JSONRPCClient(
+      message => this.write(message),
+      () => this.createId(),
+    );
     this.rpc = new JSONRPCServerAndClient(
       new JSONRPCServer({errorListener: () => {}}),
-      new JSONRPCClient(message => this.write(message)),
+      this.client,
       {errorListener: () => {}},
     );
     socket.setNoDelay(true);
@@ -82,7 +91,8 @@
       }
       const socket = connect({host: host ?? '', port: Number(port)});
       const {clock} = options;
-      const cancel = clock.schedule(
+      const cancel = scheduleWhileAwake(
+        clock,
         after(clock.now(), CONNECT_TIMEOUT_MILLISECONDS),
         () => socket.destroy(new Error('connect timed out')),
       );
@@ -133,23 +143,29 @@
     if (!this.isClosed) this.rpc.notify(method, params, undefined);
   }
 
-  /** Sends a request. Throws {@link PeerUnreachableError} on failure or at the deadline. */
+  /**
+   * Sends a request. Throws {@link PeerUnreachableError} on failure or at the deadline, which is
+   * later by the time for which this process was paused.
+   */
   async request(
     method: string,
     params: object,
     deadline: Instant,
   ): Promise<unknown> {
-    const timeoutMilliseconds = Math.max(
-      1,
-      until(this.options.clock.now(), deadline),
+    const {clock} = this.options;
+    const {client} = this;
+    const id = this.createId();
+    const {InternalError} = JSONRPCErrorCode;
+    const cancel = scheduleWhileAwake(clock, deadline, () =>
+      client.receive(createJSONRPCErrorResponse(id, InternalError, 'timeout')),
     );
-    try {
-      return await this.rpc
-        .timeout(timeoutMilliseconds)
-        .request(method, params, undefined);
-    } catch (cause) {
+    const {result, error: cause} = await client.requestAdvanced(
+      createJSONRPCRequest(id, method, params),
+    );
+    cancel();
+    if (cause !== undefined || result === undefined)
       throw new PeerUnreachableError(method, {cause});
-    }
+    return result;
   }
 
   /**
@@ -214,6 +230,11 @@
     for (const callback of this.closeCallbacks) callback();
   }
 
+  private createId(): number {
+    this.lastId += 1;
+    return this.lastId;
+  }
+
   private write(message: unknown): void {
     if (this.isClosed) throw new PeerUnreachableError('connection closed');
     this.socket.write(`${JSON.stringify(message)}\n`);
--- /dev/null
+++ b/packages/kernel/__tests__/awake_timer.test.ts
@@ -0,0 +1,90 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {Clock, Instant} from '../src/index.js';
+import {after, as, scheduleWhileAwake} from '../src/index.js';
+
+/** Runs due timers only while its process is awake, at 1 ms a step. */
+class PausableClock implements Clock {
+  private current = as<Instant>(0);
+  private timers: {readonly at: Instant; readonly callback: () => void}[] = [];
+
+  now(): Instant {
+    return this.current;
+  }
+
+  schedule(at: Instant, callback: () => void): () => void {
+    const timer = {at, callback};
+    this.timers.push(timer);
+    return () => {
+      this.timers = this.timers.filter(other => other !== timer);
+    };
+  }
+
+  pause(milliseconds: number): void {
+    this.current = after(this.current, milliseconds);
+  }
+
+  run(milliseconds: number): void {
+    for (let step = 0; step < milliseconds; step += 1) {
+      this.current = after(this.current, 1);
+      const due = this.timers.filter(({at}) => at <= this.current);
+      this.timers = this.timers.filter(timer => !due.includes(timer));
+      for (const {callback} of due) callback();
+    }
+  }
+}
+
+function build(milliseconds: number) {
+  const clock = new PausableClock();
+  let calls = 0;
+  const cancel = scheduleWhileAwake(
+    clock,
+    after(clock.now(), milliseconds),
+    () => {
+      calls += 1;
+    },
+  );
+  return {clock, cancel, calls: () => calls};
+}
+
+describe(scheduleWhileAwake.name, () => {
+  it('calls back at its instant, once, in a process that runs', () => {
+    const {clock, calls} = build(260);
+    clock.run(259);
+    expect(calls()).toEqual(0);
+    clock.run(1);
+    expect(calls()).toEqual(1);
+    clock.run(1_000);
+    expect(calls()).toEqual(1);
+  });
+
+  it('does not count pauses of its process, at the beginning or in between', () => {
+    for (const awakeBefore of [0, 130, 250]) {
+      const {clock, calls} = build(300);
+      clock.run(awakeBefore);
+      clock.pause(2_000);
+      clock.run(300 - awakeBefore - 50);
+      expect(calls()).toEqual(0);
+      clock.run(50);
+      expect(calls()).toEqual(1);
+    }
+  });
+
+  it('ends while its process has no more than a turn in each second', () => {
+    const {clock, calls} = build(300);
+    for (let turn = 0; turn < 6; turn += 1) {
+      expect(calls()).toEqual(0);
+      clock.pause(1_000);
+      clock.run(1);
+    }
+    expect(calls()).toEqual(1);
+  });
+
+  it('does not call back once it is cancelled', () => {
+    const {clock, cancel, calls} = build(300);
+    clock.run(200);
+    cancel();
+    clock.run(1_000);
+    expect(calls()).toEqual(0);
+  });
+});
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -26,6 +26,7 @@
   revisionOf,
   versionOf,
 } from './store_version.js';
+export {scheduleWhileAwake} from './awake_timer.js';
 export type {CancelTimer, Clock, Instant, Milliseconds} from './time.js';
 export {after, earlier, later, sleepFor, sleepUntil, until} from './time.js';
 export type {Random} from './random.js';
