Take back a permission for a probation that arrives too late

After a pause of the lease holder, requests with traits of a crash were refused for five seconds more than their quarantine asks for.

Cause: a request on probation waits 0.4 s for the holder's permission and is then refused as not run. A holder that goes on later allows it all the same, so that it refuses the next one for 5 s, though no run goes on.

Change: a permission that arrives later is handed back. The holder takes it back itself if the connection ends within the 0.4 s for which the request waits, as a node that leaves a silent holder closes the connection behind its question. Messages between nodes are the same.

Conclusion: the refusal after 0.4 s stays, as the request may crash an engine and has not run.

--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -23,6 +23,7 @@
   probationSchema,
   suspectsSchema,
 } from './suspect_messages.js';
+export {PROBATION_MILLISECONDS} from './probations.js';
 export type {Trait} from './trait.js';
 export {
   MAXIMUM_TRAITS,
--- a/packages/gateway/__tests__/allocator_server.test.ts
+++ b/packages/gateway/__tests__/allocator_server.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {connect, createServer} from 'node:net';
 import {createInterface} from 'node:readline';
 import {it} from 'node:test';
@@ -19,9 +19,11 @@
 import {PEER_METHODS} from '../src/placement_messages.js';
 
 const SUSPECT_COUNT = 400;
+/** After it, a trait with two crashes is on probation. */
+const QUARANTINE_MILLISECONDS = 600_000;
 
 /** An allocator server with records of crashes, and the port on which it takes connections. */
-async function createHolder(clock: VirtualClock) {
+async function createHolder(clock: VirtualClock, crashesOfEach = 1) {
   const ignore = (): void => {};
   const options = {clock, emit: discardEvents};
   const quarantine = CrashQuarantine.create({
@@ -34,13 +36,11 @@
     Array.from({length: SUSPECT_COUNT}, (_, index): Suspect => ({
       trait: as<Trait>(`trait ${index}`),
       lastCrashAt: clock.now(),
-      crashes: [
-        {
-          crash: as<CrashId>(`crash ${index}`),
-          hadResponded: false,
-          isCleared: false,
-        },
-      ],
+      crashes: Array.from({length: crashesOfEach}, (_unused, crash) => ({
+        crash: as<CrashId>(`crash ${index} ${crash}`),
+        hadResponded: false,
+        isCleared: false,
+      })),
     })),
   );
   const table = EndpointTable.create();
@@ -100,3 +100,43 @@
   }
   assert.equal(suspectCount, SUSPECT_COUNT);
 });
+
+/** Sends one message over a connection of its own; returns the socket. */
+async function ask(port: number, traits: readonly string[]): Promise<Socket> {
+  const socket = connect({host: '127.0.0.1', port});
+  const message = {
+    jsonrpc: '2.0',
+    id: 1,
+    method: PEER_METHODS.probation,
+    params: {traits},
+  };
+  await once(socket, 'connect');
+  socket.write(`${JSON.stringify(message)}\n`);
+  return socket;
+}
+
+async function isAllowed(socket: Socket): Promise<boolean> {
+  for await (const line of createInterface({input: socket}))
+    return JSON.parse(line).result.isAllowed;
+  return false;
+}
+
+it('takes a probation back from a node that has left before it was allowed', async context => {
+  const clock = VirtualClock.create();
+  const {server, port} = await createHolder(clock, 2);
+  await clock.advance(QUARANTINE_MILLISECONDS);
+  const left = await ask(port, ['trait 0']);
+  left.end();
+  await new Promise(resolve => setTimeout(resolve, 50));
+  const next = await ask(port, ['trait 0']);
+  const other = await ask(port, ['trait 1']);
+  context.after(() => {
+    for (const socket of [next, other]) socket.destroy();
+    server.close();
+  });
+  assert.equal(await isAllowed(other), true);
+  const again = await ask(port, ['trait 1']);
+  context.after(() => again.destroy());
+  assert.equal(await isAllowed(again), false);
+  assert.equal(await isAllowed(next), true);
+});
--- a/packages/gateway/__tests__/slow_handshake.test.ts
+++ b/packages/gateway/__tests__/slow_handshake.test.ts
@@ -2,17 +2,17 @@
 
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import type {AddressInfo, Socket} from 'node:net';
-import {createServer} from 'node:net';
+import type {Socket} from 'node:net';
 import type {TestContext} from 'node:test';
 import {describe, it} from 'node:test';
 import type {NodeId} from '@siskinmux/kernel';
-import {as, discardEvents} from '@siskinmux/kernel';
+import {as} from '@siskinmux/kernel';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import {VirtualClock} from '@siskinmux/testkit';
-import {PeerConnection} from '../src/peer_connection.js';
+import type {PeerConnection} from '../src/peer_connection.js';
 import {PEER_METHODS} from '../src/placement_messages.js';
 import {RemoteAllocator} from '../src/remote_allocator.js';
+import {connectToHolder} from './peer_pair.js';
 
 const PART_MILLISECONDS = 200;
 const PART_COUNT = 20;
@@ -30,18 +30,7 @@
 /** A follower that has sent its handshake to a holder whose messages the test writes. */
 async function startHandshake(context: TestContext): Promise<Handshake> {
   const clock = VirtualClock.create();
-  const options = {clock, emit: discardEvents};
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const accepted = once(server, 'connection');
-  const {port} = server.address() as AddressInfo;
-  const connection = await PeerConnection.connect(`127.0.0.1:${port}`, options);
-  const [holderSocket] = (await accepted) as [Socket];
-  context.after(() => {
-    connection.close();
-    holderSocket.destroy();
-    server.close();
-  });
+  const {connection, holderSocket} = await connectToHolder(context, clock);
   context.mock.timers.enable({apis: ['setTimeout']});
   const ignore = (): void => {};
   const allocator = RemoteAllocator.create({
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -72,7 +72,6 @@
 import {
   decodeSuspects,
   encodeSuspects,
-  probationSchema,
   suspectsSchema,
 } from '@siskinmux/containment';
 import type {RelayPeer} from '@siskinmux/relay';
@@ -83,6 +82,7 @@
   encodePeers,
   relayOfferSchema,
 } from '@siskinmux/relay';
+import {handleProbation} from './probation_messages.js';
 import {
   askServiceWitness,
   askWitness,
@@ -263,18 +263,7 @@
     connection.handle(PEER_METHODS.suspects, suspectsSchema, message =>
       this.mergeSuspects(decodeSuspects(message, clock.now())),
     );
-    connection.handle(
-      PEER_METHODS.probation,
-      probationSchema,
-      async ({traits}) => ({
-        isAllowed: await this.requestProbation(
-          traits.map(trait => as<Trait>(trait)),
-        ),
-      }),
-    );
-    connection.handle(PEER_METHODS.probationEnd, probationSchema, ({traits}) =>
-      this.endProbation(traits.map(trait => as<Trait>(trait))),
-    );
+    handleProbation(connection, this, clock);
     connection.handle(PEER_METHODS.limits, limitsSchema, ({limits}) => {
       const now = clock.now();
       this.mergeLimits(limits.map(limit => decodeLimit(limit, now)));
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -40,6 +40,7 @@
 } from './limit_messages.js';
 import type {PeerConnection} from './peer_connection.js';
 import type {HeartbeatMessage} from './placement_messages.js';
+import {askProbation, notifyProbationEnd} from './probation_messages.js';
 import {
   askServiceWitness,
   askWitness,
@@ -61,7 +62,6 @@
 import {
   decodeSuspects,
   encodeSuspects,
-  probationResponseSchema,
   suspectsSchema,
 } from '@siskinmux/containment';
 
@@ -70,8 +70,6 @@
 
 const HANDSHAKE_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
-const PROBATION_TIMEOUT_MILLISECONDS: Milliseconds = 400;
-
 /** Timeout of a request for a permit, in addition to the time that the request can wait. */
 const PERMIT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
@@ -273,27 +271,13 @@
     };
   }
 
-  async requestProbation(traits: readonly Trait[]): Promise<boolean> {
+  requestProbation(traits: readonly Trait[]): Promise<boolean> {
     const {peerConnection, clock} = this.options;
-    try {
-      const response = probationResponseSchema.safeParse(
-        await peerConnection.request(
-          PEER_METHODS.probation,
-          {traits: [...traits]},
-          after(clock.now(), PROBATION_TIMEOUT_MILLISECONDS),
-        ),
-      );
-      return response.success && response.data.isAllowed;
-    } catch (failure) {
-      if (!(failure instanceof PeerUnreachableError)) throw failure;
-      // The request stays quarantined; its refusal is logged.
-      return false;
-    }
+    return askProbation(peerConnection, traits, clock);
   }
 
   endProbation(traits: readonly Trait[]): void {
-    const {peerConnection} = this.options;
-    peerConnection.notify(PEER_METHODS.probationEnd, {traits: [...traits]});
+    notifyProbationEnd(this.options.peerConnection, traits);
   }
 
   offerRelay(offer: RelayPeer): void {
