Take the store for silent only while this process listens

Nodes that were short of processor time decided by knowledge that was older than the bound, as in an outage of the store.

Cause: a read that has brought nothing for 250 ms is repeated as a list, and the store counts as unreachable after another 250 ms. A process that pauses twice meanwhile reads nothing in between, so its own pauses made it go on by its last knowledge, which may miss a change of routes or an endpoint that leaves.

Change: the 250 ms are counted while the process runs. The parts in which `scheduleWhileAwake` counts are an eighth of the wait, so that a wait takes eight timers whatever its length. Before a read is due, nothing is counted.

Conclusion: an outage that this node did not witness is none.

--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -22,6 +22,7 @@
   eraOf,
   jitter,
   later,
+  scheduleWhileAwake,
   sleepFor,
   sleepUntil,
   until,
@@ -505,7 +506,12 @@
   ): Promise<Interruption | undefined> {
     let cancel: CancelTimer = () => {};
     const interruption = new Promise<Interruption>(resolve => {
-      cancel = this.options.clock.schedule(overdueAt, () => resolve('overdue'));
+      const {clock} = this.options;
+      const quietSince = after(overdueAt, -OVERDUE_MILLISECONDS);
+      cancel = clock.schedule(quietSince, () => {
+        const end = after(clock.now(), OVERDUE_MILLISECONDS);
+        cancel = scheduleWhileAwake(clock, end, () => resolve('overdue'));
+      });
       this.interrupt = resolve;
     });
     try {
--- a/packages/kernel/src/awake_timer.ts
+++ b/packages/kernel/src/awake_timer.ts
@@ -1,13 +1,13 @@
 /** Waits that leave out the time for which this process was paused. */
 
-import type {CancelTimer, Clock, Instant, Milliseconds} from './time.js';
+import type {CancelTimer, Clock, Instant} from './time.js';
 import {after, until} from './time.js';
 
-/** Interval at which such a wait checks that this process still runs. */
-const CHECK_MILLISECONDS: Milliseconds = 25;
+/** Parts of a wait, each of which ends with a turn of the event loop. */
+const PARTS = 8;
 
-/** Most that one interval counts for; the rest of it was a pause. */
-const MAXIMUM_COUNTED_MILLISECONDS: Milliseconds = 2 * CHECK_MILLISECONDS;
+/** Most that a part counts for, relative to its length; the rest of it was a pause. */
+const MAXIMUM_COUNTED_RATIO = 1.25;
 
 /**
  * Calls back at `at`, later by the time for which this process was paused until then. A process
@@ -18,14 +18,15 @@
   at: Instant,
   callback: () => void,
 ): CancelTimer {
-  let remaining = until(clock.now(), at);
+  let remaining = Math.max(0, until(clock.now(), at));
+  const part = remaining / PARTS;
   let cancel: CancelTimer = () => {};
   const wait = (): void => {
     const startedAt = clock.now();
-    const delay = Math.max(0, Math.min(remaining, CHECK_MILLISECONDS));
-    cancel = clock.schedule(after(startedAt, delay), () => {
+    const end = after(startedAt, Math.min(remaining, part));
+    cancel = clock.schedule(end, () => {
       const waited = until(startedAt, clock.now());
-      remaining -= Math.min(waited, MAXIMUM_COUNTED_MILLISECONDS);
+      remaining -= Math.min(waited, part * MAXIMUM_COUNTED_RATIO);
       if (remaining > 0) wait();
       else callback();
     });
