Hold a request for the time that its process runs

A caller got 503, "the platform's state is unknown", for a sound request beside 63 engines whose reports never end (endless_report.test.ts, small_chunks and interim).

Cause: a node whose knowledge is older than 1.5 s holds its requests for 0.5 s, by when the store has responded or is known to be unreachable. That holds for a process that runs: here, turns of the event loop took hundreds of milliseconds. The log of a failed run shows the request refused after 501 ms while the list of 22 KB was arriving, 37 ms before its end; another after 583 ms, when 19,734 bytes of that list had arrived.

Change: the hold counts the time for which the process runs. The request's own deadline still ends it.

--- a/packages/gateway/__tests__/wait_for_view.test.ts
+++ b/packages/gateway/__tests__/wait_for_view.test.ts
@@ -1,9 +1,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {EmitEvent, Milliseconds, RequestId} from '@siskinmux/kernel';
-import {RefusalError, after, as} from '@siskinmux/kernel';
+import {RefusalError, after, as, discardEvents} from '@siskinmux/kernel';
 import type {RouteVersion} from '@siskinmux/routes';
-import {VirtualClock} from '@siskinmux/testkit';
+import {PausableClock, VirtualClock} from '@siskinmux/testkit';
 import type {AwaitedView} from '../src/wait_for_view.js';
 import {waitForView} from '../src/wait_for_view.js';
 
@@ -90,3 +90,40 @@
     expect((await hold(undecided, true))['outcome']).toEqual('gone');
   });
 });
+
+describe('request that is held by a process that pauses', () => {
+  it('is not refused before the store’s response could be read', async () => {
+    const clock = PausableClock.create();
+    let isDecidable = false;
+    let endWait = (): void => {};
+    const view: AwaitedView = {
+      age: {routes: 1_600, endpoints: 1_600},
+      routesVersion: as<RouteVersion>(7),
+      isCurrent: true,
+      get isDecidable() {
+        return isDecidable;
+      },
+      latestKnownUntil: clock.now(),
+      waitUntilDecidable: (deadline, signal) =>
+        new Promise(resolve => {
+          endWait = resolve;
+          clock.schedule(deadline, resolve);
+          signal.addEventListener('abort', () => resolve());
+        }),
+    };
+    const request = {
+      id: as<RequestId>('r1'),
+      deadline: after(clock.now(), 3_000),
+      signal: new AbortController().signal,
+    };
+    const wait = waitForView(view, request, clock, discardEvents);
+    clock.pause(1_000);
+    for (let turn = 0; turn < 3; turn += 1) {
+      clock.run(1);
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    isDecidable = true;
+    endWait();
+    await wait;
+  });
+});
--- a/packages/gateway/src/wait_for_view.ts
+++ b/packages/gateway/src/wait_for_view.ts
@@ -11,13 +11,13 @@
   ErrorCode,
   after,
   createNotRunRefusal,
-  earlier,
+  scheduleWhileAwake,
   until,
 } from '@siskinmux/kernel';
 import {REQUEST_HELD} from './gateway_events.js';
 import type {PlatformView} from './platform_view.js';
 
-/** Longest wait; by then, the store has responded, or is known to be unreachable. */
+/** Longest wait of a process that runs; by then, the store has responded, or is known to be unreachable. */
 const HOLD_MILLISECONDS: Milliseconds = 500;
 
 /** `Retry-After` of a request that no read came in time for. */
@@ -55,8 +55,14 @@
 ): Promise<void> {
   const {age} = view;
   const startedAt = clock.now();
-  const holdUntil = earlier(deadline, after(startedAt, HOLD_MILLISECONDS));
-  await view.waitUntilDecidable(holdUntil, signal);
+  const held = new AbortController();
+  const holdUntil = after(startedAt, HOLD_MILLISECONDS);
+  const cancel = scheduleWhileAwake(clock, holdUntil, () => held.abort());
+  await view.waitUntilDecidable(
+    deadline,
+    AbortSignal.any([signal, held.signal]),
+  );
+  cancel();
   const now = clock.now();
   emit(REQUEST_HELD, {
     id,
