Ask again for a second run while no other endpoint has a free slot

Callers of streams left without an answer when their engine fell silent while all slots of the others were taken, though one got free some hundred milliseconds later, within the time for which they wait.

Cause: a second run was decided about once for each silence. Without a free slot at that moment it was decided again after another 1,200 ms of silence, when callers, who wait 2,000 ms, have left.

Change: while no other endpoint has a free slot, the decision is made again each 100 ms, until the endpoint goes on, the request ends or its deadline passes. The retry budget stays: a token is taken when the second run is sent, and an empty budget is still a decision, as a run that has failed needs the token more than one that may go on. The first refusal and the decision that ends the wait are logged, not each question.

Measured: "has its second run once a slot is free that was taken when the first endpoint fell silent" failed before (the caller left after 2,000 ms), passes now.

--- a/packages/gateway/src/endpoint_sender.ts
+++ b/packages/gateway/src/endpoint_sender.ts
@@ -35,7 +35,7 @@
     endpoint: EndpointDescription,
     suspicion: Suspicion,
     silentFor: Milliseconds,
-  ) => void;
+  ) => 'decided' | 'undecided';
 }
 
 /** One send to an endpoint. */
@@ -173,7 +173,7 @@
       inactivityTimeoutMilliseconds(route),
       silentFor => {
         chain.recordSuspicion(true);
-        onSuspicion(chain, endpoint, 'silent', silentFor);
+        return onSuspicion(chain, endpoint, 'silent', silentFor);
       },
     );
   }
--- a/packages/gateway/src/inactivity_timer.ts
+++ b/packages/gateway/src/inactivity_timer.ts
@@ -6,28 +6,41 @@
   Instant,
   Milliseconds,
 } from '@siskinmux/kernel';
-import {after, until} from '@siskinmux/kernel';
+import {after, later, until} from '@siskinmux/kernel';
 
-/** Calls back, with the length of the silence, each time that it is not reset within the timeout. */
+/** Interval between calls while what to do about a silence is undecided. */
+const UNDECIDED_INTERVAL_MILLISECONDS: Milliseconds = 100;
+
+/**
+ * Called with the length of a silence; returns whether it is decided what to do about it, or is to
+ * be decided again soon.
+ */
+export type SilenceHandler = (
+  silentFor: Milliseconds,
+) => 'decided' | 'undecided';
+
+/** Calls back each time that it is not reset within the timeout. */
 export class InactivityTimer {
   private cancel: CancelTimer | undefined;
   private lastActivityAt: Instant;
+  private undecidedUntil: Instant;
   private isSuspended = false;
   private isStopped = false;
 
   private constructor(
     private readonly clock: Clock,
     private readonly timeoutMilliseconds: Milliseconds,
-    private readonly onTimeout: (silentFor: Milliseconds) => void,
+    private readonly onTimeout: SilenceHandler,
   ) {
     this.lastActivityAt = clock.now();
+    this.undecidedUntil = this.lastActivityAt;
     this.schedule();
   }
 
   static create(
     clock: Clock,
     timeoutMilliseconds: Milliseconds,
-    onTimeout: (silentFor: Milliseconds) => void,
+    onTimeout: SilenceHandler,
   ): InactivityTimer {
     return new InactivityTimer(clock, timeoutMilliseconds, onTimeout);
   }
@@ -56,18 +69,23 @@
 
   /** Reuses one timer for many resets: when it fires early, it is rescheduled. */
   private schedule(): void {
-    const {clock, timeoutMilliseconds} = this;
-    const dueAt = after(this.lastActivityAt, timeoutMilliseconds);
-    this.cancel = clock.schedule(dueAt, () => {
+    const {clock} = this;
+    this.cancel = clock.schedule(this.dueAt, () => {
       if (this.isSuspended) this.reset();
-      const isDue =
-        clock.now() >= after(this.lastActivityAt, timeoutMilliseconds);
-      if (isDue) {
-        const silentFor = until(this.lastActivityAt, clock.now());
-        this.reset();
-        this.onTimeout(silentFor);
-      }
+      if (clock.now() >= this.dueAt) this.callBack();
       if (!this.isStopped) this.schedule();
     });
   }
+
+  private get dueAt(): Instant {
+    const timeoutAt = after(this.lastActivityAt, this.timeoutMilliseconds);
+    return later(timeoutAt, this.undecidedUntil);
+  }
+
+  private callBack(): void {
+    const now = this.clock.now();
+    const result = this.onTimeout(until(this.lastActivityAt, now));
+    if (result === 'decided') this.reset();
+    else this.undecidedUntil = after(now, UNDECIDED_INTERVAL_MILLISECONDS);
+  }
 }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -17,7 +17,7 @@
   toRefusal,
 } from '@siskinmux/kernel';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
-import type {AttemptChain} from './attempt_chains.js';
+import type {AttemptChain, SendTarget} from './attempt_chains.js';
 import type {AttemptResult} from './attempt_result.js';
 import type {CallerExchange} from './caller_exchange.js';
 import type {EndpointRequirements} from './endpoint_choice.js';
@@ -59,6 +59,8 @@
   private readonly peerSender: PeerSender;
   /** Whether an endpoint has been sought. */
   private hasSought = false;
+  /** The latest send whose silence has been logged and is undecided. */
+  private undecidedSend: SendTarget | undefined;
   private readonly openChains = new Set<Promise<void>>();
   private readonly failedResults: FailedResult[] = [];
   /** What ended chains otherwise than by a failed send. */
@@ -305,29 +307,36 @@
 
   /**
    * Has another endpoint serve the request beside one that may bring no response. A run that has
-   * begun is ended only when another has something to pass on.
+   * begun is ended only when another has something to pass on. Undecided while no other endpoint
+   * has a free slot.
    */
   private considerSecondRun(
     chain: AttemptChain,
     endpoint: EndpointDescription,
     suspicion: Suspicion,
     silentFor: Milliseconds,
-  ): void {
+  ): 'decided' | 'undecided' {
     const {emit, view, onRetryDecision} = this.dependencies;
     const {id} = this.state.metadata;
     const decision = this.decideSecondRun(chain, endpoint, suspicion);
-    emit(RUN_SUSPECTED, {
-      id,
-      endpoint: endpoint.id,
-      life: endpoint.incarnation,
-      suspicion,
-      silentFor: Math.round(silentFor),
-      endpointsAge: view.age.endpoints,
-      decision,
-    });
-    if (decision !== 'send') return;
-    onRetryDecision(endpoint.service, 'charged');
-    this.startChain();
+    const isUndecided = decision === 'no_alternative';
+    if (!isUndecided || this.undecidedSend !== chain.target)
+      emit(RUN_SUSPECTED, {
+        id,
+        endpoint: endpoint.id,
+        life: endpoint.incarnation,
+        suspicion,
+        silentFor: Math.round(silentFor),
+        endpointsAge: view.age.endpoints,
+        decision,
+      });
+    this.undecidedSend = isUndecided ? chain.target : undefined;
+    if (isUndecided) return 'undecided';
+    if (decision === 'send') {
+      onRetryDecision(endpoint.service, 'charged');
+      this.startChain();
+    }
+    return 'decided';
   }
 
   private decideSecondRun(
