Write claims again that the object service has lost

A key ran twice: its claim was written after the copy from which the object service returned, and was sent again after the return. Cause: the shard's owner met a conflict with its next write, took that for another owner, and dropped its table, though it still knew the claims. The next owner opened the older log and granted the key again. Change: ObjectChange (ports/src/object_history.ts) tells by an object's version and value whether it went back. The log finds so by a failed write, by the list after a new segment, or by a read each second while nothing is written (Ledger.verifyShards). The owner then takes the shard over, writes in the same append the claims and outcomes that the log lacks, and only then goes on (LogWentBackError, shard-restored). What the log holds of another attempt stays. Removals of expired segments stop once the log is closed.

--- a/packages/benchmarks/src/run_recovery.ts
+++ b/packages/benchmarks/src/run_recovery.ts
@@ -72,6 +72,7 @@
       writeIntervalMilliseconds: 0,
       isNodeTerminated: () => false,
       onLost: () => {},
+      onRestored: () => {},
     }),
     OPEN_LIMIT_MILLISECONDS,
   );
--- a/packages/ledger/__tests__/shard_fixture.ts
+++ b/packages/ledger/__tests__/shard_fixture.ts
@@ -30,6 +30,7 @@
     writeIntervalMilliseconds: WRITE_INTERVAL_MILLISECONDS,
     isNodeTerminated: id => terminated.has(id),
     onLost: () => {},
+    onRestored: () => {},
   });
   const open = (node: string): Promise<ShardOwner> =>
     clock.runUntilSettled(ShardOwner.open(optionsFor(node)));
--- a/packages/ledger/__tests__/shard_model.ts
+++ b/packages/ledger/__tests__/shard_model.ts
@@ -104,6 +104,7 @@
         onLost: () => {
           this.owner = undefined;
         },
+        onRestored: () => {},
       });
     } catch {
       // It lost the shard to others while it opened it.
--- a/packages/ledger/src/claim_table.ts
+++ b/packages/ledger/src/claim_table.ts
@@ -123,6 +123,22 @@
     }
   }
 
+  /** Records with which `stored` would know the unexpired claims that this table knows. */
+  recordsMissingIn(stored: ClaimTable, now: Instant): readonly ClaimRecord[] {
+    const records: ClaimRecord[] = [];
+    for (const [key, {outcome, ...claim}] of this.entries) {
+      if (claim.expiresAt <= now) continue;
+      const other = stored.entries.get(key);
+      const isMissing = other === undefined || other.expiresAt <= now;
+      // A key that was granted to another attempt meanwhile remains that attempt's.
+      if (!isMissing && other.attempt !== claim.attempt) continue;
+      if (isMissing) records.push({kind: 'claim', key, ...claim});
+      if (outcome !== undefined && (isMissing || other.outcome === undefined))
+        records.push({kind: 'end', key, attempt: claim.attempt, end: outcome});
+    }
+    return records;
+  }
+
   /** Removes expired keys. */
   removeExpired(now: Instant): void {
     for (const [key, entry] of this.entries) {
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -16,7 +16,7 @@
 import type {ObjectService} from '@siskinmux/ports';
 import type {AttemptId, AttemptOutcome, ClaimKey} from './claim_record.js';
 import type {ClaimReply, ClaimRequest} from './claim_table.js';
-import {SHARD_LOST, SHARD_OPENED} from './ledger_events.js';
+import {SHARD_LOST, SHARD_OPENED, SHARD_RESTORED} from './ledger_events.js';
 import {ShardLostError} from './shard_log.js';
 import {ShardOwner} from './shard_owner.js';
 
@@ -152,6 +152,15 @@
     }
   }
 
+  /** Notices whether the object service has lost what the owned shards had written. */
+  async verifyShards(): Promise<void> {
+    await Promise.allSettled(
+      [...this.ownedShards.values()].map(async pendingOwner =>
+        (await pendingOwner).verify(),
+      ),
+    );
+  }
+
   /** Discards owner hints and decides waiting claims again. */
   onMembershipChange(): void {
     this.ownerClient.clearHints();
@@ -252,6 +261,7 @@
       shard,
       writeIntervalMilliseconds: shardWriteIntervalMilliseconds(options.shards),
       onLost: failure => this.onShardLost(shard, failure),
+      onRestored: records => options.emit(SHARD_RESTORED, {shard, records}),
     });
     options.emit(SHARD_OPENED, {shard, claims: shardOwner.claimCount});
     return shardOwner;
--- a/packages/ledger/src/ledger_events.ts
+++ b/packages/ledger/src/ledger_events.ts
@@ -20,5 +20,18 @@
     'Another node took over a shard of the claims. Expected after this process was paused or the membership changed. If it repeats often, nodes disagree on which nodes are live.',
 };
 
+/** This node wrote records of a shard again. */
+export const SHARD_RESTORED: EventDescriptor = {
+  number: 3003,
+  name: 'shard-restored',
+  level: 'warn',
+  meaning:
+    'The object service had lost records of a shard that this node owns: it returned from an older copy. This node has written them again before it granted further claims. Claims that no running node held are lost; their keys may run again.',
+};
+
 /** All events of this package. */
-export const LEDGER_EVENTS = [SHARD_OPENED, SHARD_LOST] as const;
+export const LEDGER_EVENTS = [
+  SHARD_OPENED,
+  SHARD_LOST,
+  SHARD_RESTORED,
+] as const;
--- a/packages/ledger/src/shard_log.ts
+++ b/packages/ledger/src/shard_log.ts
@@ -4,9 +4,12 @@
  * version, which fences an earlier owner: its appends fail, even if it was paused
  * meanwhile. The newest segment is never removed, so that it fences at any time, and a
  * new segment counts only if none is newer: its key may have been used before.
+ *
+ * An object service that returns from an older copy has lost what was written since. The owner
+ * notices that the log doesn't continue what it has written.
  */
 
-import type {Clock, Instant, NodeId} from '@siskinmux/kernel';
+import type {Clock, Instant, NodeId, ObjectVersion} from '@siskinmux/kernel';
 import {
   ErrorCode,
   SiskinmuxError,
@@ -16,6 +19,8 @@
 } from '@siskinmux/kernel';
 import type {
   ExpectedVersion,
+  ObjectChange,
+  ObjectListing,
   ObjectService,
   StoredObject,
 } from '@siskinmux/ports';
@@ -24,10 +29,11 @@
   PlatformUnavailableError,
   VersionConflictError,
   WriteOutcomeUnknownError,
+  compareWithKnown,
 } from '@siskinmux/ports';
 import type {ClaimRecord} from './claim_record.js';
 import {decodeRecords, encodeRecord} from './claim_record.js';
-import type {ClaimTable} from './claim_table.js';
+import {ClaimTable} from './claim_table.js';
 
 /** Size at which a segment is sealed. Each append rewrites the whole segment. */
 const SEAL_THRESHOLD_BYTES = 48_000;
@@ -58,12 +64,19 @@
   }
 }
 
+/** The object service has lost what this node had written to the log. */
+export class LogWentBackError extends ShardLostError {}
+
 interface Segment {
   readonly sequence: number;
   readonly text: string;
   readonly version: ExpectedVersion;
 }
 
+interface StoredSegment extends Segment {
+  readonly version: ObjectVersion;
+}
+
 /** A record with the time for which the log has to retain it. */
 export interface RetainedRecord {
   readonly record: ClaimRecord;
@@ -82,11 +95,22 @@
   readonly shard: number;
 }
 
+/** What {@link ShardLog.open} has opened. */
+export interface OpenLog {
+  readonly log: ShardLog;
+  /** The claims that the log contains. */
+  readonly table: ClaimTable;
+  /** Number of records that were missing. */
+  readonly restored: number;
+}
+
 /** An open log. Only the node that opened it last can append to it. */
 export class ShardLog {
   private isClosed = false;
   /** Latest expiry of the records in each stored segment, by sequence number. */
   private readonly segmentExpiries = new Map<number, Instant>();
+  /** The newest stored segment, as this node has read or written it. */
+  private newest: StoredSegment | undefined;
 
   private constructor(
     private readonly options: ShardLogOptions,
@@ -94,20 +118,23 @@
   ) {}
 
   /**
-   * Replays the log into `table` and fences earlier owners with a takeover record.
-   * Waits while the object service is unavailable. Throws {@link ShardLostError}.
+   * Replays the log, fences earlier owners with a takeover record, and adds the records that
+   * `restore` finds missing. Waits while the object service is unavailable. Throws
+   * {@link ShardLostError}.
    */
   static async open(
     options: ShardLogOptions,
-    table: ClaimTable,
-  ): Promise<ShardLog> {
+    restore: (stored: ClaimTable) => readonly ClaimRecord[] = () => [],
+  ): Promise<OpenLog> {
     for (let attempt = 1; ; attempt += 1) {
       const log = new ShardLog(options, emptySegment(0));
+      const table = ClaimTable.create();
       try {
         await log.replayInto(table);
-        const record: ClaimRecord = {kind: 'takeover', node: options.node};
-        await log.append([{record, expiresAt: undefined}]);
-        return log;
+        const missing = restore(table);
+        const takeover: ClaimRecord = {kind: 'takeover', node: options.node};
+        await log.appendAll([takeover, ...missing], table);
+        return {log, table, restored: missing.length};
       } catch (failure) {
         const isRace = failure instanceof ShardLostError;
         if (!isRace || attempt >= MAXIMUM_OPEN_ATTEMPTS) throw failure;
@@ -139,14 +166,30 @@
     if (isFull) text += encodeRecord({kind: 'seal'});
     const isNew = this.segment.version === 'absent';
     const version = await this.writeSegment(text);
-    if (isNew) await this.requireNewest();
+    if (isNew) await this.requireNewest(version);
     this.retainSegment(records.slice(0, written));
+    this.newest = {...this.segment, text, version};
     this.segment = isFull
       ? emptySegment(this.segment.sequence + 1)
-      : {...this.segment, text, version};
+      : this.newest;
     return written;
   }
 
+  /**
+   * Throws {@link ShardLostError} if another node has continued the log, and
+   * {@link LogWentBackError} if the object service has lost what this node wrote.
+   */
+  async verify(): Promise<void> {
+    const {newest} = this;
+    if (newest === undefined) return;
+    const {objects} = this.options;
+    const change = changeOf(newest, await objects.read(this.keyOf(newest)));
+    if (change === 'unchanged' && this.segment === newest) return;
+    const listed = await objects.list(this.prefix);
+    if (change !== 'unchanged' || hasNewerThan(newest, listed))
+      await this.failAsChanged();
+  }
+
   /**
    * Removes segments whose claims, and those whose outcomes they contain, have all
    * expired, except for the newest segment.
@@ -156,9 +199,10 @@
       if (expiresAt > now || sequence >= this.newestSequence) continue;
       const key = segmentKey(this.options.shard, sequence);
       const stored = await this.options.objects.read(key);
-      if (stored !== undefined) {
+      // After a return of the service, the key may be in use again.
+      if (this.isClosed) return;
+      if (stored !== undefined)
         await this.options.objects.remove(key, stored.version);
-      }
       this.segmentExpiries.delete(sequence);
     }
   }
@@ -174,36 +218,62 @@
     return version === 'absent' ? sequence - 1 : sequence;
   }
 
+  /** All segments, oldest first. */
+  private async list(): Promise<readonly ObjectListing[]> {
+    const listed = await this.withRetries(() =>
+      this.options.objects.list(this.prefix),
+    );
+    return [...listed].sort(
+      (left, right) => sequenceOf(left.key) - sequenceOf(right.key),
+    );
+  }
+
+  private get prefix(): string {
+    return shardPrefix(this.options.shard);
+  }
+
+  private async appendAll(
+    records: readonly ClaimRecord[],
+    table: ClaimTable,
+  ): Promise<void> {
+    let remaining = records.map(record => {
+      const expiresAt = table.expiryOf(record);
+      table.apply(record);
+      return {record, expiresAt};
+    });
+    while (remaining.length > 0)
+      remaining = remaining.slice(await this.append(remaining));
+  }
+
   /**
    * Throws {@link ShardLostError} if a segment after the one just created exists. Then
    * others had created and removed this one already, and it fences nobody.
    */
-  private async requireNewest(): Promise<void> {
-    const {sequence: created} = this.segment;
-    const sequences = (await this.list()).map(sequenceOf);
-    if (sequences.some(sequence => sequence > created)) {
-      this.isClosed = true;
-      throw new ShardLostError(this.options.shard, undefined);
-    }
+  private async requireNewest(createdVersion: ObjectVersion): Promise<void> {
+    const {segment, newest: before} = this;
+    const {sequence: created} = segment;
+    const listed = await this.list();
+    if (hasNewerThan(segment, listed))
+      this.fail(new ShardLostError(this.options.shard, undefined));
+    const versions = new Map(
+      listed.map(({key, version}) => [sequenceOf(key), version] as const),
+    );
+    // The owner that has continued the new segment may have removed the one before.
+    const isContinuedByOthers = versions.get(created) !== createdVersion;
+    const isIntact =
+      before === undefined || versions.get(before.sequence) === before.version;
+    if (!isIntact && !isContinuedByOthers)
+      this.fail(new LogWentBackError(this.options.shard, undefined));
     // An earlier segment that was not there before was created in the same way.
-    for (const sequence of sequences) {
-      const isUnknown = !this.segmentExpiries.has(sequence);
-      if (isUnknown && sequence < created)
+    for (const entry of listed) {
+      const sequence = sequenceOf(entry.key);
+      if (sequence < created && !this.segmentExpiries.has(sequence))
         this.segmentExpiries.set(sequence, EXPIRED);
     }
   }
 
-  /** The keys of all segments, oldest first. */
-  private async list(): Promise<readonly string[]> {
-    const prefix = shardPrefix(this.options.shard);
-    const listed = await this.withRetries(() =>
-      this.options.objects.list(prefix),
-    );
-    return listed.map(entry => entry.key).sort();
-  }
-
   private async replayInto(table: ClaimTable): Promise<void> {
-    for (const key of await this.list()) {
+    for (const {key} of await this.list()) {
       const stored = await this.withRetries(() =>
         this.options.objects.read(key),
       );
@@ -215,7 +285,8 @@
 
   private replaySegment(stored: StoredObject, table: ClaimTable): void {
     const sequence = sequenceOf(stored.key);
-    this.segment = {sequence, text: stored.value, version: stored.version};
+    this.newest = {sequence, text: stored.value, version: stored.version};
+    this.segment = this.newest;
     const records = decodeRecords(stored.key, stored.value);
     this.retainSegment([]);
     for (const record of records) {
@@ -236,7 +307,7 @@
     this.segmentExpiries.set(sequence, latest);
   }
 
-  private async writeSegment(text: string): Promise<ExpectedVersion> {
+  private async writeSegment(text: string): Promise<ObjectVersion> {
     const {objects, shard} = this.options;
     const key = segmentKey(shard, this.segment.sequence);
     try {
@@ -250,8 +321,37 @@
     // shows whether it did.
     const stored = await this.withRetries(() => objects.read(key));
     if (stored?.value === text) return stored.version;
+    return this.failAsChanged(lastOwnerIn(stored));
+  }
+
+  /**
+   * Fails, as others have continued the log, or the service has lost the newest segment or a part
+   * of it. Others only append to it, and remove it only once there is a newer one.
+   */
+  private async failAsChanged(owner?: NodeId): Promise<never> {
+    const {shard, objects} = this.options;
+    const {newest} = this;
+    const lost = new ShardLostError(shard, owner);
+    if (newest === undefined) return this.fail(lost);
+    const stored = await this.withRetries(() =>
+      objects.read(this.keyOf(newest)),
+    );
+    const change = changeOf(newest, stored);
+    const isLost =
+      change === 'removed'
+        ? hasNewerThan(newest, await this.list())
+        : change !== 'went back';
+    return this.fail(isLost ? lost : new LogWentBackError(shard, owner));
+  }
+
+  /** Closes the log. */
+  private fail(failure: ShardLostError): never {
     this.isClosed = true;
-    throw new ShardLostError(shard, lastOwnerIn(stored));
+    throw failure;
+  }
+
+  private keyOf({sequence}: Segment): string {
+    return segmentKey(this.options.shard, sequence);
   }
 
   /** Retries a call until it gets a response. Conditional writes take effect at most once. */
@@ -286,6 +386,22 @@
   );
 }
 
+function changeOf(
+  {version, text}: StoredSegment,
+  stored: StoredObject | undefined,
+): ObjectChange {
+  return compareWithKnown({version, value: text}, stored, (known, found) =>
+    found.startsWith(known),
+  );
+}
+
+function hasNewerThan(
+  {sequence}: Segment,
+  listed: readonly ObjectListing[],
+): boolean {
+  return listed.some(({key}) => sequenceOf(key) > sequence);
+}
+
 function emptySegment(sequence: number): Segment {
   return {sequence, text: '', version: 'absent'};
 }
--- a/packages/ledger/src/shard_owner.ts
+++ b/packages/ledger/src/shard_owner.ts
@@ -20,7 +20,7 @@
 import type {ClaimReply, ClaimRequest} from './claim_table.js';
 import {ClaimTable} from './claim_table.js';
 import type {RetainedRecord, ShardLogOptions} from './shard_log.js';
-import {ShardLog, ShardLostError} from './shard_log.js';
+import {LogWentBackError, ShardLog, ShardLostError} from './shard_log.js';
 
 /** Time that an outcome may wait to be written together with a claim. */
 const OUTCOME_FLUSH_DELAY_MILLISECONDS = 5_000;
@@ -49,6 +49,8 @@
   readonly isNodeTerminated: (node: NodeId) => boolean;
   /** Called once when this node has lost or closed the shard. */
   readonly onLost: (failure: ShardLostError) => void;
+  /** Called when the object service had lost records, which this node has written again. */
+  readonly onRestored: (records: number) => void;
 }
 
 interface WaitingClaim {
@@ -93,7 +95,9 @@
   /** Opens the shard and fences its earlier owner. Throws {@link ShardLostError}. */
   static async open(options: ShardOwnerOptions): Promise<ShardOwner> {
     const owner = new ShardOwner(options);
-    owner.log = await ShardLog.open(options, owner.table);
+    const {log, table} = await ShardLog.open(options);
+    owner.log = log;
+    owner.table = table;
     return owner;
   }
 
@@ -145,6 +149,17 @@
     await written;
   }
 
+  /**
+   * Reads the log, so that a return of the object service from an older copy, or another owner,
+   * is noticed without a write.
+   */
+  async verify(): Promise<void> {
+    if (this.closeReason !== undefined || this.activeWrite !== undefined)
+      return;
+    this.activeWrite = this.verifyLog();
+    await this.activeWrite;
+  }
+
   /** Writes pending records, so that a successor reads them, and closes the log. */
   async close(): Promise<void> {
     await this.activeWrite;
@@ -277,15 +292,31 @@
     return this.activeWrite;
   }
 
+  private async verifyLog(): Promise<void> {
+    try {
+      await this.log?.verify();
+    } catch (failure) {
+      // While the object service does not respond, the next write or verification shows it.
+      if (failure instanceof ShardLostError) await this.recover(failure, []);
+    }
+    if (this.batch.isUrgent && this.closeReason === undefined)
+      return this.writeBatches();
+    this.endWrites();
+  }
+
   /** Outcomes alone trigger no further write: they wait for the next claim or the flush. */
   private async writeBatches(): Promise<void> {
     do {
       await this.waitForWriteInterval();
       await this.writeBatch();
     } while (this.batch.isUrgent && this.closeReason === undefined);
+    this.endWrites();
+    void this.removeExpired();
+  }
+
+  private endWrites(): void {
     this.activeWrite = undefined;
     if (this.batch.records.length > 0) this.scheduleFlush();
-    void this.removeExpired();
   }
 
   private waitForWriteInterval(): Promise<void> | undefined {
@@ -310,14 +341,56 @@
       this.writesStarted += 1;
       written = (await this.log?.append(records)) ?? 0;
     } catch (failure) {
-      rejectAll(records, failure);
-      this.closeWith(failure);
+      await this.recover(failure, records);
       return;
     }
     for (const {onWritten} of records.slice(0, written)) onWritten();
     this.writeFirst(records.slice(written));
   }
 
+  /**
+   * Writes what this node knows into a log that has lost it, before anything else is granted.
+   * After any other failure, the shard is lost. `records` are those of the failed write.
+   */
+  private async recover(
+    failure: unknown,
+    records: readonly PendingRecord[],
+  ): Promise<void> {
+    if (failure instanceof LogWentBackError && this.closeReason === undefined)
+      try {
+        await this.restore();
+        this.settle(records);
+        return;
+      } catch (restoreFailure) {
+        failure = restoreFailure;
+      }
+    rejectAll(records, failure);
+    this.closeWith(failure);
+  }
+
+  private async restore(): Promise<void> {
+    const {options, clock} = this;
+    const {log, table, restored} = await ShardLog.open(options, stored =>
+      this.table.recordsMissingIn(stored, clock.now()),
+    );
+    if (this.closeReason !== undefined) log.close();
+    this.log = log;
+    this.table = table;
+    options.onRestored(restored);
+    this.reevaluateWaitingClaims();
+  }
+
+  /** Ends the records of a failed write: what their attempts hold is restored. */
+  private settle(records: readonly PendingRecord[]): void {
+    for (const {record, onWritten, onFailure} of records) {
+      const isLost =
+        record.kind === 'claim' &&
+        !this.table.isHeldBy(record.key, record.attempt);
+      if (isLost) onFailure(new ShardLostError(this.options.shard, undefined));
+      else onWritten();
+    }
+  }
+
   /** Puts records that did not fit into a write before the others. */
   private writeFirst(records: readonly PendingRecord[]): void {
     if (records.length === 0) return;
--- a/packages/node/src/ledger_plugin.ts
+++ b/packages/node/src/ledger_plugin.ts
@@ -1,11 +1,17 @@
 /** Runs the claim ledger, which prevents a non-repeatable call from running twice. */
 
-import type {Plugin} from '@siskinmux/kernel';
+import type {Milliseconds, Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
 import {CLAIM_SHARDS, LEDGER_EVENTS, Ledger} from '@siskinmux/ledger';
 import {rankMembers} from '@siskinmux/routing';
 import {createOwnerCall} from './owner_call.js';
-import {CLOCK, EMIT_EVENT, NODE_IDENTITY, TRACING} from '@siskinmux/runtime';
+import {
+  CLOCK,
+  EMIT_EVENT,
+  NODE_IDENTITY,
+  TRACING,
+  createPeriodicJob,
+} from '@siskinmux/runtime';
 import {MEMBERSHIP} from './membership_task.js';
 import {ledgerReplySchema, ledgerRequestSchema} from './owner_messages.js';
 import {PEERS} from './peers.js';
@@ -13,6 +19,9 @@
 
 const OWNER_METHOD = 'ledger.ask';
 
+/** Interval at which an owner notices that the object service has lost a shard's claims. */
+const VERIFY_INTERVAL_MILLISECONDS: Milliseconds = 1_000;
+
 /** Injection key of the claim ledger. */
 export const LEDGER = injectionKey<Ledger>('ledger');
 
@@ -48,14 +57,26 @@
     membership.onChange(() => ledger.onMembershipChange());
     kernel.addEvents(LEDGER_EVENTS);
     kernel.provide(LEDGER, ledger);
+    const verifyJob = createPeriodicJob(
+      kernel.inject(CLOCK),
+      VERIFY_INTERVAL_MILLISECONDS,
+      () => ledger.verifyShards(),
+    );
+    const stop = (): Promise<void> => {
+      verifyJob.stop();
+      return ledger.stop();
+    };
     kernel.addTask({
       name: 'ledger',
-      start: () => {},
+      start: () => verifyJob.startAfterPause(),
       // Runs before the node leaves the membership, so that the next owner of a shard
       // finds all claims written.
-      drain: () => ledger.stop(),
-      stop: () => ledger.stop(),
-      abandon: () => ledger.abandon(),
+      drain: stop,
+      stop,
+      abandon: () => {
+        verifyJob.stop();
+        ledger.abandon();
+      },
     });
   },
 };
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -15,6 +15,8 @@
   VersionConflictError,
   WriteOutcomeUnknownError,
 } from './object_service.js';
+export type {KnownObject, ObjectChange} from './object_history.js';
+export {compareWithKnown} from './object_history.js';
 export type {HostList, HostState, ListedHost} from './host_list.js';
 export type {
   CacheEvent,
