Pass over all endpoints that want no requests at once

What callers saw: nothing directly; with half of 63 endpoints in a pause, each request cost 0.3 ms more and 17 lines of log, with all of them in one, a look and a line for each.

Cause: the choice of an endpoint met one paused endpoint after the other, as those that get nothing seem the least loaded; each was a choice and a line of its own. Change: once a request has met one, all paused endpoints of the service are left out. If none is left, the one whose pause ends first decides, looked for in the order of the ends. Conclusion: a pause costs a request one more choice, however many endpoints ask for one.

--- a/packages/gateway/__tests__/limited_choice.test.ts
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -38,6 +38,7 @@
   const pauses = EndpointPauses.create({clock, emit: discardEvents});
   const permits = SendPermits.create({limits, clock, onPermitUsed: () => {}});
   const outcomes: LimitOutcome[] = [];
+  const choices = {count: 0};
   const gone = new Set<EndpointId>();
   const start = clock.now();
   const caller = new AbortController();
@@ -61,8 +62,10 @@
             signal: caller.signal,
           },
           serviceMilliseconds: 100,
-          choose: excluded =>
-            endpoints.find(({id}) => !excluded.has(id) && !gone.has(id)),
+          choose: excluded => {
+            choices.count += 1;
+            return endpoints.find(({id}) => !excluded.has(id) && !gone.has(id));
+          },
           isUsable: ({id}) => !gone.has(id),
           waitForUnlimited,
         },
@@ -98,6 +101,7 @@
     clock,
     permits,
     outcomes,
+    choices,
     gone,
     find,
     limit,
@@ -175,6 +179,27 @@
     expect(outcomes).toEqual(['diverted', 'diverted', 'waited', 'diverted']);
   });
 
+  it('passes over half of a service that asked for pauses at once, with one line of log', async () => {
+    const names = Array.from({length: 63}, (_, index) => `e${index}`);
+    const {find, pause, outcomes, choices} = build(...names);
+    for (const name of names.slice(0, 32)) pause(name, 2_000);
+    expect(await find()).toEqual('e32 after 0');
+    expect(outcomes).toEqual(['diverted']);
+    expect(choices.count).toEqual(2);
+  });
+
+  it('finds the shortest pause of a whole service without a look at each endpoint', async () => {
+    const names = Array.from({length: 63}, (_, index) => `e${index}`);
+    const {clock, find, pause, outcomes, choices, gone} = build(...names);
+    for (const [index, name] of names.entries()) pause(name, 2_000 - index);
+    gone.add(as<EndpointId>('e62'));
+    const found = find();
+    await clock.advance(3_000);
+    expect(await found).toEqual('e61 after 1939');
+    expect(outcomes).toEqual(['diverted', 'diverted', 'waited', 'diverted']);
+    expect(choices.count).toBeLessThanOrEqual(6);
+  });
+
   it('refuses the request at once if all pauses end too late', async () => {
     const {clock, find, pause, outcomes} = build('one');
     pause('one', 20_000);
--- a/packages/gateway/__tests__/pause_histories.test.ts
+++ b/packages/gateway/__tests__/pause_histories.test.ts
@@ -30,7 +30,7 @@
 /** More by hand: `PAUSE_HISTORIES=20000`. */
 const HISTORIES = Number(process.env['PAUSE_HISTORIES'] ?? 500);
 const SERVICE = as<ServiceName>('text');
-const ENDPOINTS = 3;
+const ENDPOINT_COUNTS = [3, 8];
 const SERVICE_MILLISECONDS = 20;
 const MAXIMUM_PAUSE_MILLISECONDS = 30_000;
 /** A refusal names the end of a pause, and up to so much later. */
@@ -40,34 +40,34 @@
   | {readonly kind: 'advance'; readonly milliseconds: number}
   | {readonly kind: 'pause'; readonly index: number; readonly asked: number}
   | {readonly kind: 'pause_all'; readonly asked: number}
+  | {readonly kind: 'pause_half'; readonly asked: number}
   | {readonly kind: 'restart'; readonly index: number}
   | {readonly kind: 'leave'; readonly index: number}
   | {readonly kind: 'request'; readonly patience: number};
 
-const indexes = fc.nat({max: ENDPOINTS - 1});
-
-const steps: fc.Arbitrary<Step> = fc.oneof(
-  fc.record({
-    kind: fc.constant('advance' as const),
-    milliseconds: fc.nat({max: 3_000}),
-  }),
-  fc.record({
-    kind: fc.constant('pause' as const),
-    index: indexes,
-    asked: fc.oneof(fc.nat({max: 5_000}), fc.constantFrom(0, 40_000, 1e15)),
-  }),
-  fc.record({kind: fc.constant('restart' as const), index: indexes}),
-  fc.record({kind: fc.constant('leave' as const), index: indexes}),
-  fc.record({
-    kind: fc.constant('request' as const),
-    patience: fc.oneof(fc.nat({max: 300}), fc.nat({max: 6_000})),
-  }),
-  // All endpoints of a service at once, as in an overload.
-  fc.record({
-    kind: fc.constant('pause_all' as const),
-    asked: fc.nat({max: 5_000}),
-  }),
-);
+const stepsOf = (indexes: fc.Arbitrary<number>): fc.Arbitrary<Step> =>
+  fc.oneof(
+    fc.record({
+      kind: fc.constant('advance' as const),
+      milliseconds: fc.nat({max: 3_000}),
+    }),
+    fc.record({
+      kind: fc.constant('pause' as const),
+      index: indexes,
+      asked: fc.oneof(fc.nat({max: 5_000}), fc.constantFrom(0, 40_000, 1e15)),
+    }),
+    fc.record({kind: fc.constant('restart' as const), index: indexes}),
+    fc.record({kind: fc.constant('leave' as const), index: indexes}),
+    fc.record({
+      kind: fc.constant('request' as const),
+      patience: fc.oneof(fc.nat({max: 300}), fc.nat({max: 6_000})),
+    }),
+    // All endpoints of a service at once, as in an overload.
+    fc.record({
+      kind: fc.constantFrom('pause_all' as const, 'pause_half' as const),
+      asked: fc.nat({max: 5_000}),
+    }),
+  );
 
 /** Plays requests beside endpoints that ask for pauses, leave and start again. */
 class PauseHistory {
@@ -95,8 +95,8 @@
   private readonly pausedUntil = new Map<EndpointId, Instant>();
   private readonly requests: Promise<void>[] = [];
 
-  constructor() {
-    for (let index = 0; index < ENDPOINTS; index += 1) this.restart(index);
+  constructor(endpointCount: number) {
+    for (let index = 0; index < endpointCount; index += 1) this.restart(index);
   }
 
   async play(history: readonly Step[]): Promise<void> {
@@ -106,6 +106,10 @@
       else if (step.kind === 'pause_all')
         for (const index of this.endpoints.keys())
           this.pause(index, step.asked);
+      else if (step.kind === 'pause_half')
+        for (const index of this.endpoints.keys()) {
+          if (index % 2 === 0) this.pause(index, step.asked);
+        }
       else if (step.kind === 'restart') this.restart(step.index);
       else if (step.kind === 'leave') this.leave(step.index);
       else this.requests.push(this.request(step.patience));
@@ -230,23 +234,27 @@
 }
 
 describe('pauses that endpoints ask for, beside restarts and departures', () => {
-  it('are kept, end in time, and are named truly in refusals', async () => {
-    let chosen = 0;
-    let refused = 0;
-    await fc.assert(
-      fc.asyncProperty(
-        fc.array(steps, {minLength: 5, maxLength: 40}),
-        async history => {
-          const play = new PauseHistory();
-          await play.play(history);
-          chosen += play.chosen;
-          refused += play.refused;
-          expect(play.faults).toEqual([]);
-        },
-      ),
-      {seed: 1, numRuns: HISTORIES},
-    );
-    expect(chosen).toBeGreaterThan(HISTORIES);
-    expect(refused).toBeGreaterThan(HISTORIES / 10);
-  });
+  for (const endpointCount of ENDPOINT_COUNTS)
+    it(`are kept, end in time, and are named truly in refusals (${endpointCount} endpoints)`, async () => {
+      let chosen = 0;
+      let refused = 0;
+      await fc.assert(
+        fc.asyncProperty(
+          fc.array(stepsOf(fc.nat({max: endpointCount - 1})), {
+            minLength: 5,
+            maxLength: 40,
+          }),
+          async history => {
+            const play = new PauseHistory(endpointCount);
+            await play.play(history);
+            chosen += play.chosen;
+            refused += play.refused;
+            expect(play.faults).toEqual([]);
+          },
+        ),
+        {seed: 1, numRuns: HISTORIES},
+      );
+      expect(chosen).toBeGreaterThan(HISTORIES);
+      expect(refused).toBeGreaterThan(HISTORIES / 10);
+    });
 });
--- a/packages/gateway/src/endpoint_pauses.ts
+++ b/packages/gateway/src/endpoint_pauses.ts
@@ -9,7 +9,14 @@
   Incarnation,
 } from '@siskinmux/endpoints';
 import type {ResponseHead} from '@siskinmux/forwarding';
-import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
+import type {
+  Clock,
+  EmitEvent,
+  EndpointId,
+  Instant,
+  Milliseconds,
+  ServiceName,
+} from '@siskinmux/kernel';
 import {after} from '@siskinmux/kernel';
 import {ENDPOINT_PAUSED, ENDPOINT_PAUSE_INVALID} from './gateway_events.js';
 
@@ -19,6 +26,13 @@
 /** Bound on the known pauses; the one that was asked for first is dropped. */
 const MAXIMUM_KNOWN_PAUSES = 2_000;
 
+/** An endpoint that wants no request of this node now. */
+export interface EndpointPause {
+  readonly id: EndpointId;
+  readonly service: ServiceName;
+  readonly endsAt: Instant;
+}
+
 /** Dependencies of {@link EndpointPauses}. */
 export interface EndpointPausesOptions {
   readonly clock: Clock;
@@ -27,7 +41,7 @@
 
 /** Until when each endpoint wants no request of this node. */
 export class EndpointPauses {
-  private readonly endsAt = new Map<Incarnation, Instant>();
+  private readonly pauses = new Map<Incarnation, EndpointPause>();
   /** The last invalid value of each endpoint, which is logged once. */
   private readonly invalidTexts = new Map<Incarnation, string>();
 
@@ -39,15 +53,25 @@
 
   /** End of the pause of a run of an endpoint; undefined if there is none now. */
   endOf(incarnation: Incarnation): Instant | undefined {
-    const endsAt = this.endsAt.get(incarnation);
+    const endsAt = this.pauses.get(incarnation)?.endsAt;
     return endsAt !== undefined && endsAt > this.options.clock.now()
       ? endsAt
       : undefined;
   }
 
+  /** All pauses in a service, in the order of their ends. */
+  ofService(service: ServiceName): readonly EndpointPause[] {
+    const now = this.options.clock.now();
+    for (const [incarnation, {endsAt}] of this.pauses)
+      if (endsAt <= now) this.pauses.delete(incarnation);
+    return [...this.pauses.values()]
+      .filter(pause => pause.service === service)
+      .sort((left, right) => left.endsAt - right.endsAt);
+  }
+
   /** Reads a response; the later of two ends applies. */
   recordResponse(
-    {id, incarnation}: EndpointDescription,
+    {id, incarnation, service}: EndpointDescription,
     {metadata: {pause}}: ResponseHead,
   ): void {
     const {clock, emit} = this.options;
@@ -66,7 +90,7 @@
     const endsAt = after(clock.now(), milliseconds);
     const known = this.endOf(incarnation);
     if (known !== undefined && known >= endsAt) return;
-    remember(this.endsAt, incarnation, endsAt);
+    remember(this.pauses, incarnation, {id, service, endsAt});
     if (known !== undefined) return;
     emit(ENDPOINT_PAUSED, {
       endpoint: id,
@@ -81,7 +105,7 @@
     for (const {before, now} of changes) {
       if (before === undefined || before.incarnation === now?.incarnation)
         continue;
-      this.endsAt.delete(before.incarnation);
+      this.pauses.delete(before.incarnation);
       this.invalidTexts.delete(before.incarnation);
     }
   }
--- a/packages/gateway/src/limited_choice.ts
+++ b/packages/gateway/src/limited_choice.ts
@@ -19,7 +19,7 @@
 } from '@siskinmux/kernel';
 import type {EndpointRequirements} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
-import type {EndpointPauses} from './endpoint_pauses.js';
+import type {EndpointPause, EndpointPauses} from './endpoint_pauses.js';
 import {REQUEST_LIMITED} from './gateway_events.js';
 import type {SendPermits} from './send_permits.js';
 
@@ -80,9 +80,20 @@
   const {requirements, choose, isUsable} = choice;
   const {limits, permits, pauses} = dependencies;
   const refused = new Map<EndpointId, RefusedEndpoint>();
+  let paused: readonly EndpointPause[] = [];
   while (!requirements.signal.aborted) {
-    const endpoint = await choose(new Set(refused.keys()));
+    const endpoint = await choose(
+      new Set([...refused.keys(), ...paused.map(({id}) => id)]),
+    );
     if (endpoint === undefined) {
+      const first = await choosePaused(choice, paused, refused);
+      if (first !== undefined) {
+        const retryAt = pauses.endOf(first.incarnation);
+        paused = [];
+        if (retryAt === undefined) continue;
+        report(choice, first, 'diverted', retryAt, dependencies);
+        refused.set(first.id, {endpoint: first, retryAt});
+      }
       if (refused.size === 0) return undefined;
       const waited = await waitForPermit(
         [...refused.values()],
@@ -91,12 +102,14 @@
       );
       if (waited !== 'choose again') return waited;
       refused.clear();
+      paused = [];
       continue;
     }
     const pauseEndsAt = pauses.endOf(endpoint.incarnation);
     if (pauseEndsAt !== undefined) {
       report(choice, endpoint, 'diverted', pauseEndsAt, dependencies);
       refused.set(endpoint.id, {endpoint, retryAt: pauseEndsAt});
+      paused = pauses.ofService(requirements.service);
       continue;
     }
     if (limits.get(endpoint.incarnation) === undefined) return endpoint;
@@ -117,6 +130,22 @@
   throw createNotRunRefusal(ErrorCode.CallerGone, requirements.service);
 }
 
+/** The endpoint whose pause ends first, among those that may serve the request otherwise. */
+async function choosePaused(
+  {choose}: LimitedChoice,
+  paused: readonly EndpointPause[],
+  refused: ReadonlyMap<EndpointId, RefusedEndpoint>,
+): Promise<EndpointDescription | undefined> {
+  const excluded = new Set([...refused.keys(), ...paused.map(({id}) => id)]);
+  for (const {id} of paused) {
+    if (refused.has(id)) continue;
+    excluded.delete(id);
+    const endpoint = await choose(excluded);
+    if (endpoint !== undefined) return endpoint;
+  }
+  return undefined;
+}
+
 /**
  * Waits for a permit at the endpoint that takes a request first. Resolves to undefined if it
  * has left, and to `choose again` if there may be another endpoint, or after a pause while
