--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,7 +19,6 @@
 export {EndpointLimits} from './endpoint_limits.js';
 export {EndpointPauses} from './endpoint_pauses.js';
 export {InFlightCounts} from './in_flight_counts.js';
-export type {LeavingStatement} from './leaving_endpoints.js';
 export {
   LeavingEndpoints,
   decodeLeaving,
