Blame no request for a planned restart that a paused node missed

A prompt could be taken for one that crashes engines, and be refused on all nodes, because a node had been paused or cut off during a planned restart.

Cause: a run whose endpoint drains is not evidence, but the detector asked only for the state listed now. A node that goes on after a pause reads that the endpoint drained, that it started again, and that its connection broke, all at once. It then finds the next incarnation listed and reports the broken run to the others as a crash by its request.

Lists that replace a dropped history don't tell of a drain; open.

--- a/packages/containment/__tests__/crash_detector.test.ts
+++ b/packages/containment/__tests__/crash_detector.test.ts
@@ -100,6 +100,26 @@
     expect(crashes).toEqual([]);
   });
 
+  it('does not report a planned restart of which a node that was paused hears only afterwards', async () => {
+    const {clock, crashes, detector, list, run} = build('listening');
+    list(endpoint('e'));
+    const broken = run(endpoint('e'));
+    await clock.advance(8_000);
+    list(endpoint('e', 1, {isDraining: true}));
+    list(endpoint('e', 2));
+    await detector.checkBrokenRun(broken);
+    detector.watchForRestart(broken);
+    expect(crashes).toEqual([]);
+  });
+
+  it('reports the crash of an endpoint after its planned restart', async () => {
+    const {crashes, detector, list, run} = build('refused');
+    list(endpoint('e', 1, {isDraining: true}));
+    list(endpoint('e', 2));
+    await detector.checkBrokenRun(run(endpoint('e', 2)));
+    expect(crashes).toEqual(['x e@2 refused']);
+  });
+
   it('reports a crash later when an endpoint that could not be probed has restarted, under its id or another one', async () => {
     for (const restarted of [
       endpoint('e', 2),
--- a/packages/containment/src/crash_detector.ts
+++ b/packages/containment/src/crash_detector.ts
@@ -77,6 +77,8 @@
 export class CrashDetector {
   private readonly probes = new Map<Incarnation, Promise<ProbeResult>>();
   private readonly confirmed = new Map<Incarnation, ConfirmedCrash>();
+  /** Incarnations that were listed as draining, and until when that is kept. */
+  private readonly drained = new Map<Incarnation, Instant>();
   private openRuns: OpenRun[] = [];
 
   private constructor(private readonly options: CrashDetectorOptions) {}
@@ -155,6 +157,7 @@
     clearedByConnectionsUntil: Instant | undefined,
   ): void {
     const {clock, table} = this.options;
+    if (this.drained.has(run.endpoint.incarnation)) return;
     const listed = table.get(run.endpoint.id);
     if (
       listed !== undefined &&
@@ -179,6 +182,13 @@
       if (after(confirmedAt, RESTART_WINDOW_MILLISECONDS) <= now)
         this.confirmed.delete(incarnation);
     }
+    for (const [incarnation, end] of this.drained)
+      if (end <= now) this.drained.delete(incarnation);
+    const keptUntil = after(now, RESTART_WINDOW_MILLISECONDS);
+    for (const {now: listed} of changes) {
+      if (listed?.isDraining) this.drained.set(listed.incarnation, keptUntil);
+      else if (listed) this.drained.delete(listed.incarnation);
+    }
     for (const {now: listed} of changes) {
       if (listed === undefined || this.openRuns.length === 0) continue;
       const concerned = this.openRuns.filter(({run}) =>
@@ -197,8 +207,12 @@
     }
   }
 
-  /** An endpoint that drains ends on purpose, with the requests that it still runs. */
+  /**
+   * An endpoint that drains ends on purpose, with the requests that it still runs. A node that was
+   * paused meanwhile may list its next run already.
+   */
   private isLeaving({id, incarnation}: EndpointDescription): boolean {
+    if (this.drained.has(incarnation)) return true;
     const listed = this.options.table.get(id);
     if (listed === undefined) return true;
     return listed.incarnation === incarnation && listed.isDraining;
