Test that a lease holder keeps the demand of a node that has just left

The allocator's tests call removeNode with an instant of their own, so that nothing showed which one the lease holder gives it when a connection ends.

Measured: "moves no model in use by a node that has left a second ago at most" passes; it fails if the demand ends with the connection ("unload m0" was sent).

--- a/packages/gateway/__tests__/allocator_server.test.ts
+++ b/packages/gateway/__tests__/allocator_server.test.ts
@@ -10,9 +10,16 @@
 import {CrashQuarantine} from '@siskinmux/containment';
 import type {Incarnation} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
-import type {NodeId} from '@siskinmux/kernel';
+import type {
+  FencingNumber,
+  ModelName,
+  NodeId,
+  ServiceName,
+} from '@siskinmux/kernel';
 import {after, as, discardEvents} from '@siskinmux/kernel';
-import {VirtualClock} from '@siskinmux/testkit';
+import type {EngineOrderClient} from '@siskinmux/placement';
+import type {EngineDeclaration, RouteVersion} from '@siskinmux/routes';
+import {VirtualClock, createEngineDescription} from '@siskinmux/testkit';
 import {AllocatorServer} from '../src/allocator_server.js';
 import {EndpointLimits} from '../src/endpoint_limits.js';
 import {
@@ -31,7 +38,14 @@
 const TOLD_MILLISECONDS = 200;
 
 /** An allocator server with records of crashes, and the port on which it takes connections. */
-async function createHolder(clock: VirtualClock, crashesOfEach = 1) {
+async function createHolder(
+  clock: VirtualClock,
+  crashesOfEach = 1,
+  orders: EngineOrderClient = {
+    send: () => assert.fail('no engines'),
+    report: () => assert.fail('no engines'),
+  },
+) {
   const ignore = (): void => {};
   const options = {clock, emit: discardEvents};
   const quarantine = CrashQuarantine.create({
@@ -54,11 +68,11 @@
   const table = EndpointTable.create();
   const allocatorServer = AllocatorServer.create({
     ...options,
-    orders: {
-      send: () => assert.fail('no engines'),
-      report: () => assert.fail('no engines'),
-    },
-    authority: () => undefined,
+    orders,
+    authority: () => ({
+      holder: as<NodeId>('holder'),
+      fencingNumber: as<FencingNumber>(1),
+    }),
     onFenced: ignore,
     loadWindowMilliseconds: 10_000,
     initialConcurrencyLimit: undefined,
@@ -70,7 +84,7 @@
     onOrigins: ignore,
     limitShare: () => 1,
     listener: {onAvailableModels: ignore, onForecasts: ignore},
-    endpoints: () => [],
+    endpoints: () => table.running,
     reachesStore: () => true,
     onRelayPeers: ignore,
     testify: async () => 'unknown',
@@ -82,7 +96,7 @@
   ).listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
-  return {allocatorServer, server, port};
+  return {allocatorServer, server, port, table};
 }
 
 it('sends all suspects before it responds to a handshake', async context => {
@@ -110,20 +124,26 @@
   assert.equal(suspectCount, SUSPECT_COUNT);
 });
 
-/** Sends one message over a connection of its own; returns the socket. */
-async function ask(port: number, traits: readonly string[]): Promise<Socket> {
+/** Sends messages over a connection of their own; returns the socket. */
+async function send(
+  port: number,
+  ...messages: {method: string; params: object}[]
+): Promise<Socket> {
   const socket = connect({host: '127.0.0.1', port});
-  const message = {
-    jsonrpc: '2.0',
-    id: 1,
-    method: PEER_METHODS.probation,
-    params: {traits},
-  };
   await once(socket, 'connect');
-  socket.write(`${JSON.stringify(message)}\n`);
+  for (const message of messages)
+    socket.write(`${JSON.stringify({jsonrpc: '2.0', id: 1, ...message})}\n`);
   return socket;
 }
 
+const ask = (port: number, traits: readonly string[]): Promise<Socket> =>
+  send(port, {method: PEER_METHODS.probation, params: {traits}});
+
+/** Waits until what a node has sent has arrived. */
+async function exchange(): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, 50));
+}
+
 async function isAllowed(socket: Socket): Promise<boolean> {
   for await (const line of createInterface({input: socket}))
     return JSON.parse(line).result.isAllowed;
@@ -136,7 +156,7 @@
   await clock.advance(QUARANTINE_MILLISECONDS);
   const left = await ask(port, ['trait 0']);
   left.end();
-  await new Promise(resolve => setTimeout(resolve, 50));
+  await exchange();
   const next = await ask(port, ['trait 0']);
   const other = await ask(port, ['trait 1']);
   context.after(() => {
@@ -185,3 +205,108 @@
   await ask();
   assert.deepEqual(messages, [said.slice(0, 1), said.slice(1)]);
 });
+
+/** Orders to an engine with room for one model, which has loaded m0, and has a copy of m1. */
+function createOrders(): {orders: EngineOrderClient; sent: string[]} {
+  const sent: string[] = [];
+  const orders: EngineOrderClient = {
+    send: async ({change}) => {
+      sent.push(`${change.operation} ${change.model}`);
+      return 'done';
+    },
+    report: async () => ({
+      models: [{model: as<ModelName>('m0'), adapters: []}],
+      loadingAdapters: [],
+      copies: {inMemory: [], onDisk: [as<ModelName>('m1')]},
+      isBusy: false,
+      orderCount: 0,
+      queued: 0,
+      running: 0,
+      usedTokens: 0,
+      totalTokens: 1_000,
+    }),
+  };
+  return {orders, sent};
+}
+
+const declaration: EngineDeclaration = {
+  slots: 8,
+  cacheCapacityTokens: 1_000,
+  weightCapacityMegabytes: 100,
+  maximumAdapters: 0,
+  maximumStoreLoadsPerSecond: 1,
+  models: new Map(
+    ['m0', 'm1']
+      .map(name => as<ModelName>(name))
+      .map(name => [
+        name,
+        {
+          name,
+          weightsMegabytes: 70,
+          adapterMegabytes: 1,
+          loadMilliseconds: {memory: 50, disk: 50, store: 500},
+        },
+      ]),
+  ),
+};
+
+it('moves no model in use by a node that has left a second ago at most', async context => {
+  const clock = VirtualClock.create();
+  const {orders, sent} = createOrders();
+  const service = as<ServiceName>('engines');
+  const engine = createEngineDescription('engine', service);
+  const {server, port, table, allocatorServer} = await createHolder(
+    clock,
+    1,
+    orders,
+  );
+  table.replaceAll([engine], undefined);
+  const routed = {
+    name: service,
+    probePath: '/',
+    maximumConnections: 50,
+    engine: declaration,
+  };
+  allocatorServer.applyConfiguration({
+    version: as<RouteVersion>(1),
+    routes: [],
+    services: new Map([[service, routed]]),
+    limits: {
+      maximumHeaderBytes: 1_000,
+      maximumBodyBytes: 1_000,
+      headerTimeoutMilliseconds: 1_000,
+      idleTimeoutMilliseconds: 1_000,
+    },
+  });
+  const follow = (node: string, usage: object): Promise<Socket> =>
+    send(
+      port,
+      {method: PEER_METHODS.hello, params: {node}},
+      {
+        method: PEER_METHODS.usage,
+        params: {
+          service,
+          reachesStore: true,
+          waiting: [],
+          running: [],
+          arrived: [],
+          ...usage,
+        },
+      },
+    );
+  const busy = await follow('busy', {running: [['engine', 'm0', 1]]});
+  const waiting = await follow('waiting', {waiting: [['m1', 1, 0, 10_000]]});
+  context.after(() => {
+    for (const socket of [busy, waiting]) socket.destroy();
+    allocatorServer.stop();
+    server.close();
+  });
+  await exchange();
+  await clock.advance(1_000);
+  busy.end();
+  await exchange();
+  await clock.advance(950);
+  assert.deepEqual(sent, []);
+  await clock.advance(500);
+  assert.deepEqual(sent, ['unload m0', 'load m1']);
+});
