--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -32,7 +32,7 @@
   name: 'run-suspected',
   level: 'info',
   meaning:
-    'An endpoint that runs a request may bring no response: `silent` if it has sent nothing for `silentFor` milliseconds, `links_lost` if this node has lost its links to the service. The run is left open. `decision`: `send` if the request is sent to another endpoint beside, otherwise why not: `not_allowed` by its route, its deadline, its sends, what the caller has got of it, or as it is suspected to crash endpoints; `other_run` if another endpoint serves it, too; `no_alternative` if no other endpoint could begin it now; `over_budget` if the retry budget is used up. `life` is the incarnation of the endpoint, `endpointsAge` the age of what the node knows of others, in milliseconds.',
+    'An endpoint that runs a request may bring no response: `silent` if it has sent nothing for `silentFor` milliseconds, `links_lost` if this node has lost its links to the service. The run is left open. `decision`: `send` if the request is sent to another endpoint beside, otherwise why not: `not_allowed` by its route, its deadline, its sends, what the caller has got of it, or as it is suspected to crash endpoints; `other_run` if another endpoint serves it, too; `no_alternative` if no other endpoint could begin it now, which is decided again, and logged once it is decided otherwise; `over_budget` if the retry budget is used up. `life` is the incarnation of the endpoint, `endpointsAge` the age of what the node knows of others, in milliseconds.',
 };
 
 /** One of several runs of a request has gone on first. */
