Log a second run that waits for a slot once for each send

With two silent sends of one request, both without a free slot elsewhere, each question logged a line, 20 a second.

Cause: only the latest undecided send was remembered. Beside it, found by the same reading: with an allocator, the models of engines were looked up twice when none had the model, and the models of each changed entry were compared.

Change: each send is remembered; the second look-up and the comparison only happen without an allocator.

Two silent sends at once were not played.

--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -275,6 +275,7 @@
   /** Ends the waits for versions that have left. */
   onEndpointChanges(changes: readonly EndpointTableChange[]): void {
     for (const {id, before, now} of changes) {
+      if (!this.lastAvailableModels.has(id)) continue;
       if (before === undefined || !hasSameModels(before, now))
         this.lastAvailableModels.delete(id);
     }
@@ -372,7 +373,7 @@
       .availableFor(requirements.service)
       .filter(endpoint => meetsVersion(endpoint, requirements.version));
     const known = engines.filter(endpoint => this.hasModel(endpoint, model));
-    return known.length > 0
+    return known.length > 0 || this.allocator !== undefined
       ? known
       : engines.filter(endpoint => this.mayHaveModel(endpoint, model));
   }
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -59,8 +59,8 @@
   private readonly peerSender: PeerSender;
   /** Whether an endpoint has been sought. */
   private hasSought = false;
-  /** The latest send whose silence has been logged and is undecided. */
-  private undecidedSend: SendTarget | undefined;
+  /** Sends whose silence has been logged as undecided. */
+  private readonly undecidedSends = new Set<SendTarget | undefined>();
   private readonly openChains = new Set<Promise<void>>();
   private readonly failedResults: FailedResult[] = [];
   /** What ended chains otherwise than by a failed send. */
@@ -320,7 +320,7 @@
     const {id} = this.state.metadata;
     const decision = this.decideSecondRun(chain, endpoint, suspicion);
     const isUndecided = decision === 'no_alternative';
-    if (!isUndecided || this.undecidedSend !== chain.target)
+    if (!isUndecided || !this.undecidedSends.has(chain.target))
       emit(RUN_SUSPECTED, {
         id,
         endpoint: endpoint.id,
@@ -330,8 +330,10 @@
         endpointsAge: view.age.endpoints,
         decision,
       });
-    this.undecidedSend = isUndecided ? chain.target : undefined;
-    if (isUndecided) return 'undecided';
+    if (isUndecided) {
+      this.undecidedSends.add(chain.target);
+      return 'undecided';
+    }
     if (decision === 'send') {
       onRetryDecision(endpoint.service, 'charged');
       this.startChain();
