Write reservations again that the object service has lost

Engines had more memory in use than they have, and domains more replicas than allowed, after the object service had returned from an older copy. Cause: the holder of a domain's allocation took the older object for another node's, stopped, and the next allocator planned from it: without the reservations, and with fencing numbers that engines had seen. A new allocator also placed models before the reports of engines counted, as if what they had loaded weren't there. Orders are numbered above the highest number that engines report. Until a new allocator may reserve what engines report, it counts as in use (unreserved_models.ts). Conclusion: reservations and fencing numbers survive as long as the holder runs, or as engines report them.

--- a/packages/allocation/__tests__/plan_allocation.test.ts
+++ b/packages/allocation/__tests__/plan_allocation.test.ts
@@ -348,6 +348,38 @@
     expect(statesOf(plan)).toEqual(['draining']);
   });
 
+  it('issues fencing numbers above those that engines have seen, though the allocation was lost', () => {
+    const seen = {...status([]), highestFencingNumber: as<FencingNumber>(41)};
+    const input = planInput({
+      ...withDemand(OFFERS),
+      ...withEngine({status: seen}),
+    });
+    const plan = planAllocation(EMPTY_ALLOCATION, input, []);
+    expect(plan.orders.map(({order}) => order.fencingNumber)).toEqual([
+      as<FencingNumber>(42),
+    ]);
+  });
+
+  it('places nothing beside models whose reservations were lost, before their report counts', () => {
+    const tags = engineModel({model: as<ModelName>('tags')});
+    const atStart = withEngine({status: status([tags]), releasedAt: NOW});
+    const input = planInput({
+      ...withDemand(OFFERS),
+      ...atStart,
+      startedAt: NOW,
+    });
+    expect(planAllocation(EMPTY_ALLOCATION, input, []).orders).toEqual([]);
+    const other = as<EndpointId>('other');
+    const offers = withEngine({
+      status: status([engineModel()]),
+      releasedAt: NOW,
+    });
+    const second = engine({id: other, releasedAt: NOW});
+    const engines = new Map([...offers.engines!, [other, second] as const]);
+    const limited = planInput({...withDemand(OFFERS), engines, startedAt: NOW});
+    expect(planAllocation(EMPTY_ALLOCATION, limited, []).orders).toEqual([]);
+  });
+
   it('removes the reservations of a reclaimed host at once', () => {
     const plan = planAllocation(
       allocationWithReadyReplica(),
--- a/packages/allocation/src/allocation.ts
+++ b/packages/allocation/src/allocation.ts
@@ -156,6 +156,39 @@
   );
 }
 
+/**
+ * What the holder of an allocation knows, together with the reservations that others have added
+ * to an older copy of it. It has no holder, so that the next plan writes it before any order.
+ */
+export function restoreAllocation(
+  known: Allocation,
+  stored: Allocation,
+): Allocation {
+  let nextFencingNumber = Math.max(
+    known.nextFencingNumber,
+    stored.nextFencingNumber,
+  );
+  const added = stored.reservations
+    .filter(
+      ({engine, subject}) =>
+        !known.reservations.some(
+          own => own.engine === engine && isSameSubject(own.subject, subject),
+        ),
+    )
+    .map(reservation => {
+      const isTaken = known.reservations.some(({id}) => id === reservation.id);
+      if (!isTaken) return reservation;
+      const id = `r${nextFencingNumber}`;
+      nextFencingNumber += 1;
+      return {...reservation, id};
+    });
+  return {
+    holder: undefined,
+    nextFencingNumber,
+    reservations: [...known.reservations, ...added],
+  };
+}
+
 /** Whether two subjects are the same model version or the same adapter. */
 export function isSameSubject(left: Subject, right: Subject): boolean {
   if (left.model !== right.model) return false;
--- a/packages/allocation/src/allocation_draft.ts
+++ b/packages/allocation/src/allocation_draft.ts
@@ -45,7 +45,7 @@
     this.reservationsById = new Map(
       base.reservations.map(reservation => [reservation.id, reservation]),
     );
-    this.nextFencingNumber = base.nextFencingNumber;
+    this.nextFencingNumber = numberAbove(base.nextFencingNumber, input);
     // The first write of a new holder fences the previous one, so it is always needed.
     if (base.holder !== input.node) this.isDirty = true;
   }
@@ -235,6 +235,14 @@
   }
 }
 
+/** Engines may have seen numbers that the stored allocation has lost. */
+function numberAbove(stored: number, {engines}: PlanInput): number {
+  const seen = [...engines.values()]
+    .map(({status}) => status?.highestFencingNumber ?? 0)
+    .filter(number => Number.isSafeInteger(number));
+  return Math.max(stored, ...seen.map(number => number + 1));
+}
+
 function loadAction(reservation: Reservation): OrderAction {
   const {subject, memoryBytes} = reservation;
   if (subject.kind === 'model') {
--- a/packages/allocation/src/allocation_events.ts
+++ b/packages/allocation/src/allocation_events.ts
@@ -38,10 +38,20 @@
     'Requests wait for a model or adapter that cannot be placed now; `reason` says why, and is logged again only after it has ended. `the weight store is busy` and `room is being made` usually pass. If another reason persists or recurs, declare more memory or replicas, or accept that the models are loaded in turn.',
 };
 
+/** The object service had lost a domain's allocation. */
+export const ALLOCATION_RESTORED: EventDescriptor = {
+  number: 5005,
+  name: 'allocation-restored',
+  level: 'warn',
+  meaning:
+    'The object service had lost what this node wrote of a failure domain: it returned from an older copy. This node writes its reservations again before it sends further orders.',
+};
+
 /** All events of this package. */
 export const ALLOCATION_EVENTS = [
   ALLOCATION_LOST,
   ALLOCATION_STEP_FAILED,
   ORDER_ENDED,
   REPLICA_REFUSED,
+  ALLOCATION_RESTORED,
 ] as const;
--- a/packages/allocation/src/domain_allocator.ts
+++ b/packages/allocation/src/domain_allocator.ts
@@ -29,11 +29,16 @@
 import type {PlannedOrder, PlacementRefusal} from './allocation_draft.js';
 import {
   ALLOCATION_LOST,
+  ALLOCATION_RESTORED,
   ALLOCATION_STEP_FAILED,
   ORDER_ENDED,
   REPLICA_REFUSED,
 } from './allocation_events.js';
-import {AllocationLostError, AllocationStore} from './allocation_store.js';
+import {
+  AllocationLostError,
+  AllocationStore,
+  AllocationWentBackError,
+} from './allocation_store.js';
 import type {OrderOutcome, OrderResult} from './apply_order_result.js';
 import {DemandAggregator} from './demand_aggregator.js';
 import type {HostStatus} from './engine_watcher.js';
@@ -422,6 +427,15 @@
       this.options.onLost(failure.holder);
       return;
     }
+    if (failure instanceof AllocationWentBackError) {
+      const {failureDomain, reservations} = failure;
+      this.options.emit(ALLOCATION_RESTORED, {
+        failure_domain: failureDomain,
+        reservations,
+      });
+      this.requestPlan();
+      return;
+    }
     this.options.emit(ALLOCATION_STEP_FAILED, {
       failure_domain: this.options.failureDomain,
       failure: describeFailure(failure),
--- a/packages/allocation/src/index.ts
+++ b/packages/allocation/src/index.ts
@@ -16,7 +16,11 @@
 } from './allocation.js';
 export type {PlannedOrder, PlacementRefusal} from './allocation_draft.js';
 export {ALLOCATION_EVENTS} from './allocation_events.js';
-export {AllocationLostError, AllocationStore} from './allocation_store.js';
+export {
+  AllocationLostError,
+  AllocationStore,
+  AllocationWentBackError,
+} from './allocation_store.js';
 export type {OrderOutcome, OrderResult} from './apply_order_result.js';
 export {MAXIMUM_ORDER_DELAY_MILLISECONDS} from './apply_order_result.js';
 export {COLD_START_COST_FACTOR} from './demand_aggregator.js';
--- a/packages/allocation/src/place_demands.ts
+++ b/packages/allocation/src/place_demands.ts
@@ -9,6 +9,7 @@
 import type {AllocationDraft} from './allocation_draft.js';
 import type {Demand, EngineSnapshot} from './plan_input.js';
 import {cacheTierOf, memoryOf, replicaLimit} from './plan_input.js';
+import {unclearModelsOf} from './unreserved_models.js';
 
 /** Minimum time that a model stays ready before it may be evicted. */
 const MINIMUM_RESIDENCY_MILLISECONDS: Milliseconds = 10_000;
@@ -68,7 +69,7 @@
   const memoryBytes = memoryOf(declarations, subject);
   if (memoryBytes === undefined) return false;
   const limit = replicaLimit(declarations, subject.model, failureDomain);
-  if (replicasOf(draft.toAllocation(), subject.model).length >= limit) {
+  if (replicaCountOf(draft, subject) >= limit) {
     return evictOtherVersion(draft, demand);
   }
   const engines = usableEngines(draft).filter(
@@ -83,6 +84,13 @@
   return false;
 }
 
+function replicaCountOf(draft: AllocationDraft, {model}: Subject): number {
+  const unclear = [...draft.input.engines.values()]
+    .flatMap(engine => unclearModelsOf(draft, engine))
+    .filter(loaded => loaded.model === model);
+  return replicasOf(draft.toAllocation(), model).length + unclear.length;
+}
+
 /**
  * Handles a model at its replica limit: an idle replica of another version is drained, so
  * that a later plan can place the requested one.
@@ -133,7 +141,10 @@
 ): EngineSnapshot | undefined {
   const allocation = draft.toAllocation();
   const freeBytes = (engine: EngineSnapshot): number =>
-    engine.memoryBytes - reservedBytes(allocation, engine.id);
+    unclearModelsOf(draft, engine).reduce(
+      (free, loaded) => free - loaded.memoryBytes,
+      engine.memoryBytes - reservedBytes(allocation, engine.id),
+    );
   return engines
     .filter(engine => freeBytes(engine) >= memoryBytes)
     .sort(
--- a/packages/allocation/src/plan_allocation.ts
+++ b/packages/allocation/src/plan_allocation.ts
@@ -16,6 +16,12 @@
 import {placeDemands} from './place_demands.js';
 import type {EngineSnapshot, PlanInput} from './plan_input.js';
 import {isReportedReady, memoryOf, replicaLimit} from './plan_input.js';
+import {
+  REPORT_LAG_MILLISECONDS,
+  isReportedAfterRelease,
+  subjectOf,
+  unreservedModelsOf,
+} from './unreserved_models.js';
 
 /**
  * Time within which all connected nodes learn that a replica drains and stop using it.
@@ -30,9 +36,6 @@
  */
 const STALE_RESPONSE_LIFETIME_MILLISECONDS: Milliseconds = 5_000;
 
-/** Minimum time between a change and the report that is assumed to reflect it. */
-const REPORT_LAG_MILLISECONDS: Milliseconds = 1_000;
-
 /** A plan. `allocation` must be written before `orders` are sent. */
 export interface AllocationPlan {
   readonly allocation: Allocation;
@@ -126,38 +129,11 @@
   for (const engine of draft.input.engines.values()) {
     if (!engine.isReachable || !isReportedAfterRelease(engine)) continue;
     if (draft.hasReleasedReservationOn(engine.id)) continue;
-    for (const loaded of engine.status?.models ?? []) {
-      const subject: Subject = {
-        kind: 'model',
-        model: loaded.model,
-        version: loaded.version,
-      };
-      if (!isReserved(draft, engine, subject)) {
-        draft.reserveForDraining(engine, subject, loaded.memoryBytes);
-      }
-    }
+    for (const loaded of unreservedModelsOf(draft, engine))
+      draft.reserveForDraining(engine, subjectOf(loaded), loaded.memoryBytes);
   }
 }
 
-/** A report from before the last release would still show the released model. */
-function isReportedAfterRelease(engine: EngineSnapshot): boolean {
-  const {status, releasedAt} = engine;
-  if (status === undefined) return false;
-  return status.reportedAt > after(releasedAt, REPORT_LAG_MILLISECONDS);
-}
-
-function isReserved(
-  draft: AllocationDraft,
-  engine: EngineSnapshot,
-  subject: Subject,
-): boolean {
-  return draft.reservations.some(
-    reservation =>
-      reservation.engine === engine.id &&
-      isSameSubject(reservation.subject, subject),
-  );
-}
-
 /**
  * Drains replicas and adapters that are idle, on a leaving engine, or no longer allowed.
  */
