--- a/scripts/chunk_costs.ts
+++ b/scripts/chunk_costs.ts
@@ -13,9 +13,11 @@
 import {fileURLToPath} from 'node:url';
 import {parseArgs} from 'node:util';
 import {configuration} from '../platform/__tests__/gateway_fixture.js';
-import {GatewayProcess} from '../platform/__tests__/gateway_process.js';
+import {
+  GatewayProcess,
+  deployedNodeOptions,
+} from '../platform/__tests__/gateway_process.js';
 
-const NODE_OPTIONS = ['--max-old-space-size=200'];
 const BUNDLE = ['target/siskinmux_gateway.cjs'];
 const MEMORY_MEGABYTES = 350;
 const BODY_BYTES = 16_777_216;
@@ -155,7 +157,7 @@
   };
   const gateway = await GatewayProcess.create(
     {...configuration(1), limits},
-    NODE_OPTIONS,
+    deployedNodeOptions(),
     BUNDLE,
     ['[capacity]', `memory_megabytes = ${MEMORY_MEGABYTES}`],
   );
