--- a/packages/allocation/__tests__/allocation_return.test.ts
+++ b/packages/allocation/__tests__/allocation_return.test.ts
@@ -140,24 +140,26 @@
       );
     });
 
-    it(`forgets nothing while others write, or the service returns again, before it is restored, versions ${versions}`, async () => {
-      const {objects, open} = setUp();
-      const copy = objects.copy();
-      const store = await open('one');
-      await store.write(allocationOf('one', reservation(4, 'offers')));
-      objects.comeBack(copy, keepsCounting);
-      await expect(store.verifyUnchanged()).toBeRejected();
-      const second = await open('two');
-      await second.write(allocationOf('two', reservation(9, 'rare')));
-      await expect(
-        store.write({...store.current, holder: as<NodeId>('one')}),
-      ).toBeRejectedWith(AllocationWentBackError);
-      objects.comeBack(copy, keepsCounting);
-      await expect(store.read()).toBeRejectedWith(AllocationWentBackError);
-      await store.read();
-      const stored = await storedAfterRestore(store, open);
-      expect(modelsOf(stored)).toEqual(['offers', 'rare']);
-    });
+    for (const hasObject of [false, true])
+      it(`forgets nothing while others write, or the service returns again, before it is restored, versions ${versions}, ${hasObject ? 'in the copy' : 'not in the copy'}`, async () => {
+        const {objects, open} = setUp();
+        const store = await open('one');
+        if (hasObject) await store.write(allocationOf('one'));
+        const copy = objects.copy();
+        await store.write(allocationOf('one', reservation(4, 'offers')));
+        objects.comeBack(copy, keepsCounting);
+        await expect(store.verifyUnchanged()).toBeRejected();
+        const second = await open('two');
+        await second.write(allocationOf('two', reservation(9, 'rare')));
+        await expect(
+          store.write({...store.current, holder: as<NodeId>('one')}),
+        ).toBeRejectedWith(AllocationWentBackError);
+        objects.comeBack(copy, keepsCounting);
+        await expect(store.read()).toBeRejectedWith(AllocationWentBackError);
+        await store.read();
+        const stored = await storedAfterRestore(store, open);
+        expect(modelsOf(stored)).toEqual(['offers', 'rare']);
+      });
   }
 
   it('is given up to a node that continues it', async () => {
