Have running owners read a shard's log before another node grants

Cause: a return is noticed by a read each second; a takeover in between knew nothing of it. Change: a node that has opened a shard sends `verify` to all others, and grants nothing before each has read its log if it owns the shard too, can't be reached, or 4 s have passed. An owner whose claims the log lacks takes the shard back meanwhile. A node of an earlier build refuses the message, which ends the wait. Conclusion: claims survive if their owner runs and is reached.

--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -33,6 +33,9 @@
 const INITIAL_REPORT_DELAY_MILLISECONDS = 200;
 const MAXIMUM_REPORT_DELAY_MILLISECONDS = 5_000;
 
+/** Time in which running owners notice that the object service has lost what they wrote. */
+const VERIFY_TIMEOUT_MILLISECONDS: Milliseconds = 4_000;
+
 /** Request to a shard's owner. */
 export type LedgerRequest =
   | {
@@ -41,6 +44,8 @@
       /** When the owner replies at the latest while another attempt holds the key. */
       readonly waitUntil: Instant;
     }
+  /** Another node has opened the shard; whoever owns it too reads its log. */
+  | {readonly kind: 'verify'}
   /** Reports the outcome of an attempt. */
   | {
       readonly kind: 'end';
@@ -70,6 +75,8 @@
 /** Claims requests and reports their outcomes on behalf of one node. */
 export class Ledger {
   private readonly ownedShards = new Map<number, Promise<ShardOwner>>();
+  /** Those of the owned shards that are open. */
+  private readonly openOwners = new Map<number, ShardOwner>();
   private readonly lostAtByShard = new Map<number, Instant>();
   private readonly unacknowledged = new Set<AttemptId>();
   private isStopped = false;
@@ -136,6 +143,10 @@
     request: OwnerRequest<LedgerRequest>,
   ): Promise<OwnerReply<LedgerResponse>> {
     const shard = shardOfSubject(request.subject);
+    if (request.message.kind === 'verify') {
+      await this.openOwners.get(shard)?.verify();
+      return {kind: 'answer', answer: {kind: 'ended'}};
+    }
     if (!this.canOwn(shard, request)) {
       return {
         kind: 'not_owner',
@@ -154,10 +165,8 @@
 
   /** Notices whether the object service has lost what the owned shards had written. */
   async verifyShards(): Promise<void> {
-    await Promise.allSettled(
-      [...this.ownedShards.values()].map(async pendingOwner =>
-        (await pendingOwner).verify(),
-      ),
+    await Promise.all(
+      [...this.openOwners.values()].map(owner => owner.verify()),
     );
   }
 
@@ -218,7 +227,7 @@
 
   private async execute(
     shardOwner: ShardOwner,
-    message: LedgerRequest,
+    message: Exclude<LedgerRequest, {kind: 'verify'}>,
   ): Promise<LedgerResponse> {
     if (message.kind === 'end') {
       await shardOwner.recordOutcome(message.key, message.attempt, message.end);
@@ -263,12 +272,35 @@
       onLost: failure => this.onShardLost(shard, failure),
       onRestored: records => options.emit(SHARD_RESTORED, {shard, records}),
     });
+    this.openOwners.set(shard, shardOwner);
     options.emit(SHARD_OPENED, {shard, claims: shardOwner.claimCount});
+    await this.verifyAtOthers(shard);
     return shardOwner;
   }
 
+  /**
+   * Waits until an earlier owner that runs has read the log: if the object service has lost what
+   * it wrote, it takes the shard back before anything is granted here.
+   */
+  private async verifyAtOthers(shard: number): Promise<void> {
+    const {clock, node, rankedOwners, callPeer} = this.options;
+    const subject = subjectOfShard(shard);
+    const deadline = after(clock.now(), VERIFY_TIMEOUT_MILLISECONDS);
+    const request = {
+      subject,
+      message: {kind: 'verify'},
+      takeOver: false,
+    } as const;
+    await Promise.allSettled(
+      rankedOwners(subject)
+        .filter(other => other !== node)
+        .map(other => callPeer(other, request, deadline)),
+    );
+  }
+
   private onShardLost(shard: number, failure: ShardLostError): void {
     this.ownedShards.delete(shard);
+    this.openOwners.delete(shard);
     this.lostAtByShard.set(shard, this.options.clock.now());
     if (failure.owner !== undefined) {
       this.ownerClient.setHint(subjectOfShard(shard), failure.owner);
--- a/packages/ledger/src/shard_owner.ts
+++ b/packages/ledger/src/shard_owner.ts
@@ -154,9 +154,9 @@
    * is noticed without a write.
    */
   async verify(): Promise<void> {
-    if (this.closeReason !== undefined || this.activeWrite !== undefined)
-      return;
-    this.activeWrite = this.verifyLog();
+    if (this.closeReason !== undefined) return;
+    // A write that is in progress notices both, too.
+    this.activeWrite ??= this.verifyLog();
     await this.activeWrite;
   }
 
--- a/packages/node/src/owner_messages.ts
+++ b/packages/node/src/owner_messages.ts
@@ -37,6 +37,7 @@
       traceparent: text.optional(),
     }),
   }),
+  z.object({kind: z.literal('verify')}),
   z.object({
     kind: z.literal('end'),
     key: text,
