Start to measure when the senders of chunk_costs have started

Cause: on a busy machine their process took longer to start than the run lasts, so that rows with 64 senders showed a process without any. Change: the script waits for it.

--- a/scripts/chunk_costs.ts
+++ b/scripts/chunk_costs.ts
@@ -6,6 +6,7 @@
  */
 
 import {fork} from 'node:child_process';
+import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -169,8 +170,13 @@
       ...['--form', form.name, '--senders', String(senders)],
       ...['--port', String(callerPort), '--door', form.door],
     ],
-    {execArgv: ['--import', 'tsx'], stdio: 'ignore'},
+    {
+      execArgv: ['--import', 'tsx'],
+      stdio: ['ignore', 'ignore', 'ignore', 'ipc'],
+    },
   );
+  // On a busy machine, the senders' process takes seconds to start.
+  await once(callers, 'message');
   await new Promise(resolve => setTimeout(resolve, 1_500));
   const before = readProcess(child.pid ?? 0);
   const latencies: number[] = [];
@@ -225,6 +231,7 @@
 const {form: name, senders, port, seconds, door} = values;
 if (port !== undefined) {
   const form = FORMS.find(known => known.name === name);
+  process.send?.('started');
   for (let count = 0; form !== undefined && count < Number(senders); count += 1)
     void (door === 'caller'
       ? sendAsCaller(form, Number(port))
