Keep claims that arrive while a shard's log is restored

Cause: such a claim was decided by the table before, was written with the next batch and granted, but the restored table didn't have it, so a second attempt was granted too. Change: what has arrived meanwhile is applied to the restored table; a claim whose key is held there by another attempt is rejected. Measured: the new case of shard_return.test.ts, a claim at each of the 20 ms after the return, failed before.

--- a/packages/ledger/__tests__/shard_return.test.ts
+++ b/packages/ledger/__tests__/shard_return.test.ts
@@ -114,6 +114,24 @@
     });
   });
 
+  it('grants a key once that is claimed while the owner writes its claims again', async () => {
+    for (let delay = 0; delay < 20; delay += 1) {
+      const fixture = setUp();
+      const {clock, objects, open, claim, request} = fixture;
+      const owner = await open('one');
+      const copy = objects.copy();
+      await claim(owner, request('key', 'first'));
+      objects.comeBack(copy, true);
+      const verified = owner.verify();
+      await clock.advance(delay);
+      expect((await claim(owner, request('late', 'late'))).kind).toEqual(
+        'granted',
+      );
+      await clock.runUntilSettled(verified);
+      expect(await isGrantedAgain(fixture, owner, 'late')).toEqual(false);
+    }
+  });
+
   it('is given up to a node that continues the log, also when its segments have expired', async () => {
     const fixture = setUp();
     const {clock, open, claim, request} = fixture;
--- a/packages/ledger/src/shard_owner.ts
+++ b/packages/ledger/src/shard_owner.ts
@@ -376,10 +376,28 @@
     if (this.closeReason !== undefined) log.close();
     this.log = log;
     this.table = table;
+    this.applyArrived();
     options.onRestored(restored);
     this.reevaluateWaitingClaims();
   }
 
+  /** Applies to the restored table what arrived while it was written. */
+  private applyArrived(): void {
+    const arrived = this.batch.records.splice(0);
+    for (const pending of arrived) {
+      const {record} = pending;
+      const isDecided =
+        record.kind === 'claim' &&
+        this.table.deadlineOf(record.key) !== undefined;
+      if (isDecided) {
+        this.settle([pending]);
+        continue;
+      }
+      this.table.apply(record);
+      this.batch.records.push(pending);
+    }
+  }
+
   /** Ends the records of a failed write: what their attempts hold is restored. */
   private settle(records: readonly PendingRecord[]): void {
     for (const {record, onWritten, onFailure} of records) {
