Follow a lease holder that was heard between two pauses

Followers whose process paused twice within a second left their lease holder, and requests that need it waited or were refused.

Cause: "silent at two exchanges of heartbeats in a row" also held if a heartbeat had been read between the two. Change: the second exchange ends the connection only if nothing was received since the first.

--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -136,8 +136,9 @@
   private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
   private holderConnection: PeerConnection | undefined;
-  /** The connection to the holder, if it was silent at the last exchange of heartbeats. */
-  private silentConnection: PeerConnection | undefined;
+  /** The connection to the holder, and its last data, if it was silent at the last exchange. */
+  private silence:
+    {readonly connection: PeerConnection; readonly since: Instant} | undefined;
   /** The allocator that this node uses; undefined while it has no lease holder. */
   private allocator: AllocatorApi | undefined;
   /** Limit on concurrent loads from the weight store in the last heartbeat of a lease holder. */
@@ -457,9 +458,13 @@
     if (this.allocatorServer !== undefined)
       this.applyHeartbeat(this.allocatorServer.sendHeartbeat());
     const connection = this.holderConnection;
-    const isSilent = connection !== undefined && this.isSilent(connection);
-    if (isSilent && connection === this.silentConnection) connection.close();
-    this.silentConnection = isSilent ? connection : undefined;
+    const earlier = this.silence;
+    this.silence = undefined;
+    if (connection === undefined || !this.isSilent(connection)) return;
+    const since = connection.lastReceivedAt;
+    if (earlier?.connection === connection && earlier.since === since)
+      connection.close();
+    else this.silence = {connection, since};
   }
 
   private isSilent(connection: PeerConnection): boolean {
--- a/packages/gateway/src/peer_connection.ts
+++ b/packages/gateway/src/peer_connection.ts
@@ -108,6 +108,11 @@
     });
   }
 
+  /** When data was last received from the peer. */
+  get lastReceivedAt(): Instant {
+    return this.receivedAt;
+  }
+
   /** Milliseconds since data was last received from the peer. */
   millisecondsSinceReceived(now: Instant): Milliseconds {
     return until(this.receivedAt, now);
