Find a store that brings nothing, however often the feed tells of more

Requests were held for half a second and refused with 503 for as long as a node's own reads of the store hung while updates with a gap, or requests for a read at once, kept coming.

With less than 250 ms between interruptions, no read was overdue: no list replaced it, and the store never counted as unreachable.

Change: one timer goes on through the interruptions; only what had set the instant before (data that arrives, a further read) sets it anew.

Measured: kind_watcher.test.ts, "finds out that the store is unreachable while updates of the feed with a gap arrive", failed before; 21 of 21 pass, among them the test of a process that pauses.

Conclusion: the wait is counted while the process runs, and ends.

--- a/packages/gateway/__tests__/kind_watcher.test.ts
+++ b/packages/gateway/__tests__/kind_watcher.test.ts
@@ -261,6 +261,22 @@
     stop();
   });
 
+  it('finds out that the store is unreachable while updates of the feed with a gap arrive', async () => {
+    const {clock, sharedObjects, follower, feedConnection, stop} = buildPair();
+    const {watcher, store} = follower;
+    await clock.advance(2_000);
+    feedConnection.isUp = false;
+    store.isUnreachable = true;
+    const from = versionOf(sharedObjects.era, sharedObjects.revision + 1);
+    const update = {kind: 'servers', from, to: from, changes: [], age: 0};
+    for (let count = 0; count < 18; count += 1) {
+      watcher.applyFeed({...update, returnLeft: 0}, clock.now());
+      await clock.advance(100);
+    }
+    expect([watcher.isCurrent, watcher.isDecidable]).toEqual([false, true]);
+    stop();
+  });
+
   it('reads changes from the store that are too large for the feed', async () => {
     const {clock, sharedObjects, follower, stop} = buildPair();
     await clock.advance(2_000);
--- a/packages/gateway/src/kind_watcher.ts
+++ b/packages/gateway/src/kind_watcher.ts
@@ -141,6 +141,12 @@
 /** Why a read is not waited for alone. */
 type Interruption = 'overdue' | 'feed has more';
 
+/** Goes on through interruptions of other causes. */
+interface OverdueTimer {
+  readonly expired: Promise<Interruption>;
+  readonly cancel: CancelTimer;
+}
+
 /** Watches one kind of object. */
 export class KindWatcher {
   private revision: ObjectVersion | undefined;
@@ -456,17 +462,23 @@
     const progress = ReadProgress.create(clock);
     const reads = [read(progress)];
     let overdueAt = after(expectedAt, OVERDUE_MILLISECONDS);
+    let overdueTimer = this.startOverdueTimer(overdueAt);
+    const setOverdueAt = (at: Instant): void => {
+      overdueTimer.cancel();
+      overdueAt = at;
+      overdueTimer = this.startOverdueTimer(at);
+    };
     let hasWatchedAgain = false;
     let hasListed = false;
     let hasListedTwice = false;
     try {
       for (;;) {
-        const cause = await this.firstOf(reads, overdueAt);
+        const cause = await this.firstOf(reads, overdueTimer.expired);
         if (cause === undefined) return;
         const now = clock.now();
         // A late update of the feed may end either, while the reads still bring nothing.
         if (this.isUnreachable || (hasListedTwice && this.isCurrent)) {
-          overdueAt = after(now, OVERDUE_MILLISECONDS);
+          setOverdueAt(after(now, OVERDUE_MILLISECONDS));
           continue;
         }
         const stalledAt = after(
@@ -474,7 +486,7 @@
           OVERDUE_MILLISECONDS,
         );
         const isArriving = progress.arrivedAt !== undefined && now < stalledAt;
-        if (isArriving) overdueAt = later(overdueAt, stalledAt);
+        if (isArriving) setOverdueAt(later(overdueAt, stalledAt));
         // Any other read than a watch in its wait brings what the feed tells of, or the next one does.
         const isPending = hasWatchedAgain || hasListed || now >= expectedAt;
         if (isArriving || (cause === 'feed has more' && isPending)) continue;
@@ -492,36 +504,44 @@
           if (!hasListedTwice) reads.push(this.list(progress));
           hasListedTwice = true;
         }
-        overdueAt = after(now, OVERDUE_MILLISECONDS);
+        setOverdueAt(after(now, OVERDUE_MILLISECONDS));
       }
     } finally {
+      overdueTimer.cancel();
       progress.end();
     }
   }
 
-  /** Resolves to undefined once a read has succeeded; rejects if all have failed. */
-  private async firstOf(
-    reads: readonly Promise<void>[],
-    overdueAt: Instant,
-  ): Promise<Interruption | undefined> {
+  /** Counts the time for which nothing arrives only while this process runs. */
+  private startOverdueTimer(overdueAt: Instant): OverdueTimer {
+    const {clock} = this.options;
     let cancel: CancelTimer = () => {};
-    const interruption = new Promise<Interruption>(resolve => {
-      const {clock} = this.options;
+    const expired = new Promise<Interruption>(resolve => {
       const quietSince = after(overdueAt, -OVERDUE_MILLISECONDS);
       cancel = clock.schedule(quietSince, () => {
         const end = after(clock.now(), OVERDUE_MILLISECONDS);
         cancel = scheduleWhileAwake(clock, end, () => resolve('overdue'));
       });
+    });
+    return {expired, cancel: () => cancel()};
+  }
+
+  /** Resolves to undefined once a read has succeeded; rejects if all have failed. */
+  private async firstOf(
+    reads: readonly Promise<void>[],
+    overdue: Promise<Interruption>,
+  ): Promise<Interruption | undefined> {
+    const interruption = new Promise<Interruption>(resolve => {
       this.interrupt = resolve;
     });
     try {
       return await Promise.race([
         firstSuccess(reads).then(() => undefined),
+        overdue,
         interruption,
       ]);
     } finally {
       this.interrupt = undefined;
-      cancel();
     }
   }
 
