Pass over paused endpoints that can't serve a request without a choice each

Nothing was seen by callers. A request for a model whose engines all want no requests cost one choice for each paused endpoint of the service; with an adapter, each is a question to the lease holder, also after the caller had left.

Change: paused endpoints that can't be used for the request are passed over without a choice; a last choice finds those that have started again since or got the model. The search ends when the request has ended.

Conclusion: the cost of a choice follows from the endpoints that may serve it.

--- a/packages/gateway/__tests__/limited_choice.test.ts
+++ b/packages/gateway/__tests__/limited_choice.test.ts
@@ -200,6 +200,17 @@
     expect(choices.count).toBeLessThanOrEqual(6);
   });
 
+  it('finds the shortest pause among the few endpoints that may serve the request without a look at each', async () => {
+    const names = Array.from({length: 63}, (_, index) => `e${index}`);
+    const {clock, find, pause, choices, gone} = build(...names);
+    for (const [index, name] of names.entries()) pause(name, 2_000 - index);
+    for (const name of names.slice(2)) gone.add(as<EndpointId>(name));
+    const found = find();
+    await clock.advance(3_000);
+    expect(await found).toEqual('e1 after 1999');
+    expect(choices.count).toBeLessThanOrEqual(6);
+  });
+
   it('refuses the request at once if all pauses end too late', async () => {
     const {clock, find, pause, outcomes} = build('one');
     pause('one', 20_000);
--- a/packages/gateway/src/endpoint_pauses.ts
+++ b/packages/gateway/src/endpoint_pauses.ts
@@ -12,7 +12,6 @@
 import type {
   Clock,
   EmitEvent,
-  EndpointId,
   Instant,
   Milliseconds,
   ServiceName,
@@ -28,8 +27,8 @@
 
 /** An endpoint that wants no request of this node now. */
 export interface EndpointPause {
-  readonly id: EndpointId;
-  readonly service: ServiceName;
+  /** As it was listed when it asked for the pause. */
+  readonly endpoint: EndpointDescription;
   readonly endsAt: Instant;
 }
 
@@ -65,15 +64,16 @@
     for (const [incarnation, {endsAt}] of this.pauses)
       if (endsAt <= now) this.pauses.delete(incarnation);
     return [...this.pauses.values()]
-      .filter(pause => pause.service === service)
+      .filter(({endpoint}) => endpoint.service === service)
       .sort((left, right) => left.endsAt - right.endsAt);
   }
 
   /** Reads a response; the later of two ends applies. */
   recordResponse(
-    {id, incarnation, service}: EndpointDescription,
+    endpoint: EndpointDescription,
     {metadata: {pause}}: ResponseHead,
   ): void {
+    const {id, incarnation} = endpoint;
     const {clock, emit} = this.options;
     if (pause.kind === 'none') return;
     if (pause.kind === 'invalid') {
@@ -90,7 +90,7 @@
     const endsAt = after(clock.now(), milliseconds);
     const known = this.endOf(incarnation);
     if (known !== undefined && known >= endsAt) return;
-    remember(this.pauses, incarnation, {id, service, endsAt});
+    remember(this.pauses, incarnation, {endpoint, endsAt});
     if (known !== undefined) return;
     emit(ENDPOINT_PAUSED, {
       endpoint: id,
--- a/packages/gateway/src/limited_choice.ts
+++ b/packages/gateway/src/limited_choice.ts
@@ -83,7 +83,7 @@
   let paused: readonly EndpointPause[] = [];
   while (!requirements.signal.aborted) {
     const endpoint = await choose(
-      new Set([...refused.keys(), ...paused.map(({id}) => id)]),
+      new Set([...refused.keys(), ...paused.map(idOf)]),
     );
     if (endpoint === undefined) {
       const first = await choosePaused(choice, paused, refused);
@@ -132,20 +132,27 @@
 
 /** The endpoint whose pause ends first, among those that may serve the request otherwise. */
 async function choosePaused(
-  {choose}: LimitedChoice,
+  {requirements, choose, isUsable}: LimitedChoice,
   paused: readonly EndpointPause[],
   refused: ReadonlyMap<EndpointId, RefusedEndpoint>,
 ): Promise<EndpointDescription | undefined> {
-  const excluded = new Set([...refused.keys(), ...paused.map(({id}) => id)]);
-  for (const {id} of paused) {
-    if (refused.has(id)) continue;
-    excluded.delete(id);
-    const endpoint = await choose(excluded);
-    if (endpoint !== undefined) return endpoint;
+  const excluded = new Set([...refused.keys(), ...paused.map(idOf)]);
+  let hasPassedOver = false;
+  for (const {endpoint} of paused) {
+    if (requirements.signal.aborted) return undefined;
+    if (refused.has(endpoint.id)) continue;
+    excluded.delete(endpoint.id);
+    hasPassedOver = !isUsable(endpoint);
+    if (hasPassedOver) continue;
+    const chosen = await choose(excluded);
+    if (chosen !== undefined) return chosen;
   }
-  return undefined;
+  // An endpoint that was passed over may have started again, or changed its models.
+  return hasPassedOver ? choose(excluded) : undefined;
 }
 
+const idOf = ({endpoint}: EndpointPause): EndpointId => endpoint.id;
+
 /**
  * Waits for a permit at the endpoint that takes a request first. Resolves to undefined if it
  * has left, and to `choose again` if there may be another endpoint, or after a pause while
