Read long responses before the timeout of their route ends them

Callers of a node that had paused for 1.3 s got 504 for responses of 200,000 bytes that their endpoints had written whole, in time.

Cause: the timeout of a route acts after one read of the event loop. That is enough for a short response, but a long one is read in several turns, and the 30 ms of grace had passed during the pause.

Change: the grace is counted while the process runs, which takes several turns at least. Without a pause a request ends at the same time as before, but for the rounding of eight timers.

Conclusion: a late node reads what lies there before it gives a request up. A process whose turns take longer than 30 ms ends a request up to eight turns after its timeout.

--- a/packages/gateway/src/request_ending.ts
+++ b/packages/gateway/src/request_ending.ts
@@ -11,6 +11,7 @@
   after,
   createNotRunRefusal,
   createUnknownOutcomeRefusal,
+  scheduleWhileAwake,
   until,
 } from '@siskinmux/kernel';
 import {REQUEST_ENDED} from './gateway_events.js';
@@ -70,13 +71,14 @@
   watch(): void {
     const {exchange, route} = this.state;
     exchange.onDisconnect(() => this.finish('caller_gone', () => {}));
-    const timeoutAt = after(
-      exchange.receivedAt,
-      route.timeoutMilliseconds + TIMEOUT_GRACE_MILLISECONDS,
-    );
-    this.cancelTimeout = this.dependencies.clock.schedule(timeoutAt, () =>
-      this.handleTimeout(),
-    );
+    const {clock} = this.dependencies;
+    const timeoutAt = after(exchange.receivedAt, route.timeoutMilliseconds);
+    this.cancelTimeout = clock.schedule(timeoutAt, () => {
+      const endsAt = after(clock.now(), TIMEOUT_GRACE_MILLISECONDS);
+      this.cancelTimeout = scheduleWhileAwake(clock, endsAt, () =>
+        this.handleTimeout(),
+      );
+    });
   }
 
   /** Ends the request; only the first call has an effect. */
