Read a long rest of a body before the connection is closed after a pause

A caller whose request was answered before the long rest of its body had been read lost the connection, and a next request that lay behind that rest, if the node paused for more than a second meanwhile.

Cause: the second for which the rest of a body may come ends after one read of the event loop, which is enough for a short rest only.

Change: the second is counted while the process runs.

Conclusion: the rest that lies there is read, up to its bound.

--- a/packages/gateway/__tests__/caller_body.test.ts
+++ b/packages/gateway/__tests__/caller_body.test.ts
@@ -15,6 +15,7 @@
 
 /** Most bytes that are read after a response. */
 const DISCARDED_BYTES = 262_144;
+const LONG_REST_BYTES = 250_000;
 const LATER_MILLISECONDS = 100;
 /** Longer than the time for the rest of a body. */
 const ANSWER_MILLISECONDS = 1_500;
@@ -187,6 +188,14 @@
     expect(await answered).toEqual('answered');
   });
 
+  it('takes the next request, if the process pauses before it reads a long rest in several turns', async () => {
+    const port = await listen(0);
+    const rest = 'x'.repeat(LONG_REST_BYTES);
+    const bytes = 1_000 + LONG_REST_BYTES;
+    const answered = sendTwo(port, bytes, rest, blockEventLoop);
+    expect(await answered).toEqual('answered');
+  });
+
   // The bytes that had waited were not read any more, nor was the next request.
   it('takes the next request, if receipt had paused until the answer', async () => {
     const port = await listen(LATER_MILLISECONDS);
--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -9,6 +9,7 @@
   RefusalError,
   after,
   createNotRunRefusal,
+  scheduleWhileAwake,
 } from '@siskinmux/kernel';
 
 /** Bytes that are received before the request has been routed. */
@@ -106,7 +107,8 @@
     this.refuse(callerGone('answered inside the body'));
     request.resume();
     if (request.complete) return;
-    const cancel = clock.schedule(
+    const cancel = scheduleWhileAwake(
+      clock,
       after(clock.now(), DISCARD_MILLISECONDS),
       () => request.socket.destroy(),
     );
