--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -202,7 +202,7 @@
   name: 'gateway-started',
   level: 'info',
   meaning:
-    'The node listens on its addresses; it becomes ready once it has read routes and endpoints. `codeCache` is `used` if the process did not have to compile its bundle, `rejected` if another version of Node.js or other options wrote the cache, `missing` if there is none.',
+    'The node listens on its addresses; it becomes ready once it has read routes and endpoints. `codeCache` is `used` if the process did not have to compile its bundle, `rejected` if the cache is damaged, belongs to another bundle, or was written by another version of Node.js or with other options, `missing` if there is none.',
 };
 
 /** The gateway begins a graceful stop. */
--- a/packages/runtime/__tests__/code_cache.test.ts
+++ b/packages/runtime/__tests__/code_cache.test.ts
@@ -1,5 +1,11 @@
 import {spawnSync} from 'node:child_process';
-import {mkdtempSync, rmSync, truncateSync, writeFileSync} from 'node:fs';
+import {
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  truncateSync,
+  writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -9,9 +15,12 @@
 
 const SOURCE = fileURLToPath(new URL('../src/code_cache.ts', import.meta.url));
 
+const DAMAGE_STEP_BYTES = 200;
+
 const BUNDLE = `
   const {sep} = require('node:path');
-  exports.answer = () => sep.length + 41;
+  const added = 41;
+  exports.answer = () => sep.length + added;
 `;
 
 const PROGRAM = `
@@ -67,4 +76,22 @@
     writeFileSync(join(folder, 'bundle.cjs'), `${BUNDLE}\n// changed`);
     expect(run('program.cjs')).toEqual('rejected 42');
   });
+
+  it('runs no code of another bundle of the same length', () => {
+    run('program.cjs', 'write');
+    writeFileSync(join(folder, 'bundle.cjs'), BUNDLE.replace('41', '51'));
+    expect(run('program.cjs')).toEqual('rejected 52');
+  });
+
+  it('compiles a bundle whose code cache is damaged', () => {
+    run('program.cjs', 'write');
+    const file = join(folder, 'bundle.cjs.cache');
+    const written = readFileSync(file);
+    for (let at = 0; at < written.length; at += DAMAGE_STEP_BYTES) {
+      const damaged = Buffer.from(written);
+      damaged[at] = ~damaged[at]!;
+      writeFileSync(file, damaged);
+      expect(run('program.cjs')).toEqual('rejected 42');
+    }
+  });
 });
