--- a/packages/kernel/src/brand.ts
+++ b/packages/kernel/src/brand.ts
@@ -23,6 +23,10 @@
 export type AdapterName = Brand<string, 'AdapterName'>;
 /** Name of a plain service, or of a group of engines that routes send requests to. */
 export type ServiceName = Brand<string, 'ServiceName'>;
+/** Name of a team: callers that share keys, a rank and a quota. */
+export type TeamName = Brand<string, 'TeamName'>;
+/** SHA-256 digest of a caller's API key, in base64url. */
+export type ApiKeyDigest = Brand<string, 'ApiKeyDigest'>;
 /**
  * Identity of one request. Request nodes generate it; gateway nodes use the ID that the
  * caller sends, or an empty one if it sends none.
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -12,6 +12,8 @@
   BuffersFull = 'buffers-full',
   ResponsesFull = 'responses-full',
   UnknownTarget = 'unknown-target',
+  Unauthenticated = 'unauthenticated',
+  QuotaExceeded = 'quota-exceeded',
   MissingIdempotencyKey = 'missing-idempotency-key',
   IdempotencyKeyReused = 'idempotency-key-reused',
   DeadlineUnreachable = 'deadline-unreachable',
@@ -62,6 +64,8 @@
     'This node has no memory left for the responses to its own calls.',
   [ErrorCode.UnknownTarget]:
     'No model, adapter, version or service has this name.',
+  [ErrorCode.Unauthenticated]: 'No team has the API key of this request.',
+  [ErrorCode.QuotaExceeded]: 'The quota of the team is used up for now.',
   [ErrorCode.MissingIdempotencyKey]:
     'This call may not be repeated and needs an Idempotency-Key header.',
   [ErrorCode.IdempotencyKeyReused]:
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -2,6 +2,7 @@
 
 export type {
   AdapterName,
+  ApiKeyDigest,
   Brand,
   ConfigurationNumber,
   EndpointId,
@@ -16,6 +17,7 @@
   RequestId,
   ServiceName,
   StoreEra,
+  TeamName,
 } from './brand.js';
 export {as} from './brand.js';
 export {
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -21,4 +21,6 @@
   inactivityTimeoutMilliseconds,
   isRetryable,
 } from './route.js';
+export type {Team, TeamDeclarations, TeamQuota} from './team.js';
+export {TeamDirectory, digestApiKey} from './team.js';
 export {RouteTable, pickTarget} from './route_table.js';
--- a/packages/routes/src/route.ts
+++ b/packages/routes/src/route.ts
@@ -6,6 +6,7 @@
   ModelName,
   ServiceName,
 } from '@siskinmux/kernel';
+import type {TeamDeclarations} from './team.js';
 
 export type RouteName = Brand<string, 'RouteName'>;
 
@@ -49,6 +50,8 @@
   readonly isResumable: boolean;
   /** Maximum time between two events of a stream that is on time. */
   readonly maximumEventGapMilliseconds: Milliseconds;
+  /** Whether callers need no key although the configuration has teams. */
+  readonly isPublic?: boolean | undefined;
 }
 
 /** A model as an engine service offers it. */
@@ -106,6 +109,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceName, RoutedService>;
   readonly limits: CallerLimits;
+  /** Undefined if callers need no keys. */
+  readonly teams?: TeamDeclarations | undefined;
 }
 
 /**
