Identify callers by the keys of teams where the configuration names teams

Change: keys are decoded to digests and looked up with the route; the endpoint gets the team's name and no key; unknown keys get 401 while the configuration is current, and are held like unknown routes otherwise; a relayed request names its team; the team's priority goes before the route's. Invalid entries keep the last usable one.

--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -23,6 +23,8 @@
   readRequest: () => {
     throw new TypeError('unused in these tests');
   },
+  readApiKey: () => undefined,
+  withoutApiKey: headers => [...headers],
   requestHeaders: () => [],
   resumedHeaders: () => [],
   responseHeaders: headers => [...headers],
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -10,6 +10,7 @@
   Milliseconds,
   ModelName,
   RequestId,
+  TeamName,
 } from '@siskinmux/kernel';
 
 /** Alternating header names and values, as received. */
@@ -59,6 +60,11 @@
   readonly urgency: number | undefined;
   /** Id of the last event that was passed on, if a stream is resumed. */
   readonly resumeAfter: string | undefined;
+  /**
+   * Whose request it is, by the gateway; replaces what the caller sent. Undefined where callers
+   * aren't identified, so that such headers are passed on like any other.
+   */
+  readonly identity?: {readonly team: TeamName | undefined} | undefined;
 }
 
 /** What a response says about the requests that its endpoint takes, or rejects, from all nodes together. */
@@ -98,6 +104,10 @@
 /** Decodes and encodes the headers of a platform. */
 export interface EndpointProtocol {
   readRequest(headers: RawHeaders): RequestMetadata;
+  /** The caller's API key; undefined if there is none, or several different ones. */
+  readApiKey(headers: RawHeaders): string | undefined;
+  /** The headers of a request whose caller has been identified, as relayed to another node. */
+  withoutApiKey(headers: RawHeaders): string[];
   /** The request's headers as forwarded to the endpoint. */
   requestHeaders(headers: RawHeaders, options: ForwardingOptions): string[];
   /** The headers of a request that resumes the stream of an attempt after an event. */
--- a/packages/gateway/src/endpoint_sender.ts
+++ b/packages/gateway/src/endpoint_sender.ts
@@ -95,6 +95,8 @@
             remainingMilliseconds,
             urgency: model === undefined ? undefined : state.urgency,
             resumeAfter: state.events.lastEventId,
+            identity:
+              state.caller.kind === 'any' ? undefined : {team: state.team},
           }),
           body: state.body,
         },
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -17,6 +17,15 @@
     'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `response` is `none` if the caller was sent nothing, `begun` if a part of a response, `whole` otherwise. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response; `version` is that of the routes by which it was decided, missing before the first one; `endpointsAge` and `routesAge` are the milliseconds, at the last send, or at the end if there was none, for which a change of the platform may have been unknown to this node. Without a `route`, the request was refused before one was found.',
 };
 
+/** Entries of teams in the configuration can't be used. */
+export const TEAMS_UNUSABLE: EventDescriptor = {
+  number: 7092,
+  name: 'teams-unusable',
+  level: 'warn',
+  meaning:
+    "Entries of teams in the version of the configuration that is in force from now on can't be read, or have a name that another entry has. Such a team keeps its last usable entry, or doesn't exist if this node knows none. `count` is their number, `teams` the names of the first ones, an empty one for an entry without a name. `sharedKeys` is the number of keys that several teams have; they belong to none of them.",
+};
+
 /** A send to an endpoint failed. */
 export const SEND_FAILED: EventDescriptor = {
   number: 7002,
@@ -382,6 +391,7 @@
   RUN_SUPERSEDED,
   RETRY_REFUSED,
   ROUTES_IN_FORCE,
+  TEAMS_UNUSABLE,
   ENTRY_UNREADABLE,
   ENDPOINT_CHANGED,
   STORE_LOST,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -636,12 +636,13 @@
       this.refuse(exchange, code);
       return;
     }
-    const {route, configuration} = decision;
+    const {route, configuration, caller} = decision;
     const request = ProxiedRequest.create(
       this.requestDependencies,
       exchange,
       configuration,
       route,
+      caller,
     );
     this.openRequests.add(request);
     try {
@@ -659,9 +660,16 @@
     if (!this.isAcceptingRequests && routes.current !== undefined)
       return {kind: 'refused', code: ErrorCode.ShuttingDown};
     const {areRoutesCurrent: isCurrent} = platformView;
+    const {host, target, relayed} = exchange;
+    const {protocol} = this.options.platform;
     return decideRoute(
       {routes: routes.current, isCurrent, isDecidable},
-      exchange,
+      {
+        host,
+        target,
+        relayedTeam: relayed?.team,
+        readApiKey: () => protocol.readApiKey(exchange.headers),
+      },
     );
   }
 
--- a/packages/gateway/src/peer_sender.ts
+++ b/packages/gateway/src/peer_sender.ts
@@ -73,12 +73,17 @@
       tried: [...state.triedEndpoints].filter(
         id => !state.unreachedEndpoints.has(id),
       ),
+      team: state.team,
     };
+    const received =
+      state.caller.kind === 'any'
+        ? exchange.headers
+        : protocol.withoutApiKey(exchange.headers);
     const headers =
       lastEventId === undefined
-        ? exchange.headers
+        ? received
         : protocol.resumedHeaders(
-            exchange.headers,
+            received,
             metadata.resumes ?? metadata.id,
             lastEventId,
           );
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -20,6 +20,7 @@
 import type {AttemptChain, SendTarget} from './attempt_chains.js';
 import type {AttemptResult} from './attempt_result.js';
 import type {CallerExchange} from './caller_exchange.js';
+import type {CallerIdentity} from './caller_identity.js';
 import type {EndpointRequirements} from './endpoint_choice.js';
 import type {Suspicion} from './endpoint_sender.js';
 import {EndpointSender} from './endpoint_sender.js';
@@ -113,11 +114,12 @@
     exchange: CallerExchange,
     configuration: RouteConfiguration,
     route: Route,
+    caller: CallerIdentity,
   ): ProxiedRequest {
     const {protocol} = dependencies;
     return new ProxiedRequest(
       dependencies,
-      RequestState.create(protocol, exchange, configuration, route),
+      RequestState.create(protocol, exchange, configuration, route, caller),
     );
   }
 
@@ -299,7 +301,7 @@
       triedEndpoints,
       avoidedEndpoints: this.containment.endpointsToAvoid(),
       deadline: this.state.currentDeadline,
-      priority: route.priority,
+      priority: this.state.rank,
       isFirstAttempt,
       signal,
     };
--- a/packages/gateway/src/refusal_response.ts
+++ b/packages/gateway/src/refusal_response.ts
@@ -10,12 +10,16 @@
   readonly body: Buffer;
 }
 
-/** 503 guarantees that the request has not run and will not run; 504 leaves that unknown. */
+/** 503 and 429 guarantee that the request has not run and will not run; 504 leaves that unknown. */
 const NOT_RUN_STATUS = 503;
 const UNKNOWN_STATUS = 504;
 
+const QUOTA_STATUS = 429;
+
 const CALLER_ERROR_STATUSES: Partial<Record<ErrorCode, number>> = {
   [ErrorCode.UnknownTarget]: 404,
+  [ErrorCode.Unauthenticated]: 401,
+  [ErrorCode.QuotaExceeded]: QUOTA_STATUS,
   [ErrorCode.BodyTooLarge]: 413,
   [ErrorCode.InvalidRequest]: 400,
 };
@@ -45,7 +49,8 @@
     'Content-Length',
     String(body.length),
   ];
-  if (status === NOT_RUN_STATUS && refusal.retryAt !== undefined) {
+  const mayReturn = status === NOT_RUN_STATUS || status === QUOTA_STATUS;
+  if (mayReturn && refusal.retryAt !== undefined) {
     const seconds = Math.max(0, refusal.retryAt - now) / 1_000;
     headers.push('Retry-After', seconds.toFixed(3));
   }
--- a/packages/gateway/src/request_ending.ts
+++ b/packages/gateway/src/request_ending.ts
@@ -167,6 +167,7 @@
     emit(REQUEST_ENDED, {
       id: metadata.id,
       route: route.name,
+      team: this.state.team,
       version: configuration.version,
       model: metadata.model,
       adapter: metadata.adapter,
--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -8,6 +8,7 @@
   Instant,
   NodeId,
   ServiceName,
+  TeamName,
 } from '@siskinmux/kernel';
 import {after, earlier} from '@siskinmux/kernel';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
@@ -15,6 +16,8 @@
 import {fingerprintOf, hash32} from '@siskinmux/routing';
 import type {AttemptChain, SendTarget} from './attempt_chains.js';
 import {AttemptChains} from './attempt_chains.js';
+import type {CallerIdentity} from './caller_identity.js';
+import {firstRankOf, rankOf} from './caller_identity.js';
 import type {CallerExchange} from './caller_exchange.js';
 import type {ViewAge} from './platform_view.js';
 import type {RequestProgress} from './retry_decision.js';
@@ -44,6 +47,7 @@
     readonly metadata: RequestMetadata,
     /** The earlier of the route's timeout and the caller's own. */
     readonly deadline: Instant,
+    readonly caller: CallerIdentity,
   ) {
     const {relayed} = exchange;
     this.triedEndpoints = new Set(relayed?.tried);
@@ -64,6 +68,7 @@
     exchange: CallerExchange,
     configuration: RouteConfiguration,
     route: Route,
+    caller: CallerIdentity = {kind: 'any'},
   ): RequestState {
     const metadata = protocol.readRequest(exchange.headers);
     const {receivedAt} = exchange;
@@ -73,7 +78,14 @@
       timeoutMilliseconds === undefined
         ? timeoutAt
         : earlier(timeoutAt, after(receivedAt, timeoutMilliseconds));
-    return new RequestState(exchange, configuration, route, metadata, deadline);
+    return new RequestState(
+      exchange,
+      configuration,
+      route,
+      metadata,
+      deadline,
+      caller,
+    );
   }
 
   get progress(): RequestProgress {
@@ -111,13 +123,23 @@
     return earlier(deadline, after(exchange.receivedAt, timeoutMilliseconds));
   }
 
+  /** Order among the requests that wait, 0 is served first. */
+  get rank(): number {
+    return rankOf(this.caller, this.route);
+  }
+
+  /** Name of the caller's team, if callers are identified and the route isn't public. */
+  get team(): TeamName | undefined {
+    return this.caller.kind === 'team' ? this.caller.team.name : undefined;
+  }
+
   /** A stream that has begun goes before new ones of its route, which have nothing to lose yet. */
   get urgency(): number {
-    const {priority} = this.route;
+    const {rank, caller} = this;
     const isBegun =
       this.metadata.resumeAfter !== undefined ||
       this.events.lastEventId !== undefined;
-    return isBegun ? Math.max(0, priority - 1) : priority;
+    return isBegun ? Math.max(firstRankOf(caller), rank - 1) : rank;
   }
 
   /** Equal for requests that an endpoint can't tell apart, apart from ids and deadlines. */
--- a/packages/gateway/src/route_decision.ts
+++ b/packages/gateway/src/route_decision.ts
@@ -3,6 +3,8 @@
 import {ErrorCode} from '@siskinmux/kernel';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
 import type {RouteSnapshot} from './active_routes.js';
+import type {CallerIdentity, Credentials} from './caller_identity.js';
+import {identifyCaller} from './caller_identity.js';
 
 /** What a node knows of the routes. */
 export interface RouteKnowledge {
@@ -15,7 +17,7 @@
 }
 
 /** What a request asks for. */
-export interface RequestTarget {
+export interface RequestTarget extends Credentials {
   readonly host: string | undefined;
   /** Path and query. */
   readonly target: string;
@@ -30,23 +32,28 @@
       readonly kind: 'found';
       readonly route: Route;
       readonly configuration: RouteConfiguration;
+      readonly caller: CallerIdentity;
     }
   | {readonly kind: 'refused'; readonly code: ErrorCode}
   | {readonly kind: 'undecided'};
 
 /**
- * Finds the route of a request. Outdated routes are still used, but don't show that a route
- * doesn't exist.
+ * Finds the route of a request, and whose request it is. Outdated routes and keys are still used,
+ * but don't show that a route or a key doesn't exist.
  */
 export function decideRoute(
   {routes, isCurrent, isDecidable}: RouteKnowledge,
-  {host, target}: RequestTarget,
+  request: RequestTarget,
 ): RouteDecision {
-  const route = routes?.table.find(host, target);
-  if (routes !== undefined && route === undefined && isCurrent)
-    return {kind: 'refused', code: ErrorCode.UnknownTarget};
+  const route = routes?.table.find(request.host, request.target);
+  const caller = route && identifyCaller(routes?.teams, route, request);
+  if (routes !== undefined && caller === undefined && isCurrent) {
+    const code =
+      route === undefined ? ErrorCode.UnknownTarget : ErrorCode.Unauthenticated;
+    return {kind: 'refused', code};
+  }
   if (!isDecidable) return {kind: 'undecided'};
-  if (routes === undefined || route === undefined)
+  if (routes === undefined || route === undefined || caller === undefined)
     return {kind: 'refused', code: ErrorCode.ConfigurationUnavailable};
-  return {kind: 'found', route, configuration: routes.configuration};
+  return {kind: 'found', route, configuration: routes.configuration, caller};
 }
--- a/packages/relay/src/relay_header.ts
+++ b/packages/relay/src/relay_header.ts
@@ -5,7 +5,12 @@
 
 import type {RawHeaders} from '@siskinmux/forwarding';
 import {findHeader, removeHeaders} from '@siskinmux/forwarding';
-import type {EndpointId, ErrorCode, Milliseconds} from '@siskinmux/kernel';
+import type {
+  EndpointId,
+  ErrorCode,
+  Milliseconds,
+  TeamName,
+} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import {z} from 'zod';
 
@@ -17,6 +22,7 @@
   sends: z.number().int().nonnegative(),
   runs: z.number().int().nonnegative(),
   tried: z.array(z.string()),
+  team: z.string().optional(),
 });
 
 const statementSchema = z.union([
@@ -35,6 +41,8 @@
   readonly sends: number;
   readonly runs: number;
   readonly tried: readonly EndpointId[];
+  /** The team that the first node has identified by the caller's key, which isn't relayed. */
+  readonly team?: TeamName | undefined;
 }
 
 /** What a response to a relayed request is. */
@@ -62,8 +70,14 @@
   headers: RawHeaders,
 ): RelayedProgress | undefined {
   const message = decode(headers, requestSchema);
-  return (
-    message && {...message, tried: message.tried.map(id => as<EndpointId>(id))}
+  if (message === undefined) return undefined;
+  const {team, tried, ...progress} = message;
+  return {
+    ...progress,
+    tried: tried.map(id => as<EndpointId>(id)),
+    ...(team !== undefined && {team: as<TeamName>(team)}),
+  };
+}
   );
 }
 
--- a/packages/routes/src/team.ts
+++ b/packages/routes/src/team.ts
@@ -34,9 +34,7 @@
 
 /** Digest under which a key is held and looked up; the key itself is not kept. */
 export function digestApiKey(key: string): ApiKeyDigest {
-  return as<ApiKeyDigest>(
-    createHash('sha256').update(key).digest('base64url'),
-  );
+  return as<ApiKeyDigest>(createHash('sha256').update(key).digest('base64url'));
 }
 
 /** The teams in force, indexed by the digests of their keys. */
