--- a/packages/relay/src/relay_header.ts
+++ b/packages/relay/src/relay_header.ts
@@ -78,8 +78,6 @@
     ...(team !== undefined && {team: as<TeamName>(team)}),
   };
 }
-  );
-}
 
 /** Encodes the header of a response. */
 export function encodeStatement(statement: RelayStatement): string {
