Measure the pace of engines, and place models in use on faster ones

Cause: engines of one service write events up to four times as fast as others. Change: nodes report the gaps between events with their usage; the lease holder weighs them when it places a model, and gives a model whose engines are all slow a replica on a faster one.

--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -25,6 +25,7 @@
 import type {EndpointRequirements} from '../src/endpoint_choice.js';
 import {EndpointLimits} from '../src/endpoint_limits.js';
 import {EndpointPauses} from '../src/endpoint_pauses.js';
+import {EventGapCounts} from '../src/event_gap_counts.js';
 import {InFlightCounts} from '../src/in_flight_counts.js';
 import {PlacementClient} from '../src/placement_client.js';
 import {SendPermits} from '../src/send_permits.js';
@@ -108,6 +109,7 @@
     },
     table,
     inFlightCounts,
+    eventGaps: EventGapCounts.create(),
     choice: {
       table,
       inFlightCounts,
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -206,11 +206,11 @@
   }
 
   /** Applies the engine declarations of a new configuration. */
-  applyConfiguration({services}: RouteConfiguration): void {
+  applyConfiguration({services, routes}: RouteConfiguration): void {
     for (const {name, engine} of services.values()) {
       if (engine === undefined) continue;
       const allocator = this.allocators.get(name) ?? this.createAllocator(name);
-      allocator.updateDeclaration(engine);
+      allocator.updateDeclaration(engine, gapObjectiveOf(name, routes));
     }
   }
 
@@ -631,3 +631,17 @@
       connection.notify(method, message);
   }
 }
+
+/** The shortest objective for the gap between two events, over the stream routes to a service. */
+function gapObjectiveOf(
+  service: ServiceName,
+  routes: RouteConfiguration['routes'],
+): Milliseconds | undefined {
+  const gaps = routes
+    .filter(
+      ({kind, targets}) =>
+        kind === 'stream' && targets.some(target => target.service === service),
+    )
+    .map(({maximumEventGapMilliseconds}) => maximumEventGapMilliseconds);
+  return gaps.length === 0 ? undefined : Math.min(...gaps);
+}
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -99,6 +99,7 @@
 import type {GatewayPlatform} from './gateway_platform.js';
 import {parseSocketAddress, relayAddress} from './gateway_settings.js';
 import {createIdleLimit} from './idle_connections.js';
+import {EventGapCounts} from './event_gap_counts.js';
 import {InFlightCounts} from './in_flight_counts.js';
 import {LeavingEndpoints} from './leaving_endpoints.js';
 import {NodePlacement} from './node_placement.js';
@@ -309,6 +310,7 @@
       this.placement.onInFlightChange(),
     );
     const outliers = OutlierDetector.create();
+    const eventGaps = EventGapCounts.create();
     const retryBudgets = RetryBudgets.create({
       limits: {
         share: this.rules.repeat_share,
@@ -409,6 +411,7 @@
         random,
         failureDomain,
       },
+      eventGaps,
       quarantine,
       continuity: this.continuity,
       limits: this.limits,
@@ -444,6 +447,7 @@
       view: this.platformView,
       isListed: endpoint => isListed(this.table, endpoint),
       inFlightCounts,
+      eventGaps,
       limits: this.limits,
       pauses: this.pauses,
       leaving: this.leaving,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -50,6 +50,7 @@
   createPlainEndpointFinder,
   hasFreeAlternative,
 } from './endpoint_choice.js';
+import type {EventGapCounts} from './event_gap_counts.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
 import type {HolderConnection} from './leader_election.js';
@@ -89,6 +90,7 @@
   readonly table: EndpointTable;
   readonly routes: ActiveRoutes;
   readonly choice: ChoiceDependencies;
+  readonly eventGaps: EventGapCounts;
   readonly quarantine: CrashQuarantine;
   readonly continuity: StreamContinuity;
   readonly limits: EndpointLimits;
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -53,6 +53,7 @@
   isListed,
   preferUnavoided,
 } from './endpoint_choice.js';
+import type {EventGapCounts} from './event_gap_counts.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import type {LimitDependencies} from './limited_choice.js';
 import {chooseWithinLimits} from './limited_choice.js';
@@ -102,6 +103,7 @@
 export interface PlacementClientOptions {
   readonly table: EndpointTable;
   readonly inFlightCounts: InFlightCounts;
+  readonly eventGaps: EventGapCounts;
   readonly choice: ChoiceDependencies;
   readonly limitDependencies: LimitDependencies;
   readonly clock: Clock;
@@ -657,6 +659,9 @@
         .countsByModel(id => table.get(id)?.service === service)
         .map(({endpoint, model, count}) => ({engine: endpoint, model, count})),
       arrived: arrived.map(([model, count]) => ({model, count})),
+      gaps: this.options.eventGaps.take(
+        id => table.get(id)?.service === service,
+      ),
     };
   }
 
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -79,6 +79,8 @@
   running: z.array(z.tuple([name, name, count])),
   /** Model, requests. */
   arrived: z.array(z.tuple([name, count])),
+  /** Engine, gaps between events, sum of their milliseconds; missing from earlier versions. */
+  gaps: z.array(z.tuple([name, count, z.number().nonnegative()])).default([]),
 });
 
 /** Request for an engine with an adapter; `excluded` engines have already been tried. */
@@ -183,6 +185,11 @@
       inFlight,
     ]),
     arrived: usage.arrived.map(({model, count: arrived}) => [model, arrived]),
+    gaps: (usage.gaps ?? []).map(({engine, count: gaps, milliseconds}) => [
+      engine,
+      gaps,
+      Math.round(milliseconds),
+    ]),
   };
 }
 
@@ -213,6 +220,11 @@
       model: as<ModelName>(model),
       count: arrived,
     })),
+    gaps: message.gaps.map(([engine, gaps, milliseconds]) => ({
+      engine: as<EndpointId>(engine),
+      count: gaps,
+      milliseconds,
+    })),
   };
 }
 
--- a/packages/gateway/src/proxied_request_dependencies.ts
+++ b/packages/gateway/src/proxied_request_dependencies.ts
@@ -21,6 +21,7 @@
 import type {FindEndpoint, HasAlternative} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
+import type {EventGapCounts} from './event_gap_counts.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import type {LeavingEndpoints} from './leaving_endpoints.js';
 import type {PlatformView} from './platform_view.js';
@@ -38,6 +39,7 @@
   /** The listed endpoint, if there is one under the id. */
   readonly findEndpoint: (id: EndpointId) => EndpointDescription | undefined;
   readonly inFlightCounts: InFlightCounts;
+  readonly eventGaps: EventGapCounts;
   readonly limits: EndpointLimits;
   readonly pauses: EndpointPauses;
   readonly leaving: LeavingEndpoints;
--- a/packages/gateway/src/response_delivery.ts
+++ b/packages/gateway/src/response_delivery.ts
@@ -1,8 +1,8 @@
 /** Receives an endpoint's response and passes it on to the caller. */
 
 import type {BodyEnd, ResponseBody, ResponseHead} from '@siskinmux/forwarding';
-import type {EndpointId, Milliseconds} from '@siskinmux/kernel';
-import {after, as} from '@siskinmux/kernel';
+import type {EndpointId, Instant, Milliseconds} from '@siskinmux/kernel';
+import {after, as, until} from '@siskinmux/kernel';
 import type {AttemptChain} from './attempt_chains.js';
 import type {AttemptResult, ResponseSource} from './attempt_result.js';
 import type {ProxiedRequestDependencies} from './proxied_request_dependencies.js';
@@ -47,7 +47,7 @@
   private constructor(
     private readonly dependencies: Pick<
       ProxiedRequestDependencies,
-      'protocol' | 'clock' | 'outliers' | 'crashDetector'
+      'protocol' | 'clock' | 'outliers' | 'crashDetector' | 'eventGaps'
     >,
     private readonly state: RequestState,
     private readonly ending: RequestEnding,
@@ -57,7 +57,7 @@
   static create(
     dependencies: Pick<
       ProxiedRequestDependencies,
-      'protocol' | 'clock' | 'outliers' | 'crashDetector'
+      'protocol' | 'clock' | 'outliers' | 'crashDetector' | 'eventGaps'
     >,
     state: RequestState,
     ending: RequestEnding,
@@ -115,7 +115,7 @@
     observer: DeliveryObserver,
   ): Promise<AttemptResult> {
     const {endpoint, isRelayed} = source;
-    const {protocol} = this.dependencies;
+    const {protocol, clock, eventGaps} = this.dependencies;
     const {exchange, events, route, chains} = this.state;
     if (chains.hasOther(chain) || !chain.tryLead()) {
       const failure = await this.waitToLead(chain, source, head, body);
@@ -135,12 +135,21 @@
     };
     let hasEvents = false;
     let {eventCount} = events;
+    let latestEventAt: Instant | undefined;
     let unexpected: {readonly failure: unknown} | undefined;
     const end = await relayEvents(exchange, body, events, {
       ...observer,
       onEvents: () => {
         hasEvents = true;
         if (events.eventCount > eventCount) chain.supersedeOthers();
+        const now = clock.now();
+        if (latestEventAt !== undefined && endpoint !== undefined)
+          eventGaps.record(
+            endpoint.id,
+            events.eventCount - eventCount,
+            until(latestEventAt, now),
+          );
+        latestEventAt = now;
         eventCount = events.eventCount;
         try {
           begin();
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -20,6 +20,7 @@
 import type {EngineDeclaration} from '@siskinmux/routes';
 import type {AdapterGrant} from './adapter_cache.js';
 import {AdapterCache} from './adapter_cache.js';
+import {EnginePace} from './engine_pace.js';
 import type {EngineOrderClient, OrderAuthority} from './engine_order_client.js';
 import {EngineReportReader} from './engine_report_reader.js';
 import {EngineView} from './engine_view.js';
@@ -92,6 +93,9 @@
 export class Allocator {
   private readonly engines = new Map<EndpointId, ManagedEngine>();
   private readonly demand = ServiceDemand.create();
+  private readonly pace = EnginePace.create();
+  /** Shortest objective for the gap between two events, over the routes to the service. */
+  private gapObjective: Milliseconds | undefined;
   private readonly reports: EngineReportReader;
   private readonly adapterCache: AdapterCache;
   private readonly changeExecutor: ModelChangeExecutor;
@@ -134,8 +138,12 @@
   }
 
   /** Applies a new declaration of the service's engines. */
-  updateDeclaration(declaration: EngineDeclaration): void {
+  updateDeclaration(
+    declaration: EngineDeclaration,
+    gapObjective?: Milliseconds,
+  ): void {
     this.declaration = declaration;
+    this.gapObjective = gapObjective;
     this.schedulePlan();
   }
 
@@ -171,6 +179,7 @@
   removeEngine(engine: EndpointId): void {
     this.engines.get(engine)?.orderQueue.close();
     this.engines.delete(engine);
+    this.pace.remove(engine);
     this.options.onAvailableModels({engine, models: []});
     this.schedulePlan();
   }
@@ -183,7 +192,11 @@
     this.removals.get(node)?.();
     this.removals.delete(node);
     const hadWaitingRequests = this.demand.hasWaiting(node);
-    this.demand.recordUsage(node, usage, this.options.clock.now());
+    const now = this.options.clock.now();
+    this.demand.recordUsage(node, usage, now);
+    for (const gaps of usage.gaps ?? []) {
+      if (this.engines.has(gaps.engine)) this.pace.record(gaps, now);
+    }
     if (hadWaitingRequests || usage.waiting.length > 0) this.schedulePlan();
   }
 
@@ -224,6 +237,11 @@
     return this.demand.inFlightByEngine;
   }
 
+  /** Mean gaps between the events of streams, for the engines of which enough are known. */
+  get eventGaps(): ReadonlyMap<EndpointId, Milliseconds> {
+    return this.pace.gaps(this.options.clock.now());
+  }
+
   /**
    * Models that nodes may use on each engine; engines whose state is unknown are left
    * out.
@@ -344,6 +362,7 @@
     const now: Instant = clock.now();
     const engines = [...this.engines.values()].map(({view}) => view);
     for (const view of engines) {
+      view.eventGapMilliseconds = this.pace.gapOf(view.id, now);
       view.hasUnusedPermits =
         view.requestLimit !== undefined &&
         this.options.hasUnusedPermits(view.incarnation);
@@ -360,6 +379,7 @@
       demand: this.demand,
       availableStoreLoads,
       storeLoadLimit: loadLimiter.concurrencyLimit,
+      gapObjective: this.gapObjective,
     };
     if (authority() !== undefined) {
       const changes = planModels(input);
--- a/packages/placement/src/engine_view.ts
+++ b/packages/placement/src/engine_view.ts
@@ -13,6 +13,7 @@
   EndpointId,
   FailureDomain,
   Instant,
+  Milliseconds,
   ModelName,
   ServiceName,
 } from '@siskinmux/kernel';
@@ -68,6 +69,8 @@
   isDraining: boolean;
   /** Requests a second that the engine takes from all nodes; undefined if it names no limit. */
   requestLimit: number | undefined;
+  /** Mean gap between two events of a stream; undefined if too few were measured recently. */
+  eventGapMilliseconds: Milliseconds | undefined;
   /** Whether permits under the limit are left unused. */
   hasUnusedPermits = false;
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -14,6 +14,8 @@
 export {GRANT_DURATION_MILLISECONDS} from './adapter_cache.js';
 export type {AllocatorOptions, AvailableModels} from './allocator.js';
 export {Allocator} from './allocator.js';
+export type {EventGaps} from './engine_pace.js';
+export {EnginePace} from './engine_pace.js';
 export type {NodeUsage, InFlightRequests} from './service_demand.js';
 export {ServiceDemand} from './service_demand.js';
 export {EngineView, adapterKey} from './engine_view.js';
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -17,6 +17,7 @@
   ServiceModel,
   WeightTier,
 } from '@siskinmux/routes';
+import {placementSeconds} from './engine_pace.js';
 import type {EngineView, PlacedModel} from './engine_view.js';
 import type {ServiceDemand} from './service_demand.js';
 
@@ -90,6 +91,16 @@
  */
 const LIMIT_USE_SHARE = 0.5;
 
+/**
+ * Share of the objective for the gap between two events that the mean gap of an engine may reach
+ * before its models are moved to faster engines: the longest gap of a stream is several times the
+ * mean one, as other requests' prompts are read in between.
+ */
+const SLOW_GAP_SHARE = 0.2;
+
+/** A faster engine has at most this share of the mean gap. */
+const FASTER_GAP_SHARE = 0.7;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A model to load on an engine, and the models to evict for it. */
@@ -100,9 +111,9 @@
   readonly tier: WeightTier;
   /**
    * `waiting`: there is no replica. `busy`: another replica. `spread`: no engine has a
-   * copy.
+   * copy. `slow`: the engines that have it are slow.
    */
-  readonly reason: 'waiting' | 'busy' | 'spread';
+  readonly reason: 'waiting' | 'busy' | 'spread' | 'slow';
 }
 
 /** Input of {@link planModels}. */
@@ -118,6 +129,11 @@
   readonly availableStoreLoads: number;
   /** Concurrent loads that the weight store is assumed to serve at full speed. */
   readonly storeLoadLimit: number;
+  /**
+   * Shortest objective for the gap between two events of the service's streams; undefined if
+   * there is none.
+   */
+  readonly gapObjective?: Milliseconds | undefined;
 }
 
 /** Plans the changes to start now, at most one per engine. */
@@ -175,12 +191,19 @@
   private readonly loadableCopies = new Map<ModelName, number>();
   private remainingStoreLoads: number;
   private readonly hasLimitedEngines: boolean;
+  /** Mean gap between two events, over the engines for which it is known; 0 if there are none. */
+  private readonly typicalGap: Milliseconds;
 
   constructor(private readonly input: ModelPlanInput) {
     this.remainingStoreLoads = input.availableStoreLoads;
     this.hasLimitedEngines = input.engines.some(
       ({requestLimit}) => requestLimit !== undefined,
     );
+    const gaps = input.engines.flatMap(
+      ({eventGapMilliseconds: gap}) => gap ?? [],
+    );
+    this.typicalGap =
+      gaps.reduce((sum, gap) => sum + gap, 0) / Math.max(1, gaps.length);
     for (const engine of input.engines) {
       const {models, pendingLoad} = engine;
       if (engine.isDraining) continue;
@@ -207,6 +230,7 @@
       if (candidate !== undefined) this.addChange(model, candidate, 'waiting');
     }
     this.addExtraReplicas();
+    this.moveToFasterEngine();
     this.loadUncopiedModels();
     return this.changes;
   }
@@ -402,6 +426,53 @@
     );
   }
 
+  /**
+   * Adds a replica on a faster engine of the model whose streams lose most time on slow ones; the
+   * slow replica is evicted when its place is needed. One for each plan, so that its effect is
+   * known before the next.
+   */
+  private moveToFasterEngine(): void {
+    const {gapObjective, declaration, demand, now} = this.input;
+    if (gapObjective === undefined || this.typicalGap === 0) return;
+    let best: {model: ModelName; candidate: LoadCandidate} | undefined;
+    for (const model of declaration.models.keys()) {
+      const gap = this.shortestGap(model);
+      if (gap === undefined || gap < gapObjective * SLOW_GAP_SHARE) continue;
+      const rate = demand.arrivalsPerSecond(model, now);
+      if (rate < UNUSED_BELOW_ARRIVALS_PER_SECOND) continue;
+      const candidate = this.cheapestCandidate(
+        model,
+        0,
+        BUSY_RULES,
+        ({eventGapMilliseconds: other}) =>
+          other !== undefined && other <= gap * FASTER_GAP_SHARE,
+      );
+      if (candidate === undefined || candidate.tier === 'store') continue;
+      // The evicted models exchange their places with this one, or find no better one.
+      const cost = candidate.unload.reduce(
+        (sum, placed) => sum + this.placementSeconds(placed.model, gap),
+        candidate.cost - placementSeconds(rate, gap, this.typicalGap),
+      );
+      if (cost < 0 && (best === undefined || cost < best.candidate.cost))
+        best = {model, candidate: {...candidate, cost}};
+    }
+    if (best !== undefined) this.addChange(best.model, best.candidate, 'slow');
+  }
+
+  /**
+   * The shortest mean gap among the engines that have a model ready; undefined if one of them is
+   * unknown, or another change of the model is in progress.
+   */
+  private shortestGap(model: ModelName): Milliseconds | undefined {
+    if (this.isPlanned(model)) return undefined;
+    const engines = this.enginesWith(model);
+    if (engines.some(engine => !engine.isReady(model))) return undefined;
+    const gaps = engines.flatMap(({eventGapMilliseconds: gap}) => gap ?? []);
+    return gaps.length < engines.length || gaps.length === 0
+      ? undefined
+      : Math.min(...gaps);
+  }
+
   /** Loads models that no engine has a copy of, without evicting models in use. */
   private loadUncopiedModels(): void {
     const {declaration, storeLoadLimit} = this.input;
@@ -507,6 +578,11 @@
     const adapterWait = engine.hasGrantedAdapters(this.input.now)
       ? ADAPTER_WAIT_SECONDS
       : 0;
+    const gap = engine.eventGapMilliseconds ?? this.typicalGap;
+    const pacedSeconds = unload.reduce(
+      (sum, placed) => sum - this.placementSeconds(placed.model, gap),
+      this.placementSeconds(declared.name, gap),
+    );
     const limitCost =
       engine.requestLimit === undefined ? 0 : LIMITED_ENGINE_SECONDS;
     return {
@@ -519,6 +595,7 @@
         blockedSeconds +
         copyBalance +
         adapterWait +
+        pacedSeconds +
         limitCost,
     };
   }
@@ -547,6 +624,14 @@
     return free >= megabytes ? evicted : undefined;
   }
 
+  /** What the pace of an engine costs the streams of a model, compared with a typical engine. */
+  private placementSeconds(model: ModelName, gap: Milliseconds): number {
+    const {demand, now} = this.input;
+    const weight = this.replicaCount(model) > 1 ? SPARE_REPLICA_WEIGHT : 1;
+    const rate = demand.arrivalsPerSecond(model, now) * weight;
+    return placementSeconds(rate, gap, this.typicalGap);
+  }
+
   private canEvict(
     engine: EngineView,
     placed: PlacedModel,
--- a/packages/placement/src/service_demand.ts
+++ b/packages/placement/src/service_demand.ts
@@ -11,6 +11,7 @@
   NodeId,
 } from '@siskinmux/kernel';
 import {until} from '@siskinmux/kernel';
+import type {EventGaps} from './engine_pace.js';
 import type {WaitingKey, WaitingRequests} from './waiting_requests.js';
 import {addWaiting} from './waiting_requests.js';
 
@@ -35,6 +36,8 @@
     readonly model: ModelName;
     readonly count: number;
   }[];
+  /** Gaps between events since the previous report; none from nodes that don't measure them. */
+  readonly gaps?: readonly EventGaps[] | undefined;
 }
 
 /** Demand of all nodes for one service's models, by model and by engine. */
