Choose engines by their pace, and move only models in frequent use

Change: the heartbeat carries the mean gaps with every tenth message; the cost of an engine is its load times its slowness; only models with 2 requests a second or more are moved.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -37,7 +37,7 @@
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {KindRead} from './change_feed.js';
 import {ChangeFeed, encodeFeedUpdate} from './change_feed.js';
-import type {EndpointLoad} from './cluster_load.js';
+import type {EndpointGap, EndpointLoad} from './cluster_load.js';
 import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 import {Follower} from './follower.js';
 import type {LeavingEndpoints, LeavingStatement} from './leaving_endpoints.js';
@@ -111,6 +111,9 @@
 /** Interval between updates of the nodes' peers in a large cluster. */
 const PEER_UPDATE_MILLISECONDS: Milliseconds = 300;
 
+/** Heartbeats from one report of the pace of engines to the next. */
+const HEARTBEATS_PER_PACE_REPORT = 10;
+
 /** Dependencies of {@link AllocatorServer}. */
 export interface AllocatorServerOptions {
   readonly orders: EngineOrderClient;
@@ -163,6 +166,7 @@
   /** The peers that each node was told last. */
   private readonly toldPeers = new Map<NodeId, readonly RelayPeer[]>();
   private cancelPeerUpdate: CancelTimer | undefined;
+  private heartbeatCount = 0;
   /** Engines whose available models changed since the last broadcast. */
   private readonly unsentChanges = new Map<
     ServiceName,
@@ -455,6 +459,7 @@
       loadAges: this.loadLimiter.recentStarts.map(at => until(at, now)),
       feed: this.feed.takeUpdates(),
       loads: this.endpointLoads(),
+      ...this.takePaceReport(),
     };
     const feed = heartbeat.feed.map(encodeFeedUpdate);
     for (const {connection, pulse} of this.followers.values()) {
@@ -467,6 +472,19 @@
     return heartbeat;
   }
 
+  /** The pace of engines with every tenth heartbeat, as it changes slowly. */
+  private takePaceReport(): {gaps?: EndpointGap[]} {
+    this.heartbeatCount += 1;
+    if (this.heartbeatCount % HEARTBEATS_PER_PACE_REPORT !== 0) return {};
+    const gaps = [...this.allocators.values()].flatMap(({eventGaps}) =>
+      [...eventGaps].map(([engine, gap]): EndpointGap => [
+        engine,
+        Math.round(gap),
+      ]),
+    );
+    return gaps.length === 0 ? {} : {gaps};
+  }
+
   /** Requests in flight by engine; empty in a small cluster, where each node's own counts suffice. */
   private endpointLoads(): EndpointLoad[] {
     if (this.nodeCount <= SMALL_CLUSTER_NODES) return [];
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -34,6 +34,12 @@
 /** `Retry-After` for a service without endpoints; one may have registered by then. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
+/**
+ * Load of an idle engine, as a share of its slots: a stream takes time there, too, and longer at a
+ * slow engine.
+ */
+const IDLE_ENGINE_LOAD = 0.3;
+
 /** Time that an endpoint of a plain service needs at least. */
 const PLAIN_SERVICE_MILLISECONDS: Milliseconds = 20;
 
@@ -121,7 +127,8 @@
   const draw = (): EndpointDescription | undefined =>
     usable[randomBelow(random, usable.length)];
   const cost = (engine: EndpointDescription): number =>
-    clusterLoad.at(engine.id) / engine.slots +
+    (clusterLoad.at(engine.id) / engine.slots + IDLE_ENGINE_LOAD) *
+      clusterLoad.slownessOf(engine.id) +
     (engine.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_COST);
   const first = draw();
   const second = draw();
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -448,6 +448,8 @@
     const {nodes, loads, loadsAtOnce, loadAges} = heartbeat;
     const {choice, clock, onNodeCount} = this.options;
     if (loads.length > 0) choice.clusterLoad.update(loads);
+    if (heartbeat.gaps !== undefined)
+      choice.clusterLoad.updateGaps(heartbeat.gaps);
     this.client.setNodeCount(nodes);
     onNodeCount(nodes);
     const now = clock.now();
--- a/packages/placement/src/engine_pace.ts
+++ b/packages/placement/src/engine_pace.ts
@@ -27,8 +27,8 @@
  */
 const EVENTS_PER_STREAM = 30;
 
-/** How long a placement is expected to last; arrival rates decay in about this time. */
-const PLACEMENT_SECONDS = 8;
+/** How long the replica of a rarely used model is expected to stay. */
+const PLACEMENT_SECONDS = 2;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -98,6 +98,12 @@
  */
 const SLOW_GAP_SHARE = 0.2;
 
+/**
+ * Arrival rate from which a model is moved; a rarely used one is soon evicted anyway, and its move
+ * would evict another that is used as often.
+ */
+const MOVED_FROM_ARRIVALS_PER_SECOND = 2;
+
 /** A faster engine has at most this share of the mean gap. */
 const FASTER_GAP_SHARE = 0.7;
 
@@ -439,7 +445,7 @@
       const gap = this.shortestGap(model);
       if (gap === undefined || gap < gapObjective * SLOW_GAP_SHARE) continue;
       const rate = demand.arrivalsPerSecond(model, now);
-      if (rate < UNUSED_BELOW_ARRIVALS_PER_SECOND) continue;
+      if (rate < MOVED_FROM_ARRIVALS_PER_SECOND) continue;
       const candidate = this.cheapestCandidate(
         model,
         0,
