Compare two different engines when a request has a choice

Cause: both candidates of a choice could be the same engine, so that of two replicas the slow one got a quarter of the requests whatever its pace. Change: the second candidate is another engine than the first.

--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -124,14 +124,15 @@
   const {clusterLoad, random, failureDomain} = dependencies;
   if (!clusterLoad.isFresh) return chooseLeastLoaded(engines, dependencies);
   const usable = withoutOutliers(engines, dependencies);
-  const draw = (): EndpointDescription | undefined =>
-    usable[randomBelow(random, usable.length)];
   const cost = (engine: EndpointDescription): number =>
     (clusterLoad.at(engine.id) / engine.slots + IDLE_ENGINE_LOAD) *
       clusterLoad.slownessOf(engine.id) +
     (engine.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_COST);
-  const first = draw();
-  const second = draw();
+  const firstIndex = randomBelow(random, usable.length);
+  // The second one is another engine, so that the slower one of two gets no request by chance.
+  const offset = 1 + randomBelow(random, Math.max(1, usable.length - 1));
+  const first = usable[firstIndex];
+  const second = usable[(firstIndex + offset) % usable.length];
   if (first === undefined || second === undefined) return first;
   return cost(second) < cost(first) ? second : first;
 }
