--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -34,6 +34,12 @@
 /** `Retry-After` for a service without endpoints; one may have registered by then. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
+/**
+ * Load of an idle engine, as a share of its slots: a stream takes time there, too, and longer at a
+ * slow engine.
+ */
+const IDLE_ENGINE_LOAD = 0.3;
+
 /** Time that an endpoint of a plain service needs at least. */
 const PLAIN_SERVICE_MILLISECONDS: Milliseconds = 20;
 
@@ -118,13 +124,15 @@
   const {clusterLoad, random, failureDomain} = dependencies;
   if (!clusterLoad.isFresh) return chooseLeastLoaded(engines, dependencies);
   const usable = withoutOutliers(engines, dependencies);
-  const draw = (): EndpointDescription | undefined =>
-    usable[randomBelow(random, usable.length)];
   const cost = (engine: EndpointDescription): number =>
-    clusterLoad.at(engine.id) / engine.slots +
+    (clusterLoad.at(engine.id) / engine.slots + IDLE_ENGINE_LOAD) *
+      clusterLoad.slownessOf(engine.id) +
     (engine.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_COST);
-  const first = draw();
-  const second = draw();
+  const firstIndex = randomBelow(random, usable.length);
+  // The second one is another engine, so that the slower one of two gets no request by chance.
+  const offset = 1 + randomBelow(random, Math.max(1, usable.length - 1));
+  const first = usable[firstIndex];
+  const second = usable[(firstIndex + offset) % usable.length];
   if (first === undefined || second === undefined) return first;
   return cost(second) < cost(first) ? second : first;
 }
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -79,6 +79,8 @@
   running: z.array(z.tuple([name, name, count])),
   /** Model, requests. */
   arrived: z.array(z.tuple([name, count])),
+  /** Engine, gaps between events, sum of their milliseconds; missing from earlier versions. */
+  gaps: z.array(z.tuple([name, count, z.number().nonnegative()])).default([]),
 });
 
 /** Request for an engine with an adapter; `excluded` engines have already been tried. */
@@ -147,6 +149,11 @@
    * where each node's own counts suffice.
    */
   loads: z.array(z.tuple([name, count])).default([]),
+  /**
+   * Engines, each with the mean milliseconds between two events of its streams; missing from most
+   * heartbeats, which leaves what is known unchanged.
+   */
+  gaps: z.array(z.tuple([name, z.number()])).optional(),
   /**
    * The last pulse of the follower that had arrived when this was written, which bounds the
    * time that it took; missing from holders of earlier versions.
@@ -183,6 +190,11 @@
       inFlight,
     ]),
     arrived: usage.arrived.map(({model, count: arrived}) => [model, arrived]),
+    gaps: (usage.gaps ?? []).map(({engine, count: gaps, milliseconds}) => [
+      engine,
+      gaps,
+      Math.round(milliseconds),
+    ]),
   };
 }
 
@@ -213,6 +225,11 @@
       model: as<ModelName>(model),
       count: arrived,
     })),
+    gaps: message.gaps.map(([engine, gaps, milliseconds]) => ({
+      engine: as<EndpointId>(engine),
+      count: gaps,
+      milliseconds,
+    })),
   };
 }
 
