Add the decisions of team quotas over all nodes

Cause: a team's quota holds over all nodes together, of which each sees a part of the requests. Nothing in the project counts them in one place.

Change: docs/design/team_quotas.md, and in packages/admission the lease holder's ledger (TeamQuotaLedger) and the node's gate (TeamQuotaGate), without clock, socket or timer. Nodes admit within a free amount that all of them together can't exceed by more than 0.6 of the allowed excess, ask about the rest, and admit at a falling share without a holder.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -19,3 +19,20 @@
   DepartureIntervalEstimate,
   ServiceTimeEstimate,
 } from './service_time.js';
+export type {QuotaRate, QuotaRules} from './team_quota_rules.js';
+export {allowedExcess} from './team_quota_rules.js';
+export type {QuotaDecision, SettleQuota, TeamState} from './team_ledger.js';
+export type {
+  AdmittedTotal,
+  TeamChange,
+  TeamQuotaLedgerOptions,
+  TeamStatement,
+} from './team_quota_ledger.js';
+export {SLOTS_PER_WINDOW, TeamQuotaLedger} from './team_quota_ledger.js';
+export type {
+  GateDecision,
+  GateReport,
+  HolderState,
+  TeamQuotaGateOptions,
+} from './team_quota_gate.js';
+export {TeamQuotaGate} from './team_quota_gate.js';
--- /dev/null
+++ b/packages/admission/src/team_ledger.ts
@@ -0,0 +1,271 @@
+/** One team at the lease holder: its budget, the requests that wait for it, the nodes' shares. */
+
+import type {Instant, Milliseconds, NodeId} from '@siskinmux/kernel';
+import {after, later, until} from '@siskinmux/kernel';
+import type {QuotaAuthority} from './team_budget.js';
+import {TeamBudget} from './team_budget.js';
+import {TeamLoads} from './team_loads.js';
+import type {QuotaRate, QuotaRules} from './team_quota_rules.js';
+import {freeAmount, minimumShare, timeFor} from './team_quota_rules.js';
+
+/** Part of a burst below which the team is metered. */
+const METERED_BELOW = 0.5;
+
+/** Part of a burst above which metering stops, after the time that follows. */
+const FILLED_ABOVE = 0.8;
+const FILLED_MILLISECONDS: Milliseconds = 1_000;
+
+/** Part of the free amount that is spread evenly; the rest follows the load of the nodes. */
+const EVEN_PART = 0.3;
+
+/** A node is told of a changed free amount or share if it differs by more than this part. */
+const CHANGE_PART = 0.25;
+
+/**
+ * Latest time at which a refused request is told to return, unless the bucket takes longer. Later
+ * ones begin anew at the earliest time: callers would not wait for so long.
+ */
+const MAXIMUM_RETURN_MILLISECONDS: Milliseconds = 4_000;
+
+/** `unowned`: this holder no longer decides. */
+export type QuotaDecision =
+  | {readonly kind: 'granted'}
+  | {readonly kind: 'refused' | 'unowned'; readonly retryAt: Instant};
+
+/** Receives the decision on a request, once. */
+export type SettleQuota = (decision: QuotaDecision) => void;
+
+/** What a node may admit of a team. */
+export interface TeamState {
+  /** Amount that the node may have admitted beyond what the holder knows; 0 for a metered team. */
+  readonly free: number;
+  /** The node's part of the team's admitted load. */
+  readonly share: number;
+}
+
+interface Waiter {
+  readonly node: NodeId;
+  readonly amount: number;
+  readonly settle: SettleQuota;
+}
+
+/** Decides on the requests of one team. */
+export class TeamLedger {
+  private readonly budget: TeamBudget;
+  private readonly loads: TeamLoads;
+  private readonly told = new Map<NodeId, TeamState>();
+  /** Loads of lost nodes, which count again when they are back. */
+  private readonly lostLoads = new Map<NodeId, number>();
+  private waiters: Waiter[] = [];
+  private waitingAmount = 0;
+  /** When the next refused request is told to return. */
+  private nextReturnAt: Instant;
+  private metered = true;
+  private filledSince: Instant | undefined;
+
+  private constructor(
+    private quota: QuotaRate,
+    private readonly rules: QuotaRules,
+    private readonly authority: (now: Instant) => QuotaAuthority,
+    now: Instant,
+  ) {
+    this.budget = TeamBudget.create(quota, rules, now);
+    this.loads = TeamLoads.create(now);
+    this.nextReturnAt = now;
+  }
+
+  /** `authority` is called with each decision. */
+  static create(
+    quota: QuotaRate,
+    rules: QuotaRules,
+    authority: (now: Instant) => QuotaAuthority,
+    now: Instant,
+  ): TeamLedger {
+    return new TeamLedger(quota, rules, authority, now);
+  }
+
+  get isMetered(): boolean {
+    return this.metered;
+  }
+
+  /** Amount that is available; negative while the team is in debt. */
+  available(now: Instant): number {
+    this.budget.refill(this.authority(now), now);
+    return this.budget.available;
+  }
+
+  setQuota(quota: QuotaRate, now: Instant): void {
+    this.advance(now);
+    this.quota = quota;
+    this.budget.setQuota(quota, now);
+  }
+
+  /** Records what a node has admitted without asking; a negative amount was granted but not used. */
+  recordAdmitted(node: NodeId, amount: number, now: Instant): void {
+    this.budget.refill(this.authority(now), now);
+    this.budget.recordAdmitted(node, amount, now);
+    if (amount > 0) this.loads.add(node, amount, now);
+    this.updateMetering(now);
+  }
+
+  /** Takes an amount that was admitted before this holder decided. */
+  takeEarlier(amount: number): void {
+    this.budget.take(amount);
+  }
+
+  /** Seeds the share of a node that another holder has told it. */
+  seedShare(node: NodeId, share: number, now: Instant): void {
+    this.loads.addShare(node, share, this.quota.perSecond, now);
+  }
+
+  /** Decides at once, or calls `settle` later for a request whose turn comes by `waitUntil`. */
+  request(
+    node: NodeId,
+    amount: number,
+    waitUntil: Instant,
+    settle: SettleQuota,
+    now: Instant,
+  ): void {
+    this.advance(now);
+    if (this.waiters.length === 0 && this.budget.fits(amount, now)) {
+      this.grant({node, amount, settle}, now);
+      return;
+    }
+    const turnAt = this.budget.readyAt(this.waitingAmount + amount, now);
+    if (turnAt > waitUntil) {
+      settle({kind: 'refused', retryAt: this.takeReturnTime(amount, now)});
+      return;
+    }
+    this.waiters.push({node, amount, settle});
+    this.waitingAmount += amount;
+  }
+
+  /** Grants what is due. */
+  advance(now: Instant): void {
+    this.budget.refill(this.authority(now), now);
+    for (;;) {
+      const [next] = this.waiters;
+      if (next === undefined || !this.budget.fits(next.amount, now)) break;
+      this.waiters.shift();
+      this.waitingAmount -= next.amount;
+      this.grant(next, now);
+    }
+    this.updateMetering(now);
+  }
+
+  /** When {@link advance} has something to do; undefined if nothing waits. */
+  nextAdvanceAt(now: Instant): Instant | undefined {
+    const [next] = this.waiters;
+    if (next === undefined) return undefined;
+    return later(this.budget.readyAt(next.amount, now), after(now, 1));
+  }
+
+  /** The node's part of the admitted load, as kept for it while its connection is lost. */
+  shareOf(node: NodeId, now: Instant): number {
+    const kept = this.budget.keptShare(this.authority(now), now);
+    return this.loads.shareOf(node) * Math.max(0, 1 - kept);
+  }
+
+  /** What a node may admit now, if that is not about what it was told last. */
+  takeChange(
+    node: NodeId,
+    nodeCount: number,
+    now: Instant,
+  ): TeamState | undefined {
+    const state = this.stateOf(node, nodeCount, now);
+    const told = this.told.get(node);
+    if (told !== undefined && !isChanged(told, state)) return undefined;
+    this.told.set(node, state);
+    return state;
+  }
+
+  /** Keeps what a lost node may admit by itself. */
+  loseNode(node: NodeId, heardAt: Instant, now: Instant): void {
+    this.budget.refill(this.authority(now), now);
+    const told = this.told.get(node) ?? {free: 0, share: 0};
+    this.budget.loseNode(node, told, heardAt, now);
+    this.told.delete(node);
+    this.lostLoads.set(node, this.loads.remove(node, now));
+    const waiting = this.waiters;
+    this.waiters = waiting.filter(waiter => waiter.node !== node);
+    for (const {amount, settle, node: waitingNode} of waiting) {
+      if (waitingNode !== node) continue;
+      this.waitingAmount -= amount;
+      settle({kind: 'unowned', retryAt: now});
+    }
+    this.updateMetering(now);
+  }
+
+  returnNode(node: NodeId, now: Instant): void {
+    this.budget.refill(this.authority(now), now);
+    this.budget.returnNode(node, now);
+    this.loads.add(node, this.lostLoads.get(node) ?? 0, now);
+    this.lostLoads.delete(node);
+  }
+
+  /** Keeps a share for nodes that have not connected to this holder yet. */
+  keepShare(placeholder: NodeId, share: number, since: Instant): void {
+    this.budget.keepShare(placeholder, share, since);
+  }
+
+  /** Forgets a node that has been lost for long. */
+  forgetNode(node: NodeId): void {
+    this.lostLoads.delete(node);
+  }
+
+  /** Ends the wait of all; `decision` goes to each. */
+  end(decision: QuotaDecision): void {
+    const {waiters} = this;
+    this.waiters = [];
+    this.waitingAmount = 0;
+    for (const {settle} of waiters) settle(decision);
+  }
+
+  private grant({node, amount, settle}: Waiter, now: Instant): void {
+    this.budget.take(amount);
+    this.loads.add(node, amount, now);
+    this.updateMetering(now);
+    settle({kind: 'granted'});
+  }
+
+  private stateOf(node: NodeId, nodeCount: number, now: Instant): TeamState {
+    const share = this.shareOf(node, now);
+    const isShared = share >= minimumShare(nodeCount);
+    const part = EVEN_PART / Math.max(1, nodeCount) + (1 - EVEN_PART) * share;
+    const isFree = !this.metered && this.authority(now).minority === undefined;
+    const free = isFree ? freeAmount(this.quota, this.rules) * part : 0;
+    return {free: Math.floor(free), share: isShared ? share : 0};
+  }
+
+  private updateMetering(now: Instant): void {
+    const {available} = this.budget;
+    const {burst} = this.quota;
+    if (available < FILLED_ABOVE * burst) this.filledSince = undefined;
+    else this.filledSince ??= now;
+    if (available < METERED_BELOW * burst) this.metered = true;
+    else if (
+      this.filledSince !== undefined &&
+      until(this.filledSince, now) >= FILLED_MILLISECONDS
+    )
+      this.metered = false;
+  }
+
+  /** Spreads the returns of refused requests at the rate of the quota. */
+  private takeReturnTime(amount: number, now: Instant): Instant {
+    const freeAt = this.budget.readyAt(this.waitingAmount + amount, now);
+    const latest = after(now, MAXIMUM_RETURN_MILLISECONDS);
+    const next = later(this.nextReturnAt, freeAt);
+    const returnAt = next > latest ? freeAt : next;
+    this.nextReturnAt = after(returnAt, timeFor(amount, this.quota.perSecond));
+    return returnAt;
+  }
+}
+
+function isChanged(told: TeamState, state: TeamState): boolean {
+  if (told.free > 0 !== state.free > 0) return true;
+  return differs(told.free, state.free) || differs(told.share, state.share);
+}
+
+function differs(told: number, value: number): boolean {
+  return Math.abs(value - told) > CHANGE_PART * Math.max(value, told);
+}
