Connect the nodes' team quotas to the lease holder

Cause: the decisions of team quotas need reports, permits and heartbeats between the nodes.

NodePlacement takes TeamQuotas as an option that GatewayNode does not set yet, so nothing changes before it does. A holder of an earlier build sends no field; a node then admits an equal share by itself.

Conclusion: wired up to NodePlacement; GatewayNode and the decision per request are still to be connected.

--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -203,6 +203,18 @@
     }
   }
 
+  /**
+   * Follows a lease holder of an earlier build, which knows no quotas: the node admits by itself, at
+   * an equal share.
+   */
+  followUnaware(nodeCount: number, now: Instant): void {
+    this.loseHolder(now);
+    this.nodeCount = nodeCount;
+    this.heardAt = now;
+    for (const gated of this.teams.values())
+      gated.share = 1 / Math.max(1, nodeCount);
+  }
+
   /** The lease holder is lost, or doesn't respond: the node admits by itself. */
   loseHolder(now: Instant): void {
     if (this.aloneSince !== undefined) return;
--- a/packages/admission/src/team_quota_ledger.ts
+++ b/packages/admission/src/team_quota_ledger.ts
@@ -211,6 +211,12 @@
     return this.teams.get(team)?.ledger.available(now);
   }
 
+  /** Whether a node is connected and has stated what it admitted. */
+  isConnected(node: NodeId): boolean {
+    const known = this.nodes.get(node);
+    return known !== undefined && known.lostAt === undefined;
+  }
+
   /** Number of the last report of a node that has arrived. */
   lastReportOf(node: NodeId): number {
     return this.nodes.get(node)?.report ?? 0;
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -65,6 +65,12 @@
     return Promise.resolve({kind: 'refused', retryAt});
   }
 
+  reportTeamUsage(): void {}
+
+  requestTeamPermit() {
+    return Promise.resolve({kind: 'granted' as const});
+  }
+
   offerRelay(): void {}
 
   requestWitness() {
--- /dev/null
+++ b/packages/gateway/__tests__/team_quotas.test.ts
@@ -0,0 +1,306 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {QuotaDecision} from '@siskinmux/admission';
+import type {Instant} from '@siskinmux/kernel';
+import {ErrorCode, Outcome, as, until} from '@siskinmux/kernel';
+import {heartbeatSchema} from '../src/placement_messages.js';
+import {
+  decodeTeamChanges,
+  decodeTeamPermitDecision,
+  decodeTeamStatement,
+  encodeTeamPermitDecision,
+  encodeTeamStates,
+  encodeTeamStatement,
+  teamStatesSchema,
+  teamUsageSchema,
+} from '../src/team_quota_messages.js';
+import type {TeamUsageMessage} from '../src/team_quota_messages.js';
+import type {TeamQuotaExchange} from '../src/team_quotas.js';
+import {requestCost} from '../src/team_quotas.js';
+import {
+  QUOTA,
+  QuotaTestCluster,
+  TEAM,
+  isDecided,
+} from './team_quota_cluster.js';
+
+const HEARTBEAT = {nodes: 2, reachesStore: true};
+
+/** A lease holder that is answered by the test. */
+class ManualExchange implements TeamQuotaExchange {
+  readonly usage: TeamUsageMessage[] = [];
+  readonly answers: ((decision: QuotaDecision) => void)[] = [];
+
+  reportTeamUsage(usage: TeamUsageMessage): void {
+    this.usage.push(usage);
+  }
+
+  requestTeamPermit(): Promise<QuotaDecision> {
+    return new Promise(resolve => this.answers.push(resolve));
+  }
+}
+
+function heartbeat(free: number, report = 0) {
+  const changes = [{team: TEAM, free, share: 0.5}];
+  return heartbeatSchema.parse({
+    ...HEARTBEAT,
+    teams: encodeTeamStates(report, changes),
+  });
+}
+
+describe('team quotas over connections', () => {
+  // Guards against a quota that each node grants by itself.
+  it('are shared by the lease holder and its followers', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const nodes = [holder.node];
+    for (let count = 0; count < 3; count += 1) {
+      const node = cluster.createNode();
+      await cluster.follow(node, holder);
+      nodes.push(node);
+    }
+    await cluster.advance(3_000);
+    const requests = Array.from({length: 60}, (_, index) =>
+      cluster.request(nodes[index % nodes.length]!, 1_000),
+    );
+    await cluster.advanceUntil(() => requests.every(isDecided));
+    const admitted = requests.filter(({isAdmitted}) => isAdmitted).length;
+    // The burst, what accumulates in the wait of a quarter of a second, and the free amounts.
+    expect(admitted).toBeGreaterThanOrEqual(10);
+    expect(admitted).toBeLessThanOrEqual(10 + 3 + 11);
+    const refused = requests.flatMap(({refusal}) =>
+      refusal === undefined ? [] : [refusal],
+    );
+    for (const {code, outcome} of refused)
+      expect([code, outcome]).toEqual([
+        ErrorCode.QuotaExceeded,
+        Outcome.NotRun,
+      ]);
+    // Returns begin anew after 4 s, which is 40 of the 100 ms that a request takes.
+    const returns = new Map<number, number>();
+    for (const {retryAt = 0} of refused) {
+      const at = Math.round(retryAt / 10);
+      returns.set(at, (returns.get(at) ?? 0) + 1);
+    }
+    expect(Math.max(...returns.values())).toBeLessThanOrEqual(2);
+  });
+
+  // Guards against reports that are lost, sent without need, or counted twice.
+  it('count what a node admits by itself once it has reported it', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const follower = cluster.createNode();
+    await cluster.follow(follower, holder);
+    await cluster.advance(3_000);
+    const request = cluster.request(follower, 1_000);
+    await cluster.advance(1);
+    expect(request.isAdmitted).toEqual(true);
+    expect(follower.outcomes).toEqual(['admitted']);
+    // The report is sent at once; 300 have accumulated by then.
+    await cluster.advance(30);
+    const rest = cluster.request(holder.node, 9_990);
+    await cluster.advance(5);
+    expect(isDecided(rest)).toEqual(false);
+    await cluster.advanceUntil(() => isDecided(rest));
+    expect(rest.isAdmitted).toEqual(true);
+  });
+
+  // Guards against refusals and unbounded admission while no holder is known.
+  it('admit at a share after the holder is lost, and wait for the next one', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const follower = cluster.createNode();
+    const heir = cluster.createNode();
+    await cluster.follow(follower, holder);
+    await cluster.follow(heir, holder);
+    await cluster.advance(3_000);
+    holder.kill();
+    await cluster.advance(5);
+    const requests = Array.from({length: 20}, () =>
+      cluster.request(follower, 2_000),
+    );
+    await cluster.advance(200);
+    const admitted = requests.filter(({isAdmitted}) => isAdmitted).length;
+    expect(admitted).toBeLessThanOrEqual(5);
+    expect(requests.some(request => !isDecided(request))).toEqual(true);
+    const next = await cluster.startHolder(heir);
+    await cluster.follow(follower, next);
+    await cluster.advanceUntil(() => requests.every(isDecided));
+    expect(follower.outcomes).toInclude('asked');
+  });
+
+  // Guards against a holder that takes over and grants once more what was used up.
+  it('take the last window of the nodes over to the next holder', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const follower = cluster.createNode();
+    await cluster.follow(follower, holder);
+    await cluster.advance(3_000);
+    const before = cluster.request(follower, 10_000);
+    await cluster.advanceUntil(() => isDecided(before));
+    expect(before.isAdmitted).toEqual(true);
+    holder.kill();
+    await cluster.advance(50);
+    const next = await cluster.startHolder(cluster.createNode());
+    await cluster.follow(follower, next);
+    const after = cluster.request(follower, 10_000);
+    await cluster.advanceUntil(() => isDecided(after));
+    expect(after.isAdmitted).toEqual(false);
+  });
+
+  // Guards against a grant that is lost for good when its request has ended.
+  it('give back the grant of a request that has ended', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const follower = cluster.createNode();
+    await cluster.follow(follower, holder);
+    await cluster.advance(3_000);
+    const first = cluster.request(holder.node, 6_000);
+    const ended = cluster.request(follower, 5_000);
+    await cluster.advance(20);
+    ended.abort();
+    // Its turn comes when 1,000 have accumulated.
+    await cluster.advance(180);
+    expect([first.isAdmitted, ended.isAdmitted]).toEqual([true, false]);
+    const next = cluster.request(holder.node, 5_000);
+    await cluster.advance(5);
+    expect(next.isAdmitted).toEqual(true);
+  });
+});
+
+describe('a node with team quotas', () => {
+  // Guards against admission on a guess while the lease holder is about to be found.
+  it('waits for its first lease holder, for half of the remaining time at most', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const start = cluster.clock.now();
+    const short = cluster.request(node, 1_000, 600);
+    const long = cluster.request(node, 1_000);
+    const shortAt = await cluster.advanceUntil(() => isDecided(short));
+    const longAt = await cluster.advanceUntil(() => isDecided(long));
+    expect([until(start, shortAt), until(start, longAt)]).toEqual([300, 1_000]);
+  });
+
+  it('asks a holder that it hears meanwhile', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    const request = cluster.request(node, 1_000);
+    await cluster.advance(100);
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    await cluster.advance(1);
+    exchange.answers[0]?.({kind: 'granted'});
+    await cluster.advance(1);
+    expect(request.isAdmitted).toEqual(true);
+  });
+
+  // Guards against requests that hang with a frozen holder, and grants counted twice.
+  it('decides by itself when the holder does not respond, and gives back the late grant', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeat(5_000));
+    const request = cluster.request(node, 6_000);
+    await cluster.advance(549);
+    expect(isDecided(request)).toEqual(false);
+    await cluster.advanceUntil(() => isDecided(request));
+    expect(request.isAdmitted).toEqual(true);
+    exchange.answers[0]?.({kind: 'granted'});
+    await cluster.advance(100);
+    // The statement, the request that the node admitted, and the grant that it returned.
+    const totals = exchange.usage.map(({teams}) => teams[0]?.[1]);
+    expect(totals.at(-1)).toEqual(0);
+    // Another request is not held up.
+    const next = cluster.request(node, 9_000, 100);
+    await cluster.advance(60);
+    expect(isDecided(next)).toEqual(true);
+  });
+
+  // Guards against messages of nodes that have nothing to say.
+  it('sends no report when nothing was admitted, and at most one per interval', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat({...heartbeat(9_000), nodes: 50});
+    await cluster.advance(1_000);
+    expect(exchange.usage.length).toEqual(1);
+    for (let count = 0; count < 40; count += 1) {
+      cluster.request(node, 100);
+      await cluster.advance(10);
+    }
+    await cluster.advance(200);
+    // One at once, one after each 200 ms.
+    expect(exchange.usage.length).toEqual(1 + 3);
+    expect(exchange.usage.at(-1)?.teams).toEqual([[TEAM, 4_000]]);
+  });
+
+  // Guards against an upgrade in which the first nodes refuse most of their requests.
+  it('admits an equal share under a holder of an earlier build', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    node.quotas.setExchange(new ManualExchange());
+    let admitted = 0;
+    for (let step = 0; step < 60; step += 1) {
+      node.quotas.applyHeartbeat(heartbeatSchema.parse(HEARTBEAT));
+      const request = cluster.request(node, 1_000, 20);
+      await cluster.advance(300);
+      if (request.isAdmitted) admitted += 1;
+    }
+    expect(admitted).toBeGreaterThanOrEqual(55);
+  });
+
+  it('lets requests of teams without a quota pass', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode({...QUOTA, perSecond: 0});
+    const request = cluster.request(node, 1_000_000);
+    await cluster.advance(1);
+    expect(request.isAdmitted).toEqual(true);
+    expect(node.outcomes).toEqual([]);
+  });
+});
+
+describe('requestCost', () => {
+  it('is one request, the stated tokens, or those of a request that states none', () => {
+    const tokens = {promptTokens: 300, outputTokens: 40};
+    const none = {promptTokens: 0, outputTokens: 0};
+    expect(requestCost({...QUOTA, unit: 'requests'}, tokens)).toEqual(1);
+    expect(requestCost(QUOTA, tokens)).toEqual(340);
+    expect(requestCost(QUOTA, none)).toEqual(200);
+  });
+});
+
+describe('messages about team quotas', () => {
+  const now = as<Instant>(5_000);
+
+  it('are read as they were written', () => {
+    const statement = {
+      report: 3,
+      teams: [{team: TEAM, total: -5, share: 0.25, recent: [1, 2]}],
+    };
+    const written = teamUsageSchema.parse(
+      JSON.parse(JSON.stringify(encodeTeamStatement(statement))),
+    );
+    expect(decodeTeamStatement(written)).toEqual(statement);
+    const changes = [{team: TEAM, free: 900, share: 0.125}];
+    const states = teamStatesSchema.parse(encodeTeamStates(7, changes));
+    expect([states.report, decodeTeamChanges(states)]).toEqual([7, changes]);
+    const decisions: QuotaDecision[] = [
+      {kind: 'granted'},
+      {kind: 'refused', retryAt: as<Instant>(5_400)},
+      {kind: 'unowned', retryAt: now},
+    ];
+    for (const decision of decisions) {
+      const message = encodeTeamPermitDecision(decision, now);
+      expect(decodeTeamPermitDecision(message, now)).toEqual(decision);
+    }
+  });
+
+  // Guards against an upgrade that breaks the connections between builds.
+  it('are missing from the heartbeat of an earlier build', () => {
+    expect(heartbeatSchema.parse(HEARTBEAT).teams).toEqual(undefined);
+    expect(decodeTeamPermitDecision({later: 1}, now)).toEqual(undefined);
+  });
+});
--- a/packages/gateway/src/allocator_api.ts
+++ b/packages/gateway/src/allocator_api.ts
@@ -14,10 +14,16 @@
 import type {RelayPeer} from '@siskinmux/relay';
 import type {LeavingExchange} from './leaving_endpoints.js';
 import type {PermitExchange} from './send_permits.js';
+import type {TeamQuotaExchange} from './team_quotas.js';
 
 /** Calls from a node to the allocator. */
 export interface AllocatorApi
-  extends SuspectExchange, PermitExchange, OriginExchange, LeavingExchange {
+  extends
+    SuspectExchange,
+    PermitExchange,
+    OriginExchange,
+    LeavingExchange,
+    TeamQuotaExchange {
   reportUsage(service: ServiceName, usage: NodeUsage): void;
   /** Reports that an engine lacks a model, or the adapter that was granted. */
   reportMissingModel(
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -1,6 +1,10 @@
 /** Runs the allocators of all engine services on the lease holder, and serves the other nodes. */
 
-import type {PermitDecision, PermitRequest} from '@siskinmux/admission';
+import type {
+  PermitDecision,
+  PermitRequest,
+  QuotaDecision,
+} from '@siskinmux/admission';
 import {SharedRates} from '@siskinmux/admission';
 import type {
   EndpointDescription,
@@ -85,6 +89,11 @@
   relayOfferSchema,
 } from '@siskinmux/relay';
 import {handleProbation} from './probation_messages.js';
+import type {TeamQuotaHolder} from './team_quota_holder.js';
+import type {
+  TeamPermitRequest,
+  TeamUsageMessage,
+} from './team_quota_messages.js';
 import {
   askServiceWitness,
   askWitness,
@@ -137,6 +146,8 @@
   readonly onOrigins: (origins: readonly StreamOrigin[]) => void;
   /** Part of each limit that this node may give out as permits. */
   readonly limitShare: () => number;
+  /** Decides on the quotas of teams; undefined if this node knows none. */
+  readonly teamQuotas?: TeamQuotaHolder | undefined;
   /** Receives the allocators' notifications for this node itself. */
   readonly listener: AllocatorListener;
   readonly endpoints: () => Iterable<EndpointDescription>;
@@ -296,6 +307,7 @@
         return encodePermitDecision(decision, clock.now());
       },
     );
+    this.options.teamQuotas?.accept(connection, () => node);
     connection.handle(PEER_METHODS.pulse, pulseSchema, ({at}) => {
       const follower = node && this.followers.get(node);
       if (follower) follower.pulse = at;
@@ -431,6 +443,16 @@
     return this.rates.request(limit.incarnation, request);
   }
 
+  reportTeamUsage(usage: TeamUsageMessage): void {
+    this.options.teamQuotas?.recordUsage(this.options.self, usage);
+  }
+
+  async requestTeamPermit(request: TeamPermitRequest): Promise<QuotaDecision> {
+    const {teamQuotas, self} = this.options;
+    if (teamQuotas === undefined) return {kind: 'granted'};
+    return teamQuotas.requestPermit(self, request);
+  }
+
   /** Records what this node has read from the metadata store, to be sent with the next heartbeat. */
   recordRead(read: KindRead): void {
     this.feed.record(read);
@@ -441,7 +463,7 @@
    * Returns that message, since this node uses its contents as well.
    */
   sendHeartbeat(): HeartbeatMessage {
-    const {clock, reachesStore} = this.options;
+    const {clock, reachesStore, teamQuotas, self} = this.options;
     const now = clock.now();
     for (const [node, follower] of this.followers) {
       if (!follower.isExpired(now)) continue;
@@ -457,14 +479,16 @@
       loads: this.endpointLoads(),
     };
     const feed = heartbeat.feed.map(encodeFeedUpdate);
-    for (const {connection, pulse} of this.followers.values()) {
+    teamQuotas?.beginHeartbeat();
+    for (const [node, {connection, pulse}] of this.followers) {
       connection.notify(PEER_METHODS.allocatorHeartbeat, {
         ...heartbeat,
         feed,
         echo: pulse,
+        teams: teamQuotas?.stateFor(node),
       });
     }
-    return heartbeat;
+    return {...heartbeat, teams: teamQuotas?.stateFor(self)};
   }
 
   /** Requests in flight by engine; empty in a small cluster, where each node's own counts suffice. */
@@ -506,6 +530,7 @@
   stop(): void {
     for (const allocator of this.allocators.values()) allocator.stop();
     this.rates.stop();
+    this.options.teamQuotas?.stop();
     this.leavingReports.stop();
     this.cancelPeerUpdate?.();
     for (const {connection} of this.followers.values()) {
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -374,6 +374,33 @@
     'The bodies and events that this node holds take half of their memory or less, after `buffers-full`.',
 };
 
+/** A team is metered, or no longer is. */
+export const TEAM_METERED: EventDescriptor = {
+  number: 7066,
+  name: 'team-metered',
+  level: 'info',
+  meaning:
+    'The lease holder: the bucket of a `team` has fallen below half of its burst, so that all nodes ask about each of its requests, or, with `isMetered` false, has been well filled again for a second. `available` is the amount in the bucket, negative while the team is in debt for what nodes had admitted before they reported it. One line per team in 10 s at most.',
+};
+
+/** Requests of a team were refused by its quota. */
+export const QUOTA_REFUSED: EventDescriptor = {
+  number: 7067,
+  name: 'quota-refused',
+  level: 'info',
+  meaning:
+    'This node has refused `count` requests of a `team` since the last line about it, as its quota was used up. `retryIn` is the time in milliseconds after which the last one may return. `hasHolder` is false if this node has no lease holder and admits only its share. One line per team in 10 s at most.',
+};
+
+/** The lease holder did not decide on a request in time. */
+export const QUOTA_UNANSWERED: EventDescriptor = {
+  number: 7068,
+  name: 'quota-unanswered',
+  level: 'warn',
+  meaning:
+    'The lease holder has not decided on a request of a `team` within `waited` milliseconds. This node admits by its share of the quotas until the next heartbeat of the holder. One line in 10 s at most.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -418,6 +445,9 @@
   CONNECTION_PACED,
   BUFFERS_FULL,
   BUFFERS_FREE,
+  TEAM_METERED,
+  QUOTA_REFUSED,
+  QUOTA_UNANSWERED,
   ...CONTINUITY_EVENTS,
   ...REACH_EVENTS,
 ] as const;
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -59,6 +59,12 @@
     repeat_allowance: z.number().nonnegative().default(54),
     /** Window in which the retries are counted. */
     repeat_window_seconds: z.number().positive().default(10),
+    /** Window in which what teams send is compared with their quotas. */
+    quota_window_seconds: z.number().positive().default(8),
+    /** Part of a team's quota of a window that all nodes together may admit beyond it. */
+    quota_overage: z.number().nonnegative().default(0.1),
+    /** Tokens that they may admit beyond that. */
+    quota_tolerance: z.number().nonnegative().default(7_400),
     /** Window in which model loads from the weight store count towards their rate limit. */
     load_window_seconds: z.number().positive().default(5),
     /** Time from the acknowledgement that an endpoint leaves to the last request that reaches it. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,9 @@
 export type {GatewayProcessOptions} from './run_gateway.js';
 export {runGateway} from './run_gateway.js';
 export {GATEWAY_EVENTS, gatewayEventsPage} from './gateway_events.js';
+export {createTeamQuotaMetrics} from './team_quota_metrics.js';
+export type {TeamRequest} from './team_quotas.js';
+export {TeamQuotas, requestCost} from './team_quotas.js';
 /** @internal For benchmarks. */
 export {ActiveRoutes} from './active_routes.js';
 export {AllocatorServer} from './allocator_server.js';
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -68,6 +68,8 @@
 import {QuarantineArchive} from '@siskinmux/containment';
 import {RemoteAllocator} from './remote_allocator.js';
 import {SendPermits} from './send_permits.js';
+import {TeamQuotaHolder} from './team_quota_holder.js';
+import type {TeamQuotas} from './team_quotas.js';
 
 /**
  * An allocator that sent nothing for this long at two exchanges of heartbeats in a row is considered
@@ -98,6 +100,8 @@
   readonly onLimited: (outcome: LimitOutcome) => void;
   /** Called for each permit that is used under an endpoint's limit. */
   readonly onPermitUsed: (endpoint: EndpointDescription) => void;
+  /** This node's requests under the quotas of teams; undefined if there are none. */
+  readonly teamQuotas?: TeamQuotas | undefined;
   readonly reachesStore: () => boolean;
   /** Where this node takes relayed requests, and what it can't serve. */
   readonly relayOffer: () => RelayPeer;
@@ -135,6 +139,8 @@
   private readonly findPlain: FindEndpoint;
   private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
+  /** Decides on the quotas of teams while this node holds the lease. */
+  private teamQuotaHolder: TeamQuotaHolder | undefined;
   private holderConnection: PeerConnection | undefined;
   /** The connection to the holder, and its last data, if it was silent at the last exchange. */
   private silence:
@@ -173,9 +179,13 @@
     this.peerServer = createServer(socket =>
       this.accept(PeerConnection.create(socket, options)),
     );
-    routes.onChange(({configuration}) =>
-      this.allocatorServer?.applyConfiguration(configuration),
-    );
+    routes.onChange(({configuration}) => {
+      this.allocatorServer?.applyConfiguration(configuration);
+      const {teamQuotas} = options;
+      if (teamQuotas === undefined) return;
+      teamQuotas.applyConfiguration(configuration);
+      this.teamQuotaHolder?.setQuotas(teamQuotas.quotas);
+    });
   }
 
   static create(options: NodePlacementOptions): NodePlacement {
@@ -391,8 +401,10 @@
       versions: continuity.versions,
       recentOrigins: () => continuity.recentOrigins(),
     });
+    this.teamQuotaHolder = this.createTeamQuotaHolder(heldLease);
     const allocatorServer = AllocatorServer.create({
       ...this.options,
+      teamQuotas: this.teamQuotaHolder,
       authority: () =>
         heldLease.canSendOrders(readClocks())
           ? {holder: identity.id, fencingNumber: heldLease.term}
@@ -425,18 +437,39 @@
         archive.stop();
         void originWriter.stop();
         this.allocatorServer = undefined;
+        this.teamQuotaHolder = undefined;
         this.setAllocator(undefined);
         allocatorServer.stop();
       },
     };
   }
 
+  private createTeamQuotaHolder(
+    heldLease: HeldLease,
+  ): TeamQuotaHolder | undefined {
+    const {teamQuotas, pulseMilliseconds} = this.options;
+    if (teamQuotas === undefined) return undefined;
+    const holder = TeamQuotaHolder.create({
+      ...this.options,
+      rules: teamQuotas.rules,
+      isExclusive: now => heldLease.isExclusive(now),
+      earlierNodeCount: teamQuotas.knownNodeCount,
+      silenceMilliseconds: Math.max(
+        HEARTBEAT_TIMEOUT_MILLISECONDS,
+        pulseMilliseconds + 2 * HEARTBEAT_MILLISECONDS,
+      ),
+    });
+    holder.setQuotas(teamQuotas.quotas);
+    return holder;
+  }
+
   private setAllocator(allocator: AllocatorApi | undefined): void {
     this.allocator = allocator;
     this.client.setAllocator(allocator);
     this.options.quarantine.setExchange(allocator);
     this.options.continuity.setExchange(allocator);
     this.permits.setExchange(allocator);
+    this.options.teamQuotas?.setExchange(allocator);
     this.options.leaving.setExchange(allocator);
     this.offerRelay();
   }
@@ -446,6 +479,7 @@
     const {nodes, loads, loadsAtOnce, loadAges} = heartbeat;
     const {choice, clock, onNodeCount} = this.options;
     if (loads.length > 0) choice.clusterLoad.update(loads);
+    this.options.teamQuotas?.applyHeartbeat(heartbeat);
     this.client.setNodeCount(nodes);
     onNodeCount(nodes);
     const now = clock.now();
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -23,6 +23,7 @@
 } from '@siskinmux/placement';
 import {z} from 'zod';
 import {feedUpdateSchema} from './change_feed.js';
+import {teamStatesSchema} from './team_quota_messages.js';
 
 /** JSON-RPC methods: `allocator.*` are sent to the lease holder, `node.*` to its followers. */
 export const PEER_METHODS = {
@@ -35,6 +36,8 @@
   probationEnd: 'allocator.probation_end',
   limits: 'allocator.limits',
   permit: 'allocator.permit',
+  teamUsage: 'allocator.team_usage',
+  teamPermit: 'allocator.team_permit',
   origins: 'allocator.origins',
   leaving: 'allocator.leaving',
   pulse: 'allocator.pulse',
@@ -152,6 +155,8 @@
    * time that it took; missing from holders of earlier versions.
    */
   echo: z.number().optional(),
+  /** Missing from holders of earlier versions, and if no team has a quota. */
+  teams: teamStatesSchema.optional(),
 });
 
 /** A heartbeat on the wire. */
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -1,6 +1,10 @@
 /** Client of an allocator that runs on another node. */
 
-import type {PermitDecision, PermitRequest} from '@siskinmux/admission';
+import type {
+  PermitDecision,
+  PermitRequest,
+  QuotaDecision,
+} from '@siskinmux/admission';
 import type {
   Clock,
   EndpointId,
@@ -41,6 +45,14 @@
 import type {PeerConnection} from './peer_connection.js';
 import type {HeartbeatMessage} from './placement_messages.js';
 import {askProbation, notifyProbationEnd} from './probation_messages.js';
+import type {
+  TeamPermitRequest,
+  TeamUsageMessage,
+} from './team_quota_messages.js';
+import {
+  decodeTeamPermitDecision,
+  encodeTeamPermitRequest,
+} from './team_quota_messages.js';
 import {
   askServiceWitness,
   askWitness,
@@ -73,6 +85,12 @@
 /** Timeout of a request for a permit, in addition to the time that the request can wait. */
 const PERMIT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
+/**
+ * The same for a permit under the quota of a team. A grant that comes after its request has ended,
+ * but within this time, is given back.
+ */
+const TEAM_PERMIT_TIMEOUT_MILLISECONDS: Milliseconds = 3_000;
+
 /** Dependencies of {@link RemoteAllocator}. */
 export interface RemoteAllocatorOptions {
   readonly peerConnection: PeerConnection;
@@ -271,6 +289,27 @@
     };
   }
 
+  reportTeamUsage(usage: TeamUsageMessage): void {
+    this.options.peerConnection.notify(PEER_METHODS.teamUsage, usage);
+  }
+
+  async requestTeamPermit(request: TeamPermitRequest): Promise<QuotaDecision> {
+    const {peerConnection, clock} = this.options;
+    try {
+      const response = await peerConnection.request(
+        PEER_METHODS.teamPermit,
+        encodeTeamPermitRequest(request, clock.now()),
+        after(request.waitUntil, TEAM_PERMIT_TIMEOUT_MILLISECONDS),
+      );
+      const decision = decodeTeamPermitDecision(response, clock.now());
+      if (decision !== undefined) return decision;
+    } catch (failure) {
+      if (!(failure instanceof PeerUnreachableError)) throw failure;
+      // The node decides by itself; that it has lost the holder is logged.
+    }
+    return {kind: 'unowned', retryAt: clock.now()};
+  }
+
   requestProbation(traits: readonly Trait[]): Promise<boolean> {
     const {peerConnection, clock} = this.options;
     return askProbation(peerConnection, traits, clock);
--- /dev/null
+++ b/packages/gateway/src/team_quotas.ts
@@ -0,0 +1,364 @@
+/** A node's requests under the quotas of their teams. */
+
+import type {QuotaDecision, QuotaRate, QuotaRules} from '@siskinmux/admission';
+import {TeamQuotaGate} from '@siskinmux/admission';
+import type {
+  CancelTimer,
+  Clock,
+  EmitEvent,
+  Instant,
+  Milliseconds,
+  Random,
+  TeamName,
+} from '@siskinmux/kernel';
+import {
+  ErrorCode,
+  after,
+  createNotRunRefusal,
+  earlier,
+  until,
+} from '@siskinmux/kernel';
+import type {RouteConfiguration, TeamQuota} from '@siskinmux/routes';
+import {TeamDirectory} from '@siskinmux/routes';
+import {QUOTA_REFUSED, QUOTA_UNANSWERED} from './gateway_events.js';
+import type {HeartbeatMessage} from './placement_messages.js';
+import type {
+  TeamPermitRequest,
+  TeamUsageMessage,
+} from './team_quota_messages.js';
+import {
+  decodeTeamChanges,
+  encodeTeamReport,
+  encodeTeamStatement,
+} from './team_quota_messages.js';
+
+/** Longest wait at the lease holder for a turn. */
+const PERMIT_WAIT_MILLISECONDS: Milliseconds = 250;
+
+/** Time beyond that after which the lease holder counts as not responding. */
+const PERMIT_TIMEOUT_MILLISECONDS: Milliseconds = 300;
+
+/** Longest wait for a lease holder; a takeover takes about half a second. */
+const HOLDER_WAIT_MILLISECONDS: Milliseconds = 1_000;
+
+/** Part of a request's remaining time that it may wait for a lease holder, or for its turn. */
+const WAIT_PART = 0.5;
+
+/**
+ * Minimum interval between reports, the same as that of usage reports: the second value times the
+ * number of nodes, but at least the first.
+ */
+const REPORT_INTERVAL_MILLISECONDS: Milliseconds = 25;
+const REPORT_INTERVAL_MILLISECONDS_PER_NODE: Milliseconds = 4;
+
+/** Least time between two log lines about the refusals of one team, or about the lease holder. */
+const LOG_INTERVAL_MILLISECONDS: Milliseconds = 10_000;
+
+/** Access to the lease holder. */
+export interface TeamQuotaExchange {
+  /** Reports what this node has admitted. */
+  reportTeamUsage(usage: TeamUsageMessage): void;
+  /**
+   * Requests a permit; `unowned` if the holder doesn't respond. May resolve some time after the end
+   * of the request's wait.
+   */
+  requestTeamPermit(request: TeamPermitRequest): Promise<QuotaDecision>;
+}
+
+/** What happened to a request, for the metrics. */
+export type QuotaOutcome = 'admitted' | 'asked' | 'refused';
+
+/** A request of a team. */
+export interface TeamRequest {
+  readonly team: TeamName;
+  /** Cost in the unit of the quota, see {@link requestCost}. */
+  readonly amount: number;
+  /** When its caller gives up. */
+  readonly deadline: Instant;
+  /** Aborts when the request has ended. */
+  readonly signal: AbortSignal;
+}
+
+/** Dependencies of {@link TeamQuotas}. */
+export interface TeamQuotasOptions {
+  readonly rules: QuotaRules;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly emit: EmitEvent;
+  /** Called for each request that is admitted or refused, and each that the holder is asked about. */
+  readonly onOutcome: (team: TeamName, outcome: QuotaOutcome) => void;
+}
+
+/** Refusals of a team that have not been logged yet. */
+interface RefusalLog {
+  count: number;
+  nextLineAt: Instant;
+}
+
+/** What a request costs: 1, or its tokens, or the amount for requests that state none. */
+export function requestCost(
+  {unit, plainTokens}: TeamQuota,
+  tokens: {readonly promptTokens: number; readonly outputTokens: number},
+): number {
+  if (unit === 'requests') return 1;
+  const stated = tokens.promptTokens + tokens.outputTokens;
+  return stated > 0 ? stated : plainTokens;
+}
+
+/** Admits requests under quotas that all nodes share, with the lease holder. */
+export class TeamQuotas {
+  private readonly gate: TeamQuotaGate;
+  private directory: TeamDirectory | undefined;
+  private rates: ReadonlyMap<TeamName, QuotaRate> = new Map();
+  private exchange: TeamQuotaExchange | undefined;
+  private hasStated = false;
+  private nodeCount = 1;
+  private reportedAt: Instant | undefined;
+  private cancelReport: CancelTimer | undefined;
+  /** Wake the requests that wait for a lease holder. */
+  private readonly waiting = new Set<() => void>();
+  private readonly refusals = new Map<TeamName, RefusalLog>();
+
+  private unansweredLineAt: Instant;
+
+  private constructor(private readonly options: TeamQuotasOptions) {
+    this.unansweredLineAt = options.clock.now();
+    this.gate = TeamQuotaGate.create(options, options.clock.now());
+  }
+
+  static create(options: TeamQuotasOptions): TeamQuotas {
+    return new TeamQuotas(options);
+  }
+
+  /** The quotas in force. */
+  get quotas(): ReadonlyMap<TeamName, QuotaRate> {
+    return this.rates;
+  }
+
+  get rules(): QuotaRules {
+    return this.options.rules;
+  }
+
+  /** Number of nodes that a lease holder has told last; undefined if there was none. */
+  get knownNodeCount(): number | undefined {
+    return this.gate.knownNodeCount;
+  }
+
+  /** Teams about each of whose requests this node asks the lease holder. */
+  get meteredTeams(): readonly TeamName[] {
+    return this.gate.meteredTeams;
+  }
+
+  /** Applies the teams of a new configuration. */
+  applyConfiguration({teams}: RouteConfiguration): void {
+    this.directory =
+      teams === undefined
+        ? undefined
+        : TeamDirectory.create(teams, this.directory);
+    const rates = new Map<TeamName, QuotaRate>();
+    for (const {name, quota} of this.directory?.teams.values() ?? []) {
+      if (quota !== undefined && isLimited(quota)) rates.set(name, quota);
+    }
+    this.rates = rates;
+    this.gate.setQuotas(rates, this.options.clock.now());
+    for (const team of this.refusals.keys()) {
+      if (!rates.has(team)) this.refusals.delete(team);
+    }
+    this.stateOnce();
+  }
+
+  /** Switches to another lease holder; undefined when the last one is lost. */
+  setExchange(exchange: TeamQuotaExchange | undefined): void {
+    this.exchange = exchange;
+    this.hasStated = false;
+    this.gate.loseHolder(this.options.clock.now());
+    this.stateOnce();
+  }
+
+  /** Applies a heartbeat of the lease holder. */
+  applyHeartbeat({nodes, teams}: HeartbeatMessage): void {
+    if (this.exchange === undefined || this.rates.size === 0) return;
+    const now = this.options.clock.now();
+    this.nodeCount = nodes;
+    if (teams === undefined) {
+      this.gate.followUnaware(nodes, now);
+    } else {
+      const changes = decodeTeamChanges(teams);
+      const state = {nodeCount: nodes, report: teams.report, changes};
+      this.gate.applyState(state, now);
+    }
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  /**
+   * Takes the request's cost from its team's quota. Resolves if it may go on, or has ended. Throws
+   * a `RefusalError` with the code `QuotaExceeded` if the quota is used up.
+   */
+  async acquire(request: TeamRequest): Promise<void> {
+    const {team, amount, signal} = request;
+    if (!this.rates.has(team)) return;
+    const {clock} = this.options;
+    let hasWaited = false;
+    if (this.gate.isAlone && this.gate.isNew) {
+      hasWaited = true;
+      await this.waitForHolder(request);
+    }
+    while (!signal.aborted) {
+      const decision = this.gate.decide(team, amount, clock.now());
+      if (decision.kind === 'admitted') {
+        this.scheduleReport();
+        this.options.onOutcome(team, 'admitted');
+        return;
+      }
+      if (decision.kind === 'ask') {
+        const answer = await this.ask(request);
+        if (signal.aborted) return;
+        if (answer.kind === 'granted') {
+          this.options.onOutcome(team, 'admitted');
+          return;
+        }
+        if (answer.kind === 'refused') throw this.refuse(team, answer.retryAt);
+        this.gate.loseHolder(clock.now());
+      } else if (hasWaited) {
+        throw this.refuse(team, decision.retryAt);
+      } else {
+        hasWaited = true;
+        await this.waitForHolder(request);
+      }
+    }
+  }
+
+  /** Asks the lease holder, for a bounded time. A grant that comes too late is given back. */
+  private async ask(request: TeamRequest): Promise<QuotaDecision> {
+    const {team, amount, deadline, signal} = request;
+    const {clock, emit, onOutcome} = this.options;
+    const {exchange} = this;
+    const startedAt = clock.now();
+    if (exchange === undefined) return {kind: 'unowned', retryAt: startedAt};
+    onOutcome(team, 'asked');
+    const waitUntil = earlier(
+      after(startedAt, PERMIT_WAIT_MILLISECONDS),
+      waitLimit(startedAt, deadline),
+    );
+    let isOver = false;
+    const answered = exchange
+      .requestTeamPermit({team, amount, waitUntil})
+      .then(decision => {
+        if (decision.kind !== 'granted') return decision;
+        if (isOver || signal.aborted) this.giveBack(team, amount);
+        else this.gate.recordGranted(team, amount, clock.now());
+        return decision;
+      });
+    let end = (): void => {};
+    const ended = new Promise<QuotaDecision>(resolve => {
+      end = () => resolve({kind: 'unowned', retryAt: clock.now()});
+    });
+    const timeoutAt = after(waitUntil, PERMIT_TIMEOUT_MILLISECONDS);
+    const cancel = clock.schedule(timeoutAt, () => {
+      const now = clock.now();
+      if (now >= this.unansweredLineAt) {
+        this.unansweredLineAt = after(now, LOG_INTERVAL_MILLISECONDS);
+        const waited = Math.round(until(startedAt, now));
+        emit(QUOTA_UNANSWERED, {team, waited});
+      }
+      end();
+    });
+    signal.addEventListener('abort', end, {once: true});
+    try {
+      return await Promise.race([answered, ended]);
+    } finally {
+      isOver = true;
+      cancel();
+      signal.removeEventListener('abort', end);
+    }
+  }
+
+  private giveBack(team: TeamName, amount: number): void {
+    this.gate.recordUnused(team, amount);
+    this.scheduleReport();
+  }
+
+  /** Waits until a lease holder is heard, at most for a part of the request's remaining time. */
+  private waitForHolder({deadline, signal}: TeamRequest): Promise<void> {
+    const {clock} = this.options;
+    const now = clock.now();
+    const waitUntil = earlier(
+      after(now, HOLDER_WAIT_MILLISECONDS),
+      waitLimit(now, deadline),
+    );
+    if (signal.aborted) return Promise.resolve();
+    return new Promise(resolve => {
+      const end = (): void => {
+        this.waiting.delete(end);
+        cancel();
+        signal.removeEventListener('abort', end);
+        resolve();
+      };
+      const cancel = clock.schedule(waitUntil, end);
+      this.waiting.add(end);
+      signal.addEventListener('abort', end, {once: true});
+    });
+  }
+
+  private refuse(team: TeamName, retryAt: Instant): Error {
+    const {clock, emit, onOutcome} = this.options;
+    const now = clock.now();
+    onOutcome(team, 'refused');
+    const log = this.refusals.get(team) ?? {count: 0, nextLineAt: now};
+    this.refusals.set(team, log);
+    log.count += 1;
+    if (now >= log.nextLineAt) {
+      emit(QUOTA_REFUSED, {
+        team,
+        count: log.count,
+        retryIn: Math.round(until(now, retryAt)),
+        hasHolder: !this.gate.isAlone,
+      });
+      log.count = 0;
+      log.nextLineAt = after(now, LOG_INTERVAL_MILLISECONDS);
+    }
+    return createNotRunRefusal(ErrorCode.QuotaExceeded, team, retryAt);
+  }
+
+  /** Tells a new lease holder what it needs to know, once this node has quotas. */
+  private stateOnce(): void {
+    const {exchange} = this;
+    if (exchange === undefined || this.hasStated || this.rates.size === 0)
+      return;
+    this.hasStated = true;
+    const statement = this.gate.takeStatement(this.options.clock.now());
+    exchange.reportTeamUsage(encodeTeamStatement(statement));
+  }
+
+  private scheduleReport(): void {
+    if (this.cancelReport !== undefined || this.exchange === undefined) return;
+    const {clock} = this.options;
+    const interval = Math.max(
+      REPORT_INTERVAL_MILLISECONDS,
+      this.nodeCount * REPORT_INTERVAL_MILLISECONDS_PER_NODE,
+    );
+    const now = clock.now();
+    const at =
+      this.reportedAt === undefined ? now : after(this.reportedAt, interval);
+    this.cancelReport = clock.schedule(at, () => this.report());
+  }
+
+  private report(): void {
+    this.cancelReport = undefined;
+    const {exchange} = this;
+    if (exchange === undefined || !this.hasStated) return;
+    const report = this.gate.takeReport();
+    if (report === undefined) return;
+    this.reportedAt = this.options.clock.now();
+    exchange.reportTeamUsage(encodeTeamReport(report));
+  }
+}
+
+/** A quota without a rate or a burst is none. */
+function isLimited({perSecond, burst}: TeamQuota): boolean {
+  return perSecond > 0 && Number.isFinite(perSecond) && Number.isFinite(burst);
+}
+
+function waitLimit(now: Instant, deadline: Instant): Instant {
+  return after(now, Math.max(0, until(now, deadline) * WAIT_PART));
+}
