--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -106,6 +106,8 @@
 import {PlatformView} from './platform_view.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
 import {ProxiedRequest, SERVED} from './proxied_request.js';
+import {TeamQuotas} from './team_quotas.js';
+import {createTeamQuotaMetrics} from './team_quota_metrics.js';
 import {listenForReadiness} from './readiness_listener.js';
 import {refusalResponse} from './refusal_response.js';
 import {statementOfRefusal} from './relayed_send.js';
@@ -335,6 +337,20 @@
       this.budget,
     );
     this.onRefused = metrics.onRefused;
+    const teamQuotas = TeamQuotas.create({
+      rules: {
+        windowMilliseconds: this.rules.quota_window_seconds * 1_000,
+        overage: this.rules.quota_overage,
+        tolerance: this.rules.quota_tolerance,
+      },
+      clock,
+      random,
+      emit,
+      ...createTeamQuotaMetrics(
+        kernel.inject(METRICS),
+        () => teamQuotas.meteredTeams,
+      ),
+    });
     const quarantine = CrashQuarantine.create({
       clock,
       emit,
@@ -412,6 +428,7 @@
         failureDomain,
       },
       eventGaps,
+      teamQuotas,
       quarantine,
       continuity: this.continuity,
       limits: this.limits,
@@ -448,6 +465,7 @@
       isListed: endpoint => isListed(this.table, endpoint),
       inFlightCounts,
       eventGaps,
+      teamQuotas,
       limits: this.limits,
       pauses: this.pauses,
       leaving: this.leaving,
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -40,6 +40,7 @@
 import type {RetryDecision} from './retry_decision.js';
 import {decideRetry} from './retry_decision.js';
 import {StreamBinding} from './stream_binding.js';
+import {requestCost} from './team_quotas.js';
 import {waitForView} from './wait_for_view.js';
 
 export type {ProxiedRequestDependencies} from './proxied_request_dependencies.js';
@@ -133,6 +134,7 @@
         configuration.limits.maximumBodyBytes,
         this.dependencies.view.areRoutesCurrent,
       );
+      await this.acquireQuota();
       if (service !== undefined) {
         const {currentDeadline} = state;
         await binding.requireOrigin(service, currentDeadline, ending.signal);
@@ -154,6 +156,22 @@
     }
   }
 
+  /** Takes the cost of the request from its team's quota; the first node does for a relayed one. */
+  private async acquireQuota(): Promise<void> {
+    const {caller, exchange, metadata, currentDeadline: deadline} = this.state;
+    if (caller.kind !== 'team' || exchange.relayed !== undefined) return;
+    const {name: team, quota} = caller.team;
+    if (quota === undefined) return;
+    const amount = requestCost(quota, metadata);
+    const {signal} = this.ending;
+    await this.dependencies.teamQuotas.acquire({
+      team,
+      amount,
+      deadline,
+      signal,
+    });
+  }
+
   /** Ends the request because the process is shutting down; see {@link RequestEnding.abandon}. */
   abandon(): void {
     this.ending.abandon();
--- a/packages/gateway/src/proxied_request_dependencies.ts
+++ b/packages/gateway/src/proxied_request_dependencies.ts
@@ -27,6 +27,7 @@
 import type {PlatformView} from './platform_view.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {RetryDecision} from './retry_decision.js';
+import type {TeamQuotas} from './team_quotas.js';
 
 /** Dependencies of the modules that serve a proxied request. */
 export interface ProxiedRequestDependencies extends ContainmentDependencies {
@@ -40,6 +41,7 @@
   readonly findEndpoint: (id: EndpointId) => EndpointDescription | undefined;
   readonly inFlightCounts: InFlightCounts;
   readonly eventGaps: EventGapCounts;
+  readonly teamQuotas: TeamQuotas;
   readonly limits: EndpointLimits;
   readonly pauses: EndpointPauses;
   readonly leaving: LeavingEndpoints;
