Read pipelined requests in turn, and bound the connections of clients

Cause: Node.js parses and answers all that one read of a connection holds (2,000 requests in 64 KiB) before anything else runs, whether or not the client reads. Ten such connections kept a node from serving others, or took its memory and descriptors. Connections had no bound. A paced socket also read on while it held bytes back, as each slice that it passed on made the stream read again.

Change: RequestGate passes one head at a time to the parser, a second one ahead of its response, and further ones in turn with other connections (RequestTurns, 8 a turn of the event loop); nothing while the client doesn't read. BoundedConnections closes connections above a total and a number per address (settings listen.connections and listen.connections_per_address, by default 4 for each megabyte and three quarters of them), and those whose clients take nothing for 30 s. Used by the listeners of callers, relays, readiness and metrics. The readiness listener no longer uses Fastify. Event 7075 and two counters report the limits.

--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -28,6 +28,21 @@
 export {probeEndpoint, probeResponse} from './probe_endpoint.js';
 export type {FlowControl, ReceiveMeter} from './receive_scheduler.js';
 export {ReceiveScheduler} from './receive_scheduler.js';
+export type {
+  ClientLimit,
+  ConnectionLimits,
+  ConnectionUse,
+} from './bounded_connections.js';
+export {BoundedConnections} from './bounded_connections.js';
+export {HeadScanner} from './head_scanner.js';
+export type {
+  ListenerBoundsOptions,
+  OnClientLimited,
+} from './listener_bounds.js';
+export {ListenerBounds} from './listener_bounds.js';
+export type {RequestGateOptions} from './request_gate.js';
+export {MAXIMUM_OPEN_REQUESTS, RequestGate} from './request_gate.js';
+export {RequestTurns} from './request_turns.js';
 export {watchForReset} from './reset_detection.js';
 export {PacedSocket, SocketPacer} from './socket_pacer.js';
 export {isSocketAddress} from './socket_address.js';
--- a/packages/forwarding/src/socket_pacer.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -6,15 +6,18 @@
   ReceiveMeter,
   ReceiveScheduler,
 } from './receive_scheduler.js';
+import type {ReceiveGate, RequestGate} from './request_gate.js';
 
 /** Bytes that are parsed at once; a read of the socket returns up to 65,536. */
-const SLICE_BYTES = 4_096;
+export const SLICE_BYTES = 4_096;
 
 /** Options of {@link PacedSocket}. */
 export interface PacedSocketOptions {
   /** Most bytes that are passed on at once. */
   readonly sliceBytes: number;
   readonly onFirstPause?: () => void;
+  /** Decides how much of a slice is passed on; all of it if there is no gate. */
+  readonly gate?: ReceiveGate | undefined;
 }
 
 /**
@@ -34,6 +37,11 @@
   ) {
     this.push = socket.push.bind(socket);
     socket.push = (bytes: Buffer | null) => this.receive(bytes);
+    const read = socket._read.bind(socket);
+    // Each slice that is passed on makes the stream read again, also while others are held.
+    socket._read = size => {
+      if (this.held.length === 0) read(size);
+    };
   }
 
   /** Makes `socket` pass on what it receives through the returned object. */
@@ -44,9 +52,14 @@
   /** False if the socket should not be read. */
   private receive(bytes: Buffer | null): boolean {
     this.held.push(bytes);
-    return this.passOn();
+    return this.passOn(this.held.length === 1);
   }
 
+  /** Passes on what the gate admits now. */
+  readonly continueReceipt = (): void => {
+    this.passOn(false);
+  };
+
   pause(): void {
     this.isInTurn = false;
     if (!this.hasBeenPaused) this.options.onFirstPause?.();
@@ -55,21 +68,29 @@
 
   resume(): void {
     this.isInTurn = true;
-    this.passOn();
+    this.passOn(false);
   }
 
-  private passOn(): boolean {
-    const {sliceBytes} = this.options;
+  /** False if the socket should not be read; `isFirst` if the first bytes have just been read. */
+  private passOn(isFirst: boolean): boolean {
+    const {sliceBytes, gate} = this.options;
     let canContinue = true;
+    let isNew = isFirst;
     while (this.isInTurn && !this.socket.destroyed) {
-      const bytes = this.held.shift();
+      const [bytes] = this.held;
       if (bytes === undefined) return canContinue;
-      if (bytes === null || bytes.length <= sliceBytes) {
-        canContinue = this.push(bytes);
-      } else {
-        this.held.unshift(bytes.subarray(sliceBytes));
-        canContinue = this.push(bytes.subarray(0, sliceBytes));
+      if (bytes === null) {
+        this.held.shift();
+        canContinue = this.push(null);
+        continue;
       }
+      const slice = bytes.subarray(0, sliceBytes);
+      const count = gate?.admit(slice, isNew) ?? slice.length;
+      if (count === 0) return false;
+      isNew = false;
+      if (count === bytes.length) this.held.shift();
+      else this.held[0] = bytes.subarray(count);
+      canContinue = this.push(slice.subarray(0, count));
     }
     return false;
   }
@@ -97,13 +118,15 @@
     return this.meters.get(socket) ?? this.pace(socket);
   }
 
-  /** Paces a connection from now on; returns its meter. */
-  pace(socket: Socket): ReceiveMeter {
+  /** Paces a connection from now on, and lets its gate hold it back; returns its meter. */
+  pace(socket: Socket, gate?: RequestGate): ReceiveMeter {
     const {remoteAddress, remotePort} = socket;
     const paced = PacedSocket.create(socket, {
       sliceBytes: SLICE_BYTES,
       onFirstPause: () => this.onPaced(`${remoteAddress}:${remotePort}`),
+      gate,
     });
+    gate?.onContinue(paced.continueReceipt);
     const meter = this.scheduler.createMeter(paced);
     this.meters.set(socket, meter);
     socket.once('close', () => meter.end());
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -11,9 +11,13 @@
 import type {
   BufferBudget,
   BufferHolder,
+  ConnectionLimits,
+  OnClientLimited,
   RawHeaders,
+  RequestTurns,
   SocketPacer,
 } from '@siskinmux/forwarding';
+import {ListenerBounds} from '@siskinmux/forwarding';
 import type {Clock, Milliseconds} from '@siskinmux/kernel';
 import {InvariantViolatedError, after} from '@siskinmux/kernel';
 import type {RelayedProgress} from '@siskinmux/relay';
@@ -85,6 +89,8 @@
   private constructor(
     private readonly application: NestFastifyApplication,
     private readonly server: Server,
+    private readonly bounds: ListenerBounds,
+    private readonly clock: Clock,
   ) {}
 
   /** Starts the server. */
@@ -96,6 +102,9 @@
     readRelayed: ReadRelayed;
     pacer: SocketPacer;
     budget: BufferBudget;
+    turns: RequestTurns;
+    limits: ConnectionLimits;
+    onLimited: OnClientLimited;
   }): Promise<CallerListener> {
     const adapter = new FastifyAdapter({
       // Routes every request to the one controller, even if its path is not a valid URL.
@@ -106,11 +115,12 @@
     const {handle, clock, readRelayed} = options;
     const server = adapter.getHttpServer() as Server;
     server.on('timeout', closeUnlessRead);
+    const bounds = ListenerBounds.create({...options, server});
     const handler = ExchangeHandler.create(
       handle,
       clock,
       readRelayed,
-      receiveBodies(server, options),
+      receiveBodies(server, bounds, options),
     );
     const module = {
       module: class GatewayModule {},
@@ -127,7 +137,7 @@
     instance.removeAllContentTypeParsers();
     instance.addContentTypeParser('*', (_request, _body, done) => done(null));
     await application.listen(options.port, options.host);
-    return new CallerListener(application, server);
+    return new CallerListener(application, server, bounds, clock);
   }
 
   /** Sets how long callers may keep a connection idle. */
@@ -140,6 +150,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** Closes connections whose callers don't read. */
+  closeUnread(): void {
+    this.bounds.closeUnread(this.clock.now());
+  }
+
   /** Stops accepting connections and closes idle ones. */
   async close(): Promise<void> {
     await this.application.close();
@@ -167,16 +182,19 @@
 /** Receives the bodies of a server's requests, at the pace of their connections. */
 function receiveBodies(
   server: Server,
+  bounds: ListenerBounds,
   {pacer, budget, clock}: BodyReceiptOptions,
 ): (request: IncomingMessage) => CallerBody {
   const bodies = new WeakMap<IncomingMessage, CallerBody>();
   const holders = new WeakMap<Socket, Set<BufferHolder>>();
   server.on('connection', (socket: Socket) => {
+    const gate = bounds.accept(socket);
+    if (gate === undefined) return;
     const held = new Set<BufferHolder>();
     holders.set(socket, held);
     // The responses to pipelined requests that have not begun do not report the close.
     socket.once('close', () => held.forEach(holder => holder.release()));
-    pacer.pace(socket);
+    pacer.pace(socket, gate);
     // Without a listener, Node.js parses the bytes before they reach the stream.
     socket.on('data', () => {});
   });
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -374,6 +374,15 @@
     'The bodies and events that this node holds take half of their memory or less, after `buffers-full`.',
 };
 
+/** A limit on what clients take of this node has taken effect. */
+export const CLIENT_LIMITED: EventDescriptor = {
+  number: 7075,
+  name: 'client-limited',
+  level: 'warn',
+  meaning:
+    'A `listener` has closed the connection of a client, or holds it back, by a `limit`. `connections`, `connections_per_address`: there were more than the settings allow, and this one was closed. `unread`: closed, as the client took nothing of its responses for 30 s. `read_ahead`: the client has sent more requests than are read ahead of their responses; the others stay unread until one has ended. `peer_messages`: another node’s connection was closed, as the messages that it has begun, or doesn’t read, take too much memory. `address` is that of the client. One line for each listener and limit within 10 s; `unlogged` is how often it took effect since the last line.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -418,6 +427,7 @@
   CONNECTION_PACED,
   BUFFERS_FULL,
   BUFFERS_FREE,
+  CLIENT_LIMITED,
   ...CONTINUITY_EVENTS,
   ...REACH_EVENTS,
 ] as const;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -8,13 +8,14 @@
 } from '@siskinmux/adapters';
 import type {EndpointTableChange} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
-import type {ProbeResult} from '@siskinmux/forwarding';
+import type {ConnectionLimits, ProbeResult} from '@siskinmux/forwarding';
 import {
   BufferBudget,
   EndpointConnectionPool,
   IDLE_SWEEP_INTERVAL_MILLISECONDS,
   MAXIMUM_IDLE_CONNECTIONS,
   ReceiveScheduler,
+  RequestTurns,
   SocketPacer,
   probeEndpoint,
   probeResponse,
@@ -64,12 +65,12 @@
   RANDOM,
   createPeriodicJob,
 } from '@siskinmux/runtime';
-import type {FastifyInstance} from 'fastify';
 import {ActiveRoutes} from './active_routes.js';
 import type {CallerExchange} from './caller_exchange.js';
 import {RESET_DELAY_MILLISECONDS} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
 import {readGatewaySettings} from './check_settings.js';
+import {ClientLimitReports, connectionLimits} from './client_limits.js';
 import {ClusterLoad} from './cluster_load.js';
 import type {CrashId} from '@siskinmux/containment';
 import {
@@ -105,6 +106,7 @@
 import {PlatformView} from './platform_view.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
 import {ProxiedRequest, SERVED} from './proxied_request.js';
+import type {ReadinessListener} from './readiness_listener.js';
 import {listenForReadiness} from './readiness_listener.js';
 import {refusalResponse} from './refusal_response.js';
 import {statementOfRefusal} from './relayed_send.js';
@@ -199,7 +201,11 @@
   private callerListener: CallerListener | undefined;
   /** Takes the requests that other nodes relay. */
   private relayListener: CallerListener | undefined;
-  private readinessServer: FastifyInstance | undefined;
+  private readinessListener: ReadinessListener | undefined;
+  private readonly clientLimitReports: ClientLimitReports;
+  private readonly connectionLimits: ConnectionLimits;
+  /** Shared by callers and relayed requests. */
+  private readonly turns = RequestTurns.create(setImmediate);
   private readonly openRequests = new Set<ProxiedRequest>();
   private openExchangeCount = 0;
   private nodeCount = 1;
@@ -224,6 +230,15 @@
       kernel.inject(EMIT_EVENT),
     );
     this.listen = settings.listen;
+    this.clientLimitReports = ClientLimitReports.create(
+      kernel.inject(METRICS),
+      clock,
+      this.emit,
+    );
+    this.connectionLimits = connectionLimits(
+      settings.listen,
+      settings.capacity.memory_megabytes,
+    );
     this.rules = settings.rules;
     const {address} = settings.store;
     const {capacity} = settings;
@@ -481,9 +496,10 @@
   async start(): Promise<void> {
     const {clock} = this;
     await this.kernel.start();
-    this.readinessServer = await listenForReadiness({
+    this.readinessListener = await listenForReadiness({
       ...parseSocketAddress(this.listen.readiness),
       isReady: () => !this.isStopping && this.platformView.isLoaded,
+      onLimited: this.clientLimitReports.of('readiness'),
     });
     this.callerListener = await CallerListener.create({
       ...parseSocketAddress(this.listen.callers),
@@ -492,6 +508,9 @@
       readRelayed: () => undefined,
       pacer: this.pacer,
       budget: this.budget,
+      turns: this.turns,
+      limits: this.connectionLimits,
+      onLimited: this.clientLimitReports.of('callers'),
     });
     const relays = relayAddress(this.listen);
     this.relayListener = await CallerListener.create({
@@ -502,6 +521,9 @@
       readRelayed: decodeProgress,
       pacer: this.pacer,
       budget: this.budget,
+      turns: this.turns,
+      limits: this.connectionLimits,
+      onLimited: this.clientLimitReports.of('relays'),
     });
     this.relayListener.setIdleTimeout(RELAY_IDLE_MILLISECONDS);
     await this.placement.start();
@@ -522,6 +544,8 @@
       ...this.listen,
       peers: undefined,
       relays: undefined,
+      connections: undefined,
+      connections_per_address: undefined,
       codeCache: this.options.codeCache,
     });
   }
@@ -619,6 +643,9 @@
   private closeExpiredConnections(): void {
     this.connections.closeExpired();
     this.peerConnections.closeExpired();
+    this.callerListener?.closeUnread();
+    this.relayListener?.closeUnread();
+    this.readinessListener?.bounds.closeUnread(this.clock.now());
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -20,6 +20,10 @@
     relays: z
       .strictObject({address: addressSchema, port: portSchema})
       .optional(),
+    /** Most open connections of callers, and of other nodes; by default four for each megabyte. */
+    connections: z.number().int().positive().optional(),
+    /** Most of them from one address; by default three quarters. */
+    connections_per_address: z.number().int().positive().optional(),
   }),
 );
 
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,9 +1,11 @@
 /** Prometheus metrics through prom-client, served on a separate port. */
 
+import type {ConnectionLimits} from '@siskinmux/forwarding';
+import {ListenerBounds, RequestTurns} from '@siskinmux/forwarding';
 import type {Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
 import {fastify} from 'fastify';
-import {Registry, collectDefaultMetrics} from 'prom-client';
+import {Counter, Registry, collectDefaultMetrics} from 'prom-client';
 import {z} from 'zod';
 import {
   addressSchema,
@@ -11,6 +13,9 @@
   settingsSection,
 } from './settings_section.js';
 
+/** A collector keeps one connection; several may be configured. */
+const CONNECTION_LIMITS: ConnectionLimits = {total: 32, perAddress: 16};
+
 /** Injection key of the registry in which plug-ins register their metrics. */
 export const METRICS = injectionKey<Registry>('metrics');
 
@@ -45,7 +50,19 @@
       collectDefaultMetrics({register: registry, prefix: 'siskinmux_'});
     }
     kernel.provide(METRICS, registry);
+    const limitedTotal = new Counter({
+      name: 'siskinmux_metrics_client_limits_total',
+      help: 'Connections of this server that a limit closed or held back, by limit',
+      labelNames: ['limit'],
+      registers: [registry],
+    });
     const server = fastify({forceCloseConnections: true});
+    ListenerBounds.create({
+      server: server.server,
+      turns: RequestTurns.create(setImmediate),
+      limits: CONNECTION_LIMITS,
+      onLimited: limit => limitedTotal.inc({limit}),
+    }).boundAll();
     server.get('/metrics', async (_request, reply) => {
       void reply.type(registry.contentType);
       return registry.metrics();
