--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -410,6 +410,15 @@
     'The lease holder has not decided on a request of a `team` within `waited` milliseconds. This node admits by its share of the quotas until the next heartbeat of the holder. One line in 10 s at most.',
 };
 
+/** A limit on what clients take of this node has taken effect. */
+export const CLIENT_LIMITED: EventDescriptor = {
+  number: 7075,
+  name: 'client-limited',
+  level: 'warn',
+  meaning:
+    'A `listener` has closed the connection of a client, or holds it back, by a `limit`. `connections`, `connections_per_address`: there were more than the settings allow, and this one was closed. `unread`: closed, as the client took nothing of its responses for 30 s. `read_ahead`: the client has sent more requests than are read ahead of their responses; the others stay unread until one has ended. `peer_messages`: another node’s connection was closed, as the messages that it has begun, or doesn’t read, take too much memory. `address` is that of the client. One line for each listener and limit within 10 s; `unlogged` is how often it took effect since the last line.',
+};
+
 /** All events of this package. */
 export const GATEWAY_EVENTS = [
   REQUEST_ENDED,
@@ -458,6 +467,7 @@
   TEAM_METERED,
   QUOTA_REFUSED,
   QUOTA_UNANSWERED,
+  CLIENT_LIMITED,
   ...CONTINUITY_EVENTS,
   ...REACH_EVENTS,
 ] as const;
