Count engines as slow only where their gaps put the objective of a route at risk

Change: the slowness of an engine counts from a fifth of the objective for the gap between two events; the heartbeat carries slow engines only.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -41,7 +41,7 @@
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {KindRead} from './change_feed.js';
 import {ChangeFeed, encodeFeedUpdate} from './change_feed.js';
-import type {EndpointGap, EndpointLoad} from './cluster_load.js';
+import type {EndpointLoad, EngineSlowness} from './cluster_load.js';
 import type {EndpointLimit, EndpointLimits} from './endpoint_limits.js';
 import {Follower} from './follower.js';
 import type {LeavingEndpoints, LeavingStatement} from './leaving_endpoints.js';
@@ -496,17 +496,17 @@
     return {...heartbeat, teams: teamQuotas?.stateFor(self)};
   }
 
-  /** The pace of engines with every tenth heartbeat, as it changes slowly. */
-  private takePaceReport(): {gaps?: EndpointGap[]} {
+  /** The slow engines with every tenth heartbeat, as they change slowly. */
+  private takePaceReport(): {slow?: EngineSlowness[]} {
     this.heartbeatCount += 1;
     if (this.heartbeatCount % HEARTBEATS_PER_PACE_REPORT !== 0) return {};
-    const gaps = [...this.allocators.values()].flatMap(({eventGaps}) =>
-      [...eventGaps].map(([engine, gap]): EndpointGap => [
+    const slow = [...this.allocators.values()].flatMap(({slowEngines}) =>
+      [...slowEngines].map(([engine, slowness]): EngineSlowness => [
         engine,
-        Math.round(gap),
+        Number(slowness.toFixed(2)),
       ]),
     );
-    return gaps.length === 0 ? {} : {gaps};
+    return {slow};
   }
 
   /** Requests in flight by engine; empty in a small cluster, where each node's own counts suffice. */
--- a/packages/gateway/src/cluster_load.ts
+++ b/packages/gateway/src/cluster_load.ts
@@ -10,11 +10,14 @@
 /** Age at which a report is stale; three reports arrive in this time. */
 const STALE_AFTER_MILLISECONDS: Milliseconds = 1_000;
 
-/** Age at which the gaps between events are outdated; several reports arrive in this time. */
-const GAPS_STALE_AFTER_MILLISECONDS: Milliseconds = 15_000;
+/** Age at which what is known of slow engines is outdated; several reports arrive in this time. */
+const SLOWNESS_STALE_AFTER_MILLISECONDS: Milliseconds = 15_000;
 
-/** Mean gap between two events at one endpoint, as encoded in messages between nodes. */
-export type EndpointGap = [endpoint: string, milliseconds: number];
+/**
+ * Mean gap between two events at a slow engine, relative to the greatest that isn't slow, as encoded
+ * in messages between nodes.
+ */
+export type EngineSlowness = [engine: string, slowness: number];
 
 /** In-flight requests at one endpoint, as encoded in messages between nodes. */
 export type EndpointLoad = [endpoint: string, requests: number];
@@ -30,7 +33,7 @@
   private reported = new Map<string, ReportedCount>();
   private expiresAt: Instant | undefined;
   private slowness = new Map<string, number>();
-  private gapsExpireAt: Instant | undefined;
+  private slownessExpiresAt: Instant | undefined;
 
   private constructor(
     private readonly clock: Clock,
@@ -69,20 +72,20 @@
     return Math.max(0, total + this.inFlightCounts.at(endpoint) - ownAtReport);
   }
 
-  /** Replaces the mean gaps between events; an endpoint that is not listed counts as typical. */
-  updateGaps(gaps: readonly EndpointGap[]): void {
-    const sum = gaps.reduce((total, [, gap]) => total + gap, 0);
-    const typical = Math.max(1, sum / Math.max(1, gaps.length));
-    this.gapsExpireAt = after(this.clock.now(), GAPS_STALE_AFTER_MILLISECONDS);
-    this.slowness = new Map(
-      gaps.map(([endpoint, gap]) => [endpoint, gap / typical]),
+  /** Replaces what is known of slow engines; one that is not listed isn't slow. */
+  updateSlowness(slow: readonly EngineSlowness[]): void {
+    this.slownessExpiresAt = after(
+      this.clock.now(),
+      SLOWNESS_STALE_AFTER_MILLISECONDS,
     );
+    this.slowness = new Map(slow);
   }
 
-  /** Mean gap between events at an endpoint, relative to that of all; 1 if it is unknown. */
-  slownessOf(endpoint: EndpointId): number {
+  /** How slow an engine is; 1 if it isn't, or that is unknown. */
+  slownessOf(engine: EndpointId): number {
     const isKnown =
-      this.gapsExpireAt !== undefined && this.clock.now() < this.gapsExpireAt;
-    return (isKnown ? this.slowness.get(endpoint) : undefined) ?? 1;
+      this.slownessExpiresAt !== undefined &&
+      this.clock.now() < this.slownessExpiresAt;
+    return (isKnown ? this.slowness.get(engine) : undefined) ?? 1;
   }
 }
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -481,8 +481,8 @@
     const {nodes, loads, loadsAtOnce, loadAges} = heartbeat;
     const {choice, clock, onNodeCount} = this.options;
     if (loads.length > 0) choice.clusterLoad.update(loads);
-    if (heartbeat.gaps !== undefined)
-      choice.clusterLoad.updateGaps(heartbeat.gaps);
+    if (heartbeat.slow !== undefined)
+      choice.clusterLoad.updateSlowness(heartbeat.slow);
     this.options.teamQuotas?.applyHeartbeat(heartbeat);
     this.client.setNodeCount(nodes);
     onNodeCount(nodes);
--- a/packages/gateway/src/placement_messages.ts
+++ b/packages/gateway/src/placement_messages.ts
@@ -153,10 +153,10 @@
    */
   loads: z.array(z.tuple([name, count])).default([]),
   /**
-   * Engines, each with the mean milliseconds between two events of its streams; missing from most
-   * heartbeats, which leaves what is known unchanged.
+   * Slow engines with their slowness; missing from most heartbeats, which leaves what is known
+   * unchanged.
    */
-  gaps: z.array(z.tuple([name, z.number()])).optional(),
+  slow: z.array(z.tuple([name, z.number().positive()])).optional(),
   /**
    * The last pulse of the follower that had arrived when this was written, which bounds the
    * time that it took; missing from holders of earlier versions.
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -20,7 +20,7 @@
 import type {EngineDeclaration} from '@siskinmux/routes';
 import type {AdapterGrant} from './adapter_cache.js';
 import {AdapterCache} from './adapter_cache.js';
-import {EnginePace} from './engine_pace.js';
+import {EnginePace, slownessOf} from './engine_pace.js';
 import type {EngineOrderClient, OrderAuthority} from './engine_order_client.js';
 import {EngineReportReader} from './engine_report_reader.js';
 import {EngineView} from './engine_view.js';
@@ -237,9 +237,14 @@
     return this.demand.inFlightByEngine;
   }
 
-  /** Mean gaps between the events of streams, for the engines of which enough are known. */
-  get eventGaps(): ReadonlyMap<EndpointId, Milliseconds> {
-    return this.pace.gaps(this.options.clock.now());
+  /** Slowness of the engines whose mean gap between events puts the objective of a route at risk. */
+  get slowEngines(): ReadonlyMap<EndpointId, number> {
+    const slow = new Map<EndpointId, number>();
+    for (const [engine, gap] of this.pace.gaps(this.options.clock.now())) {
+      const slowness = slownessOf(gap, this.gapObjective);
+      if (slowness > 1) slow.set(engine, slowness);
+    }
+    return slow;
   }
 
   /**
--- a/packages/placement/src/engine_pace.ts
+++ b/packages/placement/src/engine_pace.ts
@@ -90,19 +90,31 @@
 }
 
 /**
- * Seconds that the streams of a model spend at an engine beyond those at one with the typical gap,
- * over the time for which the model is expected to stay there; negative at a faster engine.
+ * Share of the objective for the gap between two events that the mean gap of an engine may reach
+ * before the engine counts as slow: the longest gap of a stream is several times the mean one, as
+ * the prompts of other requests are read in between.
  */
-export function placementSeconds(
+const TOLERATED_GAP_SHARE = 0.2;
+
+/** Mean gap of an engine relative to the greatest one that isn't slow; 1 if it is unknown. */
+export function slownessOf(
+  gap: Milliseconds | undefined,
+  gapObjective: Milliseconds | undefined,
+): number {
+  if (gap === undefined || gapObjective === undefined) return 1;
+  return Math.max(1, gap / (gapObjective * TOLERATED_GAP_SHARE));
+}
+
+/**
+ * Seconds by which the streams of a model take longer at a slow engine than at one that is just not
+ * slow, over the time for which the model is expected to stay there.
+ */
+export function slowSeconds(
   arrivalsPerSecond: number,
-  gap: Milliseconds,
-  typicalGap: Milliseconds,
+  slowness: number,
+  gapObjective: Milliseconds,
 ): number {
-  return (
-    (arrivalsPerSecond *
-      PLACEMENT_SECONDS *
-      EVENTS_PER_STREAM *
-      (gap - typicalGap)) /
-    MILLISECONDS_PER_SECOND
-  );
+  const streams = arrivalsPerSecond * PLACEMENT_SECONDS;
+  const excess = (slowness - 1) * gapObjective * TOLERATED_GAP_SHARE;
+  return (streams * EVENTS_PER_STREAM * excess) / MILLISECONDS_PER_SECOND;
 }
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -17,7 +17,7 @@
   ServiceModel,
   WeightTier,
 } from '@siskinmux/routes';
-import {placementSeconds} from './engine_pace.js';
+import {slowSeconds, slownessOf} from './engine_pace.js';
 import type {EngineView, PlacedModel} from './engine_view.js';
 import type {ServiceDemand} from './service_demand.js';
 
@@ -91,21 +91,14 @@
  */
 const LIMIT_USE_SHARE = 0.5;
 
-/**
- * Share of the objective for the gap between two events that the mean gap of an engine may reach
- * before its models are moved to faster engines: the longest gap of a stream is several times the
- * mean one, as other requests' prompts are read in between.
- */
-const SLOW_GAP_SHARE = 0.2;
-
 /**
  * Arrival rate from which a model is moved; a rarely used one is soon evicted anyway, and its move
  * would evict another that is used as often.
  */
 const MOVED_FROM_ARRIVALS_PER_SECOND = 2;
 
-/** A faster engine has at most this share of the mean gap. */
-const FASTER_GAP_SHARE = 0.7;
+/** A faster engine has at most this share of the slowness. */
+const FASTER_SHARE = 0.7;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -197,19 +190,12 @@
   private readonly loadableCopies = new Map<ModelName, number>();
   private remainingStoreLoads: number;
   private readonly hasLimitedEngines: boolean;
-  /** Mean gap between two events, over the engines for which it is known; 0 if there are none. */
-  private readonly typicalGap: Milliseconds;
 
   constructor(private readonly input: ModelPlanInput) {
     this.remainingStoreLoads = input.availableStoreLoads;
     this.hasLimitedEngines = input.engines.some(
       ({requestLimit}) => requestLimit !== undefined,
     );
-    const gaps = input.engines.flatMap(
-      ({eventGapMilliseconds: gap}) => gap ?? [],
-    );
-    this.typicalGap =
-      gaps.reduce((sum, gap) => sum + gap, 0) / Math.max(1, gaps.length);
     for (const engine of input.engines) {
       const {models, pendingLoad} = engine;
       if (engine.isDraining) continue;
@@ -438,26 +424,26 @@
    * known before the next.
    */
   private moveToFasterEngine(): void {
-    const {gapObjective, declaration, demand, now} = this.input;
-    if (gapObjective === undefined || this.typicalGap === 0) return;
+    const {declaration, demand, now} = this.input;
     let best: {model: ModelName; candidate: LoadCandidate} | undefined;
     for (const model of declaration.models.keys()) {
-      const gap = this.shortestGap(model);
-      if (gap === undefined || gap < gapObjective * SLOW_GAP_SHARE) continue;
+      const slowness = this.leastSlowness(model);
+      if (slowness === undefined || slowness <= 1) continue;
       const rate = demand.arrivalsPerSecond(model, now);
       if (rate < MOVED_FROM_ARRIVALS_PER_SECOND) continue;
       const candidate = this.cheapestCandidate(
         model,
         0,
         BUSY_RULES,
-        ({eventGapMilliseconds: other}) =>
-          other !== undefined && other <= gap * FASTER_GAP_SHARE,
+        engine =>
+          engine.eventGapMilliseconds !== undefined &&
+          this.slownessAt(engine) <= slowness * FASTER_SHARE,
       );
       if (candidate === undefined || candidate.tier === 'store') continue;
       // The evicted models exchange their places with this one, or find no better one.
       const cost = candidate.unload.reduce(
-        (sum, placed) => sum + this.placementSeconds(placed.model, gap),
-        candidate.cost - placementSeconds(rate, gap, this.typicalGap),
+        (sum, placed) => sum + this.slowSeconds(placed.model, slowness),
+        candidate.cost - this.slowSeconds(model, slowness),
       );
       if (cost < 0 && (best === undefined || cost < best.candidate.cost))
         best = {model, candidate: {...candidate, cost}};
@@ -466,17 +452,23 @@
   }
 
   /**
-   * The shortest mean gap among the engines that have a model ready; undefined if one of them is
-   * unknown, or another change of the model is in progress.
+   * The least slowness among the engines that have a model ready; undefined if the pace of one of
+   * them is unknown, or a change of the model is in progress.
    */
-  private shortestGap(model: ModelName): Milliseconds | undefined {
+  private leastSlowness(model: ModelName): number | undefined {
     if (this.isPlanned(model)) return undefined;
     const engines = this.enginesWith(model);
-    if (engines.some(engine => !engine.isReady(model))) return undefined;
-    const gaps = engines.flatMap(({eventGapMilliseconds: gap}) => gap ?? []);
-    return gaps.length < engines.length || gaps.length === 0
+    const isUnknown = engines.some(
+      engine =>
+        !engine.isReady(model) || engine.eventGapMilliseconds === undefined,
+    );
+    return isUnknown || engines.length === 0
       ? undefined
-      : Math.min(...gaps);
+      : Math.min(...engines.map(engine => this.slownessAt(engine)));
+  }
+
+  private slownessAt({eventGapMilliseconds}: EngineView): number {
+    return slownessOf(eventGapMilliseconds, this.input.gapObjective);
   }
 
   /** Loads models that no engine has a copy of, without evicting models in use. */
@@ -584,10 +576,10 @@
     const adapterWait = engine.hasGrantedAdapters(this.input.now)
       ? ADAPTER_WAIT_SECONDS
       : 0;
-    const gap = engine.eventGapMilliseconds ?? this.typicalGap;
-    const pacedSeconds = unload.reduce(
-      (sum, placed) => sum - this.placementSeconds(placed.model, gap),
-      this.placementSeconds(declared.name, gap),
+    const slowness = this.slownessAt(engine);
+    const slowCost = unload.reduce(
+      (sum, placed) => sum - this.slowSeconds(placed.model, slowness),
+      this.slowSeconds(declared.name, slowness),
     );
     const limitCost =
       engine.requestLimit === undefined ? 0 : LIMITED_ENGINE_SECONDS;
@@ -601,7 +593,7 @@
         blockedSeconds +
         copyBalance +
         adapterWait +
-        pacedSeconds +
+        slowCost +
         limitCost,
     };
   }
@@ -630,12 +622,13 @@
     return free >= megabytes ? evicted : undefined;
   }
 
-  /** What the pace of an engine costs the streams of a model, compared with a typical engine. */
-  private placementSeconds(model: ModelName, gap: Milliseconds): number {
-    const {demand, now} = this.input;
+  /** What the slowness of an engine costs the streams of a model. */
+  private slowSeconds(model: ModelName, slowness: number): number {
+    const {demand, now, gapObjective} = this.input;
+    if (gapObjective === undefined) return 0;
     const weight = this.replicaCount(model) > 1 ? SPARE_REPLICA_WEIGHT : 1;
     const rate = demand.arrivalsPerSecond(model, now) * weight;
-    return placementSeconds(rate, gap, this.typicalGap);
+    return slowSeconds(rate, slowness, gapObjective);
   }
 
   private canEvict(
