Order requests that wait for capacity fairly between teams

Cause: requests beyond the engines' slots wait in each engine's queue, ordered by the route alone. One team's surge costs all teams alike, and less urgent kinds bear an overload alone.

Change: CapacityQueue in packages/admission orders held requests by the team's rank, fair turns between teams of one rank (weighted by their usual load), kind and time left; refuses at once what can't start before its deadline by the measured rate, and spreads the returns. No clock inside.

Worse than the strict order for chats in an overload, since reports no longer bear all of it.

--- /dev/null
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -0,0 +1,232 @@
+import {describe, it} from 'node:test';
+import type {Instant, TeamName} from '@siskinmux/kernel';
+import {after, as} from '@siskinmux/kernel';
+import {expect} from 'earl';
+import type {CapacityRequest} from '../src/index.js';
+import {CapacityQueue, MAXIMUM_HELD_REQUESTS} from '../src/index.js';
+
+const start = as<Instant>(1_000_000);
+const at = (milliseconds: number): Instant => after(start, milliseconds);
+const all = (): boolean => true;
+
+interface Named extends CapacityRequest {
+  readonly name: string;
+}
+
+function request(
+  name: string,
+  {
+    arrived = 0,
+    objective = 252,
+    deadline = 12_000,
+    ...rest
+  }: Partial<
+    Omit<Named, 'team'> & {
+      team: string;
+      arrived: number;
+      objective: number;
+      deadline: number;
+    }
+  > = {},
+): Named {
+  const arrivedAt = at(arrived);
+  const routePriority = rest.routePriority ?? 0;
+  return {
+    group: 'model',
+    teamPriority: 0,
+    routePriority,
+    route: `route-${routePriority}`,
+    cost: 1,
+    ...rest,
+    name,
+    team: as<TeamName>(rest.team ?? 'a'),
+    arrivedAt,
+    objectiveAt: after(arrivedAt, objective),
+    startBy: after(arrivedAt, deadline),
+  };
+}
+
+/** Takes everything at one instant; names in order. */
+function drain(queue: CapacityQueue<Named>, now: Instant): string[] {
+  const names: string[] = [];
+  for (;;) {
+    const item = queue.take(now, all);
+    if (item === undefined) return names;
+    names.push(item.name);
+  }
+}
+
+/** Has a team hold requests of which one leaves at each interval, so that the rate is known. */
+function measure(
+  queue: CapacityQueue<Named>,
+  count: number,
+  interval: number,
+): Instant {
+  for (let index = 0; index < count * 2; index += 1)
+    queue.offer(request(`first-${index}`, {deadline: 600_000}), start);
+  for (let index = 1; index <= count; index += 1)
+    queue.take(at(index * interval), all);
+  return at(count * interval);
+}
+
+describe('CapacityQueue', () => {
+  it('orders by the rank of the team, then of the route, then by the time left', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (const one of [
+      request('later', {arrived: 5}),
+      request('other route', {routePriority: 1}),
+      request('other rank', {teamPriority: 1, team: 'b', objective: 100}),
+      request('first', {arrived: 1}),
+    ])
+      queue.offer(one, at(5));
+    expect(drain(queue, at(6))).toEqual([
+      'first',
+      'later',
+      'other route',
+      'other rank',
+    ]);
+  });
+
+  it('lets a request with time left yield to urgent ones, but not once its objective is at stake', () => {
+    const patient = {objective: 5_002, deadline: 25_000, route: 'report'};
+    const early = CapacityQueue.create<Named>();
+    early.offer(request('report', patient), start);
+    early.offer(request('chat', {arrived: 1_000}), at(1_000));
+    expect(early.take(at(1_000), all)?.name).toEqual('chat');
+
+    const late = CapacityQueue.create<Named>();
+    late.offer(request('report', patient), start);
+    late.offer(request('chat', {arrived: 4_900}), at(4_900));
+    expect(late.take(at(4_900), all)?.name).toEqual('report');
+  });
+
+  it('serves teams of one rank in turn when one of them holds many requests', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 100; index += 1)
+      queue.offer(request('many', {team: 'many', cost: 10}), start);
+    for (let index = 0; index < 4; index += 1)
+      queue.offer(request('few', {team: 'few', arrived: 1, cost: 10}), at(1));
+    // A team may be ahead by 16 requests.
+    const names = drain(queue, at(2)).slice(0, 24);
+    expect(names.filter(name => name === 'few').length).toEqual(4);
+  });
+
+  it('counts the cost of requests, not their number', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 40; index += 1) {
+      queue.offer(request('large', {team: 'large', cost: 4}), start);
+      queue.offer(request('small', {team: 'small', cost: 1}), start);
+    }
+    const names = drain(queue, at(1)).slice(0, 40);
+    const large = names.filter(name => name === 'large').length;
+    expect(large).toBeGreaterThanOrEqual(6);
+    expect(large).toBeLessThanOrEqual(10);
+  });
+
+  it('counts requests without a team as one team', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 100; index += 1)
+      queue.offer({...request('none'), team: undefined}, start);
+    for (let index = 0; index < 4; index += 1)
+      queue.offer(request('team', {arrived: 1}), at(1));
+    const names = drain(queue, at(2)).slice(0, 24);
+    expect(names.filter(name => name === 'team').length).toEqual(4);
+  });
+
+  it('serves a team of a lower rank that was served far less often than all', () => {
+    const queue = CapacityQueue.create<Named>();
+    const low = {team: 'low', teamPriority: 1};
+    for (let index = 0; index < 20; index += 1) {
+      queue.recordUnheld(request('high', {team: 'high'}), start);
+      queue.offer(request('low', {...low, deadline: 100}), start);
+    }
+    queue.takeExpired(at(100));
+    queue.offer(request('low', {...low, arrived: 100}), at(100));
+    queue.offer(request('high', {team: 'high', arrived: 100}), at(100));
+    expect(queue.take(at(101), all)?.name).toEqual('high');
+    queue.offer(request('high', {team: 'high', arrived: 400}), at(400));
+    expect(queue.take(at(400), all)?.name).toEqual('low');
+  });
+
+  it('takes only requests whose group has room', () => {
+    const queue = CapacityQueue.create<Named>();
+    queue.offer(request('full', {group: 'full'}), start);
+    queue.offer(request('free', {group: 'free', routePriority: 1}), start);
+    const hasRoom = (group: string): boolean => group === 'free';
+    expect(queue.take(at(1), hasRoom)?.name).toEqual('free');
+    expect(queue.take(at(1), hasRoom)).toEqual(undefined);
+    expect(queue.sizeOf('full')).toEqual(1);
+  });
+
+  it('refuses at once what cannot start before its deadline, and spreads the returns', () => {
+    const queue = CapacityQueue.create<Named>();
+    // 20 requests wait, and one leaves each 100 ms.
+    const now = measure(queue, 20, 100);
+    const arrived = now - start;
+    const returns = [0, 1, 2].map(() => {
+      const decision = queue.offer(
+        request('short', {arrived, deadline: 1_000}),
+        now,
+      );
+      return decision.kind === 'refused' ? decision.retryAt - now : 0;
+    });
+    const [first = 0, second = 0, third = 0] = returns;
+    expect(first).toBeGreaterThan(1_000);
+    expect(second - first).toBeGreaterThan(80);
+    expect(third - second).toBeGreaterThan(80);
+    const long = request('long', {arrived, deadline: 6_000});
+    expect(queue.offer(long, now).kind).toEqual('held');
+  });
+
+  it('refuses nothing before a rate has been measured', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 50; index += 1)
+      expect(queue.offer(request('one'), start).kind).toEqual('held');
+  });
+
+  it('discards the rate of a backlog that ended long ago', () => {
+    const queue = CapacityQueue.create<Named>();
+    measure(queue, 20, 100);
+    drain(queue, at(3_000));
+    const later = {arrived: 60_000, deadline: 100};
+    expect(queue.offer(request('later', later), at(60_000)).kind).toEqual(
+      'held',
+    );
+  });
+
+  it('keeps the queue short once requests have missed their objective for long', () => {
+    const queue = CapacityQueue.create<Named>();
+    let now = measure(queue, 20, 100);
+    let refused = 0;
+    // Twice the rate at which requests leave, for longer than a third of the deadline.
+    for (let index = 0; index < 120; index += 1) {
+      now = after(now, 50);
+      const arrived = now - start;
+      if (queue.offer(request('one', {arrived}), now).kind === 'refused')
+        refused += 1;
+      if (index % 2 === 0) queue.take(now, all);
+    }
+    expect(refused).toBeGreaterThan(20);
+  });
+
+  it('returns what has waited in vain, and forgets what was removed', () => {
+    const queue = CapacityQueue.create<Named>();
+    const gone = request('gone');
+    queue.offer(gone, start);
+    queue.offer(request('short', {deadline: 100}), start);
+    expect(queue.remove(gone, at(1))).toEqual(true);
+    expect(queue.remove(gone, at(1))).toEqual(false);
+    const expired = queue.takeExpired(at(100));
+    expect(expired.map(({item}) => item.name)).toEqual(['short']);
+    expect(expired.every(({retryAt}) => retryAt > at(100))).toEqual(true);
+    expect(queue.size).toEqual(0);
+  });
+
+  it('holds a bounded number of requests', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < MAXIMUM_HELD_REQUESTS; index += 1)
+      queue.offer(request('one'), start);
+    expect(queue.offer(request('one'), start).kind).toEqual('refused');
+    expect(queue.size).toEqual(MAXIMUM_HELD_REQUESTS);
+  });
+});
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,5 +1,8 @@
 /** Admission: deadline-based admission, queue order, concurrency limits and shared rates. */
 
+export type {ExpiredRequest, HoldDecision} from './capacity_queue.js';
+export {CapacityQueue, MAXIMUM_HELD_REQUESTS} from './capacity_queue.js';
+export type {CapacityRequest} from './capacity_request.js';
 export type {ConcurrencyBounds} from './concurrency_limit.js';
 export {ConcurrencyLimit} from './concurrency_limit.js';
 export type {AdmissionDecision, AdmissionInput} from './decide_admission.js';
@@ -15,6 +18,7 @@
 export {PERMIT_LIFETIME_MILLISECONDS, SharedRate} from './shared_rate.js';
 export type {SharedRatesOptions} from './shared_rates.js';
 export {SharedRates} from './shared_rates.js';
+export type {ServedRequest} from './service_shares.js';
 export {
   DepartureIntervalEstimate,
   ServiceTimeEstimate,
