Send requests that can still meet their objective before late ones

Cause: held requests that had missed their objective went before new ones with little time, so that in an overload all of them were late.

Change: late requests go after those that can still meet their objective, but first in the last quarter of their time. peek() tells which request is next.

Trials of an estimate by the order instead of the turns, and of an overload state by route instead of team and route, brought nothing and were dropped.

--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -100,6 +100,18 @@
     expect(late.take(at(4_900), all)?.name).toEqual('report');
   });
 
+  it('serves a request that can still meet its objective before a late one of another team, which goes first shortly before its deadline', () => {
+    const queue = CapacityQueue.create<Named>();
+    queue.offer(request('late'), start);
+    queue.offer(request('late too'), start);
+    queue.offer(request('fresh', {team: 'b', arrived: 1_000}), at(1_000));
+    expect(queue.take(at(1_000), all)?.name).toEqual('fresh');
+    expect(queue.take(at(1_000), all)?.name).toEqual('late');
+    queue.offer(request('fresh', {team: 'b', arrived: 10_000}), at(10_000));
+    expect(queue.peek(at(10_000), all)?.name).toEqual('late too');
+    expect(queue.take(at(10_000), all)?.name).toEqual('late too');
+  });
+
   it('serves teams of one rank in turn when one of them holds many requests', () => {
     const queue = CapacityQueue.create<Named>();
     for (let index = 0; index < 100; index += 1)
--- a/packages/admission/src/capacity_order.ts
+++ b/packages/admission/src/capacity_order.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Instant, TeamName} from '@siskinmux/kernel';
+import {until} from '@siskinmux/kernel';
 import type {CapacityRequest, Flow} from './capacity_request.js';
 import {yieldsUntil} from './capacity_request.js';
 import type {ServiceShares} from './service_shares.js';
@@ -17,6 +18,19 @@
 /** Kinds whose served shares differ by less than a step are ordered by urgency alone. */
 const RATIO_STEPS = 20;
 
+/** Share of the time until it can no longer start that is left when a late request goes first. */
+const LAST_CHANCE_SHARE = 0.25;
+
+/** What waiting does to a request; the first are sent first. */
+enum Phase {
+  /** It is about to miss its objective, or its deadline. */
+  AtStake,
+  /** It has time left. */
+  Yielding,
+  /** It has missed its objective, and has time until its deadline. */
+  Late,
+}
+
 /** Chooses the flow whose first request is sent next. */
 export class CapacityOrder<Item extends CapacityRequest> {
   /** Cost sent for a team, divided by its weight: the team with the smallest is next. */
@@ -106,13 +120,13 @@
     now: Instant,
   ): readonly number[] {
     const {routePriority, objectiveAt} = head;
-    if (now < yieldsUntil(head))
-      return [1, 0, 0, routePriority, objectiveAt, virtualTime];
     const ratio = this.shares.kindRatio(head, now) * RATIO_STEPS;
     // A less urgent kind is read as served more often, so that it isn't in fact.
     const step = Math.floor(ratio) + Math.min(1, routePriority);
-    const isLate = objectiveAt <= now ? 1 : 0;
-    return [0, step, isLate, routePriority, virtualTime, objectiveAt];
+    const phase = phaseOf(head, now);
+    return phase === Phase.Yielding
+      ? [step, phase, routePriority, objectiveAt, virtualTime]
+      : [step, phase, routePriority, virtualTime, objectiveAt];
   }
 
   private shareSlack(flows: readonly Flow<Item>[], now: Instant): number {
@@ -126,6 +140,14 @@
   }
 }
 
+function phaseOf(item: CapacityRequest, now: Instant): Phase {
+  const {arrivedAt, objectiveAt, startBy} = item;
+  const lastChance = until(arrivedAt, startBy) * LAST_CHANCE_SHARE;
+  if (until(now, startBy) <= lastChance) return Phase.AtStake;
+  if (objectiveAt <= now) return Phase.Late;
+  return now < yieldsUntil(item) ? Phase.Yielding : Phase.AtStake;
+}
+
 function isBefore(left: readonly number[], right: readonly number[]): boolean {
   const index = left.findIndex((value, at) => value !== right[at]);
   return index >= 0 && (left[index] ?? 0) < (right[index] ?? 0);
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -124,13 +124,7 @@
 
   /** Removes and returns the next request whose group has room. */
   take(now: Instant, hasRoom: (group: string) => boolean): Item | undefined {
-    const known = new Map<string, boolean>();
-    const servable = [...this.flows.values()].filter(({group}) => {
-      const has = known.get(group) ?? hasRoom(group);
-      known.set(group, has);
-      return has;
-    });
-    const flow = this.order.choose(servable, now);
+    const flow = this.chooseFlow(now, hasRoom);
     const item = flow?.heap.pop();
     if (flow === undefined || item === undefined) return undefined;
     this.order.recordSent(item, now);
@@ -141,6 +135,11 @@
     return item;
   }
 
+  /** The request that {@link take} would return. */
+  peek(now: Instant, hasRoom: (group: string) => boolean): Item | undefined {
+    return this.chooseFlow(now, hasRoom)?.heap.peek();
+  }
+
   /** Removes a request, for example because its caller is gone; false if it is not held. */
   remove(item: Item, now: Instant): boolean {
     const flow = this.flows.get(flowKey(item));
@@ -162,6 +161,19 @@
     });
   }
 
+  private chooseFlow(
+    now: Instant,
+    hasRoom: (group: string) => boolean,
+  ): Flow<Item> | undefined {
+    const known = new Map<string, boolean>();
+    const servable = [...this.flows.values()].filter(({group}) => {
+      const has = known.get(group) ?? hasRoom(group);
+      known.set(group, has);
+      return has;
+    });
+    return this.order.choose(servable, now);
+  }
+
   /**
    * Whether a request would only lengthen a queue in which requests have missed their objective
    * for long. As many are served with a short queue, and in time.
