Hold requests at nodes while all engines of their model are full

Cause: nodes send to engines whatever their load. Beyond 96 requests an engine rejects, and its queue shares nothing between teams.

Requests that waited for a model continue most urgent first, and are reported with the priority of their team before that of the route. Event 7085, counter siskinmux_capacity_waits_total. NodePlacementOptions has the optional callback onCapacityWait, which gateway_node.ts has still to connect.

--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -11,9 +11,11 @@
   ModelName,
   RequestId,
   ServiceName,
+  TeamName,
 } from '@siskinmux/kernel';
 import {ErrorCode, after, as, discardEvents} from '@siskinmux/kernel';
 import type {NodeUsage} from '@siskinmux/placement';
+import type {RouteName} from '@siskinmux/routes';
 import {OutlierDetector} from '@siskinmux/routing';
 import {
   VirtualClock,
@@ -22,7 +24,10 @@
 } from '@siskinmux/testkit';
 import type {AllocatorApi} from '../src/allocator_api.js';
 import {ClusterLoad} from '../src/cluster_load.js';
-import type {EndpointRequirements} from '../src/endpoint_choice.js';
+import type {
+  EndpointRequirements,
+  RequestOrdering,
+} from '../src/endpoint_choice.js';
 import {EndpointLimits} from '../src/endpoint_limits.js';
 import {EndpointPauses} from '../src/endpoint_pauses.js';
 import {InFlightCounts} from '../src/in_flight_counts.js';
@@ -121,11 +126,16 @@
     random,
     isDeclared: () => true,
     engineServices: () => [service],
+    hasTeams: () => false,
+    onCapacityWait: () => {},
   });
+  const startAt = clock.now();
+  const settled: string[] = [];
   const find = (
     name: string,
     adapter?: string,
     timeoutMilliseconds = 8_000,
+    ordering: RequestOrdering | undefined = undefined,
   ): {outcome: string | undefined; settledAt: Instant | undefined} => {
     const requirements: EndpointRequirements = {
       id: as<RequestId>('request'),
@@ -137,6 +147,7 @@
       avoidedEndpoints: new Set(),
       deadline: after(clock.now(), timeoutMilliseconds),
       priority: 0,
+      ordering,
       isFirstAttempt: true,
       signal: new AbortController().signal,
     };
@@ -150,6 +161,8 @@
     client.find(requirements).then(
       ({id}) => {
         search.outcome = id;
+        if (ordering !== undefined)
+          settled.push(`${ordering.team} ${ordering.objectiveAt - startAt}`);
         search.settledAt = clock.now();
       },
       (failure: {code: string}) => {
@@ -165,10 +178,35 @@
     table,
     inFlightCounts,
     find,
+    settled,
     allocator: new TestAllocator(clock),
   };
 }
 
+describe('PlacementClient with teams', () => {
+  it('lets the most urgent of the requests that waited for a model continue first, and reports them by team', async () => {
+    const {clock, client, find, allocator, settled} = build();
+    client.setAllocator(allocator);
+    const ordering = (teamPriority: number, milliseconds: number) => ({
+      team: as<TeamName>(`team-${teamPriority}`),
+      teamPriority,
+      route: as<RouteName>('route'),
+      objectiveAt: after(clock.now(), milliseconds),
+      cost: 1,
+    });
+    find('m9', undefined, 8_000, ordering(1, 100));
+    find('m9', undefined, 8_000, ordering(0, 900));
+    find('m9', undefined, 8_000, ordering(0, 300));
+    await clock.advance(1);
+    expect(allocator.reports.at(-1)?.waiting[0]?.priority).toEqual(0);
+    client.onAvailableModels(service, [
+      {engine, models: [model('m0'), model('m9')]},
+    ]);
+    await clock.advance(1);
+    expect(settled).toEqual(['team-0 300', 'team-0 900', 'team-1 100']);
+  });
+});
+
 describe('PlacementClient without an allocator', () => {
   it('lets requests wait for a new allocator and then for their model', async () => {
     const {clock, client, find, allocator} = build();
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -17,6 +17,7 @@
   Random,
   RequestId,
   ServiceName,
+  TeamName,
 } from '@siskinmux/kernel';
 import {
   ErrorCode,
@@ -24,6 +25,7 @@
   createNotRunRefusal,
   randomBelow,
 } from '@siskinmux/kernel';
+import type {RouteName} from '@siskinmux/routes';
 import type {OutlierDetector} from '@siskinmux/routing';
 import {CROSS_DOMAIN_COST, chooseEndpoint} from '@siskinmux/routing';
 import type {ClusterLoad} from './cluster_load.js';
@@ -37,6 +39,19 @@
 /** Time that an endpoint of a plain service needs at least. */
 const PLAIN_SERVICE_MILLISECONDS: Milliseconds = 20;
 
+/** By what a request is ordered among those that wait for the same engines. */
+export interface RequestOrdering {
+  /** Undefined on a public route; all requests without a team count as one team. */
+  readonly team: TeamName | undefined;
+  /** Priority of the team, or what a team without one has; goes before that of the route. */
+  readonly teamPriority: number;
+  readonly route: RouteName;
+  /** When the response, or the first event of a stream, is due by the route's objective. */
+  readonly objectiveAt: Instant;
+  /** Tokens of the request, or its equivalent in tokens if it states none. */
+  readonly cost: number;
+}
+
 /** What a request requires of its endpoint, and how long it can wait for one. */
 export interface EndpointRequirements {
   /** Names the request in log lines. */
@@ -53,6 +68,8 @@
   readonly deadline: Instant;
   /** Priority of the request's route; 0 is the most urgent. */
   readonly priority: number;
+  /** Undefined if the configuration has no teams; the request is then never held. */
+  readonly ordering?: RequestOrdering | undefined;
   /** Whether the request has not been sent to any endpoint yet. */
   readonly isFirstAttempt: boolean;
   /** Aborts when the request has ended. */
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -338,6 +338,15 @@
     'An endpoint that was chosen for a request had no permit left under the limit that it named, `limit` requests a second from all nodes; `age` is the time in milliseconds since the response that named it. `outcome`: `diverted` if the request looks for another endpoint, `waited` if there was none and it got a permit in time, `refused` if it would have got one too late. `retryIn` is the time in milliseconds after which the endpoint has another permit, or the caller may return.',
 };
 
+/** The wait of a request for room at engines has ended. */
+export const CAPACITY_WAIT_ENDED: EventDescriptor = {
+  number: 7085,
+  name: 'capacity-wait-ended',
+  level: 'info',
+  meaning:
+    'All engines that have the model of a request were loaded beyond the level up to which requests are sent at once, in a configuration with teams. `outcome`: `sent` after it was held for `heldFor` milliseconds, `refused` at once if it was not expected to start in time, `expired` if it was held until it could not start in time, `gone` if its caller had gone. `retryIn` is the time in milliseconds after which its caller may return. `team` is missing for a request without one; `group` names the service and the model, `stillHeld` the requests for it that this node still holds.',
+};
+
 /** An endpoint has crashed, and isn't used until it registers again. */
 export const ENDPOINT_CRASHED: EventDescriptor = {
   number: 7034,
@@ -414,6 +423,7 @@
   ENDPOINT_PAUSED,
   ENDPOINT_PAUSE_INVALID,
   REQUEST_LIMITED,
+  CAPACITY_WAIT_ENDED,
   ENDPOINT_CRASHED,
   CONNECTION_PACED,
   BUFFERS_FULL,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -36,6 +36,7 @@
 import type {ActiveRoutes} from './active_routes.js';
 import type {AllocatorApi} from './allocator_api.js';
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
+import type {CapacityOutcome} from './capacity_holds.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import type {CrashQuarantine} from '@siskinmux/containment';
 import type {ProbeResult} from '@siskinmux/forwarding';
@@ -98,6 +99,8 @@
   readonly onLimited: (outcome: LimitOutcome) => void;
   /** Called for each permit that is used under an endpoint's limit. */
   readonly onPermitUsed: (endpoint: EndpointDescription) => void;
+  /** Called for each request that engines had no room for. */
+  readonly onCapacityWait?: ((outcome: CapacityOutcome) => void) | undefined;
   readonly reachesStore: () => boolean;
   /** Where this node takes relayed requests, and what it can't serve. */
   readonly relayOffer: () => RelayPeer;
@@ -158,6 +161,8 @@
       isDeclared: (service, model) =>
         this.engineDeclaration(service)?.models.has(model) ?? false,
       engineServices: () => this.engineServices(),
+      hasTeams: () => routes.current?.configuration.teams !== undefined,
+      onCapacityWait: options.onCapacityWait ?? (() => {}),
     });
     this.election = LeaderElection.create({
       ...options,
@@ -447,6 +452,7 @@
     const {choice, clock, onNodeCount} = this.options;
     if (loads.length > 0) choice.clusterLoad.update(loads);
     this.client.setNodeCount(nodes);
+    this.client.onLoadReport();
     onNodeCount(nodes);
     const now = clock.now();
     this.lastConcurrencyLimit = loadsAtOnce;
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -41,6 +41,8 @@
 } from '@siskinmux/placement';
 import {adapterKey, addWaiting, waitingKey} from '@siskinmux/placement';
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
+import type {CapacityOutcome} from './capacity_holds.js';
+import {CapacityHolds} from './capacity_holds.js';
 import type {
   ChoiceDependencies,
   EndpointRequirements,
@@ -90,6 +92,9 @@
 /** An engine that lacked a model is excluded for it while the allocator reads its state. */
 const MISSING_MODEL_EXCLUSION_MILLISECONDS: Milliseconds = 120;
 
+/** Greater than any priority of a route, so that the priority of a team goes before it. */
+const ROUTE_PRIORITIES = 1_000;
+
 interface Waiter {
   readonly requirements: EndpointRequirements;
   /** Whether an engine that has the model ends the wait. */
@@ -109,6 +114,10 @@
   /** Whether a service's engines are declared to offer a model. */
   readonly isDeclared: (service: ServiceName, model: ModelName) => boolean;
   readonly engineServices: () => readonly ServiceName[];
+  /** Whether the configuration has teams; requests are held only then. */
+  readonly hasTeams: () => boolean;
+  /** Called for each request that engines had no room for. */
+  readonly onCapacityWait: (outcome: CapacityOutcome) => void;
 }
 
 /** Finds engines for requests and reports this node's usage to the allocator. */
@@ -136,8 +145,16 @@
   /** When the last allocator was lost. Before the first one is found, the start of this client. */
   private allocatorLostAt: Instant;
   private readonly allocatorWaiters = new Set<() => void>();
+  private readonly holds: CapacityHolds;
 
   private constructor(private readonly options: PlacementClientOptions) {
+    const {choice, limitDependencies} = options;
+    this.holds = CapacityHolds.create({
+      ...options,
+      emit: limitDependencies.emit,
+      clusterLoad: choice.clusterLoad,
+      nodeCount: () => this.nodeCount,
+    });
     this.allocatorLostAt = options.clock.now();
   }
 
@@ -169,6 +186,12 @@
   /** Called when a request starts or ends on an engine. */
   onInFlightChange(): void {
     this.scheduleUsageReports(this.usageIntervalMilliseconds);
+    this.holds.onInFlightChange();
+  }
+
+  /** Called when a report of the engines' load may have arrived. */
+  onLoadReport(): void {
+    this.holds.onReport();
   }
 
   /** Sets the number of nodes, on which the interval between usage reports depends. */
@@ -206,7 +229,11 @@
   }
 
   private endWaitsForModels(service: ServiceName): void {
-    for (const waiter of this.waiters) {
+    // The first to continue get the first slots.
+    const ordered = [...this.waiters].sort((left, right) =>
+      compareUrgency(left.requirements, right.requirements),
+    );
+    for (const waiter of ordered) {
       if (waiter.requirements.service !== service) continue;
       if (this.enginesWithModel(waiter.requirements).some(waiter.accepts))
         waiter.settle(undefined);
@@ -242,6 +269,7 @@
       throw createNotRunRefusal(ErrorCode.NoEndpoint, model);
     }
     if (requirements.isFirstAttempt) this.countArrival(service, model);
+    let mayPass = !this.isHoldable(requirements);
     for (;;) {
       const refusal = this.refusalOfGoneVersion(requirements);
       if (refusal !== undefined) throw refusal;
@@ -255,6 +283,11 @@
         else await this.waitForModel(requirements, model, () => true);
         continue;
       }
+      if (!mayPass) {
+        await this.waitForRoom(requirements, model);
+        mayPass = true;
+        continue;
+      }
       // An engine that refused a request may accept it after the allocator's next order.
       if (untried.length === 0) await this.waitBeforeRetry(requirements);
       const found = await this.chooseWithinLimits(requirements, model);
@@ -263,6 +296,27 @@
     }
   };
 
+  /** A stream that has begun goes before all that have nothing to lose yet. */
+  private isHoldable({ordering, version}: EndpointRequirements): boolean {
+    return (
+      ordering !== undefined &&
+      version.kind === 'any' &&
+      this.options.hasTeams()
+    );
+  }
+
+  private async waitForRoom(
+    requirements: EndpointRequirements,
+    model: ModelName,
+  ): Promise<void> {
+    const {ordering} = requirements;
+    if (ordering === undefined) return;
+    const {service, version} = requirements;
+    const engines = (): EndpointDescription[] =>
+      this.enginesWithModel({service, model, version});
+    await this.holds.waitForRoom(requirements, ordering, model, engines);
+  }
+
   /** Whether another engine that has the model has a free slot. */
   readonly hasAlternative: HasAlternative = (requirements, current) =>
     hasFreeAlternative(
@@ -365,7 +419,7 @@
 
   /** Engines that currently accept requests for the model. */
   private enginesWithModel(
-    requirements: EndpointRequirements,
+    requirements: Pick<EndpointRequirements, 'service' | 'model' | 'version'>,
   ): EndpointDescription[] {
     const {model} = requirements;
     if (model === undefined) return [];
@@ -663,13 +717,13 @@
   private waitingRequests(service: ServiceName): WaitingRequests[] {
     const totals = new Map<WaitingKey, WaitingRequests>();
     for (const {requirements} of this.waiters) {
-      const {model, priority, deadline} = requirements;
+      const {model, deadline} = requirements;
       if (requirements.service !== service || model === undefined) continue;
       addWaiting(totals, {
         model,
         boundTo: boundVersion(requirements),
         count: 1,
-        priority,
+        priority: reportedPriority(requirements),
         earliestDeadline: deadline,
       });
     }
@@ -677,6 +731,24 @@
   }
 }
 
+/** Priority under which a waiting request is reported: by the team first, then by the route. */
+function reportedPriority({ordering, priority}: EndpointRequirements): number {
+  return (ordering?.teamPriority ?? 0) * ROUTE_PRIORITIES + priority;
+}
+
+/** Sorts the most urgent request first: by the team, the route, and the time left. */
+function compareUrgency(
+  left: EndpointRequirements,
+  right: EndpointRequirements,
+): number {
+  const dueAt = ({ordering, deadline}: EndpointRequirements): Instant =>
+    ordering?.objectiveAt ?? deadline;
+  return (
+    reportedPriority(left) - reportedPriority(right) ||
+    dueAt(left) - dueAt(right)
+  );
+}
+
 function listsModel({models}: EndpointDescription, model: ModelName): boolean {
   return models.some(loaded => loaded.model === model);
 }
--- a/packages/gateway/src/request_metrics.ts
+++ b/packages/gateway/src/request_metrics.ts
@@ -6,6 +6,7 @@
 import type {DropReason} from '@siskinmux/adapters';
 import type {BufferBudget} from '@siskinmux/forwarding';
 import type {ErrorCode} from '@siskinmux/kernel';
+import type {CapacityOutcome} from './capacity_holds.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {NodePlacementOptions} from './node_placement.js';
 import type {ProxiedRequestDependencies} from './proxied_request.js';
@@ -25,6 +26,8 @@
 > &
   Pick<CrashQuarantineOptions, 'onCrash' | 'onWithheld'> &
   Pick<NodePlacementOptions, 'onLimited' | 'onPermitUsed'> & {
+    /** Called for each request that engines had no room for. */
+    readonly onCapacityWait: (outcome: CapacityOutcome) => void;
     /** Called when a request is refused for which no route was found. */
     readonly onRefused: (code: ErrorCode) => void;
     /** Called when a connection is paced for the first time. */
@@ -78,6 +81,12 @@
     labelNames: ['outcome'],
     registers,
   });
+  const capacityWaitsTotal = new Counter({
+    name: 'siskinmux_capacity_waits_total',
+    help: 'Requests that engines had no room for: held, and what became of them',
+    labelNames: ['outcome'],
+    registers,
+  });
   const permitsTotal = new Counter({
     name: 'siskinmux_used_permits_total',
     help: 'Sends to endpoints that limit their requests, by service',
@@ -125,6 +134,7 @@
     onMemoryDenied: () => memoryDeniedTotal.inc(),
     onResponseDropped: reason => droppedResponsesTotal.inc({reason}),
     onLimited: outcome => limitedTotal.inc({outcome}),
+    onCapacityWait: outcome => capacityWaitsTotal.inc({outcome}),
     onPermitUsed: ({service}) => permitsTotal.inc({service}),
     onRequestEnd: (route, result, durationMilliseconds) => {
       requestsTotal.inc({route: route.name, result});
