Keep the order of model waits without teams, and prune groups rarely

Cause: waiters for a model were sorted also in a configuration without teams, which has to behave as before; and each new model dropped the state of all models without held requests.

Change: the order applies only with teams; groups are dropped beyond 1,000 models.

--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -90,7 +90,7 @@
   }
 }
 
-function build() {
+function build({hasTeams = false} = {}) {
   const clock = VirtualClock.create();
   const random = createSeededRandom(1);
   const table = EndpointTable.create();
@@ -126,7 +126,7 @@
     random,
     isDeclared: () => true,
     engineServices: () => [service],
-    hasTeams: () => false,
+    hasTeams: () => hasTeams,
     onCapacityWait: () => {},
   });
   const startAt = clock.now();
@@ -185,7 +185,7 @@
 
 describe('PlacementClient with teams', () => {
   it('lets the most urgent of the requests that waited for a model continue first, and reports them by team', async () => {
-    const {clock, client, find, allocator, settled} = build();
+    const {clock, client, find, allocator, settled} = build({hasTeams: true});
     client.setAllocator(allocator);
     const ordering = (teamPriority: number, milliseconds: number) => ({
       team: as<TeamName>(`team-${teamPriority}`),
--- a/packages/gateway/src/capacity_holds.ts
+++ b/packages/gateway/src/capacity_holds.ts
@@ -54,6 +54,9 @@
 /** Credit that completions leave at most while there is no room; others have sent meanwhile. */
 const MAXIMUM_CREDIT = 2;
 
+/** With this many models, those without held requests are forgotten. */
+const MAXIMUM_GROUPS = 1_000;
+
 /** Requests that were let pass appear in the in-flight counts after this time at most. */
 const PASSING_MILLISECONDS: Milliseconds = 20;
 
@@ -218,8 +221,10 @@
     now: Instant,
   ): Group {
     // Models come and go with the versions of the configuration.
-    for (const other of this.groups.keys())
-      if (this.queue.sizeOf(other) === 0) this.groups.delete(other);
+    if (this.groups.size >= MAXIMUM_GROUPS) {
+      for (const other of this.groups.keys())
+        if (this.queue.sizeOf(other) === 0) this.groups.delete(other);
+    }
     const group = {
       engines,
       credit: 0,
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -229,17 +229,21 @@
   }
 
   private endWaitsForModels(service: ServiceName): void {
-    // The first to continue get the first slots.
-    const ordered = [...this.waiters].sort((left, right) =>
-      compareUrgency(left.requirements, right.requirements),
-    );
-    for (const waiter of ordered) {
+    for (const waiter of this.waitersInOrder()) {
       if (waiter.requirements.service !== service) continue;
       if (this.enginesWithModel(waiter.requirements).some(waiter.accepts))
         waiter.settle(undefined);
     }
   }
 
+  /** The first to continue get the first slots. */
+  private waitersInOrder(): Iterable<Waiter> {
+    if (!this.options.hasTeams()) return this.waiters;
+    return [...this.waiters].sort((left, right) =>
+      compareUrgency(left.requirements, right.requirements),
+    );
+  }
+
   onForecasts(
     service: ServiceName,
     forecasts: readonly ReadinessForecast[],
