--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -36,6 +36,7 @@
 import type {ActiveRoutes} from './active_routes.js';
 import type {AllocatorApi} from './allocator_api.js';
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
+import type {CapacityOutcome} from './capacity_holds.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import type {CrashQuarantine} from '@siskinmux/containment';
 import type {ProbeResult} from '@siskinmux/forwarding';
@@ -104,6 +105,8 @@
   readonly onPermitUsed: (endpoint: EndpointDescription) => void;
   /** This node's requests under the quotas of teams; undefined if there are none. */
   readonly teamQuotas?: TeamQuotas | undefined;
+  /** Called for each request that engines had no room for. */
+  readonly onCapacityWait?: ((outcome: CapacityOutcome) => void) | undefined;
   readonly reachesStore: () => boolean;
   /** Where this node takes relayed requests, and what it can't serve. */
   readonly relayOffer: () => RelayPeer;
@@ -166,6 +169,8 @@
       isDeclared: (service, model) =>
         this.engineDeclaration(service)?.models.has(model) ?? false,
       engineServices: () => this.engineServices(),
+      hasTeams: () => routes.current?.configuration.teams !== undefined,
+      onCapacityWait: options.onCapacityWait ?? (() => {}),
     });
     this.election = LeaderElection.create({
       ...options,
@@ -485,6 +490,7 @@
       choice.clusterLoad.updateSlowness(heartbeat.slow);
     this.options.teamQuotas?.applyHeartbeat(heartbeat);
     this.client.setNodeCount(nodes);
+    this.client.onLoadReport();
     onNodeCount(nodes);
     const now = clock.now();
     this.lastConcurrencyLimit = loadsAtOnce;
