Keep no request for as long as its connection

Cause: a request that was answered before its message was complete, as all those that are refused at once, left a listener at its connection, which kept the request, its response and the refusal until the connection closed.

Change: the timer for the rest of a body is cancelled when the request closes, which it does after its end and with its connection.

Conclusion: long connections that get refusals no longer take memory.

--- a/packages/gateway/__tests__/caller_body.test.ts
+++ b/packages/gateway/__tests__/caller_body.test.ts
@@ -19,6 +19,8 @@
 const LATER_MILLISECONDS = 100;
 /** Longer than the time for the rest of a body. */
 const ANSWER_MILLISECONDS = 1_500;
+/** Requests of one connection. */
+const REUSE_COUNT = 20;
 /** Longer than the rest of a body is read. */
 const WAIT_MILLISECONDS = 4_000;
 
@@ -202,4 +204,27 @@
     for (const bytes of [65_537, 66_000, 70_000, 80_000, 100_000])
       expect(await sendTwo(port, bytes)).toEqual('answered');
   });
+
+  // Each request stayed in memory for as long as its connection was kept.
+  it('keeps nothing of its requests once they have ended', async () => {
+    const port = await listen(0);
+    const accepted = new Promise<Socket>(resolve =>
+      server.once('connection', resolve),
+    );
+    const client = connect(port, '127.0.0.1');
+    client.on('error', () => {});
+    let received = '';
+    client.on('data', (part: Buffer) => {
+      received += part.toString();
+    });
+    const listenerCounts: number[] = [];
+    for (let count = 1; count <= REUSE_COUNT; count += 1) {
+      client.write('GET /first HTTP/1.1\r\nhost: a\r\n\r\n');
+      while (received.split('/first').length <= count)
+        await new Promise(resolve => setImmediate(resolve));
+      listenerCounts.push((await accepted).listenerCount('close'));
+    }
+    client.destroy();
+    expect(listenerCounts.at(-1)).toEqual(listenerCounts[0]);
+  });
 });
--- a/packages/gateway/src/caller_body.ts
+++ b/packages/gateway/src/caller_body.ts
@@ -106,14 +106,14 @@
     const {request, clock} = this;
     this.refuse(callerGone('answered inside the body'));
     request.resume();
-    if (request.complete) return;
+    if (request.complete || request.destroyed) return;
     const cancel = scheduleWhileAwake(
       clock,
       after(clock.now(), DISCARD_MILLISECONDS),
       () => request.socket.destroy(),
     );
-    request.once('end', cancel);
-    request.socket.once('close', cancel);
+    // A listener of the socket would keep the request for as long as its connection is kept.
+    request.once('close', cancel);
   }
 
   /** The next request may have been read together with the last bytes of this one. */
