Handle messages between nodes in turn, and bound the memory of all

Cause: all messages that one read of a connection between nodes holds were handled before anything else ran; a line without an end was joined anew with each read, and 4 Mi characters or 4 MiB unsent were bounds of one connection only.

Change: four messages at once, further ones in turn with other connections, unread meanwhile. The parts of a line are joined at its end. Incomplete and unread messages of all connections share 10% of the memory; above it, the connection that holds most is closed. Connections in total and of an address have the bounds of callers.

Conclusion: whoever reaches the address for nodes can't take a node's memory; it can still take its bounded part.

--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -160,6 +160,9 @@
 const STORE_RESPONSES_SHARE = 0.1;
 const ENGINE_RESPONSES_SHARE = 0.05;
 
+/** Share of it that messages between nodes may take that have not arrived whole, or are not read. */
+const PEER_MESSAGES_SHARE = 0.1;
+
 const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** Options of {@link GatewayNode}. */
@@ -399,6 +402,9 @@
     this.placement = NodePlacement.create({
       identity,
       listen: this.listen.peers,
+      peerLimits: this.connectionLimits,
+      peerMemoryBytes: memoryBytes * PEER_MESSAGES_SHARE,
+      onPeerLimited: this.clientLimitReports.of('peers'),
       leaseRules: {
         leaseMilliseconds: this.rules.lease_milliseconds,
         isFencingEnforced: this.rules.engines_check_fencing,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -1,6 +1,6 @@
 /** Connects this node to the lease holder's allocators, or runs them while it holds the lease. */
 
-import type {Server} from 'node:net';
+import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
 import type {
   EndpointDescription,
@@ -38,7 +38,12 @@
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import type {CrashQuarantine} from '@siskinmux/containment';
-import type {ProbeResult} from '@siskinmux/forwarding';
+import type {
+  ConnectionLimits,
+  OnClientLimited,
+  ProbeResult,
+} from '@siskinmux/forwarding';
+import {BoundedConnections, RequestTurns} from '@siskinmux/forwarding';
 import type {StreamContinuity} from '@siskinmux/continuity';
 import {OriginWriter} from '@siskinmux/continuity';
 import type {
@@ -58,7 +63,9 @@
 import {LeaseStore} from './lease_store.js';
 import {limitShareOf} from './limit_share.js';
 import type {LimitOutcome} from './limited_choice.js';
+import type {PeerConnectionOptions} from './peer_connection.js';
 import {PeerConnection} from './peer_connection.js';
+import {PeerMemory} from './peer_memory.js';
 import {
   PlacementClient,
   USAGE_HEARTBEAT_MILLISECONDS,
@@ -80,6 +87,12 @@
   readonly identity: NodeIdentity;
   /** Address that other nodes connect to. */
   readonly listen: {readonly address: string; readonly port: number};
+  /** Bounds on the connections of other nodes. */
+  readonly peerLimits: ConnectionLimits;
+  /** Memory of messages between nodes that have not arrived whole, or are not read. */
+  readonly peerMemoryBytes: number;
+  /** Called when a bound on a connection of another node has taken effect. */
+  readonly onPeerLimited: OnClientLimited;
   readonly leaseRules: LeaseRules;
   /** Delay before this node competes for the lease; 0 for the most capable nodes. */
   readonly electionDelayMilliseconds: Milliseconds;
@@ -132,6 +145,9 @@
   private readonly election: LeaderElection;
   private readonly peerServer: Server;
   private readonly connections = new Set<PeerConnection>();
+  private readonly connectionsBySocket = new WeakMap<Socket, PeerConnection>();
+  private readonly bounds: BoundedConnections;
+  private readonly peerOptions: PeerConnectionOptions;
   private readonly findPlain: FindEndpoint;
   private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
@@ -170,9 +186,22 @@
       canHandOver: () =>
         this.allocatorServer?.hasFollowerReachingStore ?? false,
     });
-    this.peerServer = createServer(socket =>
-      this.accept(PeerConnection.create(socket, options)),
-    );
+    const {onPeerLimited: onLimited} = options;
+    this.peerOptions = {
+      clock,
+      emit: options.emit,
+      turns: RequestTurns.create(setImmediate),
+      memory: PeerMemory.create(options.peerMemoryBytes),
+      onOutOfMemory: socket => onLimited('peer_messages', socket),
+    };
+    this.bounds = BoundedConnections.create({
+      limits: options.peerLimits,
+      // One that has sent no message may be of no node.
+      useOf: socket =>
+        this.connectionsBySocket.get(socket)?.hasPeer ? 'serving' : 'idle',
+      onLimited,
+    });
+    this.peerServer = createServer(socket => this.acceptSocket(socket));
     routes.onChange(({configuration}) =>
       this.allocatorServer?.applyConfiguration(configuration),
     );
@@ -293,6 +322,13 @@
     );
   }
 
+  private acceptSocket(socket: Socket): void {
+    if (!this.bounds.accept(socket)) return;
+    const connection = PeerConnection.create(socket, this.peerOptions);
+    this.connectionsBySocket.set(socket, connection);
+    this.accept(connection);
+  }
+
   private accept(connection: PeerConnection): void {
     this.connections.add(connection);
     connection.onClosed(() => this.connections.delete(connection));
@@ -314,7 +350,7 @@
     const {address, holder} = observation.record;
     let connection: PeerConnection;
     try {
-      connection = await PeerConnection.connect(address, this.options);
+      connection = await PeerConnection.connect(address, this.peerOptions);
     } catch (failure) {
       if (!(failure instanceof PeerUnreachableError)) throw failure;
       return isConnectionRefused(failure.cause) ? 'gone' : 'silent';
--- a/packages/gateway/src/peer_connection.ts
+++ b/packages/gateway/src/peer_connection.ts
@@ -13,10 +13,11 @@
 import {ProgressDeadline} from '@siskinmux/adapters';
 import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
 import {after, scheduleWhileAwake, until} from '@siskinmux/kernel';
-import {isSocketAddress} from '@siskinmux/forwarding';
+import {RequestTurns, isSocketAddress} from '@siskinmux/forwarding';
 import {PeerUnreachableError} from '@siskinmux/membership';
 import type {z} from 'zod';
 import {PEER_MESSAGE_INVALID} from './gateway_events.js';
+import type {PeerMemory, PeerMemoryHolder} from './peer_memory.js';
 
 /** Maximum line length; a node's whole state takes a few kilobytes. */
 const MAXIMUM_LINE_CHARACTERS = 4_194_304;
@@ -24,6 +25,12 @@
 /** Write buffer for a slow peer; the connection is closed when it is exceeded. */
 const MAXIMUM_BUFFERED_BYTES = 4_194_304;
 
+/** Messages of one connection that are handled without a break; a heartbeat is one. */
+const MESSAGES_AT_ONCE = 4;
+
+/** Memory of a character that may be outside of Latin-1. */
+const BYTES_PER_CHARACTER = 2;
+
 const CONNECT_TIMEOUT_MILLISECONDS: Milliseconds = 400;
 
 /** Longest pause of a peer whose response follows other messages. */
@@ -36,6 +43,12 @@
 export interface PeerConnectionOptions {
   readonly clock: Clock;
   readonly emit: EmitEvent;
+  /** Shared by the connections of a process whose messages wait; its own if it is missing. */
+  readonly turns?: RequestTurns;
+  /** Bounds what all connections of a process hold; none if it is missing. */
+  readonly memory?: PeerMemory;
+  /** Called when the connection is closed for that bound. */
+  readonly onOutOfMemory?: (socket: Socket) => void;
 }
 
 /** One end of a connection between two nodes. */
@@ -45,7 +58,14 @@
   private lastId = 0;
   private readonly closeCallbacks: (() => void)[] = [];
   private readonly dataCallbacks = new Set<() => void>();
-  private partialLine = '';
+  /** The parts of a line whose end has not come. */
+  private partialLine: string[] = [];
+  private partialCharacters = 0;
+  /** Lines that wait for their turn; nothing more is read meanwhile. */
+  private lines: string[] = [];
+  private hasHandled = false;
+  private readonly turns: RequestTurns;
+  private readonly memory: PeerMemoryHolder | undefined;
   private receivedAt: Instant;
   private isClosed = false;
 
@@ -54,6 +74,11 @@
     private readonly options: PeerConnectionOptions,
   ) {
     this.receivedAt = options.clock.now();
+    this.turns = options.turns ?? RequestTurns.create(setImmediate);
+    this.memory = options.memory?.createHolder(() => {
+      options.onOutOfMemory?.(socket);
+      this.close();
+    });
     this.client = new JSONRPCClient(
       message => this.write(message),
       () => this.createId(),
@@ -66,6 +91,7 @@
     socket.setNoDelay(true);
     socket.setEncoding('utf8');
     socket.on('data', (text: string) => this.onData(text));
+    socket.on('drain', () => this.countMemory());
     socket.on('error', () => this.close());
     socket.on('close', () => this.close());
   }
@@ -113,6 +139,11 @@
     return this.receivedAt;
   }
 
+  /** Whether the peer has sent a valid message of a known method. */
+  get hasPeer(): boolean {
+    return this.hasHandled;
+  }
+
   /** Milliseconds since data was last received from the peer. */
   millisecondsSinceReceived(now: Instant): Milliseconds {
     return until(this.receivedAt, now);
@@ -139,6 +170,7 @@
         });
         throw new PeerUnreachableError(`${method}: invalid parameters`);
       }
+      this.hasHandled = true;
       return (await handler(parsed.data)) ?? null;
     });
   }
@@ -230,6 +262,10 @@
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.lines = [];
+    this.partialLine = [];
+    this.turns.remove(this.handleNextLines);
+    this.memory?.end();
     this.socket.destroy();
     this.rpc.rejectAllPendingRequests('connection closed');
     for (const callback of this.closeCallbacks) callback();
@@ -244,17 +280,48 @@
     if (this.isClosed) throw new PeerUnreachableError('connection closed');
     this.socket.write(`${JSON.stringify(message)}\n`);
     if (this.socket.writableLength > MAXIMUM_BUFFERED_BYTES) this.close();
+    else this.countMemory();
+  }
+
+  private countMemory(): void {
+    const {socket, partialCharacters} = this;
+    this.memory?.set(
+      socket.writableLength + partialCharacters * BYTES_PER_CHARACTER,
+    );
   }
 
   private onData(text: string): void {
     this.receivedAt = this.options.clock.now();
     for (const callback of this.dataCallbacks) callback();
-    const lines = (this.partialLine + text).split('\n');
-    this.partialLine = lines.pop() ?? '';
-    if (this.partialLine.length > MAXIMUM_LINE_CHARACTERS) this.close();
-    for (const line of lines) this.receive(line);
+    const [first = '', ...rest] = text.split('\n');
+    this.partialLine.push(first);
+    this.partialCharacters += first.length;
+    const last = rest.pop();
+    if (last !== undefined) {
+      this.lines.push(this.partialLine.join(''), ...rest);
+      this.partialLine = [last];
+      this.partialCharacters = last.length;
+    }
+    if (this.partialCharacters > MAXIMUM_LINE_CHARACTERS) this.close();
+    else this.countMemory();
+    this.handleNextLines();
   }
 
+  /** Handles a few messages; further ones wait for their turn, and nothing is read until then. */
+  private readonly handleNextLines = (): void => {
+    for (const line of this.lines.splice(0, MESSAGES_AT_ONCE)) {
+      if (this.isClosed) return;
+      this.receive(line);
+    }
+    if (this.isClosed) return;
+    if (this.lines.length === 0) {
+      this.socket.resume();
+      return;
+    }
+    this.socket.pause();
+    this.turns.enqueue(this.handleNextLines);
+  };
+
   private receive(line: string): void {
     let message: unknown;
     try {
