Read long bodies in turn, 32 MiB a second together

Cause: what sockets have read is collected late, so that the memory of a process grew with the number of senders of large chunks, beyond the budget of all bodies. The time in which a process was paused counted for clients that read nothing.

Change: a connection that delivers 64 KiB of longer chunks in a turn of the event loop is read in turn with others like it, as connections with short chunks are. Reported as client-limited, limit read_rate. Unread responses are counted in checks, one a second.

A single upload on a link faster than 32 MiB/s is slower now.

--- a/packages/forwarding/src/bounded_connections.ts
+++ b/packages/forwarding/src/bounded_connections.ts
@@ -1,8 +1,6 @@
 /** Bounds the connections that clients of a listener may keep open. */
 
 import type {Socket} from 'node:net';
-import type {Instant, Milliseconds} from '@siskinmux/kernel';
-import {until} from '@siskinmux/kernel';
 
 /** Most connections of a listener. */
 export interface ConnectionLimits {
@@ -10,8 +8,11 @@
   readonly perAddress: number;
 }
 
-/** Time without progress after which a connection whose client doesn't read is closed. */
-const UNREAD_MILLISECONDS: Milliseconds = 30_000;
+/**
+ * Checks in a row without progress after which a connection whose client doesn't read is closed.
+ * Checks are counted, as the time in which a process was paused doesn't count.
+ */
+const MAXIMUM_UNREAD_CHECKS = 30;
 
 /** What a connection is used for; those that come first are closed first. */
 export const CONNECTION_USES = [
@@ -33,7 +34,8 @@
   | 'connections_per_address'
   | 'unread'
   | 'read_ahead'
-  | 'peer_messages';
+  | 'peer_messages'
+  | 'read_rate';
 
 /** Options of {@link BoundedConnections}. */
 export interface BoundedConnectionsOptions {
@@ -45,9 +47,9 @@
 interface Connection {
   readonly socket: Socket;
   readonly address: string;
-  /** Bytes that its client had taken at the last check, and when they became as many. */
+  /** Bytes that its client had taken at the last check, and how many checks found as many. */
   takenBytes: number;
-  progressAt: Instant | undefined;
+  unreadChecks: number;
 }
 
 /**
@@ -73,7 +75,7 @@
       socket,
       address,
       takenBytes: 0,
-      progressAt: undefined,
+      unreadChecks: 0,
     };
     this.add(connection);
     const own = this.byAddress.get(address);
@@ -84,22 +86,21 @@
     return !socket.destroyed;
   }
 
-  /** Closes connections whose clients have taken nothing of what waits for them for too long. */
-  closeUnread(now: Instant): void {
-    for (const connection of [...this.byAddress.values()].flatMap(set => [
-      ...set,
-    ])) {
-      const {socket} = connection;
-      const takenBytes = socket.bytesWritten - socket.writableLength;
-      if (socket.writableLength === 0) connection.progressAt = undefined;
-      else if (
-        connection.progressAt === undefined ||
-        takenBytes !== connection.takenBytes
-      )
-        connection.progressAt = now;
-      else if (until(connection.progressAt, now) >= UNREAD_MILLISECONDS)
-        this.close(connection, 'unread');
+  /**
+   * Closes connections whose clients have taken nothing of what waits for them for too long. Has to
+   * be called once a second.
+   */
+  closeUnread(): void {
+    const connections = [...this.byAddress.values()].flatMap(own => [...own]);
+    for (const connection of connections) {
+      const {bytesWritten, writableLength} = connection.socket;
+      const takenBytes = bytesWritten - writableLength;
+      const isStalled =
+        writableLength > 0 && takenBytes === connection.takenBytes;
       connection.takenBytes = takenBytes;
+      connection.unreadChecks = isStalled ? connection.unreadChecks + 1 : 0;
+      if (connection.unreadChecks >= MAXIMUM_UNREAD_CHECKS)
+        this.close(connection, 'unread');
     }
   }
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -26,7 +26,11 @@
 export {EventStreamSplitter} from './event_stream_splitter.js';
 export type {ProbeResult, ResponseProbeResult} from './probe_endpoint.js';
 export {probeEndpoint, probeResponse} from './probe_endpoint.js';
-export type {FlowControl, ReceiveMeter} from './receive_scheduler.js';
+export type {
+  FlowControl,
+  PauseReason,
+  ReceiveMeter,
+} from './receive_scheduler.js';
 export {ReceiveScheduler} from './receive_scheduler.js';
 export type {
   ClientLimit,
--- a/packages/forwarding/src/listener_bounds.ts
+++ b/packages/forwarding/src/listener_bounds.ts
@@ -2,7 +2,6 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Instant} from '@siskinmux/kernel';
 import type {ClientLimit, ConnectionLimits} from './bounded_connections.js';
 import {BoundedConnections} from './bounded_connections.js';
 import {RequestGate} from './request_gate.js';
@@ -73,7 +72,7 @@
   }
 
   /** See {@link BoundedConnections.closeUnread}. */
-  closeUnread(now: Instant): void {
-    this.connections.closeUnread(now);
+  closeUnread(): void {
+    this.connections.closeUnread();
   }
 }
--- a/packages/forwarding/src/receive_scheduler.ts
+++ b/packages/forwarding/src/receive_scheduler.ts
@@ -1,4 +1,4 @@
-/** Shares the event loop out between connections that deliver many short chunks. */
+/** Shares the event loop, and the reading of bytes, out between connections that deliver many. */
 
 import type {Clock, Instant} from '@siskinmux/kernel';
 import {after, later} from '@siskinmux/kernel';
@@ -12,12 +12,24 @@
 /** Short chunks a millisecond, on one core, of all connections that exceed their quota. */
 const CHUNKS_PER_MILLISECOND = 100;
 
+/** Bytes of longer chunks that a connection may deliver within one turn of the event loop. */
+const QUOTA_BYTES = 65_536;
+
+/**
+ * Bytes a millisecond of all connections that exceed it, 32 MiB a second. What sockets have read
+ * is collected late, so that faster senders take memory in proportion to their number.
+ */
+const BYTES_PER_MILLISECOND = 33_554;
+
 /** Pauses and resumes the receipt of bytes. */
 export interface FlowControl {
   pause(): void;
   resume(): void;
 }
 
+/** Why a connection is paused. */
+export type PauseReason = 'short_chunks' | 'bytes' | 'stopped';
+
 /** Runs a callback once in the next turn of the event loop. */
 export type OnNextTurn = (callback: () => void) => void;
 
@@ -94,7 +106,8 @@
     const {clock, processorShare} = this.options;
     this.resumesAt = after(
       later(this.resumesAt, clock.now()),
-      meter.chunks / (CHUNKS_PER_MILLISECOND * processorShare),
+      meter.chunks / (CHUNKS_PER_MILLISECOND * processorShare) +
+        meter.bytes / BYTES_PER_MILLISECOND,
     );
     meter.resume();
     this.schedule();
@@ -105,6 +118,7 @@
 export class ReceiveMeter {
   private turn = -1;
   private count = 0;
+  private longBytes = 0;
   private isPaused = false;
 
   private constructor(
@@ -117,22 +131,34 @@
     return new ReceiveMeter(scheduler, flow);
   }
 
+  /** Why the connection was paused last. */
+  pauseReason: PauseReason = 'short_chunks';
+
   /** @internal Short chunks of the turn in which the quota was exceeded. */
   get chunks(): number {
     return this.count;
   }
 
+  /** @internal Bytes of its longer chunks in that turn. */
+  get bytes(): number {
+    return this.longBytes;
+  }
+
   /** Counts a chunk of `bytes` bytes. */
   record(bytes: number): void {
-    if (bytes >= SHORT_CHUNK_BYTES) return;
     const turn = this.scheduler.countTurn();
     if (turn !== this.turn && !this.isPaused) {
       this.turn = turn;
       this.count = 0;
+      this.longBytes = 0;
     }
-    this.count += 1;
-    if (this.count < QUOTA_CHUNKS || this.isPaused) return;
+    if (bytes < SHORT_CHUNK_BYTES) this.count += 1;
+    else this.longBytes += bytes;
+    const hasManyChunks = this.count >= QUOTA_CHUNKS;
+    if (this.isPaused || !(hasManyChunks || this.longBytes >= QUOTA_BYTES))
+      return;
     this.isPaused = true;
+    this.pauseReason = hasManyChunks ? 'short_chunks' : 'bytes';
     this.flow.pause();
     this.scheduler.enqueue(this);
   }
@@ -141,6 +167,7 @@
   resume(): void {
     this.isPaused = false;
     this.count = 0;
+    this.longBytes = 0;
     this.flow.resume();
   }
 
@@ -149,6 +176,7 @@
     this.scheduler.remove(this);
     if (this.isPaused) return;
     this.isPaused = true;
+    this.pauseReason = 'stopped';
     this.flow.pause();
   }
 
--- a/packages/forwarding/src/socket_pacer.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {
   FlowControl,
+  PauseReason,
   ReceiveMeter,
   ReceiveScheduler,
 } from './receive_scheduler.js';
@@ -15,7 +16,7 @@
 export interface PacedSocketOptions {
   /** Most bytes that are passed on at once. */
   readonly sliceBytes: number;
-  readonly onFirstPause?: () => void;
+  readonly onPause?: () => void;
   /** Decides how much of a slice is passed on; all of it if there is no gate. */
   readonly gate?: ReceiveGate | undefined;
 }
@@ -28,7 +29,6 @@
 export class PacedSocket implements FlowControl {
   private readonly held: (Buffer | null)[] = [];
   private isInTurn = true;
-  private hasBeenPaused = false;
   private readonly push: (bytes: Buffer | null) => boolean;
 
   private constructor(
@@ -62,8 +62,7 @@
 
   pause(): void {
     this.isInTurn = false;
-    if (!this.hasBeenPaused) this.options.onFirstPause?.();
-    this.hasBeenPaused = true;
+    this.options.onPause?.();
   }
 
   resume(): void {
@@ -96,20 +95,20 @@
   }
 }
 
+/** Called with the other end of a connection, and why it is held back. */
+export type OnPaced = (address: string, reason: PauseReason) => void;
+
 /** Lets a scheduler pace connections. */
 export class SocketPacer {
   private readonly meters = new WeakMap<Socket, ReceiveMeter>();
 
   private constructor(
     private readonly scheduler: ReceiveScheduler,
-    private readonly onPaced: (address: string) => void,
+    private readonly onPaced: OnPaced,
   ) {}
 
-  /** `onPaced` is called when a connection is held back for the first time, with its other end. */
-  static create(
-    scheduler: ReceiveScheduler,
-    onPaced: (address: string) => void,
-  ): SocketPacer {
+  /** `onPaced` is called when a connection is held back for a reason for the first time. */
+  static create(scheduler: ReceiveScheduler, onPaced: OnPaced): SocketPacer {
     return new SocketPacer(scheduler, onPaced);
   }
 
@@ -121,9 +120,15 @@
   /** Paces a connection from now on, and lets its gate hold it back; returns its meter. */
   pace(socket: Socket, gate?: RequestGate): ReceiveMeter {
     const {remoteAddress, remotePort} = socket;
+    const reported = new Set<PauseReason>();
     const paced = PacedSocket.create(socket, {
       sliceBytes: SLICE_BYTES,
-      onFirstPause: () => this.onPaced(`${remoteAddress}:${remotePort}`),
+      onPause: () => {
+        const {pauseReason} = meter;
+        if (reported.has(pauseReason)) return;
+        reported.add(pauseReason);
+        this.onPaced(`${remoteAddress}:${remotePort}`, pauseReason);
+      },
       gate,
     });
     gate?.onContinue(paced.continueReceipt);
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -90,7 +90,6 @@
     private readonly application: NestFastifyApplication,
     private readonly server: Server,
     private readonly bounds: ListenerBounds,
-    private readonly clock: Clock,
   ) {}
 
   /** Starts the server. */
@@ -137,7 +136,7 @@
     instance.removeAllContentTypeParsers();
     instance.addContentTypeParser('*', (_request, _body, done) => done(null));
     await application.listen(options.port, options.host);
-    return new CallerListener(application, server, bounds, clock);
+    return new CallerListener(application, server, bounds);
   }
 
   /** Sets how long callers may keep a connection idle. */
@@ -152,7 +151,7 @@
 
   /** Closes connections whose callers don't read. */
   closeUnread(): void {
-    this.bounds.closeUnread(this.clock.now());
+    this.bounds.closeUnread();
   }
 
   /** Stops accepting connections and closes idle ones. */
--- a/packages/gateway/src/client_limits.ts
+++ b/packages/gateway/src/client_limits.ts
@@ -20,8 +20,8 @@
 /** Share of them that clients of one address may have; all callers may come through one balancer. */
 const ADDRESS_SHARE = 0.75;
 
-/** A listener whose clients can't be trusted. */
-export type ListenerName = 'callers' | 'relays' | 'readiness' | 'peers';
+/** A listener whose clients can't be trusted; `all` for connections of any kind. */
+export type ListenerName = 'callers' | 'relays' | 'readiness' | 'peers' | 'all';
 
 /** Limits on connections that the settings leave open follow from the memory of the process. */
 export function connectionLimits(
@@ -77,11 +77,8 @@
       this.record(listener, limit, `${remoteAddress}:${remotePort}`);
   }
 
-  private record(
-    listener: ListenerName,
-    limit: ClientLimit,
-    address: string,
-  ): void {
+  /** Counts that a limit has taken effect on a connection from or to `address`. */
+  record(listener: ListenerName, limit: ClientLimit, address: string): void {
     this.total.inc({listener, limit});
     const key = `${listener} ${limit}`;
     const now = this.clock.now();
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -380,7 +380,7 @@
   name: 'client-limited',
   level: 'warn',
   meaning:
-    'A `listener` has closed the connection of a client, or holds it back, by a `limit`. `connections`, `connections_per_address`: there were more than the settings allow, and this one was closed. `unread`: closed, as the client took nothing of its responses for 30 s. `read_ahead`: the client has sent more requests than are read ahead of their responses; the others stay unread until one has ended. `peer_messages`: another node’s connection was closed, as the messages that it has begun, or doesn’t read, take too much memory. `address` is that of the client. One line for each listener and limit within 10 s; `unlogged` is how often it took effect since the last line.',
+    'A `listener` has closed the connection of a client, or holds it back, by a `limit`. `connections`, `connections_per_address`: there were more than the settings allow, and this one was closed. `unread`: closed, as the client took nothing of its responses for 30 s. `read_ahead`: the client has sent more requests than are read ahead of their responses; the others stay unread until one has ended. `peer_messages`: another node’s connection was closed, as the messages that it has begun, or doesn’t read, take too much memory. `read_rate`, with the listener `all`: the caller, endpoint or node at the other end delivers more than 64 KiB at once, and is read in turn with others like it from now on, 32 MiB a second together. `address` is that of the client. One line for each listener and limit within 10 s; `unlogged` is how often it took effect since the last line.',
 };
 
 /** All events of this package. */
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -279,7 +279,11 @@
         onNextTurn: setImmediate,
         processorShare: capacity.processor_share,
       }),
-      address => {
+      (address, reason) => {
+        if (reason === 'bytes') {
+          this.clientLimitReports.record('all', 'read_rate', address);
+          return;
+        }
         metrics.onPaced();
         emit(CONNECTION_PACED, {address});
       },
@@ -651,7 +655,7 @@
     this.peerConnections.closeExpired();
     this.callerListener?.closeUnread();
     this.relayListener?.closeUnread();
-    this.readinessListener?.bounds.closeUnread(this.clock.now());
+    this.readinessListener?.bounds.closeUnread();
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
