--- a/packages/gateway/__tests__/contention_cluster.ts
+++ b/packages/gateway/__tests__/contention_cluster.ts
@@ -28,6 +28,7 @@
 import {ClusterLoad} from '../src/cluster_load.js';
 import {EndpointLimits} from '../src/endpoint_limits.js';
 import {EndpointPauses} from '../src/endpoint_pauses.js';
+import {EventGapCounts} from '../src/event_gap_counts.js';
 import {InFlightCounts} from '../src/in_flight_counts.js';
 import {PlacementClient} from '../src/placement_client.js';
 import {SendPermits} from '../src/send_permits.js';
@@ -390,6 +391,7 @@
     },
     table,
     inFlightCounts,
+    eventGaps: EventGapCounts.create(),
     choice: {
       table,
       inFlightCounts,
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -163,6 +163,9 @@
 const STORE_RESPONSES_SHARE = 0.1;
 const ENGINE_RESPONSES_SHARE = 0.05;
 
+/** Share of it that messages between nodes may take that have not arrived whole, or are not read. */
+const PEER_MESSAGES_SHARE = 0.1;
+
 const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** Options of {@link GatewayNode}. */
@@ -279,7 +282,11 @@
         onNextTurn: setImmediate,
         processorShare: capacity.processor_share,
       }),
-      address => {
+      (address, reason) => {
+        if (reason === 'bytes') {
+          this.clientLimitReports.record('all', 'read_rate', address);
+          return;
+        }
         metrics.onPaced();
         emit(CONNECTION_PACED, {address});
       },
@@ -417,6 +424,9 @@
     this.placement = NodePlacement.create({
       identity,
       listen: this.listen.peers,
+      peerLimits: this.connectionLimits,
+      peerMemoryBytes: memoryBytes * PEER_MESSAGES_SHARE,
+      onPeerLimited: this.clientLimitReports.of('peers'),
       leaseRules: {
         leaseMilliseconds: this.rules.lease_milliseconds,
         isFencingEnforced: this.rules.engines_check_fencing,
@@ -450,6 +460,7 @@
       pauses: this.pauses,
       leaving: this.leaving,
       onLimited: metrics.onLimited,
+      onCapacityWait: metrics.onCapacityWait,
       onPermitUsed: metrics.onPermitUsed,
       reachesStore: () => this.platformView.reachesStore,
       testify: endpoint => refusalWitness.testify(endpoint),
@@ -667,7 +678,7 @@
     this.peerConnections.closeExpired();
     this.callerListener?.closeUnread();
     this.relayListener?.closeUnread();
-    this.readinessListener?.bounds.closeUnread(this.clock.now());
+    this.readinessListener?.bounds.closeUnread();
   }
 
   private async route(exchange: CallerExchange): Promise<void> {
--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -18,6 +18,7 @@
 import {AttemptChains} from './attempt_chains.js';
 import type {CallerIdentity} from './caller_identity.js';
 import {firstRankOf, rankOf} from './caller_identity.js';
+import type {RequestOrdering} from './endpoint_choice.js';
 import type {CallerExchange} from './caller_exchange.js';
 import type {ViewAge} from './platform_view.js';
 import type {RequestProgress} from './retry_decision.js';
@@ -133,6 +134,24 @@
     return this.caller.kind === 'team' ? this.caller.team.name : undefined;
   }
 
+  /** By what it is ordered among requests that wait; undefined without teams. */
+  get ordering(): RequestOrdering | undefined {
+    const {caller, route, exchange, metadata, team} = this;
+    if (caller.kind === 'any') return undefined;
+    const declared = caller.kind === 'team' ? caller.team : undefined;
+    const tokens = metadata.promptTokens + metadata.outputTokens;
+    return {
+      team,
+      teamPriority: declared?.priority ?? 0,
+      route: route.name,
+      objectiveAt: after(
+        exchange.receivedAt,
+        route.latencyObjectiveMilliseconds,
+      ),
+      cost: tokens || (declared?.quota?.plainTokens ?? 1) || 1,
+    };
+  }
+
   /** A stream that has begun goes before new ones of its route, which have nothing to lose yet. */
   get urgency(): number {
     const {rank, caller} = this;
