--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,15 @@
 
 export type {Candidate, ChoiceContext} from './choose_endpoint.js';
 export {CROSS_DOMAIN_COST, chooseEndpoint} from './choose_endpoint.js';
+export type {EngineCandidate} from './choose_engine.js';
+export {chooseEngineByLoad} from './choose_engine.js';
+export type {
+  EstimatedEngine,
+  LoadEstimate,
+  LoadReport,
+} from './engine_loads.js';
+export {EngineLoads} from './engine_loads.js';
+export {EngineSpeeds} from './engine_speeds.js';
 export {fingerprintOf} from './fingerprint.js';
 export {OutlierDetector} from './outlier_detector.js';
 export {hash32, ownerOf, rankMembers} from './rendezvous.js';
