Estimate loads for the end of a report's use and level them by slots

And an engine taken for slow had less capacity, so that another got more requests than slots while it had a free one (concurrent_runs.test.ts).

Change: Estimates are made for the age at which the report before was replaced, without a margin. The common level is that of requests for each slot; the speed lowers the weight only. The simulation has a scenario with reports of 5 ms, and its nodes know the delay of heartbeats only to 300 ms.

--- a/packages/benchmarks/__tests__/balance_simulation.test.ts
+++ b/packages/benchmarks/__tests__/balance_simulation.test.ts
@@ -31,6 +31,7 @@
     '91 nodes in one domain',
     'load 0.95',
     'long requests',
+    'reports of 5 ms',
     'reports of 0.1 s',
     'half of the reports lost',
     'heartbeats 0.5 s late',
--- a/packages/benchmarks/src/balance_policies.ts
+++ b/packages/benchmarks/src/balance_policies.ts
@@ -135,8 +135,9 @@
       }));
       return chooseEngineByLoad(candidates, random)!.engine;
     },
-    onReport: report =>
+    onReport: (report, now) =>
       loads.applyReport({
+        arrivedAt: now,
         loads: report.loads,
         ownAt: endpoint => report.reportedOwn.get(endpoint) ?? 0,
         countedAt: after(
--- a/packages/benchmarks/src/balance_scenarios.ts
+++ b/packages/benchmarks/src/balance_scenarios.ts
@@ -100,6 +100,7 @@
     rareShare: 1,
     requestScale: 0.3,
   },
+  {...usual, name: 'reports of 5 ms', usageIntervalMilliseconds: 5},
   {...usual, name: 'reports of 0.1 s', usageIntervalMilliseconds: 100},
   {...usual, name: 'reports of 1 s', usageIntervalMilliseconds: 1_000},
   {...usual, name: 'reports of 2 s', usageIntervalMilliseconds: 2_000},
--- a/packages/benchmarks/src/balance_simulation.ts
+++ b/packages/benchmarks/src/balance_simulation.ts
@@ -31,7 +31,7 @@
 const LINK_MILLISECONDS: Milliseconds = 2;
 
 /** Interval at which a node measures how long heartbeats take. */
-const PULSE_MILLISECONDS: Milliseconds = 150;
+const PULSE_MILLISECONDS: Milliseconds = 300;
 const SAMPLE_MILLISECONDS: Milliseconds = 50;
 const MAXIMUM_SENDS = 3;
 const SPEEDS = [1, 1, 1.3];
--- a/packages/routing/__tests__/engine_balance.test.ts
+++ b/packages/routing/__tests__/engine_balance.test.ts
@@ -161,6 +161,7 @@
       loads: new Map([[id(1), 20]]),
       ownAt: () => 0,
       countedAt: START,
+      arrivedAt: START,
     });
     expect(loads.estimate(engine, after(START, 10_000))).toEqual(none);
   });
@@ -171,6 +172,7 @@
       loads: new Map([[id(1), 10]]),
       ownAt: () => 2,
       countedAt: START,
+      arrivedAt: START,
     });
     expect(loads.estimate(engine, START).knownRequests).toEqual(11);
   });
@@ -181,6 +183,7 @@
       loads: new Map([[id(1), 20]]),
       ownAt: () => 0,
       countedAt: START,
+      arrivedAt: START,
     });
     const early = loads.estimate(engine, after(START, 100));
     const late = loads.estimate(engine, after(START, 2_000));
@@ -188,6 +191,21 @@
     expect(late.unseenRequests > early.unseenRequests).toEqual(true);
   });
 
+  it('are the same during the use of a report, so that its first requests spread, too', () => {
+    const {loads} = createLoads();
+    for (const at of [0, 300])
+      loads.applyReport({
+        loads: new Map([[id(1), 20]]),
+        ownAt: () => 0,
+        countedAt: after(START, at),
+        arrivedAt: after(START, at),
+      });
+    const first = loads.estimate(engine, after(START, 301));
+    const last = loads.estimate(engine, after(START, 599));
+    expect(first).toEqual(last);
+    expect(first.unseenRequests > 0).toEqual(true);
+  });
+
   it('ignore a report that was counted before the latest one', () => {
     const {loads} = createLoads();
     const apply = (total: number, countedAt: Instant): void =>
@@ -195,6 +213,7 @@
         loads: new Map([[id(1), total]]),
         ownAt: () => 0,
         countedAt,
+        arrivedAt: countedAt,
       });
     apply(10, after(START, 300));
     apply(90, START);
@@ -208,6 +227,7 @@
       loads: new Map([[id(1), Number.MAX_SAFE_INTEGER]]),
       ownAt: () => 0,
       countedAt: START,
+      arrivedAt: START,
     });
     const {knownRequests} = loads.estimate(engine, START);
     expect(knownRequests <= 10 * SLOTS + 3).toEqual(true);
@@ -220,6 +240,7 @@
         loads: new Map([[id(1), 5]]),
         ownAt: () => 0,
         countedAt,
+        arrivedAt: countedAt,
       });
     apply(START);
     const rejectedAt = after(START, 100);
@@ -249,6 +270,7 @@
       loads: new Map([[id(1), 20]]),
       ownAt: () => 0,
       countedAt: START,
+      arrivedAt: START,
     });
     loads.recordRejection(id(1), START);
     loads.forget(id(1));
--- a/packages/routing/src/choose_engine.ts
+++ b/packages/routing/src/choose_engine.ts
@@ -16,9 +16,9 @@
   readonly slots: number;
   /** Time that a request takes at the engine, relative to the average engine. */
   readonly slowness: number;
-  /** Estimated requests in flight now, without those that other nodes have sent unseen. */
+  /** Estimated requests in flight, without those that other nodes send unseen. */
   readonly knownRequests: number;
-  /** Estimated requests that other nodes have sent to it since the latest knowledge. */
+  /** Estimated requests that other nodes send to it while they rely on the same report. */
   readonly unseenRequests: number;
   readonly isInOwnDomain: boolean;
 }
@@ -32,22 +32,20 @@
   candidates: readonly Candidate[],
   random: Random,
 ): Candidate | undefined {
-  const shares = candidates.map(candidate => {
-    const capacity = capacityOf(candidate);
-    const load = candidate.knownRequests / capacity;
-    return {candidate, capacity, load};
-  });
-  const level = commonLevel(shares);
+  const level = commonLevel(candidates);
   let total = 0;
-  const weights = shares.map(({candidate, capacity, load}) => {
-    const missing = Math.max(0, level - load) * capacity;
-    const weight = missing * (candidate.isInOwnDomain ? OWN_DOMAIN_WEIGHT : 1);
+  const weights = candidates.map(candidate => {
+    const {knownRequests, slots, slowness, isInOwnDomain} = candidate;
+    const missing = Math.max(0, level * slots - knownRequests);
+    const preference = isInOwnDomain ? OWN_DOMAIN_WEIGHT : 1;
+    // A slower engine gets fewer, so that its requests wait no longer.
+    const weight = (missing * preference) / Math.sqrt(slowness);
     total += weight;
     return weight;
   });
   let remaining = random() * total;
   let chosen: Candidate | undefined;
-  for (const [index, {candidate}] of shares.entries()) {
+  for (const [index, candidate] of candidates.entries()) {
     const weight = weights[index] ?? 0;
     if (weight === 0) continue;
     chosen = candidate;
@@ -57,33 +55,27 @@
   return chosen;
 }
 
-/** A candidate with its capacity, and its known requests relative to it. */
-interface CapacityShare {
-  readonly candidate: EngineCandidate;
-  readonly capacity: number;
-  readonly load: number;
-}
-
 /**
- * Load relative to the capacity that the candidates below it reach when they get all unseen
+ * Load relative to the slots that the candidates below it reach when they get all unseen
  * requests, and the one to be sent.
  */
-function commonLevel(shares: readonly CapacityShare[]): number {
-  const ascending = [...shares].sort((left, right) => left.load - right.load);
+function commonLevel(candidates: readonly EngineCandidate[]): number {
+  const ascending = [...candidates].sort(
+    (left, right) => loadOf(left) - loadOf(right),
+  );
   let requests = 1;
-  for (const {candidate} of shares) requests += candidate.unseenRequests;
-  let capacity = 0;
+  for (const {unseenRequests} of candidates) requests += unseenRequests;
+  let slots = 0;
   let level = Infinity;
-  for (const share of ascending) {
-    if (share.load >= level) break;
-    requests += share.candidate.knownRequests;
-    capacity += share.capacity;
-    level = requests / capacity;
+  for (const candidate of ascending) {
+    if (loadOf(candidate) >= level) break;
+    requests += candidate.knownRequests;
+    slots += candidate.slots;
+    level = requests / slots;
   }
   return level;
 }
 
-/** A slower engine gets a smaller share, so that its requests wait no longer. */
-function capacityOf({slots, slowness}: EngineCandidate): number {
-  return slots / Math.sqrt(slowness);
+function loadOf({knownRequests, slots}: EngineCandidate): number {
+  return knownRequests / slots;
 }
--- a/packages/routing/src/engine_loads.ts
+++ b/packages/routing/src/engine_loads.ts
@@ -10,13 +10,6 @@
 /** Weight of the latest interval in the rate at which other nodes send to an engine. */
 const RATE_WEIGHT = 0.5;
 
-/**
- * Requests sent unseen are counted over the age of the knowledge times this factor: an
- * assumption of too many costs some evenness, one of too few makes all nodes choose the same
- * engine.
- */
-const AGE_MARGIN = 1.25;
-
 /** Requests that an engine is assumed to have when it rejects one, relative to its slots. */
 const REJECTING_LOAD = 2;
 
@@ -48,6 +41,7 @@
   readonly ownAt: (endpoint: EndpointId) => number;
   /** When the requests were counted, on average over the nodes. */
   readonly countedAt: Instant;
+  readonly arrivedAt: Instant;
 }
 
 /** An engine whose load is estimated. */
@@ -60,7 +54,9 @@
 
 /** Estimated load of one engine. */
 export interface LoadEstimate {
+  /** This node's requests now, and those known of others that are left when the report is replaced. */
   readonly knownRequests: number;
+  /** Requests that other nodes send from the report until it is replaced. */
   readonly unseenRequests: number;
   readonly slowness: number;
 }
@@ -69,6 +65,8 @@
 export class EngineLoads {
   private reported = new Map<EndpointId, ReportedLoad>();
   private countedAt: Instant | undefined;
+  /** Age of the previous report when the latest one replaced it. */
+  private lastUseEndedAfter: Milliseconds = 0;
   private readonly rejections = new Map<EndpointId, Instant>();
 
   private constructor(private readonly speeds: EngineSpeeds) {}
@@ -78,7 +76,7 @@
   }
 
   /** Replaces what is known of other nodes' requests; an older report is ignored. */
-  applyReport({loads, ownAt, countedAt}: LoadReport): void {
+  applyReport({loads, ownAt, countedAt, arrivedAt}: LoadReport): void {
     const previousAt = this.countedAt;
     if (previousAt !== undefined && countedAt <= previousAt) return;
     const hasPrevious =
@@ -106,6 +104,7 @@
             : before.rate + RATE_WEIGHT * (rate - before.rate),
       });
     }
+    this.lastUseEndedAfter = hasPrevious ? until(previousAt, arrivedAt) : 0;
     this.reported = current;
     this.countedAt = countedAt;
     for (const [endpoint, at] of this.rejections)
@@ -134,10 +133,13 @@
     const known = this.reported.get(endpoint);
     if (age !== undefined && known !== undefined) {
       const others = Math.min(known.others, MAXIMUM_REPORTED_LOAD * slots);
+      // All choices by one report add up, so each is made for the end of its use. If the first
+      // ones were made for its beginning, all nodes would send these to the same engine.
+      const horizon = Math.max(age, this.lastUseEndedAfter);
       // Requests that wait for a slot don't end meanwhile.
       const running = Math.min(others, slots);
-      knownRequests += others - running * this.endedShare(slowness, age);
-      unseenRequests = Math.max(0, known.rate * age * AGE_MARGIN);
+      knownRequests += others - running * this.endedShare(slowness, horizon);
+      unseenRequests = Math.max(0, known.rate * horizon);
     }
     const rejectedAt = this.rejections.get(endpoint);
     if (rejectedAt !== undefined) {
