Balance engines by estimated load in the gateway

Cause: The gateway chose the less loaded of two random engines, without regard to the age of the reports, and by its own requests with a strong preference for its failure domain when it had none.

Change: chooseEngine uses chooseEngineByLoad. ClusterLoad holds the estimates and is told of heartbeats with the time at which they were written at the latest, of this node's usage reports (own_usage_reports.ts), of served and rejected requests, and of engines that have ended. FindEndpoint, HasAlternative and the signature of chooseEngine are unchanged, and so are all messages. request-ended has engineLoad and engineLoadAge.

Not run: the fleet of processes.

Conclusion: Needs a run of the fleet under load for figures of the rejected arrivals.

--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -116,6 +116,8 @@
   readonly orders: EngineOrderClient;
   readonly clock: Clock;
   readonly emit: EmitEvent;
+  /** Called with each usage report of this node. */
+  readonly onUsageReport?: (service: ServiceName, usage: NodeUsage) => void;
   /** Undefined while this node may not send orders. */
   readonly authority: () => OrderAuthority | undefined;
   /** Called when an engine has seen a later term. */
@@ -339,7 +341,9 @@
   }
 
   reportUsage(service: ServiceName, usage: NodeUsage): void {
-    this.allocators.get(service)?.recordUsage(this.options.self, usage);
+    const {self, onUsageReport} = this.options;
+    this.allocators.get(service)?.recordUsage(self, usage);
+    onUsageReport?.(service, usage);
   }
 
   reportMissingModel(
--- a/packages/gateway/src/cluster_load.ts
+++ b/packages/gateway/src/cluster_load.ts
@@ -3,9 +3,24 @@
  * many nodes, the requests of one node say little about an endpoint's load.
  */
 
-import type {Clock, EndpointId, Instant, Milliseconds} from '@siskinmux/kernel';
-import {after} from '@siskinmux/kernel';
+import type {
+  EndpointDescription,
+  EndpointTableChange,
+} from '@siskinmux/endpoints';
+import type {
+  Clock,
+  EndpointId,
+  Instant,
+  Milliseconds,
+  ModelName,
+  ServiceName,
+} from '@siskinmux/kernel';
+import {after, as, until} from '@siskinmux/kernel';
+import type {NodeUsage} from '@siskinmux/placement';
+import type {LoadEstimate} from '@siskinmux/routing';
+import {EngineLoads, EngineSpeeds} from '@siskinmux/routing';
 import type {InFlightCounts} from './in_flight_counts.js';
+import {OwnUsageReports} from './own_usage_reports.js';
 
 /** Age at which a report is stale; three reports arrive in this time. */
 const STALE_AFTER_MILLISECONDS: Milliseconds = 1_000;
@@ -19,10 +34,21 @@
   readonly ownAtReport: number;
 }
 
-/** The latest report, adjusted by this node's requests since then. */
+/** What this node assumes about an engine, for log lines. */
+export interface AssumedLoad {
+  /** Requests in flight from all nodes. */
+  readonly requests: number;
+  /** Age of the reports; undefined if only this node's own requests are known. */
+  readonly age: Milliseconds | undefined;
+}
+
+/** The latest report, and estimates from it and from this node's own requests. */
 export class ClusterLoad {
   private reported = new Map<string, ReportedCount>();
   private expiresAt: Instant | undefined;
+  private readonly ownReports = OwnUsageReports.create();
+  private readonly speeds = EngineSpeeds.create();
+  private readonly loads = EngineLoads.create(this.speeds);
 
   private constructor(
     private readonly clock: Clock,
@@ -41,15 +67,30 @@
     return this.expiresAt !== undefined && this.clock.now() < this.expiresAt;
   }
 
-  /** Replaces the report; an endpoint that is not listed has no requests. */
-  update(loads: readonly EndpointLoad[]): void {
+  /**
+   * Replaces the report; an endpoint that is not listed has no requests. `writtenAt` is when
+   * the lease holder wrote it, as far as known.
+   */
+  update(
+    loads: readonly EndpointLoad[],
+    writtenAt: Instant = this.clock.now(),
+  ): void {
     this.expiresAt = after(this.clock.now(), STALE_AFTER_MILLISECONDS);
     this.reported = new Map(
       loads.map(([endpoint, total]) => [
         endpoint,
-        {total, ownAtReport: this.inFlightCounts.at(endpoint as EndpointId)},
+        {total, ownAtReport: this.inFlightCounts.at(as<EndpointId>(endpoint))},
       ]),
     );
+    const {countsAt, meanAge} = this.ownReports.before(writtenAt);
+    this.loads.applyReport({
+      loads: new Map(
+        loads.map(([endpoint, total]) => [as<EndpointId>(endpoint), total]),
+      ),
+      ownAt: countsAt ?? (endpoint => this.inFlightCounts.at(endpoint)),
+      countedAt: after(writtenAt, -meanAge),
+      arrivedAt: this.clock.now(),
+    });
   }
 
   /** Requests at an endpoint: the reported count plus this node's change since then. */
@@ -60,4 +101,53 @@
     };
     return Math.max(0, total + this.inFlightCounts.at(endpoint) - ownAtReport);
   }
+
+  /** Estimates an engine's load from the reports, this node's requests and rejections. */
+  estimate({id, slots}: EndpointDescription): LoadEstimate {
+    const own = this.inFlightCounts.at(id);
+    return this.loads.estimate({endpoint: id, slots, own}, this.clock.now());
+  }
+
+  /** The same, for log lines. */
+  assumedAt(engine: EndpointDescription): AssumedLoad {
+    const {knownRequests, unseenRequests} = this.estimate(engine);
+    const age = this.loads.ageAt(this.clock.now());
+    return {
+      requests: Math.round(knownRequests + unseenRequests),
+      age: age === undefined ? undefined : Math.round(age),
+    };
+  }
+
+  /** Records a usage report to the lease holder, which counts it in its next heartbeats. */
+  recordUsageReport(service: ServiceName, {inFlight}: NodeUsage): void {
+    this.ownReports.record(service, inFlight, this.clock.now());
+  }
+
+  /** Called when this node gets another lease holder, which knows none of its reports. */
+  onHolderChange(): void {
+    this.ownReports.clear();
+  }
+
+  /** Records a request that an engine has served. */
+  recordServed(
+    {id, service}: EndpointDescription,
+    model: ModelName,
+    sentAt: Instant,
+  ): void {
+    const now = this.clock.now();
+    const kind = `${service}/${model}`;
+    this.speeds.recordCompleted(id, kind, until(sentAt, now), now);
+  }
+
+  /** Records that an engine rejected a request without running it. */
+  recordRejection({id}: EndpointDescription): void {
+    this.loads.recordRejection(id, this.clock.now());
+  }
+
+  /** Drops what is known about engines that have ended. */
+  applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    for (const {id, before, now} of changes)
+      if (before !== undefined && before.incarnation !== now?.incarnation)
+        this.loads.forget(id);
+  }
 }
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -18,14 +18,9 @@
   RequestId,
   ServiceName,
 } from '@siskinmux/kernel';
-import {
-  ErrorCode,
-  after,
-  createNotRunRefusal,
-  randomBelow,
-} from '@siskinmux/kernel';
+import {ErrorCode, after, createNotRunRefusal} from '@siskinmux/kernel';
 import type {OutlierDetector} from '@siskinmux/routing';
-import {CROSS_DOMAIN_COST, chooseEndpoint} from '@siskinmux/routing';
+import {chooseEndpoint, chooseEngineByLoad} from '@siskinmux/routing';
 import type {ClusterLoad} from './cluster_load.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import type {LimitDependencies} from './limited_choice.js';
@@ -107,26 +102,21 @@
 }
 
 /**
- * Picks the less loaded of two random engines, by the requests of all nodes. The counts
- * are a few hundred milliseconds old, so if every node picked the minimum, all of them
- * would send to the same engine. Without fresh counts, uses this node's own requests.
+ * Chooses an engine by its estimated requests from all nodes, skipping ejected outliers where
+ * possible; see `chooseEngineByLoad`.
  */
 export function chooseEngine(
   engines: readonly EndpointDescription[],
   dependencies: ChoiceDependencies,
 ): EndpointDescription | undefined {
   const {clusterLoad, random, failureDomain} = dependencies;
-  if (!clusterLoad.isFresh) return chooseLeastLoaded(engines, dependencies);
-  const usable = withoutOutliers(engines, dependencies);
-  const draw = (): EndpointDescription | undefined =>
-    usable[randomBelow(random, usable.length)];
-  const cost = (engine: EndpointDescription): number =>
-    clusterLoad.at(engine.id) / engine.slots +
-    (engine.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_COST);
-  const first = draw();
-  const second = draw();
-  if (first === undefined || second === undefined) return first;
-  return cost(second) < cost(first) ? second : first;
+  const candidates = withoutOutliers(engines, dependencies).map(engine => ({
+    engine,
+    slots: engine.slots,
+    isInOwnDomain: engine.failureDomain === failureDomain,
+    ...clusterLoad.estimate(engine),
+  }));
+  return chooseEngineByLoad(candidates, random)?.engine;
 }
 
 function withoutOutliers(
--- a/packages/gateway/src/endpoint_sender.ts
+++ b/packages/gateway/src/endpoint_sender.ts
@@ -71,6 +71,10 @@
     state.triedEndpoints.add(endpoint.id);
     state.viewAge = dependencies.view.age;
     const {model, adapter} = state.metadata;
+    state.assumedLoad =
+      model === undefined
+        ? undefined
+        : dependencies.clusterLoad.assumedAt(endpoint);
     const release = inFlightCounts.track({
       endpoint: endpoint.id,
       model,
@@ -145,6 +149,14 @@
     }
   }
 
+  private recordServed({endpoint, sentAt}: EndedRun): void {
+    const {dependencies, state, containment} = this.options;
+    const {model} = state.metadata;
+    containment.recordServed();
+    if (model !== undefined)
+      dependencies.clusterLoad.recordServed(endpoint, model, sentAt);
+  }
+
   /** A retry waits until it is known whether the endpoint crashed; other requests don't. */
   private async reportRunEnd(
     result: AttemptResult,
@@ -153,7 +165,7 @@
     const {state, ending, containment} = this.options;
     if (result.kind === 'delivered') {
       containment.recordResponse(run.endpoint, run.sentRequest);
-      if (ending.isServed) containment.recordServed();
+      if (ending.isServed) this.recordServed(run);
       return;
     }
     if (result.kind === 'not_run' || !result.isCut) return;
@@ -241,6 +253,8 @@
     const {model} = state.metadata;
     if (model !== undefined && head.metadata.isMisdirected) {
       dependencies.reportMissingModel(endpoint.id, model);
+    } else if (model !== undefined) {
+      dependencies.clusterLoad.recordRejection(endpoint);
     }
     return {kind: 'not_run', cause: `status ${head.status}`, isSent: true};
   }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -308,6 +308,7 @@
     const inFlightCounts = InFlightCounts.create(() =>
       this.placement.onInFlightChange(),
     );
+    const clusterLoad = ClusterLoad.create({clock, inFlightCounts});
     const outliers = OutlierDetector.create();
     const retryBudgets = RetryBudgets.create({
       limits: {
@@ -403,7 +404,7 @@
       choice: {
         table: this.table,
         inFlightCounts,
-        clusterLoad: ClusterLoad.create({clock, inFlightCounts}),
+        clusterLoad,
         outliers,
         clock,
         random,
@@ -444,6 +445,7 @@
       view: this.platformView,
       isListed: endpoint => isListed(this.table, endpoint),
       inFlightCounts,
+      clusterLoad,
       limits: this.limits,
       pauses: this.pauses,
       leaving: this.leaving,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -18,7 +18,7 @@
   Random,
   ServiceName,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, after} from '@siskinmux/kernel';
+import {SiskinmuxError, after, earlier} from '@siskinmux/kernel';
 import type {
   ClockReading,
   HolderStatus,
@@ -268,9 +268,10 @@
 
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    const {table, choice} = this.options;
     this.permits.applyEndpointChanges(changes);
     this.client.onEndpointChanges(changes);
-    const {table} = this.options;
+    choice.clusterLoad.applyEndpointChanges(changes);
     this.allocatorServer?.applyEndpointChanges(
       changes.map(change =>
         table.hasCrashed(change.id) ? {...change, now: undefined} : change,
@@ -323,6 +324,8 @@
       ...this.options,
       peerConnection: connection,
       listener: this.client,
+      onUsageReport: (service, usage) =>
+        this.options.choice.clusterLoad.recordUsageReport(service, usage),
       onSuspects: suspects => {
         this.options.quarantine.merge(suspects);
       },
@@ -333,7 +336,7 @@
         this.options.leaving.merge(statements);
       },
       onHeartbeat: (heartbeat, writtenAfter) => {
-        this.applyHeartbeat(heartbeat);
+        this.applyHeartbeat(heartbeat, this.writtenAt(writtenAfter));
         this.options.onFeed(heartbeat.feed, writtenAfter);
       },
     });
@@ -406,6 +409,8 @@
       },
       limitShare: () => limitShareOf(heldLease, clock.now()),
       self: identity.id,
+      onUsageReport: (service, usage) =>
+        this.options.choice.clusterLoad.recordUsageReport(service, usage),
       listener: this.client,
       endpoints: () => table.running,
       emit,
@@ -433,6 +438,7 @@
 
   private setAllocator(allocator: AllocatorApi | undefined): void {
     this.allocator = allocator;
+    this.options.choice.clusterLoad.onHolderChange();
     this.client.setAllocator(allocator);
     this.options.quarantine.setExchange(allocator);
     this.options.continuity.setExchange(allocator);
@@ -442,10 +448,13 @@
   }
 
   /** Applies a heartbeat, whether received or sent. */
-  private applyHeartbeat(heartbeat: HeartbeatMessage): void {
+  private applyHeartbeat(
+    heartbeat: HeartbeatMessage,
+    writtenAt: Instant,
+  ): void {
     const {nodes, loads, loadsAtOnce, loadAges} = heartbeat;
     const {choice, clock, onNodeCount} = this.options;
-    if (loads.length > 0) choice.clusterLoad.update(loads);
+    if (loads.length > 0) choice.clusterLoad.update(loads, writtenAt);
     this.client.setNodeCount(nodes);
     onNodeCount(nodes);
     const now = clock.now();
@@ -453,10 +462,26 @@
     this.lastLoadStarts = loadAges.map(age => after(now, -age));
   }
 
+  /**
+   * When a heartbeat was written, at the latest. Pulses are sent with heartbeats, so the last one
+   * that the holder repeats is up to this old although nothing is late.
+   */
+  private writtenAt(writtenAfter: Instant | undefined): Instant {
+    const {clock, pulseMilliseconds} = this.options;
+    const now = clock.now();
+    if (writtenAfter === undefined) return now;
+    const heartbeats = Math.ceil(pulseMilliseconds / HEARTBEAT_MILLISECONDS);
+    const echoAge = heartbeats * HEARTBEAT_MILLISECONDS;
+    return earlier(now, after(writtenAfter, echoAge));
+  }
+
   /** Sends a heartbeat as the lease holder; as a follower, closes the connection to a silent holder. */
   private exchangeHeartbeats(): void {
     if (this.allocatorServer !== undefined)
-      this.applyHeartbeat(this.allocatorServer.sendHeartbeat());
+      this.applyHeartbeat(
+        this.allocatorServer.sendHeartbeat(),
+        this.options.clock.now(),
+      );
     const connection = this.holderConnection;
     const earlier = this.silence;
     this.silence = undefined;
--- a/packages/gateway/src/proxied_request_dependencies.ts
+++ b/packages/gateway/src/proxied_request_dependencies.ts
@@ -18,6 +18,7 @@
 import type {PeerChoice} from '@siskinmux/relay';
 import type {Route} from '@siskinmux/routes';
 import type {OutlierDetector} from '@siskinmux/routing';
+import type {ClusterLoad} from './cluster_load.js';
 import type {FindEndpoint, HasAlternative} from './endpoint_choice.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
@@ -38,6 +39,7 @@
   /** The listed endpoint, if there is one under the id. */
   readonly findEndpoint: (id: EndpointId) => EndpointDescription | undefined;
   readonly inFlightCounts: InFlightCounts;
+  readonly clusterLoad: ClusterLoad;
   readonly limits: EndpointLimits;
   readonly pauses: EndpointPauses;
   readonly leaving: LeavingEndpoints;
--- a/packages/gateway/src/remote_allocator.ts
+++ b/packages/gateway/src/remote_allocator.ts
@@ -91,6 +91,8 @@
   readonly testify: (endpoint: EndpointId) => Promise<ProbeResult>;
   /** Whether endpoints of a service respond to this node. */
   readonly testifyService: (service: ServiceName) => Promise<boolean>;
+  /** Called with each usage report that is sent. */
+  readonly onUsageReport?: (service: ServiceName, usage: NodeUsage) => void;
   /** Least interval between pulses. */
   readonly pulseMilliseconds: Milliseconds;
   /**
@@ -201,6 +203,7 @@
       PEER_METHODS.usage,
       encodeUsage(service, usage, reachesStore(), clock.now()),
     );
+    this.options.onUsageReport?.(service, usage);
   }
 
   reportMissingModel(
--- a/packages/gateway/src/request_ending.ts
+++ b/packages/gateway/src/request_ending.ts
@@ -160,7 +160,7 @@
   private logEnd(result: string): void {
     const {clock, emit, view, onRequestEnd} = this.dependencies;
     const {exchange, route, metadata, configuration, target} = this.state;
-    const {sends, runs, respondedAt} = this.state;
+    const {sends, runs, respondedAt, assumedLoad} = this.state;
     const viewAge = this.state.viewAge ?? view.age;
     const durationMilliseconds = until(exchange.receivedAt, clock.now());
     onRequestEnd(route, result, durationMilliseconds);
@@ -182,6 +182,8 @@
       sentAfter: this.millisecondsSinceReceived(target?.sentAt),
       endpointsAge: viewAge.endpoints,
       routesAge: viewAge.routes,
+      engineLoad: assumedLoad?.requests,
+      engineLoadAge: assumedLoad?.age,
       answeredAfter: this.millisecondsSinceReceived(respondedAt),
       milliseconds: Math.round(durationMilliseconds),
     });
--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -16,6 +16,7 @@
 import type {AttemptChain, SendTarget} from './attempt_chains.js';
 import {AttemptChains} from './attempt_chains.js';
 import type {CallerExchange} from './caller_exchange.js';
+import type {AssumedLoad} from './cluster_load.js';
 import type {ViewAge} from './platform_view.js';
 import type {RequestProgress} from './retry_decision.js';
 
@@ -35,6 +36,8 @@
   respondedAt: Instant | undefined;
   /** How old this node's knowledge was at the last send. */
   viewAge: ViewAge | undefined;
+  /** What this node assumed at the last send about the load of its engine. */
+  assumedLoad: AssumedLoad | undefined;
   readonly chains = AttemptChains.create();
 
   private constructor(
