--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -333,6 +333,7 @@
     const inFlightCounts = InFlightCounts.create(() =>
       this.placement.onInFlightChange(),
     );
+    const clusterLoad = ClusterLoad.create({clock, inFlightCounts});
     const outliers = OutlierDetector.create();
     const eventGaps = EventGapCounts.create();
     const retryBudgets = RetryBudgets.create({
@@ -446,7 +447,7 @@
       choice: {
         table: this.table,
         inFlightCounts,
-        clusterLoad: ClusterLoad.create({clock, inFlightCounts}),
+        clusterLoad,
         outliers,
         clock,
         random,
@@ -492,6 +493,7 @@
       inFlightCounts,
       eventGaps,
       teamQuotas,
+      clusterLoad,
       limits: this.limits,
       pauses: this.pauses,
       leaving: this.leaving,
--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -20,6 +20,7 @@
 import {firstRankOf, rankOf} from './caller_identity.js';
 import type {RequestOrdering} from './endpoint_choice.js';
 import type {CallerExchange} from './caller_exchange.js';
+import type {AssumedLoad} from './cluster_load.js';
 import type {ViewAge} from './platform_view.js';
 import type {RequestProgress} from './retry_decision.js';
 
@@ -39,6 +40,8 @@
   respondedAt: Instant | undefined;
   /** How old this node's knowledge was at the last send. */
   viewAge: ViewAge | undefined;
+  /** What this node assumed at the last send about the load of its engine. */
+  assumedLoad: AssumedLoad | undefined;
   readonly chains = AttemptChains.create();
 
   private constructor(
