Find the changes for a heartbeat team by team

Cause: the lease holder looked up each node in each team's tables for each node's part of the heartbeat, at 570 nodes and 60 teams 21.6 to 26.8 ms in every 300 ms.

Change: TeamQuotaLedger.update goes through the nodes of one team after the other, with the figures of the team computed once; takeChanges returns what it has found.

--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -110,7 +110,7 @@
   it('keeps the share of a lost node, less and less within one window', () => {
     const ledger = createLedger();
     ledger.recordAdmitted(NODE, [{team: TEAM, total: 1_000}], 1, START);
-    ledger.takeChanges(NODE, START);
+    ledger.update(START);
     ledger.loseNode(NODE, START, START);
     const levelAt = (milliseconds: number): number => {
       for (let time = 0; time < milliseconds; time += 100)
--- a/packages/admission/__tests__/team_quota_cluster.ts
+++ b/packages/admission/__tests__/team_quota_cluster.ts
@@ -426,7 +426,7 @@
     const state = {
       nodeCount: followers.size + 1,
       report: ledger.lastReportOf(to.id),
-      changes: ledger.takeChanges(to.id, this.now),
+      changes: ledger.takeChanges(to.id),
     };
     this.sendBetween(from, to, () => {
       if (to.following !== from) return;
--- a/packages/admission/src/team_ledger.ts
+++ b/packages/admission/src/team_ledger.ts
@@ -43,6 +43,14 @@
   readonly share: number;
 }
 
+interface HeartbeatFigures {
+  readonly at: Instant;
+  /** Amount that all nodes together may have admitted without this holder's knowledge. */
+  readonly free: number;
+  /** Part of the quota that is not kept for lost nodes. */
+  readonly connectedPart: number;
+}
+
 interface Waiter {
   readonly node: NodeId;
   readonly amount: number;
@@ -62,6 +70,7 @@
   private nextReturnAt: Instant;
   private metered = true;
   private filledSince: Instant | undefined;
+  private figures: HeartbeatFigures | undefined;
 
   private constructor(
     private quota: QuotaRate,
@@ -96,6 +105,7 @@
 
   setQuota(quota: QuotaRate, now: Instant): void {
     this.advance(now);
+    this.figures = undefined;
     this.quota = quota;
     this.budget.setQuota(quota, now);
   }
@@ -162,8 +172,7 @@
 
   /** The node's part of the admitted load, as kept for it while its connection is lost. */
   shareOf(node: NodeId, now: Instant): number {
-    const kept = this.budget.keptShare(this.authority(now), now);
-    return this.loads.shareOf(node) * Math.max(0, 1 - kept);
+    return this.loads.shareOf(node) * this.figuresAt(now).connectedPart;
   }
 
   /** What a node may admit now, if that is not about what it was told last. */
@@ -172,9 +181,15 @@
     nodeCount: number,
     now: Instant,
   ): TeamState | undefined {
-    const state = this.stateOf(node, nodeCount, now);
+    const {free: freeOfAll, connectedPart} = this.figuresAt(now);
+    const share = this.loads.shareOf(node) * connectedPart;
+    const even = EVEN_PART / Math.max(1, nodeCount);
+    const part = even + (1 - EVEN_PART) * share;
+    const free = this.metered ? 0 : Math.floor(freeOfAll * part);
+    const shared = share >= minimumShare(nodeCount) ? share : 0;
     const told = this.told.get(node);
-    if (told !== undefined && !isChanged(told, state)) return undefined;
+    if (told !== undefined && !isChanged(told, free, shared)) return undefined;
+    const state = {free, share: shared};
     this.told.set(node, state);
     return state;
   }
@@ -184,6 +199,7 @@
     this.budget.refill(this.authority(now), now);
     const told = this.told.get(node) ?? {free: 0, share: 0};
     this.budget.loseNode(node, told, heardAt, now);
+    this.figures = undefined;
     this.told.delete(node);
     this.lostLoads.set(node, this.loads.remove(node, now));
     const waiting = this.waiters;
@@ -199,6 +215,7 @@
   returnNode(node: NodeId, now: Instant): void {
     this.budget.refill(this.authority(now), now);
     this.budget.returnNode(node, now);
+    this.figures = undefined;
     this.loads.add(node, this.lostLoads.get(node) ?? 0, now);
     this.lostLoads.delete(node);
   }
@@ -206,6 +223,7 @@
   /** Keeps a share for nodes that have not connected to this holder yet. */
   keepShare(placeholder: NodeId, share: number, since: Instant): void {
     this.budget.keepShare(placeholder, share, since);
+    this.figures = undefined;
   }
 
   /** Forgets a node that has been lost for long. */
@@ -228,13 +246,15 @@
     settle({kind: 'granted'});
   }
 
-  private stateOf(node: NodeId, nodeCount: number, now: Instant): TeamState {
-    const share = this.shareOf(node, now);
-    const isShared = share >= minimumShare(nodeCount);
-    const part = EVEN_PART / Math.max(1, nodeCount) + (1 - EVEN_PART) * share;
-    const isFree = !this.metered && this.authority(now).minority === undefined;
-    const free = isFree ? freeAmount(this.quota, this.rules) * part : 0;
-    return {free: Math.floor(free), share: isShared ? share : 0};
+  /** What is the same for all nodes that are told at one instant. */
+  private figuresAt(now: Instant): HeartbeatFigures {
+    if (this.figures?.at === now) return this.figures;
+    const authority = this.authority(now);
+    const free =
+      authority.minority === undefined ? freeAmount(this.quota, this.rules) : 0;
+    const connectedPart = 1 - this.budget.keptShare(authority, now);
+    this.figures = {at: now, free, connectedPart};
+    return this.figures;
   }
 
   private updateMetering(now: Instant): void {
@@ -261,9 +281,9 @@
   }
 }
 
-function isChanged(told: TeamState, state: TeamState): boolean {
-  if (told.free > 0 !== state.free > 0) return true;
-  return differs(told.free, state.free) || differs(told.share, state.share);
+function isChanged(told: TeamState, free: number, share: number): boolean {
+  if (told.free > 0 !== free > 0) return true;
+  return differs(told.free, free) || differs(told.share, share);
 }
 
 function differs(told: number, value: number): boolean {
--- a/packages/admission/src/team_quota_ledger.ts
+++ b/packages/admission/src/team_quota_ledger.ts
@@ -70,6 +70,7 @@
 export class TeamQuotaLedger {
   private readonly teams = new Map<TeamName, KnownTeam>();
   private readonly nodes = new Map<NodeId, KnownNode>();
+  private readonly changes = new Map<NodeId, TeamChange[]>();
   private connectedCount = 0;
   /** Number of nodes, of which another holder could serve those that aren't connected. */
   private electorate: number;
@@ -136,6 +137,7 @@
     const known = this.nodes.get(node);
     if (known === undefined || known.lostAt !== undefined) return;
     known.lostAt = now;
+    this.changes.delete(node);
     this.connectedCount -= 1;
     this.updateAuthority(now);
     for (const {ledger} of this.teams.values())
@@ -211,31 +213,23 @@
     return this.teams.get(team)?.ledger.available(now);
   }
 
-  /** Whether a node is connected and has stated what it admitted. */
-  isConnected(node: NodeId): boolean {
-    const known = this.nodes.get(node);
-    return known !== undefined && known.lostAt === undefined;
-  }
-
   /** Number of the last report of a node that has arrived. */
   lastReportOf(node: NodeId): number {
     return this.nodes.get(node)?.report ?? 0;
   }
 
-  /** What has changed for a connected node since this was called last. */
-  takeChanges(node: NodeId, now: Instant): TeamChange[] {
-    const changes: TeamChange[] = [];
-    for (const [team, {ledger}] of this.teams) {
-      const state = ledger.takeChange(node, this.connectedCount, now);
-      if (state !== undefined) changes.push({team, ...state});
-    }
+  /** What the last {@link update} has found changed for a node; empty when it is taken again. */
+  takeChanges(node: NodeId): readonly TeamChange[] {
+    const changes = this.changes.get(node) ?? [];
+    this.changes.delete(node);
     return changes;
   }
 
-  /** Updates what depends on time only; to be called with each heartbeat. */
+  /** Updates what depends on time, and finds what nodes have to be told; precedes a heartbeat. */
   update(now: Instant): void {
     this.updateAuthority(now);
     this.advance(now);
+    this.collectChanges(now);
     for (const [node, {lostAt}] of this.nodes) {
       if (lostAt === undefined || until(lostAt, now) <= LOST_NODE_MILLISECONDS)
         continue;
@@ -251,6 +245,20 @@
     this.teams.clear();
   }
 
+  /** Goes through the nodes of one team after the other, which are close to each other in memory. */
+  private collectChanges(now: Instant): void {
+    for (const [team, {ledger}] of this.teams) {
+      for (const [node, {lostAt}] of this.nodes) {
+        if (lostAt !== undefined) continue;
+        const state = ledger.takeChange(node, this.connectedCount, now);
+        if (state === undefined) continue;
+        const changes = this.changes.get(node);
+        if (changes === undefined) this.changes.set(node, [{team, ...state}]);
+        else changes.push({team, ...state});
+      }
+    }
+  }
+
   private addTeam(team: TeamName, quota: QuotaRate, now: Instant): void {
     const ledger = TeamLedger.create(
       quota,
--- a/packages/gateway/src/team_quota_holder.ts
+++ b/packages/gateway/src/team_quota_holder.ts
@@ -147,11 +147,9 @@
   /** The part of the heartbeat for a node; undefined if no team has a quota. */
   stateFor(node: NodeId): TeamStatesMessage | undefined {
     if (!this.hasQuotas) return undefined;
-    const now = this.options.clock.now();
-    const isKnown = this.ledger.isConnected(node);
     return encodeTeamStates(
       this.ledger.lastReportOf(node),
-      isKnown ? this.ledger.takeChanges(node, now) : [],
+      this.ledger.takeChanges(node),
     );
   }
 
