Spread a burst of several seconds over the window of the quota

Change: such a quota is enforced as a rate and a burst of one second that allow the same amount in a window.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -24,7 +24,7 @@
   ServiceTimeEstimate,
 } from './service_time.js';
 export type {QuotaRate, QuotaRules} from './team_quota_rules.js';
-export {allowedExcess} from './team_quota_rules.js';
+export {allowedExcess, enforcedRate} from './team_quota_rules.js';
 export type {QuotaDecision, SettleQuota, TeamState} from './team_ledger.js';
 export type {
   AdmittedTotal,
--- a/packages/admission/src/team_quota_rules.ts
+++ b/packages/admission/src/team_quota_rules.ts
@@ -68,3 +68,22 @@
   const age = Math.max(0, until(since, now));
   return Math.max(0, 1 - age / windowMilliseconds);
 }
+
+/** A burst lasts as long at most, in seconds of the rate. */
+const MAXIMUM_BURST_SECONDS = 1;
+
+/**
+ * The bucket by which a quota is enforced. A quota allows its rate and its burst once in any window. A
+ * burst of more than a second's rate is spread over the window instead of being used up at its
+ * start, so that what is allowed in a window is admitted in each window, not only in the first.
+ */
+export function enforcedRate<Quota extends QuotaRate>(
+  quota: Quota,
+  {windowMilliseconds}: QuotaRules,
+): Quota {
+  const seconds = windowMilliseconds / MILLISECONDS_PER_SECOND;
+  if (quota.burst <= quota.perSecond * MAXIMUM_BURST_SECONDS) return quota;
+  const inWindow = quota.perSecond * seconds + quota.burst;
+  const perSecond = inWindow / (seconds + MAXIMUM_BURST_SECONDS);
+  return {...quota, perSecond, burst: perSecond * MAXIMUM_BURST_SECONDS};
+}
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -1,7 +1,7 @@
 /** A node's requests under the quotas of their teams. */
 
 import type {QuotaDecision, QuotaRate, QuotaRules} from '@siskinmux/admission';
-import {TeamQuotaGate} from '@siskinmux/admission';
+import {TeamQuotaGate, enforcedRate} from '@siskinmux/admission';
 import type {
   CancelTimer,
   Clock,
@@ -157,7 +157,8 @@
         : TeamDirectory.create(teams, this.directory);
     const rates = new Map<TeamName, QuotaRate>();
     for (const {name, quota} of this.directory?.teams.values() ?? []) {
-      if (quota !== undefined && isLimited(quota)) rates.set(name, quota);
+      if (quota !== undefined && isLimited(quota))
+        rates.set(name, enforcedRate(quota, this.options.rules));
     }
     this.rates = rates;
     this.gate.setQuotas(rates, this.options.clock.now());
