--- a/packages/admission/src/team_ledger.ts
+++ b/packages/admission/src/team_ledger.ts
@@ -15,12 +15,23 @@
 const FILLED_ABOVE = 0.8;
 const FILLED_MILLISECONDS: Milliseconds = 1_000;
 
+/**
+ * Time in which a node that doesn't receive what it is told is found to be lost. It goes by what it
+ * was told before meanwhile.
+ */
+const UNHEARD_MILLISECONDS: Milliseconds = 3_000;
+
+const NOTHING: TeamState = {free: 0, share: 0};
+
 /** Part of the free amount that is spread evenly; the rest follows the load of the nodes. */
 const EVEN_PART = 0.3;
 
 /** A node is told of a changed free amount or share if it differs by more than this part. */
 const CHANGE_PART = 0.25;
 
+/** Or of a share that differs by more than this, since few large shares add up to a large error. */
+const SHARE_CHANGE = 0.02;
+
 /**
  * Latest time at which a refused request is told to return, unless the bucket takes longer. Later
  * ones begin anew at the earliest time: callers would not wait for so long.
@@ -43,6 +54,20 @@
   readonly share: number;
 }
 
+interface HeartbeatFigures {
+  readonly at: Instant;
+  /** Amount that all nodes together may have admitted without this holder's knowledge. */
+  readonly free: number;
+  /** Part of the quota that is not kept for lost nodes. */
+  readonly connectedPart: number;
+}
+
+interface ToldState extends TeamState {
+  readonly at: Instant;
+  /** The most that the node may still go by if it has not received this. */
+  readonly before: TeamState;
+}
+
 interface Waiter {
   readonly node: NodeId;
   readonly amount: number;
@@ -53,7 +78,7 @@
 export class TeamLedger {
   private readonly budget: TeamBudget;
   private readonly loads: TeamLoads;
-  private readonly told = new Map<NodeId, TeamState>();
+  private readonly told = new Map<NodeId, ToldState>();
   /** Loads of lost nodes, which count again when they are back. */
   private readonly lostLoads = new Map<NodeId, number>();
   private waiters: Waiter[] = [];
@@ -62,6 +87,7 @@
   private nextReturnAt: Instant;
   private metered = true;
   private filledSince: Instant | undefined;
+  private figures: HeartbeatFigures | undefined;
 
   private constructor(
     private quota: QuotaRate,
@@ -96,6 +122,7 @@
 
   setQuota(quota: QuotaRate, now: Instant): void {
     this.advance(now);
+    this.figures = undefined;
     this.quota = quota;
     this.budget.setQuota(quota, now);
   }
@@ -162,8 +189,7 @@
 
   /** The node's part of the admitted load, as kept for it while its connection is lost. */
   shareOf(node: NodeId, now: Instant): number {
-    const kept = this.budget.keptShare(this.authority(now), now);
-    return this.loads.shareOf(node) * Math.max(0, 1 - kept);
+    return this.loads.shareOf(node) * this.figuresAt(now).connectedPart;
   }
 
   /** What a node may admit now, if that is not about what it was told last. */
@@ -172,18 +198,26 @@
     nodeCount: number,
     now: Instant,
   ): TeamState | undefined {
-    const state = this.stateOf(node, nodeCount, now);
+    const {free: freeOfAll, connectedPart} = this.figuresAt(now);
+    const share = this.loads.shareOf(node) * connectedPart;
+    const even = EVEN_PART / Math.max(1, nodeCount);
+    const part = even + (1 - EVEN_PART) * share;
+    const free = this.metered ? 0 : Math.floor(freeOfAll * part);
+    const shared = share >= minimumShare(nodeCount) ? share : 0;
     const told = this.told.get(node);
-    if (told !== undefined && !isChanged(told, state)) return undefined;
-    this.told.set(node, state);
-    return state;
+    if (told !== undefined && !isChanged(told, free, shared)) return undefined;
+    const before = told === undefined ? NOTHING : mostToldAt(told, now);
+    this.told.set(node, {free, share: shared, at: now, before});
+    return {free, share: shared};
   }
 
   /** Keeps what a lost node may admit by itself. */
   loseNode(node: NodeId, heardAt: Instant, now: Instant): void {
     this.budget.refill(this.authority(now), now);
-    const told = this.told.get(node) ?? {free: 0, share: 0};
-    this.budget.loseNode(node, told, heardAt, now);
+    const told = this.told.get(node);
+    const most = told === undefined ? NOTHING : mostToldAt(told, heardAt);
+    this.budget.loseNode(node, most, heardAt, now);
+    this.figures = undefined;
     this.told.delete(node);
     this.lostLoads.set(node, this.loads.remove(node, now));
     const waiting = this.waiters;
@@ -199,6 +233,7 @@
   returnNode(node: NodeId, now: Instant): void {
     this.budget.refill(this.authority(now), now);
     this.budget.returnNode(node, now);
+    this.figures = undefined;
     this.loads.add(node, this.lostLoads.get(node) ?? 0, now);
     this.lostLoads.delete(node);
   }
@@ -206,6 +241,7 @@
   /** Keeps a share for nodes that have not connected to this holder yet. */
   keepShare(placeholder: NodeId, share: number, since: Instant): void {
     this.budget.keepShare(placeholder, share, since);
+    this.figures = undefined;
   }
 
   /** Forgets a node that has been lost for long. */
@@ -228,13 +264,15 @@
     settle({kind: 'granted'});
   }
 
-  private stateOf(node: NodeId, nodeCount: number, now: Instant): TeamState {
-    const share = this.shareOf(node, now);
-    const isShared = share >= minimumShare(nodeCount);
-    const part = EVEN_PART / Math.max(1, nodeCount) + (1 - EVEN_PART) * share;
-    const isFree = !this.metered && this.authority(now).minority === undefined;
-    const free = isFree ? freeAmount(this.quota, this.rules) * part : 0;
-    return {free: Math.floor(free), share: isShared ? share : 0};
+  /** What is the same for all nodes that are told at one instant. */
+  private figuresAt(now: Instant): HeartbeatFigures {
+    if (this.figures?.at === now) return this.figures;
+    const authority = this.authority(now);
+    const free =
+      authority.minority === undefined ? freeAmount(this.quota, this.rules) : 0;
+    const connectedPart = 1 - this.budget.keptShare(authority, now);
+    this.figures = {at: now, free, connectedPart};
+    return this.figures;
   }
 
   private updateMetering(now: Instant): void {
@@ -261,9 +299,22 @@
   }
 }
 
-function isChanged(told: TeamState, state: TeamState): boolean {
-  if (told.free > 0 !== state.free > 0) return true;
-  return differs(told.free, state.free) || differs(told.share, state.share);
+/** The most that a node may go by that was heard at an instant. */
+function mostToldAt(
+  {free, share, at, before}: ToldState,
+  heardAt: Instant,
+): TeamState {
+  if (until(at, heardAt) > UNHEARD_MILLISECONDS) return {free, share};
+  return {
+    free: Math.max(free, before.free),
+    share: Math.max(share, before.share),
+  };
+}
+
+function isChanged(told: TeamState, free: number, share: number): boolean {
+  if (told.free > 0 !== free > 0) return true;
+  if (Math.abs(told.share - share) > SHARE_CHANGE) return true;
+  return differs(told.free, free) || differs(told.share, share);
 }
 
 function differs(told: number, value: number): boolean {
--- a/packages/admission/src/team_quota_ledger.ts
+++ b/packages/admission/src/team_quota_ledger.ts
@@ -53,6 +53,8 @@
   readonly earlier: number[];
   /** Debt that follows from it. */
   earlierDebt: number;
+  /** Whether an earlier holder may have told other nodes shares of it. */
+  readonly isEarlier: boolean;
   /** Sum of the shares that connected nodes have had from an earlier holder. */
   statedShare: number;
 }
@@ -70,6 +72,7 @@
 export class TeamQuotaLedger {
   private readonly teams = new Map<TeamName, KnownTeam>();
   private readonly nodes = new Map<NodeId, KnownNode>();
+  private readonly changes = new Map<NodeId, TeamChange[]>();
   private connectedCount = 0;
   /** Number of nodes, of which another holder could serve those that aren't connected. */
   private electorate: number;
@@ -125,6 +128,7 @@
       for (const statement of statements)
         this.addStatement(node, created, statement, now);
       created.report = report;
+      this.keepRemainders(now);
       return;
     }
     this.returnNode(node, now);
@@ -136,6 +140,7 @@
     const known = this.nodes.get(node);
     if (known === undefined || known.lostAt !== undefined) return;
     known.lostAt = now;
+    this.changes.delete(node);
     this.connectedCount -= 1;
     this.updateAuthority(now);
     for (const {ledger} of this.teams.values())
@@ -211,31 +216,23 @@
     return this.teams.get(team)?.ledger.available(now);
   }
 
-  /** Whether a node is connected and has stated what it admitted. */
-  isConnected(node: NodeId): boolean {
-    const known = this.nodes.get(node);
-    return known !== undefined && known.lostAt === undefined;
-  }
-
   /** Number of the last report of a node that has arrived. */
   lastReportOf(node: NodeId): number {
     return this.nodes.get(node)?.report ?? 0;
   }
 
-  /** What has changed for a connected node since this was called last. */
-  takeChanges(node: NodeId, now: Instant): TeamChange[] {
-    const changes: TeamChange[] = [];
-    for (const [team, {ledger}] of this.teams) {
-      const state = ledger.takeChange(node, this.connectedCount, now);
-      if (state !== undefined) changes.push({team, ...state});
-    }
+  /** What the last {@link update} has found changed for a node; empty when it is taken again. */
+  takeChanges(node: NodeId): readonly TeamChange[] {
+    const changes = this.changes.get(node) ?? [];
+    this.changes.delete(node);
     return changes;
   }
 
-  /** Updates what depends on time only; to be called with each heartbeat. */
+  /** Updates what depends on time, and finds what nodes have to be told; precedes a heartbeat. */
   update(now: Instant): void {
     this.updateAuthority(now);
     this.advance(now);
+    this.collectChanges(now);
     for (const [node, {lostAt}] of this.nodes) {
       if (lostAt === undefined || until(lostAt, now) <= LOST_NODE_MILLISECONDS)
         continue;
@@ -251,6 +248,20 @@
     this.teams.clear();
   }
 
+  /** Goes through the nodes of one team after the other, which are close to each other in memory. */
+  private collectChanges(now: Instant): void {
+    for (const [team, {ledger}] of this.teams) {
+      for (const [node, {lostAt}] of this.nodes) {
+        if (lostAt !== undefined) continue;
+        const state = ledger.takeChange(node, this.connectedCount, now);
+        if (state === undefined) continue;
+        const changes = this.changes.get(node);
+        if (changes === undefined) this.changes.set(node, [{team, ...state}]);
+        else changes.push({team, ...state});
+      }
+    }
+  }
+
   private addTeam(team: TeamName, quota: QuotaRate, now: Instant): void {
     const ledger = TeamLedger.create(
       quota,
@@ -263,6 +274,7 @@
       quota,
       earlier: new Array<number>(SLOTS_PER_WINDOW).fill(0),
       earlierDebt: 0,
+      isEarlier: this.nodes.size === 0,
       statedShare: 0,
     });
   }
@@ -279,7 +291,6 @@
     if (known === undefined) return;
     known.statedShare += share;
     if (share > 0) known.ledger.seedShare(node, share, now);
-    this.keepRemainder(team, known.statedShare, now);
     const {windowMilliseconds} = this.options.rules;
     const slot = windowMilliseconds / SLOTS_PER_WINDOW;
     const age = until(this.startedAt, now);
@@ -311,16 +322,20 @@
     return added;
   }
 
-  /** Keeps the part of a quota that belongs to nodes which have not connected yet. */
-  private keepRemainder(team: TeamName, stated: number, now: Instant): void {
-    const known = this.teams.get(team);
-    if (known === undefined || stated <= 0) return;
-    const remainder = this.isRemainderKept(now) ? Math.max(0, 1 - stated) : 0;
-    known.ledger.keepShare(UNKNOWN_NODES, remainder, this.startedAt);
-  }
-
-  private isRemainderKept(now: Instant): boolean {
-    return until(this.startedAt, now) <= LOST_NODE_MILLISECONDS;
+  /**
+   * Keeps the parts of the quotas that belong to nodes which have not connected yet. An earlier
+   * holder may have told them any part, also where the connected nodes have none.
+   */
+  private keepRemainders(now: Instant): void {
+    if (until(this.startedAt, now) > LOST_NODE_MILLISECONDS) return;
+    const isComplete = this.connectedCount >= this.electorate;
+    const hasPredecessor = this.options.earlierNodeCount !== undefined;
+    for (const {ledger, statedShare, isEarlier} of this.teams.values()) {
+      const isKept =
+        !isComplete && isEarlier && (hasPredecessor || statedShare > 0);
+      const remainder = isKept ? Math.max(0, 1 - statedShare) : 0;
+      ledger.keepShare(UNKNOWN_NODES, remainder, this.startedAt);
+    }
   }
 
   private updateAuthority(now: Instant): void {
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -17,15 +17,12 @@
   Random,
   RequestId,
   ServiceName,
+  TeamName,
 } from '@siskinmux/kernel';
-import {
-  ErrorCode,
-  after,
-  createNotRunRefusal,
-  randomBelow,
-} from '@siskinmux/kernel';
+import {ErrorCode, after, createNotRunRefusal} from '@siskinmux/kernel';
+import type {RouteName} from '@siskinmux/routes';
 import type {OutlierDetector} from '@siskinmux/routing';
-import {CROSS_DOMAIN_COST, chooseEndpoint} from '@siskinmux/routing';
+import {chooseEndpoint, chooseEngineByLoad} from '@siskinmux/routing';
 import type {ClusterLoad} from './cluster_load.js';
 import type {InFlightCounts} from './in_flight_counts.js';
 import type {LimitDependencies} from './limited_choice.js';
@@ -34,15 +31,25 @@
 /** `Retry-After` for a service without endpoints; one may have registered by then. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
-/**
- * Load of an idle engine, as a share of its slots: a stream takes time there, too, and longer at a
- * slow engine.
- */
-const IDLE_ENGINE_LOAD = 0.3;
+/** By this power of its slowness a slow engine counts as smaller. */
+const SLOWNESS_EXPONENT = 2;
 
 /** Time that an endpoint of a plain service needs at least. */
 const PLAIN_SERVICE_MILLISECONDS: Milliseconds = 20;
 
+/** By what a request is ordered among those that wait for the same engines. */
+export interface RequestOrdering {
+  /** Undefined on a public route; all requests without a team count as one team. */
+  readonly team: TeamName | undefined;
+  /** Priority of the team, or what a team without one has; goes before that of the route. */
+  readonly teamPriority: number;
+  readonly route: RouteName;
+  /** When the response, or the first event of a stream, is due by the route's objective. */
+  readonly objectiveAt: Instant;
+  /** Tokens of the request, or its equivalent in tokens if it states none. */
+  readonly cost: number;
+}
+
 /** What a request requires of its endpoint, and how long it can wait for one. */
 export interface EndpointRequirements {
   /** Names the request in log lines. */
@@ -59,6 +66,8 @@
   readonly deadline: Instant;
   /** Priority of the request's route; 0 is the most urgent. */
   readonly priority: number;
+  /** Undefined if the configuration has no teams; the request is then never held. */
+  readonly ordering?: RequestOrdering | undefined;
   /** Whether the request has not been sent to any endpoint yet. */
   readonly isFirstAttempt: boolean;
   /** Aborts when the request has ended. */
@@ -113,28 +122,23 @@
 }
 
 /**
- * Picks the less loaded of two random engines, by the requests of all nodes. The counts
- * are a few hundred milliseconds old, so if every node picked the minimum, all of them
- * would send to the same engine. Without fresh counts, uses this node's own requests.
+ * Chooses an engine by its estimated requests from all nodes, skipping ejected outliers where
+ * possible; see `chooseEngineByLoad`.
  */
 export function chooseEngine(
   engines: readonly EndpointDescription[],
   dependencies: ChoiceDependencies,
 ): EndpointDescription | undefined {
   const {clusterLoad, random, failureDomain} = dependencies;
-  if (!clusterLoad.isFresh) return chooseLeastLoaded(engines, dependencies);
-  const usable = withoutOutliers(engines, dependencies);
-  const cost = (engine: EndpointDescription): number =>
-    (clusterLoad.at(engine.id) / engine.slots + IDLE_ENGINE_LOAD) *
-      clusterLoad.slownessOf(engine.id) +
-    (engine.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_COST);
-  const firstIndex = randomBelow(random, usable.length);
-  // The second one is another engine, so that the slower one of two gets no request by chance.
-  const offset = 1 + randomBelow(random, Math.max(1, usable.length - 1));
-  const first = usable[firstIndex];
-  const second = usable[(firstIndex + offset) % usable.length];
-  if (first === undefined || second === undefined) return first;
-  return cost(second) < cost(first) ? second : first;
+  const candidates = withoutOutliers(engines, dependencies).map(engine => ({
+    engine,
+    // Its streams put the objective for the gap between two events at risk.
+    slots:
+      engine.slots / clusterLoad.slownessOf(engine.id) ** SLOWNESS_EXPONENT,
+    isInOwnDomain: engine.failureDomain === failureDomain,
+    ...clusterLoad.estimate(engine),
+  }));
+  return chooseEngineByLoad(candidates, random)?.engine;
 }
 
 function withoutOutliers(
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -14,7 +14,7 @@
   name: 'request-ended',
   level: 'info',
   meaning:
-    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `response` is `none` if the caller was sent nothing, `begun` if a part of a response, `whole` otherwise. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response; `version` is that of the routes by which it was decided, missing before the first one; `endpointsAge` and `routesAge` are the milliseconds, at the last send, or at the end if there was none, for which a change of the platform may have been unknown to this node. Without a `route`, the request was refused before one was found.',
+    'A request of a caller has ended: its result, last endpoint, number of sends, and timing. One line per request. `response` is `none` if the caller was sent nothing, `begun` if a part of a response, `whole` otherwise. `result`: `served` if the caller got a complete response with a success status or of more than 256 KiB, `status_` and the status if it got another complete response of an endpoint, `caller_gone` if the caller disconnected, `broken` if the response had begun and was cut off because no endpoint completed it or this node is stopping, `timed_out` if it was cut off by the timeout of the route, otherwise the code of the error that the caller got. `softwareVersion` is that of the last endpoint; `resumes` is the attempt whose stream the caller resumes. `runs` counts the sends that an endpoint ran or may have run; `sentAfter` and `answeredAfter` are the milliseconds from the arrival to the last send and to the last response; `version` is that of the routes by which it was decided, missing before the first one; `endpointsAge` and `routesAge` are the milliseconds, at the last send, or at the end if there was none, for which a change of the platform may have been unknown to this node; `engineLoad` is the number of requests of all nodes that this node assumed at the engine of the last send, and `engineLoadAge` the mean age of the reports that it used, in milliseconds, missing if it knew only its own requests. Without a `route`, the request was refused before one was found.',
 };
 
 /** Entries of teams in the configuration can't be used. */
@@ -347,6 +347,15 @@
     'An endpoint that was chosen for a request had no permit left under the limit that it named, `limit` requests a second from all nodes; `age` is the time in milliseconds since the response that named it. `outcome`: `diverted` if the request looks for another endpoint, `waited` if there was none and it got a permit in time, `refused` if it would have got one too late. `retryIn` is the time in milliseconds after which the endpoint has another permit, or the caller may return.',
 };
 
+/** The wait of a request for room at engines has ended. */
+export const CAPACITY_WAIT_ENDED: EventDescriptor = {
+  number: 7085,
+  name: 'capacity-wait-ended',
+  level: 'info',
+  meaning:
+    'All engines that have the model of a request were loaded beyond the level up to which requests are sent at once, in a configuration with teams. `outcome`: `sent` after it was held for `heldFor` milliseconds, `refused` at once if it was not expected to start in time, `expired` if it was held until it could not start in time, `gone` if its caller had gone. `retryIn` is the time in milliseconds after which its caller may return. `team` is missing for a request without one; `group` names the service and the model, `stillHeld` the requests for it that this node still holds.',
+};
+
 /** An endpoint has crashed, and isn't used until it registers again. */
 export const ENDPOINT_CRASHED: EventDescriptor = {
   number: 7034,
@@ -416,7 +425,7 @@
   name: 'client-limited',
   level: 'warn',
   meaning:
-    'A `listener` has closed the connection of a client, or holds it back, by a `limit`. `connections`, `connections_per_address`: there were more than the settings allow, and this one was closed. `unread`: closed, as the client took nothing of its responses for 30 s. `read_ahead`: the client has sent more requests than are read ahead of their responses; the others stay unread until one has ended. `peer_messages`: another node’s connection was closed, as the messages that it has begun, or doesn’t read, take too much memory. `address` is that of the client. One line for each listener and limit within 10 s; `unlogged` is how often it took effect since the last line.',
+    'A `listener` has closed the connection of a client, or holds it back, by a `limit`. `connections`, `connections_per_address`: there were more than the settings allow, and this one was closed. `unread`: closed, as the client took nothing of its responses for 30 s. `read_ahead`: the client has sent more requests than are read ahead of their responses; the others stay unread until one has ended. `peer_messages`: another node’s connection was closed, as the messages that it has begun, or doesn’t read, take too much memory. `read_rate`, with the listener `all`: the caller, endpoint or node at the other end delivers more than 64 KiB at once, and is read in turn with others like it from now on, 32 MiB a second together. `address` is that of the client. One line for each listener and limit within 10 s; `unlogged` is how often it took effect since the last line.',
 };
 
 /** All events of this package. */
@@ -460,6 +469,7 @@
   ENDPOINT_PAUSED,
   ENDPOINT_PAUSE_INVALID,
   REQUEST_LIMITED,
+  CAPACITY_WAIT_ENDED,
   ENDPOINT_CRASHED,
   CONNECTION_PACED,
   BUFFERS_FULL,
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -1,6 +1,6 @@
 /** Connects this node to the lease holder's allocators, or runs them while it holds the lease. */
 
-import type {Server} from 'node:net';
+import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
 import type {
   EndpointDescription,
@@ -18,7 +18,7 @@
   Random,
   ServiceName,
 } from '@siskinmux/kernel';
-import {SiskinmuxError, after} from '@siskinmux/kernel';
+import {SiskinmuxError, after, earlier} from '@siskinmux/kernel';
 import type {
   ClockReading,
   HolderStatus,
@@ -36,9 +36,15 @@
 import type {ActiveRoutes} from './active_routes.js';
 import type {AllocatorApi} from './allocator_api.js';
 import {AllocatorServer, HEARTBEAT_MILLISECONDS} from './allocator_server.js';
+import type {CapacityOutcome} from './capacity_holds.js';
 import type {FeedUpdate, KindRead} from './change_feed.js';
 import type {CrashQuarantine} from '@siskinmux/containment';
-import type {ProbeResult} from '@siskinmux/forwarding';
+import type {
+  ConnectionLimits,
+  OnClientLimited,
+  ProbeResult,
+} from '@siskinmux/forwarding';
+import {BoundedConnections, RequestTurns} from '@siskinmux/forwarding';
 import type {StreamContinuity} from '@siskinmux/continuity';
 import {OriginWriter} from '@siskinmux/continuity';
 import type {
@@ -59,7 +65,9 @@
 import {LeaseStore} from './lease_store.js';
 import {limitShareOf} from './limit_share.js';
 import type {LimitOutcome} from './limited_choice.js';
+import type {PeerConnectionOptions} from './peer_connection.js';
 import {PeerConnection} from './peer_connection.js';
+import {PeerMemory} from './peer_memory.js';
 import {
   PlacementClient,
   USAGE_HEARTBEAT_MILLISECONDS,
@@ -83,6 +91,12 @@
   readonly identity: NodeIdentity;
   /** Address that other nodes connect to. */
   readonly listen: {readonly address: string; readonly port: number};
+  /** Bounds on the connections of other nodes. */
+  readonly peerLimits: ConnectionLimits;
+  /** Memory of messages between nodes that have not arrived whole, or are not read. */
+  readonly peerMemoryBytes: number;
+  /** Called when a bound on a connection of another node has taken effect. */
+  readonly onPeerLimited: OnClientLimited;
   readonly leaseRules: LeaseRules;
   /** Delay before this node competes for the lease; 0 for the most capable nodes. */
   readonly electionDelayMilliseconds: Milliseconds;
@@ -104,6 +118,8 @@
   readonly onPermitUsed: (endpoint: EndpointDescription) => void;
   /** This node's requests under the quotas of teams; undefined if there are none. */
   readonly teamQuotas?: TeamQuotas | undefined;
+  /** Called for each request that engines had no room for. */
+  readonly onCapacityWait?: ((outcome: CapacityOutcome) => void) | undefined;
   readonly reachesStore: () => boolean;
   /** Where this node takes relayed requests, and what it can't serve. */
   readonly relayOffer: () => RelayPeer;
@@ -138,6 +154,9 @@
   private readonly election: LeaderElection;
   private readonly peerServer: Server;
   private readonly connections = new Set<PeerConnection>();
+  private readonly connectionsBySocket = new WeakMap<Socket, PeerConnection>();
+  private readonly bounds: BoundedConnections;
+  private readonly peerOptions: PeerConnectionOptions;
   private readonly findPlain: FindEndpoint;
   private readonly permits: SendPermits;
   private allocatorServer: AllocatorServer | undefined;
@@ -166,6 +185,8 @@
       isDeclared: (service, model) =>
         this.engineDeclaration(service)?.models.has(model) ?? false,
       engineServices: () => this.engineServices(),
+      hasTeams: () => routes.current?.configuration.teams !== undefined,
+      onCapacityWait: options.onCapacityWait ?? (() => {}),
     });
     this.election = LeaderElection.create({
       ...options,
@@ -178,9 +199,22 @@
       canHandOver: () =>
         this.allocatorServer?.hasFollowerReachingStore ?? false,
     });
-    this.peerServer = createServer(socket =>
-      this.accept(PeerConnection.create(socket, options)),
-    );
+    const {onPeerLimited: onLimited} = options;
+    this.peerOptions = {
+      clock,
+      emit: options.emit,
+      turns: RequestTurns.create(setImmediate),
+      memory: PeerMemory.create(options.peerMemoryBytes),
+      onOutOfMemory: socket => onLimited('peer_messages', socket),
+    };
+    this.bounds = BoundedConnections.create({
+      limits: options.peerLimits,
+      // One that has sent no message may be of no node.
+      useOf: socket =>
+        this.connectionsBySocket.get(socket)?.hasPeer ? 'serving' : 'idle',
+      onLimited,
+    });
+    this.peerServer = createServer(socket => this.acceptSocket(socket));
     routes.onChange(({configuration}) => {
       this.allocatorServer?.applyConfiguration(configuration);
       const {teamQuotas} = options;
@@ -280,9 +314,10 @@
 
   /** Applies changes of the endpoint table. */
   applyEndpointChanges(changes: readonly EndpointTableChange[]): void {
+    const {table, choice} = this.options;
     this.permits.applyEndpointChanges(changes);
     this.client.onEndpointChanges(changes);
-    const {table} = this.options;
+    choice.clusterLoad.applyEndpointChanges(changes);
     this.allocatorServer?.applyEndpointChanges(
       changes.map(change =>
         table.hasCrashed(change.id) ? {...change, now: undefined} : change,
@@ -305,6 +340,13 @@
     );
   }
 
+  private acceptSocket(socket: Socket): void {
+    if (!this.bounds.accept(socket)) return;
+    const connection = PeerConnection.create(socket, this.peerOptions);
+    this.connectionsBySocket.set(socket, connection);
+    this.accept(connection);
+  }
+
   private accept(connection: PeerConnection): void {
     this.connections.add(connection);
     connection.onClosed(() => this.connections.delete(connection));
@@ -326,7 +368,7 @@
     const {address, holder} = observation.record;
     let connection: PeerConnection;
     try {
-      connection = await PeerConnection.connect(address, this.options);
+      connection = await PeerConnection.connect(address, this.peerOptions);
     } catch (failure) {
       if (!(failure instanceof PeerUnreachableError)) throw failure;
       return isConnectionRefused(failure.cause) ? 'gone' : 'silent';
@@ -335,6 +377,8 @@
       ...this.options,
       peerConnection: connection,
       listener: this.client,
+      onUsageReport: (service, usage) =>
+        this.options.choice.clusterLoad.recordUsageReport(service, usage),
       onSuspects: suspects => {
         this.options.quarantine.merge(suspects);
       },
@@ -345,7 +389,7 @@
         this.options.leaving.merge(statements);
       },
       onHeartbeat: (heartbeat, writtenAfter) => {
-        this.applyHeartbeat(heartbeat);
+        this.applyHeartbeat(heartbeat, this.writtenAt(writtenAfter));
         this.options.onFeed(heartbeat.feed, writtenAfter);
       },
     });
@@ -420,6 +464,8 @@
       },
       limitShare: () => limitShareOf(heldLease, clock.now()),
       self: identity.id,
+      onUsageReport: (service, usage) =>
+        this.options.choice.clusterLoad.recordUsageReport(service, usage),
       listener: this.client,
       endpoints: () => table.running,
       emit,
@@ -467,6 +513,7 @@
 
   private setAllocator(allocator: AllocatorApi | undefined): void {
     this.allocator = allocator;
+    this.options.choice.clusterLoad.onHolderChange();
     this.client.setAllocator(allocator);
     this.options.quarantine.setExchange(allocator);
     this.options.continuity.setExchange(allocator);
@@ -477,24 +524,44 @@
   }
 
   /** Applies a heartbeat, whether received or sent. */
-  private applyHeartbeat(heartbeat: HeartbeatMessage): void {
+  private applyHeartbeat(
+    heartbeat: HeartbeatMessage,
+    writtenAt: Instant,
+  ): void {
     const {nodes, loads, loadsAtOnce, loadAges} = heartbeat;
     const {choice, clock, onNodeCount} = this.options;
-    if (loads.length > 0) choice.clusterLoad.update(loads);
+    if (loads.length > 0) choice.clusterLoad.update(loads, writtenAt);
     if (heartbeat.slow !== undefined)
       choice.clusterLoad.updateSlowness(heartbeat.slow);
     this.options.teamQuotas?.applyHeartbeat(heartbeat);
     this.client.setNodeCount(nodes);
+    this.client.onLoadReport();
     onNodeCount(nodes);
     const now = clock.now();
     this.lastConcurrencyLimit = loadsAtOnce;
     this.lastLoadStarts = loadAges.map(age => after(now, -age));
   }
 
+  /**
+   * When a heartbeat was written, at the latest. Pulses are sent with heartbeats, so the last one
+   * that the holder repeats is up to this old although nothing is late.
+   */
+  private writtenAt(writtenAfter: Instant | undefined): Instant {
+    const {clock, pulseMilliseconds} = this.options;
+    const now = clock.now();
+    if (writtenAfter === undefined) return now;
+    const heartbeats = Math.ceil(pulseMilliseconds / HEARTBEAT_MILLISECONDS);
+    const echoAge = heartbeats * HEARTBEAT_MILLISECONDS;
+    return earlier(now, after(writtenAfter, echoAge));
+  }
+
   /** Sends a heartbeat as the lease holder; as a follower, closes the connection to a silent holder. */
   private exchangeHeartbeats(): void {
     if (this.allocatorServer !== undefined)
-      this.applyHeartbeat(this.allocatorServer.sendHeartbeat());
+      this.applyHeartbeat(
+        this.allocatorServer.sendHeartbeat(),
+        this.options.clock.now(),
+      );
     const connection = this.holderConnection;
     const earlier = this.silence;
     this.silence = undefined;
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -320,6 +320,7 @@
       avoidedEndpoints: this.containment.endpointsToAvoid(),
       deadline: this.state.currentDeadline,
       priority: this.state.rank,
+      ordering: this.state.ordering,
       isFirstAttempt,
       signal,
     };
