--- a/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
+++ b/packages/forwarding/__tests__/endpoint_connection_pool.test.ts
@@ -24,7 +24,7 @@
     throw new TypeError('unused in these tests');
   },
   readApiKey: () => undefined,
-  withoutApiKey: headers => [...headers],
+  identifiedHeaders: headers => [...headers],
   requestHeaders: () => [],
   resumedHeaders: () => [],
   responseHeaders: headers => [...headers],
--- a/packages/forwarding/src/endpoint_protocol.ts
+++ b/packages/forwarding/src/endpoint_protocol.ts
@@ -106,8 +106,11 @@
   readRequest(headers: RawHeaders): RequestMetadata;
   /** The caller's API key; undefined if there is none, or several different ones. */
   readApiKey(headers: RawHeaders): string | undefined;
-  /** The headers of a request whose caller has been identified, as relayed to another node. */
-  withoutApiKey(headers: RawHeaders): string[];
+  /**
+   * The headers of a request whose caller has been identified, as relayed to another node: without
+   * the key, and with the name of the team in place of what the caller sent.
+   */
+  identifiedHeaders(headers: RawHeaders, team: TeamName | undefined): string[];
   /** The request's headers as forwarded to the endpoint. */
   requestHeaders(headers: RawHeaders, options: ForwardingOptions): string[];
   /** The headers of a request that resumes the stream of an attempt after an event. */
--- a/packages/gateway/__tests__/caller_identity.test.ts
+++ b/packages/gateway/__tests__/caller_identity.test.ts
@@ -74,6 +74,14 @@
     );
   });
 
+  it('keeps a team’s requests apart from those of other teams, whatever priority their route has', () => {
+    for (const priority of [-1, 0.5, 9]) {
+      const rank = rankOf(callerOf(1), route(priority));
+      expect(rank).toBeGreaterThanOrEqual(firstRankOf(callerOf(1)));
+      expect(Number.isInteger(rank)).toEqual(true);
+    }
+  });
+
   it('is the priority of the route without a team', () => {
     expect(rankOf({kind: 'any'}, route(7))).toEqual(7);
     expect(rankOf({kind: 'public'}, route(1))).toEqual(1);
--- a/packages/gateway/__tests__/route_decision.test.ts
+++ b/packages/gateway/__tests__/route_decision.test.ts
@@ -101,4 +101,13 @@
       isUnable: true,
     });
   });
+
+  it('lets the node that relayed a request ask another one if this one finds no identity', () => {
+    const refusal = createNotRunRefusal(ErrorCode.Unauthenticated, '');
+    expect(statementOfRefusal(refusal)).toEqual({
+      kind: 'refusal',
+      code: ErrorCode.Unauthenticated,
+      isUnable: true,
+    });
+  });
 });
--- a/packages/gateway/src/caller_identity.ts
+++ b/packages/gateway/src/caller_identity.ts
@@ -50,11 +50,14 @@
 /** Route priorities, and team priorities, that are told apart in the rank of a request. */
 const PRIORITY_LEVELS = 3;
 
-/** The highest rank of a team's requests. */
+/** The most urgent rank of a team's requests. */
 export function firstRankOf(caller: CallerIdentity): number {
   if (caller.kind !== 'team') return 0;
-  const level = Math.min(PRIORITY_LEVELS - 1, Math.floor(caller.team.priority));
-  return level * PRIORITY_LEVELS;
+  return levelOf(caller.team.priority) * PRIORITY_LEVELS;
+}
+
+function levelOf(priority: number): number {
+  return Math.max(0, Math.min(PRIORITY_LEVELS - 1, Math.floor(priority)));
 }
 
 /**
@@ -63,6 +66,6 @@
  */
 export function rankOf(caller: CallerIdentity, route: Route): number {
   return caller.kind === 'team'
-    ? firstRankOf(caller) + Math.min(PRIORITY_LEVELS - 1, route.priority)
+    ? firstRankOf(caller) + levelOf(route.priority)
     : route.priority;
 }
--- a/packages/gateway/src/peer_sender.ts
+++ b/packages/gateway/src/peer_sender.ts
@@ -78,7 +78,7 @@
     const received =
       state.caller.kind === 'any'
         ? exchange.headers
-        : protocol.withoutApiKey(exchange.headers);
+        : protocol.identifiedHeaders(exchange.headers, state.team);
     const headers =
       lastEventId === undefined
         ? received
--- a/packages/gateway/src/relayed_send.ts
+++ b/packages/gateway/src/relayed_send.ts
@@ -27,6 +27,7 @@
   ErrorCode.ShuttingDown,
   ErrorCode.ConfigurationUnavailable,
   ErrorCode.UnknownTarget,
+  ErrorCode.Unauthenticated,
 ]);
 
 /** A request as it is relayed. */
--- a/packages/placement/__tests__/engine_pace.test.ts
+++ b/packages/placement/__tests__/engine_pace.test.ts
@@ -148,4 +148,30 @@
       'm9 on fast',
     ]);
   });
+
+  it('evicts the model with fewest requests for one that waits, not one from the slow engine', () => {
+    const demand = demandOf(
+      new Map([
+        [0, 1],
+        [1, 1],
+        [2, 1],
+        [3, 0.05],
+        [4, 1],
+        [5, 1],
+        [9, 0.1],
+      ]),
+    );
+    const earliestDeadline = later(8_000);
+    const waiting = [
+      {model: model(9), count: 1, priority: 0, earliestDeadline},
+    ];
+    const usage = {waiting, inFlight: [], arrived: []};
+    demand.recordUsage(as<NodeId>('node-2'), usage, start);
+    const engines = [
+      engine('slow', [0, 1, 2], 90),
+      engine('fast', [3, 4, 5], 25),
+    ];
+    const [change] = plan(engines, demand, 200);
+    expect(change?.unload).toEqual([model(3)]);
+  });
 });
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -577,10 +577,7 @@
       ? ADAPTER_WAIT_SECONDS
       : 0;
     const slowness = this.slownessAt(engine);
-    const slowCost = unload.reduce(
-      (sum, placed) => sum - this.slowSeconds(placed.model, slowness),
-      this.slowSeconds(declared.name, slowness),
-    );
+    const slowCost = this.slowSeconds(declared.name, slowness);
     const limitCost =
       engine.requestLimit === undefined ? 0 : LIMITED_ENGINE_SECONDS;
     return {
--- a/packages/relay/src/relay_header.ts
+++ b/packages/relay/src/relay_header.ts
@@ -22,7 +22,11 @@
   sends: z.number().int().nonnegative(),
   runs: z.number().int().nonnegative(),
   tried: z.array(z.string()),
-  team: z.string().optional(),
+  /** Printable ASCII, as endpoints get it in a header. */
+  team: z
+    .string()
+    .regex(/^[!-~]([ -~]{0,254}[!-~])?$/)
+    .optional(),
 });
 
 const statementSchema = z.union([
