Continue from the last total when a quota is put back

Cause: a gate forgot a team whose quota was removed and began again at a total of 0, while the lease holder kept the old total. The next report was negative, and the holder credited each node's old total to the team. Change: the gate keeps the totals of up to 256 removed teams, also states them to a new holder, and a quota that comes back continues from them. The ledger credits a negative change up to what it granted the node in the last window. Conclusion: a quota that is removed and put back gives no credit.

--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -98,6 +98,20 @@
     expect(ledger.available(TEAM, START)).toEqual(-700);
   });
 
+  // Guards against a node that resets its total and gives the team a credit for it.
+  it('takes no more back than what it has granted', () => {
+    const ledger = createLedger();
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: 9_000}], 1, at(500));
+    expect(ledger.available(TEAM, at(500))).toEqual(-4_000);
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: 100}], 2, at(500));
+    expect(ledger.available(TEAM, at(500))).toEqual(-4_000);
+    expect(request(ledger, 1_000, at(1_000))).toEqual([{kind: 'granted'}]);
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: -5_000}], 3, at(1_000));
+    expect(ledger.available(TEAM, at(1_000))).toEqual(1_000);
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: -6_000}], 4, at(1_000));
+    expect(ledger.available(TEAM, at(1_000))).toEqual(1_000);
+  });
+
   it('starts from the debt that nodes state to a holder that takes over', () => {
     const ledger = createLedger();
     const recent = [0, 60_000, 50_000, 0, 0, 0, 0, 0];
@@ -182,6 +196,41 @@
     expect(gate.takeReport()).toEqual(undefined);
   });
 
+  // Guards against a credit from each node for a quota that is removed and put back.
+  it('goes on from its total when a quota is removed and put back', () => {
+    const gate = createGate();
+    gate.applyState(state(5_000), START);
+    gate.decide(TEAM, 1_000, START);
+    gate.takeReport();
+    gate.setQuotas(new Map(), START);
+    const {teams} = gate.takeStatement(START);
+    expect(teams).toEqual([{team: TEAM, total: 1_000, share: 0, recent: []}]);
+    gate.setQuotas(new Map([[TEAM, QUOTA]]), START);
+    expect(gate.takeReport()).toEqual(undefined);
+    gate.applyState(state(500, 1), START);
+    expect(gate.decide(TEAM, 500, START).kind).toEqual('admitted');
+    expect(gate.takeReport()?.teams).toEqual([{team: TEAM, total: 1_500}]);
+  });
+
+  // Guards against memory that grows with each team that ever had a quota.
+  it('forgets the oldest of many removed teams', () => {
+    const gate = createGate();
+    for (let index = 0; index < 300; index += 1) {
+      const team = as<TeamName>(`t${index}`);
+      gate.setQuotas(new Map([[team, QUOTA]]), START);
+      const changes = [{team, free: 100, share: 0.5}];
+      gate.applyState({nodeCount: 2, report: 0, changes}, START);
+      gate.decide(team, 1, START);
+    }
+    gate.setQuotas(new Map(), START);
+    const {teams} = gate.takeStatement(START);
+    expect([teams.length, teams[0]?.team, teams.at(-1)?.team]).toEqual([
+      256,
+      as<TeamName>('t44'),
+      as<TeamName>('t299'),
+    ]);
+  });
+
   it('admits at its share without a holder, and less and less', () => {
     const gate = createGate();
     gate.applyState(state(0, 0, 1), START);
--- a/packages/admission/src/team_ledger.ts
+++ b/packages/admission/src/team_ledger.ts
@@ -7,6 +7,7 @@
 import {TeamLoads} from './team_loads.js';
 import type {QuotaRate, QuotaRules} from './team_quota_rules.js';
 import {freeAmount, minimumShare, timeFor} from './team_quota_rules.js';
+import {WindowCount} from './window_count.js';
 
 /** Part of a burst below which the team is metered. */
 const METERED_BELOW = 0.5;
@@ -21,6 +22,9 @@
  */
 const UNHEARD_MILLISECONDS: Milliseconds = 3_000;
 
+/** Parts of a window in which grants are counted; unused ones come back within a second. */
+const GRANTED_SLOTS = 2;
+
 const NOTHING: TeamState = {free: 0, share: 0};
 
 /** Part of the free amount that is spread evenly; the rest follows the load of the nodes. */
@@ -81,6 +85,8 @@
   private readonly told = new Map<NodeId, ToldState>();
   /** Loads of lost nodes, which count again when they are back. */
   private readonly lostLoads = new Map<NodeId, number>();
+  /** What nodes were granted in the last window, less what they have given back. */
+  private readonly granted = new Map<NodeId, WindowCount>();
   private waiters: Waiter[] = [];
   private waitingAmount = 0;
   /** When the next refused request is told to return. */
@@ -127,10 +133,14 @@
     this.budget.setQuota(quota, now);
   }
 
-  /** Records what a node has admitted without asking; a negative amount was granted but not used. */
+  /**
+   * Records what a node has admitted without asking; a negative amount was granted but not used.
+   * What exceeds the node's grants of the last window is ignored: its total has been reset.
+   */
   recordAdmitted(node: NodeId, amount: number, now: Instant): void {
     this.budget.refill(this.authority(now), now);
-    this.budget.recordAdmitted(node, amount, now);
+    const counted = amount < 0 ? -this.takeBack(node, -amount, now) : amount;
+    this.budget.recordAdmitted(node, counted, now);
     if (amount > 0) this.loads.add(node, amount, now);
     this.updateMetering(now);
   }
@@ -247,6 +257,7 @@
   /** Forgets a node that has been lost for long. */
   forgetNode(node: NodeId): void {
     this.lostLoads.delete(node);
+    this.granted.delete(node);
   }
 
   /** Ends the wait of all; `decision` goes to each. */
@@ -259,11 +270,32 @@
 
   private grant({node, amount, settle}: Waiter, now: Instant): void {
     this.budget.take(amount);
+    this.countGranted(node, amount, now);
     this.loads.add(node, amount, now);
     this.updateMetering(now);
     settle({kind: 'granted'});
   }
 
+  private countGranted(node: NodeId, amount: number, now: Instant): void {
+    let granted = this.granted.get(node);
+    if (granted === undefined) {
+      const {windowMilliseconds} = this.rules;
+      granted = WindowCount.create(windowMilliseconds, GRANTED_SLOTS);
+      this.granted.set(node, granted);
+    }
+    granted.add(amount, now);
+  }
+
+  /** Returns how much of an amount the node can have been granted. */
+  private takeBack(node: NodeId, amount: number, now: Instant): number {
+    const granted = this.granted.get(node);
+    if (granted === undefined) return 0;
+    const left = granted.slots(now).reduce((sum, part) => sum + part, 0);
+    const taken = Math.min(amount, Math.max(0, left));
+    granted.add(-taken, now);
+    return taken;
+  }
+
   /** What is the same for all nodes that are told at one instant. */
   private figuresAt(now: Instant): HeartbeatFigures {
     if (this.figures?.at === now) return this.figures;
--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -29,6 +29,9 @@
  */
 const ELECTION_MILLISECONDS: Milliseconds = 1_000;
 
+/** Most teams without a quota whose totals are kept; the holder ignores the reset of a forgotten one. */
+const MAXIMUM_REMOVED_TEAMS = 256;
+
 /** Decision on one request. */
 export type GateDecision =
   | {readonly kind: 'admitted'}
@@ -77,6 +80,11 @@
 /** Admits, asks or refuses on one node. */
 export class TeamQuotaGate {
   private readonly teams = new Map<TeamName, GatedTeam>();
+  /**
+   * Last totals of teams whose quota was removed, oldest first. The holder keeps them too, so a
+   * quota that comes back has to go on from there.
+   */
+  private readonly removedTotals = new Map<TeamName, number>();
   private nodeCount: number | undefined;
   /** Undefined while the node has a lease holder that responds. */
   private aloneSince: Instant | undefined;
@@ -119,13 +127,23 @@
 
   /** Replaces the quotas. */
   setQuotas(quotas: ReadonlyMap<TeamName, QuotaRate>, now: Instant): void {
-    for (const team of this.teams.keys()) {
-      if (!quotas.has(team)) this.teams.delete(team);
+    for (const [team, {total}] of this.teams) {
+      if (quotas.has(team)) continue;
+      this.teams.delete(team);
+      if (total !== 0) this.removedTotals.set(team, total);
     }
     for (const [team, quota] of quotas) {
       const known = this.teams.get(team);
       if (known !== undefined) known.quota = quota;
-      else this.teams.set(team, this.createTeam(quota, now));
+      else {
+        const total = this.removedTotals.get(team) ?? 0;
+        this.removedTotals.delete(team);
+        this.teams.set(team, this.createTeam(quota, total, now));
+      }
+    }
+    for (const team of this.removedTotals.keys()) {
+      if (this.removedTotals.size <= MAXIMUM_REMOVED_TEAMS) break;
+      this.removedTotals.delete(team);
     }
   }
 
@@ -180,6 +198,9 @@
       if (total !== 0 || share > 0 || slots.some(amount => amount > 0))
         teams.push({team, total, share, recent: slots});
     }
+    // A holder that doesn't know the total would take all of it as new once the quota is back.
+    for (const [team, total] of this.removedTotals)
+      teams.push({team, total, share: 0, recent: []});
     return {report, teams};
   }
 
@@ -288,16 +309,16 @@
     gated.reportedTotal = total;
   }
 
-  private createTeam(quota: QuotaRate, now: Instant): GatedTeam {
+  private createTeam(quota: QuotaRate, total: number, now: Instant): GatedTeam {
     const {windowMilliseconds} = this.options.rules;
     return {
       quota,
       free: 0,
       share: 0,
-      total: 0,
-      knownTotal: 0,
+      total,
+      knownTotal: total,
       reported: [],
-      reportedTotal: 0,
+      reportedTotal: total,
       level: 0,
       refilledAt: now,
       recent: WindowCount.create(windowMilliseconds, SLOTS_PER_WINDOW),
