End a wait for a quota at the time that its request allows

Cause: the holder checked the end of a wait only when the request arrived. A report of another node, a lost node or a lower quota moved its turn without bound. Change: waiting requests keep the end of their wait. At that instant, and when the quota changes, those whose turn comes later are refused with a return time. The next advance is at the earlier of the first turn and the first end. Conclusion: a request waits at the holder no longer than it said.

--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -78,6 +78,47 @@
     expect(second).toEqual([{kind: 'granted'}]);
   });
 
+  // Guards against a request that waits without end behind the debt that others' reports cause.
+  it('refuses a waiting request at the end of its wait if its turn moves', () => {
+    const ledger = createLedger();
+    const first = request(ledger, 1_000, START, 150);
+    const second = request(ledger, 1_000, START, 250);
+    ledger.recordAdmitted(OTHER, [{team: TEAM, total: 3_000}], 1, at(10));
+    expect(ledger.nextAdvanceAt(TEAM, at(10))).toEqual(at(150));
+    ledger.advance(at(149));
+    expect([first.length, second.length]).toEqual([0, 0]);
+    ledger.advance(at(150));
+    // The debt ends at 300 ms, and a request takes 100 ms.
+    expect(first).toEqual([{kind: 'refused', retryAt: at(400)}]);
+    expect(second).toEqual([{kind: 'refused', retryAt: at(500)}]);
+    expect(ledger.nextAdvanceAt(TEAM, at(150))).toEqual(undefined);
+  });
+
+  // Guards against a wait that lasts until the request before it is granted.
+  it('ends a wait that is shorter than the one before it', () => {
+    const ledger = createLedger();
+    const first = request(ledger, 1_000, START, 1_000);
+    const second = request(ledger, 500, START, 200);
+    ledger.recordAdmitted(OTHER, [{team: TEAM, total: 3_000}], 1, at(10));
+    expect(ledger.nextAdvanceAt(TEAM, at(10))).toEqual(at(200));
+    ledger.advance(at(200));
+    expect([first.length, second[0]?.kind]).toEqual([0, 'refused']);
+    ledger.advance(at(400));
+    expect(first).toEqual([{kind: 'granted'}]);
+  });
+
+  // Guards against requests that were let wait at a rate that no longer applies.
+  it('refuses waiting requests whose turn a lower quota moves too far', () => {
+    const ledger = createLedger();
+    const first = request(ledger, 100, START, 250);
+    const second = request(ledger, 1_000, START, 250);
+    const lower = {...QUOTA, perSecond: 1_000, burst: 1_000};
+    ledger.setQuotas(new Map([[TEAM, lower]]), START);
+    expect([first.length, second[0]?.kind]).toEqual([0, 'refused']);
+    ledger.advance(at(100));
+    expect(first).toEqual([{kind: 'granted'}]);
+  });
+
   it('goes into debt by what nodes admitted before they reported, and meters the team', () => {
     const ledger = createLedger();
     ledger.update(at(2_500));
--- a/packages/admission/src/team_ledger.ts
+++ b/packages/admission/src/team_ledger.ts
@@ -1,7 +1,7 @@
 /** One team at the lease holder: its budget, the requests that wait for it, the nodes' shares. */
 
 import type {Instant, Milliseconds, NodeId} from '@siskinmux/kernel';
-import {after, later, until} from '@siskinmux/kernel';
+import {after, earlier, later, until} from '@siskinmux/kernel';
 import type {QuotaAuthority} from './team_budget.js';
 import {TeamBudget} from './team_budget.js';
 import {TeamLoads} from './team_loads.js';
@@ -22,6 +22,9 @@
  */
 const UNHEARD_MILLISECONDS: Milliseconds = 3_000;
 
+/** Turns are rounded up to whole milliseconds, so that they may move by one while nothing changes. */
+const TURN_ROUNDING_MILLISECONDS: Milliseconds = 1;
+
 /** Parts of a window in which grants are counted; unused ones come back within a second. */
 const GRANTED_SLOTS = 2;
 
@@ -75,6 +78,7 @@
 interface Waiter {
   readonly node: NodeId;
   readonly amount: number;
+  readonly waitUntil: Instant;
   readonly settle: SettleQuota;
 }
 
@@ -89,6 +93,8 @@
   private readonly granted = new Map<NodeId, WindowCount>();
   private waiters: Waiter[] = [];
   private waitingAmount = 0;
+  /** When the first wait ends, or earlier; undefined if nothing waits. */
+  private waitEnd: Instant | undefined;
   /** When the next refused request is told to return. */
   private nextReturnAt: Instant;
   private metered = true;
@@ -131,6 +137,7 @@
     this.figures = undefined;
     this.quota = quota;
     this.budget.setQuota(quota, now);
+    this.refuseLate(now);
   }
 
   /**
@@ -165,7 +172,7 @@
   ): void {
     this.advance(now);
     if (this.waiters.length === 0 && this.budget.fits(amount, now)) {
-      this.grant({node, amount, settle}, now);
+      this.grant(node, amount, settle, now);
       return;
     }
     const turnAt = this.budget.readyAt(this.waitingAmount + amount, now);
@@ -173,11 +180,12 @@
       settle({kind: 'refused', retryAt: this.takeReturnTime(amount, now)});
       return;
     }
-    this.waiters.push({node, amount, settle});
+    this.waiters.push({node, amount, waitUntil, settle});
     this.waitingAmount += amount;
+    this.waitEnd = earlier(this.waitEnd ?? waitUntil, waitUntil);
   }
 
-  /** Grants what is due. */
+  /** Grants what is due, and refuses those whose wait ends before their turn. */
   advance(now: Instant): void {
     this.budget.refill(this.authority(now), now);
     for (;;) {
@@ -185,8 +193,9 @@
       if (next === undefined || !this.budget.fits(next.amount, now)) break;
       this.waiters.shift();
       this.waitingAmount -= next.amount;
-      this.grant(next, now);
+      this.grant(next.node, next.amount, next.settle, now);
     }
+    if (this.waitEnd !== undefined && now >= this.waitEnd) this.refuseLate(now);
     this.updateMetering(now);
   }
 
@@ -194,7 +203,8 @@
   nextAdvanceAt(now: Instant): Instant | undefined {
     const [next] = this.waiters;
     if (next === undefined) return undefined;
-    return later(this.budget.readyAt(next.amount, now), after(now, 1));
+    const turnAt = this.budget.readyAt(next.amount, now);
+    return later(earlier(turnAt, this.waitEnd ?? turnAt), after(now, 1));
   }
 
   /** The node's part of the admitted load, as kept for it while its connection is lost. */
@@ -265,10 +275,41 @@
     const {waiters} = this;
     this.waiters = [];
     this.waitingAmount = 0;
+    this.waitEnd = undefined;
     for (const {settle} of waiters) settle(decision);
   }
 
-  private grant({node, amount, settle}: Waiter, now: Instant): void {
+  /**
+   * Refuses those whose turn comes after the end of their wait: others' reports, a lost node or a
+   * lower quota may have moved it.
+   */
+  private refuseLate(now: Instant): void {
+    const late: Waiter[] = [];
+    const waiting = this.waiters;
+    this.waiters = [];
+    this.waitingAmount = 0;
+    this.waitEnd = undefined;
+    for (const waiter of waiting) {
+      const {amount, waitUntil} = waiter;
+      const turnAt = this.budget.readyAt(this.waitingAmount + amount, now);
+      if (turnAt > after(waitUntil, TURN_ROUNDING_MILLISECONDS)) {
+        late.push(waiter);
+        continue;
+      }
+      this.waiters.push(waiter);
+      this.waitingAmount += amount;
+      this.waitEnd = earlier(this.waitEnd ?? waitUntil, waitUntil);
+    }
+    for (const {amount, settle} of late)
+      settle({kind: 'refused', retryAt: this.takeReturnTime(amount, now)});
+  }
+
+  private grant(
+    node: NodeId,
+    amount: number,
+    settle: SettleQuota,
+    now: Instant,
+  ): void {
     this.budget.take(amount);
     this.countGranted(node, amount, now);
     this.loads.add(node, amount, now);
