End the wait for a permit at the request's deadline

An `unowned` of an earlier holder made the node drop the current one. Change: the wait ends at the deadline or the timeout, whichever is earlier. A request past its deadline is refused as not run before it takes quota; such an end neither logs nor loses the holder, nor does an answer of another exchange than the current one. The test cluster records the names of log events. Conclusion: short deadlines no longer take the holder from other requests.

--- a/packages/gateway/__tests__/team_quota_cluster.ts
+++ b/packages/gateway/__tests__/team_quota_cluster.ts
@@ -53,6 +53,8 @@
   readonly id: NodeId;
   readonly quotas: TeamQuotas;
   readonly outcomes: QuotaOutcome[];
+  /** Names of its log events. */
+  readonly events: string[];
 }
 
 /** A lease holder that takes connections. */
@@ -85,15 +87,16 @@
   createNode(quota: TeamQuota = QUOTA): QuotaNode {
     this.lastId += 1;
     const outcomes: QuotaOutcome[] = [];
+    const events: string[] = [];
     const quotas = TeamQuotas.create({
       rules: RULES,
       clock: this.clock,
       random: () => 0.99,
-      emit: discardEvents,
+      emit: ({name}) => events.push(name),
       onOutcome: (_team, outcome) => outcomes.push(outcome),
     });
     quotas.applyConfiguration(configurationOf(quota));
-    return {id: as<NodeId>(`n${this.lastId}`), quotas, outcomes};
+    return {id: as<NodeId>(`n${this.lastId}`), quotas, outcomes, events};
   }
 
   async startHolder(node: QuotaNode): Promise<QuotaHolder> {
--- a/packages/gateway/__tests__/team_quotas.test.ts
+++ b/packages/gateway/__tests__/team_quotas.test.ts
@@ -218,6 +218,48 @@
     expect(isDecided(next)).toEqual(true);
   });
 
+  // Guards against quota taken for a caller that has given up, and a holder lost to short deadlines.
+  it('ends the wait for an answer at the deadline, and keeps its holder', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeat(5_000));
+    const start = cluster.clock.now();
+    const request = cluster.request(node, 6_000, 100);
+    const endedAt = await cluster.advanceUntil(() => isDecided(request));
+    expect(until(start, endedAt)).toEqual(100);
+    expect([request.refusal?.code, request.refusal?.outcome]).toEqual([
+      ErrorCode.DeadlinePassed,
+      Outcome.NotRun,
+    ]);
+    expect(node.events).toEqual([]);
+    const late = cluster.request(node, 1_000, 0);
+    cluster.request(node, 6_000);
+    await cluster.advance(1);
+    expect(late.refusal?.code).toEqual(ErrorCode.DeadlinePassed);
+    expect(node.outcomes).toEqual(['asked', 'asked']);
+  });
+
+  // Guards against a new holder that is passed over because the one before it answers late.
+  it('keeps its holder when an earlier one answers that it no longer decides', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const [before, current] = [new ManualExchange(), new ManualExchange()];
+    node.quotas.setExchange(before);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    const request = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.setExchange(current);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    before.answers[0]?.({kind: 'unowned', retryAt: cluster.clock.now()});
+    await cluster.advance(1);
+    expect(current.answers.length).toEqual(1);
+    current.answers[0]?.({kind: 'granted'});
+    await cluster.advance(1);
+    expect(request.isAdmitted).toEqual(true);
+  });
+
   // Guards against messages of nodes that have nothing to say.
   it('sends no report when nothing was admitted, and at most one per interval', async context => {
     const cluster = QuotaTestCluster.create(context);
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -193,10 +193,10 @@
 
   /**
    * Takes the request's cost from its team's quota. Resolves if it may go on, or has ended. Throws
-   * a `RefusalError` with the code `QuotaExceeded` if the quota is used up.
+   * a `RefusalError` with the code `QuotaExceeded` if the quota is used up, or `DeadlinePassed`.
    */
   async acquire(request: TeamRequest): Promise<void> {
-    const {team, amount, signal} = request;
+    const {team, amount, deadline, signal} = request;
     if (!this.rates.has(team)) return;
     const {clock} = this.options;
     let hasWaited = false;
@@ -205,6 +205,8 @@
       await this.waitForHolder(request);
     }
     while (!signal.aborted) {
+      if (clock.now() >= deadline)
+        throw createNotRunRefusal(ErrorCode.DeadlinePassed, team);
       const decision = this.gate.decide(team, amount, clock.now());
       if (decision.kind === 'admitted') {
         this.scheduleReport();
@@ -212,14 +214,18 @@
         return;
       }
       if (decision.kind === 'ask') {
-        const answer = await this.ask(request);
+        const {exchange} = this;
+        const answer = await this.ask(request, exchange);
         if (signal.aborted) return;
         if (answer.kind === 'granted') {
           this.options.onOutcome(team, 'admitted');
           return;
         }
         if (answer.kind === 'refused') throw this.refuse(team, answer.retryAt);
-        this.gate.loseHolder(clock.now());
+        const isLate = clock.now() >= deadline;
+        // An earlier holder says nothing about the current one.
+        if (!isLate && this.exchange === exchange)
+          this.gate.loseHolder(clock.now());
       } else if (hasWaited) {
         throw this.refuse(team, decision.retryAt);
       } else {
@@ -229,11 +235,16 @@
     }
   }
 
-  /** Asks the lease holder, for a bounded time. A grant that comes too late is given back. */
-  private async ask(request: TeamRequest): Promise<QuotaDecision> {
+  /**
+   * Asks the lease holder, until it counts as not responding or the deadline passes. A grant that
+   * comes too late is given back.
+   */
+  private async ask(
+    request: TeamRequest,
+    exchange: TeamQuotaExchange | undefined,
+  ): Promise<QuotaDecision> {
     const {team, amount, deadline, signal} = request;
     const {clock, emit, onOutcome} = this.options;
-    const {exchange} = this;
     const startedAt = clock.now();
     if (exchange === undefined) return {kind: 'unowned', retryAt: startedAt};
     onOutcome(team, 'asked');
@@ -255,9 +266,9 @@
       end = () => resolve({kind: 'unowned', retryAt: clock.now()});
     });
     const timeoutAt = after(waitUntil, PERMIT_TIMEOUT_MILLISECONDS);
-    const cancel = clock.schedule(timeoutAt, () => {
+    const cancel = clock.schedule(earlier(timeoutAt, deadline), () => {
       const now = clock.now();
-      if (now >= this.unansweredLineAt) {
+      if (now < deadline && now >= this.unansweredLineAt) {
         this.unansweredLineAt = after(now, LOG_INTERVAL_MILLISECONDS);
         const waited = Math.round(until(startedAt, now));
         emit(QUOTA_UNANSWERED, {team, waited});
