Send no quota reports to a lease holder of an earlier build

Change: the node sends no reports to such a holder and keeps none. What it admitted meanwhile is reported once a heartbeat has the field `teams`. Conclusion: what a node keeps no longer grows during an upgrade.

--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -237,6 +237,35 @@
     expect(gate.takeReport()).toEqual(undefined);
   });
 
+  // Guards against memory that grows, and messages without effect, under a holder of an earlier build.
+  it('sends no reports to a holder that knows no quotas, and all of it to one that does', () => {
+    const gate = createGate();
+    gate.takeStatement(START);
+    gate.followUnaware(2, START);
+    for (let time = 1_000; time < 5_000; time += 100) {
+      gate.decide(TEAM, 100, at(time));
+      expect(gate.takeReport()).toEqual(undefined);
+      gate.followUnaware(2, at(time));
+    }
+    gate.applyState(state(5_000, 1), at(5_000));
+    const {report = 0, teams = []} = gate.takeReport() ?? {};
+    expect(teams).toEqual([{team: TEAM, total: 4_000}]);
+    expect(gate.decide(TEAM, 5_000, at(5_000)).kind).toEqual('ask');
+    gate.applyState({nodeCount: 2, report, changes: []}, at(5_000));
+    expect(gate.decide(TEAM, 5_000, at(5_000)).kind).toEqual('admitted');
+  });
+
+  // Guards against a total that is never known because it was reported before the holder knew quotas.
+  it('reports again what it reported before its holder knew no quotas', () => {
+    const gate = createGate();
+    gate.applyState(state(5_000), START);
+    gate.decide(TEAM, 1_000, START);
+    expect(gate.takeReport()?.report).toEqual(1);
+    gate.followUnaware(2, START);
+    gate.applyState(state(5_000), START);
+    expect(gate.takeReport()?.teams).toEqual([{team: TEAM, total: 1_000}]);
+  });
+
   // Guards against a credit from each node for a quota that is removed and put back.
   it('goes on from its total when a quota is removed and put back', () => {
     const gate = createGate();
--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -89,6 +89,8 @@
   /** Undefined while the node has a lease holder that responds. */
   private aloneSince: Instant | undefined;
   private heardAt: Instant;
+  /** Whether the lease holder knows no quotas. */
+  private isHolderUnaware = false;
   private lastReport = 0;
 
   private constructor(
@@ -113,6 +115,11 @@
     return this.aloneSince !== undefined;
   }
 
+  /** Whether the lease holder is of an earlier build, and gets no reports. */
+  get followsUnaware(): boolean {
+    return this.isHolderUnaware;
+  }
+
   /** Number of nodes that the last holder has told; undefined if there was none. */
   get knownNodeCount(): number | undefined {
     return this.nodeCount;
@@ -169,8 +176,12 @@
     if (gated !== undefined) gated.total -= amount;
   }
 
-  /** The totals that have changed since the last report; undefined if none has. */
+  /**
+   * The totals that have changed since the last report; undefined if none has, or if the lease
+   * holder knows no quotas.
+   */
   takeReport(): GateReport<AdmittedTotal> | undefined {
+    if (this.isHolderUnaware) return undefined;
     const teams: AdmittedTotal[] = [];
     for (const [team, gated] of this.teams) {
       if (gated.total !== gated.reportedTotal)
@@ -185,6 +196,7 @@
 
   /** What a lease holder needs to know when this node connects to it. */
   takeStatement(now: Instant): GateReport<TeamStatement> {
+    this.isHolderUnaware = false;
     this.lastReport += 1;
     const report = this.lastReport;
     const teams: TeamStatement[] = [];
@@ -209,6 +221,7 @@
     this.nodeCount = nodeCount;
     this.heardAt = now;
     this.aloneSince = undefined;
+    this.isHolderUnaware = false;
     for (const {team, free, share} of changes) {
       const gated = this.teams.get(team);
       if (gated === undefined) continue;
@@ -232,8 +245,13 @@
     this.loseHolder(now);
     this.nodeCount = nodeCount;
     this.heardAt = now;
-    for (const gated of this.teams.values())
+    this.isHolderUnaware = true;
+    for (const gated of this.teams.values()) {
       gated.share = 1 / Math.max(1, nodeCount);
+      // No heartbeat will include these reports; a holder that comes to know quotas gets them anew.
+      gated.reported.length = 0;
+      gated.reportedTotal = gated.knownTotal;
+    }
   }
 
   /** The lease holder is lost, or doesn't respond: the node admits by itself. */
--- a/packages/gateway/__tests__/team_quotas.test.ts
+++ b/packages/gateway/__tests__/team_quotas.test.ts
@@ -294,6 +294,23 @@
     expect(admitted).toBeGreaterThanOrEqual(55);
   });
 
+  // Guards against a node that never reports what it admitted before its holder knew of quotas.
+  it('reports to a holder that comes to know quotas, and not before', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeatSchema.parse(HEARTBEAT));
+    await cluster.advance(300);
+    const request = cluster.request(node, 1_000);
+    await cluster.advance(300);
+    expect(request.isAdmitted).toEqual(true);
+    expect(exchange.usage.length).toEqual(1);
+    node.quotas.applyHeartbeat(heartbeat(5_000));
+    await cluster.advance(1);
+    expect(exchange.usage.at(-1)?.teams).toEqual([[TEAM, 1_000]]);
+  });
+
   it('lets requests of teams without a quota pass', async context => {
     const cluster = QuotaTestCluster.create(context);
     const node = cluster.createNode({...QUOTA, perSecond: 0});
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -184,6 +184,8 @@
     if (teams === undefined) {
       this.gate.followUnaware(nodes, now);
     } else {
+      // What was admitted meanwhile has not been reported.
+      if (this.gate.followsUnaware) this.scheduleReport();
       const changes = decodeTeamChanges(teams);
       const state = {nodeCount: nodes, report: teams.report, changes};
       this.gate.applyState(state, now);
