Let waiting requests go on when their team's quota is removed

Cause: a request that waited for a lease holder slept on, up to 1 s, and one that had asked was refused, though its team no longer had a quota. Change: a configuration wakes the waiting requests of teams without a quota, and an answer for such a team is not a refusal. Requests of teams that keep their quota wait on. Conclusion: no request is held up or refused for a quota that was removed.

--- a/packages/gateway/__tests__/team_quotas.test.ts
+++ b/packages/gateway/__tests__/team_quotas.test.ts
@@ -21,10 +21,12 @@
   QUOTA,
   QuotaTestCluster,
   TEAM,
+  configurationOf,
   isDecided,
 } from './team_quota_cluster.js';
 
 const HEARTBEAT = {nodes: 2, reachesStore: true};
+const NO_QUOTA = {...QUOTA, perSecond: 0};
 
 /** A lease holder that is answered by the test. */
 class ManualExchange implements TeamQuotaExchange {
@@ -311,9 +313,46 @@
     expect(exchange.usage.at(-1)?.teams).toEqual([[TEAM, 1_000]]);
   });
 
+  // Guards against requests held up, or refused, on account of a quota that no longer exists.
+  it('lets waiting requests go on when the quota of their team is removed', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const waiting = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.applyConfiguration(configurationOf(NO_QUOTA));
+    await cluster.advance(1);
+    expect(waiting.isAdmitted).toEqual(true);
+  });
+
+  it('ignores a refusal that comes after the quota of its team was removed', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    const asked = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.applyConfiguration(configurationOf(NO_QUOTA));
+    const retryAt = cluster.clock.now();
+    exchange.answers[0]?.({kind: 'refused', retryAt});
+    await cluster.advance(1);
+    expect([asked.isAdmitted, asked.refusal]).toEqual([true, undefined]);
+  });
+
+  // Guards against requests decided without a holder because of a new version of the configuration.
+  it('lets requests wait on when a configuration keeps their quota', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const waiting = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.applyConfiguration(configurationOf(QUOTA));
+    await cluster.advance(500);
+    expect(isDecided(waiting)).toEqual(false);
+  });
+
   it('lets requests of teams without a quota pass', async context => {
     const cluster = QuotaTestCluster.create(context);
-    const node = cluster.createNode({...QUOTA, perSecond: 0});
+    const node = cluster.createNode(NO_QUOTA);
     const request = cluster.request(node, 1_000_000);
     await cluster.advance(1);
     expect(request.isAdmitted).toEqual(true);
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -115,8 +115,8 @@
   private nodeCount = 1;
   private reportedAt: Instant | undefined;
   private cancelReport: CancelTimer | undefined;
-  /** Wake the requests that wait for a lease holder. */
-  private readonly waiting = new Set<() => void>();
+  /** Wake the requests that wait for a lease holder, with their teams. */
+  private readonly waiting = new Map<() => void, TeamName>();
   private readonly refusals = new Map<TeamName, RefusalLog>();
 
   private unansweredLineAt: Instant;
@@ -165,6 +165,9 @@
     for (const team of this.refusals.keys()) {
       if (!rates.has(team)) this.refusals.delete(team);
     }
+    for (const [wake, team] of [...this.waiting]) {
+      if (!rates.has(team)) wake();
+    }
     this.stateOnce();
   }
 
@@ -190,7 +193,7 @@
       const state = {nodeCount: nodes, report: teams.report, changes};
       this.gate.applyState(state, now);
     }
-    for (const wake of [...this.waiting]) wake();
+    for (const wake of [...this.waiting.keys()]) wake();
   }
 
   /**
@@ -199,14 +202,14 @@
    */
   async acquire(request: TeamRequest): Promise<void> {
     const {team, amount, deadline, signal} = request;
-    if (!this.rates.has(team)) return;
     const {clock} = this.options;
     let hasWaited = false;
-    if (this.gate.isAlone && this.gate.isNew) {
+    if (this.rates.has(team) && this.gate.isAlone && this.gate.isNew) {
       hasWaited = true;
       await this.waitForHolder(request);
     }
-    while (!signal.aborted) {
+    // A configuration may remove the quota while the request waits.
+    while (!signal.aborted && this.rates.has(team)) {
       if (clock.now() >= deadline)
         throw createNotRunRefusal(ErrorCode.DeadlinePassed, team);
       const decision = this.gate.decide(team, amount, clock.now());
@@ -223,6 +226,7 @@
           this.options.onOutcome(team, 'admitted');
           return;
         }
+        if (!this.rates.has(team)) return;
         if (answer.kind === 'refused') throw this.refuse(team, answer.retryAt);
         const isLate = clock.now() >= deadline;
         // An earlier holder says nothing about the current one.
@@ -293,7 +297,7 @@
   }
 
   /** Waits until a lease holder is heard, at most for a part of the request's remaining time. */
-  private waitForHolder({deadline, signal}: TeamRequest): Promise<void> {
+  private waitForHolder({team, deadline, signal}: TeamRequest): Promise<void> {
     const {clock} = this.options;
     const now = clock.now();
     const waitUntil = earlier(
@@ -309,7 +313,7 @@
         resolve();
       };
       const cancel = clock.schedule(waitUntil, end);
-      this.waiting.add(end);
+      this.waiting.set(end, team);
       signal.addEventListener('abort', end, {once: true});
     });
   }
