Bound what a node admits under a holder that knows no quotas

Cause: the level without a holder could hold the burst and a window's rate. Under a holder of an earlier build the share doesn't fall, so a node admitted twice its part in one window. Change: under such a holder, the level holds the share's burst at most, except for the minimum share. A share that falls keeps its level: capping that one, too, fails two existing tests (33,400 admitted where 35,000 are required, and a request of 6,000 refused at half of a burst of 10,000).

--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -314,6 +314,21 @@
     expect(admitted).toBeLessThan(50_000);
   });
 
+  // Guards against a level that saves up a window at a large share and adds the next one to it.
+  it('keeps to the bound without a holder that knows quotas', () => {
+    const gate = createGate();
+    for (let time = 0; time < 20_000; time += 300)
+      gate.followUnaware(1, at(time));
+    let admitted = 0;
+    for (let time = 20_000; time < 28_000; time += 20) {
+      if (time % 300 === 0) gate.followUnaware(1, at(time));
+      while (gate.decide(TEAM, 100, at(time)).kind === 'admitted')
+        admitted += 100;
+    }
+    expect(admitted).toBeGreaterThanOrEqual(80_000);
+    expect(admitted).toBeLessThanOrEqual((80_000 + 10_000) * 1.1 + 7_400);
+  });
+
   it('refuses without a holder with a time at which another may be elected', () => {
     const gate = createGate();
     gate.applyState(state(0, 0, 0), START);
--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -303,10 +303,15 @@
     const share = this.shareAt(gated, now);
     const accrued = amountIn(quota.perSecond, time);
     const {perSecond, burst} = quota;
-    const most =
-      share * (burst + amountIn(perSecond, rules.windowMilliseconds));
+    const inWindow = burst + amountIn(perSecond, rules.windowMilliseconds);
+    // Under a holder that knows no quotas, the share doesn't fall, so a level of a window and the
+    // rate of the next would exceed the bound. The burst of the minimum share is less than most
+    // requests, so that one still accumulates for a window.
+    const most = this.isHolderUnaware
+      ? Math.max(share * burst, this.leastShare * inWindow)
+      : share * inWindow;
     gated.level = Math.min(
-      Math.max(most, burst * share),
+      most,
       gated.level + accrued * this.shareAt(gated, middle),
     );
     gated.refilledAt = later(refilledAt, now);
@@ -315,8 +320,11 @@
 
   private shareAt({share}: GatedTeam, at: Instant): number {
     const left = shareLeft(this.heardAt, at, this.options.rules);
-    const least = minimumShare(this.nodeCount ?? UNKNOWN_NODE_COUNT);
-    return Math.max(share * left, least);
+    return Math.max(share * left, this.leastShare);
+  }
+
+  private get leastShare(): number {
+    return minimumShare(this.nodeCount ?? UNKNOWN_NODE_COUNT);
   }
 
   private markReported(team: TeamName, report: number): void {
