Clamp the amounts of quota requests to finite, positive numbers

Cause: an infinite amount is null in JSON. The holder couldn't read such a permit request, and the node counted the holder as lost for all teams. A negative amount gave its team a credit. Change: amounts are between 1 and 1e9 where a request enters the quotas and where a permit request is encoded. Conclusion: no stated amount loses the holder or adds to a quota.

--- a/packages/gateway/__tests__/team_quotas.test.ts
+++ b/packages/gateway/__tests__/team_quotas.test.ts
@@ -9,8 +9,10 @@
   decodeTeamPermitDecision,
   decodeTeamStatement,
   encodeTeamPermitDecision,
+  encodeTeamPermitRequest,
   encodeTeamStates,
   encodeTeamStatement,
+  teamPermitRequestSchema,
   teamStatesSchema,
   teamUsageSchema,
 } from '../src/team_quota_messages.js';
@@ -262,6 +264,26 @@
     expect(request.isAdmitted).toEqual(true);
   });
 
+  // Guards against a team that gets a credit for a negative amount, or loses the holder for all teams.
+  it('takes a finite, positive amount for any request', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const follower = cluster.createNode();
+    await cluster.follow(follower, holder);
+    await cluster.advance(3_000);
+    for (const node of [holder.node, follower]) {
+      const refused = cluster.request(node, Infinity);
+      const negative = cluster.request(node, -1_000_000);
+      await cluster.advanceUntil(() => [refused, negative].every(isDecided));
+      expect(Number.isFinite(refused.refusal?.retryAt)).toEqual(true);
+      expect(negative.isAdmitted).toEqual(true);
+      expect(node.events.includes('quota-unanswered')).toEqual(false);
+    }
+    const large = cluster.request(follower, 30_000);
+    await cluster.advanceUntil(() => isDecided(large));
+    expect(large.isAdmitted).toEqual(false);
+  });
+
   // Guards against messages of nodes that have nothing to say.
   it('sends no report when nothing was admitted, and at most one per interval', async context => {
     const cluster = QuotaTestCluster.create(context);
@@ -396,6 +418,17 @@
     }
   });
 
+  // Guards against a request that the holder can't read, for which the node would count it as lost.
+  it('contain finite, positive amounts', () => {
+    const sent = [Infinity, -Infinity, NaN, -5, 1e300, 340].map(amount => {
+      const request = {team: TEAM, amount, waitUntil: now};
+      const message = encodeTeamPermitRequest(request, now);
+      const read = JSON.parse(JSON.stringify(message)) as unknown;
+      return teamPermitRequestSchema.parse(read).amount;
+    });
+    expect(sent).toEqual([1e9, 1, 1, 1, 1e9, 340]);
+  });
+
   // Guards against an upgrade that breaks the connections between builds.
   it('are missing from the heartbeat of an earlier build', () => {
     expect(heartbeatSchema.parse(HEARTBEAT).teams).toEqual(undefined);
--- a/packages/gateway/src/team_quota_messages.ts
+++ b/packages/gateway/src/team_quota_messages.ts
@@ -20,6 +20,12 @@
 const reportNumber = z.number().int().nonnegative();
 const share = z.number().min(0).max(1);
 
+/** Least amount of a request: one request or one token. */
+const MINIMUM_AMOUNT = 1;
+
+/** Largest amount of a request, far beyond the tokens of any; keeps return times finite. */
+const MAXIMUM_AMOUNT = 1e9;
+
 /** Decimal places of a share. */
 const SHARE_SCALE = 1e5;
 
@@ -131,13 +137,19 @@
   };
 }
 
+/** A finite, positive amount; one that is not a number counts as the least. */
+export function clampAmount(requested: number): number {
+  if (Number.isNaN(requested)) return MINIMUM_AMOUNT;
+  return Math.min(MAXIMUM_AMOUNT, Math.max(MINIMUM_AMOUNT, requested));
+}
+
 export function encodeTeamPermitRequest(
   {team, amount: requested, waitUntil}: TeamPermitRequest,
   now: Instant,
 ): z.infer<typeof teamPermitRequestSchema> {
   return {
     team,
-    amount: requested,
+    amount: clampAmount(requested),
     waitFor: Math.max(0, Math.round(until(now, waitUntil))),
   };
 }
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -27,6 +27,7 @@
   TeamUsageMessage,
 } from './team_quota_messages.js';
 import {
+  clampAmount,
   decodeTeamChanges,
   encodeTeamReport,
   encodeTeamStatement,
@@ -200,7 +201,8 @@
    * Takes the request's cost from its team's quota. Resolves if it may go on, or has ended. Throws
    * a `RefusalError` with the code `QuotaExceeded` if the quota is used up, or `DeadlinePassed`.
    */
-  async acquire(request: TeamRequest): Promise<void> {
+  async acquire(stated: TeamRequest): Promise<void> {
+    const request = {...stated, amount: clampAmount(stated.amount)};
     const {team, amount, deadline, signal} = request;
     const {clock} = this.options;
     let hasWaited = false;
