Keep requests that cost nothing free under quotas

Cause: the clamp of amounts took 1 for a request without a token count where `plainTokens` is 0, the default, so a metered team's were asked for and could be refused. Change: an amount of 0 stays 0. Conclusion: only amounts that cost something are at least 1.

--- a/packages/gateway/src/team_quota_messages.ts
+++ b/packages/gateway/src/team_quota_messages.ts
@@ -20,7 +20,7 @@
 const reportNumber = z.number().int().nonnegative();
 const share = z.number().min(0).max(1);
 
-/** Least amount of a request: one request or one token. */
+/** Least amount of a request that costs something: one request or one token. */
 const MINIMUM_AMOUNT = 1;
 
 /** Largest amount of a request, far beyond the tokens of any; keeps return times finite. */
@@ -137,8 +137,12 @@
   };
 }
 
-/** A finite, positive amount; one that is not a number counts as the least. */
+/**
+ * A finite amount, positive unless the request costs nothing, as one without a token count does by
+ * default. One that is not a number, or negative, counts as the least.
+ */
 export function clampAmount(requested: number): number {
+  if (requested === 0) return 0;
   if (Number.isNaN(requested)) return MINIMUM_AMOUNT;
   return Math.min(MAXIMUM_AMOUNT, Math.max(MINIMUM_AMOUNT, requested));
 }
