--- a/packages/gateway/__tests__/team_quotas.test.ts
+++ b/packages/gateway/__tests__/team_quotas.test.ts
@@ -9,8 +9,10 @@
   decodeTeamPermitDecision,
   decodeTeamStatement,
   encodeTeamPermitDecision,
+  encodeTeamPermitRequest,
   encodeTeamStates,
   encodeTeamStatement,
+  teamPermitRequestSchema,
   teamStatesSchema,
   teamUsageSchema,
 } from '../src/team_quota_messages.js';
@@ -21,10 +23,12 @@
   QUOTA,
   QuotaTestCluster,
   TEAM,
+  configurationOf,
   isDecided,
 } from './team_quota_cluster.js';
 
 const HEARTBEAT = {nodes: 2, reachesStore: true};
+const NO_QUOTA = {...QUOTA, perSecond: 0};
 
 /** A lease holder that is answered by the test. */
 class ManualExchange implements TeamQuotaExchange {
@@ -218,6 +222,80 @@
     expect(isDecided(next)).toEqual(true);
   });
 
+  // Guards against quota taken for a caller that has given up, and a holder lost to short deadlines.
+  it('ends the wait for an answer at the deadline, and keeps its holder', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeat(5_000));
+    const start = cluster.clock.now();
+    const request = cluster.request(node, 6_000, 100);
+    const endedAt = await cluster.advanceUntil(() => isDecided(request));
+    expect(until(start, endedAt)).toEqual(100);
+    expect([request.refusal?.code, request.refusal?.outcome]).toEqual([
+      ErrorCode.DeadlinePassed,
+      Outcome.NotRun,
+    ]);
+    expect(node.events).toEqual([]);
+    const late = cluster.request(node, 1_000, 0);
+    cluster.request(node, 6_000);
+    await cluster.advance(1);
+    expect(late.refusal?.code).toEqual(ErrorCode.DeadlinePassed);
+    expect(node.outcomes).toEqual(['asked', 'asked']);
+  });
+
+  // Guards against a new holder that is passed over because the one before it answers late.
+  it('keeps its holder when an earlier one answers that it no longer decides', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const [before, current] = [new ManualExchange(), new ManualExchange()];
+    node.quotas.setExchange(before);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    const request = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.setExchange(current);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    before.answers[0]?.({kind: 'unowned', retryAt: cluster.clock.now()});
+    await cluster.advance(1);
+    expect(current.answers.length).toEqual(1);
+    current.answers[0]?.({kind: 'granted'});
+    await cluster.advance(1);
+    expect(request.isAdmitted).toEqual(true);
+  });
+
+  // Guards against a team that gets a credit for a negative amount, or loses the holder for all teams.
+  it('takes a finite, positive amount for any request', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const holder = await cluster.startHolder(cluster.createNode());
+    const follower = cluster.createNode();
+    await cluster.follow(follower, holder);
+    await cluster.advance(3_000);
+    for (const node of [holder.node, follower]) {
+      const refused = cluster.request(node, Infinity);
+      const negative = cluster.request(node, -1_000_000);
+      await cluster.advanceUntil(() => [refused, negative].every(isDecided));
+      expect(Number.isFinite(refused.refusal?.retryAt)).toEqual(true);
+      expect(negative.isAdmitted).toEqual(true);
+      expect(node.events.includes('quota-unanswered')).toEqual(false);
+    }
+    const large = cluster.request(follower, 30_000);
+    await cluster.advanceUntil(() => isDecided(large));
+    expect(large.isAdmitted).toEqual(false);
+  });
+
+  // Guards against a cost for requests without a token count where the quota has none for them.
+  it('admits a request that costs nothing without asking', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    node.quotas.setExchange(new ManualExchange());
+    node.quotas.applyHeartbeat(heartbeat(0));
+    const request = cluster.request(node, 0);
+    await cluster.advance(1);
+    expect(request.isAdmitted).toEqual(true);
+    expect(node.outcomes).toEqual(['admitted']);
+  });
+
   // Guards against messages of nodes that have nothing to say.
   it('sends no report when nothing was admitted, and at most one per interval', async context => {
     const cluster = QuotaTestCluster.create(context);
@@ -252,9 +330,63 @@
     expect(admitted).toBeGreaterThanOrEqual(55);
   });
 
+  // Guards against a node that never reports what it admitted before its holder knew of quotas.
+  it('reports to a holder that comes to know quotas, and not before', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeatSchema.parse(HEARTBEAT));
+    await cluster.advance(300);
+    const request = cluster.request(node, 1_000);
+    await cluster.advance(300);
+    expect(request.isAdmitted).toEqual(true);
+    expect(exchange.usage.length).toEqual(1);
+    node.quotas.applyHeartbeat(heartbeat(5_000));
+    await cluster.advance(1);
+    expect(exchange.usage.at(-1)?.teams).toEqual([[TEAM, 1_000]]);
+  });
+
+  // Guards against requests held up, or refused, on account of a quota that no longer exists.
+  it('lets waiting requests go on when the quota of their team is removed', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const waiting = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.applyConfiguration(configurationOf(NO_QUOTA));
+    await cluster.advance(1);
+    expect(waiting.isAdmitted).toEqual(true);
+  });
+
+  it('ignores a refusal that comes after the quota of its team was removed', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const exchange = new ManualExchange();
+    node.quotas.setExchange(exchange);
+    node.quotas.applyHeartbeat(heartbeat(0));
+    const asked = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.applyConfiguration(configurationOf(NO_QUOTA));
+    const retryAt = cluster.clock.now();
+    exchange.answers[0]?.({kind: 'refused', retryAt});
+    await cluster.advance(1);
+    expect([asked.isAdmitted, asked.refusal]).toEqual([true, undefined]);
+  });
+
+  // Guards against requests decided without a holder because of a new version of the configuration.
+  it('lets requests wait on when a configuration keeps their quota', async context => {
+    const cluster = QuotaTestCluster.create(context);
+    const node = cluster.createNode();
+    const waiting = cluster.request(node, 1_000);
+    await cluster.advance(1);
+    node.quotas.applyConfiguration(configurationOf(QUOTA));
+    await cluster.advance(500);
+    expect(isDecided(waiting)).toEqual(false);
+  });
+
   it('lets requests of teams without a quota pass', async context => {
     const cluster = QuotaTestCluster.create(context);
-    const node = cluster.createNode({...QUOTA, perSecond: 0});
+    const node = cluster.createNode(NO_QUOTA);
     const request = cluster.request(node, 1_000_000);
     await cluster.advance(1);
     expect(request.isAdmitted).toEqual(true);
@@ -298,6 +430,17 @@
     }
   });
 
+  // Guards against a request that the holder can't read, for which the node would count it as lost.
+  it('contain finite amounts that are not negative', () => {
+    const sent = [Infinity, -Infinity, NaN, -5, 1e300, 340, 0].map(amount => {
+      const request = {team: TEAM, amount, waitUntil: now};
+      const message = encodeTeamPermitRequest(request, now);
+      const read = JSON.parse(JSON.stringify(message)) as unknown;
+      return teamPermitRequestSchema.parse(read).amount;
+    });
+    expect(sent).toEqual([1e9, 1, 1, 1, 1e9, 340, 0]);
+  });
+
   // Guards against an upgrade that breaks the connections between builds.
   it('are missing from the heartbeat of an earlier build', () => {
     expect(heartbeatSchema.parse(HEARTBEAT).teams).toEqual(undefined);
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -27,6 +27,7 @@
   TeamUsageMessage,
 } from './team_quota_messages.js';
 import {
+  clampAmount,
   decodeTeamChanges,
   encodeTeamReport,
   encodeTeamStatement,
@@ -115,8 +116,8 @@
   private nodeCount = 1;
   private reportedAt: Instant | undefined;
   private cancelReport: CancelTimer | undefined;
-  /** Wake the requests that wait for a lease holder. */
-  private readonly waiting = new Set<() => void>();
+  /** Wake the requests that wait for a lease holder, with their teams. */
+  private readonly waiting = new Map<() => void, TeamName>();
   private readonly refusals = new Map<TeamName, RefusalLog>();
 
   private unansweredLineAt: Instant;
@@ -165,6 +166,9 @@
     for (const team of this.refusals.keys()) {
       if (!rates.has(team)) this.refusals.delete(team);
     }
+    for (const [wake, team] of [...this.waiting]) {
+      if (!rates.has(team)) wake();
+    }
     this.stateOnce();
   }
 
@@ -184,27 +188,32 @@
     if (teams === undefined) {
       this.gate.followUnaware(nodes, now);
     } else {
+      // What was admitted meanwhile has not been reported.
+      if (this.gate.followsUnaware) this.scheduleReport();
       const changes = decodeTeamChanges(teams);
       const state = {nodeCount: nodes, report: teams.report, changes};
       this.gate.applyState(state, now);
     }
-    for (const wake of [...this.waiting]) wake();
+    for (const wake of [...this.waiting.keys()]) wake();
   }
 
   /**
    * Takes the request's cost from its team's quota. Resolves if it may go on, or has ended. Throws
-   * a `RefusalError` with the code `QuotaExceeded` if the quota is used up.
+   * a `RefusalError` with the code `QuotaExceeded` if the quota is used up, or `DeadlinePassed`.
    */
-  async acquire(request: TeamRequest): Promise<void> {
-    const {team, amount, signal} = request;
-    if (!this.rates.has(team)) return;
+  async acquire(stated: TeamRequest): Promise<void> {
+    const request = {...stated, amount: clampAmount(stated.amount)};
+    const {team, amount, deadline, signal} = request;
     const {clock} = this.options;
     let hasWaited = false;
-    if (this.gate.isAlone && this.gate.isNew) {
+    if (this.rates.has(team) && this.gate.isAlone && this.gate.isNew) {
       hasWaited = true;
       await this.waitForHolder(request);
     }
-    while (!signal.aborted) {
+    // A configuration may remove the quota while the request waits.
+    while (!signal.aborted && this.rates.has(team)) {
+      if (clock.now() >= deadline)
+        throw createNotRunRefusal(ErrorCode.DeadlinePassed, team);
       const decision = this.gate.decide(team, amount, clock.now());
       if (decision.kind === 'admitted') {
         this.scheduleReport();
@@ -212,14 +221,19 @@
         return;
       }
       if (decision.kind === 'ask') {
-        const answer = await this.ask(request);
+        const {exchange} = this;
+        const answer = await this.ask(request, exchange);
         if (signal.aborted) return;
         if (answer.kind === 'granted') {
           this.options.onOutcome(team, 'admitted');
           return;
         }
+        if (!this.rates.has(team)) return;
         if (answer.kind === 'refused') throw this.refuse(team, answer.retryAt);
-        this.gate.loseHolder(clock.now());
+        const isLate = clock.now() >= deadline;
+        // An earlier holder says nothing about the current one.
+        if (!isLate && this.exchange === exchange)
+          this.gate.loseHolder(clock.now());
       } else if (hasWaited) {
         throw this.refuse(team, decision.retryAt);
       } else {
@@ -229,11 +243,16 @@
     }
   }
 
-  /** Asks the lease holder, for a bounded time. A grant that comes too late is given back. */
-  private async ask(request: TeamRequest): Promise<QuotaDecision> {
+  /**
+   * Asks the lease holder, until it counts as not responding or the deadline passes. A grant that
+   * comes too late is given back.
+   */
+  private async ask(
+    request: TeamRequest,
+    exchange: TeamQuotaExchange | undefined,
+  ): Promise<QuotaDecision> {
     const {team, amount, deadline, signal} = request;
     const {clock, emit, onOutcome} = this.options;
-    const {exchange} = this;
     const startedAt = clock.now();
     if (exchange === undefined) return {kind: 'unowned', retryAt: startedAt};
     onOutcome(team, 'asked');
@@ -255,9 +274,9 @@
       end = () => resolve({kind: 'unowned', retryAt: clock.now()});
     });
     const timeoutAt = after(waitUntil, PERMIT_TIMEOUT_MILLISECONDS);
-    const cancel = clock.schedule(timeoutAt, () => {
+    const cancel = clock.schedule(earlier(timeoutAt, deadline), () => {
       const now = clock.now();
-      if (now >= this.unansweredLineAt) {
+      if (now < deadline && now >= this.unansweredLineAt) {
         this.unansweredLineAt = after(now, LOG_INTERVAL_MILLISECONDS);
         const waited = Math.round(until(startedAt, now));
         emit(QUOTA_UNANSWERED, {team, waited});
@@ -280,7 +299,7 @@
   }
 
   /** Waits until a lease holder is heard, at most for a part of the request's remaining time. */
-  private waitForHolder({deadline, signal}: TeamRequest): Promise<void> {
+  private waitForHolder({team, deadline, signal}: TeamRequest): Promise<void> {
     const {clock} = this.options;
     const now = clock.now();
     const waitUntil = earlier(
@@ -296,7 +315,7 @@
         resolve();
       };
       const cancel = clock.schedule(waitUntil, end);
-      this.waiting.add(end);
+      this.waiting.set(end, team);
       signal.addEventListener('abort', end, {once: true});
     });
   }
