Give waits and return times of capacity holds finite bounds

Cause: a kind that had not been offered had the share 0 / 0 of its team, so that its wait was NaN: it was refused, and NaN stayed in the team's previous return time, so that each later Retry-After was NaN. A kind that was idle for long had a share near zero and a return years away. Costs that overflow gave NaN in the same way.

Change: a request's own cost is the least that its kind is taken to offer; an estimate that is not finite counts as unknown, which refuses nothing; a return is at most 30 s away.

Conclusion: waits and returns stay finite.

--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -1,8 +1,8 @@
 import {describe, it} from 'node:test';
 import type {Instant, TeamName} from '@siskinmux/kernel';
-import {after, as} from '@siskinmux/kernel';
+import {after, as, until} from '@siskinmux/kernel';
 import {expect} from 'earl';
-import type {CapacityRequest} from '../src/index.js';
+import type {CapacityRequest, HoldDecision} from '../src/index.js';
 import {CapacityQueue, MAXIMUM_HELD_REQUESTS} from '../src/index.js';
 
 const start = as<Instant>(1_000_000);
@@ -69,6 +69,12 @@
   return at(count * interval);
 }
 
+/** Time until the return of a request that was refused. */
+function returnIn(decision: HoldDecision, now: Instant): number {
+  if (decision.kind === 'held') throw new Error('The request was held.');
+  return until(now, decision.retryAt);
+}
+
 describe('CapacityQueue', () => {
   it('orders by the rank of the team, then of the route, then by the time left', () => {
     const queue = CapacityQueue.create<Named>();
@@ -241,4 +247,40 @@
     expect(queue.offer(request('one'), start).kind).toEqual('refused');
     expect(queue.size).toEqual(MAXIMUM_HELD_REQUESTS);
   });
+
+  it('returns a route without recent requests at a finite time, within the horizon', () => {
+    // 0 / 0 gave a wait of NaN, which then stayed in every return time of the team.
+    const queue = CapacityQueue.create<Named>();
+    const now = measure(queue, 8, 400);
+    const idle = {arrived: 3_200, route: 'idle'};
+    expect(queue.offer(request('idle', idle), now)).toEqual({kind: 'held'});
+    const refused = queue.offer(request('late', {...idle, deadline: 1}), now);
+    expect(returnIn(refused, now)).toBeGreaterThanOrEqual(100);
+    expect(returnIn(refused, now)).toBeLessThanOrEqual(30_000);
+  });
+
+  it('caps the return of a route that was idle for long at the horizon', () => {
+    // The decayed amount offered by the route gave a return years away.
+    const queue = CapacityQueue.create<Named>();
+    queue.recordUnheld(request('before', {route: 'idle'}), at(-600_000));
+    const now = measure(queue, 8, 400);
+    const idle = {arrived: 3_200, route: 'idle'};
+    queue.offer(request('idle', idle), now);
+    for (let index = 0; index < 3; index += 1) {
+      const decision = queue.offer(
+        request('late', {...idle, deadline: 1}),
+        now,
+      );
+      expect(returnIn(decision, now)).toBeLessThanOrEqual(30_000);
+    }
+  });
+
+  it('refuses nothing by a wait that is not a finite number', () => {
+    // A cost that overflowed made each wait NaN, so that each request was refused.
+    const queue = CapacityQueue.create<Named>();
+    queue.recordUnheld(request('overflow', {cost: Infinity}), start);
+    const now = measure(queue, 8, 400);
+    const decision = queue.offer(request('next', {arrived: 3_200}), now);
+    expect(decision).toEqual({kind: 'held'});
+  });
 });
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -6,7 +6,7 @@
 
 import {Heap} from 'heap-js';
 import type {Instant, Milliseconds, TeamName} from '@siskinmux/kernel';
-import {after, until} from '@siskinmux/kernel';
+import {after, earlier, until} from '@siskinmux/kernel';
 import {CapacityOrder} from './capacity_order.js';
 import type {CapacityRequest, Flow, TeamLine} from './capacity_request.js';
 import {flowKey, lineKey, yieldsUntil} from './capacity_request.js';
@@ -191,14 +191,25 @@
     return until(since, now) > patience && held >= LEAST_HELD;
   }
 
-  /** Expected wait of a request that is held now; undefined if no rate is known. */
+  /** Expected wait of a request that is held now; undefined if it can't be told. */
   private estimate(item: Item, now: Instant): Estimate | undefined {
+    const estimate = this.calculateEstimate(item, now);
+    // Costs that sum up to no finite number say nothing.
+    return estimate !== undefined &&
+      Number.isFinite(estimate.wait) &&
+      Number.isFinite(estimate.interval)
+      ? estimate
+      : undefined;
+  }
+
+  private calculateEstimate(item: Item, now: Instant): Estimate | undefined {
     const groupRate = this.groups.get(item.group)?.rate.perMillisecond(now);
     if (groupRate === undefined) return undefined;
     let ahead = 0;
     let heldOfKind = 0;
     const heldByTeam = new Map([[item.team, 0]]);
-    const ownOffered = this.shares.offeredOf(item, now);
+    // The request itself is offered too, which counts while the kind was hardly offered before.
+    const ownOffered = Math.max(item.cost, this.shares.offeredOf(item, now));
     let otherOffered = 0;
     for (const {heap, line, teamPriority, group} of this.flows.values()) {
       const head = heap.peek();
@@ -264,8 +275,11 @@
     const {wait = 0, interval = MINIMUM_RETURN_MILLISECONDS} = estimate ?? {};
     // By then the queue has become so short that an equal request would be in time.
     const lateBy = wait - Math.max(0, until(now, item.objectiveAt));
-    const first = after(now, Math.max(MINIMUM_RETURN_MILLISECONDS, lateBy));
-    const horizon = after(first, RETURN_HORIZON_MILLISECONDS);
+    const horizon = after(now, RETURN_HORIZON_MILLISECONDS);
+    const first = earlier(
+      after(now, Math.max(MINIMUM_RETURN_MILLISECONDS, lateBy)),
+      horizon,
+    );
     const {lastReturnAt} = line;
     const next =
       lastReturnAt === undefined ? first : after(lastReturnAt, interval);
