Hold requests again whose model was briefly at no engine

Cause: when the last engine with a model was excluded for it, which one rejection for a missing model does for 120 ms, all held requests for the model were released to wait for it, and then went on without being held. The releases also counted as served, which raised the measured rates.

Change: a released request passes only if an engine has the model; otherwise it waits for the model and is held again. Releases don't count as served.

Measured: the new test of PlacementClient fails before (10 of 10 requests sent to a full engine) and passes now; placement_client 16 of 16, capacity_holds 11 of 11, capacity_queue 17 of 17, contention_histories 6 of 6.

Conclusion: a backlog survives the short absence of a model.

--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -148,6 +148,15 @@
     return true;
   }
 
+  /** Removes and returns all requests of one group; they don't count as served. */
+  takeGroup(group: string, now: Instant): Item[] {
+    const items = [...this.flows.values()].flatMap(flow =>
+      flow.group === group ? flow.heap.toArray() : [],
+    );
+    for (const item of items) this.remove(item, now);
+    return items;
+  }
+
   /** Removes and returns the requests that can no longer start in time. */
   takeExpired(now: Instant): ExpiredRequest<Item>[] {
     const expired = [...this.flows.values()].flatMap(({heap}) =>
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -18,6 +18,7 @@
 import type {RouteName} from '@siskinmux/routes';
 import {OutlierDetector} from '@siskinmux/routing';
 import {
+  ENGINE_SLOTS,
   VirtualClock,
   createEngineDescription,
   createSeededRandom,
@@ -106,6 +107,7 @@
     undefined,
   );
   const inFlightCounts = InFlightCounts.create();
+  const clusterLoad = ClusterLoad.create({clock, inFlightCounts});
   const limits = EndpointLimits.create({clock, emit: discardEvents});
   const pauses = EndpointPauses.create({clock, emit: discardEvents});
   const client = PlacementClient.create({
@@ -124,7 +126,7 @@
     choice: {
       table,
       inFlightCounts,
-      clusterLoad: ClusterLoad.create({clock, inFlightCounts}),
+      clusterLoad,
       outliers: OutlierDetector.create(),
       clock,
       random,
@@ -185,6 +187,7 @@
     client,
     table,
     inFlightCounts,
+    clusterLoad,
     find,
     settled,
     allocator: new TestAllocator(clock),
@@ -213,6 +216,35 @@
     await clock.advance(1);
     expect(settled).toEqual(['team-0 300', 'team-0 900', 'team-1 100']);
   });
+
+  it('holds requests again whose model was briefly at no engine', async () => {
+    // One rejection for a missing model sent the whole backlog to a full engine.
+    const {clock, client, clusterLoad, find, allocator, settled} = build({
+      hasTeams: true,
+    });
+    client.setAllocator(allocator);
+    client.setNodeCount(100);
+    const ordering = {
+      team: as<TeamName>('team'),
+      teamPriority: 0,
+      route: as<RouteName>('route'),
+      objectiveAt: after(clock.now(), 5_000),
+      cost: 1,
+    };
+    clusterLoad.update([[engine, ENGINE_SLOTS * 4]]);
+    for (let index = 0; index < 10; index += 1)
+      find('m0', undefined, 8_000, ordering);
+    await clock.advance(1);
+    client.reportMissingModel(engine, model('m0'));
+    await clock.advance(150);
+    client.onAvailableModels(service, [{engine, models: [model('m0')]}]);
+    await clock.advance(50);
+    expect(settled.length).toEqual(0);
+    clusterLoad.update([[engine, 0]]);
+    client.onLoadReport();
+    await clock.advance(1);
+    expect(settled.length).toEqual(1);
+  });
 });
 
 describe('PlacementClient without an allocator', () => {
--- a/packages/gateway/src/capacity_holds.ts
+++ b/packages/gateway/src/capacity_holds.ts
@@ -114,8 +114,8 @@
 
   /**
    * Resolves when the request may be sent: at once while an engine has room and no request for the
-   * same model is held. Rejects with a `RefusalError` if it can't start in time or its caller has
-   * gone. `engines` returns those that have the model.
+   * same model is held, and once no engine has the model. Rejects with a `RefusalError` if it can't
+   * start in time or its caller has gone. `engines` returns those that have the model.
    */
   waitForRoom(
     requirements: EndpointRequirements,
@@ -266,6 +266,7 @@
   /** Sends held requests in their order, as far as their groups have room and credit. */
   private sendHeld(): void {
     const now = this.options.clock.now();
+    this.releaseWithoutEngines(now);
     for (;;) {
       const item = this.queue.take(now, key => this.maySend(key, now));
       if (item === undefined) return;
@@ -275,6 +276,17 @@
     }
   }
 
+  /** Without an engine that has the model, requests wait for the model instead. */
+  private releaseWithoutEngines(now: Instant): void {
+    for (const key of this.queue.heldGroups) {
+      if (this.groups.get(key)?.engines().length !== 0) continue;
+      for (const item of this.queue.takeGroup(key, now)) {
+        this.end(item, 'sent', undefined);
+        item.settle(undefined);
+      }
+    }
+  }
+
   private recordSent(item: HeldRequest, now: Instant): void {
     const group = this.groups.get(item.group);
     if (group !== undefined) {
@@ -300,8 +312,7 @@
 
   private maySend(key: string, now: Instant): boolean {
     const group = this.groups.get(key);
-    // Without an engine that has the model, requests wait for the model instead.
-    if (group === undefined || group.engines().length === 0) return true;
+    if (group === undefined) return true;
     if (until(group.sentAt, now) >= MAXIMUM_SILENCE_MILLISECONDS) return true;
     if (this.isBelowShare(group, now)) return true;
     return group.credit >= 1 && this.roomOf(group, now) >= 1;
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -291,7 +291,8 @@
       }
       if (!mayPass) {
         await this.waitForRoom(requirements, model);
-        mayPass = true;
+        // Held requests are also released when their model has left; they are held again with it.
+        mayPass = this.enginesWithModel(requirements).length > 0;
         continue;
       }
       // An engine that refused a request may accept it after the allocator's next order.
