Order held requests by the priority of the route alone

Cause: the priority of a request is the combined rank of team and route, at least 1 for all routes of a team of priority 1 or more. A less urgent route of such a team was no longer read as one step better served, and the team counted twice in the priority reported to the allocator.

Change: RequestOrdering has an optional routePriority, which is used for the order of held requests and, clamped to 0..999, in the reported priority. Where it is missing, the priority of the request is used as before. No caller fills it yet.

Conclusion: done for callers that fill the field.

--- a/packages/gateway/__tests__/capacity_holds.test.ts
+++ b/packages/gateway/__tests__/capacity_holds.test.ts
@@ -50,6 +50,7 @@
       deadline = 12_000,
       priority = 0,
       teamPriority = 0,
+      routePriority = undefined as number | undefined,
       signal = new AbortController().signal,
     } = {},
   ): void => {
@@ -70,6 +71,7 @@
     const ordering = {
       team: as<TeamName>('team'),
       teamPriority,
+      routePriority,
       route: as<RouteName>(`route-${priority}`),
       objectiveAt: after(now, objective),
       cost: 1,
@@ -132,6 +134,19 @@
     expect(lines[0]?.['heldFor']).toEqual(50);
   });
 
+  it('orders by the priority of the route alone where it is known', async () => {
+    // The rank of team and route together is at least 1 for all routes of a lower team, so that
+    // a less urgent route no longer counted as better served.
+    const {clock, settled, send, report} = build();
+    report(FULL);
+    send('less urgent', {priority: 3, routePriority: 1, teamPriority: 1});
+    send('urgent', {priority: 4, routePriority: 0, teamPriority: 1});
+    await clock.advance(50);
+    report(ENGINE_SLOTS - 1);
+    await clock.advance(1);
+    expect(settled).toEqual(['urgent']);
+  });
+
   it('takes only its share of the room that all nodes see at the same time', async () => {
     const {clock, settled, send, report} = build(10);
     report(FULL);
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -217,6 +217,27 @@
     expect(settled).toEqual(['team-0 300', 'team-0 900', 'team-1 100']);
   });
 
+  it('reports the priority of the team before that of the route alone, whatever its size', async () => {
+    // The rank of team and route together counted the team twice.
+    for (const [routePriority, reported] of [
+      [3, 1_003],
+      [5_000, 1_999],
+    ] as const) {
+      const {clock, client, find, allocator} = build({hasTeams: true});
+      client.setAllocator(allocator);
+      find('m9', undefined, 8_000, {
+        team: as<TeamName>('team'),
+        teamPriority: 1,
+        routePriority,
+        route: as<RouteName>('route'),
+        objectiveAt: after(clock.now(), 300),
+        cost: 1,
+      });
+      await clock.advance(1);
+      expect(allocator.reports.at(-1)?.waiting[0]?.priority).toEqual(reported);
+    }
+  });
+
   it('holds requests again whose model was briefly at no engine', async () => {
     // One rejection for a missing model sent the whole backlog to a full engine.
     const {clock, client, clusterLoad, find, allocator, settled} = build({
--- a/packages/gateway/src/capacity_holds.ts
+++ b/packages/gateway/src/capacity_holds.ts
@@ -130,7 +130,7 @@
     const item = {
       ...ordering,
       group: key,
-      routePriority: requirements.priority,
+      routePriority: ordering.routePriority ?? requirements.priority,
       arrivedAt: now,
       startBy: after(requirements.deadline, -TIME_TO_FIRST_EVENT_MILLISECONDS),
     };
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -43,6 +43,11 @@
   readonly team: TeamName | undefined;
   /** Priority of the team, or what a team without one has; goes before that of the route. */
   readonly teamPriority: number;
+  /**
+   * Priority of the route alone; 0 is the most urgent. If it is missing, that of the request
+   * is used, which may include the team's.
+   */
+  readonly routePriority?: number | undefined;
   readonly route: RouteName;
   /** When the response, or the first event of a stream, is due by the route's objective. */
   readonly objectiveAt: Instant;
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -93,7 +93,7 @@
 /** An engine that lacked a model is excluded for it while the allocator reads its state. */
 const MISSING_MODEL_EXCLUSION_MILLISECONDS: Milliseconds = 120;
 
-/** Greater than any priority of a route, so that the priority of a team goes before it. */
+/** Priorities of routes are reported below this, so that the priority of a team goes before. */
 const ROUTE_PRIORITIES = 1_000;
 
 interface Waiter {
@@ -743,7 +743,9 @@
 
 /** Priority under which a waiting request is reported: by the team first, then by the route. */
 function reportedPriority({ordering, priority}: EndpointRequirements): number {
-  return (ordering?.teamPriority ?? 0) * ROUTE_PRIORITIES + priority;
+  const ofRoute = ordering?.routePriority ?? priority;
+  const clamped = Math.min(ROUTE_PRIORITIES - 1, Math.max(0, ofRoute));
+  return (ordering?.teamPriority ?? 0) * ROUTE_PRIORITIES + clamped;
 }
 
 /** Sorts the most urgent request first: by the team, the route, and the time left. */
