End the effect of a rejection on the estimated load after two seconds

Cause: without reports (up to 16 nodes) nothing corrects what a rejection says of an engine's load, which faded with the mean time of a request: with requests of 20 s one rejection took an engine out for 57 s.

Change: a rejection counts for 2 s at most.

Conclusion: the time that an engine is out no longer grows with long requests.

--- a/packages/gateway/__tests__/cluster_load.test.ts
+++ b/packages/gateway/__tests__/cluster_load.test.ts
@@ -96,6 +96,21 @@
     expect(clusterLoad.assumedAt(engine).age).toEqual(200);
   });
 
+  it('takes an engine that rejected a request for busy no longer than two seconds', async () => {
+    // With requests of 20 s and no reports, one rejection took an engine out for 57 s.
+    const {clock, clusterLoad} = build();
+    const sentAt = clock.now();
+    await clock.advance(20_000);
+    clusterLoad.recordServed(engine, model, sentAt);
+    clusterLoad.recordRejection(engine);
+    await clock.advance(1_000);
+    expect(clusterLoad.estimate(engine).knownRequests).toBeGreaterThan(
+      ENGINE_SLOTS,
+    );
+    await clock.advance(1_000);
+    expect(clusterLoad.estimate(engine).knownRequests).toEqual(0);
+  });
+
   it('takes an engine that rejected a request for busy, and a restarted one for empty', () => {
     const {clusterLoad} = build();
     clusterLoad.recordRejection(engine);
--- a/packages/routing/src/engine_loads.ts
+++ b/packages/routing/src/engine_loads.ts
@@ -13,6 +13,12 @@
 /** Requests that an engine is assumed to have when it rejects one, relative to its slots. */
 const REJECTING_LOAD = 2;
 
+/**
+ * Time after which a rejection says nothing any more. Without reports nothing else corrects it, and
+ * long requests would keep the engine out for minutes.
+ */
+const REJECTION_LIFETIME_MILLISECONDS: Milliseconds = 2_000;
+
 /** Bound on reported requests relative to the slots; a higher report is taken for an error. */
 const MAXIMUM_REPORTED_LOAD = 10;
 
@@ -142,7 +148,10 @@
       unseenRequests = Math.max(0, known.rate * horizon);
     }
     const rejectedAt = this.rejections.get(endpoint);
-    if (rejectedAt !== undefined) {
+    if (
+      rejectedAt !== undefined &&
+      until(rejectedAt, now) < REJECTION_LIFETIME_MILLISECONDS
+    ) {
       const kept = 1 - this.endedShare(slowness, until(rejectedAt, now));
       knownRequests = Math.max(knownRequests, REJECTING_LOAD * slots * kept);
     }
