Drop gaps, speeds and rejections of engines that have gone

Cause: gaps at engines that left before a usage report were taken by none, and those recorded without a lease holder were reported to the next one. A request that completed after its engine was forgotten left an entry in the speeds, and a rejection one in the loads, both for good.

Change: gaps are dropped with their engine, with a change of the allocator and, at engines that aren't listed, with each usage report. Decayed speeds are dropped when an engine is added, and rejections without effect at the next.

The removal of rejections has no test of its own.

Conclusion: the entries are bounded. Gaps while the caller's socket is not drained are still recorded, up to 500 ms each.

--- a/packages/gateway/__tests__/cluster_load.test.ts
+++ b/packages/gateway/__tests__/cluster_load.test.ts
@@ -1,9 +1,10 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
-import type {ModelName, ServiceName} from '@siskinmux/kernel';
+import type {EndpointId, ModelName, ServiceName} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
 import type {NodeUsage} from '@siskinmux/placement';
+import {EngineSpeeds} from '@siskinmux/routing';
 import {
   ENGINE_SLOTS,
   VirtualClock,
@@ -40,6 +41,19 @@
   };
 }
 
+describe('speeds of engines', () => {
+  it('are dropped for engines that ended before their last request', () => {
+    // Requests that completed later left an entry for good.
+    const speeds = EngineSpeeds.create();
+    const clock = VirtualClock.create();
+    for (let index = 0; index < 100; index += 1)
+      speeds.recordCompleted(as<EndpointId>(`${index}`), 'm', 9, clock.now());
+    const later = after(clock.now(), 200_000);
+    speeds.recordCompleted(engine.id, 'm', 9, later);
+    expect(speeds.size).toEqual(1);
+  });
+});
+
 describe('estimate of the load of an engine', () => {
   it('counts requests that were sent after this node’s usage report, though before the heartbeat', async () => {
     const {clock, clusterLoad, send} = build();
--- a/packages/gateway/__tests__/event_gap_counts.test.ts
+++ b/packages/gateway/__tests__/event_gap_counts.test.ts
@@ -33,6 +33,17 @@
     expect(gaps?.milliseconds ?? 0).toBeLessThanOrEqual(500);
   });
 
+  it('are dropped with their engine, and all with the lease holder', () => {
+    // No report takes the gaps at engines that have gone, so that their entries stayed.
+    const counts = EventGapCounts.create();
+    counts.record(one, 1, 40);
+    counts.record(two, 1, 40);
+    counts.forget(one);
+    expect(counts.take(id => id === one)).toEqual([]);
+    counts.clear();
+    expect(counts.take(() => true)).toEqual([]);
+  });
+
   it('reach the lease holder with the usage, and may be missing from it', () => {
     const gaps = [{engine: one, count: 3, milliseconds: 140}];
     const usage = {waiting: [], inFlight: [], arrived: []};
--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -108,6 +108,7 @@
   );
   const inFlightCounts = InFlightCounts.create();
   const clusterLoad = ClusterLoad.create({clock, inFlightCounts});
+  const eventGaps = EventGapCounts.create();
   const limits = EndpointLimits.create({clock, emit: discardEvents});
   const pauses = EndpointPauses.create({clock, emit: discardEvents});
   const client = PlacementClient.create({
@@ -122,7 +123,7 @@
     },
     table,
     inFlightCounts,
-    eventGaps: EventGapCounts.create(),
+    eventGaps,
     choice: {
       table,
       inFlightCounts,
@@ -188,6 +189,7 @@
     table,
     inFlightCounts,
     clusterLoad,
+    eventGaps,
     find,
     settled,
     allocator: new TestAllocator(clock),
@@ -268,6 +270,23 @@
   });
 });
 
+describe('PlacementClient with gaps between events', () => {
+  it('drops those at engines that have gone, and those before a change of the allocator', () => {
+    // No report takes the gaps at engines that have gone, so that their entries stayed.
+    const {client, table, eventGaps, allocator} = build();
+    const [before] = table.availableFor(service);
+    eventGaps.record(engine, 1, 40);
+    client.onEndpointChanges([{id: engine, before, now: undefined}]);
+    expect(eventGaps.take(() => true)).toEqual([]);
+    eventGaps.record(as<EndpointId>('gone'), 1, 40);
+    client.sendUsageReports();
+    expect(eventGaps.take(() => true)).toEqual([]);
+    eventGaps.record(engine, 1, 40);
+    client.setAllocator(allocator);
+    expect(allocator.reports.map(({gaps}) => gaps)).toEqual([[]]);
+  });
+});
+
 describe('PlacementClient without an allocator', () => {
   it('lets requests wait for a new allocator and then for their model', async () => {
     const {clock, client, find, allocator} = build();
--- a/packages/gateway/src/event_gap_counts.ts
+++ b/packages/gateway/src/event_gap_counts.ts
@@ -39,4 +39,14 @@
     }
     return taken;
   }
+
+  /** Drops the gaps at an engine that has ended. */
+  forget(engine: EndpointId): void {
+    this.counts.delete(engine);
+  }
+
+  /** Drops all gaps. */
+  clear(): void {
+    this.counts.clear();
+  }
 }
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -174,6 +174,8 @@
       this.lastAvailableModels = this.availableModels;
     }
     this.allocator = allocator;
+    // Gaps that nobody took meanwhile say nothing of the present.
+    this.options.eventGaps.clear();
     if (allocator === undefined) {
       this.availableModels = new Map();
       return;
@@ -336,6 +338,8 @@
   /** Ends the waits for versions that have left. */
   onEndpointChanges(changes: readonly EndpointTableChange[]): void {
     for (const {id, before, now} of changes) {
+      if (before !== undefined && before.incarnation !== now?.incarnation)
+        this.options.eventGaps.forget(id);
       if (!this.lastAvailableModels.has(id)) continue;
       if (before === undefined || !hasSameModels(before, now))
         this.lastAvailableModels.delete(id);
@@ -379,6 +383,8 @@
     for (const service of this.options.engineServices()) {
       this.allocator?.reportUsage(service, this.takeUsage(service));
     }
+    // Streams may still record gaps at engines that have gone, which no service reports.
+    this.options.eventGaps.take(id => this.options.table.get(id) === undefined);
   }
 
   private chooseWithinLimits(
--- a/packages/routing/src/engine_loads.ts
+++ b/packages/routing/src/engine_loads.ts
@@ -119,6 +119,9 @@
 
   /** Records that an engine rejected a request because of its load. */
   recordRejection(endpoint: EndpointId, now: Instant): void {
+    for (const [other, at] of this.rejections)
+      if (until(at, now) >= REJECTION_LIFETIME_MILLISECONDS)
+        this.rejections.delete(other);
     this.rejections.set(endpoint, now);
   }
 
--- a/packages/routing/src/engine_speeds.ts
+++ b/packages/routing/src/engine_speeds.ts
@@ -6,6 +6,9 @@
 /** Time in which the weight of a completed request falls to a half. */
 const HALF_LIFE_MILLISECONDS: Milliseconds = 15_000;
 
+/** Records that are older have decayed to less than a thousandth, and are dropped. */
+const RECORD_LIFETIME_MILLISECONDS: Milliseconds = 10 * HALF_LIFE_MILLISECONDS;
+
 /**
  * Weight, in requests, of the assumption that an engine is as fast as the average. It limits
  * what a few requests say, and lets engines with few requests return to the average.
@@ -48,6 +51,11 @@
     return new EngineSpeeds();
   }
 
+  /** Engines of which something is known. */
+  get size(): number {
+    return this.records.size;
+  }
+
   /** Mean time of this node's requests, over all engines. */
   get requestMilliseconds(): Milliseconds {
     return this.meanMilliseconds;
@@ -80,6 +88,7 @@
       weight * (Math.max(1, milliseconds) - this.meanMilliseconds);
     const bound = Math.log(MAXIMUM_SAMPLE_RATIO);
     const ratio = Math.min(bound, Math.max(-bound, logarithm - expected));
+    if (!this.records.has(endpoint)) this.dropDecayed(now);
     const earlier = this.decayed(endpoint, now);
     this.records.set(endpoint, {
       sum: earlier.sum + ratio,
@@ -101,6 +110,13 @@
     this.records.delete(endpoint);
   }
 
+  /** Requests may complete at an engine that has been forgotten; nothing else removes these. */
+  private dropDecayed(now: Instant): void {
+    for (const [endpoint, {updatedAt}] of this.records)
+      if (until(updatedAt, now) > RECORD_LIFETIME_MILLISECONDS)
+        this.records.delete(endpoint);
+  }
+
   private decayed(
     endpoint: EndpointId,
     now: Instant,
