Name what comments and constants of the held requests refer to

Cause: comments said "the page" and "its streams" without saying which, and two constants had figurative names.

Change: the comments name docs/design/shared_capacity.md and slow engines; the constants are OVERLOAD_WINDOW_SHARE and CRITICAL_TIME_SHARE. No behaviour changes.

Conclusion: wording only.

--- a/packages/admission/src/capacity_order.ts
+++ b/packages/admission/src/capacity_order.ts
@@ -19,7 +19,7 @@
 const RATIO_STEPS = 20;
 
 /** Share of the time until it can no longer start that is left when a late request goes first. */
-const LAST_CHANCE_SHARE = 0.25;
+const CRITICAL_TIME_SHARE = 0.25;
 
 /** What waiting does to a request; the first are sent first. */
 enum Phase {
@@ -142,8 +142,8 @@
 
 function phaseOf(item: CapacityRequest, now: Instant): Phase {
   const {arrivedAt, objectiveAt, startBy} = item;
-  const lastChance = until(arrivedAt, startBy) * LAST_CHANCE_SHARE;
-  if (until(now, startBy) <= lastChance) return Phase.AtStake;
+  const criticalTime = until(arrivedAt, startBy) * CRITICAL_TIME_SHARE;
+  if (until(now, startBy) <= criticalTime) return Phase.AtStake;
   if (objectiveAt <= now) return Phase.Late;
   return now < yieldsUntil(item) ? Phase.Yielding : Phase.AtStake;
 }
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -22,7 +22,7 @@
  * miss their objective before the overload counts as lasting. Callers honor return times up to
  * this share of the time they have left.
  */
-const PATIENCE_SHARE = 1 / 3;
+const OVERLOAD_WINDOW_SHARE = 1 / 3;
 
 /** With fewer held requests of a team, its measured rate is that of its arrivals. */
 const LEAST_BACKLOG = 4;
@@ -190,14 +190,14 @@
   private isExcess(item: Item, {held, wait}: Estimate, now: Instant): boolean {
     if (after(now, wait) <= item.objectiveAt) return false;
     const {overloads} = this.findLine(item, now);
-    const patience = until(now, item.startBy) * PATIENCE_SHARE;
+    const overloadWindow = until(now, item.startBy) * OVERLOAD_WINDOW_SHARE;
     const before = overloads.get(item.route);
     const since =
-      before !== undefined && until(before.seenAt, now) <= patience
+      before !== undefined && until(before.seenAt, now) <= overloadWindow
         ? before.since
         : now;
     overloads.set(item.route, {since, seenAt: now});
-    return until(since, now) > patience && held >= LEAST_HELD;
+    return until(since, now) > overloadWindow && held >= LEAST_HELD;
   }
 
   /** Expected wait of a request that is held now; undefined if it can't be told. */
--- a/packages/admission/src/service_shares.ts
+++ b/packages/admission/src/service_shares.ts
@@ -17,8 +17,9 @@
 const PRIOR_REQUESTS = 5;
 
 /**
- * A team is starved if it is served less than this share as often as all. The page bounds it at
- * a quarter; the difference covers the time until the measurement shows a change.
+ * A team is starved if it is served less than this share as often as all. Section 3 of
+ * docs/design/shared_capacity.md bounds it at a quarter; the difference covers the time until the
+ * measurement shows a change.
  */
 const STARVED_SHARE = 0.35;
 
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -137,7 +137,8 @@
   const {clusterLoad, random, failureDomain} = dependencies;
   const candidates = withoutOutliers(engines, dependencies).map(engine => ({
     engine,
-    // Its streams put the objective for the gap between two events at risk.
+    // On a slow engine, running streams are at risk of missing the objective for the gap between
+    // two events.
     slots:
       engine.slots / clusterLoad.slownessOf(engine.id) ** SLOWNESS_EXPONENT,
     isInOwnDomain: engine.failureDomain === failureDomain,
