--- a/packages/gateway/__tests__/placement_client.test.ts
+++ b/packages/gateway/__tests__/placement_client.test.ts
@@ -18,6 +18,7 @@
 import type {RouteName} from '@siskinmux/routes';
 import {OutlierDetector} from '@siskinmux/routing';
 import {
+  ENGINE_SLOTS,
   VirtualClock,
   createEngineDescription,
   createSeededRandom,
@@ -106,6 +107,8 @@
     undefined,
   );
   const inFlightCounts = InFlightCounts.create();
+  const clusterLoad = ClusterLoad.create({clock, inFlightCounts});
+  const eventGaps = EventGapCounts.create();
   const limits = EndpointLimits.create({clock, emit: discardEvents});
   const pauses = EndpointPauses.create({clock, emit: discardEvents});
   const client = PlacementClient.create({
@@ -120,11 +123,11 @@
     },
     table,
     inFlightCounts,
-    eventGaps: EventGapCounts.create(),
+    eventGaps,
     choice: {
       table,
       inFlightCounts,
-      clusterLoad: ClusterLoad.create({clock, inFlightCounts}),
+      clusterLoad,
       outliers: OutlierDetector.create(),
       clock,
       random,
@@ -185,6 +188,8 @@
     client,
     table,
     inFlightCounts,
+    clusterLoad,
+    eventGaps,
     find,
     settled,
     allocator: new TestAllocator(clock),
@@ -213,6 +218,73 @@
     await clock.advance(1);
     expect(settled).toEqual(['team-0 300', 'team-0 900', 'team-1 100']);
   });
+
+  it('reports the priority of the team before that of the route alone, whatever its size', async () => {
+    // The rank of team and route together counted the team twice.
+    for (const [routePriority, reported] of [
+      [3, 1_003],
+      [5_000, 1_999],
+    ] as const) {
+      const {clock, client, find, allocator} = build({hasTeams: true});
+      client.setAllocator(allocator);
+      find('m9', undefined, 8_000, {
+        team: as<TeamName>('team'),
+        teamPriority: 1,
+        routePriority,
+        route: as<RouteName>('route'),
+        objectiveAt: after(clock.now(), 300),
+        cost: 1,
+      });
+      await clock.advance(1);
+      expect(allocator.reports.at(-1)?.waiting[0]?.priority).toEqual(reported);
+    }
+  });
+
+  it('holds requests again whose model was briefly at no engine', async () => {
+    // One rejection for a missing model sent the whole backlog to a full engine.
+    const {clock, client, clusterLoad, find, allocator, settled} = build({
+      hasTeams: true,
+    });
+    client.setAllocator(allocator);
+    client.setNodeCount(100);
+    const ordering = {
+      team: as<TeamName>('team'),
+      teamPriority: 0,
+      route: as<RouteName>('route'),
+      objectiveAt: after(clock.now(), 5_000),
+      cost: 1,
+    };
+    clusterLoad.update([[engine, ENGINE_SLOTS * 4]]);
+    for (let index = 0; index < 10; index += 1)
+      find('m0', undefined, 8_000, ordering);
+    await clock.advance(1);
+    client.reportMissingModel(engine, model('m0'));
+    await clock.advance(150);
+    client.onAvailableModels(service, [{engine, models: [model('m0')]}]);
+    await clock.advance(50);
+    expect(settled.length).toEqual(0);
+    clusterLoad.update([[engine, 0]]);
+    client.onLoadReport();
+    await clock.advance(1);
+    expect(settled.length).toEqual(1);
+  });
+});
+
+describe('PlacementClient with gaps between events', () => {
+  it('drops those at engines that have gone, and those before a change of the allocator', () => {
+    // No report takes the gaps at engines that have gone, so that their entries stayed.
+    const {client, table, eventGaps, allocator} = build();
+    const [before] = table.availableFor(service);
+    eventGaps.record(engine, 1, 40);
+    client.onEndpointChanges([{id: engine, before, now: undefined}]);
+    expect(eventGaps.take(() => true)).toEqual([]);
+    eventGaps.record(as<EndpointId>('gone'), 1, 40);
+    client.sendUsageReports();
+    expect(eventGaps.take(() => true)).toEqual([]);
+    eventGaps.record(engine, 1, 40);
+    client.setAllocator(allocator);
+    expect(allocator.reports.map(({gaps}) => gaps)).toEqual([[]]);
+  });
 });
 
 describe('PlacementClient without an allocator', () => {
