State the route's own priority where requests are ordered

Cause: the order compared the combined rank of team and route as the route's priority, so that the correction for less urgent routes was void for teams of priority 1 or more. Change: RequestState fills routePriority. Measured: capacity_holds.test.ts 12 of 12, placement_client.test.ts 18 of 18.

--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -147,6 +147,7 @@
       team,
       teamPriority: declared?.priority ?? 0,
       route: route.name,
+      routePriority: route.priority,
       objectiveAt: after(
         exchange.receivedAt,
         route.latencyObjectiveMilliseconds,
