--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -78,6 +78,47 @@
     expect(second).toEqual([{kind: 'granted'}]);
   });
 
+  // Guards against a request that waits without end behind the debt that others' reports cause.
+  it('refuses a waiting request at the end of its wait if its turn moves', () => {
+    const ledger = createLedger();
+    const first = request(ledger, 1_000, START, 150);
+    const second = request(ledger, 1_000, START, 250);
+    ledger.recordAdmitted(OTHER, [{team: TEAM, total: 3_000}], 1, at(10));
+    expect(ledger.nextAdvanceAt(TEAM, at(10))).toEqual(at(150));
+    ledger.advance(at(149));
+    expect([first.length, second.length]).toEqual([0, 0]);
+    ledger.advance(at(150));
+    // The debt ends at 300 ms, and a request takes 100 ms.
+    expect(first).toEqual([{kind: 'refused', retryAt: at(400)}]);
+    expect(second).toEqual([{kind: 'refused', retryAt: at(500)}]);
+    expect(ledger.nextAdvanceAt(TEAM, at(150))).toEqual(undefined);
+  });
+
+  // Guards against a wait that lasts until the request before it is granted.
+  it('ends a wait that is shorter than the one before it', () => {
+    const ledger = createLedger();
+    const first = request(ledger, 1_000, START, 1_000);
+    const second = request(ledger, 500, START, 200);
+    ledger.recordAdmitted(OTHER, [{team: TEAM, total: 3_000}], 1, at(10));
+    expect(ledger.nextAdvanceAt(TEAM, at(10))).toEqual(at(200));
+    ledger.advance(at(200));
+    expect([first.length, second[0]?.kind]).toEqual([0, 'refused']);
+    ledger.advance(at(400));
+    expect(first).toEqual([{kind: 'granted'}]);
+  });
+
+  // Guards against requests that were let wait at a rate that no longer applies.
+  it('refuses waiting requests whose turn a lower quota moves too far', () => {
+    const ledger = createLedger();
+    const first = request(ledger, 100, START, 250);
+    const second = request(ledger, 1_000, START, 250);
+    const lower = {...QUOTA, perSecond: 1_000, burst: 1_000};
+    ledger.setQuotas(new Map([[TEAM, lower]]), START);
+    expect([first.length, second[0]?.kind]).toEqual([0, 'refused']);
+    ledger.advance(at(100));
+    expect(first).toEqual([{kind: 'granted'}]);
+  });
+
   it('goes into debt by what nodes admitted before they reported, and meters the team', () => {
     const ledger = createLedger();
     ledger.update(at(2_500));
@@ -98,6 +139,20 @@
     expect(ledger.available(TEAM, START)).toEqual(-700);
   });
 
+  // Guards against a node that resets its total and gives the team a credit for it.
+  it('takes no more back than what it has granted', () => {
+    const ledger = createLedger();
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: 9_000}], 1, at(500));
+    expect(ledger.available(TEAM, at(500))).toEqual(-4_000);
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: 100}], 2, at(500));
+    expect(ledger.available(TEAM, at(500))).toEqual(-4_000);
+    expect(request(ledger, 1_000, at(1_000))).toEqual([{kind: 'granted'}]);
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: -5_000}], 3, at(1_000));
+    expect(ledger.available(TEAM, at(1_000))).toEqual(1_000);
+    ledger.recordAdmitted(NODE, [{team: TEAM, total: -6_000}], 4, at(1_000));
+    expect(ledger.available(TEAM, at(1_000))).toEqual(1_000);
+  });
+
   it('starts from the debt that nodes state to a holder that takes over', () => {
     const ledger = createLedger();
     const recent = [0, 60_000, 50_000, 0, 0, 0, 0, 0];
@@ -182,6 +237,70 @@
     expect(gate.takeReport()).toEqual(undefined);
   });
 
+  // Guards against memory that grows, and messages without effect, under a holder of an earlier build.
+  it('sends no reports to a holder that knows no quotas, and all of it to one that does', () => {
+    const gate = createGate();
+    gate.takeStatement(START);
+    gate.followUnaware(2, START);
+    for (let time = 1_000; time < 5_000; time += 100) {
+      gate.decide(TEAM, 100, at(time));
+      expect(gate.takeReport()).toEqual(undefined);
+      gate.followUnaware(2, at(time));
+    }
+    gate.applyState(state(5_000, 1), at(5_000));
+    const {report = 0, teams = []} = gate.takeReport() ?? {};
+    expect(teams).toEqual([{team: TEAM, total: 4_000}]);
+    expect(gate.decide(TEAM, 5_000, at(5_000)).kind).toEqual('ask');
+    gate.applyState({nodeCount: 2, report, changes: []}, at(5_000));
+    expect(gate.decide(TEAM, 5_000, at(5_000)).kind).toEqual('admitted');
+  });
+
+  // Guards against a total that is never known because it was reported before the holder knew quotas.
+  it('reports again what it reported before its holder knew no quotas', () => {
+    const gate = createGate();
+    gate.applyState(state(5_000), START);
+    gate.decide(TEAM, 1_000, START);
+    expect(gate.takeReport()?.report).toEqual(1);
+    gate.followUnaware(2, START);
+    gate.applyState(state(5_000), START);
+    expect(gate.takeReport()?.teams).toEqual([{team: TEAM, total: 1_000}]);
+  });
+
+  // Guards against a credit from each node for a quota that is removed and put back.
+  it('goes on from its total when a quota is removed and put back', () => {
+    const gate = createGate();
+    gate.applyState(state(5_000), START);
+    gate.decide(TEAM, 1_000, START);
+    gate.takeReport();
+    gate.setQuotas(new Map(), START);
+    const {teams} = gate.takeStatement(START);
+    expect(teams).toEqual([{team: TEAM, total: 1_000, share: 0, recent: []}]);
+    gate.setQuotas(new Map([[TEAM, QUOTA]]), START);
+    expect(gate.takeReport()).toEqual(undefined);
+    gate.applyState(state(500, 1), START);
+    expect(gate.decide(TEAM, 500, START).kind).toEqual('admitted');
+    expect(gate.takeReport()?.teams).toEqual([{team: TEAM, total: 1_500}]);
+  });
+
+  // Guards against memory that grows with each team that ever had a quota.
+  it('forgets the oldest of many removed teams', () => {
+    const gate = createGate();
+    for (let index = 0; index < 300; index += 1) {
+      const team = as<TeamName>(`t${index}`);
+      gate.setQuotas(new Map([[team, QUOTA]]), START);
+      const changes = [{team, free: 100, share: 0.5}];
+      gate.applyState({nodeCount: 2, report: 0, changes}, START);
+      gate.decide(team, 1, START);
+    }
+    gate.setQuotas(new Map(), START);
+    const {teams} = gate.takeStatement(START);
+    expect([teams.length, teams[0]?.team, teams.at(-1)?.team]).toEqual([
+      256,
+      as<TeamName>('t44'),
+      as<TeamName>('t299'),
+    ]);
+  });
+
   it('admits at its share without a holder, and less and less', () => {
     const gate = createGate();
     gate.applyState(state(0, 0, 1), START);
@@ -195,6 +314,21 @@
     expect(admitted).toBeLessThan(50_000);
   });
 
+  // Guards against a level that saves up a window at a large share and adds the next one to it.
+  it('keeps to the bound without a holder that knows quotas', () => {
+    const gate = createGate();
+    for (let time = 0; time < 20_000; time += 300)
+      gate.followUnaware(1, at(time));
+    let admitted = 0;
+    for (let time = 20_000; time < 28_000; time += 20) {
+      if (time % 300 === 0) gate.followUnaware(1, at(time));
+      while (gate.decide(TEAM, 100, at(time)).kind === 'admitted')
+        admitted += 100;
+    }
+    expect(admitted).toBeGreaterThanOrEqual(80_000);
+    expect(admitted).toBeLessThanOrEqual((80_000 + 10_000) * 1.1 + 7_400);
+  });
+
   it('refuses without a holder with a time at which another may be elected', () => {
     const gate = createGate();
     gate.applyState(state(0, 0, 0), START);
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -6,7 +6,7 @@
 
 import {Heap} from 'heap-js';
 import type {Instant, Milliseconds, TeamName} from '@siskinmux/kernel';
-import {after, until} from '@siskinmux/kernel';
+import {after, earlier, until} from '@siskinmux/kernel';
 import {CapacityOrder} from './capacity_order.js';
 import type {CapacityRequest, Flow, TeamLine} from './capacity_request.js';
 import {flowKey, lineKey, yieldsUntil} from './capacity_request.js';
@@ -22,7 +22,7 @@
  * miss their objective before the overload counts as lasting. Callers honor return times up to
  * this share of the time they have left.
  */
-const PATIENCE_SHARE = 1 / 3;
+const OVERLOAD_WINDOW_SHARE = 1 / 3;
 
 /** With fewer held requests of a team, its measured rate is that of its arrivals. */
 const LEAST_BACKLOG = 4;
@@ -148,6 +148,15 @@
     return true;
   }
 
+  /** Removes and returns all requests of one group; they don't count as served. */
+  takeGroup(group: string, now: Instant): Item[] {
+    const items = [...this.flows.values()].flatMap(flow =>
+      flow.group === group ? flow.heap.toArray() : [],
+    );
+    for (const item of items) this.remove(item, now);
+    return items;
+  }
+
   /** Removes and returns the requests that can no longer start in time. */
   takeExpired(now: Instant): ExpiredRequest<Item>[] {
     const expired = [...this.flows.values()].flatMap(({heap}) =>
@@ -181,24 +190,35 @@
   private isExcess(item: Item, {held, wait}: Estimate, now: Instant): boolean {
     if (after(now, wait) <= item.objectiveAt) return false;
     const {overloads} = this.findLine(item, now);
-    const patience = until(now, item.startBy) * PATIENCE_SHARE;
+    const overloadWindow = until(now, item.startBy) * OVERLOAD_WINDOW_SHARE;
     const before = overloads.get(item.route);
     const since =
-      before !== undefined && until(before.seenAt, now) <= patience
+      before !== undefined && until(before.seenAt, now) <= overloadWindow
         ? before.since
         : now;
     overloads.set(item.route, {since, seenAt: now});
-    return until(since, now) > patience && held >= LEAST_HELD;
+    return until(since, now) > overloadWindow && held >= LEAST_HELD;
   }
 
-  /** Expected wait of a request that is held now; undefined if no rate is known. */
+  /** Expected wait of a request that is held now; undefined if it can't be told. */
   private estimate(item: Item, now: Instant): Estimate | undefined {
+    const estimate = this.calculateEstimate(item, now);
+    // Costs that sum up to no finite number say nothing.
+    return estimate !== undefined &&
+      Number.isFinite(estimate.wait) &&
+      Number.isFinite(estimate.interval)
+      ? estimate
+      : undefined;
+  }
+
+  private calculateEstimate(item: Item, now: Instant): Estimate | undefined {
     const groupRate = this.groups.get(item.group)?.rate.perMillisecond(now);
     if (groupRate === undefined) return undefined;
     let ahead = 0;
     let heldOfKind = 0;
     const heldByTeam = new Map([[item.team, 0]]);
-    const ownOffered = this.shares.offeredOf(item, now);
+    // The request itself is offered too, which counts while the kind was hardly offered before.
+    const ownOffered = Math.max(item.cost, this.shares.offeredOf(item, now));
     let otherOffered = 0;
     for (const {heap, line, teamPriority, group} of this.flows.values()) {
       const head = heap.peek();
@@ -264,8 +284,11 @@
     const {wait = 0, interval = MINIMUM_RETURN_MILLISECONDS} = estimate ?? {};
     // By then the queue has become so short that an equal request would be in time.
     const lateBy = wait - Math.max(0, until(now, item.objectiveAt));
-    const first = after(now, Math.max(MINIMUM_RETURN_MILLISECONDS, lateBy));
-    const horizon = after(first, RETURN_HORIZON_MILLISECONDS);
+    const horizon = after(now, RETURN_HORIZON_MILLISECONDS);
+    const first = earlier(
+      after(now, Math.max(MINIMUM_RETURN_MILLISECONDS, lateBy)),
+      horizon,
+    );
     const {lastReturnAt} = line;
     const next =
       lastReturnAt === undefined ? first : after(lastReturnAt, interval);
--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -29,6 +29,9 @@
  */
 const ELECTION_MILLISECONDS: Milliseconds = 1_000;
 
+/** Most teams without a quota whose totals are kept; the holder ignores the reset of a forgotten one. */
+const MAXIMUM_REMOVED_TEAMS = 256;
+
 /** Decision on one request. */
 export type GateDecision =
   | {readonly kind: 'admitted'}
@@ -77,10 +80,17 @@
 /** Admits, asks or refuses on one node. */
 export class TeamQuotaGate {
   private readonly teams = new Map<TeamName, GatedTeam>();
+  /**
+   * Last totals of teams whose quota was removed, oldest first. The holder keeps them too, so a
+   * quota that comes back has to go on from there.
+   */
+  private readonly removedTotals = new Map<TeamName, number>();
   private nodeCount: number | undefined;
   /** Undefined while the node has a lease holder that responds. */
   private aloneSince: Instant | undefined;
   private heardAt: Instant;
+  /** Whether the lease holder knows no quotas. */
+  private isHolderUnaware = false;
   private lastReport = 0;
 
   private constructor(
@@ -105,6 +115,11 @@
     return this.aloneSince !== undefined;
   }
 
+  /** Whether the lease holder is of an earlier build, and gets no reports. */
+  get followsUnaware(): boolean {
+    return this.isHolderUnaware;
+  }
+
   /** Number of nodes that the last holder has told; undefined if there was none. */
   get knownNodeCount(): number | undefined {
     return this.nodeCount;
@@ -119,13 +134,23 @@
 
   /** Replaces the quotas. */
   setQuotas(quotas: ReadonlyMap<TeamName, QuotaRate>, now: Instant): void {
-    for (const team of this.teams.keys()) {
-      if (!quotas.has(team)) this.teams.delete(team);
+    for (const [team, {total}] of this.teams) {
+      if (quotas.has(team)) continue;
+      this.teams.delete(team);
+      if (total !== 0) this.removedTotals.set(team, total);
     }
     for (const [team, quota] of quotas) {
       const known = this.teams.get(team);
       if (known !== undefined) known.quota = quota;
-      else this.teams.set(team, this.createTeam(quota, now));
+      else {
+        const total = this.removedTotals.get(team) ?? 0;
+        this.removedTotals.delete(team);
+        this.teams.set(team, this.createTeam(quota, total, now));
+      }
+    }
+    for (const team of this.removedTotals.keys()) {
+      if (this.removedTotals.size <= MAXIMUM_REMOVED_TEAMS) break;
+      this.removedTotals.delete(team);
     }
   }
 
@@ -151,8 +176,12 @@
     if (gated !== undefined) gated.total -= amount;
   }
 
-  /** The totals that have changed since the last report; undefined if none has. */
+  /**
+   * The totals that have changed since the last report; undefined if none has, or if the lease
+   * holder knows no quotas.
+   */
   takeReport(): GateReport<AdmittedTotal> | undefined {
+    if (this.isHolderUnaware) return undefined;
     const teams: AdmittedTotal[] = [];
     for (const [team, gated] of this.teams) {
       if (gated.total !== gated.reportedTotal)
@@ -167,6 +196,7 @@
 
   /** What a lease holder needs to know when this node connects to it. */
   takeStatement(now: Instant): GateReport<TeamStatement> {
+    this.isHolderUnaware = false;
     this.lastReport += 1;
     const report = this.lastReport;
     const teams: TeamStatement[] = [];
@@ -180,6 +210,9 @@
       if (total !== 0 || share > 0 || slots.some(amount => amount > 0))
         teams.push({team, total, share, recent: slots});
     }
+    // A holder that doesn't know the total would take all of it as new once the quota is back.
+    for (const [team, total] of this.removedTotals)
+      teams.push({team, total, share: 0, recent: []});
     return {report, teams};
   }
 
@@ -188,6 +221,7 @@
     this.nodeCount = nodeCount;
     this.heardAt = now;
     this.aloneSince = undefined;
+    this.isHolderUnaware = false;
     for (const {team, free, share} of changes) {
       const gated = this.teams.get(team);
       if (gated === undefined) continue;
@@ -211,8 +245,13 @@
     this.loseHolder(now);
     this.nodeCount = nodeCount;
     this.heardAt = now;
-    for (const gated of this.teams.values())
+    this.isHolderUnaware = true;
+    for (const gated of this.teams.values()) {
       gated.share = 1 / Math.max(1, nodeCount);
+      // No heartbeat will include these reports; a holder that comes to know quotas gets them anew.
+      gated.reported.length = 0;
+      gated.reportedTotal = gated.knownTotal;
+    }
   }
 
   /** The lease holder is lost, or doesn't respond: the node admits by itself. */
@@ -264,10 +303,15 @@
     const share = this.shareAt(gated, now);
     const accrued = amountIn(quota.perSecond, time);
     const {perSecond, burst} = quota;
-    const most =
-      share * (burst + amountIn(perSecond, rules.windowMilliseconds));
+    const inWindow = burst + amountIn(perSecond, rules.windowMilliseconds);
+    // Under a holder that knows no quotas, the share doesn't fall, so a level of a window and the
+    // rate of the next would exceed the bound. The burst of the minimum share is less than most
+    // requests, so that one still accumulates for a window.
+    const most = this.isHolderUnaware
+      ? Math.max(share * burst, this.leastShare * inWindow)
+      : share * inWindow;
     gated.level = Math.min(
-      Math.max(most, burst * share),
+      most,
       gated.level + accrued * this.shareAt(gated, middle),
     );
     gated.refilledAt = later(refilledAt, now);
@@ -276,8 +320,11 @@
 
   private shareAt({share}: GatedTeam, at: Instant): number {
     const left = shareLeft(this.heardAt, at, this.options.rules);
-    const least = minimumShare(this.nodeCount ?? UNKNOWN_NODE_COUNT);
-    return Math.max(share * left, least);
+    return Math.max(share * left, this.leastShare);
+  }
+
+  private get leastShare(): number {
+    return minimumShare(this.nodeCount ?? UNKNOWN_NODE_COUNT);
   }
 
   private markReported(team: TeamName, report: number): void {
@@ -288,16 +335,16 @@
     gated.reportedTotal = total;
   }
 
-  private createTeam(quota: QuotaRate, now: Instant): GatedTeam {
+  private createTeam(quota: QuotaRate, total: number, now: Instant): GatedTeam {
     const {windowMilliseconds} = this.options.rules;
     return {
       quota,
       free: 0,
       share: 0,
-      total: 0,
-      knownTotal: 0,
+      total,
+      knownTotal: total,
       reported: [],
-      reportedTotal: 0,
+      reportedTotal: total,
       level: 0,
       refilledAt: now,
       recent: WindowCount.create(windowMilliseconds, SLOTS_PER_WINDOW),
--- a/packages/gateway/__tests__/cluster_load.test.ts
+++ b/packages/gateway/__tests__/cluster_load.test.ts
@@ -1,9 +1,10 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {EndpointDescription, Incarnation} from '@siskinmux/endpoints';
-import type {ModelName, ServiceName} from '@siskinmux/kernel';
+import type {EndpointId, ModelName, ServiceName} from '@siskinmux/kernel';
 import {after, as} from '@siskinmux/kernel';
 import type {NodeUsage} from '@siskinmux/placement';
+import {EngineSpeeds} from '@siskinmux/routing';
 import {
   ENGINE_SLOTS,
   VirtualClock,
@@ -40,6 +41,19 @@
   };
 }
 
+describe('speeds of engines', () => {
+  it('are dropped for engines that ended before their last request', () => {
+    // Requests that completed later left an entry for good.
+    const speeds = EngineSpeeds.create();
+    const clock = VirtualClock.create();
+    for (let index = 0; index < 100; index += 1)
+      speeds.recordCompleted(as<EndpointId>(`${index}`), 'm', 9, clock.now());
+    const later = after(clock.now(), 200_000);
+    speeds.recordCompleted(engine.id, 'm', 9, later);
+    expect(speeds.size).toEqual(1);
+  });
+});
+
 describe('estimate of the load of an engine', () => {
   it('counts requests that were sent after this node’s usage report, though before the heartbeat', async () => {
     const {clock, clusterLoad, send} = build();
@@ -96,6 +110,21 @@
     expect(clusterLoad.assumedAt(engine).age).toEqual(200);
   });
 
+  it('takes an engine that rejected a request for busy no longer than two seconds', async () => {
+    // With requests of 20 s and no reports, one rejection took an engine out for 57 s.
+    const {clock, clusterLoad} = build();
+    const sentAt = clock.now();
+    await clock.advance(20_000);
+    clusterLoad.recordServed(engine, model, sentAt);
+    clusterLoad.recordRejection(engine);
+    await clock.advance(1_000);
+    expect(clusterLoad.estimate(engine).knownRequests).toBeGreaterThan(
+      ENGINE_SLOTS,
+    );
+    await clock.advance(1_000);
+    expect(clusterLoad.estimate(engine).knownRequests).toEqual(0);
+  });
+
   it('takes an engine that rejected a request for busy, and a restarted one for empty', () => {
     const {clusterLoad} = build();
     clusterLoad.recordRejection(engine);
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -93,7 +93,7 @@
 /** An engine that lacked a model is excluded for it while the allocator reads its state. */
 const MISSING_MODEL_EXCLUSION_MILLISECONDS: Milliseconds = 120;
 
-/** Greater than any priority of a route, so that the priority of a team goes before it. */
+/** Priorities of routes are reported below this, so that the priority of a team goes before. */
 const ROUTE_PRIORITIES = 1_000;
 
 interface Waiter {
@@ -174,6 +174,8 @@
       this.lastAvailableModels = this.availableModels;
     }
     this.allocator = allocator;
+    // Gaps that nobody took meanwhile say nothing of the present.
+    this.options.eventGaps.clear();
     if (allocator === undefined) {
       this.availableModels = new Map();
       return;
@@ -291,7 +293,8 @@
       }
       if (!mayPass) {
         await this.waitForRoom(requirements, model);
-        mayPass = true;
+        // Held requests are also released when their model has left; they are held again with it.
+        mayPass = this.enginesWithModel(requirements).length > 0;
         continue;
       }
       // An engine that refused a request may accept it after the allocator's next order.
@@ -335,6 +338,8 @@
   /** Ends the waits for versions that have left. */
   onEndpointChanges(changes: readonly EndpointTableChange[]): void {
     for (const {id, before, now} of changes) {
+      if (before !== undefined && before.incarnation !== now?.incarnation)
+        this.options.eventGaps.forget(id);
       if (!this.lastAvailableModels.has(id)) continue;
       if (before === undefined || !hasSameModels(before, now))
         this.lastAvailableModels.delete(id);
@@ -378,6 +383,8 @@
     for (const service of this.options.engineServices()) {
       this.allocator?.reportUsage(service, this.takeUsage(service));
     }
+    // Streams may still record gaps at engines that have gone, which no service reports.
+    this.options.eventGaps.take(id => this.options.table.get(id) === undefined);
   }
 
   private chooseWithinLimits(
@@ -742,7 +749,9 @@
 
 /** Priority under which a waiting request is reported: by the team first, then by the route. */
 function reportedPriority({ordering, priority}: EndpointRequirements): number {
-  return (ordering?.teamPriority ?? 0) * ROUTE_PRIORITIES + priority;
+  const ofRoute = ordering?.routePriority ?? priority;
+  const clamped = Math.min(ROUTE_PRIORITIES - 1, Math.max(0, ofRoute));
+  return (ordering?.teamPriority ?? 0) * ROUTE_PRIORITIES + clamped;
 }
 
 /** Sorts the most urgent request first: by the team, the route, and the time left. */
