--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -284,3 +284,36 @@
     expect(decision).toEqual({kind: 'held'});
   });
 });
+
+describe('shares of teams that are not known yet', () => {
+  // Listed in KNOWN-RED.txt; played with `KNOWN_RED=1`.
+  const skip = process.env['KNOWN_RED'] === undefined;
+  it(
+    'serves a team alike that was sent a request before the usual loads were known',
+    {skip},
+    () => {
+      // The weights of that time were in another unit, which put the team far behind.
+      const queue = CapacityQueue.create<Named>();
+      const cost = 1_000;
+      queue.offer(request('early', {cost, group: 'rare'}), start);
+      queue.take(at(500), all);
+      for (let second = 1; second <= 600; second += 1) {
+        for (const team of ['a', 'b', 'c'])
+          queue.recordUnheld(
+            request('usual', {team, cost}),
+            at(second * 1_000),
+          );
+      }
+      const arrived = 600_000;
+      const far = {arrived, cost, objective: 1e7, deadline: 2e7};
+      for (let index = 0; index < 100; index += 1) {
+        for (const team of ['b', 'c', 'a'])
+          queue.offer(request(team, {...far, team}), at(arrived));
+      }
+      const names = drain(queue, at(arrived)).slice(0, 150);
+      const count = names.filter(name => name === 'a').length;
+      expect(count).toBeGreaterThanOrEqual(33);
+      expect(count).toBeLessThanOrEqual(67);
+    },
+  );
+});
