Rename identifiers of team quotas to usual terms

Change: isAlone, aloneSince, decideAlone, followUnaware, stateOnce, hasStated, told and NOTHING; no behaviour.

--- a/packages/admission/__tests__/team_quota.test.ts
+++ b/packages/admission/__tests__/team_quota.test.ts
@@ -241,11 +241,11 @@
   it('sends no reports to a holder that knows no quotas, and all of it to one that does', () => {
     const gate = createGate();
     gate.takeStatement(START);
-    gate.followUnaware(2, START);
+    gate.followHolderWithoutQuotas(2, START);
     for (let time = 1_000; time < 5_000; time += 100) {
       gate.decide(TEAM, 100, at(time));
       expect(gate.takeReport()).toEqual(undefined);
-      gate.followUnaware(2, at(time));
+      gate.followHolderWithoutQuotas(2, at(time));
     }
     gate.applyState(state(5_000, 1), at(5_000));
     const {report = 0, teams = []} = gate.takeReport() ?? {};
@@ -261,7 +261,7 @@
     gate.applyState(state(5_000), START);
     gate.decide(TEAM, 1_000, START);
     expect(gate.takeReport()?.report).toEqual(1);
-    gate.followUnaware(2, START);
+    gate.followHolderWithoutQuotas(2, START);
     gate.applyState(state(5_000), START);
     expect(gate.takeReport()?.teams).toEqual([{team: TEAM, total: 1_000}]);
   });
@@ -318,10 +318,10 @@
   it('keeps to the bound without a holder that knows quotas', () => {
     const gate = createGate();
     for (let time = 0; time < 20_000; time += 300)
-      gate.followUnaware(1, at(time));
+      gate.followHolderWithoutQuotas(1, at(time));
     let admitted = 0;
     for (let time = 20_000; time < 28_000; time += 20) {
-      if (time % 300 === 0) gate.followUnaware(1, at(time));
+      if (time % 300 === 0) gate.followHolderWithoutQuotas(1, at(time));
       while (gate.decide(TEAM, 100, at(time)).kind === 'admitted')
         admitted += 100;
     }
--- a/packages/admission/__tests__/team_quota_cluster.ts
+++ b/packages/admission/__tests__/team_quota_cluster.ts
@@ -485,7 +485,7 @@
     mayWait: boolean,
   ): void {
     const {gate} = node;
-    if (gate.isAlone && gate.isNew && mayWait) {
+    if (gate.hasNoHolder && gate.isNew && mayWait) {
       this.waitForHolder(node, team, amount, deadline);
       return;
     }
--- a/packages/admission/src/team_ledger.ts
+++ b/packages/admission/src/team_ledger.ts
@@ -28,7 +28,7 @@
 /** Parts of a window in which grants are counted; unused ones come back within a second. */
 const GRANTED_SLOTS = 2;
 
-const NOTHING: TeamState = {free: 0, share: 0};
+const NO_ALLOWANCE: TeamState = {free: 0, share: 0};
 
 /** Part of the free amount that is spread evenly; the rest follows the load of the nodes. */
 const EVEN_PART = 0.3;
@@ -69,7 +69,7 @@
   readonly connectedPart: number;
 }
 
-interface ToldState extends TeamState {
+interface AnnouncedState extends TeamState {
   readonly at: Instant;
   /** The most that the node may still go by if it has not received this. */
   readonly before: TeamState;
@@ -86,7 +86,7 @@
 export class TeamLedger {
   private readonly budget: TeamBudget;
   private readonly loads: TeamLoads;
-  private readonly told = new Map<NodeId, ToldState>();
+  private readonly announced = new Map<NodeId, AnnouncedState>();
   /** Loads of lost nodes, which count again when they are back. */
   private readonly lostLoads = new Map<NodeId, number>();
   /** What nodes were granted in the last window, less what they have given back. */
@@ -224,21 +224,28 @@
     const part = even + (1 - EVEN_PART) * share;
     const free = this.metered ? 0 : Math.floor(freeOfAll * part);
     const shared = share >= minimumShare(nodeCount) ? share : 0;
-    const told = this.told.get(node);
-    if (told !== undefined && !isChanged(told, free, shared)) return undefined;
-    const before = told === undefined ? NOTHING : mostToldAt(told, now);
-    this.told.set(node, {free, share: shared, at: now, before});
+    const announced = this.announced.get(node);
+    if (announced !== undefined && !isChanged(announced, free, shared))
+      return undefined;
+    const before =
+      announced === undefined
+        ? NO_ALLOWANCE
+        : greatestAnnouncedAt(announced, now);
+    this.announced.set(node, {free, share: shared, at: now, before});
     return {free, share: shared};
   }
 
   /** Keeps what a lost node may admit by itself. */
   loseNode(node: NodeId, heardAt: Instant, now: Instant): void {
     this.budget.refill(this.authority(now), now);
-    const told = this.told.get(node);
-    const most = told === undefined ? NOTHING : mostToldAt(told, heardAt);
+    const announced = this.announced.get(node);
+    const most =
+      announced === undefined
+        ? NO_ALLOWANCE
+        : greatestAnnouncedAt(announced, heardAt);
     this.budget.loseNode(node, most, heardAt, now);
     this.figures = undefined;
-    this.told.delete(node);
+    this.announced.delete(node);
     this.lostLoads.set(node, this.loads.remove(node, now));
     const waiting = this.waiters;
     this.waiters = waiting.filter(waiter => waiter.node !== node);
@@ -373,8 +380,8 @@
 }
 
 /** The most that a node may go by that was heard at an instant. */
-function mostToldAt(
-  {free, share, at, before}: ToldState,
+function greatestAnnouncedAt(
+  {free, share, at, before}: AnnouncedState,
   heardAt: Instant,
 ): TeamState {
   if (until(at, heardAt) > UNHEARD_MILLISECONDS) return {free, share};
@@ -384,10 +391,10 @@
   };
 }
 
-function isChanged(told: TeamState, free: number, share: number): boolean {
-  if (told.free > 0 !== free > 0) return true;
-  if (Math.abs(told.share - share) > SHARE_CHANGE) return true;
-  return differs(told.free, free) || differs(told.share, share);
+function isChanged(announced: TeamState, free: number, share: number): boolean {
+  if (announced.free > 0 !== free > 0) return true;
+  if (Math.abs(announced.share - share) > SHARE_CHANGE) return true;
+  return differs(announced.free, free) || differs(announced.share, share);
 }
 
 function differs(told: number, value: number): boolean {
--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -87,7 +87,7 @@
   private readonly removedTotals = new Map<TeamName, number>();
   private nodeCount: number | undefined;
   /** Undefined while the node has a lease holder that responds. */
-  private aloneSince: Instant | undefined;
+  private withoutHolderSince: Instant | undefined;
   private heardAt: Instant;
   /** Whether the lease holder knows no quotas. */
   private isHolderUnaware = false;
@@ -97,7 +97,7 @@
     private readonly options: TeamQuotaGateOptions,
     now: Instant,
   ) {
-    this.aloneSince = now;
+    this.withoutHolderSince = now;
     this.heardAt = now;
   }
 
@@ -111,8 +111,8 @@
   }
 
   /** Whether the node admits by itself. */
-  get isAlone(): boolean {
-    return this.aloneSince !== undefined;
+  get hasNoHolder(): boolean {
+    return this.withoutHolderSince !== undefined;
   }
 
   /** Whether the lease holder is of an earlier build, and gets no reports. */
@@ -158,8 +158,8 @@
   decide(team: TeamName, amount: number, now: Instant): GateDecision {
     const gated = this.teams.get(team);
     if (gated === undefined) return {kind: 'admitted'};
-    if (this.aloneSince !== undefined)
-      return this.decideAlone(gated, amount, now);
+    if (this.withoutHolderSince !== undefined)
+      return this.decideLocally(gated, amount, now);
     if (freeLeft(gated) < amount) return {kind: 'ask'};
     admit(gated, amount, now);
     return {kind: 'admitted'};
@@ -220,7 +220,7 @@
   applyState({nodeCount, report, changes}: HolderState, now: Instant): void {
     this.nodeCount = nodeCount;
     this.heardAt = now;
-    this.aloneSince = undefined;
+    this.withoutHolderSince = undefined;
     this.isHolderUnaware = false;
     for (const {team, free, share} of changes) {
       const gated = this.teams.get(team);
@@ -241,7 +241,7 @@
    * Follows a lease holder of an earlier build, which knows no quotas: the node admits by itself, at
    * an equal share.
    */
-  followUnaware(nodeCount: number, now: Instant): void {
+  followHolderWithoutQuotas(nodeCount: number, now: Instant): void {
     this.loseHolder(now);
     this.nodeCount = nodeCount;
     this.heardAt = now;
@@ -256,8 +256,8 @@
 
   /** The lease holder is lost, or doesn't respond: the node admits by itself. */
   loseHolder(now: Instant): void {
-    if (this.aloneSince !== undefined) return;
-    this.aloneSince = now;
+    if (this.withoutHolderSince !== undefined) return;
+    this.withoutHolderSince = now;
     for (const gated of this.teams.values()) {
       gated.level = Math.max(0, freeLeft(gated));
       gated.refilledAt = this.heardAt;
@@ -269,7 +269,7 @@
    * the amount, the request takes all of it and is admitted with the probability of that part:
    * the levels of many nodes may each be too small for a request.
    */
-  private decideAlone(
+  private decideLocally(
     gated: GatedTeam,
     amount: number,
     now: Instant,
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -119,7 +119,7 @@
   private directory: TeamDirectory | undefined;
   private rates: ReadonlyMap<TeamName, QuotaRate> = new Map();
   private exchange: TeamQuotaExchange | undefined;
-  private hasStated = false;
+  private hasSentStatement = false;
   private nodeCount = 1;
   private reportedAt: Instant | undefined;
   private cancelReport: CancelTimer | undefined;
@@ -176,15 +176,15 @@
     for (const [wake, team] of [...this.waiting]) {
       if (!rates.has(team)) wake();
     }
-    this.stateOnce();
+    this.sendStatementOnce();
   }
 
   /** Switches to another lease holder; undefined when the last one is lost. */
   setExchange(exchange: TeamQuotaExchange | undefined): void {
     this.exchange = exchange;
-    this.hasStated = false;
+    this.hasSentStatement = false;
     this.gate.loseHolder(this.options.clock.now());
-    this.stateOnce();
+    this.sendStatementOnce();
   }
 
   /** Applies a heartbeat of the lease holder. */
@@ -193,7 +193,7 @@
     const now = this.options.clock.now();
     this.nodeCount = nodes;
     if (teams === undefined) {
-      this.gate.followUnaware(nodes, now);
+      this.gate.followHolderWithoutQuotas(nodes, now);
     } else {
       // What was admitted meanwhile has not been reported.
       if (this.gate.followsUnaware) this.scheduleReport();
@@ -213,7 +213,7 @@
     const {team, amount, deadline, signal} = request;
     const {clock} = this.options;
     let hasWaited = false;
-    if (this.rates.has(team) && this.gate.isAlone && this.gate.isNew) {
+    if (this.rates.has(team) && this.gate.hasNoHolder && this.gate.isNew) {
       hasWaited = true;
       await this.waitForHolder(request);
     }
@@ -343,7 +343,7 @@
         team,
         count: log.count,
         retryIn: Math.round(until(now, retryAt)),
-        hasHolder: !this.gate.isAlone,
+        hasHolder: !this.gate.hasNoHolder,
       });
       log.count = 0;
       log.nextLineAt = after(now, LOG_INTERVAL_MILLISECONDS);
@@ -352,11 +352,15 @@
   }
 
   /** Tells a new lease holder what it needs to know, once this node has quotas. */
-  private stateOnce(): void {
+  private sendStatementOnce(): void {
     const {exchange} = this;
-    if (exchange === undefined || this.hasStated || this.rates.size === 0)
+    if (
+      exchange === undefined ||
+      this.hasSentStatement ||
+      this.rates.size === 0
+    )
       return;
-    this.hasStated = true;
+    this.hasSentStatement = true;
     const statement = this.gate.takeStatement(this.options.clock.now());
     exchange.reportTeamUsage(encodeTeamStatement(statement));
   }
@@ -377,7 +381,7 @@
   private report(): void {
     this.cancelReport = undefined;
     const {exchange} = this;
-    if (exchange === undefined || !this.hasStated) return;
+    if (exchange === undefined || !this.hasSentStatement) return;
     const report = this.gate.takeReport();
     if (report === undefined) return;
     this.reportedAt = this.options.clock.now();
