Send no request that has ended while it waited for its quota

Cause: the wait for a quota resolves when the request has ended, and the request was sent all the same: to an endpoint after its caller had left, or after 503 had promised that it would not run. Change: a request that has ended is not sent.

--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -142,6 +142,8 @@
         const {currentDeadline} = state;
         await binding.requireOrigin(service, currentDeadline, ending.signal);
       }
+      // It may have ended while it waited: its caller has left, or it was refused as not run.
+      if (ending.isFinished) return;
       await this.sendUntilDone();
     } catch (failure) {
       if (failure instanceof SiskinmuxError) {
