--- a/packages/forwarding/src/receive_scheduler.ts
+++ b/packages/forwarding/src/receive_scheduler.ts
@@ -62,8 +62,8 @@
   }
 
   /** Meters one connection, which `flow` pauses. */
-  createMeter(flow: FlowControl): ReceiveMeter {
-    return ReceiveMeter.create(this, flow);
+  createMeter(flow: FlowControl, limitsBytes = true): ReceiveMeter {
+    return ReceiveMeter.create(this, flow, limitsBytes);
   }
 
   /** @internal Number of the current turn of the event loop. */
@@ -124,11 +124,17 @@
   private constructor(
     private readonly scheduler: ReceiveScheduler,
     private readonly flow: FlowControl,
+    /** Whether bytes of longer chunks count, too. */
+    private readonly limitsBytes: boolean,
   ) {}
 
   /** @internal */
-  static create(scheduler: ReceiveScheduler, flow: FlowControl): ReceiveMeter {
-    return new ReceiveMeter(scheduler, flow);
+  static create(
+    scheduler: ReceiveScheduler,
+    flow: FlowControl,
+    limitsBytes: boolean,
+  ): ReceiveMeter {
+    return new ReceiveMeter(scheduler, flow, limitsBytes);
   }
 
   /** Why the connection was paused last. */
@@ -153,7 +159,7 @@
       this.longBytes = 0;
     }
     if (bytes < SHORT_CHUNK_BYTES) this.count += 1;
-    else this.longBytes += bytes;
+    else if (this.limitsBytes) this.longBytes += bytes;
     const hasManyChunks = this.count >= QUOTA_CHUNKS;
     if (this.isPaused || !(hasManyChunks || this.longBytes >= QUOTA_BYTES))
       return;
--- a/packages/forwarding/src/socket_pacer.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -132,7 +132,8 @@
       gate,
     });
     gate?.onContinue(paced.continueReceipt);
-    const meter = this.scheduler.createMeter(paced);
+    // Responses of endpoints are bounded by their readers, and have to be read within their time.
+    const meter = this.scheduler.createMeter(paced, gate !== undefined);
     this.meters.set(socket, meter);
     socket.once('close', () => meter.end());
     return meter;
