Count a short chunk of a response to a node's own call with the memory of its buffer

Cause: the rate of long responses counted decoded bytes only, so that 63 servers with chunks of one byte could deliver 65,536 chunks each before they were held back. Change: a chunk counts as 256 bytes at least, and a read is parsed in slices of 4,096 bytes.

--- a/packages/adapters/__tests__/long_response_pacer.test.ts
+++ b/packages/adapters/__tests__/long_response_pacer.test.ts
@@ -7,6 +7,9 @@
 const RESPONSES = 63;
 const SECONDS = 2;
 const BYTES_PER_SECOND = 33_554_432;
+/** Chunks of one byte in 4,096 bytes, with their framing. */
+const CHUNKS_IN_SLICE = 682;
+const CHUNKS_PER_SECOND = 131_072;
 
 /** A connection that delivers parts, one for each `deliver`, unless it is paused. */
 class Connection {
@@ -53,6 +56,32 @@
     );
   });
 
+  // On a fast machine, chunks of one byte took memory faster than it was collected.
+  it('are read at a bounded number of chunks together', async () => {
+    const clock = VirtualClock.create();
+    const pacer = LongResponsePacer.create(clock);
+    let chunks = 0;
+    const senders = Array.from({length: RESPONSES}, () => {
+      let isPaused = false;
+      const response = pacer.begin({
+        pause: () => (isPaused = true),
+        resume: () => (isPaused = false),
+      });
+      return () => {
+        for (let count = 0; count < CHUNKS_IN_SLICE && !isPaused; count += 1) {
+          response.record(1);
+          chunks += 1;
+        }
+      };
+    });
+    for (let millisecond = 0; millisecond < SECONDS * 1_000; millisecond += 1) {
+      for (const deliver of senders) deliver();
+      await clock.advance(1);
+    }
+    const atOnce = RESPONSES * CHUNKS_IN_SLICE;
+    expect(chunks).toBeLessThanOrEqual(CHUNKS_PER_SECOND * SECONDS + atOnce);
+  });
+
   it('do not hold short responses back', () => {
     const pacer = LongResponsePacer.create(VirtualClock.create());
     const connection = new Connection();
--- a/packages/adapters/src/http_connection.ts
+++ b/packages/adapters/src/http_connection.ts
@@ -1,7 +1,7 @@
 /** An undici client that notices resets, and whose long responses take turns. */
 
 import type {FlowControl} from '@siskinmux/forwarding';
-import {PacedSocket, watchForReset} from '@siskinmux/forwarding';
+import {PacedSocket, SLICE_BYTES, watchForReset} from '@siskinmux/forwarding';
 import type {Dispatcher} from 'undici';
 import {Client, errors} from 'undici';
 import type {LongResponsePacer, PacedResponse} from './long_response_pacer.js';
@@ -36,7 +36,7 @@
                 connection.isReset = true;
               });
               connection.flow = socket
-                ? PacedSocket.create(socket, {sliceBytes: Infinity})
+                ? PacedSocket.create(socket, {sliceBytes: SLICE_BYTES})
                 : undefined;
               callback(...result);
             }),
--- a/packages/adapters/src/long_response_pacer.ts
+++ b/packages/adapters/src/long_response_pacer.ts
@@ -1,6 +1,7 @@
 /** Bounds the rate at which a process reads the long responses to its own calls. */
 
 import type {FlowControl} from '@siskinmux/forwarding';
+import {SHORT_CHUNK_BYTES} from '@siskinmux/forwarding';
 import type {Clock, Instant} from '@siskinmux/kernel';
 import {after, later} from '@siskinmux/kernel';
 
@@ -58,11 +59,13 @@
     return new PacedResponse(pacer, flow);
   }
 
-  /** Counts received bytes; pauses the connection until the rate allows to go on. */
+  /** Counts a received chunk; pauses the connection until the rate allows to go on. */
   record(bytes: number): void {
-    this.receivedBytes += bytes;
+    // A chunk of one byte takes as much memory as its buffer object.
+    const cost = Math.max(bytes, SHORT_CHUNK_BYTES);
+    this.receivedBytes += cost;
     if (this.receivedBytes <= SHORT_RESPONSE_BYTES) return;
-    this.pausedBytes += bytes;
+    this.pausedBytes += cost;
     if (this.isPaused) return;
     this.isPaused = true;
     this.flow.pause();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -31,7 +31,7 @@
   PauseReason,
   ReceiveMeter,
 } from './receive_scheduler.js';
-export {ReceiveScheduler} from './receive_scheduler.js';
+export {ReceiveScheduler, SHORT_CHUNK_BYTES} from './receive_scheduler.js';
 export type {
   ClientLimit,
   ConnectionLimits,
@@ -48,7 +48,7 @@
 export {MAXIMUM_OPEN_REQUESTS, RequestGate} from './request_gate.js';
 export {RequestTurns} from './request_turns.js';
 export {watchForReset} from './reset_detection.js';
-export {PacedSocket, SocketPacer} from './socket_pacer.js';
+export {PacedSocket, SLICE_BYTES, SocketPacer} from './socket_pacer.js';
 export {isSocketAddress} from './socket_address.js';
 export type {
   BodyEnd,
