--- a/packages/gateway/src/attempt_chains.ts
+++ b/packages/gateway/src/attempt_chains.ts
@@ -147,8 +147,12 @@
     return this.tryLead();
   }
 
-  /** The endpoint has gone on, so that no other one has to serve the request. */
+  /**
+   * The endpoint has gone on, so that no other one has to serve the request. No effect on a chain
+   * that has been ended: what its connection still delivers must not end the one that took over.
+   */
   supersedeOthers(): void {
+    if (this.isOver) return;
     if (this.openSend !== undefined) {
       this.openSend.isSuspected = false;
       this.openSend.isSilent = false;
