Log the longest pause of a stream

Cause: a stream that is late because of one long pause between its events can't be told from its log line. Change: request-ended has longestGap.

--- a/packages/gateway/src/request_ending.ts
+++ b/packages/gateway/src/request_ending.ts
@@ -160,7 +160,7 @@
   private logEnd(result: string): void {
     const {clock, emit, view, onRequestEnd} = this.dependencies;
     const {exchange, route, metadata, configuration, target} = this.state;
-    const {sends, runs, respondedAt, assumedLoad} = this.state;
+    const {sends, runs, respondedAt, assumedLoad, longestGap} = this.state;
     const viewAge = this.state.viewAge ?? view.age;
     const durationMilliseconds = until(exchange.receivedAt, clock.now());
     onRequestEnd(route, result, durationMilliseconds);
@@ -186,6 +186,7 @@
       engineLoad: assumedLoad?.requests,
       engineLoadAge: assumedLoad?.age,
       answeredAfter: this.millisecondsSinceReceived(respondedAt),
+      longestGap: longestGap && Math.round(longestGap),
       milliseconds: Math.round(durationMilliseconds),
     });
   }
--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -6,6 +6,7 @@
   EndpointId,
   Fingerprint,
   Instant,
+  Milliseconds,
   NodeId,
   ServiceName,
   TeamName,
@@ -42,6 +43,8 @@
   viewAge: ViewAge | undefined;
   /** What this node assumed at the last send about the load of its engine. */
   assumedLoad: AssumedLoad | undefined;
+  /** Longest time between two parts of the stream that had events. */
+  longestGap: Milliseconds | undefined;
   readonly chains = AttemptChains.create();
 
   private constructor(
--- a/packages/gateway/src/response_delivery.ts
+++ b/packages/gateway/src/response_delivery.ts
@@ -143,12 +143,12 @@
         hasEvents = true;
         if (events.eventCount > eventCount) chain.supersedeOthers();
         const now = clock.now();
-        if (latestEventAt !== undefined && endpoint !== undefined)
-          eventGaps.record(
-            endpoint.id,
-            events.eventCount - eventCount,
-            until(latestEventAt, now),
-          );
+        if (latestEventAt !== undefined) {
+          const gap = until(latestEventAt, now);
+          this.state.longestGap = Math.max(this.state.longestGap ?? 0, gap);
+          if (endpoint !== undefined)
+            eventGaps.record(endpoint.id, events.eventCount - eventCount, gap);
+        }
         latestEventAt = now;
         eventCount = events.eventCount;
         try {
