Declare teams and identify callers by their keys

Cause: the product's own declarations had no teams; whoever reached a node was served. Change: section teams (digests, priority, quota), identification by x-api-key with 401 as not run, the team's priority before that of the request in the queue and at engines, siskinmux keys digest, a warning of siskinmux check for quotas that nodes don't enforce.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -9,7 +9,6 @@
 export {decideAdmission} from './decide_admission.js';
 export type {QueuedRequest} from './request_queue.js';
 export {
-  PRIORITY_CLASSES,
   QueueFullError,
   RequestQueue,
   STARVATION_LIMIT_MILLISECONDS,
--- a/packages/admission/src/request_queue.ts
+++ b/packages/admission/src/request_queue.ts
@@ -14,14 +14,11 @@
 /** At most one dequeued request in this many is a promoted one of a lower class. */
 const PROMOTION_INTERVAL_REQUESTS = 4;
 
-/** Number of priority classes; class 0 is the most urgent. */
-export const PRIORITY_CLASSES = 3;
-
 /** Properties by which waiting requests are ordered and expire. */
 export interface QueuedRequest {
   /** Key of the group of endpoints that serves the request. */
   readonly target: string;
-  /** From 0, the most urgent, to {@link PRIORITY_CLASSES} - 1. */
+  /** A whole number; 0 is the most urgent. */
   readonly priorityClass: number;
   readonly deadline: Instant;
   /** When the request can no longer be answered before its deadline. */
@@ -36,9 +33,16 @@
   }
 }
 
+/** Waiting requests of one target and priority class. */
+interface ClassQueue<Item extends QueuedRequest> {
+  readonly priorityClass: number;
+  readonly heap: Heap<Item>;
+}
+
 interface TargetQueue<Item extends QueuedRequest> {
   readonly target: string;
-  readonly classes: readonly Heap<Item>[];
+  /** The classes with waiting requests, most urgent first. */
+  readonly classes: ClassQueue<Item>[];
   size: number;
   /** Fair-queueing tag: the target with the smallest value is served next. */
   virtualTime: number;
@@ -75,7 +79,7 @@
     const queue =
       this.targets.get(item.target) ?? this.createTargetQueue(item.target);
     if (queue.size >= limit) throw new QueueFullError(item.target, limit);
-    queue.classes[item.priorityClass]?.push(item);
+    heapOf(queue, item.priorityClass).push(item);
     queue.size += 1;
     this.total += 1;
   }
@@ -85,9 +89,9 @@
     const queue = this.targets.get(item.target);
     if (queue === undefined) return 0;
     let ahead = 0;
-    for (const [index, heap] of queue.classes.entries()) {
-      if (index < item.priorityClass) ahead += heap.size();
-      if (index !== item.priorityClass) continue;
+    for (const {priorityClass, heap} of queue.classes) {
+      if (priorityClass < item.priorityClass) ahead += heap.size();
+      if (priorityClass !== item.priorityClass) continue;
       for (const other of heap.toArray()) {
         if (other.deadline <= item.deadline) ahead += 1;
       }
@@ -105,12 +109,12 @@
     );
     if (servable.length === 0) return undefined;
     const promoted = this.findStarvedQueue(servable, now);
-    const [queue, heap] = promoted ?? this.findMostUrgentQueue(servable) ?? [];
-    if (queue === undefined || heap === undefined) return undefined;
+    const [queue, next] = promoted ?? this.findMostUrgentQueue(servable) ?? [];
+    if (queue === undefined || next === undefined) return undefined;
     this.dequeuedSincePromotion =
       promoted === undefined ? this.dequeuedSincePromotion + 1 : 0;
-    const item = heap.pop();
-    if (item !== undefined) this.recordRemoval(queue, true);
+    const item = next.heap.pop();
+    if (item !== undefined) this.recordRemoval(queue, next, true);
     return item;
   }
 
@@ -120,8 +124,12 @@
    */
   remove(item: Item): boolean {
     const queue = this.targets.get(item.target);
-    const isRemoved = queue?.classes[item.priorityClass]?.remove(item) ?? false;
-    if (queue !== undefined && isRemoved) this.recordRemoval(queue, false);
+    const found = queue?.classes.find(
+      ({priorityClass}) => priorityClass === item.priorityClass,
+    );
+    if (queue === undefined || found === undefined) return false;
+    const isRemoved = found.heap.remove(item);
+    if (isRemoved) this.recordRemoval(queue, found, false);
     return isRemoved;
   }
 
@@ -129,7 +137,7 @@
   removeExpired(now: Instant): Item[] {
     const expired: Item[] = [];
     for (const queue of this.targets.values()) {
-      for (const heap of queue.classes) {
+      for (const {heap} of queue.classes) {
         for (const item of heap.toArray()) {
           if (item.refuseAt <= now) expired.push(item);
         }
@@ -142,10 +150,7 @@
   private createTargetQueue(target: string): TargetQueue<Item> {
     const queue: TargetQueue<Item> = {
       target,
-      classes: Array.from(
-        {length: PRIORITY_CLASSES},
-        () => new Heap<Item>((left, right) => left.deadline - right.deadline),
-      ),
+      classes: [],
       size: 0,
       // Starts at the current virtual time: idle targets accumulate no credit.
       virtualTime: this.virtualTime,
@@ -156,39 +161,49 @@
 
   private findMostUrgentQueue(
     servable: readonly TargetQueue<Item>[],
-  ): [TargetQueue<Item>, Heap<Item>] | undefined {
-    for (let index = 0; index < PRIORITY_CLASSES; index += 1) {
-      let chosen: [TargetQueue<Item>, Heap<Item>] | undefined;
-      for (const queue of servable) {
-        const heap = queue.classes[index];
-        if (heap === undefined || heap.isEmpty()) continue;
-        if (chosen === undefined || queue.virtualTime < chosen[0].virtualTime) {
-          chosen = [queue, heap];
-        }
+  ): [TargetQueue<Item>, ClassQueue<Item>] | undefined {
+    let chosen: [TargetQueue<Item>, ClassQueue<Item>] | undefined;
+    for (const queue of servable) {
+      const [first] = queue.classes;
+      if (first === undefined) continue;
+      const lead = chosen && chosen[1].priorityClass - first.priorityClass;
+      if (
+        chosen === undefined ||
+        lead === undefined ||
+        lead > 0 ||
+        (lead === 0 && queue.virtualTime < chosen[0].virtualTime)
+      ) {
+        chosen = [queue, first];
       }
-      if (chosen !== undefined) return chosen;
     }
-    return undefined;
+    return chosen;
   }
 
   private findStarvedQueue(
     servable: readonly TargetQueue<Item>[],
     now: Instant,
-  ): [TargetQueue<Item>, Heap<Item>] | undefined {
+  ): [TargetQueue<Item>, ClassQueue<Item>] | undefined {
     if (this.dequeuedSincePromotion < PROMOTION_INTERVAL_REQUESTS - 1)
       return undefined;
     for (const queue of servable) {
-      for (const heap of queue.classes.slice(1)) {
-        const head = heap.peek();
-        if (head === undefined) continue;
+      for (const lower of queue.classes) {
+        const head = lower.heap.peek();
+        if (head === undefined || lower.priorityClass === 0) continue;
         const promoteAt = after(head.enqueuedAt, STARVATION_LIMIT_MILLISECONDS);
-        if (promoteAt <= now) return [queue, heap];
+        if (promoteAt <= now) return [queue, lower];
       }
     }
     return undefined;
   }
 
-  private recordRemoval(queue: TargetQueue<Item>, isServed: boolean): void {
+  private recordRemoval(
+    queue: TargetQueue<Item>,
+    removedFrom: ClassQueue<Item>,
+    isServed: boolean,
+  ): void {
+    if (removedFrom.heap.isEmpty()) {
+      queue.classes.splice(queue.classes.indexOf(removedFrom), 1);
+    }
     queue.size -= 1;
     this.total -= 1;
     if (isServed) {
@@ -198,3 +213,21 @@
     if (queue.size === 0) this.targets.delete(queue.target);
   }
 }
+
+/** The requests of one class of a target; creates the class if it has none. */
+function heapOf<Item extends QueuedRequest>(
+  queue: TargetQueue<Item>,
+  priorityClass: number,
+): Heap<Item> {
+  const position = queue.classes.findIndex(
+    other => other.priorityClass >= priorityClass,
+  );
+  const found = queue.classes[position];
+  if (found?.priorityClass === priorityClass) return found.heap;
+  const heap = new Heap<Item>((left, right) => left.deadline - right.deadline);
+  queue.classes.splice(position < 0 ? queue.classes.length : position, 0, {
+    priorityClass,
+    heap,
+  });
+  return heap;
+}
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -12,6 +12,9 @@
   writeError(text: string): void;
 }
 
+/** Reads standard input to its end; at most `limitBytes`, undefined if there are more. */
+export type ReadInput = (limitBytes: number) => Promise<Buffer | undefined>;
+
 /** Options as `util.parseArgs` returns them. */
 export type OptionValues = Readonly<
   Record<string, string | boolean | undefined>
@@ -43,6 +46,7 @@
     positionals: readonly string[],
     options: OptionValues,
     output: CommandOutput,
+    readInput: ReadInput,
   ): Promise<ExitCode>;
 }
 
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,6 +1,7 @@
 /** `siskinmux check`: validates settings and declarations offline. */
 
 import {systemClock, systemRandom} from '@siskinmux/adapters';
+import type {Declarations} from '@siskinmux/declarations';
 import {SECTIONS} from '@siskinmux/declarations';
 import {checkGatewaySettings} from '@siskinmux/gateway';
 import {SiskinmuxNode} from '@siskinmux/node';
@@ -10,6 +11,9 @@
 import {ExitCode} from '../exit_code.js';
 import {readSettings} from '@siskinmux/runtime';
 
+/** Names that a warning lists. */
+const MAXIMUM_LISTED_TEAMS = 8;
+
 /** Validates files without a running node. */
 export const checkCommand: Command = {
   name: 'check',
@@ -59,7 +63,12 @@
       checkGatewaySettings(readSettings(gateway));
       checked['gateway'] = gateway;
     }
-    if (folder !== undefined) checked['declarations'] = countEntries(folder);
+    if (folder !== undefined) {
+      const declarations = readDeclarationFolder(folder);
+      checked['declarations'] = countEntries(declarations);
+      const warning = warnOfQuotas(declarations);
+      if (warning !== undefined) output.writeError(warning);
+    }
     output.writeLine(
       options['json'] === true
         ? JSON.stringify(checked)
@@ -79,8 +88,19 @@
   });
 }
 
-function countEntries(folder: string): Record<string, number> {
-  const declarations = readDeclarationFolder(folder);
+/** The interface for callers identifies teams and orders by them, but has no quotas. */
+function warnOfQuotas({teams}: Declarations): string | undefined {
+  const names = Object.keys(teams).filter(
+    name => teams[name]?.quota !== undefined,
+  );
+  if (names.length === 0) return undefined;
+  const listed = names.slice(0, MAXIMUM_LISTED_TEAMS).join(', ');
+  const others = names.length - MAXIMUM_LISTED_TEAMS;
+  const subject = others > 0 ? `${listed} and ${others} more` : listed;
+  return `Warning: nodes do not enforce the quotas of teams: ${subject}.`;
+}
+
+function countEntries(declarations: Declarations): Record<string, number> {
   return Object.fromEntries(
     SECTIONS.map(section => [
       section,
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -21,6 +21,8 @@
   readonly declarations: Declarations;
 }
 
+const NO_TEAMS: Pick<Declarations, 'teams'> = {teams: {}};
+
 interface HistoryEntry {
   readonly number: number;
   readonly author: string;
@@ -56,7 +58,7 @@
   async run(_positionals, options, output) {
     const number = stringOption(options, 'number');
     const path = number === undefined ? '' : `/${number}`;
-    const configuration = await getResource<NumberedConfiguration>(
+    const configuration = await getConfiguration(
       options,
       `/configuration${path}`,
     );
@@ -88,10 +90,7 @@
   ],
   async run([folder = ''], options, output) {
     const target = readDeclarationFolder(folder);
-    const current = await getResource<NumberedConfiguration>(
-      options,
-      '/configuration',
-    );
+    const current = await getConfiguration(options, '/configuration');
     const plan = createPlan(current, target);
     const file = stringOption(options, 'out');
     if (file !== undefined) writeFileSync(file, JSON.stringify(plan, null, 2));
@@ -149,14 +148,8 @@
     },
   ],
   async run([number = ''], options, output) {
-    const current = await getResource<NumberedConfiguration>(
-      options,
-      '/configuration',
-    );
-    const old = await getResource<NumberedConfiguration>(
-      options,
-      `/configuration/${number}`,
-    );
+    const current = await getConfiguration(options, '/configuration');
+    const old = await getConfiguration(options, `/configuration/${number}`);
     const plan = createPlan(current, old.declarations);
     if (plan.changes.length === 0) {
       output.writeLine(
@@ -211,14 +204,8 @@
     },
   ],
   async run([from = '', to = ''], options, output) {
-    const before = await getResource<NumberedConfiguration>(
-      options,
-      `/configuration/${from}`,
-    );
-    const after = await getResource<NumberedConfiguration>(
-      options,
-      `/configuration/${to}`,
-    );
+    const before = await getConfiguration(options, `/configuration/${from}`);
+    const after = await getConfiguration(options, `/configuration/${to}`);
     const changes = diffDeclarations(before.declarations, after.declarations);
     if (options['json'] === true) output.writeLine(JSON.stringify(changes));
     else {
@@ -231,6 +218,15 @@
   },
 };
 
+/** Nodes of versions without teams send no section for them. */
+async function getConfiguration(
+  options: OptionValues,
+  path: string,
+): Promise<NumberedConfiguration> {
+  const found = await getResource<NumberedConfiguration>(options, path);
+  return {...found, declarations: {...NO_TEAMS, ...found.declarations}};
+}
+
 async function getResource<Shape>(
   options: OptionValues,
   path: string,
--- a/packages/cli/src/run_command_line.ts
+++ b/packages/cli/src/run_command_line.ts
@@ -3,7 +3,7 @@
 import {parseArgs} from 'node:util';
 import {SettingsError, SiskinmuxError} from '@siskinmux/kernel';
 import {DeclarationError, formatFault} from '@siskinmux/declarations';
-import type {Command, CommandOutput} from './command.js';
+import type {Command, CommandOutput, ReadInput} from './command.js';
 import {UsageError} from './command.js';
 import {checkCommand} from './commands/check.js';
 import {
@@ -16,12 +16,14 @@
 } from './commands/config.js';
 import {demoCommand} from './commands/demo.js';
 import {explainCommand} from './commands/explain.js';
+import {keysDigestCommand} from './commands/keys.js';
 import {serveCommand} from './commands/serve.js';
 import {statusCommand} from './commands/status.js';
 import {versionCommand} from './commands/version.js';
 import {ExitCode} from './exit_code.js';
 import {renderCommandHelp, renderOverview} from './help.js';
 import {NodeUnreachableError, ProblemResponseError} from './operator_client.js';
+import {readToEnd} from './read_input.js';
 
 /** All commands, in the order in which the help lists them. */
 export const COMMANDS: readonly Command[] = [
@@ -33,6 +35,7 @@
   configRollbackCommand,
   configHistoryCommand,
   configDiffCommand,
+  keysDigestCommand,
   statusCommand,
   explainCommand,
   demoCommand,
@@ -45,9 +48,10 @@
 export async function runCommandLine(
   arguments_: readonly string[],
   output: CommandOutput,
+  readInput: ReadInput = limitBytes => readToEnd(process.stdin, limitBytes),
 ): Promise<ExitCode> {
   try {
-    return await run(arguments_, output);
+    return await run(arguments_, output, readInput);
   } catch (failure) {
     return reportFailure(failure, output);
   }
@@ -56,6 +60,7 @@
 async function run(
   arguments_: readonly string[],
   output: CommandOutput,
+  readInput: ReadInput,
 ): Promise<ExitCode> {
   const command = findCommand(arguments_);
   if (command === undefined) return showOverview(arguments_, output);
@@ -69,7 +74,7 @@
     const expected = command.positionals.join(' ') || 'no arguments';
     throw new UsageError(`${command.name} expects ${expected}.`);
   }
-  return command.run(positionals, values, output);
+  return command.run(positionals, values, output, readInput);
 }
 
 /** A last positional whose name ends in dots stands for one or more arguments. */
--- a/packages/configuration/src/configuration_state.ts
+++ b/packages/configuration/src/configuration_state.ts
@@ -7,7 +7,11 @@
 import {as} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
 import {applyChanges, emptyDeclarations} from '@siskinmux/declarations';
-import type {AcceptedPatch} from './stored_configuration.js';
+import type {
+  AcceptedPatch,
+  StoredDeclarations,
+} from './stored_configuration.js';
+import {toStored} from './stored_configuration.js';
 
 /** Accepted patches kept in memory for peers that lag behind. */
 const MAXIMUM_RECENT_PATCHES = 512;
@@ -25,7 +29,7 @@
   | {
       readonly kind: 'whole';
       readonly number: ConfigurationNumber;
-      readonly declarations: Declarations;
+      readonly declarations: StoredDeclarations;
     };
 
 /** Called after a newer configuration has become active. */
@@ -102,7 +106,12 @@
         patches: this.recentPatches.filter(patch => patch.number > number),
       };
     }
-    return {kind: 'whole', ...this.active};
+    const {number: newest, declarations} = this.active;
+    return {
+      kind: 'whole',
+      number: newest,
+      declarations: toStored(declarations),
+    };
   }
 
   private advance(configuration: NumberedConfiguration): void {
--- a/packages/configuration/src/configuration_store.ts
+++ b/packages/configuration/src/configuration_store.ts
@@ -33,6 +33,7 @@
   parseHistory,
   parseSnapshot,
   snapshotKey,
+  toStored,
 } from './stored_configuration.js';
 
 /** Size of the patches in the head above which they move to history and a snapshot. */
@@ -261,7 +262,7 @@
       `${HISTORY_PREFIX}${first}`,
       JSON.stringify(head.patches),
     );
-    const serialized = JSON.stringify(current);
+    const serialized = JSON.stringify(toStored(current));
     let parts = 0;
     for (
       let start = 0;
--- a/packages/configuration/src/stored_configuration.ts
+++ b/packages/configuration/src/stored_configuration.ts
@@ -3,6 +3,7 @@
 import type {ConfigurationNumber} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
 import {StoredObjectInvalidError} from '@siskinmux/ports';
+import type {Declarations} from '@siskinmux/declarations';
 import {changeSchema, declarationsSchema} from '@siskinmux/declarations';
 import {z} from 'zod';
 
@@ -81,6 +82,18 @@
   return parseStored(key, declarationsSchema, value);
 }
 
+/** Declarations as they are stored in snapshots and sent to peers. */
+export type StoredDeclarations = z.input<typeof declarationsSchema>;
+
+/**
+ * Omits the section `teams` if it is empty: nodes of versions without teams reject
+ * declarations that have it.
+ */
+export function toStored(declarations: Declarations): StoredDeclarations {
+  const {teams, ...others} = declarations;
+  return Object.keys(teams).length === 0 ? others : declarations;
+}
+
 /** Key of one part of a snapshot. */
 export function snapshotKey(
   head: Pick<ConfigurationHead, 'snapshot_number' | 'snapshot_id'>,
@@ -104,8 +117,9 @@
   let json: unknown;
   try {
     json = JSON.parse(value);
-  } catch (cause) {
-    throw new StoredObjectInvalidError(key, String(cause));
+  } catch {
+    // The message of the parser quotes the value, which may hold digests of keys.
+    throw new StoredObjectInvalidError(key, 'not JSON');
   }
   const parsed = schema.safeParse(json);
   if (parsed.success) return parsed.data;
--- a/packages/declarations/src/check_references.ts
+++ b/packages/declarations/src/check_references.ts
@@ -16,6 +16,7 @@
   checkAdapters(declarations, report);
   checkNameCollisions(declarations, report);
   checkEndpoints(declarations, report);
+  checkKeyDigests(declarations, report);
   return faults;
 }
 
@@ -115,3 +116,25 @@
     }
   }
 }
+
+/** A key identifies one team. The digests themselves are not reported. */
+function checkKeyDigests(
+  declarations: Declarations,
+  report: ReportFault,
+): void {
+  const nameByDigest = new Map<string, string>();
+  for (const [name, team] of Object.entries(declarations.teams)) {
+    for (const [index, digest] of team.key_digests.entries()) {
+      const otherName = nameByDigest.get(digest);
+      if (otherName !== undefined) {
+        report(
+          `teams.${name}.key_digests.${index}`,
+          otherName === name
+            ? `team "${name}" has the same digest twice`
+            : `teams "${otherName}" and "${name}" have the same digest`,
+        );
+      }
+      nameByDigest.set(digest, name);
+    }
+  }
+}
--- a/packages/declarations/src/describe_change.ts
+++ b/packages/declarations/src/describe_change.ts
@@ -3,6 +3,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {Change} from './patch.js';
 import type {Declarations} from './schema.js';
+import {teamSchema} from './schema.js';
 
 /** Formats the addition, change or removal of one entry as a line. */
 export function describeChange(before: Declarations, change: Change): string {
@@ -12,9 +13,46 @@
   if (change.after === undefined || change.after === null) {
     return `- remove ${subject}`;
   }
-  if (current === undefined)
-    return `+ add ${subject} ${formatValue(change.after)}`;
-  return `~ change ${subject}: ${describeFields(current, change.after)}`;
+  const isTeam = change.section === 'teams';
+  if (current === undefined) {
+    const added = isTeam ? withoutDigests(change.after) : change.after;
+    return `+ add ${subject} ${formatValue(added)}`;
+  }
+  const describe = isTeam ? describeTeamFields : describeFields;
+  return `~ change ${subject}: ${describe(current, change.after)}`;
+}
+
+function describeTeamFields(current: unknown, next: unknown): string {
+  return [
+    describeFields(withoutDigests(current), withoutDigests(next)),
+    describeDigests(digestsOf(current), digestsOf(next)),
+  ]
+    .filter(text => text !== '')
+    .join('; ');
+}
+
+/**
+ * A team without its digests, since descriptions of changes also stand in errors. A patch that
+ * was not validated may have a key in any field, so that nothing of an invalid team is shown.
+ */
+function withoutDigests(entry: unknown): unknown {
+  const team = teamSchema.safeParse(entry).data;
+  if (team === undefined) return {valid: false};
+  const {key_digests: digests, ...fields} = team;
+  return {...fields, keys: digests.length};
+}
+
+function digestsOf(entry: unknown): readonly string[] {
+  return teamSchema.safeParse(entry).data?.key_digests ?? [];
+}
+
+function describeDigests(
+  before: readonly string[],
+  after: readonly string[],
+): string {
+  const added = after.filter(digest => !before.includes(digest)).length;
+  const removed = before.filter(digest => !after.includes(digest)).length;
+  return added + removed === 0 ? '' : `${added} keys added, ${removed} removed`;
 }
 
 function describeFields(current: unknown, next: unknown): string {
--- a/packages/declarations/src/index.ts
+++ b/packages/declarations/src/index.ts
@@ -10,6 +10,7 @@
   Section,
   ServiceCallDeclaration,
   ServiceDeclaration,
+  TeamDeclaration,
 } from './schema.js';
 export {
   PRIORITIES,
--- a/packages/declarations/src/parse_declarations.ts
+++ b/packages/declarations/src/parse_declarations.ts
@@ -134,7 +134,7 @@
     return;
   }
   for (const issue of parsed.error.issues) {
-    faults.push(faultOfIssue(file, path, issue, entry));
+    faults.push(faultOfIssue(file, section, path, issue, entry));
   }
 }
 
@@ -164,17 +164,29 @@
 
 function faultOfIssue(
   file: DeclarationFile,
+  section: Section,
   path: string,
   issue: z.core.$ZodIssue,
   entry: unknown,
 ): DeclarationFault {
   const found = valueAt(entry, issue.path);
   const keys = [path, ...issue.path.map(String)].join('.');
+  // A text in the entry of a team may be a key.
   const foundText =
-    found === undefined ? 'nothing' : (JSON.stringify(found) ?? 'a value');
+    section === 'teams' ? describeKind(found) : describeValue(found);
   return createFault(file, keys, `${issue.message}; found ${foundText}`);
 }
 
+function describeValue(found: unknown): string {
+  return found === undefined ? 'nothing' : (JSON.stringify(found) ?? 'a value');
+}
+
+function describeKind(found: unknown): string {
+  if (typeof found === 'string') return `a text of ${found.length} characters`;
+  if (Array.isArray(found)) return 'a list';
+  return isTable(found) ? 'a table' : describeValue(found);
+}
+
 function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
   let current = value;
   for (const key of path) {
--- a/packages/declarations/src/schema.ts
+++ b/packages/declarations/src/schema.ts
@@ -98,6 +98,47 @@
   }),
 ]);
 
+/** Characters of a SHA-256 digest in base64url, without padding. */
+export const KEY_DIGEST_CHARACTERS = 43;
+
+/** The last character holds the remaining 4 of the 256 bits, and 2 bits that are zero. */
+const KEY_DIGEST_PATTERN = /^[A-Za-z0-9_-]{42}[AEIMQUYcgkosw048]$/;
+
+/** Largest number of a team's priority, the least urgent. */
+export const MAXIMUM_TEAM_PRIORITY = 1_000;
+
+/** What a team may send over all nodes together: a token bucket. */
+export const teamQuotaSchema = z.strictObject({
+  /** What a request costs: 1, or its prompt tokens and maximum output tokens. */
+  unit: z.enum(['requests', 'tokens']).default('requests'),
+  per_second: z.number().positive(),
+  /** Size of the bucket, in the same unit. */
+  burst: z.number().positive(),
+  /** Cost of a request that states no tokens, if they are the unit. */
+  plain_tokens: z.number().nonnegative().default(0),
+});
+
+/** A team of callers. */
+export const teamSchema = z.strictObject({
+  /** Digests of the keys of its callers; a team without any has no access. */
+  key_digests: z.array(
+    z
+      .string()
+      .regex(
+        KEY_DIGEST_PATTERN,
+        `expected a SHA-256 digest in base64url, ${KEY_DIGEST_CHARACTERS} characters`,
+      ),
+  ),
+  /** 0 is the most urgent. */
+  priority: z
+    .number()
+    .int()
+    .nonnegative()
+    .max(MAXIMUM_TEAM_PRIORITY)
+    .default(0),
+  quota: teamQuotaSchema.optional(),
+});
+
 /** Weights and limits that apply to the whole system. */
 export const policySchema = z.strictObject({
   /** Cost of each second that a request waits for a model to load. */
@@ -119,6 +160,7 @@
   policy: z.record(z.literal('default'), policySchema).default({
     default: policySchema.parse({}),
   }),
+  teams: z.record(name, teamSchema).default({}),
 });
 
 /** A declared model. */
@@ -131,6 +173,8 @@
 export type ServiceDeclaration = z.infer<typeof serviceSchema>;
 /** A declared endpoint. */
 export type EndpointDeclaration = z.infer<typeof endpointSchema>;
+/** A declared team. */
+export type TeamDeclaration = z.infer<typeof teamSchema>;
 /** The declared policy. */
 export type PolicyDeclaration = z.infer<typeof policySchema>;
 /** All declarations of one configuration number. */
@@ -143,6 +187,7 @@
   'services',
   'endpoints',
   'policy',
+  'teams',
 ] as const;
 
 /** One of {@link SECTIONS}. */
@@ -155,6 +200,7 @@
   services: serviceSchema,
   endpoints: endpointSchema,
   policy: policySchema,
+  teams: teamSchema,
 } as const;
 
 /** Declarations without entries, apart from the default policy. */
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -20,6 +20,7 @@
   readCompletion,
   readHead,
 } from './caller_request.js';
+import {identifyTeam} from './caller_team.js';
 import {CONFIGURATION} from './configuration_task.js';
 import type {ActiveSpan, Listener, Tracing} from '@siskinmux/runtime';
 import {
@@ -126,8 +127,18 @@
 
   /** Lists the models and adapters that requests can name. */
   @Get('v1/models')
-  async models(@Res() reply: FastifyReply): Promise<void> {
-    const {models, adapters} = this.context.declarations();
+  async models(
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    const declarations = this.context.declarations();
+    try {
+      identifyTeam(declarations, request.raw);
+    } catch (failure) {
+      await this.sendProblem(reply, failure);
+      return;
+    }
+    const {models, adapters} = declarations;
     const names = [...Object.keys(models), ...Object.keys(adapters)].sort();
     const data = names.map(id => ({
       id,
@@ -235,7 +246,11 @@
     const release = this.context.trackRequest();
     let span: ActiveSpan | undefined;
     try {
-      const head = readHead(request, this.context.clock);
+      const head = readHead(
+        request,
+        this.context.clock,
+        this.context.declarations(),
+      );
       span = this.context.tracing.start(
         `caller ${kind}`,
         head.traceparent,
--- a/packages/node/src/caller_request.ts
+++ b/packages/node/src/caller_request.ts
@@ -8,11 +8,12 @@
   RequestId,
 } from '@siskinmux/kernel';
 import {ErrorCode, after, as, createNotRunRefusal} from '@siskinmux/kernel';
-import type {Priority} from '@siskinmux/declarations';
+import type {Declarations, Priority} from '@siskinmux/declarations';
 import {PRIORITIES} from '@siskinmux/declarations';
 import type {GenerationInput} from '@siskinmux/ports';
 import type {FastifyRequest} from 'fastify';
 import {z} from 'zod';
+import {identifyTeam} from './caller_team.js';
 
 /** Header with the deadline, in milliseconds since the Unix epoch (1970). */
 export const DEADLINE_HEADER = 'x-request-deadline';
@@ -66,6 +67,8 @@
   readonly id: RequestId;
   readonly deadline: Instant | undefined;
   readonly priority: Priority | undefined;
+  /** Priority of the caller's team; undefined without teams. */
+  readonly teamPriority: number | undefined;
   readonly idempotencyKey: IdempotencyKey | undefined;
   readonly traceparent: string | undefined;
 }
@@ -88,13 +91,20 @@
   };
 }
 
-/** Parses the headers that all kinds of requests share. */
-export function readHead(request: FastifyRequest, clock: Clock): RequestHead {
+/** Identifies the caller and parses the headers that all kinds of requests share. */
+export function readHead(
+  request: FastifyRequest,
+  clock: Clock,
+  declarations: Declarations,
+): RequestHead {
+  // A caller that no team knows learns nothing about the other headers.
+  const team = identifyTeam(declarations, request.raw);
   const key = headerOf(request, IDEMPOTENCY_HEADER);
   return {
     id: as<RequestId>(randomUUID()),
     deadline: readDeadline(request, clock),
     priority: readPriority(request),
+    teamPriority: team?.priority,
     idempotencyKey: key === undefined ? undefined : parseIdempotencyKey(key),
     traceparent: headerOf(request, 'traceparent'),
   };
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -30,6 +30,7 @@
 
 const STATUS: Partial<Record<ErrorCode, number>> = {
   [ErrorCode.InvalidRequest]: 400,
+  [ErrorCode.Unauthenticated]: 401,
   [ErrorCode.InvalidDeclaration]: 422,
   [ErrorCode.BodyTooLarge]: 413,
   [ErrorCode.UnknownTarget]: 404,
--- a/packages/ports/src/engine.ts
+++ b/packages/ports/src/engine.ts
@@ -18,7 +18,7 @@
   /** Chat messages or a prompt, in the caller's JSON. */
   readonly input: GenerationInput;
   readonly maximumTokens: number;
-  /** The engine runs requests with larger numbers first. */
+  /** The engine runs requests with larger numbers first; may be 0 or negative. */
   readonly priority: number;
   readonly deadline: Instant;
   /** W3C trace context of the calling span. */
--- a/packages/requests/src/dispatcher.ts
+++ b/packages/requests/src/dispatcher.ts
@@ -41,6 +41,7 @@
 export interface SlotRequest {
   /** Model version, adapter or service call; its requests share the same endpoints. */
   readonly target: string;
+  /** A whole number; 0 is the most urgent. */
   readonly priorityClass: number;
   readonly deadline: Instant;
   readonly maximumQueueLength: number;
--- a/packages/requests/src/service_call_context.ts
+++ b/packages/requests/src/service_call_context.ts
@@ -30,6 +30,8 @@
   readonly idempotencyKey: IdempotencyKey | undefined;
   readonly deadline: Instant | undefined;
   readonly priority: Priority | undefined;
+  /** Priority of the caller's team; undefined without teams. */
+  readonly teamPriority: number | undefined;
   readonly fingerprint: Fingerprint;
   readonly signal: AbortSignal;
 }
--- a/packages/requests/src/service_dispatcher.ts
+++ b/packages/requests/src/service_dispatcher.ts
@@ -3,7 +3,7 @@
 import type {Clock, EndpointId, FailureDomain, Random} from '@siskinmux/kernel';
 import {Outcome, SiskinmuxError, as, toRefusal} from '@siskinmux/kernel';
 import type {Declarations} from '@siskinmux/declarations';
-import {PRIORITIES, instancesOf} from '@siskinmux/declarations';
+import {instancesOf} from '@siskinmux/declarations';
 import type {
   PlainService,
   ServiceCall,
@@ -14,6 +14,7 @@
 import {waitForRetryBackoff} from './attempt_backoff.js';
 import type {DispatchCandidate, Dispatcher} from './dispatcher.js';
 import type {EndpointPool, Slot} from './endpoint_pool.js';
+import {priorityClassOf} from './priority_class.js';
 import type {ServiceCallContext} from './service_call_context.js';
 import type {StartSpan} from './text_requests.js';
 
@@ -46,7 +47,10 @@
     const {request, declaration, call, callName} = context;
     return this.options.dispatcher.acquireSlot({
       target: `${request.service}/${callName}`,
-      priorityClass: PRIORITIES.indexOf(request.priority ?? call.priority),
+      priorityClass: priorityClassOf(
+        request.teamPriority,
+        request.priority ?? call.priority,
+      ),
       deadline: context.deadline,
       maximumQueueLength: declaration.maximum_queue,
       triedEndpoints: context.triedEndpoints,
--- a/packages/requests/src/text_requests.ts
+++ b/packages/requests/src/text_requests.ts
@@ -20,7 +20,7 @@
   ModelTarget,
   Priority,
 } from '@siskinmux/declarations';
-import {PRIORITIES, resolveModelTarget} from '@siskinmux/declarations';
+import {resolveModelTarget} from '@siskinmux/declarations';
 import type {
   Engine,
   GenerationChunk,
@@ -44,6 +44,7 @@
   engineCandidates,
   hasReadyReplica,
 } from './engine_candidates.js';
+import {enginePriorityOf, priorityClassOf} from './priority_class.js';
 import type {ReplicaExchange} from './replica_exchange.js';
 import type {ReplicaTable} from './replica_table.js';
 import type {Trait} from '@siskinmux/containment';
@@ -62,6 +63,8 @@
   readonly maximumTokens: number;
   readonly deadline: Instant | undefined;
   readonly priority: Priority | undefined;
+  /** Priority of the caller's team; undefined without teams. */
+  readonly teamPriority: number | undefined;
   /** What a crash of an engine may be attributed to. */
   readonly traits: readonly Trait[];
   readonly signal: AbortSignal;
@@ -136,7 +139,8 @@
       request,
       target,
       deadline,
-      priorityClass: PRIORITIES.indexOf(
+      priorityClass: priorityClassOf(
+        request.teamPriority,
         request.priority ?? target.declaration.priority,
       ),
       triedEndpoints: new Set(),
@@ -350,7 +354,7 @@
     adapter: target.adapter,
     input: request.input,
     maximumTokens: request.maximumTokens,
-    priority: PRIORITIES.length - priorityClass,
+    priority: enginePriorityOf(priorityClass),
     deadline,
     traceparent,
     resumeAfter: deliveredTokens,
--- a/packages/scenarios/src/scenario_simulation.ts
+++ b/packages/scenarios/src/scenario_simulation.ts
@@ -232,6 +232,7 @@
               maximumTokens: options.tokens,
               deadline: attempt.deadline,
               priority: undefined,
+              teamPriority: undefined,
               traits: [as<Trait>(`text ${options.model} ${content}`)],
               signal,
             },
@@ -277,6 +278,7 @@
                 key === undefined ? undefined : as<IdempotencyKey>(key),
               deadline: attempt.deadline,
               priority: undefined,
+              teamPriority: undefined,
               fingerprint: as<Fingerprint>(
                 `${method} ${service}${path} ${body}`,
               ),
