--- a/packages/admission/__tests__/request_queue.test.ts
+++ b/packages/admission/__tests__/request_queue.test.ts
@@ -46,6 +46,26 @@
     expect(dequeueAll(queue)).toEqual(['urgent', 'early', 'late']);
   });
 
+  // The class is the priority of a team and that of the request together.
+  it('dequeues any number of priority classes in order, over several targets', () => {
+    const queue = RequestQueue.create<Item>();
+    const classes = [3_002, 4, 0, 7, 3, 1, 2_999, 4];
+    for (const [index, priorityClass] of classes.entries()) {
+      const target = index % 2 === 0 ? 'even' : 'odd';
+      queue.enqueue(item(`${priorityClass}`, {target, priorityClass}), 10);
+    }
+    expect(
+      queue.countAhead(item('new', {target: 'odd', priorityClass: 7})),
+    ).toEqual(4);
+    const late = item('late', {target: 'odd', priorityClass: 5});
+    queue.enqueue(late, 10);
+    expect(queue.remove(late)).toEqual(true);
+    expect(queue.remove(late)).toEqual(false);
+    const expected = [...classes].sort((left, right) => left - right);
+    expect(dequeueAll(queue)).toEqual(expected.map(String));
+    expect(queue.size).toEqual(0);
+  });
+
   it('counts the requests ahead of a new one without removing any', () => {
     const queue = RequestQueue.create<Item>();
     for (const deadline of [100, 200, 300]) {
--- a/packages/declarations/src/parse_declarations.ts
+++ b/packages/declarations/src/parse_declarations.ts
@@ -217,7 +217,8 @@
     line.trim().startsWith(`[${keys.slice(0, 2).join('.')}`),
   );
   if (header < 0) return undefined;
-  const lastKey = keys.at(-1);
+  // An element of a list has no line of its own that could be found.
+  const lastKey = keys.filter(key => !/^\d+$/.test(key)).at(-1);
   for (let index = header + 1; index < lines.length; index += 1) {
     const line = lines[index]?.trim() ?? '';
     if (line.startsWith('[') && !line.includes(keys[1] ?? '')) break;
