--- a/packages/requests/__tests__/team_priority.test.ts
+++ b/packages/requests/__tests__/team_priority.test.ts
@@ -3,9 +3,13 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import type {FailureDomain, Instant, RequestId} from '@siskinmux/kernel';
+import type {
+  FailureDomain,
+  Fingerprint,
+  Instant,
+  RequestId,
+} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import type {Fingerprint} from '@siskinmux/kernel';
 import type {Priority} from '@siskinmux/declarations';
 import {PRIORITIES, parseDeclarations} from '@siskinmux/declarations';
 import {RetryBudget} from '@siskinmux/routing';
@@ -101,6 +105,8 @@
       dispatcher.dispatchQueued();
     });
     expect(dispatcher.waiting()).toEqual(waiting.length);
+    // Lets every request await its slot, so that they go on in the order of their slots.
+    await new Promise(resolve => setImmediate(resolve));
     running.end('answered');
     dispatcher.dispatchQueued();
     await Promise.all(all);
