--- a/packages/cli/__tests__/teams.test.ts
+++ b/packages/cli/__tests__/teams.test.ts
@@ -186,6 +186,11 @@
       expect(diff.out).toInclude('+ add teams.kelp');
       const history = await run('config', 'history', ...node);
       const status = await run('status', ...node);
+      for (const words of [['diff', '2', '3'], ['history']]) {
+        const json = await run('config', ...words, '--json', ...node);
+        expect(json.out).toInclude('"keys":1');
+        printed.push(json.out);
+      }
       printed.push(diff.out, history.out, status.out);
       const shown = await run('config', 'show', ...node);
       expect(shown.out).toInclude(digestApiKey(KEY));
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -3,10 +3,11 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync, writeFileSync} from 'node:fs';
 import {userInfo} from 'node:os';
-import type {Declarations, Patch} from '@siskinmux/declarations';
+import type {Change, Declarations, Patch} from '@siskinmux/declarations';
 import {
   describeChange,
   diffDeclarations,
+  hideDigests,
   patchSchema,
 } from '@siskinmux/declarations';
 import type {Command, CommandOutput, OptionValues} from '../command.js';
@@ -28,7 +29,7 @@
   readonly author: string;
   readonly reason: string;
   readonly accepted_at: number;
-  readonly changes: readonly unknown[];
+  readonly changes: readonly Change[];
 }
 
 /** Content of a plan file; `config apply` adds the reason and the author. */
@@ -185,7 +186,7 @@
     const first = stringOption(options, 'first') ?? '1';
     const path = `/history?first=${encodeURIComponent(first)}`;
     const rows = await getResource<HistoryEntry[]>(options, path);
-    if (options['json'] === true) output.writeLine(JSON.stringify(rows));
+    if (options['json'] === true) output.writeLine(serializeHistory(rows));
     else output.writeLine(renderHistory(rows));
     return ExitCode.Success;
   },
@@ -207,7 +208,8 @@
     const before = await getConfiguration(options, `/configuration/${from}`);
     const after = await getConfiguration(options, `/configuration/${to}`);
     const changes = diffDeclarations(before.declarations, after.declarations);
-    if (options['json'] === true) output.writeLine(JSON.stringify(changes));
+    if (options['json'] === true)
+      output.writeLine(JSON.stringify(changes.map(hideDigests)));
     else {
       for (const change of changes) {
         output.writeLine(describeChange(before.declarations, change));
@@ -316,6 +318,12 @@
   }
 }
 
+function serializeHistory(rows: readonly HistoryEntry[]): string {
+  return JSON.stringify(
+    rows.map(row => ({...row, changes: row.changes.map(hideDigests)})),
+  );
+}
+
 function renderHistory(rows: readonly HistoryEntry[]): string {
   return renderTable(
     ['number', 'when', 'who', 'changes', 'why'],
--- a/packages/declarations/src/describe_change.ts
+++ b/packages/declarations/src/describe_change.ts
@@ -22,6 +22,13 @@
   return `~ change ${subject}: ${describe(current, change.after)}`;
 }
 
+/** A change with the number of a team's keys in place of their digests. */
+export function hideDigests(change: Change): Change {
+  const {section, after} = change;
+  const isShown = section !== 'teams' || after === undefined || after === null;
+  return isShown ? change : {...change, after: withoutDigests(after)};
+}
+
 function describeTeamFields(current: unknown, next: unknown): string {
   return [
     describeFields(withoutDigests(current), withoutDigests(next)),
--- a/packages/declarations/src/index.ts
+++ b/packages/declarations/src/index.ts
@@ -37,6 +37,6 @@
   diffDeclarations,
   patchSchema,
 } from './patch.js';
-export {describeChange} from './describe_change.js';
+export {describeChange, hideDigests} from './describe_change.js';
 export type {ModelTarget} from './resolve_target.js';
 export {ownEntry, resolveModelTarget} from './resolve_target.js';
