--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -3,10 +3,11 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync, writeFileSync} from 'node:fs';
 import {userInfo} from 'node:os';
-import type {Declarations, Patch} from '@siskinmux/declarations';
+import type {Change, Declarations, Patch} from '@siskinmux/declarations';
 import {
   describeChange,
   diffDeclarations,
+  hideDigests,
   patchSchema,
 } from '@siskinmux/declarations';
 import type {Command, CommandOutput, OptionValues} from '../command.js';
@@ -21,12 +22,14 @@
   readonly declarations: Declarations;
 }
 
+const NO_TEAMS: Pick<Declarations, 'teams'> = {teams: {}};
+
 interface HistoryEntry {
   readonly number: number;
   readonly author: string;
   readonly reason: string;
   readonly accepted_at: number;
-  readonly changes: readonly unknown[];
+  readonly changes: readonly Change[];
 }
 
 /** Content of a plan file; `config apply` adds the reason and the author. */
@@ -56,7 +59,7 @@
   async run(_positionals, options, output) {
     const number = stringOption(options, 'number');
     const path = number === undefined ? '' : `/${number}`;
-    const configuration = await getResource<NumberedConfiguration>(
+    const configuration = await getConfiguration(
       options,
       `/configuration${path}`,
     );
@@ -88,10 +91,7 @@
   ],
   async run([folder = ''], options, output) {
     const target = readDeclarationFolder(folder);
-    const current = await getResource<NumberedConfiguration>(
-      options,
-      '/configuration',
-    );
+    const current = await getConfiguration(options, '/configuration');
     const plan = createPlan(current, target);
     const file = stringOption(options, 'out');
     if (file !== undefined) writeFileSync(file, JSON.stringify(plan, null, 2));
@@ -149,14 +149,8 @@
     },
   ],
   async run([number = ''], options, output) {
-    const current = await getResource<NumberedConfiguration>(
-      options,
-      '/configuration',
-    );
-    const old = await getResource<NumberedConfiguration>(
-      options,
-      `/configuration/${number}`,
-    );
+    const current = await getConfiguration(options, '/configuration');
+    const old = await getConfiguration(options, `/configuration/${number}`);
     const plan = createPlan(current, old.declarations);
     if (plan.changes.length === 0) {
       output.writeLine(
@@ -192,7 +186,7 @@
     const first = stringOption(options, 'first') ?? '1';
     const path = `/history?first=${encodeURIComponent(first)}`;
     const rows = await getResource<HistoryEntry[]>(options, path);
-    if (options['json'] === true) output.writeLine(JSON.stringify(rows));
+    if (options['json'] === true) output.writeLine(serializeHistory(rows));
     else output.writeLine(renderHistory(rows));
     return ExitCode.Success;
   },
@@ -211,16 +205,11 @@
     },
   ],
   async run([from = '', to = ''], options, output) {
-    const before = await getResource<NumberedConfiguration>(
-      options,
-      `/configuration/${from}`,
-    );
-    const after = await getResource<NumberedConfiguration>(
-      options,
-      `/configuration/${to}`,
-    );
+    const before = await getConfiguration(options, `/configuration/${from}`);
+    const after = await getConfiguration(options, `/configuration/${to}`);
     const changes = diffDeclarations(before.declarations, after.declarations);
-    if (options['json'] === true) output.writeLine(JSON.stringify(changes));
+    if (options['json'] === true)
+      output.writeLine(JSON.stringify(changes.map(hideDigests)));
     else {
       for (const change of changes) {
         output.writeLine(describeChange(before.declarations, change));
@@ -231,6 +220,15 @@
   },
 };
 
+/** Nodes of versions without teams send no section for them. */
+async function getConfiguration(
+  options: OptionValues,
+  path: string,
+): Promise<NumberedConfiguration> {
+  const found = await getResource<NumberedConfiguration>(options, path);
+  return {...found, declarations: {...NO_TEAMS, ...found.declarations}};
+}
+
 async function getResource<Shape>(
   options: OptionValues,
   path: string,
@@ -320,6 +318,12 @@
   }
 }
 
+function serializeHistory(rows: readonly HistoryEntry[]): string {
+  return JSON.stringify(
+    rows.map(row => ({...row, changes: row.changes.map(hideDigests)})),
+  );
+}
+
 function renderHistory(rows: readonly HistoryEntry[]): string {
   return renderTable(
     ['number', 'when', 'who', 'changes', 'why'],
