Evict a replica in use for a model that waits, if the others can take its requests

Cause: a model whose copies are all on engines with models in use waited until one of these was idle. Change: such a replica is withdrawn, its requests end, and the model is loaded. The other replicas must have twice the slots of the recent peak. The order after an unload is resent at growing intervals, as streams may run for seconds.

--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -26,7 +26,11 @@
 }
 
 /** Engines with three loaded models each and copies of others, and a factory for allocators. */
-function createSimulation(seed: number, faults?: OrderFaults) {
+function createSimulation(
+  seed: number,
+  faults?: OrderFaults,
+  loadedOn = (index: number) => [0, 1, 2].map(offset => index * 3 + offset),
+) {
   const clock = VirtualClock.create();
   const random = createSeededRandom(seed);
   const declaration = createDeclaration(12, 3);
@@ -34,7 +38,7 @@
   const engines = new Map<EndpointId, SimulatedEngine>();
   for (let index = 0; index < 3; index += 1) {
     const id = as<EndpointId>(`engine-${index}`);
-    const loaded = [0, 1, 2].map(offset => model(index * 3 + offset));
+    const loaded = loadedOn(index).map(model);
     const copies = [9, 10, 3, 6].map(offset => model((offset + index) % 12));
     engines.set(
       id,
@@ -295,6 +299,57 @@
     allocator.stop();
   });
 
+  describe('evicting a replica in use', () => {
+    /** An engine whose models are all in use; other engines have model 0, too. */
+    async function startEviction() {
+      const loadedOn = (index: number) => [0, index * 3 + 1, index * 3 + 2];
+      const simulation = createSimulation(1, undefined, loadedOn);
+      const {clock, available, orders} = simulation;
+      const allocator = simulation.createAllocator(1, () => true);
+      await clock.advance(1_000);
+      const inFlight = usageOfAllModels(simulation);
+      const waitFor = (...models: ModelName[]) =>
+        models.map(wanted => ({
+          model: wanted,
+          count: 1,
+          priority: 0,
+          earliestDeadline: after(clock.now(), 8_000),
+        }));
+      const waiting = waitFor(model(9));
+      allocator.recordUsage(node, {waiting, inFlight, arrived: []});
+      const before = orders.sent.length;
+      await clock.advance(1_000);
+      expect(orders.sent.length).toEqual(before);
+      const hasModel = (engine: string) =>
+        available.get(as<EndpointId>(engine))?.includes(model(0));
+      expect(['engine-0', 'engine-1'].map(hasModel)).toEqual([false, true]);
+      return {simulation, allocator, inFlight, waitFor, hasModel};
+    }
+
+    it('lets its requests end, and gives it no more', async () => {
+      const {simulation, allocator, inFlight, waitFor} = await startEviction();
+      const rest = inFlight.filter(
+        ({engine, model: used}) => engine !== 'engine-0' || used !== model(0),
+      );
+      const waiting = waitFor(model(9));
+      allocator.recordUsage(node, {waiting, inFlight: rest, arrived: []});
+      await simulation.clock.advance(1_000);
+      expect(isAvailable(simulation, model(9))).toEqual(true);
+      allocator.stop();
+    });
+
+    // Requests waited for a model that was about to be unloaded, after its other engines were lost.
+    it('is given up when requests wait for the model', async () => {
+      const {simulation, allocator, inFlight, waitFor, hasModel} =
+        await startEviction();
+      const waiting = waitFor(model(9), model(0));
+      allocator.recordUsage(node, {waiting, inFlight, arrived: []});
+      await simulation.clock.advance(200);
+      expect(hasModel('engine-0')).toEqual(true);
+      allocator.stop();
+    });
+  });
+
   it('loads and grants a missing adapter, evicting the one whose grant expired first', async () => {
     const simulation = createSimulation(1);
     const allocator = simulation.createAllocator(1, () => true);
--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -184,6 +184,7 @@
         unload: [model(3)],
         tier: 'disk',
         reason: 'busy',
+        isDraining: false,
       },
     ]);
   });
@@ -207,6 +208,7 @@
         unload: [model(4)],
         tier: 'disk',
         reason: 'waiting',
+        isDraining: false,
       },
     ]);
   });
@@ -225,6 +227,81 @@
     expect(changes).toEqual([]);
   });
 
+  // A model whose copies are all on engines in use waited until one of their models was idle.
+  it('evicts a replica in use for a model that waits, if the others can take its requests', () => {
+    const one = engine('one', [0, 1, 2], [9]);
+    const two = engine('two', [0, 3, 4], []);
+    const planWith = (atOther: number, engines = [one, two]) =>
+      plan(
+        engines,
+        demandOf({
+          waiting: [waiting(9)],
+          inFlight: [
+            {engine: one.id, model: model(0), count: 2},
+            {engine: one.id, model: model(1), count: 1},
+            {engine: one.id, model: model(2), count: 1},
+            {engine: two.id, model: model(0), count: atOther},
+          ],
+        }),
+        0,
+      );
+    expect(planWith(2)).toEqual([
+      {
+        engine: one.id,
+        load: model(9),
+        unload: [model(0)],
+        tier: 'disk',
+        reason: 'waiting',
+        isDraining: true,
+      },
+    ]);
+    expect(planWith(6)).toEqual([]);
+    expect(planWith(0, [one])).toEqual([]);
+    two.isDraining = true;
+    expect(planWith(2)).toEqual([]);
+  });
+
+  // In a trial, a model lost its replicas between two bursts and was overloaded in the next.
+  it('keeps a replica in use that a recent peak of requests needed', () => {
+    const one = engine('one', [0, 1, 2], [9]);
+    const two = engine('two', [0, 3, 4], []);
+    const inFlight = (atOne: number, atTwo: number) => [
+      {engine: one.id, model: model(0), count: atOne},
+      {engine: one.id, model: model(1), count: 1},
+      {engine: one.id, model: model(2), count: 1},
+      {engine: two.id, model: model(0), count: atTwo},
+    ];
+    const demand = demandOf({inFlight: inFlight(6, 6)});
+    demand.recordPeaks(now);
+    const usage = {
+      waiting: [waiting(9)],
+      inFlight: inFlight(1, 1),
+      arrived: [],
+    };
+    demand.recordUsage(node, usage, now);
+    expect(plan([one, two], demand, 0)).toEqual([]);
+    demand.recordPeaks(as<Instant>(now + 10_000));
+    expect(plan([one, two], demand, 0).map(({unload}) => unload)).toEqual([
+      [model(0)],
+    ]);
+  });
+
+  it('evicts an idle model rather than a replica in use', () => {
+    const changes = plan(
+      [engine('one', [0, 1, 2], [9]), engine('two', [0, 3, 4], [])],
+      demandOf({
+        waiting: [waiting(9)],
+        inFlight: [{engine: as<EndpointId>('one'), model: model(0), count: 1}],
+        arrived: [
+          {model: model(1), count: 5},
+          {model: model(2), count: 4},
+        ],
+      }),
+      0,
+    );
+    expect(changes.map(({unload}) => unload)).toEqual([[model(2)]]);
+  });
+
   it('plans only one change per engine', () => {
     const one = engine('one', [0, 1, 2], [9, 10]);
     const changes = plan([one], demandOf({waiting: [waiting(9), waiting(10)]}));
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -366,6 +366,7 @@
     if (declaration === undefined || this.isStopped) return;
     const now: Instant = clock.now();
     const engines = [...this.engines.values()].map(({view}) => view);
+    this.demand.recordPeaks(now);
     for (const view of engines) {
       view.eventGapMilliseconds = this.pace.gapOf(view.id, now);
       view.hasUnusedPermits =
--- a/packages/placement/src/model_change_executor.ts
+++ b/packages/placement/src/model_change_executor.ts
@@ -29,11 +29,25 @@
  */
 const DRAIN_DELAY_MILLISECONDS: Milliseconds = 30;
 
+/**
+ * How long requests in flight may keep a replica that is being evicted. Most streams end in this
+ * time; the engine lets the others end before it unloads the model.
+ */
+const DRAIN_TIMEOUT_MILLISECONDS: Milliseconds = 4_000;
+
+/** Interval at which the requests in flight at such a replica are checked. */
+const DRAIN_POLL_INTERVAL_MILLISECONDS: Milliseconds = 40;
+
 /** Delay between an accepted unload and the next order; unloading an idle model takes as long. */
 const UNLOAD_WAIT_MILLISECONDS: Milliseconds = 46;
 
-/** Delay before an order is resent to an engine that is still unloading. */
+/**
+ * Delay before an order is resent to an engine that is still unloading; it grows with the time
+ * that the engine has taken, as streams that still run take seconds.
+ */
 const UNLOAD_RETRY_DELAY_MILLISECONDS: Milliseconds = 8;
+const MAXIMUM_UNLOAD_RETRY_DELAY_MILLISECONDS: Milliseconds = 100;
+const UNLOAD_RETRY_DELAY_SHARE = 0.1;
 
 /**
  * Delay after which the engine's report is read to check that it is still unloading. An
@@ -117,6 +131,7 @@
       unload: change.unload.join(' '),
       tier: change.tier,
       reason: change.reason,
+      isDraining: change.isDraining || undefined,
     });
     // Counted before the evictions, as further plans are made while they are in progress.
     const finishLoad =
@@ -161,8 +176,8 @@
   }
 
   /**
-   * Withdraws the models to be evicted; restores them and returns false if they are still
-   * in use.
+   * Withdraws the models to be evicted, and lets their requests end if other replicas take the next
+   * ones; restores them and returns false if they are still needed.
    */
   private async drainModels(
     view: EngineView,
@@ -175,15 +190,26 @@
     for (const placed of evicted) placed.state = 'closing';
     publish(view);
     await sleepFor(this.options.clock, DRAIN_DELAY_MILLISECONDS);
-    const isIdle = evicted.every(
-      ({model}) => demand.inFlightForModelAt(view.id, model) === 0,
-    );
+    const isInUse = (): boolean =>
+      evicted.some(({model}) => demand.inFlightForModelAt(view.id, model) > 0);
+    // A request that waits for an evicted model shows that its other replicas are gone.
+    const isMissed = (): boolean =>
+      evicted.some(({model}) => demand.isWaitedFor(model));
+    if (change.isDraining) await this.waitWhile(() => isInUse() && !isMissed());
+    const mayUnload = change.isDraining ? !isMissed() : !isInUse();
     for (const placed of evicted) {
-      placed.state = isIdle ? 'unloading' : 'ready';
+      placed.state = mayUnload ? 'unloading' : 'ready';
       placed.since = clock.now();
     }
-    if (!isIdle) publish(view);
-    return isIdle;
+    if (!mayUnload) publish(view);
+    return mayUnload;
+  }
+
+  private async waitWhile(isDraining: () => boolean): Promise<void> {
+    const {clock} = this.options;
+    const endsAt = after(clock.now(), DRAIN_TIMEOUT_MILLISECONDS);
+    while (isDraining() && clock.now() < endsAt)
+      await sleepFor(clock, DRAIN_POLL_INTERVAL_MILLISECONDS);
   }
 
   private async unload(
@@ -357,7 +383,7 @@
       if (waited > UNLOAD_REPORT_DELAY_MILLISECONDS) {
         if (!(await this.isStillUnloading(view))) return 'misfit';
       }
-      await sleepFor(this.options.clock, UNLOAD_RETRY_DELAY_MILLISECONDS);
+      await sleepFor(clock, unloadRetryDelay(waited));
     }
   }
 
@@ -378,3 +404,13 @@
     this.options.publish(view);
   }
 }
+
+function unloadRetryDelay(waited: Milliseconds): Milliseconds {
+  return Math.min(
+    MAXIMUM_UNLOAD_RETRY_DELAY_MILLISECONDS,
+    Math.max(
+      UNLOAD_RETRY_DELAY_MILLISECONDS,
+      waited * UNLOAD_RETRY_DELAY_SHARE,
+    ),
+  );
+}
--- a/packages/placement/src/placement_events.ts
+++ b/packages/placement/src/placement_events.ts
@@ -26,7 +26,7 @@
   name: 'change-planned',
   level: 'info',
   meaning:
-    'The allocator decided to load a model on an engine. `unload` names the models to evict. `tier` is the location of the nearest copy of the weights: `memory` or `disk` of the engine, or the weight `store`. `reason`: `waiting` if no engine has the model and it is in demand, `busy` if it gets another replica, `slow` if it gets one on a faster engine, as those that have it put the objective of its route at risk, `spread` if no engine has a copy of its weights and it is loaded in advance.',
+    'The allocator decided to load a model on an engine. `unload` names the models to evict. `tier` is the location of the nearest copy of the weights: `memory` or `disk` of the engine, or the weight `store`. `reason`: `waiting` if no engine has the model and it is in demand, `busy` if it gets another replica, `slow` if it gets one on a faster engine, as those that have it put the objective of its route at risk, `spread` if no engine has a copy of its weights and it is loaded in advance. `isDraining` is set if evicted models are in use: other replicas take their requests, and the change waits for those in flight.',
 };
 
 /** A change of models was completed or given up. */
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -73,6 +73,15 @@
  */
 const SPARE_REPLICA_ARRIVALS_PER_SECOND = 2;
 
+/**
+ * Share of the slots of a model's other replicas that its requests may have used at their recent
+ * peak for a replica in use to be evicted.
+ */
+const SPARED_LOAD_SHARE = 0.5;
+
+/** Cost of evicting a replica in use for each of its requests, whose end the change waits for. */
+const DRAINED_REQUEST_SECONDS = 0.1;
+
 /** Cost of evicting one of several replicas, relative to evicting the last one. */
 const SPARE_REPLICA_WEIGHT = 0.1;
 
@@ -113,6 +122,8 @@
    * copy. `slow`: the engines that have it are slow.
    */
   readonly reason: 'waiting' | 'busy' | 'spread' | 'slow';
+  /** Whether the evicted models are in use; other replicas take their requests from now on. */
+  readonly isDraining: boolean;
 }
 
 /** Input of {@link planModels}. */
@@ -154,23 +165,31 @@
   readonly isEvictionRestricted: boolean;
   /** Whether an engine that limits its requests may be used if there is no other. */
   readonly limitedEngines: 'all' | 'with unused permits' | 'none';
+  /** Whether replicas in use may be evicted whose requests other replicas can take. */
+  readonly mayDrain: boolean;
 }
 
 const WAITING_RULES: CandidateRules = {
   isEvictionRestricted: false,
   limitedEngines: 'all',
+  mayDrain: false,
 };
+/** Rules for a model whose copies are all on engines with replicas in use. */
+const DRAINING_RULES: CandidateRules = {...WAITING_RULES, mayDrain: true};
 const STUCK_RULES: CandidateRules = {
   isEvictionRestricted: false,
   limitedEngines: 'with unused permits',
+  mayDrain: false,
 };
 const BUSY_RULES: CandidateRules = {
   isEvictionRestricted: false,
   limitedEngines: 'none',
+  mayDrain: false,
 };
 const SPARE_RULES: CandidateRules = {
   isEvictionRestricted: true,
   limitedEngines: 'none',
+  mayDrain: false,
 };
 
 interface LoadCandidate {
@@ -217,8 +236,11 @@
   plan(): ModelChange[] {
     this.loadForContinuedStreams();
     for (const {model, score} of this.prioritizedUnservedModels()) {
-      const rules = this.replicaCount(model) > 0 ? STUCK_RULES : WAITING_RULES;
-      const candidate = this.cheapestCandidate(model, score, rules);
+      const hasReplica = this.replicaCount(model) > 0;
+      const candidate = hasReplica
+        ? this.cheapestCandidate(model, score, STUCK_RULES)
+        : (this.cheapestCandidate(model, score, WAITING_RULES) ??
+          this.drainingCandidate(model, score));
       if (candidate !== undefined) this.addChange(model, candidate, 'waiting');
     }
     this.addExtraReplicas();
@@ -251,6 +273,24 @@
     }
   }
 
+  /**
+   * The engine with the lowest cost for loading a model that requests wait for from its own copy, if a
+   * replica that is in use there isn't needed.
+   */
+  private drainingCandidate(
+    model: ModelName,
+    score: number,
+  ): LoadCandidate | undefined {
+    if (!this.input.demand.isWaitedFor(model) || !this.hasCopy(model))
+      return undefined;
+    return this.cheapestCandidate(
+      model,
+      score,
+      DRAINING_RULES,
+      engine => engine.nearestWeightTier(model) !== 'store',
+    );
+  }
+
   /**
    * Models without a replica, or with replicas only on engines at their limits, that requests
    * wait for, or that are in use by their arrival rate while no engine has a copy: those requests may have been refused instead of
@@ -334,8 +374,7 @@
   /** Whether the model's replicas, or all engines that have one, are too loaded. */
   private needsReplica(model: ModelName, replicas: number): boolean {
     const {demand, declaration, engines} = this.input;
-    const ownShare =
-      demand.inFlightForModel(model) / (replicas * declaration.slots);
+    const ownShare = this.ownLoadShare(model, replicas);
     if (ownShare >= REPLICA_LOAD_SHARE) return true;
     if (ownShare < MINIMUM_OWN_SHARE) return false;
     return engines
@@ -347,6 +386,12 @@
       );
   }
 
+  /** Share of its replicas' slots that a model's requests use. */
+  private ownLoadShare(model: ModelName, replicas: number): number {
+    const {demand, declaration} = this.input;
+    return demand.inFlightForModel(model) / (replicas * declaration.slots);
+  }
+
   private isLimitAllowed(
     engine: EngineView,
     limitedEngines: CandidateRules['limitedEngines'],
@@ -501,7 +546,7 @@
   private cheapestCandidate(
     model: ModelName,
     servedRequests: number,
-    {isEvictionRestricted, limitedEngines}: CandidateRules,
+    rules: CandidateRules,
     accepts: (engine: EngineView) => boolean = () => true,
   ): LoadCandidate | undefined {
     const declared = this.input.declaration.models.get(model);
@@ -511,12 +556,8 @@
       if (!engine.canPlanChange || this.changingEngines.has(engine.id))
         continue;
       if (engine.models.has(model) || !accepts(engine)) continue;
-      if (!this.isLimitAllowed(engine, limitedEngines)) continue;
-      const candidate = this.candidateAt(
-        engine,
-        declared,
-        isEvictionRestricted,
-      );
+      if (!this.isLimitAllowed(engine, rules.limitedEngines)) continue;
+      const candidate = this.candidateAt(engine, declared, rules);
       if (
         candidate === undefined ||
         (cheapest && candidate.cost >= cheapest.cost)
@@ -543,7 +584,7 @@
   private candidateAt(
     engine: EngineView,
     declared: ServiceModel,
-    isEvictionRestricted: boolean,
+    rules: CandidateRules,
   ): LoadCandidate | undefined {
     const tier = engine.nearestWeightTier(declared.name);
     const blockedMilliseconds =
@@ -552,11 +593,11 @@
       Math.max(
         this.evictionCost(placed),
         this.blockingCost(placed.model, 1, blockedMilliseconds),
-      );
+      ) + this.drainCost(engine, placed.model);
     const unload = this.selectEvictions(
       engine,
       declared.weightsMegabytes,
-      isEvictionRestricted,
+      rules,
       evictionCost,
     );
     if (unload === undefined) return undefined;
@@ -602,14 +643,14 @@
   private selectEvictions(
     engine: EngineView,
     megabytes: number,
-    isEvictionRestricted: boolean,
+    rules: CandidateRules,
     evictionCost: (placed: PlacedModel) => number,
   ): PlacedModel[] | undefined {
     const {declaration} = this.input;
     let free = engine.freeMegabytes(declaration);
     const evicted: PlacedModel[] = [];
     const evictable = [...engine.models.values()]
-      .filter(placed => this.canEvict(engine, placed, isEvictionRestricted))
+      .filter(placed => this.canEvict(engine, placed, rules))
       .sort((left, right) => evictionCost(left) - evictionCost(right));
     for (const placed of evictable) {
       if (free >= megabytes) break;
@@ -631,12 +672,16 @@
   private canEvict(
     engine: EngineView,
     placed: PlacedModel,
-    isEvictionRestricted: boolean,
+    {isEvictionRestricted, mayDrain}: CandidateRules,
   ): boolean {
     const {demand, now} = this.input;
     if (placed.state !== 'ready') return false;
     if (until(placed.since, now) < MINIMUM_READY_MILLISECONDS) return false;
-    if (demand.inFlightForModelAt(engine.id, placed.model) > 0) return false;
+    if (
+      this.isInUse(engine, placed.model) &&
+      !(mayDrain && this.isSpared(engine, placed.model))
+    )
+      return false;
     if (demand.isWaitedFor(placed.model)) return false;
     if (!isEvictionRestricted) return true;
     return (
@@ -646,6 +691,42 @@
     );
   }
 
+  private drainCost(engine: EngineView, model: ModelName): number {
+    const {demand} = this.input;
+    const inFlight = demand.inFlightForModelAt(engine.id, model);
+    return inFlight * DRAINED_REQUEST_SECONDS;
+  }
+
+  private isInUse(engine: EngineView, model: ModelName): boolean {
+    return this.input.demand.inFlightForModelAt(engine.id, model) > 0;
+  }
+
+  /** Whether the other replicas of a model can take all of its requests. */
+  private isSpared(engine: EngineView, model: ModelName): boolean {
+    const {demand, declaration, engines} = this.input;
+    const others = engines.filter(
+      other =>
+        other !== engine &&
+        !other.isDraining &&
+        other.isReady(model) &&
+        !this.changingEngines.has(other.id),
+    );
+    const isOneLightlyLoaded = others.some(
+      ({id}) =>
+        demand.inFlightAtEngine(id) <
+        HIGH_ENGINE_LOAD_SHARE * declaration.slots,
+    );
+    // On a slow engine, the same requests are in flight for longer.
+    const slots = others.reduce(
+      (sum, other) => sum + declaration.slots / this.slownessAt(other),
+      0,
+    );
+    return (
+      isOneLightlyLoaded &&
+      demand.peakInFlightForModel(model) < SPARED_LOAD_SHARE * slots
+    );
+  }
+
   /**
    * Arrival rate of the model's requests, multiplied by the seconds that they would wait
    * for its load from disk.
@@ -697,6 +778,7 @@
       unload: unload.map(placed => placed.model),
       tier,
       reason,
+      isDraining: unload.some(placed => this.isInUse(engine, placed.model)),
     });
   }
 
--- a/packages/placement/src/service_demand.ts
+++ b/packages/placement/src/service_demand.ts
@@ -21,6 +21,9 @@
  */
 const RATE_DECAY_MILLISECONDS: Milliseconds = 8_000;
 
+/** Time constant with which the peak of a model's requests in flight is forgotten. */
+const PEAK_DECAY_MILLISECONDS: Milliseconds = 8_000;
+
 /** Requests that one node has in flight for a model at one engine. */
 export interface InFlightRequests {
   readonly engine: EndpointId;
@@ -50,6 +53,10 @@
   private inFlightByModelAndEngine = new Map<string, number>();
   private inFlightByModel = new Map<ModelName, number>();
   private inFlightTotals = new Map<EndpointId, number>();
+  private readonly peaks = new Map<
+    ModelName,
+    {inFlight: number; updatedAt: Instant}
+  >();
   private waitingByKey = new Map<WaitingKey, WaitingRequests>();
   private waiting = new Map<ModelName, WaitingRequests>();
   /** Whether the totals are older than the latest report. */
@@ -126,6 +133,29 @@
     return this.inFlightByModel.get(model) ?? 0;
   }
 
+  /** Recent peak of the in-flight requests for a model; see {@link recordPeaks}. */
+  peakInFlightForModel(model: ModelName): number {
+    return Math.max(
+      this.inFlightForModel(model),
+      this.peaks.get(model)?.inFlight ?? 0,
+    );
+  }
+
+  /** Updates the peaks of the in-flight requests for each model. */
+  recordPeaks(now: Instant): void {
+    this.updateTotals();
+    for (const [model, peak] of this.peaks) {
+      const elapsed = Math.max(0, until(peak.updatedAt, now));
+      peak.inFlight *= Math.exp(-elapsed / PEAK_DECAY_MILLISECONDS);
+      peak.updatedAt = now;
+      if (peak.inFlight < 1) this.peaks.delete(model);
+    }
+    for (const [model, inFlight] of this.inFlightByModel) {
+      if (inFlight > (this.peaks.get(model)?.inFlight ?? 0))
+        this.peaks.set(model, {inFlight, updatedAt: now});
+    }
+  }
+
   /** Recent arrival rate of requests for a model. */
   arrivalsPerSecond(model: ModelName, now: Instant): number {
     const rate = this.rates.get(model);
