Copy models from the weight store while nothing is requested

Change: until a node reports a request, models without any copy are loaded in place of free memory or spare replicas, once all engines are read.

--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -394,6 +394,25 @@
     ]);
   });
 
+  // The weight store stood idle until the first requests came, and these were refused for want of a copy.
+  it('copies models while nothing is requested, without evicting the last replica of any', () => {
+    const input = {
+      now,
+      declaration: createDeclaration(100, 3),
+      engines: [engine('e1', [0, 1, 2], []), engine('e2', [0, 3, 4], [])],
+      demand: demandOf({}),
+      availableStoreLoads: 1,
+      storeLoadLimit: 1,
+      isIdle: true,
+    };
+    const changes = planModels(input);
+    expect(changes.map(({unload, reason}) => [unload, reason])).toEqual([
+      [[model(0)], 'spread'],
+    ]);
+    const engines = [engine('e1', [0, 1, 2], []), engine('e2', [3, 4, 5], [])];
+    expect(planModels({...input, engines})).toEqual([]);
+  });
+
   it('evicts a spare replica for a load from the store, not an idle model without another copy', () => {
     const changes = plan(
       [engine('e1', [0, 1, 2], []), engine('e2', [0, 3, 4], [])],
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -48,6 +48,9 @@
 /** Delay before a plan, so that it covers several changes of demand. */
 const PLAN_DELAY_MILLISECONDS: Milliseconds = 8;
 
+/** Time in which nodes report their usage to a new lease holder. */
+const FIRST_REPORTS_MILLISECONDS: Milliseconds = 1_000;
+
 /** Maximum time between plans, for conditions that depend on time alone. */
 const PLAN_INTERVAL_MILLISECONDS: Milliseconds = 200;
 
@@ -106,9 +109,11 @@
   private declaration: EngineDeclaration | undefined;
   private isPlanScheduled = false;
   private isStopped = false;
+  private readonly usageKnownAt: Instant;
 
   private constructor(private readonly options: AllocatorOptions) {
     const {clock, emit} = options;
+    this.usageKnownAt = after(clock.now(), FIRST_REPORTS_MILLISECONDS);
     const reports = EngineReportReader.create({orders: options.orders, emit});
     this.reports = reports;
     this.adapterCache = AdapterCache.create({
@@ -360,6 +365,17 @@
     });
   }
 
+  /** Whether nothing is requested, as far as is known; an engine that isn't read may have any model. */
+  private isIdle(now: Instant): boolean {
+    return (
+      this.demand.isIdle &&
+      now >= this.usageKnownAt &&
+      [...this.engines.values()].every(
+        ({view}) => view.orderCount !== undefined,
+      )
+    );
+  }
+
   private runPlan(): void {
     const {declaration} = this;
     const {authority, loadLimiter, clock} = this.options;
@@ -385,6 +401,7 @@
       demand: this.demand,
       availableStoreLoads,
       storeLoadLimit: loadLimiter.concurrencyLimit,
+      isIdle: this.isIdle(now),
       gapObjective: this.gapObjective,
     };
     if (authority() !== undefined) {
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -50,7 +50,8 @@
 
 /**
  * Models are copied from the weight store ahead of requests only if all models without a copy
- * can be copied in this time. Otherwise the loads are kept for models that requests ask for.
+ * can be copied in this time, or nothing is requested. Otherwise the loads are kept for models that
+ * requests ask for.
  */
 const COPYING_AHEAD_MILLISECONDS: Milliseconds = 120_000;
 
@@ -139,6 +140,8 @@
   readonly availableStoreLoads: number;
   /** Concurrent loads that the weight store is assumed to serve at full speed. */
   readonly storeLoadLimit: number;
+  /** Whether no request for any model is known, as before the first ones arrive. */
+  readonly isIdle?: boolean;
   /**
    * Shortest objective for the gap between two events of the service's streams; undefined if
    * there is none.
@@ -518,7 +521,7 @@
 
   /** Loads models that no engine has a copy of, without evicting models in use. */
   private loadUncopiedModels(): void {
-    const {declaration, storeLoadLimit} = this.input;
+    const {declaration, storeLoadLimit, isIdle = false} = this.input;
     const uncopied = [...declaration.models.values()].filter(
       ({name}) => this.replicaCount(name) === 0 && !this.hasCopy(name),
     );
@@ -526,7 +529,10 @@
       (sum, {loadMilliseconds}) => sum + loadMilliseconds.store,
       0,
     );
-    if (copyingMilliseconds / storeLoadLimit > COPYING_AHEAD_MILLISECONDS)
+    if (
+      !isIdle &&
+      copyingMilliseconds / storeLoadLimit > COPYING_AHEAD_MILLISECONDS
+    )
       return;
     for (const {name: model} of uncopied) {
       if (this.remainingStoreLoads <= 0) return;
@@ -683,9 +689,11 @@
     )
       return false;
     if (demand.isWaitedFor(placed.model)) return false;
-    if (!isEvictionRestricted) return true;
+    if (!isEvictionRestricted || this.replicaCount(placed.model) > 1)
+      return true;
+    // Before the first requests, every model would count as unused.
     return (
-      this.replicaCount(placed.model) > 1 ||
+      !(this.input.isIdle ?? false) &&
       demand.arrivalsPerSecond(placed.model, now) <
         UNUSED_BELOW_ARRIVALS_PER_SECOND
     );
--- a/packages/placement/src/service_demand.ts
+++ b/packages/placement/src/service_demand.ts
@@ -162,6 +162,15 @@
     return rate === undefined ? 0 : decayedRate(rate, now);
   }
 
+  /** Whether no request has arrived, waits or is in flight, as far as nodes have reported. */
+  get isIdle(): boolean {
+    return (
+      this.rates.size === 0 &&
+      this.waitingByModel.size === 0 &&
+      this.inFlightByEngine.size === 0
+    );
+  }
+
   private recordArrivals(model: ModelName, count: number, now: Instant): void {
     const previous = this.arrivalsPerSecond(model, now);
     const added = (count * 1_000) / RATE_DECAY_MILLISECONDS;
