Split the weights of endpoints from the draw

Cause: the weights by which an engine is drawn were known only inside the draw, so that nothing could state them. Change: weighEngines calculates them, and chooseEngineByLoad draws by them; weighEndpoints states how far an endpoint of a plain service is below the least cost that is never chosen. The work of a choice is the same.

--- a/packages/routing/__tests__/engine_balance.test.ts
+++ b/packages/routing/__tests__/engine_balance.test.ts
@@ -7,6 +7,7 @@
   EngineLoads,
   EngineSpeeds,
   chooseEngineByLoad,
+  weighEngines,
 } from '@siskinmux/routing';
 import {createSeededRandom} from '@siskinmux/testkit';
 
@@ -68,6 +69,24 @@
     expect(others.every(share => share > 0)).toEqual(true);
   });
 
+  // Guards against an explanation by other weights than those of the draw.
+  it('draws in proportion to the weights', () => {
+    const candidates = [
+      candidate({knownRequests: 3, unseenRequests: 4}),
+      candidate({knownRequests: 8, unseenRequests: 5, isInOwnDomain: false}),
+      candidate({knownRequests: 6, unseenRequests: 9, slowness: 1.3}),
+      candidate({knownRequests: 90}),
+    ];
+    const weights = weighEngines(candidates);
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    for (const [index, share] of sharesOf(candidates).entries())
+      expect(Math.abs(share - (weights[index] ?? 0) / total)).toBeLessThan(
+        0.03,
+      );
+    expect(weights[3]).toEqual(0);
+    expect(weighEngines([])).toEqual([]);
+  });
+
   it('gives an engine that is full no request while others have room', () => {
     const [full] = sharesOf([
       candidate({knownRequests: 96}),
--- a/packages/routing/__tests__/routing.test.ts
+++ b/packages/routing/__tests__/routing.test.ts
@@ -10,6 +10,7 @@
   chooseEndpoint,
   ownerOf,
   rankMembers,
+  weighEndpoints,
 } from '../src/index.js';
 
 const NOW = as<Instant>(1_000_000);
@@ -62,6 +63,30 @@
     );
   });
 
+  // Guards against an explanation by other costs than those of the choice.
+  it('never chooses an endpoint without a weight, and more often one with more', () => {
+    const candidates = [
+      candidate('far', {failureDomain: as<FailureDomain>('b')}),
+      candidate('first'),
+      candidate('second'),
+      // Of many slots, so that its cost differs by less than the random part.
+      candidate('third', {inFlight: 1, slots: 250}),
+    ];
+    const weights = weighEndpoints(candidates, context);
+    const counts = candidates.map(() => 0);
+    for (let index = 0; index < 2_000; index += 1) {
+      const chosen = chooseEndpoint(candidates, context);
+      const at = candidates.findIndex(each => each === chosen);
+      counts[at] = (counts[at] ?? 0) + 1;
+    }
+    expect([weights[0], counts[0]]).toEqual([0, 0]);
+    expect(weights[1]).toEqual(weights[2]);
+    expect(weights[3] ?? 0).toBeGreaterThan(0);
+    expect(weights[3] ?? 0).toBeLessThan(weights[1] ?? 0);
+    expect(counts[3] ?? 0).toBeGreaterThan(0);
+    expect(counts[3] ?? 0).toBeLessThan(counts[1] ?? 0);
+  });
+
   it('spreads requests over all endpoints that have equal reports', () => {
     const candidates = ['one', 'two', 'three', 'four'].map(name =>
       candidate(name),
--- a/packages/routing/src/choose_endpoint.ts
+++ b/packages/routing/src/choose_endpoint.ts
@@ -52,10 +52,14 @@
   readonly isPrefixOwner: boolean;
 }
 
-/** Inputs of a choice other than the candidates. */
-export interface ChoiceContext {
+/** Inputs of the candidates' costs. */
+export interface CostContext {
   readonly now: Instant;
   readonly failureDomain: FailureDomain;
+}
+
+/** Inputs of a choice other than the candidates. */
+export interface ChoiceContext extends CostContext {
   readonly random: Random;
 }
 
@@ -83,6 +87,20 @@
   return chosen;
 }
 
+/**
+ * Weights of the candidates, in their order: how far their costs are below the least one that
+ * {@link chooseEndpoint} never takes. It takes a candidate with more weight more often.
+ */
+export function weighEndpoints(
+  candidates: readonly Candidate[],
+  context: CostContext,
+): number[] {
+  const scale = requestsPerOwnRequest(candidates);
+  const costs = candidates.map(each => costOf(each, context, scale));
+  const bound = Math.min(...costs) + MAXIMUM_TIE_BREAK_COST;
+  return costs.map(cost => Math.max(0, bound - cost));
+}
+
 /** Ratio of the requests of all nodes to those of this node, at least 1. */
 function requestsPerOwnRequest(candidates: readonly Candidate[]): number {
   let own = 0;
@@ -97,7 +115,7 @@
 /** Estimated load as a share of the endpoint's slots, plus the costs of a poor match. */
 function costOf(
   candidate: Candidate,
-  context: ChoiceContext,
+  context: CostContext,
   scale: number,
 ): number {
   let cost = estimatedLoad(candidate, context.now, scale) / candidate.slots;
--- a/packages/routing/src/choose_engine.ts
+++ b/packages/routing/src/choose_engine.ts
@@ -23,26 +23,14 @@
   readonly isInOwnDomain: boolean;
 }
 
-/**
- * Draws one of the candidates; undefined if there are none. The unseen requests of all
- * candidates are spread as this node would spread them, since the other nodes decide by the
- * same knowledge. Without any, this is the least loaded candidate.
- */
+/** Draws one of the candidates by {@link weighEngines}; undefined if there are none. */
 export function chooseEngineByLoad<Candidate extends EngineCandidate>(
   candidates: readonly Candidate[],
   random: Random,
 ): Candidate | undefined {
-  const level = commonLevel(candidates);
+  const weights = weighEngines(candidates);
   let total = 0;
-  const weights = candidates.map(candidate => {
-    const {knownRequests, slots, slowness, isInOwnDomain} = candidate;
-    const missing = Math.max(0, level * slots - knownRequests);
-    const preference = isInOwnDomain ? OWN_DOMAIN_WEIGHT : 1;
-    // A slower engine gets fewer, so that its requests wait no longer.
-    const weight = (missing * preference) / Math.sqrt(slowness);
-    total += weight;
-    return weight;
-  });
+  for (const weight of weights) total += weight;
   let remaining = random() * total;
   let chosen: Candidate | undefined;
   for (const [index, candidate] of candidates.entries()) {
@@ -55,6 +43,21 @@
   return chosen;
 }
 
+/**
+ * Weights of the candidates, in their order. The unseen requests of all candidates are spread as
+ * this node would spread them, since the other nodes decide by the same knowledge. Without any,
+ * only the least loaded candidate has a weight.
+ */
+export function weighEngines(candidates: readonly EngineCandidate[]): number[] {
+  const level = commonLevel(candidates);
+  return candidates.map(({knownRequests, slots, slowness, isInOwnDomain}) => {
+    const missing = Math.max(0, level * slots - knownRequests);
+    const preference = isInOwnDomain ? OWN_DOMAIN_WEIGHT : 1;
+    // A slower engine gets fewer, so that its requests wait no longer.
+    return (missing * preference) / Math.sqrt(slowness);
+  });
+}
+
 /**
  * Load relative to the slots that the candidates below it reach when they get all unseen
  * requests, and the one to be sent.
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,9 +1,13 @@
 /** Routing: endpoint choice, retry budgets and outlier ejection. */
 
-export type {Candidate, ChoiceContext} from './choose_endpoint.js';
-export {CROSS_DOMAIN_COST, chooseEndpoint} from './choose_endpoint.js';
+export type {Candidate, ChoiceContext, CostContext} from './choose_endpoint.js';
+export {
+  CROSS_DOMAIN_COST,
+  chooseEndpoint,
+  weighEndpoints,
+} from './choose_endpoint.js';
 export type {EngineCandidate} from './choose_engine.js';
-export {chooseEngineByLoad} from './choose_engine.js';
+export {chooseEngineByLoad, weighEngines} from './choose_engine.js';
 export type {
   EstimatedEngine,
   LoadEstimate,
