--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -10,6 +10,7 @@
 import {CapacityOrder} from './capacity_order.js';
 import type {CapacityRequest, Flow, TeamLine} from './capacity_request.js';
 import {flowKey, lineKey, yieldsUntil} from './capacity_request.js';
+import {copyState} from './copy_state.js';
 import {RoomRate} from './room_rate.js';
 import type {ServedRequest} from './service_shares.js';
 import {ServiceShares} from './service_shares.js';
@@ -82,6 +83,11 @@
     return new CapacityQueue(ServiceShares.create());
   }
 
+  /** A queue in the same state, to try a decision on. */
+  copy(): CapacityQueue<Item> {
+    return copyState<CapacityQueue<Item>>(this);
+  }
+
   /** Number of held requests. */
   get size(): number {
     return this.total;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -35,6 +35,7 @@
 export {SLOTS_PER_WINDOW, TeamQuotaLedger} from './team_quota_ledger.js';
 export type {
   GateDecision,
+  GatePreview,
   GateReport,
   HolderState,
   TeamQuotaGateOptions,
--- a/packages/admission/src/team_ledger.ts
+++ b/packages/admission/src/team_ledger.ts
@@ -3,6 +3,7 @@
 import type {Instant, Milliseconds, NodeId} from '@siskinmux/kernel';
 import {after, earlier, later, until} from '@siskinmux/kernel';
 import type {QuotaAuthority} from './team_budget.js';
+import {copyState} from './copy_state.js';
 import {TeamBudget} from './team_budget.js';
 import {TeamLoads} from './team_loads.js';
 import type {QuotaRate, QuotaRules} from './team_quota_rules.js';
@@ -185,6 +186,27 @@
     this.waitEnd = earlier(this.waitEnd ?? waitUntil, waitUntil);
   }
 
+  /** What {@link request} would decide now; undefined if the request would wait for its turn. */
+  preview(
+    node: NodeId,
+    amount: number,
+    waitUntil: Instant,
+    now: Instant,
+  ): QuotaDecision | undefined {
+    const waiters = this.waiters.map(each => ({...each, settle: () => {}}));
+    const state = copyState<object>({...this, waiters});
+    const copy = Object.assign(
+      Object.create(TeamLedger.prototype) as TeamLedger,
+      state,
+    );
+    let decided: QuotaDecision | undefined;
+    const settle = (decision: QuotaDecision): void => {
+      decided = decision;
+    };
+    copy.request(node, amount, waitUntil, settle, now);
+    return decided;
+  }
+
   /** Grants what is due, and refuses those whose wait ends before their turn. */
   advance(now: Instant): void {
     this.budget.refill(this.authority(now), now);
--- a/packages/admission/src/team_quota_gate.ts
+++ b/packages/admission/src/team_quota_gate.ts
@@ -18,6 +18,7 @@
   shareLeft,
   timeFor,
 } from './team_quota_rules.js';
+import {copyState} from './copy_state.js';
 import {WindowCount} from './window_count.js';
 
 /** Assumed number of nodes before a lease holder has told it. */
@@ -54,6 +55,15 @@
   readonly teams: readonly Entry[];
 }
 
+/** What {@link TeamQuotaGate.decide} would decide, and by what knowledge. */
+export interface GatePreview {
+  readonly decision: GateDecision;
+  /** Amount that the node may admit now without asking. */
+  readonly level: number;
+  /** When the lease holder was heard last; undefined if never. */
+  readonly heardAt: Instant | undefined;
+}
+
 interface GatedTeam {
   quota: QuotaRate;
   /** Amount that the node may have admitted beyond what the holder knows. */
@@ -165,6 +175,30 @@
     return {kind: 'admitted'};
   }
 
+  /** Tries {@link decide} on a copy; undefined for a team without a quota. */
+  preview(
+    team: TeamName,
+    amount: number,
+    now: Instant,
+    random: Random,
+  ): GatePreview | undefined {
+    const gated = this.teams.get(team);
+    if (gated === undefined) return undefined;
+    const {rules} = this.options;
+    const copy = new TeamQuotaGate({rules, random}, this.heardAt);
+    copy.nodeCount = this.nodeCount;
+    copy.withoutHolderSince = this.withoutHolderSince;
+    copy.isHolderUnaware = this.isHolderUnaware;
+    const copied = copyState(gated);
+    copy.teams.set(team, copied);
+    if (this.hasNoHolder) copy.refill(copied, now);
+    return {
+      level: Math.max(0, this.hasNoHolder ? copied.level : freeLeft(copied)),
+      heardAt: this.isNew ? undefined : this.heardAt,
+      decision: copy.decide(team, amount, now),
+    };
+  }
+
   /** Records a request that the holder has granted. */
   recordGranted(team: TeamName, amount: number, now: Instant): void {
     this.teams.get(team)?.recent.add(amount, now);
--- a/packages/admission/src/team_quota_ledger.ts
+++ b/packages/admission/src/team_quota_ledger.ts
@@ -7,7 +7,7 @@
 import {as, until} from '@siskinmux/kernel';
 import type {QuotaAuthority} from './team_budget.js';
 import {LOST_NODE_MILLISECONDS} from './team_budget.js';
-import type {SettleQuota, TeamState} from './team_ledger.js';
+import type {QuotaDecision, SettleQuota, TeamState} from './team_ledger.js';
 import {TeamLedger} from './team_ledger.js';
 import type {QuotaRate, QuotaRules} from './team_quota_rules.js';
 import {amountIn, minimumShare} from './team_quota_rules.js';
@@ -189,6 +189,19 @@
     else ledger.request(node, amount, waitUntil, settle, now);
   }
 
+  /** What {@link request} would decide now; undefined if the request would wait for its turn. */
+  preview(
+    node: NodeId,
+    team: TeamName,
+    amount: number,
+    waitUntil: Instant,
+    now: Instant,
+  ): QuotaDecision | undefined {
+    const ledger = this.teams.get(team)?.ledger;
+    if (ledger === undefined) return {kind: 'granted'};
+    return ledger.preview(node, amount, waitUntil, now);
+  }
+
   /** Grants what is due to those who wait. */
   advance(now: Instant): void {
     for (const {ledger} of this.teams.values()) ledger.advance(now);
--- a/packages/endpoints/src/endpoint_table.ts
+++ b/packages/endpoints/src/endpoint_table.ts
@@ -109,6 +109,11 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Endpoints of a service that are registered, also those that accept no requests. */
+  registeredFor(service: ServiceName): EndpointDescription[] {
+    return [...this.byId.values()].filter(each => each.service === service);
+  }
+
   /**
    * Replaces the content with a complete list. When `keepMissingUntil` is set, endpoints
    * that are missing from the list stay until then, as they may register again.
--- /dev/null
+++ b/packages/gateway/__tests__/where_explainer.test.ts
@@ -0,0 +1,476 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {
+  FailureDomain,
+  ModelName,
+  NodeId,
+  ServiceName,
+  TeamName,
+} from '@siskinmux/kernel';
+import {ErrorCode, after, as} from '@siskinmux/kernel';
+import type {SoftwareVersion} from '@siskinmux/endpoints';
+import {digestApiKey} from '@siskinmux/routes';
+import {createEngineDescription} from '@siskinmux/testkit';
+import {heartbeatSchema} from '../src/placement_messages.js';
+import {encodeTeamStates} from '../src/team_quota_messages.js';
+import {answerWhere} from '../src/where_request.js';
+import {
+  KEY,
+  MODEL,
+  NODE,
+  SECOND_KEY,
+  createWorld,
+  holdLease,
+} from './where_world.js';
+
+const TEXT = {path: '/text/1', model: 'm0'};
+const service = as<ServiceName>('engines');
+
+/** `ask` of the world fails if the question has changed the state of a part. */
+describe('explanation of where a request would go', () => {
+  // Guards against a comparison that misses what has changed.
+  it('is compared with a state that shows each draw, message, count and timer', async () => {
+    const {state, effects, clock, client, inFlightCounts, engines, follow} =
+      createWorld();
+    const endpoint = engines[0]!.id;
+    const changes = [
+      () => (effects.draws += 1),
+      () => clock.schedule(clock.now(), () => {}),
+      () => inFlightCounts.track({endpoint, model: MODEL, adapter: undefined}),
+      () => client.reportMissingModel(endpoint, MODEL),
+      follow,
+    ];
+    for (const change of changes) {
+      const before = state();
+      change();
+      expect(state() === before).toEqual(false);
+    }
+  });
+
+  it('sends to the engine with the most weight, and states load, age and weights', async () => {
+    const {ask, clusterLoad, clock, inFlightCounts, engines, follow} =
+      createWorld();
+    follow();
+    clusterLoad.update([
+      ['engine-1', 9],
+      ['engine-2', 2],
+    ]);
+    const [first] = engines;
+    inFlightCounts.track({
+      endpoint: first!.id,
+      model: MODEL,
+      adapter: undefined,
+    });
+    await clock.advance(100);
+    const answer = ask(TEXT);
+    expect(answer.node).toEqual(NODE);
+    expect(answer.decision).toLooseEqual({
+      kind: 'send',
+      endpoint: 'engine-3',
+      relay: null,
+      statement: 'has the most weight; the actual choice is random by weight',
+    });
+    expect(answer.route).toEqual({
+      name: 'text',
+      service: 'engines',
+      targets: [{service: 'engines', weight: 1}],
+      kind: 'stream',
+      timeout: 4_000,
+      latencyObjective: 5_000,
+      deadlineIn: 4_000,
+      configurationVersion: 7,
+      configurationAge: 120,
+    });
+    expect(answer.endpointsAge).toEqual(340);
+    expect(answer.model?.state).toEqual('ready');
+    const busiest = answer.candidates.find(
+      each => each.endpoint === 'engine-1',
+    );
+    expect(busiest?.knownInFlight).toEqual(10);
+    expect(busiest?.ownInFlight).toEqual(1);
+    expect(busiest?.age).toEqual(100);
+    expect(busiest?.weight).toEqual(0);
+    expect(answer.candidates[0]?.weight ?? 0).toBeGreaterThan(0);
+  });
+
+  it('draws as it explains: real choices follow the weights', async () => {
+    const {ask, client, clusterLoad, requirements, follow} = createWorld();
+    follow();
+    clusterLoad.update([
+      ['engine-1', 9],
+      ['engine-2', 2],
+    ]);
+    const {decision} = ask(TEXT);
+    const found = await client.find({...requirements(1_000), model: MODEL});
+    expect(decision.kind === 'send' && decision.endpoint).toEqual(found.id);
+  });
+
+  it('sends to a plain endpoint by the requests of this node', () => {
+    const {ask, inFlightCounts, plain} = createWorld();
+    const {id: endpoint} = plain[0]!;
+    inFlightCounts.track({endpoint, model: undefined, adapter: undefined});
+    const {decision, model, candidates} = ask({path: '/read/1'});
+    expect(decision.kind === 'send' && decision.endpoint).toEqual(
+      'plain-2' as never,
+    );
+    expect(model).toEqual(null);
+    expect(candidates.map(({age}) => age)).toEqual([0, 0]);
+  });
+
+  it('names what excludes each endpoint', async () => {
+    const world = createWorld();
+    const {ask, table, engines, clock, outliers} = world;
+    world.follow();
+    const engine = (name: string, model = MODEL) =>
+      createEngineDescription(name, service, [model]);
+    const draining = {...engine('draining'), isDraining: true};
+    const crashed = engine('crashed');
+    const other = engine('other', as<ModelName>('m1'));
+    const outlier = engine('outlier');
+    const paused = engine('paused');
+    const limited = engine('limited');
+    world.setEndpoints(
+      ...engines,
+      draining,
+      crashed,
+      other,
+      outlier,
+      paused,
+      limited,
+    );
+    table.recordCrash(crashed.incarnation, clock.now());
+    for (let count = 0; count < 3; count += 1)
+      outliers.recordFailure(outlier.id, clock.now());
+    world.pause(paused, 2_000);
+    world.limit(limited);
+    const reasons = (query: Record<string, string>) =>
+      Object.fromEntries(
+        ask(query).candidates.map(each => [each.endpoint, each.excluded]),
+      );
+    expect(reasons(TEXT)).toLooseEqual({
+      'engine-1': null,
+      'engine-2': null,
+      'engine-3': null,
+      draining: 'draining',
+      crashed: 'crashed',
+      other: 'lacks_model',
+      outlier: 'outlier',
+      paused: 'paused',
+      // Without a lease holder there is no permit.
+      limited: 'request_limit',
+    });
+    expect(reasons({...TEXT, adapter: 'a1'})['engine-1']).toEqual(
+      'lacks_adapter',
+    );
+    expect(reasons({...TEXT, version: 'v9'})['engine-1']).toEqual(
+      'wrong_version',
+    );
+    world.setEndpoints({
+      ...engine('engine-1'),
+      softwareVersion: as<SoftwareVersion>('v9'),
+    });
+    expect(reasons({...TEXT, version: 'v9'})).toLooseEqual({
+      'engine-1': null,
+    });
+  });
+
+  it('refuses an unknown route, and a request of no known team, without a return time', () => {
+    const {ask} = createWorld({hasTeams: true});
+    const refusal = (query: Record<string, string>) => {
+      const {decision, route, team} = ask(query);
+      expect([route, team]).toEqual([null, null]);
+      if (decision.kind !== 'refuse') throw new TypeError(decision.kind);
+      return [decision.status, decision.code, decision.returnIn];
+    };
+    expect(refusal({path: '/nowhere'})).toEqual([
+      404,
+      ErrorCode.UnknownTarget,
+      null,
+    ]);
+    const unknown = [401, ErrorCode.Unauthenticated, null];
+    expect(refusal({path: '/read/1', team: 'nobody'})).toEqual(unknown);
+    expect(refusal({path: '/read/1'})).toEqual(unknown);
+  });
+
+  it('refuses beyond the quota with the return time of the ledger, where this node holds the lease', async () => {
+    const world = createWorld({hasTeams: true});
+    const {ask, teamQuotas, clock} = world;
+    const {beat} = holdLease(world);
+    // A new lease holder doesn't know what was admitted in the window before.
+    for (let at = 0; at < 20_000; at += 300) {
+      beat();
+      await clock.advance(300);
+    }
+    const query = {path: '/read/1', team: 'busy'};
+    expect(ask(query).decision.kind).toEqual('send');
+    const signal = new AbortController().signal;
+    const team = as<TeamName>('busy');
+    const acquire = () =>
+      teamQuotas
+        .acquire({
+          team,
+          amount: 1,
+          deadline: after(clock.now(), 4_000),
+          signal,
+        })
+        .catch(() => {});
+    for (let count = 0; count < 8; count += 1) void acquire();
+    await clock.advance(300);
+    beat();
+    const answer = ask(query);
+    expect(answer.team?.quota?.isMetered).toEqual(true);
+    expect(answer.team?.quota?.age).toEqual(0);
+    if (answer.decision.kind !== 'refuse')
+      throw new TypeError(answer.decision.kind);
+    expect(answer.decision.status).toEqual(429);
+    expect(answer.decision.code).toEqual(ErrorCode.QuotaExceeded);
+    expect(answer.decision.returnIn ?? 0).toBeGreaterThan(0);
+    // A team without a quota is not affected.
+    expect(ask({...query, team: 'calm'}).decision.kind).toEqual('send');
+  });
+
+  it('waits for a permit of another lease holder, or for a lease holder, as it sends no message', async () => {
+    const world = createWorld({hasTeams: true});
+    const {ask, teamQuotas, clock} = world;
+    const query = {path: '/read/1', team: 'busy'};
+    const before = ask(query).decision;
+    expect(before.kind === 'wait' && before.reason).toEqual(
+      'lease_holder' as never,
+    );
+    teamQuotas.setExchange({
+      reportTeamUsage: () => {},
+      requestTeamPermit: () => {
+        throw new TypeError('asked');
+      },
+    });
+    const changes = [{team: as<TeamName>('busy'), free: 0, share: 0.5}];
+    const teams = encodeTeamStates(0, changes);
+    teamQuotas.applyHeartbeat(
+      heartbeatSchema.parse({nodes: 2, reachesStore: true, teams}),
+    );
+    await clock.advance(50);
+    const {decision, team} = ask(query);
+    expect(team?.quota ?? null).toEqual({
+      unit: 'requests',
+      cost: 1,
+      level: 0,
+      age: 50,
+      isMetered: true,
+      hasLeaseHolder: true,
+    });
+    expect(decision.kind === 'wait' && decision.reason).toEqual(
+      'quota_permit' as never,
+    );
+    expect(decision.kind === 'wait' && decision.atMost).toEqual(250 as never);
+  });
+});
+
+describe('explanation of requests that wait or are refused', () => {
+  const kindOf = (decision: {kind: string; reason?: string}): string =>
+    decision.reason ?? decision.kind;
+
+  it('tells a forecast in time from one that is too late, and its age', async () => {
+    const world = createWorld();
+    const {ask, client, clock, requirements} = world;
+    world.follow();
+    const query = {path: '/text/1', model: 'm9'};
+    const forecast = (milliseconds: number): void =>
+      client.onForecasts(service, [
+        {
+          model: as<ModelName>('m9'),
+          readyAt: after(clock.now(), milliseconds),
+        },
+      ]);
+    expect(kindOf(ask(query).decision)).toEqual('model');
+    expect(ask(query).model?.forecast).toEqual(null);
+    forecast(1_000);
+    await clock.advance(100);
+    const inTime = ask(query);
+    expect(kindOf(inTime.decision)).toEqual('model');
+    expect(inTime.model?.state).toEqual('asleep');
+    expect(inTime.model?.forecast).toEqual({readyIn: 900, age: 100});
+    // While requests of this node wait for it, the lease holder has it loaded.
+    void client.find(requirements(4_000)).catch(() => {});
+    await clock.advance(1);
+    expect(ask(query).model?.state).toEqual('loading');
+    forecast(9_000);
+    const late = ask(query).decision;
+    if (late.kind !== 'refuse') throw new TypeError(late.kind);
+    expect([late.status, late.code]).toEqual([503, ErrorCode.NoEndpoint]);
+    expect(late.returnIn ?? 0).toBeGreaterThanOrEqual(9_000);
+    // A forecast whose time has passed says nothing.
+    await clock.advance(9_001);
+    expect(ask(query).model?.forecast).toEqual(null);
+  });
+
+  it('waits for a lease holder, and refuses once none has come for long', async () => {
+    const {ask, clock} = createWorld();
+    const query = {path: '/text/1', model: 'm9'};
+    expect(kindOf(ask(query).decision)).toEqual('lease_holder');
+    await clock.advance(1_001);
+    const {decision} = ask(query);
+    expect(decision.kind === 'refuse' && decision.status).toEqual(503 as never);
+  });
+
+  it('holds while all engines are full, and refuses what could not start in time', async () => {
+    const world = createWorld({hasTeams: true, nodeCount: 100});
+    const {ask, client, clock, fill, ordering, requirements} = world;
+    world.follow();
+    const query = {...TEXT, team: 'calm'};
+    expect(ask(query).decision.kind).toEqual('send');
+    fill();
+    const held = ask(query).decision;
+    expect(kindOf(held)).toEqual('room');
+    expect(held.kind === 'wait' && held.atMost).toEqual(3_750 as never);
+    // What is held really, with its rates, is copied and left alone.
+    for (let count = 0; count < 20; count += 1)
+      void client
+        .find({...requirements(3_000), model: MODEL, ordering})
+        .catch(() => {});
+    await clock.advance(10);
+    expect(kindOf(ask(query).decision)).toEqual('room');
+    const tooShort = ask({...query, deadline: '200'}).decision;
+    if (tooShort.kind !== 'refuse') throw new TypeError(tooShort.kind);
+    expect(tooShort.status).toEqual(503);
+    expect(tooShort.code).toEqual(ErrorCode.EndpointBusy);
+    expect(tooShort.returnIn ?? 0).toBeGreaterThan(0);
+  });
+
+  it('refuses without an endpoint, without a model, and with one that is not declared', () => {
+    const world = createWorld();
+    const {ask} = world;
+    world.follow();
+    const refusal = (query: Record<string, string>) => {
+      const {decision} = ask(query);
+      if (decision.kind !== 'refuse') throw new TypeError(decision.kind);
+      return [decision.status, decision.code, decision.returnIn];
+    };
+    const code = ErrorCode.NoEndpoint;
+    expect(refusal({path: '/empty/1'})).toEqual([503, code, 500]);
+    expect(refusal({path: '/text/1'})).toEqual([503, code, null]);
+    expect(refusal({...TEXT, model: 'undeclared'})).toEqual([503, code, null]);
+  });
+
+  it('waits for the end of a pause in time, and refuses on a plain service otherwise', () => {
+    const world = createWorld();
+    const {ask, plain} = world;
+    for (const endpoint of plain) world.pause(endpoint, 1_000);
+    const query = {path: '/read/1'};
+    const wait = ask(query).decision;
+    expect(kindOf(wait)).toEqual('pause_end');
+    const {decision} = ask({...query, deadline: '500'});
+    if (decision.kind !== 'refuse') throw new TypeError(decision.kind);
+    expect(decision.code).toEqual(ErrorCode.EndpointLimited);
+    expect(decision.returnIn).toEqual(1_250);
+  });
+
+  it('asks for the lease holder where the chosen endpoint has a request limit', () => {
+    const world = createWorld();
+    for (const endpoint of world.plain) world.limit(endpoint);
+    expect(kindOf(world.ask({path: '/read/1'}).decision)).toEqual(
+      'request_permit',
+    );
+  });
+
+  it('waits for a read while what is known is too old, and goes by another node without links', () => {
+    const world = createWorld();
+    const {ask, knowledge} = world;
+    knowledge.isDecidable = false;
+    const outdated = ask({path: '/read/1'});
+    expect(kindOf(outdated.decision)).toEqual('platform_view');
+    expect(outdated.route?.name).toEqual('read');
+    knowledge.isDecidable = true;
+    knowledge.isCut = true;
+    const lost = ask({path: '/read/1'}).decision;
+    expect(lost.kind === 'refuse' && lost.code).toEqual(
+      ErrorCode.LinksLost as never,
+    );
+    world.setPeers({
+      node: as<NodeId>('node-2'),
+      address: '127.0.0.1:1',
+      failureDomain: as<FailureDomain>('a'),
+      cutFrom: [],
+    });
+    const relayed = ask({path: '/read/1'}).decision;
+    expect(relayed.kind === 'send' && relayed.relay).toEqual('node-2' as never);
+    knowledge.isCut = false;
+    knowledge.hasTime = false;
+    const stopping = ask({path: '/read/1'}).decision;
+    expect(stopping.kind === 'refuse' && stopping.code).toEqual(
+      ErrorCode.ShuttingDown as never,
+    );
+  });
+});
+
+describe('GET /where', () => {
+  const answer = (query: Record<string, string | string[]>) => {
+    const {explainer} = createWorld({hasTeams: true});
+    return answerWhere(explainer, query, failure => {
+      throw failure;
+    });
+  };
+  const valid = {host: 'offers.example', path: '/read/1', team: 'calm'};
+
+  // Guards against an operator who can't tell what to correct.
+  it('rejects a malformed query with an error that names the field', () => {
+    expect(answer(valid).status).toEqual(200);
+    const faults: [string, Record<string, string | string[]>][] = [
+      ['host', {path: '/read/1'}],
+      ['path', {host: 'offers.example'}],
+      ['path', {...valid, path: 'read'}],
+      ['method', {...valid, method: 'get it'}],
+      ['model', {...valid, model: ''}],
+      ['team', {...valid, team: ['calm', 'busy']}],
+      ['tokens', {...valid, tokens: '12'}],
+      ['tokens', {...valid, tokens: '1,-2'}],
+      ['deadline', {...valid, deadline: '0'}],
+      ['deadline', {...valid, deadline: '1e3'}],
+      ['colour', {...valid, colour: 'red'}],
+    ];
+    for (const [field, query] of faults) {
+      const {status, body} = answer(query);
+      expect([status, (body as {field: string}).field]).toEqual([400, field]);
+      expect((body as {detail: string}).detail).toInclude(`${field}: expected`);
+    }
+  });
+
+  // Guards against a key that is pasted into the question and kept where answers are kept.
+  it('contains no key and no digest, whatever is asked', () => {
+    const secrets = [KEY, SECOND_KEY].flatMap(key => [key, digestApiKey(key)]);
+    const questions = secrets.flatMap(secret => [
+      {...valid, team: secret},
+      {...valid, model: secret},
+      {...valid, path: `/read/${secret}`},
+      {...valid, path: `/nowhere?key=${secret}`},
+      {...valid, host: secret},
+      {...valid, tokens: secret},
+      {...valid, [secret]: '1'},
+      {...valid, key: secret},
+    ]);
+    for (const query of [valid, {...valid, team: 'busy'}, ...questions]) {
+      const text = JSON.stringify(answer(query));
+      for (const secret of secrets)
+        expect(text.includes(secret)).toEqual(false);
+    }
+    const {status, body} = answer({...valid, team: KEY});
+    expect([status, (body as {detail: string}).detail]).toEqual([
+      400,
+      'team: expected a name, not a key',
+    ]);
+  });
+
+  it('answers an unexpected error as one, and has it logged', () => {
+    const failures: unknown[] = [];
+    const failing = {
+      explain: () => {
+        throw new TypeError('secret');
+      },
+    };
+    const {status, body} = answerWhere(failing, valid, failure =>
+      failures.push(failure),
+    );
+    expect(status).toEqual(500);
+    expect(JSON.stringify(body).includes('secret')).toEqual(false);
+    expect(failures.length).toEqual(1);
+  });
+});
--- a/packages/gateway/src/allocator_server.ts
+++ b/packages/gateway/src/allocator_server.ts
@@ -461,6 +461,12 @@
     return teamQuotas.requestPermit(self, request);
   }
 
+  previewTeamPermit(request: TeamPermitRequest): QuotaDecision | undefined {
+    const {teamQuotas, self} = this.options;
+    if (teamQuotas === undefined) return {kind: 'granted'};
+    return teamQuotas.previewPermit(self, request);
+  }
+
   /** Records what this node has read from the metadata store, to be sent with the next heartbeat. */
   recordRead(read: KindRead): void {
     this.feed.record(read);
--- a/packages/gateway/src/capacity_holds.ts
+++ b/packages/gateway/src/capacity_holds.ts
@@ -78,6 +78,12 @@
   readonly onCapacityWait: (outcome: CapacityOutcome) => void;
 }
 
+/** What {@link CapacityHolds.waitForRoom} would decide. */
+export type CapacityPreview =
+  | {readonly kind: 'room'}
+  | {readonly kind: 'held'; readonly startBy: Instant}
+  | {readonly kind: 'refused'; readonly refusal: RefusalError};
+
 interface HeldRequest extends CapacityRequest {
   readonly id: RequestId;
   readonly settle: (refusal: RefusalError | undefined) => void;
@@ -125,18 +131,10 @@
   ): Promise<void> {
     const {clock} = this.options;
     const now = clock.now();
-    const key = `${requirements.service} ${model}`;
+    const key = groupKey(requirements, model);
     const group = this.groups.get(key) ?? this.createGroup(key, engines, now);
-    const item = {
-      ...ordering,
-      group: key,
-      routePriority: ordering.routePriority ?? requirements.priority,
-      arrivedAt: now,
-      startBy: after(requirements.deadline, -TIME_TO_FIRST_EVENT_MILLISECONDS),
-    };
-    const mayPass =
-      this.roomOf(group, now) >= 1 || this.isBelowShare(group, now);
-    if (this.queue.sizeOf(key) === 0 && mayPass) {
+    const item = createItem(requirements, ordering, key, now);
+    if (this.queue.sizeOf(key) === 0 && this.mayPass(group, now)) {
       this.queue.recordUnheld(item, now);
       group.passed.push(now);
       return Promise.resolve();
@@ -168,7 +166,7 @@
         group.sentAt = now;
         group.ownInFlight = this.ownInFlightOf(group);
       }
-      if (this.mayPassAtOnce(held, group, now)) {
+      if (this.mayPassAtOnce(held, group, this.queue, now)) {
         this.queue.take(now, other => other === key);
         this.recordSent(held, now);
         resolve();
@@ -181,6 +179,36 @@
     });
   }
 
+  /** Tries {@link waitForRoom} on copies of the group and the queue. */
+  preview(
+    requirements: EndpointRequirements,
+    ordering: RequestOrdering,
+    model: ModelName,
+    engines: () => readonly EndpointDescription[],
+  ): CapacityPreview {
+    const now = this.options.clock.now();
+    const key = groupKey(requirements, model);
+    const group = {...(this.groups.get(key) ?? newGroup(engines, now))};
+    const isFirst = this.queue.sizeOf(key) === 0;
+    if (isFirst && this.mayPass(group, now)) return {kind: 'room'};
+    const queue = this.queue.copy();
+    const item = {
+      ...createItem(requirements, ordering, key, now),
+      id: requirements.id,
+      settle: () => {},
+    };
+    const decision = queue.offer(item, now);
+    if (decision.kind === 'refused')
+      return {
+        kind: 'refused',
+        refusal: createBusyRefusal(key, decision.retryAt),
+      };
+    if (isFirst) group.credit = 0;
+    return this.mayPassAtOnce(item, group, queue, now)
+      ? {kind: 'room'}
+      : {kind: 'held', startBy: item.startBy};
+  }
+
   /** Called when a report of the engines' load has arrived. */
   onReport(): void {
     const now = this.options.clock.now();
@@ -225,13 +253,7 @@
       for (const other of this.groups.keys())
         if (this.queue.sizeOf(other) === 0) this.groups.delete(other);
     }
-    const group = {
-      engines,
-      credit: 0,
-      ownInFlight: 0,
-      sentAt: now,
-      passed: [],
-    };
+    const group = newGroup(engines, now);
     this.groups.set(key, group);
     return group;
   }
@@ -296,17 +318,23 @@
     }
   }
 
+  /** Whether a request is sent without being held, if none is held. */
+  private mayPass(group: Group, now: Instant): boolean {
+    return this.roomOf(group, now) >= 1 || this.isBelowShare(group, now);
+  }
+
   /** Whether a request goes before all that are held, and would be late if it was held. */
   private mayPassAtOnce(
     item: HeldRequest,
     group: Group,
+    queue: CapacityQueue<HeldRequest>,
     now: Instant,
   ): boolean {
     return (
       until(now, item.objectiveAt) < KNOWLEDGE_AGE_MILLISECONDS &&
       group.credit > -MAXIMUM_DEBT &&
       this.roomOf(group, now, URGENT_LOAD_PER_SLOT) >= 1 &&
-      this.queue.peek(now, key => key === item.group) === item
+      queue.peek(now, key => key === item.group) === item
     );
   }
 
@@ -369,9 +397,7 @@
     retryAt: Instant,
   ): void {
     this.end(item, outcome, retryAt);
-    item.settle(
-      createNotRunRefusal(ErrorCode.EndpointBusy, item.group, retryAt),
-    );
+    item.settle(createBusyRefusal(item.group, retryAt));
   }
 
   private end(
@@ -394,3 +420,33 @@
     });
   }
 }
+
+function groupKey(
+  {service}: EndpointRequirements,
+  model: ModelName,
+): HeldRequest['group'] {
+  return `${service} ${model}`;
+}
+
+function newGroup(engines: Group['engines'], now: Instant): Group {
+  return {engines, credit: 0, ownInFlight: 0, sentAt: now, passed: []};
+}
+
+function createItem(
+  {priority, deadline}: EndpointRequirements,
+  ordering: RequestOrdering,
+  group: string,
+  now: Instant,
+) {
+  return {
+    ...ordering,
+    group,
+    routePriority: ordering.routePriority ?? priority,
+    arrivedAt: now,
+    startBy: after(deadline, -TIME_TO_FIRST_EVENT_MILLISECONDS),
+  };
+}
+
+function createBusyRefusal(group: string, retryAt: Instant): RefusalError {
+  return createNotRunRefusal(ErrorCode.EndpointBusy, group, retryAt);
+}
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -15,6 +15,7 @@
   Milliseconds,
   ModelName,
   Random,
+  RefusalError,
   RequestId,
   ServiceName,
   TeamName,
@@ -22,9 +23,16 @@
 import {ErrorCode, after, createNotRunRefusal} from '@siskinmux/kernel';
 import type {RouteName} from '@siskinmux/routes';
 import type {OutlierDetector} from '@siskinmux/routing';
-import {chooseEndpoint, chooseEngineByLoad} from '@siskinmux/routing';
+import {
+  chooseEndpoint,
+  chooseEngineByLoad,
+  weighEndpoints,
+  weighEngines,
+} from '@siskinmux/routing';
 import type {ClusterLoad} from './cluster_load.js';
 import type {InFlightCounts} from './in_flight_counts.js';
+import type {PlacementPreview} from './limited_choice_preview.js';
+import {previewWithinLimits} from './limited_choice_preview.js';
 import type {LimitDependencies} from './limited_choice.js';
 import {chooseWithinLimits} from './limited_choice.js';
 
@@ -103,13 +111,41 @@
   readonly clusterLoad: ClusterLoad;
 }
 
+/** Weights by endpoint; outliers that are skipped have none. */
+export type EndpointWeights = ReadonlyMap<EndpointId, number>;
+
 /** The endpoint with the lowest load, skipping ejected outliers where possible. */
 export function chooseLeastLoaded(
   endpoints: readonly EndpointDescription[],
   dependencies: ChoiceDependencies,
 ): EndpointDescription | undefined {
-  const {inFlightCounts, clock, random, failureDomain} = dependencies;
-  const candidates = withoutOutliers(endpoints, dependencies).map(endpoint => ({
+  const {clock, random, failureDomain} = dependencies;
+  const candidates = loadCandidates(endpoints, dependencies);
+  const now = clock.now();
+  const chosen = chooseEndpoint(candidates, {now, failureDomain, random});
+  return endpoints.find(({id}) => id === chosen?.endpoint);
+}
+
+/** The weights by which {@link chooseLeastLoaded} chooses. */
+export function weighByOwnLoad(
+  endpoints: readonly EndpointDescription[],
+  dependencies: ChoiceDependencies,
+): EndpointWeights {
+  const {clock, failureDomain} = dependencies;
+  const candidates = loadCandidates(endpoints, dependencies);
+  const now = clock.now();
+  const weights = weighEndpoints(candidates, {now, failureDomain});
+  return new Map(
+    candidates.map(({endpoint}, index) => [endpoint, weights[index] ?? 0]),
+  );
+}
+
+function loadCandidates(
+  endpoints: readonly EndpointDescription[],
+  dependencies: ChoiceDependencies,
+) {
+  const {inFlightCounts} = dependencies;
+  return withoutOutliers(endpoints, dependencies).map(endpoint => ({
     endpoint: endpoint.id,
     failureDomain: endpoint.failureDomain,
     inFlight: inFlightCounts.at(endpoint.id),
@@ -121,9 +157,6 @@
     hasAdapter: true,
     isPrefixOwner: true,
   }));
-  const now = clock.now();
-  const chosen = chooseEndpoint(candidates, {now, failureDomain, random});
-  return endpoints.find(({id}) => id === chosen?.endpoint);
 }
 
 /**
@@ -134,8 +167,28 @@
   engines: readonly EndpointDescription[],
   dependencies: ChoiceDependencies,
 ): EndpointDescription | undefined {
-  const {clusterLoad, random, failureDomain} = dependencies;
-  const candidates = withoutOutliers(engines, dependencies).map(engine => ({
+  const candidates = engineCandidates(engines, dependencies);
+  return chooseEngineByLoad(candidates, dependencies.random)?.engine;
+}
+
+/** The weights by which {@link chooseEngine} draws. */
+export function weighByClusterLoad(
+  engines: readonly EndpointDescription[],
+  dependencies: ChoiceDependencies,
+): EndpointWeights {
+  const candidates = engineCandidates(engines, dependencies);
+  const weights = weighEngines(candidates);
+  return new Map(
+    candidates.map(({engine}, index) => [engine.id, weights[index] ?? 0]),
+  );
+}
+
+function engineCandidates(
+  engines: readonly EndpointDescription[],
+  dependencies: ChoiceDependencies,
+) {
+  const {clusterLoad, failureDomain} = dependencies;
+  return withoutOutliers(engines, dependencies).map(engine => ({
     engine,
     // On a slow engine, running streams are at risk of missing the objective for the gap between
     // two events.
@@ -144,7 +197,6 @@
     isInOwnDomain: engine.failureDomain === failureDomain,
     ...clusterLoad.estimate(engine),
   }));
-  return chooseEngineByLoad(candidates, random)?.engine;
 }
 
 function withoutOutliers(
@@ -196,6 +248,47 @@
   );
 }
 
+/** Refuses a request to a service that has no endpoint for it. */
+function createNoEndpointRefusal(
+  {service}: EndpointRequirements,
+  now: Instant,
+): RefusalError {
+  return createNotRunRefusal(
+    ErrorCode.NoEndpoint,
+    service,
+    after(now, RETRY_AFTER_MILLISECONDS),
+  );
+}
+
+/** What the finder for plain services would decide now. */
+export function previewPlainEndpoint(
+  requirements: EndpointRequirements,
+  dependencies: ChoiceDependencies,
+  limitDependencies: LimitDependencies,
+): PlacementPreview {
+  const {table, clock} = dependencies;
+  const endpoints = table
+    .availableFor(requirements.service)
+    .filter(endpoint => meetsVersion(endpoint, requirements.version));
+  const preview = previewWithinLimits(
+    {
+      requirements,
+      serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS,
+      endpoints,
+      weigh: open => weighByOwnLoad(open, dependencies),
+      canBeAdded: false,
+    },
+    limitDependencies,
+  );
+  const refusal = createNoEndpointRefusal(requirements, clock.now());
+  return {
+    ...preview,
+    usable: endpoints,
+    decision: preview.decision ?? {kind: 'refuse', refusal},
+    model: undefined,
+  };
+}
+
 /** Creates a finder for plain services, whose endpoints are interchangeable. */
 export function createPlainEndpointFinder(
   dependencies: ChoiceDependencies,
@@ -231,10 +324,6 @@
       limitDependencies,
     );
     if (chosen !== undefined) return chosen;
-    throw createNotRunRefusal(
-      ErrorCode.NoEndpoint,
-      requirements.service,
-      after(dependencies.clock.now(), RETRY_AFTER_MILLISECONDS),
-    );
+    throw createNoEndpointRefusal(requirements, dependencies.clock.now());
   };
 }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -36,7 +36,6 @@
   UNKNOWN_ERA,
   after,
   as,
-  createNotRunRefusal,
   createUnknownOutcomeRefusal,
   earlier,
   sleepFor,
@@ -58,6 +57,7 @@
 import type {NodeIdentity, WriteLine} from '@siskinmux/runtime';
 import type {CodeCacheState} from '@siskinmux/runtime/code_cache';
 import {
+  ADD_METRICS_PATH,
   CLOCK,
   EMIT_EVENT,
   METRICS,
@@ -117,11 +117,13 @@
 import {createRequestMetrics} from './request_metrics.js';
 import {countStoreReturns} from './store_metrics.js';
 import {RetryBudgets} from './retry_budgets.js';
-import type {RouteDecision} from './route_decision.js';
-import {decideRoute} from './route_decision.js';
+import type {RequestTarget, RouteDecision} from './route_decision.js';
+import {createRouteRefusal, decideRoute} from './route_decision.js';
 import {StopWindow} from './stop_window.js';
 import {viewAgeLimits} from './view_age_limits.js';
-import {waitForView} from './wait_for_view.js';
+import {MAXIMUM_HOLD_MILLISECONDS, waitForView} from './wait_for_view.js';
+import {WhereExplainer} from './where_explainer.js';
+import {answerWhere} from './where_request.js';
 
 /**
  * Delay between failing the readiness probes and refusing requests: the load balancer
@@ -141,18 +143,12 @@
 /** Time for the last responses to reach their callers, those that end with a reset included. */
 const ABANDON_MILLISECONDS: Milliseconds = 2 * RESET_DELAY_MILLISECONDS;
 
-/** Longest hold of a request without a timeout of its caller. */
-const MAXIMUM_HOLD_MILLISECONDS: Milliseconds = 1_000;
-
 /** Longer than other nodes keep their connections to this one. */
 const RELAY_IDLE_MILLISECONDS: Milliseconds = 10_000;
 
 /** Bound on texts of other systems in log lines. */
 const MAXIMUM_LOGGED_CHARACTERS = 64;
 
-/** `Retry-After` while the node has no current routes or is shutting down. */
-const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
-
 /** Result of a request whose caller disconnected while it was held. */
 const CALLER_GONE = 'caller_gone';
 
@@ -516,6 +512,20 @@
           this.stopWindow.recordServed(route.name, milliseconds);
       },
     };
+    const explainer = WhereExplainer.create({
+      ...this.requestDependencies,
+      node: identity.id,
+      decideRoute: (request, isDecidable) =>
+        this.decideRouteOf(request, isDecidable),
+      teams: () => this.routes.current?.teams,
+      placement: this.placement,
+      table: this.table,
+    });
+    kernel.inject(ADD_METRICS_PATH)('/where', query =>
+      answerWhere(explainer, query, failure =>
+        this.logUnexpectedFailure('where', failure),
+      ),
+    );
     this.routes.onChange(({configuration}) => {
       const {idleTimeoutMilliseconds} = configuration.limits;
       this.callerListener?.setIdleTimeout(idleTimeoutMilliseconds);
@@ -718,20 +728,30 @@
     exchange: CallerExchange,
     isDecidable: boolean,
   ): RouteDecision {
-    const {routes, platformView} = this;
-    if (!this.isAcceptingRequests && routes.current !== undefined)
-      return {kind: 'refused', code: ErrorCode.ShuttingDown};
-    const {areRoutesCurrent: isCurrent} = platformView;
     const {host, target, relayed} = exchange;
     const {protocol} = this.options.platform;
-    return decideRoute(
-      {routes: routes.current, isCurrent, isDecidable},
+    return this.decideRouteOf(
       {
         host,
         target,
         relayedTeam: relayed?.team,
         readApiKey: () => protocol.readApiKey(exchange.headers),
       },
+      isDecidable,
+    );
+  }
+
+  private decideRouteOf(
+    request: RequestTarget,
+    isDecidable: boolean,
+  ): RouteDecision {
+    const {routes, platformView} = this;
+    if (!this.isAcceptingRequests && routes.current !== undefined)
+      return {kind: 'refused', code: ErrorCode.ShuttingDown};
+    const {areRoutesCurrent: isCurrent} = platformView;
+    return decideRoute(
+      {routes: routes.current, isCurrent, isDecidable},
+      request,
     );
   }
 
@@ -766,11 +786,7 @@
   private refuse(exchange: CallerExchange, code: ErrorCode): void {
     const now = this.clock.now();
     const {id} = this.options.platform.protocol.readRequest(exchange.headers);
-    const refusal = createNotRunRefusal(
-      code,
-      '',
-      after(now, RETRY_AFTER_MILLISECONDS),
-    );
+    const refusal = createRouteRefusal(code, now);
     const response = refusalResponse(refusal, id, now);
     const statement = statementOfRefusal(refusal);
     exchange.startResponse(response.status, response.headers, statement);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,15 @@
 export {createTeamQuotaMetrics} from './team_quota_metrics.js';
 export type {TeamRequest} from './team_quotas.js';
 export {TeamQuotas, requestCost} from './team_quotas.js';
+export type {
+  WhereAnswer,
+  WhereCandidate,
+  WhereDecision,
+  WhereModel,
+  WhereQuota,
+  WhereRoute,
+  WhereTeam,
+} from './where_answer.js';
 /** @internal For benchmarks. */
 export {ActiveRoutes} from './active_routes.js';
 export {AllocatorServer} from './allocator_server.js';
--- a/packages/gateway/src/limited_choice.ts
+++ b/packages/gateway/src/limited_choice.ts
@@ -24,7 +24,7 @@
 import type {SendPermits} from './send_permits.js';
 
 /** Time over which callers that a pause concerns return. */
-const RETURN_SPREAD_MILLISECONDS: Milliseconds = 500;
+export const RETURN_SPREAD_MILLISECONDS: Milliseconds = 500;
 
 const NEVER = new Promise<never>(() => {});
 
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -49,13 +49,16 @@
 import {OriginWriter} from '@siskinmux/continuity';
 import type {
   ChoiceDependencies,
+  EndpointRequirements,
   FindEndpoint,
   HasAlternative,
 } from './endpoint_choice.js';
 import {
   createPlainEndpointFinder,
   hasFreeAlternative,
+  previewPlainEndpoint,
 } from './endpoint_choice.js';
+import type {PlacementPreview} from './limited_choice_preview.js';
 import type {EventGapCounts} from './event_gap_counts.js';
 import type {EndpointLimits} from './endpoint_limits.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
@@ -234,6 +237,16 @@
       ? this.client.find(requirements)
       : this.findPlain(requirements);
 
+  /** What {@link find} would decide now on a request that has not been sent yet. */
+  preview(requirements: EndpointRequirements): PlacementPreview {
+    return this.engineDeclaration(requirements.service) !== undefined
+      ? this.client.preview(requirements)
+      : previewPlainEndpoint(requirements, this.options.choice, {
+          ...this.options,
+          permits: this.permits,
+        });
+  }
+
   /** Whether another endpoint of any service could serve a request now. */
   readonly hasAlternative: HasAlternative = (requirements, current) => {
     const {choice, table} = this.options;
--- a/packages/gateway/src/peer_sender.ts
+++ b/packages/gateway/src/peer_sender.ts
@@ -1,6 +1,11 @@
 /** Has another node serve a request while this one has lost its links to the service. */
 
-import type {Instant, Milliseconds} from '@siskinmux/kernel';
+import type {
+  Instant,
+  Milliseconds,
+  RefusalError,
+  ServiceName,
+} from '@siskinmux/kernel';
 import {ErrorCode, after, createNotRunRefusal, until} from '@siskinmux/kernel';
 import type {RelayPeer} from '@siskinmux/relay';
 import {isRetryable} from '@siskinmux/routes';
@@ -17,6 +22,15 @@
 /** `Retry-After` while no node reaches the endpoints; links are probed again in about this time. */
 const LINKS_RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
 
+/** Refuses a request to a service that neither this node nor another one reaches. */
+export function createLinksLostRefusal(
+  service: ServiceName,
+  now: Instant,
+): RefusalError {
+  const retryAt = after(now, LINKS_RETRY_AFTER_MILLISECONDS);
+  return createNotRunRefusal(ErrorCode.LinksLost, service, retryAt);
+}
+
 /** What the outcome of a relayed send is judged by. */
 interface RelayedSend {
   readonly sentAt: Instant;
@@ -53,11 +67,7 @@
     const isRelayable = exchange.relayed === undefined;
     const peer = isRelayable ? peers.choose(service, triedPeers) : undefined;
     if (peer !== undefined) return peer;
-    throw createNotRunRefusal(
-      ErrorCode.LinksLost,
-      service,
-      after(clock.now(), LINKS_RETRY_AFTER_MILLISECONDS),
-    );
+    throw createLinksLostRefusal(service, clock.now());
   }
 
   /** Sends the request; resolves when its response has been passed on or has failed. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -43,6 +43,13 @@
 import type {AllocatorApi, AllocatorListener} from './allocator_api.js';
 import type {CapacityOutcome} from './capacity_holds.js';
 import {CapacityHolds} from './capacity_holds.js';
+import type {
+  DecisionPreview,
+  KnownForecast,
+  ModelPreview,
+  PlacementPreview,
+} from './limited_choice_preview.js';
+import {TYPICAL_RANDOM, previewWithinLimits} from './limited_choice_preview.js';
 import type {
   ChoiceDependencies,
   EndpointRequirements,
@@ -54,6 +61,7 @@
   hasFreeAlternative,
   isListed,
   preferUnavoided,
+  weighByClusterLoad,
 } from './endpoint_choice.js';
 import type {EventGapCounts} from './event_gap_counts.js';
 import type {InFlightCounts} from './in_flight_counts.js';
@@ -93,6 +101,9 @@
 /** An engine that lacked a model is excluded for it while the allocator reads its state. */
 const MISSING_MODEL_EXCLUSION_MILLISECONDS: Milliseconds = 120;
 
+/** Bound on the models whose last forecast is remembered; the one told first is dropped. */
+const MAXIMUM_FORECASTS = 1_000;
+
 /** Priorities of routes are reported below this, so that the priority of a team goes before. */
 const ROUTE_PRIORITIES = 1_000;
 
@@ -139,6 +150,8 @@
   private readonly grants = new Map<string, AdapterGrant>();
   /** End of the exclusion by engine and model; see {@link reportMissingModel}. */
   private readonly excludedUntil = new Map<string, Instant>();
+  /** Last forecasts of the lease holder by service and model, for explanations. */
+  private readonly forecasts = new Map<string, KnownForecast>();
   private nodeCount = 1;
   private cancelUsageReports: CancelTimer | undefined;
   private usageReportsDueAt: Instant | undefined;
@@ -174,6 +187,7 @@
       this.lastAvailableModels = this.availableModels;
     }
     this.allocator = allocator;
+    this.forecasts.clear();
     // Gaps that nobody took meanwhile say nothing of the present.
     this.options.eventGaps.clear();
     if (allocator === undefined) {
@@ -210,10 +224,10 @@
   reportMissingModel(engine: EndpointId, model: ModelName): void {
     const service = this.options.table.get(engine)?.service;
     if (service === undefined) return;
-    const endsAt = after(
-      this.options.clock.now(),
-      MISSING_MODEL_EXCLUSION_MILLISECONDS,
-    );
+    const now = this.options.clock.now();
+    const endsAt = after(now, MISSING_MODEL_EXCLUSION_MILLISECONDS);
+    for (const [key, end] of this.excludedUntil)
+      if (end <= now) this.excludedUntil.delete(key);
     this.excludedUntil.set(`${engine} ${model}`, endsAt);
     for (const [key, grant] of this.grants) {
       if (grant.engine === engine) this.grants.delete(key);
@@ -255,19 +269,181 @@
     const readyAt = new Map(
       forecasts.map(forecast => [waitingKey(forecast), forecast.readyAt]),
     );
+    this.rememberForecasts(service, readyAt);
     for (const {requirements, settle} of this.waiters) {
       if (requirements.service !== service || requirements.model === undefined)
         continue;
       const {model} = requirements;
       const boundTo = boundVersion(requirements);
       const at = readyAt.get(waitingKey({model, boundTo}));
-      if (at === undefined) continue;
-      if (after(at, TIME_TO_FIRST_EVENT_MILLISECONDS) <= requirements.deadline)
-        continue;
+      if (at === undefined || isInTime(at, requirements)) continue;
       settle(this.createRefusalWithRetry(requirements.model, at));
     }
   }
 
+  private rememberForecasts(
+    service: ServiceName,
+    readyAt: ReadonlyMap<WaitingKey, Instant>,
+  ): void {
+    const toldAt = this.options.clock.now();
+    for (const [key, at] of readyAt) {
+      const remembered = `${service} ${key}`;
+      this.forecasts.delete(remembered);
+      this.forecasts.set(remembered, {readyAt: at, toldAt});
+      const [oldest] = this.forecasts.keys();
+      if (this.forecasts.size > MAXIMUM_FORECASTS && oldest !== undefined)
+        this.forecasts.delete(oldest);
+    }
+  }
+
+  /** What {@link find} would decide now on a request that has not been sent yet. */
+  preview(requirements: EndpointRequirements): PlacementPreview {
+    const {service, model} = requirements;
+    const nothing = {weights: new Map(), excluded: new Map(), usable: []};
+    const refuse = (refusal: RefusalError): PlacementPreview => ({
+      ...nothing,
+      decision: {kind: 'refuse', refusal},
+      model: undefined,
+    });
+    if (model === undefined)
+      return refuse(createNotRunRefusal(ErrorCode.NoEndpoint, service));
+    if (!this.options.isDeclared(service, model))
+      return refuse(createNotRunRefusal(ErrorCode.NoEndpoint, model));
+    const usable = this.enginesWithModel(requirements);
+    const state = this.previewModel(requirements, model, usable);
+    const refusal = this.refusalOfGoneVersion(requirements);
+    if (refusal !== undefined) return {...refuse(refusal), model: state};
+    if (usable.length === 0) {
+      const decision = this.previewWait(requirements, model, state.forecast);
+      return {...nothing, decision, model: state};
+    }
+    return {...this.previewChoice(requirements, model, usable), model: state};
+  }
+
+  private previewModel(
+    requirements: EndpointRequirements,
+    model: ModelName,
+    engines: readonly EndpointDescription[],
+  ): ModelPreview {
+    const {service} = requirements;
+    const boundTo = boundVersion(requirements);
+    const key = `${service} ${waitingKey({model, boundTo})}`;
+    const forecast = this.forecasts.get(key);
+    const isPast =
+      forecast !== undefined && forecast.readyAt <= this.options.clock.now();
+    return {
+      name: model,
+      readyAt: engines.map(({id}) => id),
+      forecast: isPast ? undefined : forecast,
+      waiting: [...this.waiters].filter(
+        ({requirements: waiting}) =>
+          waiting.service === service && waiting.model === model,
+      ).length,
+    };
+  }
+
+  /** What becomes of a request for a model that no engine has. */
+  private previewWait(
+    requirements: EndpointRequirements,
+    model: ModelName,
+    forecast: KnownForecast | undefined,
+  ): DecisionPreview {
+    const now = this.options.clock.now();
+    const refuseUntil = (retryAt: Instant): DecisionPreview => ({
+      kind: 'refuse',
+      refusal: this.createRefusalWithRetry(model, retryAt, TYPICAL_RANDOM),
+    });
+    if (this.allocator === undefined) {
+      const endsAt = this.allocatorWaitEnd(requirements);
+      return now < endsAt
+        ? {kind: 'wait', reason: 'lease_holder', endsAt}
+        : refuseUntil(after(now, RETRY_AFTER_MILLISECONDS));
+    }
+    if (forecast !== undefined && !isInTime(forecast.readyAt, requirements))
+      return refuseUntil(forecast.readyAt);
+    return {kind: 'wait', reason: 'model', endsAt: requirements.deadline};
+  }
+
+  private previewChoice(
+    requirements: EndpointRequirements,
+    model: ModelName,
+    usable: readonly EndpointDescription[],
+  ): Omit<PlacementPreview, 'model'> {
+    const {choice, limitDependencies} = this.options;
+    const {adapter, deadline} = requirements;
+    const granted = adapter && this.previewGrant(requirements, model, adapter);
+    const endpoints = granted === undefined ? usable : granted.engines.slice();
+    const limited = previewWithinLimits(
+      {
+        requirements,
+        serviceMilliseconds: TIME_TO_FIRST_EVENT_MILLISECONDS,
+        endpoints,
+        weigh: open => weighByClusterLoad(open, choice),
+        canBeAdded: true,
+      },
+      limitDependencies,
+    );
+    const decision =
+      this.previewRoom(requirements, model) ??
+      granted?.wait ??
+      limited.decision ??
+      ({kind: 'wait', reason: 'model', endsAt: deadline} as const);
+    return {...limited, usable: endpoints, decision};
+  }
+
+  /** Undefined if the request is not held. */
+  private previewRoom(
+    requirements: EndpointRequirements,
+    model: ModelName,
+  ): DecisionPreview | undefined {
+    const {ordering, service, version} = requirements;
+    if (!this.isHoldable(requirements) || ordering === undefined)
+      return undefined;
+    const engines = (): EndpointDescription[] =>
+      this.enginesWithModel({service, model, version});
+    const held = this.holds.preview(requirements, ordering, model, engines);
+    if (held.kind === 'room') return undefined;
+    return held.kind === 'refused'
+      ? {kind: 'refuse', refusal: held.refusal}
+      : {kind: 'wait', reason: 'room', endsAt: held.startBy};
+  }
+
+  /** Engines that have the adapter as far as this node knows, and what the request waits for. */
+  private previewGrant(
+    requirements: EndpointRequirements,
+    model: ModelName,
+    adapter: AdapterName,
+  ): {
+    readonly engines: readonly EndpointDescription[];
+    readonly wait: DecisionPreview | undefined;
+  } {
+    const {clock, table} = this.options;
+    const {service, deadline} = requirements;
+    const none = new Set<EndpointId>();
+    const grant = this.grants.get(`${service}/${adapterKey(model, adapter)}`);
+    if (this.isGrantUsable(grant, requirements, model, none)) {
+      const engine = table.get(grant.engine);
+      const endsAt = grant.usableAt;
+      return {
+        engines: engine === undefined ? [] : [engine],
+        wait:
+          endsAt > clock.now()
+            ? {kind: 'wait', reason: 'adapter', endsAt}
+            : undefined,
+      };
+    }
+    const wait = {kind: 'wait', reason: 'adapter', endsAt: deadline} as const;
+    const listed = this.enginesWithAdapter(requirements, model, adapter, none);
+    if (this.allocator !== undefined) return {engines: listed, wait};
+    return {
+      engines: listed,
+      wait:
+        listed.length > 0
+          ? undefined
+          : this.previewWait(requirements, model, undefined),
+    };
+  }
+
   /** Finds an engine that has the model, and the adapter if one is needed. */
   readonly find: FindEndpoint = async requirements => {
     const {model, service} = requirements;
@@ -472,10 +648,7 @@
   private isExcluded(engine: EndpointId, model: ModelName): boolean {
     const key = `${engine} ${model}`;
     const endsAt = this.excludedUntil.get(key);
-    if (endsAt === undefined) return false;
-    if (endsAt > this.options.clock.now()) return true;
-    this.excludedUntil.delete(key);
-    return false;
+    return endsAt !== undefined && endsAt > this.options.clock.now();
   }
 
   private async findWithAdapter(
@@ -567,14 +740,25 @@
     excluded: ReadonlySet<EndpointId>,
   ): EndpointDescription | undefined {
     if (this.allocator !== undefined) return undefined;
-    const candidates = this.enginesWithModel(requirements).filter(
+    return chooseEngine(
+      this.enginesWithAdapter(requirements, model, adapter, excluded),
+      this.options.choice,
+    );
+  }
+
+  private enginesWithAdapter(
+    requirements: EndpointRequirements,
+    model: ModelName,
+    adapter: AdapterName,
+    excluded: ReadonlySet<EndpointId>,
+  ): EndpointDescription[] {
+    return this.enginesWithModel(requirements).filter(
       ({id, models}) =>
         !excluded.has(id) &&
         models.some(
           loaded => loaded.model === model && loaded.adapters.includes(adapter),
         ),
     );
-    return chooseEngine(candidates, this.options.choice);
   }
 
   /** Resolves once there is an allocator; rejects with a refusal if there is none in time. */
@@ -583,11 +767,7 @@
     model: ModelName,
   ): Promise<void> {
     const {clock} = this.options;
-    const takeoverDeadline = after(
-      this.allocatorLostAt,
-      TAKEOVER_WAIT_MILLISECONDS,
-    );
-    const endsAt = earlier(takeoverDeadline, requirements.deadline);
+    const endsAt = this.allocatorWaitEnd(requirements);
     if (this.allocator === undefined && clock.now() < endsAt) {
       await new Promise<void>(resolve => {
         const endWait = (): void => {
@@ -608,6 +788,12 @@
     );
   }
 
+  /** Until when a request waits for an allocator. */
+  private allocatorWaitEnd({deadline}: EndpointRequirements): Instant {
+    const endsAt = after(this.allocatorLostAt, TAKEOVER_WAIT_MILLISECONDS);
+    return earlier(endsAt, deadline);
+  }
+
   /**
    * Resolves once an engine that is accepted has the model; rejects with a refusal if none
    * will have it in time.
@@ -648,8 +834,9 @@
   private createRefusalWithRetry(
     model: ModelName,
     retryAt: Instant,
+    random = this.options.random,
   ): RefusalError {
-    const {clock, random} = this.options;
+    const {clock} = this.options;
     const delay = Math.max(0, until(clock.now(), retryAt));
     const jittered = delay + jitter(random, RETRY_AFTER_JITTER / 2, 1) * delay;
     return createNotRunRefusal(
@@ -786,6 +973,11 @@
   );
 }
 
+/** Whether a model that is ready then can still serve a request. */
+function isInTime(readyAt: Instant, {deadline}: EndpointRequirements): boolean {
+  return after(readyAt, TIME_TO_FIRST_EVENT_MILLISECONDS) <= deadline;
+}
+
 function boundVersion({
   version,
 }: EndpointRequirements): SoftwareVersion | undefined {
--- a/packages/gateway/src/proxied_request.ts
+++ b/packages/gateway/src/proxied_request.ts
@@ -34,6 +34,7 @@
 import type {ProxiedRequestDependencies} from './proxied_request_dependencies.js';
 import {RequestEnding} from './request_ending.js';
 import {RequestState} from './request_state.js';
+import {quotaWaitUntil} from './request_terms.js';
 import {ResponseDelivery} from './response_delivery.js';
 import type {SecondRunDecision} from './second_run.js';
 import {decideSecondRun} from './second_run.js';
@@ -49,9 +50,6 @@
 /** `Retry-After` of a request that endpoints refused; their queues drain in about this time. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 400;
 
-/** Share of its latency objective for which a request may wait for its turn in the team's quota. */
-const QUOTA_WAIT_SHARE = 0.125;
-
 type FailedResult = Exclude<AttemptResult, {kind: 'delivered'}>;
 
 /** One request of a caller, from its arrival to the end of its response. */
@@ -174,10 +172,7 @@
       team,
       amount,
       deadline,
-      waitUntil: after(
-        exchange.receivedAt,
-        route.latencyObjectiveMilliseconds * QUOTA_WAIT_SHARE,
-      ),
+      waitUntil: quotaWaitUntil(route, exchange.receivedAt),
       signal,
     });
   }
--- a/packages/gateway/src/refusal_response.ts
+++ b/packages/gateway/src/refusal_response.ts
@@ -24,15 +24,26 @@
   [ErrorCode.InvalidRequest]: 400,
 };
 
+/** HTTP status of a refusal. */
+export function refusalStatus({code, outcome}: RefusalError): number {
+  return (
+    CALLER_ERROR_STATUSES[code] ??
+    (outcome === Outcome.NotRun ? NOT_RUN_STATUS : UNKNOWN_STATUS)
+  );
+}
+
+/** Whether a response with this status says when the request may return. */
+export function mayReturnAfter(status: number): boolean {
+  return status === NOT_RUN_STATUS || status === QUOTA_STATUS;
+}
+
 /** Builds the HTTP response for a refusal. */
 export function refusalResponse(
   refusal: RefusalError,
   id: RequestId,
   now: Instant,
 ): RefusalResponse {
-  const status =
-    CALLER_ERROR_STATUSES[refusal.code] ??
-    (refusal.outcome === Outcome.NotRun ? NOT_RUN_STATUS : UNKNOWN_STATUS);
+  const status = refusalStatus(refusal);
   const body = Buffer.from(
     JSON.stringify({
       type: `urn:siskinmux:problem:${refusal.code}`,
@@ -49,8 +60,7 @@
     'Content-Length',
     String(body.length),
   ];
-  const mayReturn = status === NOT_RUN_STATUS || status === QUOTA_STATUS;
-  if (mayReturn && refusal.retryAt !== undefined) {
+  if (mayReturnAfter(status) && refusal.retryAt !== undefined) {
     const seconds = Math.max(0, refusal.retryAt - now) / 1_000;
     headers.push('Retry-After', seconds.toFixed(3));
   }
--- a/packages/gateway/src/request_state.ts
+++ b/packages/gateway/src/request_state.ts
@@ -10,9 +10,8 @@
   ServiceName,
   TeamName,
 } from '@siskinmux/kernel';
-import {after, earlier} from '@siskinmux/kernel';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
-import {firstEventTimeoutMilliseconds, pickTarget} from '@siskinmux/routes';
+import {pickTarget} from '@siskinmux/routes';
 import {fingerprintOf, hash32} from '@siskinmux/routing';
 import type {AttemptChain, SendTarget} from './attempt_chains.js';
 import {AttemptChains} from './attempt_chains.js';
@@ -22,6 +21,12 @@
 import type {CallerExchange} from './caller_exchange.js';
 import type {AssumedLoad} from './cluster_load.js';
 import type {ViewAge} from './platform_view.js';
+import {
+  deadlineOf,
+  firstDeadlineOf,
+  orderingOf,
+  teamOf,
+} from './request_terms.js';
 import type {RequestProgress} from './retry_decision.js';
 
 /** What a request asks for, and what its sends have come to so far. */
@@ -76,12 +81,8 @@
   ): RequestState {
     const metadata = protocol.readRequest(exchange.headers);
     const {receivedAt} = exchange;
-    const timeoutAt = after(receivedAt, route.timeoutMilliseconds);
     const {timeoutMilliseconds} = metadata;
-    const deadline =
-      timeoutMilliseconds === undefined
-        ? timeoutAt
-        : earlier(timeoutAt, after(receivedAt, timeoutMilliseconds));
+    const deadline = deadlineOf(route, receivedAt, timeoutMilliseconds);
     return new RequestState(
       exchange,
       configuration,
@@ -122,9 +123,8 @@
   /** Callers abandon a stream that has not started within the first-event timeout. */
   get currentDeadline(): Instant {
     const {route, exchange, deadline} = this;
-    if (route.kind !== 'stream' || exchange.hasSentHead) return deadline;
-    const timeoutMilliseconds = firstEventTimeoutMilliseconds(route);
-    return earlier(deadline, after(exchange.receivedAt, timeoutMilliseconds));
+    if (exchange.hasSentHead) return deadline;
+    return firstDeadlineOf(route, exchange.receivedAt, deadline);
   }
 
   /** Order among the requests that wait, 0 is served first. */
@@ -134,26 +134,13 @@
 
   /** Name of the caller's team, if callers are identified and the route isn't public. */
   get team(): TeamName | undefined {
-    return this.caller.kind === 'team' ? this.caller.team.name : undefined;
+    return teamOf(this.caller);
   }
 
   /** By what it is ordered among requests that wait; undefined without teams. */
   get ordering(): RequestOrdering | undefined {
-    const {caller, route, exchange, metadata, team} = this;
-    if (caller.kind === 'any') return undefined;
-    const declared = caller.kind === 'team' ? caller.team : undefined;
-    const tokens = metadata.promptTokens + metadata.outputTokens;
-    return {
-      team,
-      teamPriority: declared?.priority ?? 0,
-      route: route.name,
-      routePriority: route.priority,
-      objectiveAt: after(
-        exchange.receivedAt,
-        route.latencyObjectiveMilliseconds,
-      ),
-      cost: tokens || (declared?.quota?.plainTokens ?? 1) || 1,
-    };
+    const {caller, route, exchange, metadata} = this;
+    return orderingOf(caller, route, exchange.receivedAt, metadata);
   }
 
   /** A stream that has begun goes before new ones of its route, which have nothing to lose yet. */
--- a/packages/gateway/src/route_decision.ts
+++ b/packages/gateway/src/route_decision.ts
@@ -1,11 +1,15 @@
 /** Decides by which route a request is served, or as what it is refused. */
 
-import {ErrorCode} from '@siskinmux/kernel';
+import type {Instant, Milliseconds, RefusalError} from '@siskinmux/kernel';
+import {ErrorCode, after, createNotRunRefusal} from '@siskinmux/kernel';
 import type {Route, RouteConfiguration} from '@siskinmux/routes';
 import type {RouteSnapshot} from './active_routes.js';
 import type {CallerIdentity, Credentials} from './caller_identity.js';
 import {identifyCaller} from './caller_identity.js';
 
+/** `Retry-After` while the node has no current routes or is shutting down. */
+const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
+
 /** What a node knows of the routes. */
 export interface RouteKnowledge {
   /** Undefined until the first configuration has been read. */
@@ -37,6 +41,14 @@
   | {readonly kind: 'refused'; readonly code: ErrorCode}
   | {readonly kind: 'undecided'};
 
+/** Refuses a request for which no route was found. */
+export function createRouteRefusal(
+  code: ErrorCode,
+  now: Instant,
+): RefusalError {
+  return createNotRunRefusal(code, '', after(now, RETRY_AFTER_MILLISECONDS));
+}
+
 /**
  * Finds the route of a request, and whose request it is. Outdated routes and keys are still used,
  * but don't show that a route or a key doesn't exist.
--- a/packages/gateway/src/send_permits.ts
+++ b/packages/gateway/src/send_permits.ts
@@ -31,6 +31,11 @@
   readonly isUnowned: boolean;
 }
 
+/** Whether a request may be sent now, as far as this node knows without asking. */
+export type PermitPreview =
+  | {readonly kind: 'free' | 'held' | 'ask'}
+  | {readonly kind: 'refused' | 'unowned'; readonly retryAt: Instant};
+
 /** Permits that have been granted but not used yet, or when to ask again. */
 interface HeldPermits {
   count: number;
@@ -74,6 +79,21 @@
     }
   }
 
+  /** What {@link acquire} would do for a request that doesn't wait. */
+  preview({incarnation}: EndpointDescription): PermitPreview {
+    const {clock, limits} = this.options;
+    if (limits.get(incarnation) === undefined) return {kind: 'free'};
+    const now = clock.now();
+    const held = this.held.get(incarnation);
+    if (held !== undefined && held.count > 0 && now < held.validUntil)
+      return {kind: 'held'};
+    if (held !== undefined && now < held.refusedUntil)
+      return {kind: 'refused', retryAt: held.refusedUntil};
+    return this.exchange === undefined
+      ? {kind: 'unowned', retryAt: after(now, OWNER_LOST_RETRY_MILLISECONDS)}
+      : {kind: 'ask'};
+  }
+
   /** Takes a permit for one send; returns undefined if the request may be sent now. */
   async acquire(
     endpoint: EndpointDescription,
--- a/packages/gateway/src/team_quota_holder.ts
+++ b/packages/gateway/src/team_quota_holder.ts
@@ -135,6 +135,15 @@
     });
   }
 
+  /** What {@link requestPermit} would decide now; undefined if the request would wait. */
+  previewPermit(
+    node: NodeId,
+    {team, amount, waitUntil}: TeamPermitRequest,
+  ): QuotaDecision | undefined {
+    const now = this.options.clock.now();
+    return this.ledger.preview(node, team, amount, waitUntil, now);
+  }
+
   /** Updates the ledger before a heartbeat, and finds the followers that have fallen silent. */
   beginHeartbeat(): void {
     const now = this.options.clock.now();
--- a/packages/gateway/src/team_quotas.ts
+++ b/packages/gateway/src/team_quotas.ts
@@ -1,6 +1,11 @@
 /** A node's requests under the quotas of their teams. */
 
-import type {QuotaDecision, QuotaRate, QuotaRules} from '@siskinmux/admission';
+import type {
+  GateDecision,
+  QuotaDecision,
+  QuotaRate,
+  QuotaRules,
+} from '@siskinmux/admission';
 import {TeamQuotaGate, enforcedRate} from '@siskinmux/admission';
 import type {
   CancelTimer,
@@ -9,6 +14,7 @@
   Instant,
   Milliseconds,
   Random,
+  RefusalError,
   TeamName,
 } from '@siskinmux/kernel';
 import {
@@ -22,6 +28,7 @@
 import type {RouteConfiguration, TeamQuota} from '@siskinmux/routes';
 import {TeamDirectory} from '@siskinmux/routes';
 import {QUOTA_REFUSED, QUOTA_UNANSWERED} from './gateway_events.js';
+import {TYPICAL_RANDOM} from './limited_choice_preview.js';
 import type {HeartbeatMessage} from './placement_messages.js';
 import type {
   TeamPermitRequest,
@@ -65,6 +72,32 @@
    * of the request's wait.
    */
   requestTeamPermit(request: TeamPermitRequest): Promise<QuotaDecision>;
+  /**
+   * What the holder would decide now, undefined if the request would wait; missing where that
+   * takes a message.
+   */
+  previewTeamPermit?(request: TeamPermitRequest): QuotaDecision | undefined;
+}
+
+/** What {@link TeamQuotas.acquire} would decide now. */
+export type QuotaDecisionPreview =
+  | {readonly kind: 'admitted'}
+  | {
+      readonly kind: 'wait';
+      readonly reason: 'quota_permit' | 'lease_holder';
+      readonly endsAt: Instant;
+    }
+  | {readonly kind: 'refuse'; readonly refusal: RefusalError};
+
+/** A team's quota as this node knows it. */
+export interface QuotaPreview {
+  readonly decision: QuotaDecisionPreview;
+  /** Amount that the node may admit now without asking. */
+  readonly level: number;
+  /** When the lease holder was heard last; undefined if never. */
+  readonly heardAt: Instant | undefined;
+  readonly isMetered: boolean;
+  readonly hasHolder: boolean;
 }
 
 /** What happened to a request, for the metrics. */
@@ -250,6 +283,59 @@
     }
   }
 
+  /** Tries {@link acquire} on copies; undefined if the team has no quota. */
+  preview(stated: Omit<TeamRequest, 'signal'>): QuotaPreview | undefined {
+    const request = {...stated, amount: clampAmount(stated.amount)};
+    const {team, amount} = request;
+    const now = this.options.clock.now();
+    const known = this.gate.preview(team, amount, now, TYPICAL_RANDOM);
+    if (known === undefined || !this.rates.has(team)) return undefined;
+    const {hasNoHolder, isNew} = this.gate;
+    return {
+      decision:
+        hasNoHolder && isNew
+          ? this.previewHolderWait(request, now)
+          : this.previewDecision(known.decision, request, now),
+      level: known.level,
+      heardAt: known.heardAt,
+      isMetered: this.meteredTeams.includes(team),
+      hasHolder: !hasNoHolder,
+    };
+  }
+
+  private previewDecision(
+    decision: GateDecision,
+    request: Omit<TeamRequest, 'signal'>,
+    now: Instant,
+  ): QuotaDecisionPreview {
+    if (decision.kind === 'admitted') return decision;
+    // A node without a holder refuses only once none has come.
+    if (decision.kind === 'refused')
+      return this.previewHolderWait(request, now);
+    const {team, amount} = request;
+    const endsAt = permitWaitEnd(request, now);
+    const wait = {kind: 'wait', reason: 'quota_permit', endsAt} as const;
+    const answer = this.exchange?.previewTeamPermit?.({
+      team,
+      amount,
+      waitUntil: endsAt,
+    });
+    if (answer?.kind === 'granted') return {kind: 'admitted'};
+    if (answer?.kind !== 'refused') return wait;
+    return {
+      kind: 'refuse',
+      refusal: createQuotaRefusal(team, answer.retryAt),
+    };
+  }
+
+  private previewHolderWait(
+    {deadline}: Pick<TeamRequest, 'deadline'>,
+    now: Instant,
+  ): QuotaDecisionPreview {
+    const endsAt = holderWaitEnd(deadline, now);
+    return {kind: 'wait', reason: 'lease_holder', endsAt};
+  }
+
   /**
    * Asks the lease holder, until it counts as not responding or the deadline passes. A grant that
    * comes too late is given back.
@@ -263,14 +349,7 @@
     const startedAt = clock.now();
     if (exchange === undefined) return {kind: 'unowned', retryAt: startedAt};
     onOutcome(team, 'asked');
-    const longestWait = earlier(
-      after(startedAt, PERMIT_WAIT_MILLISECONDS),
-      waitLimit(startedAt, deadline),
-    );
-    const waitUntil = later(
-      startedAt,
-      earlier(longestWait, request.waitUntil ?? longestWait),
-    );
+    const waitUntil = permitWaitEnd(request, startedAt);
     let isOver = false;
     const answered = exchange
       .requestTeamPermit({team, amount, waitUntil})
@@ -313,10 +392,7 @@
   private waitForHolder({team, deadline, signal}: TeamRequest): Promise<void> {
     const {clock} = this.options;
     const now = clock.now();
-    const waitUntil = earlier(
-      after(now, HOLDER_WAIT_MILLISECONDS),
-      waitLimit(now, deadline),
-    );
+    const waitUntil = holderWaitEnd(deadline, now);
     if (signal.aborted) return Promise.resolve();
     return new Promise(resolve => {
       const end = (): void => {
@@ -348,7 +424,7 @@
       log.count = 0;
       log.nextLineAt = after(now, LOG_INTERVAL_MILLISECONDS);
     }
-    return createNotRunRefusal(ErrorCode.QuotaExceeded, team, retryAt);
+    return createQuotaRefusal(team, retryAt);
   }
 
   /** Tells a new lease holder what it needs to know, once this node has quotas. */
@@ -394,6 +470,30 @@
   return perSecond > 0 && Number.isFinite(perSecond) && Number.isFinite(burst);
 }
 
+function createQuotaRefusal(team: TeamName, retryAt: Instant): RefusalError {
+  return createNotRunRefusal(ErrorCode.QuotaExceeded, team, retryAt);
+}
+
+/** Until when a request waits for a lease holder. */
+function holderWaitEnd(deadline: Instant, now: Instant): Instant {
+  return earlier(
+    after(now, HOLDER_WAIT_MILLISECONDS),
+    waitLimit(now, deadline),
+  );
+}
+
+/** Until when a request waits at the lease holder for its turn. */
+function permitWaitEnd(
+  {deadline, waitUntil}: Pick<TeamRequest, 'deadline' | 'waitUntil'>,
+  now: Instant,
+): Instant {
+  const longest = earlier(
+    after(now, PERMIT_WAIT_MILLISECONDS),
+    waitLimit(now, deadline),
+  );
+  return later(now, earlier(longest, waitUntil ?? longest));
+}
+
 function waitLimit(now: Instant, deadline: Instant): Instant {
   return after(now, Math.max(0, until(now, deadline) * WAIT_PART));
 }
--- a/packages/gateway/src/wait_for_view.ts
+++ b/packages/gateway/src/wait_for_view.ts
@@ -18,7 +18,7 @@
 import type {PlatformView} from './platform_view.js';
 
 /** Longest wait of a process that runs; by then, the store has responded, or is known to be unreachable. */
-const HOLD_MILLISECONDS: Milliseconds = 500;
+export const HOLD_MILLISECONDS: Milliseconds = 500;
 
 /** `Retry-After` of a request that no read came in time for. */
 const RETRY_AFTER_MILLISECONDS: Milliseconds = 500;
@@ -34,6 +34,9 @@
   | 'waitUntilDecidable'
 >;
 
+/** Longest hold of a request without a timeout of its caller. */
+export const MAXIMUM_HOLD_MILLISECONDS: Milliseconds = 1_000;
+
 /** The request that waits. */
 export interface WaitingRequest {
   readonly id: RequestId;
--- a/packages/relay/src/peer_choice.ts
+++ b/packages/relay/src/peer_choice.ts
@@ -50,11 +50,20 @@
       if (!known.has(node)) this.avoidedUntil.delete(node);
   }
 
-  /** The peer with the fewest relayed requests of this node; undefined if none reaches the service. */
+  /** One of {@link candidates}; undefined if no peer reaches the service. */
   choose(
     service: ServiceName,
     tried: ReadonlySet<NodeId>,
   ): RelayPeer | undefined {
+    const best = this.candidates(service, tried);
+    return best[randomBelow(this.options.random, best.length)];
+  }
+
+  /** The peers that reach the service with the fewest relayed requests of this node. */
+  candidates(
+    service: ServiceName,
+    tried: ReadonlySet<NodeId>,
+  ): readonly RelayPeer[] {
     const now = this.options.clock.now();
     const usable = this.peers.filter(
       peer =>
@@ -65,8 +74,7 @@
     const preferred = this.preferOwnDomain(usable, service);
     const count = (peer: RelayPeer): number => this.relayed.get(peer.node) ?? 0;
     const fewest = Math.min(...preferred.map(count));
-    const best = preferred.filter(peer => count(peer) === fewest);
-    return best[randomBelow(this.options.random, best.length)];
+    return preferred.filter(peer => count(peer) === fewest);
   }
 
   /** Counts a relayed request until the returned function is called. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,7 +14,9 @@
 } from './settings_section.js';
 export type {WriteLine} from './log.js';
 export {EMIT_EVENT, createLogPlugin} from './log.js';
+export type {AddMetricsPath, MetricsAnswer, QueryFields} from './metrics.js';
 export {
+  ADD_METRICS_PATH,
   METRICS,
   METRICS_URL,
   metricsPlugin,
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -22,6 +22,26 @@
 /** Injection key of the base URL of the metrics server; empty until it listens. */
 export const METRICS_URL = injectionKey<() => string>('metrics URL');
 
+/** Fields of a query, as received. */
+export type QueryFields = Readonly<
+  Record<string, string | readonly string[] | undefined>
+>;
+
+/** A JSON answer of the metrics server. */
+export interface MetricsAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Adds a path to the metrics server, before it starts; `answer` is called for each GET request. */
+export type AddMetricsPath = (
+  path: string,
+  answer: (query: QueryFields) => MetricsAnswer,
+) => void;
+
+/** Injection key of a function that adds a path to the metrics server. */
+export const ADD_METRICS_PATH = injectionKey<AddMetricsPath>('metrics paths');
+
 const section = settingsSection(
   'metrics',
   z.strictObject({
@@ -40,7 +60,7 @@
   },
 };
 
-/** Provides {@link METRICS} and serves `GET /metrics`. */
+/** Provides {@link METRICS} and {@link ADD_METRICS_PATH}, and serves `GET /metrics`. */
 export const metricsPlugin: Plugin = {
   name: 'metrics',
   install(kernel) {
@@ -67,6 +87,13 @@
       void reply.type(registry.contentType);
       return registry.metrics();
     });
+    kernel.provide(ADD_METRICS_PATH, (path, answer) => {
+      server.get(path, async (request, reply) => {
+        const {status, body} = answer(request.query as QueryFields);
+        void reply.code(status).type('application/json; charset=utf-8');
+        return JSON.stringify(body);
+      });
+    });
     let url = '';
     kernel.provide(METRICS_URL, () => url);
     kernel.addTask({
