--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -35,7 +35,10 @@
   /** Words that select the command, such as `config plan`. */
   readonly name: string;
   readonly summary: string;
-  /** Names of the positional arguments; a last one that ends in `...` is repeatable. */
+  /**
+   * Names of the positional arguments; a last one that ends in `...` is repeatable, and in
+   * brackets it may also be missing.
+   */
   readonly positionals: readonly string[];
   readonly options: Readonly<Record<string, OptionSpec>>;
   readonly examples: readonly CommandExample[];
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,28 +1,79 @@
 /**
  * `siskinmux explain`: explains the outcome of a request, or lists the state changes of a
- * node, from the logs.
+ * node, from the logs; or asks a running node where a request would go now.
  */
 
-import type {Command} from '../command.js';
+import type {Command, CommandOutput, OptionValues} from '../command.js';
 import {UsageError, stringOption} from '../command.js';
 import {ExitCode} from '../exit_code.js';
+import {askWhere} from '../explain/ask_where.js';
+import {describeWhere} from '../explain/describe_where.js';
 import {isNodeStateChange} from '../explain/explain_node.js';
 import {explainRequest} from '../explain/explain_request.js';
 import type {LogLine} from '../explain/log_line.js';
 import {readLogs} from '../explain/log_line.js';
 
-/** Correlates the log lines of all nodes. */
+/** Options that belong to `--where`. */
+const WHERE_OPTIONS = [
+  'method',
+  'host',
+  'path',
+  'model',
+  'adapter',
+  'version',
+  'team',
+  'tokens',
+  'deadline',
+  'json',
+] as const;
+
+/** Correlates the log lines of all nodes, or asks one of them. */
 export const explainCommand: Command = {
   name: 'explain',
-  summary: 'Explain the outcome of a request, or what a node lost, from logs.',
-  positionals: ['LOG...'],
+  summary:
+    'Explain the outcome of a request, or what a node lost, from logs, or where a request would go now.',
+  positionals: ['[LOG...]'],
   options: {
     request: {
       type: 'string',
       placeholder: 'ID',
       help: 'the request to explain',
     },
-    node: {type: 'string', placeholder: 'NODE', help: 'the node to explain'},
+    node: {
+      type: 'string',
+      placeholder: 'NODE',
+      help: 'the node to explain; with --where, HOST:PORT of its metrics address',
+    },
+    where: {
+      type: 'boolean',
+      help: 'ask a running gateway where a request would go now, without sending it',
+    },
+    method: {type: 'string', placeholder: 'METHOD', help: 'default GET'},
+    host: {type: 'string', placeholder: 'HOST', help: 'host of the request'},
+    path: {type: 'string', placeholder: 'PATH', help: 'path of the request'},
+    model: {type: 'string', placeholder: 'MODEL', help: 'its model'},
+    adapter: {type: 'string', placeholder: 'ADAPTER', help: 'its adapter'},
+    version: {
+      type: 'string',
+      placeholder: 'VERSION',
+      help: 'software version that began the stream which it continues',
+    },
+    team: {
+      type: 'string',
+      placeholder: 'NAME',
+      help: 'name of its team, never a key',
+    },
+    tokens: {
+      type: 'string',
+      placeholder: 'PROMPT,OUTPUT',
+      help: 'its prompt tokens and maximum output tokens',
+    },
+    deadline: {
+      type: 'string',
+      placeholder: 'MILLISECONDS',
+      help: 'time until its caller gives up',
+    },
+    json: {type: 'boolean', help: 'with --where, print JSON'},
   },
   examples: [
     {
@@ -33,8 +84,18 @@
       commandLine: 'siskinmux explain --node front-a-1 node-*.log',
       purpose: 'see when a node lost the store or the allocator',
     },
+    {
+      commandLine:
+        'siskinmux explain --where --node 10.1.0.4:7381 --host offers.example --path /text/ --model m0 --team fizi430',
+      purpose: 'see where a request would go now, and why',
+    },
   ],
   async run(files, options, output) {
+    if (options['where'] === true) return explainWhere(files, options, output);
+    const foreign = WHERE_OPTIONS.find(name => options[name] !== undefined);
+    if (foreign !== undefined)
+      throw new UsageError(`--${foreign} is only used with --where.`);
+    if (files.length === 0) throw new UsageError('explain expects LOG....');
     const request = stringOption(options, 'request');
     const node = stringOption(options, 'node');
     if ((request === undefined) === (node === undefined)) {
@@ -64,6 +125,19 @@
   },
 };
 
+async function explainWhere(
+  files: readonly string[],
+  options: OptionValues,
+  output: CommandOutput,
+): Promise<ExitCode> {
+  if (files.length > 0 || stringOption(options, 'request') !== undefined)
+    throw new UsageError('--where takes neither logs nor --request.');
+  const answer = await askWhere(options);
+  if (options['json'] === true) output.writeLine(JSON.stringify(answer));
+  else for (const line of describeWhere(answer)) output.writeLine(line);
+  return ExitCode.Success;
+}
+
 /**
  * Renders a line with its offset from the first. Offsets include the skew between the
  * clocks of the nodes.
--- a/packages/cli/src/run_command_line.ts
+++ b/packages/cli/src/run_command_line.ts
@@ -72,12 +72,17 @@
   return command.run(positionals, values, output);
 }
 
-/** A last positional whose name ends in dots stands for one or more arguments. */
+/**
+ * A last positional whose name ends in dots stands for one or more arguments; in brackets, for
+ * any number.
+ */
 function isPositionalCountValid(
   {positionals}: Command,
   count: number,
 ): boolean {
-  const isRepeatable = positionals.at(-1)?.endsWith('...') === true;
+  const last = positionals.at(-1);
+  if (last?.endsWith('...]') === true) return count >= positionals.length - 1;
+  const isRepeatable = last?.endsWith('...') === true;
   return isRepeatable
     ? count >= positionals.length
     : count === positionals.length;
