Explain a choice beside paused endpoints as it is drawn

Cause: a new test compares explanations with real requests in random states. It found two differences: paused engines take part in the first draw, and a request for a paused model waits for another engine also shortly before its deadline. Change: the weight of endpoints that take no request goes to a second draw among the rest; the wait is explained as it is. The metrics listener repeats no URL that it rejects, and /where lists 1,000 endpoints at most.

--- a/packages/cli/src/explain/ask_where.ts
+++ b/packages/cli/src/explain/ask_where.ts
@@ -13,7 +13,7 @@
 /** A node that takes longer counts as unreachable. */
 const TIMEOUT_MILLISECONDS = 2_000;
 
-/** Bound on an answer; one with the most candidates is about a third as long. */
+/** Bound on an answer; a test compares it with the longest one. */
 const MAXIMUM_ANSWER_BYTES = 1_048_576;
 
 /** Forms of the options, which the node checks as well. */
--- a/packages/gateway/__tests__/where_explainer.test.ts
+++ b/packages/gateway/__tests__/where_explainer.test.ts
@@ -4,16 +4,20 @@
   FailureDomain,
   ModelName,
   NodeId,
+  RefusalError,
   ServiceName,
   TeamName,
 } from '@siskinmux/kernel';
 import {ErrorCode, after, as} from '@siskinmux/kernel';
 import type {SoftwareVersion} from '@siskinmux/endpoints';
 import {digestApiKey} from '@siskinmux/routes';
-import {createEngineDescription} from '@siskinmux/testkit';
+import {createEngineDescription, createSeededRandom} from '@siskinmux/testkit';
+import type {EndpointRequirements} from '../src/endpoint_choice.js';
 import {heartbeatSchema} from '../src/placement_messages.js';
 import {encodeTeamStates} from '../src/team_quota_messages.js';
 import {answerWhere} from '../src/where_request.js';
+import {MAXIMUM_CANDIDATES} from '../src/where_explainer.js';
+import type {World} from './where_world.js';
 import {
   KEY,
   MODEL,
@@ -26,6 +30,9 @@
 const TEXT = {path: '/text/1', model: 'm0'};
 const service = as<ServiceName>('engines');
 
+/** What `siskinmux explain --where` reads of an answer. */
+const COMMAND_READS_BYTES = 1_048_576;
+
 /** `ask` of the world fails if the question has changed the state of a part. */
 describe('explanation of where a request would go', () => {
   // Guards against a comparison that misses what has changed.
@@ -402,6 +409,104 @@
   });
 });
 
+/** Kinds of decisions, or reasons to wait, that the random states below lead to. */
+const REACHED = [
+  'send',
+  'refuse',
+  'room',
+  'pause_end',
+  'lease_holder',
+  'model',
+];
+
+/** What becomes of a real request that is searched an endpoint for at once. */
+async function findNow(
+  {client, clock}: World,
+  requirements: EndpointRequirements,
+): Promise<{kind: string; detail?: string}> {
+  let outcome: {kind: string; detail?: string} = {kind: 'wait'};
+  client.find(requirements).then(
+    ({id}) => (outcome = {kind: 'send', detail: id}),
+    (failure: RefusalError) =>
+      (outcome = {kind: 'refuse', detail: failure.code}),
+  );
+  await clock.advance(0);
+  return outcome;
+}
+
+describe('explanation of the engine that a real request gets', () => {
+  // Guards against an explanation that has come to differ from the decision.
+  it('agrees with 400 real requests in random states (seed 3)', async () => {
+    const random = createSeededRandom(3);
+    const pick = (bound: number): number => Math.floor(random() * bound);
+    const seen = new Set<string>();
+    for (let round = 0; round < 400; round += 1) {
+      const nodeCount = 1 + pick(100);
+      const world = createWorld({hasTeams: true, nodeCount});
+      const {client, clock, engines, clusterLoad, outliers} = world;
+      if (pick(4) > 0) world.follow();
+      if (pick(8) === 0) await clock.advance(1_100);
+      if (pick(5) > 0)
+        clusterLoad.update(engines.map(({id}) => [id, pick(90)]));
+      const isAsleep = pick(5) === 0;
+      for (const engine of engines) {
+        if (pick(4) === 0) world.pause(engine, 100 + pick(8_000));
+        if (pick(6) === 0)
+          for (let count = 0; count < 3; count += 1)
+            outliers.recordFailure(engine.id, clock.now());
+        if (isAsleep || pick(6) === 0)
+          client.reportMissingModel(engine.id, MODEL);
+      }
+      const held = pick(3) === 0 ? pick(12) : 0;
+      for (let count = 0; count < held; count += 1)
+        await findNow(world, {
+          ...world.requirements(3_000),
+          model: MODEL,
+          ordering: world.ordering,
+        });
+      const deadline = 100 + pick(4_000);
+      const {decision, candidates} = world.ask({
+        ...TEXT,
+        team: 'calm',
+        deadline: String(deadline),
+      });
+      const now = clock.now();
+      const real = await findNow(world, {
+        ...world.requirements(deadline),
+        model: MODEL,
+        priority: 1,
+        ordering: {...world.ordering, objectiveAt: after(now, 5_000)},
+      });
+      const context = `round ${round}: ${JSON.stringify({decision, real})}`;
+      if (decision.kind !== real.kind) throw new TypeError(context);
+      if (decision.kind === 'refuse' && decision.code !== real.detail)
+        throw new TypeError(context);
+      const chosen = candidates.find(each => each.endpoint === real.detail);
+      if (decision.kind === 'send' && !((chosen?.weight ?? 0) > 0))
+        throw new TypeError(context);
+      seen.add('reason' in decision ? decision.reason : decision.kind);
+    }
+    for (const kind of REACHED) expect(seen.has(kind)).toEqual(true);
+  });
+
+  // Guards against an answer of a size that grows with the platform.
+  it('is bounded in length with more engines than it lists', () => {
+    const world = createWorld();
+    world.follow();
+    const name = (index: number): string =>
+      `${index}`.padStart(64, 'engine-with-a-long-name-');
+    world.setEndpoints(
+      ...Array.from({length: MAXIMUM_CANDIDATES + 200}, (_, index) =>
+        createEngineDescription(name(index), service, [MODEL]),
+      ),
+    );
+    const answer = world.ask(TEXT);
+    expect(answer.candidates.length).toEqual(MAXIMUM_CANDIDATES);
+    expect(answer.omittedCandidates).toEqual(200);
+    expect(JSON.stringify(answer).length).toBeLessThan(COMMAND_READS_BYTES);
+  });
+});
+
 describe('GET /where', () => {
   const answer = (query: Record<string, string | string[]>) => {
     const {explainer} = createWorld({hasTeams: true});
--- a/packages/gateway/src/limited_choice_preview.ts
+++ b/packages/gateway/src/limited_choice_preview.ts
@@ -102,11 +102,11 @@
   choice: PreviewedChoice,
   dependencies: LimitDependencies,
 ): LimitedChoicePreview {
-  const {endpoints, weigh} = choice;
+  const {endpoints} = choice;
   const closed = endpoints.flatMap(each => closedBy(each, dependencies) ?? []);
   const closedIds = new Set(closed.map(({id}) => id));
   const open = endpoints.filter(({id}) => !closedIds.has(id));
-  const weights = weigh(open);
+  const weights = weighOpen(choice, open);
   const excluded = new Map<EndpointId, LimitExclusion>();
   for (const {id, exclusion} of closed) excluded.set(id, exclusion);
   for (const {id} of open) if (!weights.has(id)) excluded.set(id, 'outlier');
@@ -116,11 +116,40 @@
     excluded,
     decision:
       best === undefined
-        ? decideWithoutOpen(closed, choice, dependencies)
+        ? decideWithoutOpen(closed, choice)
         : decideOpen(best, choice, dependencies),
   };
 }
 
+/**
+ * Weights of the endpoints that take requests. Those that take none are drawn like any other at
+ * first; the weight that they have goes to a second draw among the rest. Of several endpoints at
+ * their request limits, each takes part in one draw more than is assumed here.
+ */
+function weighOpen(
+  {endpoints, weigh}: PreviewedChoice,
+  open: readonly EndpointDescription[],
+): EndpointWeights {
+  const first = weigh(endpoints);
+  const openIds = new Set(open.map(({id}) => id));
+  const weights = new Map([...first].filter(([id]) => openIds.has(id)));
+  const closedWeight = sumOf(
+    new Map([...first].filter(([id]) => !openIds.has(id))),
+  );
+  if (closedWeight === 0) return weights;
+  const second = weigh(open);
+  const part = closedWeight / sumOf(second);
+  for (const [id, weight] of second)
+    weights.set(id, (weights.get(id) ?? 0) + part * weight);
+  return weights;
+}
+
+function sumOf(weights: EndpointWeights): number {
+  let sum = 0;
+  for (const weight of weights.values()) sum += weight;
+  return sum;
+}
+
 /** The endpoint with the most weight; the first of equal ones. */
 function heaviest(
   endpoints: readonly EndpointDescription[],
@@ -170,7 +199,6 @@
 function decideWithoutOpen(
   closed: readonly ClosedEndpoint[],
   choice: PreviewedChoice,
-  {clock}: LimitDependencies,
 ): DecisionPreview | undefined {
   const first = closed.reduce<ClosedEndpoint | undefined>(
     (best, each) =>
@@ -186,7 +214,7 @@
   if (exclusion === 'request_limit' && (isInTime || !isUnowned))
     return {kind: 'wait', reason: 'request_permit', endsAt};
   if (isInTime) return {kind: 'wait', reason: 'pause_end', endsAt: retryAt};
-  if (canBeAdded && exclusion === 'paused' && clock.now() < endsAt)
+  if (canBeAdded && exclusion === 'paused')
     return {kind: 'wait', reason: 'model', endsAt: requirements.deadline};
   const spread =
     exclusion === 'paused' ? TYPICAL_RANDOM() * RETURN_SPREAD_MILLISECONDS : 0;
--- a/packages/gateway/src/where_explainer.ts
+++ b/packages/gateway/src/where_explainer.ts
@@ -54,8 +54,8 @@
 import {WhereQueryError} from './where_question.js';
 import {stateDecision, stateRelay, timeTo} from './where_statements.js';
 
-/** Bound on the candidates of an answer. */
-const MAXIMUM_CANDIDATES = 1_000;
+/** Bound on the candidates of an answer, and on the engines that have the model. */
+export const MAXIMUM_CANDIDATES = 1_000;
 
 /** Dependencies of {@link WhereExplainer}: parts of the node that decide about its requests. */
 export interface WhereExplainerOptions extends CandidateDependencies {
@@ -355,7 +355,7 @@
   return {
     name,
     state: readyAt.length > 0 ? 'ready' : absent,
-    readyAt,
+    readyAt: readyAt.slice(0, MAXIMUM_CANDIDATES),
     forecast:
       forecast === undefined
         ? null
--- a/packages/runtime/__tests__/metrics.test.ts
+++ b/packages/runtime/__tests__/metrics.test.ts
@@ -64,6 +64,20 @@
     expect(post.status).toEqual(404);
   });
 
+  // Guards against a key in a mistyped question that is kept where answers are kept.
+  it('does not repeat the URL of a request that it rejects', async () => {
+    const {url} = await start(() => 'answer');
+    for (const [method, path, status] of [
+      ['GET', '/other?team=pasted-key', 404],
+      ['POST', '/asked?team=pasted-key', 404],
+      ['GET', '/asked%pasted-key', 400],
+    ] as const) {
+      const response = await fetch(`${url}${path}`, {method});
+      expect(response.status).toEqual(status);
+      expect((await response.text()).includes('pasted-key')).toEqual(false);
+    }
+  });
+
   // Guards against a path that answers all of a read at once, or outside of the bounds.
   it('holds back pipelined requests to an added path whose answers are left unread', async () => {
     let answered = 0;
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -4,6 +4,7 @@
 import {ListenerBounds, RequestTurns} from '@siskinmux/forwarding';
 import type {Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
+import type {FastifyReply} from 'fastify';
 import {fastify} from 'fastify';
 import {Counter, Registry, collectDefaultMetrics} from 'prom-client';
 import {z} from 'zod';
@@ -52,6 +53,11 @@
   }),
 );
 
+/** Rejects a request without repeating its URL, which may have what was not meant to be kept. */
+function sendProblem(reply: FastifyReply, status: number): void {
+  void reply.code(status).send({status});
+}
+
 /** Provides {@link METRICS} without an HTTP server. */
 export const metricsRegistryPlugin: Plugin = {
   name: 'metrics',
@@ -76,7 +82,13 @@
       labelNames: ['limit'],
       registers: [registry],
     });
-    const server = fastify({forceCloseConnections: true});
+    const server = fastify({
+      forceCloseConnections: true,
+      frameworkErrors: (failure, _request, reply) => {
+        sendProblem(reply, failure.statusCode ?? 400);
+      },
+    });
+    server.setNotFoundHandler((_request, reply) => sendProblem(reply, 404));
     ListenerBounds.create({
       server: server.server,
       turns: RequestTurns.create(setImmediate),
