--- a/packages/gateway/__tests__/where_explainer.test.ts
+++ b/packages/gateway/__tests__/where_explainer.test.ts
@@ -489,6 +489,45 @@
     for (const kind of REACHED) expect(seen.has(kind)).toEqual(true);
   });
 
+  // Guards against an explanation of the quota that has come to differ from the decision.
+  it('agrees with 300 real requests under a quota, with the same return times (seed 1)', async () => {
+    const random = createSeededRandom(1);
+    const world = createWorld({hasTeams: true});
+    const {teamQuotas, clock, ask} = world;
+    const {beat} = holdLease(world);
+    const team = as<TeamName>('busy');
+    const {signal} = new AbortController();
+    const seen = new Set<string>();
+    for (let round = 0; round < 300; round += 1) {
+      beat();
+      await clock.advance(Math.floor(random() * random() * 3_000));
+      const {decision, team: stated} = ask({path: '/read/1', team: team});
+      const now = clock.now();
+      let real: {kind: string; returnIn?: number} = {kind: 'wait'};
+      teamQuotas
+        .acquire({
+          team,
+          amount: stated?.quota?.cost ?? 0,
+          deadline: after(now, 4_000),
+          waitUntil: after(now, 625),
+          signal,
+        })
+        .then(
+          () => (real = {kind: 'send'}),
+          ({retryAt = now}: RefusalError) =>
+            (real = {kind: 'refuse', returnIn: Math.round(retryAt - now)}),
+        );
+      await clock.advance(0);
+      const expected =
+        decision.kind === 'refuse'
+          ? {kind: 'refuse', returnIn: decision.returnIn}
+          : {kind: decision.kind};
+      expect({round, ...real}).toEqual({round, ...expected} as never);
+      seen.add(decision.kind);
+    }
+    expect([...seen].sort()).toEqual(['refuse', 'send', 'wait']);
+  });
+
   // Guards against an answer of a size that grows with the platform.
   it('is bounded in length with more engines than it lists', () => {
     const world = createWorld();
