--- a/packages/cli/src/explain/describe_where.ts
+++ b/packages/cli/src/explain/describe_where.ts
@@ -41,7 +41,7 @@
       : '';
   return (
     `Route ${name} (${kind}) to ${service ?? 'no service'}${share}; ` +
-    `has to begin within ${deadlineIn} ms; ` +
+    `has to ${kind === 'stream' ? 'begin' : 'end'} within ${deadlineIn} ms; ` +
     `configuration ${configurationVersion}, ${ageText(configurationAge)}.`
   );
 }
