--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -4,6 +4,7 @@
 import {ListenerBounds, RequestTurns} from '@siskinmux/forwarding';
 import type {Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
+import type {FastifyReply} from 'fastify';
 import {fastify} from 'fastify';
 import {Counter, Registry, collectDefaultMetrics} from 'prom-client';
 import {z} from 'zod';
@@ -22,6 +23,26 @@
 /** Injection key of the base URL of the metrics server; empty until it listens. */
 export const METRICS_URL = injectionKey<() => string>('metrics URL');
 
+/** Fields of a query, as received. */
+export type QueryFields = Readonly<
+  Record<string, string | readonly string[] | undefined>
+>;
+
+/** A JSON answer of the metrics server. */
+export interface MetricsAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Adds a path to the metrics server, before it starts; `answer` is called for each GET request. */
+export type AddMetricsPath = (
+  path: string,
+  answer: (query: QueryFields) => MetricsAnswer,
+) => void;
+
+/** Injection key of a function that adds a path to the metrics server. */
+export const ADD_METRICS_PATH = injectionKey<AddMetricsPath>('metrics paths');
+
 const section = settingsSection(
   'metrics',
   z.strictObject({
@@ -32,6 +53,11 @@
   }),
 );
 
+/** Rejects a request without repeating its URL, which may have what was not meant to be kept. */
+function sendProblem(reply: FastifyReply, status: number): void {
+  void reply.code(status).send({status});
+}
+
 /** Provides {@link METRICS} without an HTTP server. */
 export const metricsRegistryPlugin: Plugin = {
   name: 'metrics',
@@ -40,7 +66,7 @@
   },
 };
 
-/** Provides {@link METRICS} and serves `GET /metrics`. */
+/** Provides {@link METRICS} and {@link ADD_METRICS_PATH}, and serves `GET /metrics`. */
 export const metricsPlugin: Plugin = {
   name: 'metrics',
   install(kernel) {
@@ -56,7 +82,13 @@
       labelNames: ['limit'],
       registers: [registry],
     });
-    const server = fastify({forceCloseConnections: true});
+    const server = fastify({
+      forceCloseConnections: true,
+      frameworkErrors: (failure, _request, reply) => {
+        sendProblem(reply, failure.statusCode ?? 400);
+      },
+    });
+    server.setNotFoundHandler((_request, reply) => sendProblem(reply, 404));
     ListenerBounds.create({
       server: server.server,
       turns: RequestTurns.create(setImmediate),
@@ -67,6 +99,13 @@
       void reply.type(registry.contentType);
       return registry.metrics();
     });
+    kernel.provide(ADD_METRICS_PATH, (path, answer) => {
+      server.get(path, async (request, reply) => {
+        const {status, body} = answer(request.query as QueryFields);
+        void reply.code(status).type('application/json; charset=utf-8');
+        return JSON.stringify(body);
+      });
+    });
     let url = '';
     kernel.provide(METRICS_URL, () => url);
     kernel.addTask({
