Give the teams of each model and rank virtual times of their own

Cause: one virtual time served all models and ranks, so that a team whose held requests were sent at one model, or in a more urgent rank, was put behind at another by all that it had been sent; a lead was also kept while nothing was held. Change: TeamTurns holds the virtual times of one group and rank, and is dropped with the last held request there, so that all begin alike in the next contention. While requests are held without a break, teams that hold none and are no longer ahead are forgotten. A cost that is not finite is not counted.

--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -285,6 +285,29 @@
   });
 });
 
+/** Requests of teams that have time left, so that their teams take turns. */
+const PATIENT = {objective: 1e7, deadline: 2e7};
+
+/** Teams of the first requests that are taken of one group. */
+function takeTeams(
+  queue: CapacityQueue<Named>,
+  now: Instant,
+  count: number,
+  group = 'model',
+): string[] {
+  const teams: string[] = [];
+  while (teams.length < count) {
+    const item = queue.take(now, other => other === group);
+    if (item === undefined) break;
+    teams.push(item.team ?? '');
+  }
+  return teams;
+}
+
+/** Number of a team's requests among those taken. */
+const countOf = (teams: readonly string[], team: string): number =>
+  teams.filter(other => other === team).length;
+
 describe('shares of teams that are not known yet', () => {
   // Listed in KNOWN-RED.txt; played with `KNOWN_RED=1`.
   const skip = process.env['KNOWN_RED'] === undefined;
@@ -317,3 +340,92 @@
     },
   );
 });
+
+describe('turns of teams in several groups and ranks', () => {
+  it('serves a team alike that is also served at another model', () => {
+    // One virtual time for all models put the team behind by all that it was served elsewhere.
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 200; index += 1) {
+      queue.offer(request('a', {...PATIENT, group: 'other'}), start);
+      for (const team of ['b', 'a'])
+        queue.offer(request(team, {...PATIENT, team}), start);
+    }
+    expect(takeTeams(queue, at(1), 200, 'other').length).toEqual(200);
+    const teams = takeTeams(queue, at(2), 100);
+    expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
+    expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
+  });
+
+  it('serves a team alike that begins to wait after the others were served at another model', () => {
+    // The start of a team followed what was chosen last, at whichever model.
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 200; index += 1) {
+      queue.offer(request('b', {...PATIENT, team: 'b'}), start);
+      for (const team of ['c', 'd'])
+        queue.offer(request(team, {...PATIENT, team, group: 'other'}), start);
+    }
+    takeTeams(queue, at(1), 400, 'other');
+    for (let index = 0; index < 200; index += 1)
+      queue.offer(request('a', {...PATIENT, arrived: 2}), at(2));
+    const teams = takeTeams(queue, at(3), 100);
+    expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
+    expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
+  });
+
+  it('serves a team alike that is also served in a more urgent rank', () => {
+    // The rank of a team changes with the configuration while its requests wait.
+    const queue = CapacityQueue.create<Named>();
+    for (let index = 0; index < 200; index += 1) {
+      queue.offer(request('a', PATIENT), start);
+      for (const team of ['b', 'a'])
+        queue.offer(request(team, {...PATIENT, team, teamPriority: 1}), start);
+    }
+    takeTeams(queue, at(1), 200);
+    const teams = takeTeams(queue, at(2), 100);
+    expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
+    expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
+  });
+
+  it('gives a team its turn again after a request whose cost is not finite', () => {
+    // Its virtual time stayed infinite for good.
+    const queue = CapacityQueue.create<Named>();
+    queue.offer(request('a', {...PATIENT, cost: Infinity}), start);
+    for (let index = 0; index < 200; index += 1) {
+      for (const team of ['b', 'a'])
+        queue.offer(request(team, {...PATIENT, team}), start);
+    }
+    const teams = takeTeams(queue, at(1), 101);
+    expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
+    expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
+  });
+
+  it('lets all teams begin alike once a group held nothing', () => {
+    // A lead that was kept without contention put the team behind in the next one.
+    const queue = CapacityQueue.create<Named>();
+    const urgent = {objective: 1, deadline: 1e7};
+    queue.offer(request('b', {...PATIENT, team: 'b'}), start);
+    for (let index = 0; index < 15; index += 1)
+      queue.offer(request('a', urgent), start);
+    expect(takeTeams(queue, at(2), 16).length).toEqual(16);
+    for (const team of ['b', 'a']) {
+      for (let index = 0; index < 20; index += 1)
+        queue.offer(request(team, {...urgent, team, arrived: 3}), at(3));
+    }
+    const teams = takeTeams(queue, at(20), 4);
+    expect(countOf(teams, 'a')).toEqual(2);
+  });
+
+  it('gives a team no credit for the time in which it held nothing', () => {
+    const queue = CapacityQueue.create<Named>();
+    for (const team of ['b', 'c']) {
+      for (let index = 0; index < 300; index += 1)
+        queue.offer(request(team, {...PATIENT, team}), start);
+    }
+    takeTeams(queue, at(1), 400);
+    for (let index = 0; index < 200; index += 1)
+      queue.offer(request('a', {...PATIENT, arrived: 2}), at(2));
+    const teams = takeTeams(queue, at(3), 150);
+    expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
+    expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
+  });
+});
--- a/packages/admission/src/capacity_order.ts
+++ b/packages/admission/src/capacity_order.ts
@@ -3,11 +3,12 @@
  * one rank, by their kind and by the time left until their objective.
  */
 
-import type {Instant, TeamName} from '@siskinmux/kernel';
+import type {Instant} from '@siskinmux/kernel';
 import {until} from '@siskinmux/kernel';
 import type {CapacityRequest, Flow} from './capacity_request.js';
 import {yieldsUntil} from './capacity_request.js';
 import type {ServiceShares} from './service_shares.js';
+import type {TeamTurns} from './team_turns.js';
 
 /**
  * Requests of average cost by which one team may be ahead of another of its rank, so that a more
@@ -33,10 +34,6 @@
 
 /** Chooses the flow whose first request is sent next. */
 export class CapacityOrder<Item extends CapacityRequest> {
-  /** Cost sent for a team, divided by its weight: the team with the smallest is next. */
-  private readonly virtualTimes = new Map<TeamName | undefined, number>();
-  private virtualTime = 0;
-
   private constructor(private readonly shares: ServiceShares) {}
 
   static create<Item extends CapacityRequest>(
@@ -45,32 +42,6 @@
     return new CapacityOrder(shares);
   }
 
-  /** Virtual time of a team that holds requests. */
-  timeOf(team: TeamName | undefined): number {
-    return this.virtualTimes.get(team) ?? 0;
-  }
-
-  /** Virtual time at which a team would begin to hold requests now. */
-  startOf(team: TeamName | undefined): number {
-    return Math.max(this.timeOf(team), this.virtualTime);
-  }
-
-  /** Records that a team holds requests again; it gains no credit while it holds none. */
-  begin(team: TeamName | undefined): void {
-    this.virtualTimes.set(team, this.startOf(team));
-  }
-
-  /** Records that a team holds no requests any more. */
-  end(team: TeamName | undefined): void {
-    if (this.timeOf(team) <= this.virtualTime) this.virtualTimes.delete(team);
-  }
-
-  /** Records that a request was sent. */
-  recordSent({team, cost}: Item, now: Instant): void {
-    const weight = this.shares.weightOf(team, now);
-    this.virtualTimes.set(team, this.timeOf(team) + cost / weight);
-  }
-
   /** The flow whose first request goes next, among those whose group has room. */
   choose(flows: readonly Flow<Item>[], now: Instant): Flow<Item> | undefined {
     return this.findStarved(flows, now) ?? this.findNext(flows, now);
@@ -98,35 +69,32 @@
   ): Flow<Item> | undefined {
     const rank = Math.min(...flows.map(({teamPriority}) => teamPriority));
     const sameRank = flows.filter(({teamPriority}) => teamPriority === rank);
-    const least = Math.min(...sameRank.map(({line}) => this.timeOf(line.team)));
-    if (sameRank.length > 0) this.virtualTime = least;
-    const limit = least + this.shareSlack(sameRank, now);
     let best: {flow: Flow<Item>; order: readonly number[]} | undefined;
-    for (const flow of sameRank) {
-      const head = flow.heap.peek();
-      const time = this.timeOf(flow.line.team);
-      if (head === undefined || time > limit) continue;
-      const order = this.orderOf(head, time, now);
-      if (best === undefined || isBefore(order, best.order))
-        best = {flow, order};
+    for (const [turns, ofGroup] of byTurns(sameRank)) {
+      const least = turns.advance();
+      const slack = this.shareSlack(ofGroup, now);
+      for (const flow of ofGroup) {
+        const head = flow.heap.peek();
+        const lead = turns.timeOf(flow.line.team) - least;
+        if (head === undefined || lead > slack) continue;
+        const order = this.orderOf(head, lead, now);
+        if (best === undefined || isBefore(order, best.order))
+          best = {flow, order};
+      }
     }
     return best?.flow;
   }
 
   /** Place of the first request of a flow among those of its rank; compared number by number. */
-  private orderOf(
-    head: Item,
-    virtualTime: number,
-    now: Instant,
-  ): readonly number[] {
+  private orderOf(head: Item, lead: number, now: Instant): readonly number[] {
     const {routePriority, objectiveAt} = head;
     const ratio = this.shares.kindRatio(head, now) * RATIO_STEPS;
     // A less urgent kind is read as served more often, so that it isn't in fact.
     const step = Math.floor(ratio) + Math.min(1, routePriority);
     const phase = phaseOf(head, now);
     return phase === Phase.Yielding
-      ? [step, phase, routePriority, objectiveAt, virtualTime]
-      : [step, phase, routePriority, virtualTime, objectiveAt];
+      ? [step, phase, routePriority, objectiveAt, lead]
+      : [step, phase, routePriority, lead, objectiveAt];
   }
 
   private shareSlack(flows: readonly Flow<Item>[], now: Instant): number {
@@ -140,6 +108,19 @@
   }
 }
 
+/** Flows by the turns that their teams take. */
+function byTurns<Item extends CapacityRequest>(
+  flows: readonly Flow<Item>[],
+): Map<TeamTurns, Flow<Item>[]> {
+  const found = new Map<TeamTurns, Flow<Item>[]>();
+  for (const flow of flows) {
+    const others = found.get(flow.turns);
+    if (others === undefined) found.set(flow.turns, [flow]);
+    else others.push(flow);
+  }
+  return found;
+}
+
 function phaseOf(item: CapacityRequest, now: Instant): Phase {
   const {arrivedAt, objectiveAt, startBy} = item;
   const criticalTime = until(arrivedAt, startBy) * CRITICAL_TIME_SHARE;
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -9,10 +9,11 @@
 import {after, earlier, until} from '@siskinmux/kernel';
 import {CapacityOrder} from './capacity_order.js';
 import type {CapacityRequest, Flow, TeamLine} from './capacity_request.js';
-import {flowKey, lineKey, yieldsUntil} from './capacity_request.js';
+import {flowKey, lineKey, turnsKey, yieldsUntil} from './capacity_request.js';
 import {RoomRate} from './room_rate.js';
 import type {ServedRequest} from './service_shares.js';
 import {ServiceShares} from './service_shares.js';
+import {TeamTurns} from './team_turns.js';
 
 /** An estimated wait is multiplied by this, as a request that expires has waited in vain. */
 const WAIT_MARGIN = 1.2;
@@ -70,7 +71,8 @@
     string,
     {size: number; usedAt: Instant; rate: RoomRate}
   >();
-  private readonly heldByTeam = new Map<TeamName | undefined, number>();
+  /** Turns by group and rank, while requests of these are held. */
+  private readonly turns = new Map<string, TeamTurns>();
   private readonly order: CapacityOrder<Item>;
   private total = 0;
 
@@ -127,7 +129,8 @@
     const flow = this.chooseFlow(now, hasRoom);
     const item = flow?.heap.pop();
     if (flow === undefined || item === undefined) return undefined;
-    this.order.recordSent(item, now);
+    const weight = this.shares.weightOf(item.team, now);
+    flow.turns.recordSent(item.team, item.cost / weight);
     this.shares.recordServed(item, now);
     flow.line.rate.recordDeparture(now);
     this.groups.get(item.group)?.rate.recordDeparture(now);
@@ -256,20 +259,22 @@
 
   /** Held requests of a rank that go before a new one if teams take turns by their shares. */
   private countAheadInTurn(
-    {team, cost}: Item,
+    item: Item,
     heldOfKind: number,
     heldByTeam: ReadonlyMap<TeamName | undefined, number>,
     now: Instant,
   ): number {
-    const start = this.order.startOf(team);
+    const {team, cost} = item;
+    const turns = this.turns.get(turnsKey(item));
+    const start = turns?.startOf(team) ?? 0;
     const turn = start + (heldOfKind * cost) / this.shares.weightOf(team, now);
     let ahead = heldOfKind;
     for (const [other, held] of heldByTeam) {
       if (other === team) continue;
-      const time = this.order.timeOf(other);
+      const time = turns?.timeOf(other) ?? 0;
       const weight = this.shares.weightOf(other, now);
-      const turns = Math.ceil(Math.max(0, turn - time) * (weight / cost));
-      ahead += Math.min(held, turns);
+      const before = Math.ceil(Math.max(0, turn - time) * (weight / cost));
+      ahead += Math.min(held, before);
     }
     return ahead;
   }
@@ -306,7 +311,8 @@
       const heap = new Heap<Item>(
         (left, right) => left.objectiveAt - right.objectiveAt,
       );
-      flow = {group, teamPriority, line, heap};
+      const turns = this.findTurns(item);
+      flow = {group, teamPriority, line, turns, heap};
       this.flows.set(key, flow);
     }
     flow.heap.push(item);
@@ -321,9 +327,7 @@
     group.usedAt = now;
     group.rate.beginBacklog(now);
     this.groups.set(item.group, group);
-    const heldOfTeam = this.heldByTeam.get(item.team) ?? 0;
-    if (heldOfTeam === 0) this.order.begin(item.team);
-    this.heldByTeam.set(item.team, heldOfTeam + 1);
+    flow.turns.add(item.team);
     this.total += 1;
   }
 
@@ -337,15 +341,20 @@
       group.size -= 1;
       if (group.size === 0) group.rate.endBacklog(now);
     }
-    const heldOfTeam = (this.heldByTeam.get(item.team) ?? 1) - 1;
-    if (heldOfTeam > 0) this.heldByTeam.set(item.team, heldOfTeam);
-    else {
-      this.heldByTeam.delete(item.team);
-      this.order.end(item.team);
-    }
+    flow.turns.remove(item.team);
+    if (flow.turns.held === 0) this.turns.delete(turnsKey(item));
     this.total -= 1;
   }
 
+  private findTurns(item: Item): TeamTurns {
+    const key = turnsKey(item);
+    const known = this.turns.get(key);
+    if (known !== undefined) return known;
+    const turns = TeamTurns.create();
+    this.turns.set(key, turns);
+    return turns;
+  }
+
   private findLine(item: Item, now: Instant): TeamLine {
     const key = lineKey(item);
     const known = this.lines.get(key);
--- a/packages/admission/src/capacity_request.ts
+++ b/packages/admission/src/capacity_request.ts
@@ -5,6 +5,7 @@
 import {after, until} from '@siskinmux/kernel';
 import type {RoomRate} from './room_rate.js';
 import type {ServedRequest} from './service_shares.js';
+import type {TeamTurns} from './team_turns.js';
 
 /** Share of the time to its objective after which a request no longer yields to others. */
 const YIELDS_FOR_SHARE = 0.5;
@@ -27,6 +28,7 @@
   readonly group: string;
   readonly teamPriority: number;
   readonly line: TeamLine;
+  readonly turns: TeamTurns;
   readonly heap: Heap<Item>;
 }
 
@@ -62,6 +64,11 @@
   return `${group}\n${team ?? ''}`;
 }
 
+/** Identifies the requests of a rank in a group. */
+export function turnsKey({group, teamPriority}: CapacityRequest): string {
+  return `${group}\n${teamPriority}`;
+}
+
 /** Identifies the requests of a flow. */
 export function flowKey(item: CapacityRequest): string {
   const {teamPriority, routePriority, route} = item;
