Let less urgent requests whose objective is at stake go first while hardly anything is refused

Cause: the kind of a route with a priority was read as better served also while nothing was refused, so that its requests yielded until they were late; in a burst of reports only these were late. Change: while 95 % of all are served, requests at stake go by their age. At stake is who has used 0.9 of the time to the objective (0.5 before). A less urgent kind is read as two steps better served (one before), and three requests of a flow are held in a lasting overload (four before).

--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -118,6 +118,34 @@
     expect(queue.take(at(10_000), all)?.name).toEqual('late too');
   });
 
+  it('lets a less urgent kind yield no longer once its objective is at stake, if hardly anything is refused', () => {
+    // Urgent requests always went first, so that in a burst of reports only these were late.
+    const queue = CapacityQueue.create<Named>();
+    const report = {objective: 5_002, deadline: 25_000, routePriority: 1};
+    queue.offer(request('report', report), start);
+    queue.offer(request('chat', {arrived: 3_500}), at(3_500));
+    expect(queue.peek(at(3_700), all)?.name).toEqual('chat');
+    queue.offer(request('chat', {arrived: 4_500}), at(4_500));
+    expect(queue.take(at(4_740), all)?.name).toEqual('report');
+  });
+
+  it('lets a less urgent kind yield that is served nearly as often, if requests are refused', () => {
+    // The measured shares vary, and lookups were served 2.5 points less often than reports.
+    const queue = CapacityQueue.create<Named>();
+    const report = {objective: 5_002, deadline: 25_000, routePriority: 1};
+    const serve = (one: Named, served: number): void => {
+      for (let index = 0; index < served; index += 1)
+        queue.recordUnheld(one, start);
+      for (let index = served; index < 100; index += 1)
+        queue.offer({...one, startBy: start}, start);
+    };
+    serve(request('chat'), 81);
+    serve(request('report', report), 77);
+    queue.offer(request('report', report), start);
+    queue.offer(request('chat', {arrived: 4_600}), at(4_600));
+    expect(queue.take(at(4_601), all)?.name).toEqual('chat');
+  });
+
   it('serves teams of one rank in turn when one of them holds many requests', () => {
     const queue = CapacityQueue.create<Named>();
     for (let index = 0; index < 100; index += 1)
--- a/packages/admission/src/capacity_order.ts
+++ b/packages/admission/src/capacity_order.ts
@@ -19,6 +19,12 @@
 /** Kinds whose served shares differ by less than a step are ordered by urgency alone. */
 const RATIO_STEPS = 20;
 
+/**
+ * Steps by which a less urgent kind is read as better served. With one, a node that sees a few
+ * requests a second serves it more often than urgent kinds, as its shares vary by several percent.
+ */
+const LESS_URGENT_STEPS = 2;
+
 /** Share of the time until it can no longer start that is left when a late request goes first. */
 const CRITICAL_TIME_SHARE = 0.25;
 
@@ -87,14 +93,18 @@
 
   /** Place of the first request of a flow among those of its rank; compared number by number. */
   private orderOf(head: Item, lead: number, now: Instant): readonly number[] {
-    const {routePriority, objectiveAt} = head;
-    const ratio = this.shares.kindRatio(head, now) * RATIO_STEPS;
-    // A less urgent kind is read as served more often, so that it isn't in fact.
-    const step = Math.floor(ratio) + Math.min(1, routePriority);
+    const {routePriority, arrivedAt, objectiveAt} = head;
+    const step = Math.floor(this.shares.kindRatio(head, now) * RATIO_STEPS);
     const phase = phaseOf(head, now);
+    // A kind that has yielded for most of its time doesn't yield further as long as the others
+    // lose nothing but time.
+    if (phase === Phase.AtStake && this.shares.servesNearlyAll(now))
+      return [step, phase, arrivedAt, lead];
+    // A less urgent kind is read as served more often, so that it isn't in fact.
+    const readStep = step + (routePriority > 0 ? LESS_URGENT_STEPS : 0);
     return phase === Phase.Yielding
-      ? [step, phase, routePriority, objectiveAt, lead]
-      : [step, phase, routePriority, lead, objectiveAt];
+      ? [readStep, phase, routePriority, objectiveAt, lead]
+      : [readStep, phase, routePriority, lead, objectiveAt];
   }
 
   private shareSlack(flows: readonly Flow<Item>[], now: Instant): number {
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -28,8 +28,11 @@
 /** With fewer held requests of a team, its measured rate is that of its arrivals. */
 const LEAST_BACKLOG = 4;
 
-/** Requests of a flow that are held also in a lasting overload, so that each slot is used. */
-const LEAST_HELD = 4;
+/**
+ * Requests of a flow that are held also in a lasting overload, so that each slot is used. Each of
+ * them makes the others late.
+ */
+const LEAST_HELD = 3;
 
 /** Earliest return of a refused request. */
 const MINIMUM_RETURN_MILLISECONDS: Milliseconds = 100;
--- a/packages/admission/src/capacity_request.ts
+++ b/packages/admission/src/capacity_request.ts
@@ -7,8 +7,11 @@
 import type {ServedRequest} from './service_shares.js';
 import type {TeamTurns} from './team_turns.js';
 
-/** Share of the time to its objective after which a request no longer yields to others. */
-const YIELDS_FOR_SHARE = 0.5;
+/**
+ * Share of the time to its objective after which a request no longer yields to others. With a
+ * half, more urgent requests are late in an overload for ones that still have time.
+ */
+const YIELDS_FOR_SHARE = 0.9;
 
 /** Properties by which requests that wait for capacity are ordered. */
 export interface CapacityRequest extends ServedRequest {
--- a/packages/admission/src/service_shares.ts
+++ b/packages/admission/src/service_shares.ts
@@ -23,6 +23,9 @@
  */
 const STARVED_SHARE = 0.35;
 
+/** With at least this served share of all requests, nothing is short but time. */
+const NEARLY_ALL_SHARE = 0.95;
+
 /** Records of what was not offered for this long are dropped. */
 const FORGET_AFTER_MILLISECONDS: Milliseconds = 7_200_000;
 
@@ -111,6 +114,11 @@
     return this.relativeRatio(team, now) < STARVED_SHARE;
   }
 
+  /** Whether hardly anything is refused. */
+  servesNearlyAll(now: Instant): boolean {
+    return this.all.ratio(now) >= NEARLY_ALL_SHARE;
+  }
+
   /** Served share of a kind among the teams of the same rank; from 0 to 1. */
   kindRatio(request: ServedRequest, now: Instant): number {
     return this.kinds.get(kindKey(request))?.ratio(now) ?? 1;
