Keep the weights of teams in one unit before and after usual loads are known

Cause: a weight was 1 until a usual request was recorded, and then an amount of cost, about a thousand times as much. What a team had been sent before put it behind for good. Usual loads that cost nothing or no finite amount gave weights that are no number. Change: a weight is the team's usual load in requests of mean cost, relative to the mean of all teams; it is 1 while nothing is known. The test of this runs always now, and with the early request at the same model too.

--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -337,16 +337,17 @@
   teams.filter(other => other === team).length;
 
 describe('shares of teams that are not known yet', () => {
-  // Listed in KNOWN-RED.txt; played with `KNOWN_RED=1`.
-  const skip = process.env['KNOWN_RED'] === undefined;
-  it(
-    'serves a team alike that was sent a request before the usual loads were known',
-    {skip},
-    () => {
+  const title =
+    'serves a team alike that was sent a request before the usual loads were known';
+  for (const [group, name] of [
+    ['rare', title],
+    ['model', `${title}, at the same model`],
+  ] as const) {
+    it(name, () => {
       // The weights of that time were in another unit, which put the team far behind.
       const queue = CapacityQueue.create<Named>();
       const cost = 1_000;
-      queue.offer(request('early', {cost, group: 'rare'}), start);
+      queue.offer(request('early', {cost, group}), start);
       queue.take(at(500), all);
       for (let second = 1; second <= 600; second += 1) {
         for (const team of ['a', 'b', 'c'])
@@ -356,7 +357,7 @@
           );
       }
       const arrived = 600_000;
-      const far = {arrived, cost, objective: 1e7, deadline: 2e7};
+      const far = {arrived, cost, ...PATIENT};
       for (let index = 0; index < 100; index += 1) {
         for (const team of ['b', 'c', 'a'])
           queue.offer(request(team, {...far, team}), at(arrived));
@@ -365,8 +366,47 @@
       const count = names.filter(name => name === 'a').length;
       expect(count).toBeGreaterThanOrEqual(33);
       expect(count).toBeLessThanOrEqual(67);
-    },
-  );
+    });
+  }
+
+  it('serves teams alike that held requests while the usual loads became known', () => {
+    // Leads of the time before were kept in a unit that counted a thousand times as much.
+    const queue = CapacityQueue.create<Named>();
+    const cost = 1_000;
+    for (let index = 0; index < 200; index += 1) {
+      for (const team of ['a', 'b', 'c'])
+        queue.offer(request(team, {...PATIENT, team, cost}), start);
+    }
+    takeTeams(queue, at(1), 10);
+    for (let second = 1; second <= 600; second += 1) {
+      for (const team of ['a', 'b', 'c'])
+        queue.recordUnheld(
+          request('usual', {team, cost, group: 'other'}),
+          at(second * 1_000),
+        );
+    }
+    const teams = takeTeams(queue, at(600_001), 150);
+    for (const team of ['a', 'b', 'c']) {
+      expect(countOf(teams, team)).toBeGreaterThanOrEqual(33);
+      expect(countOf(teams, team)).toBeLessThanOrEqual(67);
+    }
+  });
+
+  it('takes turns also if the usual requests cost nothing, or no finite amount', () => {
+    // 0 / 0 and Infinity / Infinity gave weights of NaN, by which no team goes before another.
+    for (const cost of [0, Infinity]) {
+      const queue = CapacityQueue.create<Named>();
+      for (let index = 0; index < 10; index += 1)
+        queue.recordUnheld(request('usual', {team: 'a', cost}), start);
+      for (const team of ['a', 'b']) {
+        for (let index = 0; index < 100; index += 1)
+          queue.offer(request(team, {...PATIENT, team}), start);
+      }
+      const teams = takeTeams(queue, at(1), 100);
+      expect(countOf(teams, 'b')).toBeGreaterThanOrEqual(33);
+      expect(countOf(teams, 'b')).toBeLessThanOrEqual(67);
+    }
+  });
 });
 
 describe('turns of teams in several groups and ranks', () => {
--- a/packages/admission/src/service_shares.ts
+++ b/packages/admission/src/service_shares.ts
@@ -88,13 +88,19 @@
       share.offered.add(request.cost, now);
   }
 
-  /** Weight of a team among those of its rank: its usual load before the contention. */
+  /**
+   * Weight of a team among those of its rank: its usual load before the contention, relative to
+   * the mean of all teams. It is 1 while no usual load is known, so that virtual times are in one
+   * unit throughout.
+   */
   weightOf(team: TeamName | undefined, now: Instant): number {
     const requests = this.usualRequests.at(now);
-    if (requests < 1) return 1;
     const meanCost = this.all.usual.at(now) / requests;
-    const usual = this.teams.get(team)?.usual.at(now) ?? 0;
-    return usual + PRIOR_REQUESTS * meanCost;
+    // There is none without usual requests, or if they cost nothing or no finite amount.
+    if (!(meanCost > 0 && meanCost < Infinity)) return 1;
+    const usual = (this.teams.get(team)?.usual.at(now) ?? 0) / meanCost;
+    const mean = requests / Math.max(1, this.teams.size);
+    return (usual + PRIOR_REQUESTS) / (mean + PRIOR_REQUESTS);
   }
 
   /** Amount that the teams of one rank offered of a kind recently. */
