Let urgent requests pass ahead of room also while others are at stake

Cause: requests at stake go by their age while hardly anything is refused. A new urgent request then no longer went before all held ones, wasn't sent ahead of room, and was late, while those at stake were late all the same in the engine's queue. Change: whether a request passes at once is decided with the requests at stake in the order of their urgency.

--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -126,6 +126,7 @@
     queue.offer(request('chat', {arrived: 3_500}), at(3_500));
     expect(queue.peek(at(3_700), all)?.name).toEqual('chat');
     queue.offer(request('chat', {arrived: 4_500}), at(4_500));
+    expect(queue.peek(at(4_740), all, 'urgency')?.name).toEqual('chat');
     expect(queue.take(at(4_740), all)?.name).toEqual('report');
   });
 
--- a/packages/admission/src/capacity_order.ts
+++ b/packages/admission/src/capacity_order.ts
@@ -38,6 +38,12 @@
   Late,
 }
 
+/**
+ * What decides between requests at stake of different kinds while hardly anything is refused: the
+ * time that they have waited, or the urgency of their kind.
+ */
+export type StakeOrder = 'age' | 'urgency';
+
 /** Chooses the flow whose first request is sent next. */
 export class CapacityOrder<Item extends CapacityRequest> {
   private constructor(private readonly shares: ServiceShares) {}
@@ -49,8 +55,14 @@
   }
 
   /** The flow whose first request goes next, among those whose group has room. */
-  choose(flows: readonly Flow<Item>[], now: Instant): Flow<Item> | undefined {
-    return this.findStarved(flows, now) ?? this.findNext(flows, now);
+  choose(
+    flows: readonly Flow<Item>[],
+    now: Instant,
+    stakeOrder: StakeOrder,
+  ): Flow<Item> | undefined {
+    return (
+      this.findStarved(flows, now) ?? this.findNext(flows, now, stakeOrder)
+    );
   }
 
   private findStarved(
@@ -72,6 +84,7 @@
   private findNext(
     flows: readonly Flow<Item>[],
     now: Instant,
+    stakeOrder: StakeOrder,
   ): Flow<Item> | undefined {
     const rank = Math.min(...flows.map(({teamPriority}) => teamPriority));
     const sameRank = flows.filter(({teamPriority}) => teamPriority === rank);
@@ -83,7 +96,7 @@
         const head = flow.heap.peek();
         const lead = turns.timeOf(flow.line.team) - least;
         if (head === undefined || lead > slack) continue;
-        const order = this.orderOf(head, lead, now);
+        const order = this.orderOf(head, lead, now, stakeOrder);
         if (best === undefined || isBefore(order, best.order))
           best = {flow, order};
       }
@@ -92,13 +105,22 @@
   }
 
   /** Place of the first request of a flow among those of its rank; compared number by number. */
-  private orderOf(head: Item, lead: number, now: Instant): readonly number[] {
+  private orderOf(
+    head: Item,
+    lead: number,
+    now: Instant,
+    stakeOrder: StakeOrder,
+  ): readonly number[] {
     const {routePriority, arrivedAt, objectiveAt} = head;
     const step = Math.floor(this.shares.kindRatio(head, now) * RATIO_STEPS);
     const phase = phaseOf(head, now);
     // A kind that has yielded for most of its time doesn't yield further as long as the others
     // lose nothing but time.
-    if (phase === Phase.AtStake && this.shares.servesNearlyAll(now))
+    if (
+      stakeOrder === 'age' &&
+      phase === Phase.AtStake &&
+      this.shares.servesNearlyAll(now)
+    )
       return [step, phase, arrivedAt, lead];
     // A less urgent kind is read as served more often, so that it isn't in fact.
     const readStep = step + (routePriority > 0 ? LESS_URGENT_STEPS : 0);
--- a/packages/admission/src/capacity_queue.ts
+++ b/packages/admission/src/capacity_queue.ts
@@ -7,6 +7,7 @@
 import {Heap} from 'heap-js';
 import type {Instant, Milliseconds, TeamName} from '@siskinmux/kernel';
 import {after, earlier, until} from '@siskinmux/kernel';
+import type {StakeOrder} from './capacity_order.js';
 import {CapacityOrder} from './capacity_order.js';
 import type {CapacityRequest, Flow, TeamLine} from './capacity_request.js';
 import {flowKey, lineKey, turnsKey, yieldsUntil} from './capacity_request.js';
@@ -128,8 +129,12 @@
   }
 
   /** Removes and returns the next request whose group has room. */
-  take(now: Instant, hasRoom: (group: string) => boolean): Item | undefined {
-    const flow = this.chooseFlow(now, hasRoom);
+  take(
+    now: Instant,
+    hasRoom: (group: string) => boolean,
+    stakeOrder: StakeOrder = 'age',
+  ): Item | undefined {
+    const flow = this.chooseFlow(now, hasRoom, stakeOrder);
     const item = flow?.heap.pop();
     if (flow === undefined || item === undefined) return undefined;
     const weight = this.shares.weightOf(item.team, now);
@@ -142,8 +147,12 @@
   }
 
   /** The request that {@link take} would return. */
-  peek(now: Instant, hasRoom: (group: string) => boolean): Item | undefined {
-    return this.chooseFlow(now, hasRoom)?.heap.peek();
+  peek(
+    now: Instant,
+    hasRoom: (group: string) => boolean,
+    stakeOrder: StakeOrder = 'age',
+  ): Item | undefined {
+    return this.chooseFlow(now, hasRoom, stakeOrder)?.heap.peek();
   }
 
   /** Removes a request, for example because its caller is gone; false if it is not held. */
@@ -179,6 +188,7 @@
   private chooseFlow(
     now: Instant,
     hasRoom: (group: string) => boolean,
+    stakeOrder: StakeOrder,
   ): Flow<Item> | undefined {
     const known = new Map<string, boolean>();
     const servable = [...this.flows.values()].filter(({group}) => {
@@ -186,7 +196,7 @@
       known.set(group, has);
       return has;
     });
-    return this.order.choose(servable, now);
+    return this.order.choose(servable, now, stakeOrder);
   }
 
   /**
--- a/packages/gateway/__tests__/capacity_holds.test.ts
+++ b/packages/gateway/__tests__/capacity_holds.test.ts
@@ -186,6 +186,24 @@
     expect(settled).toEqual(['urgent']);
   });
 
+  it('lets an urgent request pass also while less urgent ones are at stake', async () => {
+    // Urgent requests were held for others that had waited for long, and were late with them.
+    const {clock, settled, send, report} = build();
+    for (let at = 0; at < 4_800; at += 300) {
+      report(FULL);
+      if (at === 0)
+        for (const name of ['a', 'b', 'c', 'd'])
+          send(name, {objective: 5_002, deadline: 25_000, priority: 1});
+      await clock.advance(300);
+    }
+    const sent = settled.length;
+    expect(sent).toBeLessThan(4);
+    report(LEVEL + 2);
+    send('urgent');
+    await clock.advance(1);
+    expect(settled.slice(sent)).toEqual(['urgent']);
+  });
+
   it('refuses what was held until it could no longer start, as not run', async () => {
     const {clock, outcomes, lines, settled, send, report} = build();
     report(FULL);
--- a/packages/gateway/src/capacity_holds.ts
+++ b/packages/gateway/src/capacity_holds.ts
@@ -169,7 +169,7 @@
         group.ownInFlight = this.ownInFlightOf(group);
       }
       if (this.mayPassAtOnce(held, group, now)) {
-        this.queue.take(now, other => other === key);
+        this.queue.take(now, other => other === key, 'urgency');
         this.recordSent(held, now);
         resolve();
         return;
@@ -296,7 +296,11 @@
     }
   }
 
-  /** Whether a request goes before all that are held, and would be late if it was held. */
+  /**
+   * Whether a request goes before all that are held, and would be late if it was held. Requests
+   * that have waited for long don't keep it back, as most of these would be late all the same in
+   * the engine's queue.
+   */
   private mayPassAtOnce(
     item: HeldRequest,
     group: Group,
@@ -306,7 +310,7 @@
       until(now, item.objectiveAt) < KNOWLEDGE_AGE_MILLISECONDS &&
       group.credit > -MAXIMUM_DEBT &&
       this.roomOf(group, now, URGENT_LOAD_PER_SLOT) >= 1 &&
-      this.queue.peek(now, key => key === item.group) === item
+      this.queue.peek(now, key => key === item.group, 'urgency') === item
     );
   }
 
