Close a connection whose requests are refused for its caller again and again

Cause: a 401, or a 429 for a quota, cost a client nothing but the next request, without end. Change: after 32 such responses in a row, with none served in between, the last one has Connection: close. Only the request that was parsed last gets it, so that each parsed request is answered; what still comes is read and dropped before the close, so that it is no reset. Nothing is counted by address.

--- a/packages/forwarding/src/bounded_connections.ts
+++ b/packages/forwarding/src/bounded_connections.ts
@@ -14,6 +14,9 @@
  */
 const MAXIMUM_UNREAD_CHECKS = 30;
 
+/** Checks in a row after which a connection is closed whose client has taken the last response. */
+const MAXIMUM_ENDED_CHECKS = 2;
+
 /** What a connection is used for; those that come first are closed first. */
 export const CONNECTION_USES = [
   /** Its client doesn't read responses, or has more requests than are read ahead. */
@@ -34,6 +37,7 @@
   | 'connections_per_address'
   | 'unread'
   | 'read_ahead'
+  | 'refusals'
   | 'peer_messages'
   | 'read_rate';
 
@@ -50,6 +54,8 @@
   /** Bytes that its client had taken at the last check, and how many checks found as many. */
   takenBytes: number;
   unreadChecks: number;
+  /** Checks since all responses have been taken, the last one included. */
+  endedChecks: number;
 }
 
 /**
@@ -76,6 +82,7 @@
       address,
       takenBytes: 0,
       unreadChecks: 0,
+      endedChecks: 0,
     };
     this.add(connection);
     const own = this.byAddress.get(address);
@@ -87,13 +94,16 @@
   }
 
   /**
-   * Closes connections whose clients have taken nothing of what waits for them for too long. Has to
-   * be called once a second.
+   * Closes connections whose clients have taken nothing of what waits for them for too long, or
+   * don't close them after the last response. Has to be called once a second.
    */
   closeUnread(): void {
     const connections = [...this.byAddress.values()].flatMap(own => [...own]);
     for (const connection of connections) {
-      const {bytesWritten, writableLength} = connection.socket;
+      const {socket} = connection;
+      const {bytesWritten, writableLength} = socket;
+      if (socket.writableFinished) connection.endedChecks += 1;
+      if (connection.endedChecks >= MAXIMUM_ENDED_CHECKS) socket.destroy();
       const takenBytes = bytesWritten - writableLength;
       const isStalled =
         writableLength > 0 && takenBytes === connection.takenBytes;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -44,7 +44,9 @@
   OnClientLimited,
 } from './listener_bounds.js';
 export {ListenerBounds} from './listener_bounds.js';
-export type {RequestGateOptions} from './request_gate.js';
+export type {AnswerKind} from './refusal_streak.js';
+export {MAXIMUM_REFUSALS_IN_A_ROW, RefusalStreak} from './refusal_streak.js';
+export type {ConnectionEnd, RequestGateOptions} from './request_gate.js';
 export {MAXIMUM_OPEN_REQUESTS, RequestGate} from './request_gate.js';
 export {RequestTurns} from './request_turns.js';
 export {watchForReset} from './reset_detection.js';
--- a/packages/forwarding/src/listener_bounds.ts
+++ b/packages/forwarding/src/listener_bounds.ts
@@ -4,6 +4,8 @@
 import type {Socket} from 'node:net';
 import type {ClientLimit, ConnectionLimits} from './bounded_connections.js';
 import {BoundedConnections} from './bounded_connections.js';
+import type {AnswerKind} from './refusal_streak.js';
+import type {ConnectionEnd} from './request_gate.js';
 import {RequestGate} from './request_gate.js';
 import type {RequestTurns} from './request_turns.js';
 import {PacedSocket, SLICE_BYTES} from './socket_pacer.js';
@@ -47,10 +49,7 @@
   accept(socket: Socket): RequestGate | undefined {
     if (!this.connections.accept(socket)) return undefined;
     const {turns, onLimited} = this.options;
-    const gate = RequestGate.create(socket, {
-      turns,
-      onHeldBack: () => onLimited('read_ahead', socket),
-    });
+    const gate = RequestGate.create(socket, {turns, onLimited});
     this.gates.set(socket, gate);
     return gate;
   }
@@ -71,6 +70,11 @@
     });
   }
 
+  /** See {@link RequestGate.answer}. */
+  answer(request: IncomingMessage, kind: AnswerKind): ConnectionEnd {
+    return this.gates.get(request.socket)?.answer(request, kind) ?? 'keep';
+  }
+
   /** See {@link BoundedConnections.closeUnread}. */
   closeUnread(): void {
     this.connections.closeUnread();
--- a/packages/forwarding/src/request_gate.ts
+++ b/packages/forwarding/src/request_gate.ts
@@ -2,13 +2,21 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {ConnectionUse} from './bounded_connections.js';
+import type {ClientLimit, ConnectionUse} from './bounded_connections.js';
 import {HeadScanner} from './head_scanner.js';
+import type {AnswerKind} from './refusal_streak.js';
+import {RefusalStreak} from './refusal_streak.js';
 import type {RequestTurns} from './request_turns.js';
 
 /** Requests of a connection that may be open at the same time. */
 export const MAXIMUM_OPEN_REQUESTS = 2;
 
+/**
+ * Bytes that are read and dropped after the last response of a connection. A connection that is
+ * closed with unread bytes is reset, and its client may lose the response.
+ */
+export const MAXIMUM_DROPPED_BYTES = 65_536;
+
 /** Decides how many received bytes may be parsed now. */
 export interface ReceiveGate {
   /**
@@ -16,16 +24,23 @@
    * `isFirst` says whether they have just been read, with none waiting before them.
    */
   admit(bytes: Buffer, isFirst: boolean): number;
+  /** What becomes of received bytes: they are admitted, dropped, or no longer read. */
+  readonly receipt: 'admitted' | 'dropped' | 'ended';
+  /** Counts bytes that were dropped. */
+  drop(count: number): void;
 }
 
+/** Whether a response is the last one of its connection. */
+export type ConnectionEnd = 'keep' | 'close';
+
 /** Passes on what a connection holds, as far as its gate admits it. */
 export type ContinueReceipt = () => void;
 
 /** Options of {@link RequestGate}. */
 export interface RequestGateOptions {
   readonly turns: RequestTurns;
-  /** Called when a connection is held back at the bound on open requests for the first time. */
-  readonly onHeldBack: (socket: Socket) => void;
+  /** Called when a limit has taken effect on the connection. */
+  readonly onLimited: (limit: ClientLimit, socket: Socket) => void;
 }
 
 /**
@@ -36,6 +51,7 @@
  */
 export class RequestGate implements ReceiveGate {
   private readonly heads = HeadScanner.create();
+  private readonly refusals = RefusalStreak.create();
   private openCount = 0;
   /** The request that was parsed last. */
   private request: IncomingMessage | undefined;
@@ -45,6 +61,9 @@
   private isHeldBack = false;
   /** Whether received bytes wait. */
   private isWaiting = false;
+  /** Whether the last response of the connection has begun. */
+  private isLastBegun = false;
+  private droppedBytes = 0;
   private continueReceipt: ContinueReceipt = () => {};
 
   private constructor(
@@ -62,6 +81,7 @@
   /** What the connection is used for now. */
   get use(): ConnectionUse {
     const {socket, openCount, request} = this;
+    if (this.isLastBegun && openCount === 0) return 'held_back';
     const isAhead = this.isWaiting && openCount >= MAXIMUM_OPEN_REQUESTS;
     if (isAhead || socket.writableNeedDrain) return 'held_back';
     if (openCount === 0) return 'idle';
@@ -85,6 +105,43 @@
     });
   }
 
+  /**
+   * Records what a request is answered, before its response begins; whether that has to be the
+   * last response of the connection. Nothing that comes after its request is parsed then.
+   */
+  answer(request: IncomingMessage, kind: AnswerKind): ConnectionEnd {
+    this.refusals.record(kind);
+    const isRefused = kind === 'caller_refused' && this.refusals.isAtLimit;
+    // A request that was parsed after this one gets its response first.
+    if (!isRefused || request !== this.request) return 'keep';
+    this.beginLast();
+    this.options.onLimited('refusals', this.socket);
+    return 'close';
+  }
+
+  get receipt(): 'admitted' | 'dropped' | 'ended' {
+    const isInside = this.request?.complete === false;
+    if (!this.isLastBegun || isInside) return 'admitted';
+    return this.droppedBytes < MAXIMUM_DROPPED_BYTES ? 'dropped' : 'ended';
+  }
+
+  drop(count: number): void {
+    this.droppedBytes += count;
+  }
+
+  /**
+   * Ends the connection after the response that begins now. Its client is given time to read it;
+   * see {@link BoundedConnections.closeUnread}.
+   */
+  private beginLast(): void {
+    this.isLastBegun = true;
+    // Node.js calls this when the last response has been sent.
+    this.socket.destroySoon = () => {
+      this.socket.end();
+      this.continueReceipt();
+    };
+  }
+
   admit(bytes: Buffer, isFirst: boolean): number {
     const count = this.countAdmitted(bytes, isFirst);
     this.isWaiting = count === 0;
@@ -106,10 +163,12 @@
 
   private mayBegin(isFirst: boolean): boolean {
     if (this.openCount >= MAXIMUM_OPEN_REQUESTS) {
-      if (!this.isHeldBack) this.options.onHeldBack(this.socket);
+      if (!this.isHeldBack) this.options.onLimited('read_ahead', this.socket);
       this.isHeldBack = true;
       return false;
     }
+    // The next request is the only one then, so that its response can be the last.
+    if (this.openCount > 0 && this.refusals.isAtLimit) return false;
     if (this.hasTurn || (isFirst && this.openCount === 0)) {
       this.hasTurn = false;
       return true;
--- a/packages/forwarding/src/socket_pacer.ts
+++ b/packages/forwarding/src/socket_pacer.ts
@@ -30,6 +30,7 @@
   private readonly held: (Buffer | null)[] = [];
   private isInTurn = true;
   private readonly push: (bytes: Buffer | null) => boolean;
+  private readonly read: (size: number) => void;
 
   private constructor(
     private readonly socket: Socket,
@@ -37,10 +38,10 @@
   ) {
     this.push = socket.push.bind(socket);
     socket.push = (bytes: Buffer | null) => this.receive(bytes);
-    const read = socket._read.bind(socket);
+    this.read = socket._read.bind(socket);
     // Each slice that is passed on makes the stream read again, also while others are held.
     socket._read = size => {
-      if (this.held.length === 0) read(size);
+      if (this.held.length === 0) this.read(size);
     };
   }
 
@@ -83,6 +84,14 @@
         canContinue = this.push(null);
         continue;
       }
+      if (gate !== undefined && gate.receipt !== 'admitted') {
+        this.held.shift();
+        gate.drop(bytes.length);
+        canContinue = gate.receipt === 'dropped';
+        // Nothing is passed on that would make the stream read again.
+        if (canContinue) this.read(0);
+        continue;
+      }
       const slice = bytes.subarray(0, sliceBytes);
       const count = gate?.admit(slice, isNew) ?? slice.length;
       if (count === 0) return false;
--- a/packages/gateway/src/caller_exchange.ts
+++ b/packages/gateway/src/caller_exchange.ts
@@ -1,7 +1,12 @@
 /** A caller's request and its response, on top of the HTTP server's objects. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {BufferMemory, RawHeaders} from '@siskinmux/forwarding';
+import type {
+  AnswerKind,
+  BufferMemory,
+  ConnectionEnd,
+  RawHeaders,
+} from '@siskinmux/forwarding';
 import {ByteAccumulator} from '@siskinmux/forwarding';
 import type {Clock, Instant, Milliseconds} from '@siskinmux/kernel';
 import type {RelayStatement, RelayedProgress} from '@siskinmux/relay';
@@ -10,7 +15,7 @@
   encodeStatement,
   withoutRelayHeader,
 } from '@siskinmux/relay';
-import {after} from '@siskinmux/kernel';
+import {ErrorCode, after} from '@siskinmux/kernel';
 import type {CallerBody} from './caller_body.js';
 
 const CONTENT_LENGTH = 'content-length';
@@ -21,6 +26,21 @@
 /** libuv reads a reset that arrives together with bytes as a plain end. */
 export const RESET_DELAY_MILLISECONDS: Milliseconds = 10;
 
+/** Refusals for the key or the quota of the caller. */
+const CALLER_REFUSALS: ReadonlySet<ErrorCode> = new Set([
+  ErrorCode.Unauthenticated,
+  ErrorCode.QuotaExceeded,
+]);
+
+/** Records what a request is answered; whether its connection is closed after the response. */
+export type RecordAnswer = (kind: AnswerKind) => ConnectionEnd;
+
+/** What a response answers, by what a node states with it. */
+function answerKindOf(statement: RelayStatement): AnswerKind {
+  if (statement.kind === 'endpoint') return 'served';
+  return CALLER_REFUSALS.has(statement.code) ? 'caller_refused' : 'refused';
+}
+
 /** One HTTP exchange with a caller. */
 export class CallerExchange {
   /** Chunks that are written at the end of this turn of the event loop. */
@@ -43,6 +63,7 @@
     readonly receivedAt: Instant,
     /** Set if another node relayed the request. */
     readonly relayed: RelayedProgress | undefined,
+    private readonly recordAnswer: RecordAnswer,
   ) {
     // Writing to a caller that has just disconnected fails; 'close' reports the disconnect.
     response.on('error', () => {});
@@ -56,9 +77,9 @@
     target: string;
     receivedAt: Instant;
     relayed: RelayedProgress | undefined;
+    recordAnswer: RecordAnswer;
   }): CallerExchange {
-    const {request, body, response, clock, target, receivedAt, relayed} =
-      options;
+    const {request, body, response, clock, target, receivedAt} = options;
     return new CallerExchange(
       request,
       body,
@@ -66,7 +87,8 @@
       clock,
       target,
       receivedAt,
-      relayed,
+      options.relayed,
+      options.recordAnswer,
     );
   }
 
@@ -134,6 +156,8 @@
     const headers = withoutRelayHeader(forwarded);
     if (this.relayed !== undefined)
       headers.push(RELAY_HEADER, encodeStatement(statement));
+    else if (this.recordAnswer(answerKindOf(statement)) === 'close')
+      this.disableKeepAlive();
     this.body.discard();
     this.hasLength = headers.some(
       (name, index) => index % 2 === 0 && name.toLowerCase() === CONTENT_LENGTH,
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -9,8 +9,10 @@
 import {FastifyAdapter} from '@nestjs/platform-fastify';
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import type {
+  AnswerKind,
   BufferBudget,
   BufferHolder,
+  ConnectionEnd,
   ConnectionLimits,
   OnClientLimited,
   RawHeaders,
@@ -36,6 +38,12 @@
 /** Handles one exchange; never rejects. */
 export type HandleExchange = (exchange: CallerExchange) => Promise<void>;
 
+/** Records what a request is answered; see `RequestGate.answer`. */
+export type AnswerRequest = (
+  request: IncomingMessage,
+  kind: AnswerKind,
+) => ConnectionEnd;
+
 /** Injectable handler that {@link ExchangeController} passes exchanges to. */
 export class ExchangeHandler {
   private constructor(
@@ -43,6 +51,7 @@
     readonly clock: Clock,
     readonly readRelayed: ReadRelayed,
     readonly bodyOf: (request: IncomingMessage) => CallerBody,
+    readonly answer: AnswerRequest,
   ) {}
 
   static create(
@@ -50,8 +59,9 @@
     clock: Clock,
     readRelayed: ReadRelayed,
     bodyOf: (request: IncomingMessage) => CallerBody,
+    answer: AnswerRequest,
   ): ExchangeHandler {
-    return new ExchangeHandler(handle, clock, readRelayed, bodyOf);
+    return new ExchangeHandler(handle, clock, readRelayed, bodyOf, answer);
   }
 }
 
@@ -69,7 +79,7 @@
     @Res() reply: FastifyReply,
   ): Promise<void> {
     reply.hijack();
-    const {clock, readRelayed, bodyOf} = this.handler;
+    const {clock, readRelayed, bodyOf, answer} = this.handler;
     const relayed = readRelayed(request.raw.rawHeaders);
     const exchange = CallerExchange.create({
       request: request.raw,
@@ -79,6 +89,7 @@
       target: request.originalUrl,
       receivedAt: after(clock.now(), -(relayed?.age ?? 0)),
       relayed,
+      recordAnswer: kind => answer(request.raw, kind),
     });
     await this.handler.handle(exchange);
   }
@@ -120,6 +131,7 @@
       clock,
       readRelayed,
       receiveBodies(server, bounds, options),
+      (request, kind) => bounds.answer(request, kind),
     );
     const module = {
       module: class GatewayModule {},
