Report the limits of the metrics listener as those of the others

Cause: its limits were counted in a metric of their own, without a log line. Change: the listener name 'metrics' in client-limited and siskinmux_client_limits_total; the metric of its own stays.

--- a/packages/gateway/src/client_limits.ts
+++ b/packages/gateway/src/client_limits.ts
@@ -21,7 +21,8 @@
 const ADDRESS_SHARE = 0.75;
 
 /** A listener whose clients can't be trusted; `all` for connections of any kind. */
-export type ListenerName = 'callers' | 'relays' | 'readiness' | 'peers' | 'all';
+export type ListenerName =
+  'callers' | 'relays' | 'readiness' | 'metrics' | 'peers' | 'all';
 
 /** Limits on connections that the settings leave open follow from the memory of the process. */
 export function connectionLimits(
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -63,6 +63,7 @@
   METRICS,
   NODE_IDENTITY,
   RANDOM,
+  REPORT_METRICS_CLIENTS,
   createPeriodicJob,
 } from '@siskinmux/runtime';
 import {ActiveRoutes} from './active_routes.js';
@@ -241,6 +242,8 @@
       clock,
       this.emit,
     );
+    const reportMetricsClients = kernel.inject(REPORT_METRICS_CLIENTS);
+    reportMetricsClients(this.clientLimitReports.of('metrics'));
     this.connectionLimits = connectionLimits(
       settings.listen,
       settings.capacity.memory_megabytes,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -17,6 +17,7 @@
 export {
   METRICS,
   METRICS_URL,
+  REPORT_METRICS_CLIENTS,
   metricsPlugin,
   metricsRegistryPlugin,
 } from './metrics.js';
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,6 +1,6 @@
 /** Prometheus metrics through prom-client, served on a separate port. */
 
-import type {ConnectionLimits} from '@siskinmux/forwarding';
+import type {ConnectionLimits, OnClientLimited} from '@siskinmux/forwarding';
 import {ListenerBounds, RequestTurns} from '@siskinmux/forwarding';
 import type {Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
@@ -22,6 +22,11 @@
 /** Injection key of the base URL of the metrics server; empty until it listens. */
 export const METRICS_URL = injectionKey<() => string>('metrics URL');
 
+/** Injection key of what sets who is told of limits on the clients of the metrics server. */
+export const REPORT_METRICS_CLIENTS = injectionKey<
+  (onLimited: OnClientLimited) => void
+>('reports of metrics clients');
+
 const section = settingsSection(
   'metrics',
   z.strictObject({
@@ -56,12 +61,19 @@
       labelNames: ['limit'],
       registers: [registry],
     });
+    let report: OnClientLimited = () => {};
+    kernel.provide(REPORT_METRICS_CLIENTS, onLimited => {
+      report = onLimited;
+    });
     const server = fastify({forceCloseConnections: true});
     ListenerBounds.create({
       server: server.server,
       turns: RequestTurns.create(setImmediate),
       limits: CONNECTION_LIMITS,
-      onLimited: limit => limitedTotal.inc({limit}),
+      onLimited: (limit, socket) => {
+        limitedTotal.inc({limit});
+        report(limit, socket);
+      },
     }).boundAll();
     server.get('/metrics', async (_request, reply) => {
       void reply.type(registry.contentType);
