Enforce the configured limits on the heads of callers' requests

Cause: headerTimeoutMs and maxHeaderBytes were decoded and never read; heads were bounded by the defaults of Node.js (64 KiB, 60 s). Change: the gate of a connection counts the bytes of each head and times those that don't arrive at once, by the configuration in force: 431 and 408 (not run, Connection: close) after the responses to earlier requests. Time in which the process was paused, or holds the connection back, doesn't count. If the configuration may be outdated, a long head gets 503 as a long body does.

--- a/packages/forwarding/src/bounded_connections.ts
+++ b/packages/forwarding/src/bounded_connections.ts
@@ -38,6 +38,8 @@
   | 'unread'
   | 'read_ahead'
   | 'refusals'
+  | 'head_bytes'
+  | 'head_time'
   | 'peer_messages'
   | 'read_rate';
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -39,6 +39,8 @@
 } from './bounded_connections.js';
 export {BoundedConnections} from './bounded_connections.js';
 export {HeadScanner} from './head_scanner.js';
+export type {HeadLimit, HeadLimits, HeadRules} from './head_watch.js';
+export {HeadWatch} from './head_watch.js';
 export type {
   ListenerBoundsOptions,
   OnClientLimited,
--- a/packages/forwarding/src/listener_bounds.ts
+++ b/packages/forwarding/src/listener_bounds.ts
@@ -4,6 +4,7 @@
 import type {Socket} from 'node:net';
 import type {ClientLimit, ConnectionLimits} from './bounded_connections.js';
 import {BoundedConnections} from './bounded_connections.js';
+import type {HeadRules} from './head_watch.js';
 import type {AnswerKind} from './refusal_streak.js';
 import type {ConnectionEnd} from './request_gate.js';
 import {RequestGate} from './request_gate.js';
@@ -19,6 +20,7 @@
   readonly turns: RequestTurns;
   readonly limits: ConnectionLimits;
   readonly onLimited: OnClientLimited;
+  readonly heads?: HeadRules | undefined;
 }
 
 /** The connections of one server, each with a gate for its requests. */
@@ -48,8 +50,7 @@
   /** The gate of a new connection; undefined if the connection has been closed. */
   accept(socket: Socket): RequestGate | undefined {
     if (!this.connections.accept(socket)) return undefined;
-    const {turns, onLimited} = this.options;
-    const gate = RequestGate.create(socket, {turns, onLimited});
+    const gate = RequestGate.create(socket, this.options);
     this.gates.set(socket, gate);
     return gate;
   }
--- a/packages/forwarding/src/request_gate.ts
+++ b/packages/forwarding/src/request_gate.ts
@@ -4,6 +4,8 @@
 import type {Socket} from 'node:net';
 import type {ClientLimit, ConnectionUse} from './bounded_connections.js';
 import {HeadScanner} from './head_scanner.js';
+import type {HeadLimit, HeadRules} from './head_watch.js';
+import {HeadWatch} from './head_watch.js';
 import type {AnswerKind} from './refusal_streak.js';
 import {RefusalStreak} from './refusal_streak.js';
 import type {RequestTurns} from './request_turns.js';
@@ -41,6 +43,8 @@
   readonly turns: RequestTurns;
   /** Called when a limit has taken effect on the connection. */
   readonly onLimited: (limit: ClientLimit, socket: Socket) => void;
+  /** Limits on heads, if there are other ones than those of Node.js. */
+  readonly heads?: HeadRules | undefined;
 }
 
 /**
@@ -64,14 +68,27 @@
   /** Whether the last response of the connection has begun. */
   private isLastBegun = false;
   private droppedBytes = 0;
+  private readonly headWatch: HeadWatch | undefined;
+  /** What the head that was received last exceeds. */
+  private exceeded: HeadLimit | undefined;
   private continueReceipt: ContinueReceipt = () => {};
 
   private constructor(
     private readonly socket: Socket,
     private readonly options: RequestGateOptions,
   ) {
+    this.headWatch =
+      options.heads &&
+      HeadWatch.create({
+        ...options.heads,
+        isHeldBack: () => this.isWaiting || socket.isPaused(),
+        onTimeout: () => this.refuseHead('head_time'),
+      });
     socket.on('resume', () => this.waitForTurn());
-    socket.once('close', () => options.turns.remove(this.takeTurn));
+    socket.once('close', () => {
+      options.turns.remove(this.takeTurn);
+      this.headWatch?.stop();
+    });
   }
 
   static create(socket: Socket, options: RequestGateOptions): RequestGate {
@@ -101,6 +118,7 @@
     this.bodyBytes = Number(length);
     response.once('close', () => {
       this.openCount -= 1;
+      this.sendHeadRefusal();
       this.waitForTurn();
     });
   }
@@ -112,7 +130,7 @@
   answer(request: IncomingMessage, kind: AnswerKind): ConnectionEnd {
     this.refusals.record(kind);
     const isRefused = kind === 'caller_refused' && this.refusals.isAtLimit;
-    // A request that was parsed after this one gets its response first.
+    // A request that was parsed after this one still has to get its response.
     if (!isRefused || request !== this.request) return 'keep';
     this.beginLast();
     this.options.onLimited('refusals', this.socket);
@@ -156,9 +174,32 @@
       this.bodyBytes -= count;
       return count;
     }
-    const isInside = this.request?.complete === false || !this.heads.isAtStart;
-    if (!isInside && !this.mayBegin(isFirst)) return 0;
-    return this.heads.advance(bytes);
+    if (this.exceeded !== undefined) return 0;
+    if (this.request?.complete === false) return this.heads.advance(bytes);
+    if (this.heads.isAtStart && !this.mayBegin(isFirst)) return 0;
+    const count = this.heads.advance(bytes);
+    if (this.headWatch?.record(count, this.heads.isAtStart) !== false)
+      return count;
+    this.refuseHead('head_bytes');
+    return 0;
+  }
+
+  private refuseHead(limit: HeadLimit): void {
+    this.exceeded = limit;
+    this.options.onLimited(limit, this.socket);
+    this.sendHeadRefusal();
+  }
+
+  /** Ends the connection with a refusal of its head, after the responses to earlier requests. */
+  private sendHeadRefusal(): void {
+    const {exceeded, socket, options} = this;
+    if (exceeded === undefined || this.openCount > 0 || this.isLastBegun)
+      return;
+    this.beginLast();
+    if (socket.writable && options.heads !== undefined)
+      socket.write(options.heads.refuse(exceeded));
+    // What the connection holds is dropped in a later turn: this may be a call of its own.
+    setImmediate(() => socket.destroySoon());
   }
 
   private mayBegin(isFirst: boolean): boolean {
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -14,6 +14,7 @@
   BufferHolder,
   ConnectionEnd,
   ConnectionLimits,
+  HeadRules,
   OnClientLimited,
   RawHeaders,
   RequestTurns,
@@ -29,6 +30,10 @@
 /** Maximum size of a request's headers; the limit that operators configure is lower. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
+/** Time for a head that Node.js allows by default, and allows relative to the configured one. */
+const DEFAULT_HEAD_MILLISECONDS: Milliseconds = 60_000;
+const HEAD_TIMEOUT_RATIO = 2;
+
 /** Added to the configured idle timeout, so that a caller never reuses a connection as it closes. */
 const IDLE_MARGIN_MILLISECONDS: Milliseconds = 1_000;
 
@@ -115,6 +120,7 @@
     turns: RequestTurns;
     limits: ConnectionLimits;
     onLimited: OnClientLimited;
+    heads?: HeadRules;
   }): Promise<CallerListener> {
     const adapter = new FastifyAdapter({
       // Routes every request to the one controller, even if its path is not a valid URL.
@@ -151,6 +157,17 @@
     return new CallerListener(application, server, bounds);
   }
 
+  /**
+   * Sets how long Node.js lets a head take, which counts the time in which the process was paused.
+   * It also ends connections on which nothing has been sent.
+   */
+  setHeadTimeout(milliseconds: Milliseconds): void {
+    this.server.headersTimeout = Math.max(
+      DEFAULT_HEAD_MILLISECONDS,
+      milliseconds * HEAD_TIMEOUT_RATIO,
+    );
+  }
+
   /** Sets how long callers may keep a connection idle. */
   setIdleTimeout(milliseconds: Milliseconds): void {
     this.server.keepAliveTimeout = milliseconds + IDLE_MARGIN_MILLISECONDS;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -67,6 +67,7 @@
   createPeriodicJob,
 } from '@siskinmux/runtime';
 import {ActiveRoutes} from './active_routes.js';
+import {callerHeadRules} from './caller_heads.js';
 import type {CallerExchange} from './caller_exchange.js';
 import {RESET_DELAY_MILLISECONDS} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
@@ -520,8 +521,10 @@
       },
     };
     this.routes.onChange(({configuration}) => {
-      const {idleTimeoutMilliseconds} = configuration.limits;
+      const {idleTimeoutMilliseconds, headerTimeoutMilliseconds} =
+        configuration.limits;
       this.callerListener?.setIdleTimeout(idleTimeoutMilliseconds);
+      this.callerListener?.setHeadTimeout(headerTimeoutMilliseconds);
     });
   }
 
@@ -549,6 +552,11 @@
       turns: this.turns,
       limits: this.connectionLimits,
       onLimited: this.clientLimitReports.of('callers'),
+      heads: callerHeadRules({
+        clock,
+        limits: () => this.routes.current?.configuration.limits,
+        areLimitsCurrent: () => this.platformView.areRoutesCurrent,
+      }),
     });
     const relays = relayAddress(this.listen);
     this.relayListener = await CallerListener.create({
--- a/packages/gateway/src/refusal_response.ts
+++ b/packages/gateway/src/refusal_response.ts
@@ -21,6 +21,8 @@
   [ErrorCode.Unauthenticated]: 401,
   [ErrorCode.QuotaExceeded]: QUOTA_STATUS,
   [ErrorCode.BodyTooLarge]: 413,
+  [ErrorCode.HeadTooLarge]: 431,
+  [ErrorCode.HeadTimeout]: 408,
   [ErrorCode.InvalidRequest]: 400,
 };
 
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -9,6 +9,8 @@
   InvalidDeclaration = 'invalid-declaration',
   InvalidRequest = 'invalid-request',
   BodyTooLarge = 'body-too-large',
+  HeadTooLarge = 'head-too-large',
+  HeadTimeout = 'head-timeout',
   BuffersFull = 'buffers-full',
   ResponsesFull = 'responses-full',
   UnknownTarget = 'unknown-target',
@@ -59,6 +61,8 @@
   [ErrorCode.InvalidDeclaration]: 'A declaration is not valid.',
   [ErrorCode.InvalidRequest]: 'The request is not valid.',
   [ErrorCode.BodyTooLarge]: 'The request body is larger than allowed.',
+  [ErrorCode.HeadTooLarge]: 'The request head is larger than allowed.',
+  [ErrorCode.HeadTimeout]: 'The request head took longer than allowed.',
   [ErrorCode.BuffersFull]: 'This node has no memory left for the request body.',
   [ErrorCode.ResponsesFull]:
     'This node has no memory left for the responses to its own calls.',
