Merge the limits on refused callers and on the heads of requests

A connection that is refused again and again for its caller is closed; headerTimeoutMs and maxHeaderBytes of the configuration are enforced; the metrics listener reports its limits.

--- a/packages/forwarding/src/listener_bounds.ts
+++ b/packages/forwarding/src/listener_bounds.ts
@@ -4,6 +4,9 @@
 import type {Socket} from 'node:net';
 import type {ClientLimit, ConnectionLimits} from './bounded_connections.js';
 import {BoundedConnections} from './bounded_connections.js';
+import type {HeadRules} from './head_watch.js';
+import type {AnswerKind} from './refusal_streak.js';
+import type {ConnectionEnd} from './request_gate.js';
 import {RequestGate} from './request_gate.js';
 import type {RequestTurns} from './request_turns.js';
 import {PacedSocket, SLICE_BYTES} from './socket_pacer.js';
@@ -17,6 +20,7 @@
   readonly turns: RequestTurns;
   readonly limits: ConnectionLimits;
   readonly onLimited: OnClientLimited;
+  readonly heads?: HeadRules | undefined;
 }
 
 /** The connections of one server, each with a gate for its requests. */
@@ -46,11 +50,7 @@
   /** The gate of a new connection; undefined if the connection has been closed. */
   accept(socket: Socket): RequestGate | undefined {
     if (!this.connections.accept(socket)) return undefined;
-    const {turns, onLimited} = this.options;
-    const gate = RequestGate.create(socket, {
-      turns,
-      onHeldBack: () => onLimited('read_ahead', socket),
-    });
+    const gate = RequestGate.create(socket, this.options);
     this.gates.set(socket, gate);
     return gate;
   }
@@ -71,6 +71,11 @@
     });
   }
 
+  /** See {@link RequestGate.answer}. */
+  answer(request: IncomingMessage, kind: AnswerKind): ConnectionEnd {
+    return this.gates.get(request.socket)?.answer(request, kind) ?? 'keep';
+  }
+
   /** See {@link BoundedConnections.closeUnread}. */
   closeUnread(): void {
     this.connections.closeUnread();
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -9,9 +9,12 @@
 import {FastifyAdapter} from '@nestjs/platform-fastify';
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import type {
+  AnswerKind,
   BufferBudget,
   BufferHolder,
+  ConnectionEnd,
   ConnectionLimits,
+  HeadRules,
   OnClientLimited,
   RawHeaders,
   RequestTurns,
@@ -27,6 +30,10 @@
 /** Maximum size of a request's headers; the limit that operators configure is lower. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
+/** Time for a head that Node.js allows by default, and allows relative to the configured one. */
+const DEFAULT_HEAD_MILLISECONDS: Milliseconds = 60_000;
+const HEAD_TIMEOUT_RATIO = 2;
+
 /** Added to the configured idle timeout, so that a caller never reuses a connection as it closes. */
 const IDLE_MARGIN_MILLISECONDS: Milliseconds = 1_000;
 
@@ -36,6 +43,12 @@
 /** Handles one exchange; never rejects. */
 export type HandleExchange = (exchange: CallerExchange) => Promise<void>;
 
+/** Records what a request is answered; see `RequestGate.answer`. */
+export type AnswerRequest = (
+  request: IncomingMessage,
+  kind: AnswerKind,
+) => ConnectionEnd;
+
 /** Injectable handler that {@link ExchangeController} passes exchanges to. */
 export class ExchangeHandler {
   private constructor(
@@ -43,6 +56,7 @@
     readonly clock: Clock,
     readonly readRelayed: ReadRelayed,
     readonly bodyOf: (request: IncomingMessage) => CallerBody,
+    readonly answer: AnswerRequest,
   ) {}
 
   static create(
@@ -50,8 +64,9 @@
     clock: Clock,
     readRelayed: ReadRelayed,
     bodyOf: (request: IncomingMessage) => CallerBody,
+    answer: AnswerRequest,
   ): ExchangeHandler {
-    return new ExchangeHandler(handle, clock, readRelayed, bodyOf);
+    return new ExchangeHandler(handle, clock, readRelayed, bodyOf, answer);
   }
 }
 
@@ -69,7 +84,7 @@
     @Res() reply: FastifyReply,
   ): Promise<void> {
     reply.hijack();
-    const {clock, readRelayed, bodyOf} = this.handler;
+    const {clock, readRelayed, bodyOf, answer} = this.handler;
     const relayed = readRelayed(request.raw.rawHeaders);
     const exchange = CallerExchange.create({
       request: request.raw,
@@ -79,6 +94,7 @@
       target: request.originalUrl,
       receivedAt: after(clock.now(), -(relayed?.age ?? 0)),
       relayed,
+      recordAnswer: kind => answer(request.raw, kind),
     });
     await this.handler.handle(exchange);
   }
@@ -104,6 +120,7 @@
     turns: RequestTurns;
     limits: ConnectionLimits;
     onLimited: OnClientLimited;
+    heads?: HeadRules;
   }): Promise<CallerListener> {
     const adapter = new FastifyAdapter({
       // Routes every request to the one controller, even if its path is not a valid URL.
@@ -120,6 +137,7 @@
       clock,
       readRelayed,
       receiveBodies(server, bounds, options),
+      (request, kind) => bounds.answer(request, kind),
     );
     const module = {
       module: class GatewayModule {},
@@ -139,6 +157,17 @@
     return new CallerListener(application, server, bounds);
   }
 
+  /**
+   * Sets how long Node.js lets a head take, which counts the time in which the process was paused.
+   * It also ends connections on which nothing has been sent.
+   */
+  setHeadTimeout(milliseconds: Milliseconds): void {
+    this.server.headersTimeout = Math.max(
+      DEFAULT_HEAD_MILLISECONDS,
+      milliseconds * HEAD_TIMEOUT_RATIO,
+    );
+  }
+
   /** Sets how long callers may keep a connection idle. */
   setIdleTimeout(milliseconds: Milliseconds): void {
     this.server.keepAliveTimeout = milliseconds + IDLE_MARGIN_MILLISECONDS;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -63,9 +63,11 @@
   METRICS,
   NODE_IDENTITY,
   RANDOM,
+  REPORT_METRICS_CLIENTS,
   createPeriodicJob,
 } from '@siskinmux/runtime';
 import {ActiveRoutes} from './active_routes.js';
+import {callerHeadRules} from './caller_heads.js';
 import type {CallerExchange} from './caller_exchange.js';
 import {RESET_DELAY_MILLISECONDS} from './caller_exchange.js';
 import {CallerListener} from './caller_listener.js';
@@ -237,6 +239,8 @@
       clock,
       this.emit,
     );
+    const reportMetricsClients = kernel.inject(REPORT_METRICS_CLIENTS);
+    reportMetricsClients(this.clientLimitReports.of('metrics'));
     this.connectionLimits = connectionLimits(
       settings.listen,
       settings.capacity.memory_megabytes,
@@ -527,8 +531,10 @@
       ),
     );
     this.routes.onChange(({configuration}) => {
-      const {idleTimeoutMilliseconds} = configuration.limits;
+      const {idleTimeoutMilliseconds, headerTimeoutMilliseconds} =
+        configuration.limits;
       this.callerListener?.setIdleTimeout(idleTimeoutMilliseconds);
+      this.callerListener?.setHeadTimeout(headerTimeoutMilliseconds);
     });
   }
 
@@ -556,6 +562,11 @@
       turns: this.turns,
       limits: this.connectionLimits,
       onLimited: this.clientLimitReports.of('callers'),
+      heads: callerHeadRules({
+        clock,
+        limits: () => this.routes.current?.configuration.limits,
+        areLimitsCurrent: () => this.platformView.areRoutesCurrent,
+      }),
     });
     const relays = relayAddress(this.listen);
     this.relayListener = await CallerListener.create({
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -19,6 +19,7 @@
   ADD_METRICS_PATH,
   METRICS,
   METRICS_URL,
+  REPORT_METRICS_CLIENTS,
   metricsPlugin,
   metricsRegistryPlugin,
 } from './metrics.js';
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,6 +1,6 @@
 /** Prometheus metrics through prom-client, served on a separate port. */
 
-import type {ConnectionLimits} from '@siskinmux/forwarding';
+import type {ConnectionLimits, OnClientLimited} from '@siskinmux/forwarding';
 import {ListenerBounds, RequestTurns} from '@siskinmux/forwarding';
 import type {Plugin} from '@siskinmux/kernel';
 import {injectionKey} from '@siskinmux/kernel';
@@ -43,6 +43,11 @@
 /** Injection key of a function that adds a path to the metrics server. */
 export const ADD_METRICS_PATH = injectionKey<AddMetricsPath>('metrics paths');
 
+/** Injection key of what sets who is told of limits on the clients of the metrics server. */
+export const REPORT_METRICS_CLIENTS = injectionKey<
+  (onLimited: OnClientLimited) => void
+>('reports of metrics clients');
+
 const section = settingsSection(
   'metrics',
   z.strictObject({
@@ -89,11 +94,18 @@
       },
     });
     server.setNotFoundHandler((_request, reply) => sendProblem(reply, 404));
+    let report: OnClientLimited = () => {};
+    kernel.provide(REPORT_METRICS_CLIENTS, onLimited => {
+      report = onLimited;
+    });
     ListenerBounds.create({
       server: server.server,
       turns: RequestTurns.create(setImmediate),
       limits: CONNECTION_LIMITS,
-      onLimited: limit => limitedTotal.inc({limit}),
+      onLimited: (limit, socket) => {
+        limitedTotal.inc({limit});
+        report(limit, socket);
+      },
     }).boundAll();
     server.get('/metrics', async (_request, reply) => {
       void reply.type(registry.contentType);
