Name the type of the token counts by which requests are ordered

Cause: decoded_fields.test.ts did not see the reads of two fields through a type of their own. Change: the parameter has a part of the decoded type.

--- a/packages/gateway/src/request_terms.ts
+++ b/packages/gateway/src/request_terms.ts
@@ -1,5 +1,6 @@
 /** Deadlines and order of a request, by its route, its caller and when it was received. */
 
+import type {RequestMetadata} from '@siskinmux/forwarding';
 import type {Instant, Milliseconds, TeamName} from '@siskinmux/kernel';
 import {after, earlier} from '@siskinmux/kernel';
 import type {Route} from '@siskinmux/routes';
@@ -49,7 +50,7 @@
   caller: CallerIdentity,
   route: Route,
   receivedAt: Instant,
-  tokens: {readonly promptTokens: number; readonly outputTokens: number},
+  tokens: Pick<RequestMetadata, 'promptTokens' | 'outputTokens'>,
 ): RequestOrdering | undefined {
   if (caller.kind === 'any') return undefined;
   const declared = caller.kind === 'team' ? caller.team : undefined;
