Start fewer loads from the weight store at once where it serves one after the other

The first of two loads that the store serves one after the other ends in time, which raised the limit; a lost model was loaded three times, for its requests at the lost engine; and a new lease holder did not count the loads of the previous one.

--- a/packages/placement/__tests__/plan_models.test.ts
+++ b/packages/placement/__tests__/plan_models.test.ts
@@ -454,6 +454,18 @@
     ]);
   });
 
+  // Three engines loaded one model at once, which took each of them three times as long.
+  it('loads a model from the weight store once, though its requests at a lost engine are in flight', () => {
+    const loading = engine('one', [], []);
+    loading.pendingLoad = {model: model(0), readyAt: as<Instant>(now + 6_000)};
+    const inFlight = [
+      {engine: as<EndpointId>('lost'), model: model(0), count: 12},
+    ];
+    const engines = [loading, engine('two', [3, 4, 5], [])];
+    const changes = plan(engines, demandOf({inFlight}));
+    expect(changes.filter(({load}) => load === model(0))).toEqual([]);
+  });
+
   it('adds a replica of a model whose engine has half of its slots in use, mostly by other models', () => {
     const one = engine('one', [0, 1, 2], []);
     const two = engine('two', [3, 4, 5], [0]);
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -312,6 +312,7 @@
         this.schedulePlan();
         return;
       }
+      view.hasUnknownOrder = report?.isBusy ?? view.hasUnknownOrder;
       await sleepFor(
         clock,
         this.reports.isTooLong(view)
@@ -399,7 +400,10 @@
       declaration,
       engines,
       demand: this.demand,
-      availableStoreLoads,
+      // An order of the previous lease holder may be a load from the weight store.
+      availableStoreLoads:
+        availableStoreLoads -
+        engines.filter(({hasUnknownOrder}) => hasUnknownOrder).length,
       storeLoadLimit: loadLimiter.concurrencyLimit,
       isIdle: this.isIdle(now),
       gapObjective: this.gapObjective,
--- a/packages/placement/src/engine_view.ts
+++ b/packages/placement/src/engine_view.ts
@@ -71,6 +71,8 @@
   requestLimit: number | undefined;
   /** Mean gap between two events of a stream; undefined if too few were measured recently. */
   eventGapMilliseconds: Milliseconds | undefined;
+  /** Whether the engine carries out an order that this lease holder did not send. */
+  hasUnknownOrder = false;
   /** Whether permits under the limit are left unused. */
   hasUnusedPermits = false;
 
@@ -159,6 +161,7 @@
    */
   applyReport(report: EngineReport, now: Instant): void {
     this.orderCount = report.orderCount;
+    this.hasUnknownOrder = false;
     this.models.clear();
     const previous = new Map(this.adapters);
     this.adapters.clear();
--- a/packages/placement/src/load_limiter.ts
+++ b/packages/placement/src/load_limiter.ts
@@ -33,6 +33,17 @@
   uncontendedMilliseconds: Milliseconds;
 }) => void;
 
+interface LoadInProgress {
+  readonly initialLoads: number;
+  peakLoads: number;
+  /**
+   * Limit that a later load reached which has ended in time beside this one. It shows that the store
+   * serves as many at full speed only if this one ends in time, too: a store may serve one after
+   * the other.
+   */
+  provenLimit: number;
+}
+
 /** Adapts the number of concurrent loads to the speed of completed ones. */
 export class LoadLimiter {
   /**
@@ -40,10 +51,7 @@
    * with their peak. Loads that join at its end may have slowed it, but don't show that it would
    * have been as fast beside them.
    */
-  private readonly inProgress = new Set<{
-    readonly initialLoads: number;
-    peakLoads: number;
-  }>();
+  private readonly inProgress = new Set<LoadInProgress>();
 
   private hasBeenSlowed = false;
 
@@ -110,7 +118,12 @@
   startLoad(now: Instant): FinishLoad {
     this.starts.push(now);
     const concurrentLoads = this.inProgress.size + 1;
-    const load = {initialLoads: concurrentLoads, peakLoads: concurrentLoads};
+    const load: LoadInProgress = {
+      initialLoads: concurrentLoads,
+      peakLoads: concurrentLoads,
+      provenLimit: concurrentLoads,
+    };
+    const earlier = [...this.inProgress];
     this.inProgress.add(load);
     for (const other of this.inProgress)
       other.peakLoads = Math.max(other.peakLoads, concurrentLoads);
@@ -118,6 +131,7 @@
       if (!this.inProgress.delete(load) || timing === undefined) return;
       this.adjustLimit(
         load,
+        earlier.filter(other => this.inProgress.has(other)),
         timing.loadMilliseconds,
         timing.uncontendedMilliseconds,
       );
@@ -125,7 +139,8 @@
   }
 
   private adjustLimit(
-    {initialLoads, peakLoads}: {initialLoads: number; peakLoads: number},
+    {peakLoads, provenLimit}: LoadInProgress,
+    earlierLoads: readonly LoadInProgress[],
     loadMilliseconds: Milliseconds,
     uncontendedMilliseconds: Milliseconds,
   ): void {
@@ -139,7 +154,10 @@
         Math.min(this.limit, servedAtFullSpeed),
       );
       this.hasBeenSlowed = true;
-    } else if (initialLoads >= this.limit) {
+    } else if (earlierLoads.length > 0) {
+      for (const earlier of earlierLoads)
+        earlier.provenLimit = Math.max(earlier.provenLimit, provenLimit);
+    } else if (provenLimit >= this.limit) {
       const raised = this.hasBeenSlowed ? this.limit + 1 : this.limit * 2;
       this.limit = Math.min(MAXIMUM_CONCURRENCY, raised);
     }
--- a/packages/placement/src/plan_models.ts
+++ b/packages/placement/src/plan_models.ts
@@ -350,6 +350,10 @@
           model,
           demand.inFlightForModel(model),
           BUSY_RULES,
+          // Requests at an engine that was lost are no reason for a second load of the model.
+          engine =>
+            engine.nearestWeightTier(model) !== 'store' ||
+            !this.isLoading(model),
         );
         if (candidate !== undefined) this.addChange(model, candidate, 'busy');
         continue;
@@ -374,6 +378,10 @@
     }
   }
 
+  private isLoading(model: ModelName): boolean {
+    return this.enginesWith(model).some(engine => !engine.isReady(model));
+  }
+
   /** Whether the model's replicas, or all engines that have one, are too loaded. */
   private needsReplica(model: ModelName, replicas: number): boolean {
     const {demand, declaration, engines} = this.input;
