--- a/packages/admission/__tests__/capacity_queue.test.ts
+++ b/packages/admission/__tests__/capacity_queue.test.ts
@@ -315,7 +315,7 @@
 });
 
 /** Requests of teams that have time left, so that their teams take turns. */
-const PATIENT = {objective: 1e7, deadline: 2e7};
+const FAR_LIMITS = {objective: 1e7, deadline: 2e7};
 
 /** Teams of the first requests that are taken of one group. */
 function takeTeams(
@@ -358,7 +358,7 @@
           );
       }
       const arrived = 600_000;
-      const far = {arrived, cost, ...PATIENT};
+      const far = {arrived, cost, ...FAR_LIMITS};
       for (let index = 0; index < 100; index += 1) {
         for (const team of ['b', 'c', 'a'])
           queue.offer(request(team, {...far, team}), at(arrived));
@@ -376,7 +376,7 @@
     const cost = 1_000;
     for (let index = 0; index < 200; index += 1) {
       for (const team of ['a', 'b', 'c'])
-        queue.offer(request(team, {...PATIENT, team, cost}), start);
+        queue.offer(request(team, {...FAR_LIMITS, team, cost}), start);
     }
     takeTeams(queue, at(1), 10);
     for (let second = 1; second <= 600; second += 1) {
@@ -401,7 +401,7 @@
         queue.recordUnheld(request('usual', {team: 'a', cost}), start);
       for (const team of ['a', 'b']) {
         for (let index = 0; index < 100; index += 1)
-          queue.offer(request(team, {...PATIENT, team}), start);
+          queue.offer(request(team, {...FAR_LIMITS, team}), start);
       }
       const teams = takeTeams(queue, at(1), 100);
       expect(countOf(teams, 'b')).toBeGreaterThanOrEqual(33);
@@ -415,9 +415,9 @@
     // One virtual time for all models put the team behind by all that it was served elsewhere.
     const queue = CapacityQueue.create<Named>();
     for (let index = 0; index < 200; index += 1) {
-      queue.offer(request('a', {...PATIENT, group: 'other'}), start);
+      queue.offer(request('a', {...FAR_LIMITS, group: 'other'}), start);
       for (const team of ['b', 'a'])
-        queue.offer(request(team, {...PATIENT, team}), start);
+        queue.offer(request(team, {...FAR_LIMITS, team}), start);
     }
     expect(takeTeams(queue, at(1), 200, 'other').length).toEqual(200);
     const teams = takeTeams(queue, at(2), 100);
@@ -429,13 +429,16 @@
     // The start of a team followed what was chosen last, at whichever model.
     const queue = CapacityQueue.create<Named>();
     for (let index = 0; index < 200; index += 1) {
-      queue.offer(request('b', {...PATIENT, team: 'b'}), start);
+      queue.offer(request('b', {...FAR_LIMITS, team: 'b'}), start);
       for (const team of ['c', 'd'])
-        queue.offer(request(team, {...PATIENT, team, group: 'other'}), start);
+        queue.offer(
+          request(team, {...FAR_LIMITS, team, group: 'other'}),
+          start,
+        );
     }
     takeTeams(queue, at(1), 400, 'other');
     for (let index = 0; index < 200; index += 1)
-      queue.offer(request('a', {...PATIENT, arrived: 2}), at(2));
+      queue.offer(request('a', {...FAR_LIMITS, arrived: 2}), at(2));
     const teams = takeTeams(queue, at(3), 100);
     expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
     expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
@@ -445,9 +448,12 @@
     // The rank of a team changes with the configuration while its requests wait.
     const queue = CapacityQueue.create<Named>();
     for (let index = 0; index < 200; index += 1) {
-      queue.offer(request('a', PATIENT), start);
+      queue.offer(request('a', FAR_LIMITS), start);
       for (const team of ['b', 'a'])
-        queue.offer(request(team, {...PATIENT, team, teamPriority: 1}), start);
+        queue.offer(
+          request(team, {...FAR_LIMITS, team, teamPriority: 1}),
+          start,
+        );
     }
     takeTeams(queue, at(1), 200);
     const teams = takeTeams(queue, at(2), 100);
@@ -458,10 +464,10 @@
   it('gives a team its turn again after a request whose cost is not finite', () => {
     // Its virtual time stayed infinite for good.
     const queue = CapacityQueue.create<Named>();
-    queue.offer(request('a', {...PATIENT, cost: Infinity}), start);
+    queue.offer(request('a', {...FAR_LIMITS, cost: Infinity}), start);
     for (let index = 0; index < 200; index += 1) {
       for (const team of ['b', 'a'])
-        queue.offer(request(team, {...PATIENT, team}), start);
+        queue.offer(request(team, {...FAR_LIMITS, team}), start);
     }
     const teams = takeTeams(queue, at(1), 101);
     expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
@@ -472,7 +478,7 @@
     // A lead that was kept without contention put the team behind in the next one.
     const queue = CapacityQueue.create<Named>();
     const urgent = {objective: 1, deadline: 1e7};
-    queue.offer(request('b', {...PATIENT, team: 'b'}), start);
+    queue.offer(request('b', {...FAR_LIMITS, team: 'b'}), start);
     for (let index = 0; index < 15; index += 1)
       queue.offer(request('a', urgent), start);
     expect(takeTeams(queue, at(2), 16).length).toEqual(16);
@@ -488,11 +494,11 @@
     const queue = CapacityQueue.create<Named>();
     for (const team of ['b', 'c']) {
       for (let index = 0; index < 300; index += 1)
-        queue.offer(request(team, {...PATIENT, team}), start);
+        queue.offer(request(team, {...FAR_LIMITS, team}), start);
     }
     takeTeams(queue, at(1), 400);
     for (let index = 0; index < 200; index += 1)
-      queue.offer(request('a', {...PATIENT, arrived: 2}), at(2));
+      queue.offer(request('a', {...FAR_LIMITS, arrived: 2}), at(2));
     const teams = takeTeams(queue, at(3), 150);
     expect(countOf(teams, 'a')).toBeLessThanOrEqual(67);
     expect(countOf(teams, 'a')).toBeGreaterThanOrEqual(33);
