--- a/packages/gateway/__tests__/where_explainer.test.ts
+++ b/packages/gateway/__tests__/where_explainer.test.ts
@@ -17,15 +17,15 @@
 import {encodeTeamStates} from '../src/team_quota_messages.js';
 import {answerWhere} from '../src/where_request.js';
 import {MAXIMUM_CANDIDATES} from '../src/where_explainer.js';
-import type {World} from './where_world.js';
+import type {Fixture} from './where_fixture.js';
 import {
   KEY,
   MODEL,
   NODE,
   SECOND_KEY,
-  createWorld,
+  createFixture,
   holdLease,
-} from './where_world.js';
+} from './where_fixture.js';
 
 const TEXT = {path: '/text/1', model: 'm0'};
 const service = as<ServiceName>('engines');
@@ -33,12 +33,12 @@
 /** What `siskinmux explain --where` reads of an answer. */
 const COMMAND_READS_BYTES = 1_048_576;
 
-/** `ask` of the world fails if the question has changed the state of a part. */
+/** `ask` of the fixture fails if the question has changed the state of a part. */
 describe('explanation of where a request would go', () => {
   // Guards against a comparison that misses what has changed.
   it('is compared with a state that shows each draw, message, count and timer', async () => {
     const {state, effects, clock, client, inFlightCounts, engines, follow} =
-      createWorld();
+      createFixture();
     const endpoint = engines[0]!.id;
     const changes = [
       () => (effects.draws += 1),
@@ -56,7 +56,7 @@
 
   it('sends to the engine with the most weight, and states load, age and weights', async () => {
     const {ask, clusterLoad, clock, inFlightCounts, engines, follow} =
-      createWorld();
+      createFixture();
     follow();
     clusterLoad.update([
       ['engine-1', 9],
@@ -101,7 +101,7 @@
   });
 
   it('draws as it explains: real choices follow the weights', async () => {
-    const {ask, client, clusterLoad, requirements, follow} = createWorld();
+    const {ask, client, clusterLoad, requirements, follow} = createFixture();
     follow();
     clusterLoad.update([
       ['engine-1', 9],
@@ -113,7 +113,7 @@
   });
 
   it('sends to a plain endpoint by the requests of this node', () => {
-    const {ask, inFlightCounts, plain} = createWorld();
+    const {ask, inFlightCounts, plain} = createFixture();
     const {id: endpoint} = plain[0]!;
     inFlightCounts.track({endpoint, model: undefined, adapter: undefined});
     const {decision, model, candidates} = ask({path: '/read/1'});
@@ -125,9 +125,9 @@
   });
 
   it('names what excludes each endpoint', async () => {
-    const world = createWorld();
-    const {ask, table, engines, clock, outliers} = world;
-    world.follow();
+    const fixture = createFixture();
+    const {ask, table, engines, clock, outliers} = fixture;
+    fixture.follow();
     const engine = (name: string, model = MODEL) =>
       createEngineDescription(name, service, [model]);
     const draining = {...engine('draining'), isDraining: true};
@@ -136,7 +136,7 @@
     const outlier = engine('outlier');
     const paused = engine('paused');
     const limited = engine('limited');
-    world.setEndpoints(
+    fixture.setEndpoints(
       ...engines,
       draining,
       crashed,
@@ -148,8 +148,8 @@
     table.recordCrash(crashed.incarnation, clock.now());
     for (let count = 0; count < 3; count += 1)
       outliers.recordFailure(outlier.id, clock.now());
-    world.pause(paused, 2_000);
-    world.limit(limited);
+    fixture.pause(paused, 2_000);
+    fixture.limit(limited);
     const reasons = (query: Record<string, string>) =>
       Object.fromEntries(
         ask(query).candidates.map(each => [each.endpoint, each.excluded]),
@@ -172,7 +172,7 @@
     expect(reasons({...TEXT, version: 'v9'})['engine-1']).toEqual(
       'wrong_version',
     );
-    world.setEndpoints({
+    fixture.setEndpoints({
       ...engine('engine-1'),
       softwareVersion: as<SoftwareVersion>('v9'),
     });
@@ -182,7 +182,7 @@
   });
 
   it('refuses an unknown route, and a request of no known team, without a return time', () => {
-    const {ask} = createWorld({hasTeams: true});
+    const {ask} = createFixture({hasTeams: true});
     const refusal = (query: Record<string, string>) => {
       const {decision, route, team} = ask(query);
       expect([route, team]).toEqual([null, null]);
@@ -200,9 +200,9 @@
   });
 
   it('refuses beyond the quota with the return time of the ledger, where this node holds the lease', async () => {
-    const world = createWorld({hasTeams: true});
-    const {ask, teamQuotas, clock} = world;
-    const {beat} = holdLease(world);
+    const fixture = createFixture({hasTeams: true});
+    const {ask, teamQuotas, clock} = fixture;
+    const {beat} = holdLease(fixture);
     // A new lease holder doesn't know what was admitted in the window before.
     for (let at = 0; at < 20_000; at += 300) {
       beat();
@@ -237,8 +237,8 @@
   });
 
   it('waits for a permit of another lease holder, or for a lease holder, as it sends no message', async () => {
-    const world = createWorld({hasTeams: true});
-    const {ask, teamQuotas, clock} = world;
+    const fixture = createFixture({hasTeams: true});
+    const {ask, teamQuotas, clock} = fixture;
     const query = {path: '/read/1', team: 'busy'};
     const before = ask(query).decision;
     expect(before.kind === 'wait' && before.reason).toEqual(
@@ -277,9 +277,9 @@
     decision.reason ?? decision.kind;
 
   it('tells a forecast in time from one that is too late, and its age', async () => {
-    const world = createWorld();
-    const {ask, client, clock, requirements} = world;
-    world.follow();
+    const fixture = createFixture();
+    const {ask, client, clock, requirements} = fixture;
+    fixture.follow();
     const query = {path: '/text/1', model: 'm9'};
     const forecast = (milliseconds: number): void =>
       client.onForecasts(service, [
@@ -311,7 +311,7 @@
   });
 
   it('waits for a lease holder, and refuses once none has come for long', async () => {
-    const {ask, clock} = createWorld();
+    const {ask, clock} = createFixture();
     const query = {path: '/text/1', model: 'm9'};
     expect(kindOf(ask(query).decision)).toEqual('lease_holder');
     await clock.advance(1_001);
@@ -320,9 +320,9 @@
   });
 
   it('holds while all engines are full, and refuses what could not start in time', async () => {
-    const world = createWorld({hasTeams: true, nodeCount: 100});
-    const {ask, client, clock, fill, ordering, requirements} = world;
-    world.follow();
+    const fixture = createFixture({hasTeams: true, nodeCount: 100});
+    const {ask, client, clock, fill, ordering, requirements} = fixture;
+    fixture.follow();
     const query = {...TEXT, team: 'calm'};
     expect(ask(query).decision.kind).toEqual('send');
     fill();
@@ -344,9 +344,9 @@
   });
 
   it('refuses without an endpoint, without a model, and with one that is not declared', () => {
-    const world = createWorld();
-    const {ask} = world;
-    world.follow();
+    const fixture = createFixture();
+    const {ask} = fixture;
+    fixture.follow();
     const refusal = (query: Record<string, string>) => {
       const {decision} = ask(query);
       if (decision.kind !== 'refuse') throw new TypeError(decision.kind);
@@ -359,9 +359,9 @@
   });
 
   it('waits for the end of a pause in time, and refuses on a plain service otherwise', () => {
-    const world = createWorld();
-    const {ask, plain} = world;
-    for (const endpoint of plain) world.pause(endpoint, 1_000);
+    const fixture = createFixture();
+    const {ask, plain} = fixture;
+    for (const endpoint of plain) fixture.pause(endpoint, 1_000);
     const query = {path: '/read/1'};
     const wait = ask(query).decision;
     expect(kindOf(wait)).toEqual('pause_end');
@@ -372,16 +372,16 @@
   });
 
   it('asks for the lease holder where the chosen endpoint has a request limit', () => {
-    const world = createWorld();
-    for (const endpoint of world.plain) world.limit(endpoint);
-    expect(kindOf(world.ask({path: '/read/1'}).decision)).toEqual(
+    const fixture = createFixture();
+    for (const endpoint of fixture.plain) fixture.limit(endpoint);
+    expect(kindOf(fixture.ask({path: '/read/1'}).decision)).toEqual(
       'request_permit',
     );
   });
 
   it('waits for a read while what is known is too old, and goes by another node without links', () => {
-    const world = createWorld();
-    const {ask, knowledge} = world;
+    const fixture = createFixture();
+    const {ask, knowledge} = fixture;
     knowledge.isDecidable = false;
     const outdated = ask({path: '/read/1'});
     expect(kindOf(outdated.decision)).toEqual('platform_view');
@@ -392,7 +392,7 @@
     expect(lost.kind === 'refuse' && lost.code).toEqual(
       ErrorCode.LinksLost as never,
     );
-    world.setPeers({
+    fixture.setPeers({
       node: as<NodeId>('node-2'),
       address: '127.0.0.1:1',
       failureDomain: as<FailureDomain>('a'),
@@ -421,7 +421,7 @@
 
 /** What becomes of a real request that is searched an endpoint for at once. */
 async function findNow(
-  {client, clock}: World,
+  {client, clock}: Fixture,
   requirements: EndpointRequirements,
 ): Promise<{kind: string; detail?: string}> {
   let outcome: {kind: string; detail?: string} = {kind: 'wait'};
@@ -442,15 +442,15 @@
     const seen = new Set<string>();
     for (let round = 0; round < 400; round += 1) {
       const nodeCount = 1 + pick(100);
-      const world = createWorld({hasTeams: true, nodeCount});
-      const {client, clock, engines, clusterLoad, outliers} = world;
-      if (pick(4) > 0) world.follow();
+      const fixture = createFixture({hasTeams: true, nodeCount});
+      const {client, clock, engines, clusterLoad, outliers} = fixture;
+      if (pick(4) > 0) fixture.follow();
       if (pick(8) === 0) await clock.advance(1_100);
       if (pick(5) > 0)
         clusterLoad.update(engines.map(({id}) => [id, pick(90)]));
       const isAsleep = pick(5) === 0;
       for (const engine of engines) {
-        if (pick(4) === 0) world.pause(engine, 100 + pick(8_000));
+        if (pick(4) === 0) fixture.pause(engine, 100 + pick(8_000));
         if (pick(6) === 0)
           for (let count = 0; count < 3; count += 1)
             outliers.recordFailure(engine.id, clock.now());
@@ -459,23 +459,23 @@
       }
       const held = pick(3) === 0 ? pick(12) : 0;
       for (let count = 0; count < held; count += 1)
-        await findNow(world, {
-          ...world.requirements(3_000),
+        await findNow(fixture, {
+          ...fixture.requirements(3_000),
           model: MODEL,
-          ordering: world.ordering,
+          ordering: fixture.ordering,
         });
       const deadline = 100 + pick(4_000);
-      const {decision, candidates} = world.ask({
+      const {decision, candidates} = fixture.ask({
         ...TEXT,
         team: 'calm',
         deadline: String(deadline),
       });
       const now = clock.now();
-      const real = await findNow(world, {
-        ...world.requirements(deadline),
+      const real = await findNow(fixture, {
+        ...fixture.requirements(deadline),
         model: MODEL,
         priority: 1,
-        ordering: {...world.ordering, objectiveAt: after(now, 5_000)},
+        ordering: {...fixture.ordering, objectiveAt: after(now, 5_000)},
       });
       const context = `round ${round}: ${JSON.stringify({decision, real})}`;
       if (decision.kind !== real.kind) throw new TypeError(context);
@@ -492,9 +492,9 @@
   // Guards against an explanation of the quota that has come to differ from the decision.
   it('agrees with 300 real requests under a quota, with the same return times (seed 1)', async () => {
     const random = createSeededRandom(1);
-    const world = createWorld({hasTeams: true});
-    const {teamQuotas, clock, ask} = world;
-    const {beat} = holdLease(world);
+    const fixture = createFixture({hasTeams: true});
+    const {teamQuotas, clock, ask} = fixture;
+    const {beat} = holdLease(fixture);
     const team = as<TeamName>('busy');
     const {signal} = new AbortController();
     const seen = new Set<string>();
@@ -530,16 +530,16 @@
 
   // Guards against an answer of a size that grows with the platform.
   it('is bounded in length with more engines than it lists', () => {
-    const world = createWorld();
-    world.follow();
+    const fixture = createFixture();
+    fixture.follow();
     const name = (index: number): string =>
       `${index}`.padStart(64, 'engine-with-a-long-name-');
-    world.setEndpoints(
+    fixture.setEndpoints(
       ...Array.from({length: MAXIMUM_CANDIDATES + 200}, (_, index) =>
         createEngineDescription(name(index), service, [MODEL]),
       ),
     );
-    const answer = world.ask(TEXT);
+    const answer = fixture.ask(TEXT);
     expect(answer.candidates.length).toEqual(MAXIMUM_CANDIDATES);
     expect(answer.omittedCandidates).toEqual(200);
     expect(JSON.stringify(answer).length).toBeLessThan(COMMAND_READS_BYTES);
@@ -548,7 +548,7 @@
 
 describe('GET /where', () => {
   const answer = (query: Record<string, string | string[]>) => {
-    const {explainer} = createWorld({hasTeams: true});
+    const {explainer} = createFixture({hasTeams: true});
     return answerWhere(explainer, query, failure => {
       throw failure;
     });
--- a/packages/gateway/__tests__/where_world.ts
+++ b/packages/gateway/__tests__/where_fixture.ts
@@ -129,7 +129,7 @@
 }
 
 /** Parts of a node, in which nothing happens but what the test does. */
-export function createWorld({hasTeams = false, nodeCount = 1} = {}) {
+export function createFixture({hasTeams = false, nodeCount = 1} = {}) {
   const clock = VirtualClock.create();
   /** Draws from the random source, events, and messages to the lease holder. */
   const effects = {draws: 0, events: 0, messages: [] as string[]};
@@ -342,10 +342,10 @@
   };
 }
 
-export type World = ReturnType<typeof createWorld>;
+export type Fixture = ReturnType<typeof createFixture>;
 
 /** Has the node hold the lease itself: its ledger of quotas is at hand. */
-export function holdLease({clock, teamQuotas}: World): {
+export function holdLease({clock, teamQuotas}: Fixture): {
   beat: () => void;
 } {
   const holder = TeamQuotaHolder.create({
