Count no load from the weight store at an engine that no longer answers

Cause: after a takeover, an engine that was read once while it carried out an order and never again counted as loading for good, which kept all loads from the weight store waiting where one runs at a time. Change: the latest read decides; an engine without an answer counts as not loading. Measured: the new test of allocator.test.ts fails before; 77 of 77 of the placement tests on Node.js 20 and 24.

--- a/packages/placement/__tests__/allocator.test.ts
+++ b/packages/placement/__tests__/allocator.test.ts
@@ -276,6 +276,26 @@
     second.stop();
   });
 
+  // An engine that could not be read any more kept all loads from the weight store waiting.
+  it('counts no load at an engine that no longer answers', async () => {
+    const simulation = createSimulation(1, undefined, undefined, [3, 6]);
+    const {clock, orders} = simulation;
+    const first = simulation.createAllocator(1, () => true);
+    await clock.advance(1_000);
+    first.stop();
+    const [load] = orders.sent.filter(
+      ({change}) => change.operation === 'load',
+    );
+    const second = simulation.createAllocator(2, () => true);
+    await clock.advance(300);
+    if (load !== undefined)
+      orders.pausedUntil.set(load.engine.id, after(clock.now(), 60_000));
+    await clock.advance(3_000);
+    const loads = orders.sent.filter(({change}) => change.operation === 'load');
+    expect(loads.length).toEqual(2);
+    second.stop();
+  });
+
   it('reads an engine whose report is too long once in two seconds, until it is sound', async () => {
     const simulation = createSimulation(1);
     const {clock, orders, engines} = simulation;
--- a/packages/placement/src/allocator.ts
+++ b/packages/placement/src/allocator.ts
@@ -312,7 +312,7 @@
         this.schedulePlan();
         return;
       }
-      view.hasUnknownOrder = report?.isBusy ?? view.hasUnknownOrder;
+      view.hasUnknownOrder = report?.isBusy ?? false;
       await sleepFor(
         clock,
         this.reports.isTooLong(view)
