review: case 8, a status that promises for a request that has run

An engine's own 503 without Not-Executed, given after it ran a request that may run once, is passed on as it stands.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.mjs"
