Report stalls of the event loop with the processor time used meanwhile

Cause of the gap: nothing observed the event loop. Change: a check every 250 ms logs `event-loop-stalled` (9002) if it runs 250 ms late or more, with the length and the processor time used meanwhile, and counts stalls and their seconds. Both kinds of processes install it. About as much processor time as length means a function of the process; much less means a pause.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -22,5 +22,6 @@
 export {HttpWeightStore} from './http_weight_store.js';
 export {ProgressDeadline} from './progress_deadline.js';
 export type {ProgressDeadlineOptions} from './progress_deadline.js';
+export {readProcessorTime} from './processor_time.js';
 export {readClocks, steadyClock} from './steady_clock.js';
 export {systemClock, systemRandom} from './system_clock.js';
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -6,7 +6,7 @@
 import {REACH_EVENTS} from '@siskinmux/reach';
 import type {EventDescriptor} from '@siskinmux/kernel';
 import {PLACEMENT_EVENTS} from '@siskinmux/placement';
-import {renderEventsPage} from '@siskinmux/runtime';
+import {RUNTIME_EVENTS, renderEventsPage} from '@siskinmux/runtime';
 
 /** A caller's request has ended. */
 export const REQUEST_ENDED: EventDescriptor = {
@@ -488,5 +488,6 @@
     ...GATEWAY_EVENTS,
     ...PLACEMENT_EVENTS,
     ...ADAPTER_EVENTS,
+    ...RUNTIME_EVENTS,
   ]);
 }
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -5,6 +5,7 @@
   ADAPTER_EVENTS,
   RESPONSE_DROPPED,
   createAgent,
+  readProcessorTime,
 } from '@siskinmux/adapters';
 import type {EndpointTableChange} from '@siskinmux/endpoints';
 import {EndpointTable} from '@siskinmux/endpoints';
@@ -64,6 +65,7 @@
   NODE_IDENTITY,
   RANDOM,
   REPORT_METRICS_CLIENTS,
+  createEventLoopPlugin,
   createPeriodicJob,
 } from '@siskinmux/runtime';
 import {ActiveRoutes} from './active_routes.js';
@@ -224,6 +226,7 @@
     kernel.provide(CLOCK, clock);
     kernel.provide(RANDOM, random);
     const settings = readGatewaySettings(kernel, options.writeLog);
+    kernel.use(createEventLoopPlugin({clock, readProcessorTime}));
     kernel.addEvents(GATEWAY_EVENTS);
     kernel.addEvents(PLACEMENT_EVENTS);
     kernel.addEvents(ADAPTER_EVENTS);
--- a/packages/node/src/catalogue_pages.ts
+++ b/packages/node/src/catalogue_pages.ts
@@ -6,7 +6,7 @@
 import {ALLOCATION_EVENTS} from '@siskinmux/allocation';
 import {LEDGER_EVENTS} from '@siskinmux/ledger';
 import {REQUEST_EVENTS} from '@siskinmux/requests';
-import {renderEventsPage} from '@siskinmux/runtime';
+import {RUNTIME_EVENTS, renderEventsPage} from '@siskinmux/runtime';
 import {NODE_EVENTS} from './node_events.js';
 import {httpStatusOf} from './problem.js';
 
@@ -16,6 +16,7 @@
   ...REQUEST_EVENTS,
   ...ALLOCATION_EVENTS,
   ...ADAPTER_EVENTS,
+  ...RUNTIME_EVENTS,
 ];
 
 /** Content of docs/EVENTS.md. */
--- a/packages/node/src/siskinmux_node.ts
+++ b/packages/node/src/siskinmux_node.ts
@@ -12,6 +12,7 @@
 } from '@siskinmux/kernel';
 import {Kernel, after, sleepFor} from '@siskinmux/kernel';
 import type {SpanProcessor} from '@opentelemetry/sdk-trace-base';
+import {readProcessorTime, steadyClock} from '@siskinmux/adapters';
 import {z} from 'zod';
 import {allocationPlugin} from './allocation_task.js';
 import type {CallerApi} from './caller_api.js';
@@ -25,6 +26,7 @@
   EMIT_EVENT,
   METRICS_URL,
   NODE_IDENTITY,
+  createEventLoopPlugin,
   createLogPlugin,
   createTracingPlugin,
   metricsPlugin,
@@ -198,6 +200,7 @@
     nodeIdentityPlugin,
     createLogPlugin(options.writeLog),
     metricsPlugin,
+    createEventLoopPlugin({clock: steadyClock, readProcessorTime}),
     createTracingPlugin(options.spanProcessors),
     createPlatformPlugin(options),
     createPeersPlugin(HttpPeerTransport.create),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -34,6 +34,12 @@
 export {listen} from './http_listener.js';
 export type {TlsFiles} from './tls_files.js';
 export {readKeyPair, watchKeyPair} from './tls_files.js';
+export type {EventLoopMonitorOptions} from './event_loop_monitor.js';
+export {
+  EVENT_LOOP_STALLED,
+  RUNTIME_EVENTS,
+  createEventLoopPlugin,
+} from './event_loop_monitor.js';
 export type {WriteText} from './line_writer.js';
 export {LineWriter, writeToDescriptor} from './line_writer.js';
 export type {PeriodicJob} from './periodic_job.js';
