Describe failed assertions of dependencies without parsing the bundle

Cause: assertions without a message. Node.js makes up the message from the source and parses the bundle, whose lines have up to 338,000 characters. Each assertion of a dependency that bytes from outside reach is concerned: also an unasked 101, and responses of the store. Change: `assert.cts` takes the place of `node:assert` in the bundles; such an assertion fails with a fixed message. Why it works: no source is read.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,18 @@
 import gts from 'gts/build/src/index.js';
 import tseslint from 'typescript-eslint';
 
+/** The configuration of gts leaves out CommonJS modules. */
+const TYPESCRIPT_FILES = ['**/*.ts', '**/*.cts'];
+
 export default tseslint.config(
   {ignores: ['node_modules/', 'build/', 'packages/*/node_modules/', 'target/']},
-  ...gts,
+  ...gts.map(entry =>
+    entry.files?.flat().includes(TYPESCRIPT_FILES[0])
+      ? {...entry, files: [...entry.files, ...TYPESCRIPT_FILES]}
+      : entry,
+  ),
   {
-    files: ['**/*.ts'],
+    files: TYPESCRIPT_FILES,
     rules: {
       '@typescript-eslint/consistent-type-imports': [
         'error',
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,5 +1,6 @@
 /** Bundles a program and its imports into one file with esbuild. */
 
+import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
 /** Packages that NestJS loads only if they are installed; left out of the bundle. */
@@ -14,6 +15,11 @@
   'class-transformer',
 ];
 
+/** Takes the place of `node:assert`, whose failures stop a bundled process for seconds. */
+const ASSERT_FILE = fileURLToPath(
+  new URL('../packages/runtime/src/assert.cts', import.meta.url),
+);
+
 /** Entry point, output file and Node.js version of a bundle. */
 export interface BundleOptions {
   readonly entry: string;
@@ -34,6 +40,7 @@
     supported: {'dynamic-import': false},
     minifySyntax: true,
     minifyWhitespace: true,
+    alias: {assert: ASSERT_FILE, 'node:assert': ASSERT_FILE},
     external: OPTIONAL_PACKAGES,
     logLevel: 'error',
   });
