Pass on no status by which callers take a run for not run

Cause: judgeResponse took any error without the header of a rejection for the endpoint's own response, whatever its status, so that a 503, 429 or 408 of an endpoint that had run the request was passed on, with and without a seal, directly and through a relay. Change: such a response is judged `unfounded`: a run with an unknown outcome. The caller gets 504 without the endpoint's seal and Retry-After; requests that may be repeated go to another endpoint within attempts and budget, as after a 500. What a peer of an earlier version passes on is taken for unknown by the node that faces the caller. Why it works: only the endpoint's statement (or 421) lets a status that promises reach a caller.

--- a/packages/gateway/__tests__/response_judgement.test.ts
+++ b/packages/gateway/__tests__/response_judgement.test.ts
@@ -60,6 +60,15 @@
     expect(judge(head(503, {isNotRun: true}))).toEqual('not_run');
   });
 
+  // A caller that got such a status sent its request once more, though it had run.
+  it('takes no error for a statement that the request has not run, sealed or not', () => {
+    for (const status of [503, 429, 408])
+      for (const isSealed of [true, false])
+        expect(judge(head(status, {isSealed}))).toEqual('unfounded');
+    for (const status of [500, 502, 504, 400, 404])
+      expect(judge(head(status))).toEqual('answer');
+  });
+
   it('takes no success for the answer that the endpoint has not sealed', () => {
     expect(judge(head(200, {isSealed: false}))).toEqual('unsealed');
   });
--- a/packages/gateway/src/endpoint_sender.ts
+++ b/packages/gateway/src/endpoint_sender.ts
@@ -16,7 +16,7 @@
 import type {RequestEnding} from './request_ending.js';
 import type {RequestState} from './request_state.js';
 import type {DeliveryObserver, ResponseDelivery} from './response_delivery.js';
-import {judgeResponse} from './response_judgement.js';
+import {judgeResponse, unfoundedCause} from './response_judgement.js';
 import {allowsAnotherRun} from './retry_decision.js';
 
 /** Why a run is suspected to bring no response. */
@@ -232,6 +232,11 @@
     if (judgement === 'not_run')
       return this.handleRejection(endpoint, result, sentRequest);
     state.countRun(chain);
+    if (judgement === 'unfounded') {
+      discardBody(body, sentRequest, clock);
+      const cause = unfoundedCause(head);
+      return {kind: 'may_have_run', cause, isCut: false};
+    }
     if (judgement === 'unsealed') {
       sentRequest.abort('invalid_response');
       outliers.recordFailure(endpoint.id, clock.now(), sentAt);
--- a/packages/gateway/src/refusal_response.ts
+++ b/packages/gateway/src/refusal_response.ts
@@ -10,11 +10,13 @@
   readonly body: Buffer;
 }
 
-/** 503 and 429 guarantee that the request has not run and will not run; 504 leaves that unknown. */
 const NOT_RUN_STATUS = 503;
+/** Leaves open whether the request has run. */
 const UNKNOWN_STATUS = 504;
 
 const QUOTA_STATUS = 429;
+const HEAD_TIMEOUT_STATUS = 408;
+const MISDIRECTED_STATUS = 421;
 
 const CALLER_ERROR_STATUSES: Partial<Record<ErrorCode, number>> = {
   [ErrorCode.UnknownTarget]: 404,
@@ -22,10 +24,23 @@
   [ErrorCode.QuotaExceeded]: QUOTA_STATUS,
   [ErrorCode.BodyTooLarge]: 413,
   [ErrorCode.HeadTooLarge]: 431,
-  [ErrorCode.HeadTimeout]: 408,
+  [ErrorCode.HeadTimeout]: HEAD_TIMEOUT_STATUS,
   [ErrorCode.InvalidRequest]: 400,
 };
 
+/** Statuses by which callers know that the request has not run and will not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+  NOT_RUN_STATUS,
+  QUOTA_STATUS,
+  HEAD_TIMEOUT_STATUS,
+  MISDIRECTED_STATUS,
+]);
+
+/** Whether callers take a request that is answered with this status for not run. */
+export function statesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /** HTTP status of a refusal. */
 export function refusalStatus({code, outcome}: RefusalError): number {
   return (
--- a/packages/gateway/src/relayed_send.ts
+++ b/packages/gateway/src/relayed_send.ts
@@ -15,7 +15,9 @@
   RelayedProgress,
 } from '@siskinmux/relay';
 import {decodeStatement, relayedHeaders} from '@siskinmux/relay';
+import {statesNotRun} from './refusal_response.js';
 import {bufferBody} from './relay_response.js';
+import {unfoundedCause} from './response_judgement.js';
 
 /** Added to the age of a relayed request for its way to the other node. */
 const WAY_MILLISECONDS: Milliseconds = 2;
@@ -93,7 +95,12 @@
   }
   const {head, body} = result;
   const statement = decodeStatement(head.headers);
-  if (statement?.kind === 'endpoint') return {...statement, head, body};
+  if (statement?.kind === 'endpoint') {
+    if (!statesNotRun(head.status)) return {...statement, head, body};
+    // A node of an earlier version takes any error of an endpoint for one that may be passed on.
+    sentRequest.abort('invalid_response');
+    return {kind: 'unknown', cause: unfoundedCause(head)};
+  }
   if (statement === undefined) {
     sentRequest.abort('invalid_response');
     return {kind: 'unknown', cause: 'not the answer of a node'};
