Take calls for not run only if the endpoint of the own interface states so

Callers saw: a call that may not be repeated could run at a second instance after the first one had run it and answered 503, and a request for text was refused as "not run" after an engine's 503 or 429. Cause: http_plain_service and http_engine took these statuses for rejections; no page says so. Change: the header `x-request-not-run` states it, which the stand-ins send. Without it, a 503 (of engines also a 429) leaves the outcome open: a claimed call is resolved as after a broken connection, a request for text goes to another engine.

--- a/packages/adapters/__tests__/engine_contract.test.ts
+++ b/packages/adapters/__tests__/engine_contract.test.ts
@@ -15,6 +15,7 @@
   EndpointBusyError,
   EndpointFailedError,
   EndpointUnreachableError,
+  NOT_RUN_HEADER,
   StaleOrderError,
 } from '@siskinmux/ports';
 import {
@@ -284,6 +285,41 @@
     expect(read).toEqual({text: 'hello', hasEnded: true});
   });
 
+  // Callers were told that a request had not run which an engine had failed to serve.
+  it('reports a request as not run only if the engine states so', async () => {
+    const server = createServer((request, response) => {
+      const [, , status, isRejected] = (request.url ?? '').split('/');
+      response
+        .writeHead(
+          Number(status),
+          isRejected === 'rejected' ? {[NOT_RUN_HEADER]: 'true'} : {},
+        )
+        .end('overloaded');
+    });
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as {port: number};
+    const collectFrom = (path: string) =>
+      collect(
+        HttpEngine.create({
+          url: `http://127.0.0.1:${port}${path}`,
+          agent: createAgent(),
+        }),
+        createRequest('hello'),
+      );
+    for (const status of [503, 429]) {
+      await expect(collectFrom(`/a/${status}/failed`)).toBeRejectedWith(
+        AnswerCutError,
+      );
+      await expect(collectFrom(`/a/${status}/rejected`)).toBeRejectedWith(
+        EndpointBusyError,
+      );
+    }
+    server.closeAllConnections();
+    server.close();
+  });
+
   it('reports a refused connection as unreachable, since the request was not sent', async () => {
     const engine = HttpEngine.create({
       url: 'http://127.0.0.1:1',
--- a/packages/adapters/__tests__/plain_service_contract.test.ts
+++ b/packages/adapters/__tests__/plain_service_contract.test.ts
@@ -8,6 +8,7 @@
   AnswerCutError,
   EndpointBusyError,
   EndpointUnreachableError,
+  NOT_RUN_HEADER,
 } from '@siskinmux/ports';
 import {
   PlainServiceStandIn,
@@ -131,6 +132,30 @@
     );
   });
 
+  // A call that may not be repeated was sent to a second instance after the first had run it.
+  it('reports a call as not run only if the service states so', async () => {
+    const failing = createServer((request, response) => {
+      const isRejected = request.headers['idempotency-key'] === 'rejected';
+      response
+        .writeHead(503, isRejected ? {[NOT_RUN_HEADER]: 'true'} : {})
+        .end('the database is away');
+    });
+    await new Promise<void>(resolve => failing.listen(0, '127.0.0.1', resolve));
+    const {port} = failing.address() as {port: number};
+    const service = HttpPlainService.create({
+      url: `http://127.0.0.1:${port}`,
+      agent: createAgent(),
+    });
+    await expect(service.call(createCall('failed'), signal)).toBeRejectedWith(
+      AnswerCutError,
+    );
+    await expect(service.call(createCall('rejected'), signal)).toBeRejectedWith(
+      EndpointBusyError,
+    );
+    failing.close();
+    failing.closeAllConnections();
+  });
+
   for (const framing of ['content-length: 100\r\n', '']) {
     it(`reports a response ${framing && 'with a length '}that is reset before its end as cut off`, async () => {
       const resetting = createServer(({socket}) =>
--- a/packages/adapters/src/http_engine.ts
+++ b/packages/adapters/src/http_engine.ts
@@ -16,6 +16,7 @@
   EndpointBusyError,
   EndpointFailedError,
   EndpointUnreachableError,
+  NOT_RUN_HEADER,
   OrderRefusedError,
   StaleOrderError,
 } from '@siskinmux/ports';
@@ -188,11 +189,13 @@
     });
     if (response.statusCode === 200) return response;
     const text = await readTextStart(response, MAXIMUM_ERROR_BYTES);
-    // Engines send 503 and 429 only for requests that they haven't started to run.
-    if (response.statusCode === 503 || response.statusCode === 429) {
+    const {statusCode, headers} = response;
+    if (headers[NOT_RUN_HEADER] !== undefined)
       throw new EndpointBusyError(text);
-    }
-    throw new EndpointFailedError(text, response.statusCode);
+    // Leaves open whether the request has run; another engine may serve it.
+    if (statusCode === 503 || statusCode === 429)
+      throw new AnswerCutError(`${this.url}: status ${statusCode}`);
+    throw new EndpointFailedError(text, statusCode);
   }
 
   private async openResponse(
--- a/packages/adapters/src/http_plain_service.ts
+++ b/packages/adapters/src/http_plain_service.ts
@@ -11,6 +11,7 @@
   AnswerCutError,
   EndpointBusyError,
   EndpointUnreachableError,
+  NOT_RUN_HEADER,
 } from '@siskinmux/ports';
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
@@ -52,8 +53,11 @@
       body: hasBody ? call.body : undefined,
       signal,
     });
-    // Services send 503 only for calls that they haven't started to run.
-    if (response.status === 503) throw new EndpointBusyError(response.body);
+    if (response.headers[NOT_RUN_HEADER] !== undefined)
+      throw new EndpointBusyError(response.body);
+    // Leaves open whether the call has run.
+    if (response.status === 503)
+      throw new AnswerCutError(`${this.url}: status ${response.status}`);
     return {
       status: response.status,
       contentType: String(response.headers['content-type'] ?? 'text/plain'),
--- a/packages/ports/src/engine.ts
+++ b/packages/ports/src/engine.ts
@@ -167,7 +167,7 @@
   }
 }
 
-/** The connection closed after the request was sent and before the response was complete. */
+/** The request was sent, and no complete response tells whether it ran. */
 export class AnswerCutError extends SiskinmuxError {
   constructor(detail: string, options?: ErrorOptions) {
     super(ErrorCode.AnswerCut, detail, options);
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -57,3 +57,4 @@
 export {ChangesTooLongError, HistoryGoneError} from './metadata_store.js';
 export type {EraObserver} from './era_tracker.js';
 export {EraTracker} from './era_tracker.js';
+export {NOT_RUN_HEADER} from './not_run_header.js';
--- a/packages/standins/src/serve_engine.ts
+++ b/packages/standins/src/serve_engine.ts
@@ -15,6 +15,7 @@
 } from '@siskinmux/ports';
 import {
   EndpointBusyError,
+  NOT_RUN_HEADER,
   OrderRefusedError,
   StaleOrderError,
 } from '@siskinmux/ports';
@@ -150,7 +151,10 @@
   } else if (failure instanceof OrderRefusedError) {
     void reply.code(422).send({error: failure.detail});
   } else if (failure instanceof EndpointBusyError) {
-    void reply.code(503).send({error: failure.detail});
+    void reply
+      .code(503)
+      .header(NOT_RUN_HEADER, 'true')
+      .send({error: failure.detail});
   } else {
     // A dead engine closes the connection without a response.
     reply.hijack();
--- a/packages/standins/src/serve_plain_service.ts
+++ b/packages/standins/src/serve_plain_service.ts
@@ -2,7 +2,7 @@
 
 import type {IdempotencyKey, Instant, RequestId} from '@siskinmux/kernel';
 import {as} from '@siskinmux/kernel';
-import {EndpointBusyError} from '@siskinmux/ports';
+import {EndpointBusyError, NOT_RUN_HEADER} from '@siskinmux/ports';
 import type {FastifyInstance, FastifyRequest} from 'fastify';
 import {fastify} from 'fastify';
 import type {
@@ -25,7 +25,10 @@
   );
   server.setErrorHandler((failure, request, reply) => {
     if (failure instanceof EndpointBusyError) {
-      void reply.code(503).send({error: failure.detail});
+      void reply
+        .code(503)
+        .header(NOT_RUN_HEADER, 'true')
+        .send({error: failure.detail});
       return;
     }
     reply.hijack();
