Conclude no origin of a stream from what a return of the store may have lost

Cause: a process that has just started took the record of versions and the list of endpoints for complete after one read each. After a return both lack what joined since the copy, and the first response names the new era already, so that the process can't see the return. Change: the record has the era in which a node that knew all versions wrote it. A process whose first response named a later era concludes nothing from "only one version" for the 2.2 s in which endpoints register again, and refuses with the end of that time; a lease holder in that state writes no era. Earlier builds ignore the field; their records count as of an earlier era.

--- a/packages/continuity/__tests__/continuity_cluster.ts
+++ b/packages/continuity/__tests__/continuity_cluster.ts
@@ -75,6 +75,7 @@
         return true;
       },
     });
+    this.store.onEra = () => this.continuity.recordEra(this.store.era);
     this.store.isUnreachable = cluster.isStoreLost;
     if (!this.store.isUnreachable) this.apply(cluster.descriptions);
   }
@@ -258,6 +259,7 @@
       stored: node.continuity.stored,
       versions: node.continuity.versions,
       recentOrigins: () => node.continuity.recentOrigins(),
+      knowsAllVersions: () => node.continuity.knowsAllVersions,
     });
     node.writer.start();
     this.loadModels(node);
--- a/packages/continuity/__tests__/stream_continuity.test.ts
+++ b/packages/continuity/__tests__/stream_continuity.test.ts
@@ -2,8 +2,13 @@
 import {expect} from 'earl';
 import type {Incarnation, SoftwareVersion} from '@siskinmux/endpoints';
 import type {EndpointDescription} from '@siskinmux/endpoints';
-import type {Instant, RequestId, ServiceName} from '@siskinmux/kernel';
-import {RefusalError, after, as} from '@siskinmux/kernel';
+import type {
+  Instant,
+  RequestId,
+  ServiceName,
+  StoreEra,
+} from '@siskinmux/kernel';
+import {RefusalError, after, as, until} from '@siskinmux/kernel';
 import {
   MemoryStore,
   SharedObjects,
@@ -60,12 +65,14 @@
       listCurrentSince: () => startedAt,
       refreshList: () => this.refreshList(continuity),
     });
+    store.onEra = () => continuity.recordEra(store.era);
     const {versions, stored} = continuity;
     const writer = OriginWriter.create({
       ...options,
       versions,
       stored,
       recentOrigins: () => continuity.recentOrigins(),
+      knowsAllVersions: () => continuity.knowsAllVersions,
     });
     continuity.setExchange({
       reportOrigins: origins => {
@@ -222,6 +229,61 @@
     void writer.stop();
   });
 
+  describe('after a start beside a return of the store', () => {
+    /** A version joins, and the store returns from the copy before; then a node starts. */
+    async function startAfterReturn() {
+      const deployment = new Deployment();
+      const {clock, shared} = deployment;
+      shared.era = as<StoreEra>(1);
+      const {writer, store, update} = deployment.start(engine('v1'));
+      await Promise.all([store.list('any'), clock.advance(10)]);
+      writer.start();
+      await clock.advance(1_000);
+      const copy = shared.copy();
+      update(undefined, engine('v2'));
+      await clock.advance(1_000);
+      await Promise.all([writer.stop(), clock.advance(1_000)]);
+      shared.comeBack(copy);
+      const started = deployment.start(engine('v1'));
+      await Promise.all([started.store.list('any'), clock.advance(10)]);
+      return {deployment, clock, started};
+    }
+
+    // All nodes were killed, and streams of v2 went on at v1 until its engines were listed again: review/7.
+    it('waits until endpoints that the copy lacks can have registered again', async () => {
+      const {deployment, clock, started} = await startAfterReturn();
+      const refusal = await deployment.resume(started.continuity);
+      expect(refusal).toBeA(RefusalError);
+      const {retryAt} = refusal as RefusalError;
+      expect(retryAt !== undefined && retryAt > clock.now()).toEqual(true);
+      started.update(undefined, engine('v2'));
+      await clock.advance(3_000);
+      expect(await deployment.resume(started.continuity)).toBeA(RefusalError);
+    });
+
+    it('continues at the only version if none has registered until then', async () => {
+      const {deployment, clock, started} = await startAfterReturn();
+      const refusal = await deployment.resume(started.continuity);
+      const {retryAt} = refusal as RefusalError;
+      await clock.advance(until(clock.now(), retryAt ?? clock.now()));
+      expect(await deployment.resume(started.continuity)).toEqual('v1');
+    });
+
+    it('passes no certainty on to nodes that read its record', async () => {
+      const {deployment, clock, started} = await startAfterReturn();
+      started.writer.start();
+      await clock.advance(1_000);
+      const other = deployment.start(engine('v1'));
+      await Promise.all([other.store.list('any'), clock.advance(10)]);
+      expect(await deployment.resume(other.continuity)).toBeA(RefusalError);
+      await clock.advance(3_000);
+      const later = deployment.start(engine('v1'));
+      await Promise.all([later.store.list('any'), clock.advance(10)]);
+      expect(await deployment.resume(later.continuity)).toEqual('v1');
+      await Promise.all([started.writer.stop(), clock.advance(1_000)]);
+    });
+  });
+
   it('costs no call to the store while one version serves, after the first', async () => {
     const deployment = new Deployment();
     const {writer} = deployment.start(engine('v1'));
--- a/packages/continuity/src/origin_messages.ts
+++ b/packages/continuity/src/origin_messages.ts
@@ -41,6 +41,11 @@
 export const storedOriginsSchema = originsSchema.extend({
   writtenAt: z.number(),
   versions: z.array(sightingSchema),
+  /**
+   * The era of the store in which it was written by a node that knew all versions; missing from a
+   * node that didn't, or of an earlier build.
+   */
+  era: z.number().optional(),
 });
 
 /** Origins on the wire. */
--- a/packages/continuity/src/origin_writer.ts
+++ b/packages/continuity/src/origin_writer.ts
@@ -6,6 +6,7 @@
   Instant,
   Milliseconds,
   ObjectVersion,
+  StoreEra,
 } from '@siskinmux/kernel';
 import {SiskinmuxError, after, sleepUntil} from '@siskinmux/kernel';
 import type {PeriodicJob} from '@siskinmux/runtime';
@@ -48,6 +49,8 @@
   readonly versions: ServiceVersions;
   /** The streams that callers may still resume, as far as this node knows them. */
   readonly recentOrigins: () => readonly StreamOrigin[];
+  /** Whether this node knows all versions at which streams can have begun. */
+  readonly knowsAllVersions: () => boolean;
 }
 
 /** Collects the origins that nodes report, and writes them a few times a second. */
@@ -114,21 +117,23 @@
     if (this.clock.now() < this.nextCallAt) return;
     this.noticeReturn();
     if (!(await this.readRevisions())) return;
-    const {versions} = this.options;
+    const {versions, store, knowsAllVersions} = this.options;
+    const era = knowsAllVersions() ? store.era : undefined;
     const recorded = encodeVersions(versions, this.clock.now());
-    const recordedKey = JSON.stringify(
+    const recordedKey = JSON.stringify([
+      era,
       recorded.map(({service, version, isListed}) => [
         service,
         version,
         isListed,
       ]),
-    );
+    ]);
     if (this.unwritten.length === 0 && recordedKey === this.recordedKey) return;
     this.nextCallAt = after(this.clock.now(), WRITE_INTERVAL_MILLISECONDS);
     const added = this.unwritten;
     this.unwritten = [];
     try {
-      await this.write(added, recorded);
+      await this.write(added, recorded, era);
       this.recordedKey = recordedKey;
       observeVersions(recorded, this.clock.now(), versions, this.clock.now());
     } catch (failure) {
@@ -156,6 +161,7 @@
   private async write(
     added: readonly StreamOrigin[],
     versions: readonly RecordedVersion[],
+    era: StoreEra | undefined,
   ): Promise<void> {
     const {store, readClocks} = this.options;
     const now = this.clock.now();
@@ -174,6 +180,7 @@
       {
         writtenAt: readClocks().timeOfDay,
         versions,
+        era,
         groups: encodeOrigins(streams, now).flatMap(({groups}) => groups),
       },
       this.revisions?.get(name) ?? 'absent',
@@ -192,7 +199,10 @@
       this.nextCallAt = after(now, FAILURE_PAUSE_MILLISECONDS);
       return false;
     }
-    observeRecord(parts, this.options.versions, now);
+    const {store, versions} = this.options;
+    observeRecord(parts, versions, now);
+    // Nothing was ever recorded, so no stream has begun that this node doesn't know.
+    if (parts.length === 0) versions.observeRecordEra(store.era);
     this.part = Number(latestPart(parts)?.object.name ?? 0) || 0;
     this.partEndsAt = now;
     this.revisions = new Map(
--- a/packages/continuity/src/service_versions.ts
+++ b/packages/continuity/src/service_versions.ts
@@ -1,8 +1,8 @@
 /** Which software versions of each service have been seen lately. */
 
 import type {EndpointTableChange, SoftwareVersion} from '@siskinmux/endpoints';
-import type {Instant, ServiceName} from '@siskinmux/kernel';
-import {after, later} from '@siskinmux/kernel';
+import type {Instant, ServiceName, StoreEra} from '@siskinmux/kernel';
+import {UNKNOWN_ERA, after, as, later} from '@siskinmux/kernel';
 import {MAXIMUM_MEMORY_MILLISECONDS} from './stream_origins.js';
 
 /** Undefined for endpoints that don't state their version. */
@@ -23,6 +23,7 @@
   >();
 
   private readonly recordReads = new Map<ServiceName, Instant>();
+  private latestRecordEra = UNKNOWN_ERA;
 
   private constructor() {}
 
@@ -53,6 +54,15 @@
     return this.recordReads.get(service);
   }
 
+  /** The latest era of the store for which a record was read that names all versions. */
+  get recordEra(): StoreEra {
+    return this.latestRecordEra;
+  }
+
+  observeRecordEra(era: StoreEra): void {
+    this.latestRecordEra = as<StoreEra>(Math.max(this.latestRecordEra, era));
+  }
+
   /** Adds what the record in the store says, read at `now`: the version was seen at `seenAt`. */
   observe(
     service: ServiceName,
--- a/packages/continuity/src/stored_origins.ts
+++ b/packages/continuity/src/stored_origins.ts
@@ -4,7 +4,13 @@
  * object is overwritten. Each also records the versions of all services when it was written.
  */
 
-import type {Clock, EmitEvent, Instant, Milliseconds} from '@siskinmux/kernel';
+import type {
+  Clock,
+  EmitEvent,
+  Instant,
+  Milliseconds,
+  StoreEra,
+} from '@siskinmux/kernel';
 import {SiskinmuxError, after, as, sleepUntil, until} from '@siskinmux/kernel';
 import type {ClockReading} from '@siskinmux/leases';
 import type {MetadataObject, MetadataStore} from '@siskinmux/ports';
@@ -142,4 +148,6 @@
   const latest = latestPart(parts);
   if (latest?.content === undefined) return;
   observeVersions(latest.content.versions, latest.writtenAt, versions, now);
+  const {era} = latest.content;
+  if (era !== undefined) versions.observeRecordEra(as<StoreEra>(era));
 }
--- a/packages/continuity/src/stream_continuity.ts
+++ b/packages/continuity/src/stream_continuity.ts
@@ -17,6 +17,7 @@
   Milliseconds,
   RequestId,
   ServiceName,
+  StoreEra,
 } from '@siskinmux/kernel';
 import {
   ErrorCode,
@@ -26,6 +27,7 @@
   sleepFor,
   until,
 } from '@siskinmux/kernel';
+import {REREGISTRATION_GRACE_MILLISECONDS} from '@siskinmux/endpoints';
 import {STREAM_RESUMED, VERSIONS_CHANGED} from './continuity_events.js';
 import {ServiceVersions} from './service_versions.js';
 import type {StoredOrigins} from './stored_origins.js';
@@ -101,6 +103,8 @@
   private readonly own = StreamOrigins.create();
   /** Streams of this node and others. */
   private readonly known = StreamOrigins.create();
+  /** The first era that the store named to this process, and when. */
+  private firstEra: {readonly era: StoreEra; readonly at: Instant} | undefined;
   private exchange: OriginExchange | undefined;
   private unreported: StreamOrigin[] = [];
   private isReportScheduled = false;
@@ -113,6 +117,29 @@
     return new StreamContinuity(options);
   }
 
+  /** Records an era that the store has named. */
+  recordEra(era: StoreEra): void {
+    this.firstEra ??= {era, at: this.options.clock.now()};
+  }
+
+  /**
+   * Whether the versions of this node and of the record are all there are. If the store has returned
+   * from an older copy between the last record and the start of this process, both may lack a
+   * version, until its endpoints have had time to register again.
+   */
+  get knowsAllVersions(): boolean {
+    return this.versionsKnownAt === undefined;
+  }
+
+  /** When all versions will be known; undefined if they are. */
+  private get versionsKnownAt(): Instant | undefined {
+    const {firstEra, versions} = this;
+    if (firstEra === undefined || versions.recordEra >= firstEra.era)
+      return undefined;
+    const knownAt = after(firstEra.at, REREGISTRATION_GRACE_MILLISECONDS);
+    return this.options.clock.now() < knownAt ? knownAt : undefined;
+  }
+
   /** Records that the first event of a stream has been passed on. */
   recordStart(
     stream: RequestId,
@@ -218,14 +245,20 @@
     this.log(taken, found, resumedAt);
     if (found !== undefined && found.version !== undefined)
       return {kind: 'only', version: found.version};
-    const mayBecomeKnown = found === undefined && !isStoreRead;
     throw createNotRunRefusal(
       ErrorCode.StreamOriginUnknown,
       taken.service,
-      mayBecomeKnown ? after(clock.now(), RETRY_AFTER_MILLISECONDS) : undefined,
+      found === undefined ? this.originKnownAt(isStoreRead) : undefined,
     );
   }
 
+  /** When the origin of a stream may become known; undefined if it won't. */
+  private originKnownAt(isStoreRead: boolean): Instant | undefined {
+    return isStoreRead
+      ? this.versionsKnownAt
+      : after(this.options.clock.now(), RETRY_AFTER_MILLISECONDS);
+  }
+
   /** An endpoint of another version may have joined since this node's list was read. */
   private refreshList({deadline}: ResumedStream): Promise<boolean> {
     const {clock, refreshList} = this.options;
@@ -266,6 +299,7 @@
   ): boolean {
     const recordReadAt = this.versions.recordReadAt(service);
     if (recordReadAt === undefined || evidence === 'memory') return false;
+    if (!this.knowsAllVersions) return false;
     if (evidence === 'store') return true;
     const currentSince = this.options.listCurrentSince();
     return currentSince !== undefined && currentSince <= recordReadAt;
--- a/packages/gateway/src/gateway_node.ts
+++ b/packages/gateway/src/gateway_node.ts
@@ -269,6 +269,7 @@
       eraObserver: {
         onEra: (era, before) => {
           emit(STORE_ERA_CHANGED, {era, before});
+          this.continuity.recordEra(era);
           if (before !== UNKNOWN_ERA) this.placement.onStoreReturn();
         },
         onUnusableEra: (text, known) =>
--- a/packages/gateway/src/node_placement.ts
+++ b/packages/gateway/src/node_placement.ts
@@ -459,6 +459,7 @@
       stored: continuity.stored,
       versions: continuity.versions,
       recentOrigins: () => continuity.recentOrigins(),
+      knowsAllVersions: () => continuity.knowsAllVersions,
     });
     this.teamQuotaHolder = this.createTeamQuotaHolder(heldLease);
     const allocatorServer = AllocatorServer.create({
